--- /dev/null
+++ b/berylproxy/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The program berylctl."""
--- /dev/null
+++ b/berylproxy/client/__init__.py
@@ -0,0 +1,1 @@
+"""The library that callers use to submit work."""
--- /dev/null
+++ b/berylproxy/collect/__init__.py
@@ -0,0 +1,1 @@
+"""Gathers the results of a job's tasks into its single answer."""
--- /dev/null
+++ b/berylproxy/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The program berylproxyd: settings, wiring and shutdown."""
--- /dev/null
+++ b/berylproxy/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between daemons, and the membership learnt from them."""
--- /dev/null
+++ b/berylproxy/place/__init__.py
@@ -0,0 +1,1 @@
+"""Grants the slots of endpoints to waiting tasks."""
--- /dev/null
+++ b/berylproxy/records/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration records: schemas, checks and the daemon's current view."""
--- /dev/null
+++ b/berylproxy/send/__init__.py
@@ -0,0 +1,1 @@
+"""Carries one task to one endpoint over connections that the daemon keeps itself."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that berylproxy meets: the platform and endpoints."""
--- /dev/null
+++ b/tests/environment.py
@@ -0,0 +1,1 @@
+"""Hooks for behave."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: the test runner and the demonstration."""
