--- /dev/null
+++ b/berylproxy/admit/answers.py
@@ -0,0 +1,120 @@
+"""Answers to callers: one JSON form and one HTTP status for each outcome."""
+
+import json
+from math import ceil
+
+from starlette.responses import Response
+
+from berylproxy.admit.errors import AdmitError, TeamTokenRequiredError, TeamUnknownError
+from berylproxy.constants import CODE_HEADER, JSON_CONTENT_TYPE, OUTCOME_HEADER
+from berylproxy.deduplicate.errors import (
+    IdentifierMalformedError,
+    IdentifierReusedError,
+    JobNotFoundError,
+)
+from berylproxy.deduplicate.messages import JobState
+from berylproxy.deduplicate.router import make_refusal
+from berylproxy.errors import BerylproxyError
+from berylproxy.models import JobAnswer, Outcome, TaskResult
+from berylproxy.waiting.limits import (
+    ServiceUnknownError,
+    TaskNeverFitsError,
+    TaskTooLargeError,
+    TeamQueueFullError,
+)
+
+STATUS_RUNNING = 202
+STATUS_OF_OUTCOME = {
+    Outcome.DONE: 200,
+    Outcome.NOT_RUN: 503,
+    Outcome.FAILED: 502,
+    Outcome.UNKNOWN: 504,
+}
+STATUS_OF_CODE = {
+    IdentifierMalformedError.code: 400,
+    IdentifierReusedError.code: 409,
+    JobNotFoundError.code: 404,
+    TeamQueueFullError.code: 429,
+    ServiceUnknownError.code: 404,
+    TaskTooLargeError.code: 413,
+    TaskNeverFitsError.code: 422,
+    TeamUnknownError.code: TeamUnknownError.status,
+    TeamTokenRequiredError.code: TeamTokenRequiredError.status,
+    "cancelled": 409,
+}
+
+
+def make_job_response(state: JobState) -> Response:
+    """Answers with a job's state."""
+    answer = state.answer
+    if answer is None:
+        content = {"id": state.job_id, "state": "running", "outcome": None}
+        return _make_response(STATUS_RUNNING, content, {})
+    content = {
+        "id": state.job_id,
+        "state": "finished",
+        "outcome": answer.outcome.value,
+        "code": answer.code,
+        "message": answer.message,
+        "hint": answer.hint,
+        "retry_after_s": answer.retry_after_s,
+        "results": [_describe_result(result) for result in answer.results],
+    }
+    return _make_response(_choose_status(answer.outcome, answer.code), content, _headers(answer))
+
+
+def make_request_response(state: JobState) -> Response:
+    """Answers a single request: with the endpoint's own answer if it is done."""
+    answer = state.answer
+    if answer is None or answer.outcome is not Outcome.DONE:
+        return make_job_response(state)
+    result = answer.results[0]
+    headers = {OUTCOME_HEADER: Outcome.DONE.value, "Content-Type": result.content_type}
+    return Response(result.body, STATUS_OF_OUTCOME[Outcome.DONE], headers)
+
+
+def make_error_response(error: BerylproxyError) -> Response:
+    """Answers a call that names no job with an error."""
+    answer = make_refusal("", error, Outcome.NOT_RUN)
+    content = {
+        "outcome": answer.outcome.value,
+        "code": error.code,
+        "message": error.message,
+        "hint": error.hint,
+        "retry_after_s": error.retry_after_s,
+    }
+    status = error.status if isinstance(error, AdmitError) else STATUS_OF_OUTCOME[answer.outcome]
+    return _make_response(status, content, _headers(answer))
+
+
+def make_json_response(content: object, status: int = 200) -> Response:
+    """Answers with JSON."""
+    return _make_response(status, content, {})
+
+
+def _make_response(status: int, content: object, headers: dict[str, str]) -> Response:
+    return Response(json.dumps(content), status, headers, JSON_CONTENT_TYPE)
+
+
+def _choose_status(outcome: Outcome, code: str) -> int:
+    return STATUS_OF_CODE.get(code, STATUS_OF_OUTCOME[outcome])
+
+
+def _headers(answer: JobAnswer) -> dict[str, str]:
+    headers = {OUTCOME_HEADER: answer.outcome.value}
+    if answer.code:
+        headers[CODE_HEADER] = answer.code
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(ceil(answer.retry_after_s))
+    return headers
+
+
+def _describe_result(result: TaskResult) -> dict[str, object]:
+    text = result.body.decode("utf-8", errors="replace")
+    payload: object = text
+    if result.content_type.startswith(JSON_CONTENT_TYPE):
+        try:
+            payload = json.loads(text)
+        except ValueError:
+            payload = text
+    return {"id": result.task_id, "payload": payload}
--- /dev/null
+++ b/berylproxy/admit/api.py
@@ -0,0 +1,205 @@
+"""The callers' HTTP interface."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from berylproxy.admit.answers import (
+    make_error_response,
+    make_job_response,
+    make_json_response,
+    make_request_response,
+)
+from berylproxy.admit.authorization import authorize_team
+from berylproxy.admit.errors import (
+    AdmitError,
+    BodyTooLargeError,
+    HeaderInvalidError,
+    NotReadyError,
+)
+from berylproxy.admit.schemas import (
+    MAX_TIMEOUT_S,
+    IdentifierRequestSchema,
+    SubmissionSchema,
+    parse_body,
+)
+from berylproxy.constants import (
+    JSON_CONTENT_TYPE,
+    MAX_SUBMISSION_BYTES,
+    REPEATABLE_HEADER,
+    REQUEST_ID_HEADER,
+    TIMEOUT_HEADER,
+    TRACEPARENT_HEADER,
+)
+from berylproxy.deduplicate.messages import JobState
+from berylproxy.deduplicate.router import JobRouter, make_refusal
+from berylproxy.errors import BerylproxyError
+from berylproxy.models import Outcome, Submission, Task
+from berylproxy.records.models import Configuration
+from berylproxy.tracing import Tracer
+
+NOT_READY_RETRY_AFTER_S = 1.0
+SINGLE_TASK_ID = "request"
+SERVICE_TIMEOUT = 0.0  # leaves the timeout to the service's record
+BOOLEANS = {"true": True, "false": False}
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class CallerApi:
+    """Checks what callers send and hands it to the job router.
+
+    :param configuration: gives the configuration in force.
+    :param is_accepting: tells whether new work is taken.
+    :param identifier_validity_s: how long a minted identifier may be used first.
+    """
+
+    def __init__(
+        self,
+        router: JobRouter,
+        tracer: Tracer,
+        configuration: Callable[[], Configuration],
+        is_accepting: Callable[[], bool],
+        identifier_validity_s: float,
+    ) -> None:
+        self._router = router
+        self._tracer = tracer
+        self._configuration = configuration
+        self._is_accepting = is_accepting
+        self._identifier_validity_s = identifier_validity_s
+
+    def routes(self) -> list[Route]:
+        """Makes the routes."""
+        job_path = "/v1/jobs/{job_id}"
+        return [
+            Route("/v1/job-ids", _guard(self.mint), methods=["POST"]),
+            Route("/v1/jobs", _guard(self.submit), methods=["POST"]),
+            Route(job_path, _guard(self.fetch), methods=["GET"]),
+            Route(job_path, _guard(self.cancel), methods=["DELETE"]),
+            Route("/v1/services/{service}/requests", _guard(self.request), methods=["POST"]),
+        ]
+
+    async def mint(self, request: Request) -> Response:
+        """Mints identifiers."""
+        authorize_team(request, self._configuration())
+        self._check_accepting()
+        body = await _read_body(request)
+        asked = parse_body(IdentifierRequestSchema, body or b"{}")
+        ids = self._router.mint(asked.count)
+        return make_json_response({"ids": ids, "valid_for_s": self._identifier_validity_s})
+
+    async def submit(self, request: Request) -> Response:
+        """Submits a job and answers with its state."""
+        schema = parse_body(SubmissionSchema, await _read_body(request))
+        submission = Submission(
+            schema.id or "",
+            "",
+            "",
+            schema.service,
+            tuple(task.to_task() for task in schema.tasks),
+            schema.timeout_s or SERVICE_TIMEOUT,
+            schema.repeatable,
+            request.headers.get(TRACEPARENT_HEADER, ""),
+        )
+        wait_s = MAX_TIMEOUT_S if schema.wait_s is None else schema.wait_s
+        return make_job_response(await self._submit(request, submission, wait_s))
+
+    async def request(self, request: Request) -> Response:
+        """Serves a single request."""
+        content_type = request.headers.get("content-type", JSON_CONTENT_TYPE)
+        task = Task(SINGLE_TASK_ID, await _read_body(request), content_type, {})
+        submission = Submission(
+            request.headers.get(REQUEST_ID_HEADER, ""),
+            "",
+            "",
+            request.path_params["service"],
+            (task,),
+            _read_timeout_s(request),
+            _read_repeatable(request),
+            request.headers.get(TRACEPARENT_HEADER, ""),
+        )
+        return make_request_response(await self._submit(request, submission, MAX_TIMEOUT_S))
+
+    async def fetch(self, request: Request) -> Response:
+        """Answers with a job's state."""
+        team = authorize_team(request, self._configuration())
+        wait_s = _parse_seconds(request.query_params.get("wait_s", "0"), "wait_s")
+        state = await self._router.fetch(request.path_params["job_id"], team, wait_s)
+        return make_job_response(state)
+
+    async def cancel(self, request: Request) -> Response:
+        """Cancels a job."""
+        team = authorize_team(request, self._configuration())
+        return make_job_response(await self._router.cancel(request.path_params["job_id"], team))
+
+    async def _submit(self, request: Request, submission: Submission, wait_s: float) -> JobState:
+        try:
+            team = authorize_team(request, self._configuration())
+            job_id = submission.job_id or self._mint_one()
+        except AdmitError as error:
+            # Under an id of the caller's the submission may be running: not for this daemon to say.
+            outcome = Outcome.UNKNOWN if submission.job_id else Outcome.NOT_RUN
+            return JobState(submission.job_id, make_refusal(submission.job_id, error, outcome))
+        attributes = {"job_id": job_id, "tasks": len(submission.tasks)}
+        with self._tracer.span("admit", submission.traceparent, **attributes) as span:
+            traced = replace(submission, job_id=job_id, team=team, traceparent=span.traceparent)
+            return await self._router.submit(traced, wait_s)
+
+    def _mint_one(self) -> str:
+        self._check_accepting()
+        return self._router.mint(1)[0]
+
+    def _check_accepting(self) -> None:
+        if not self._is_accepting():
+            raise NotReadyError(
+                "this daemon takes no new work now",
+                hint="ask another daemon",
+                retry_after_s=NOT_READY_RETRY_AFTER_S,
+            )
+
+
+def _guard(handler: Handler) -> Handler:
+    async def handle(request: Request) -> Response:
+        try:
+            return await handler(request)
+        except BerylproxyError as error:
+            return make_error_response(error)
+
+    return handle
+
+
+async def _read_body(request: Request) -> bytes:
+    chunks = bytearray()
+    try:
+        async for chunk in request.stream():
+            chunks += chunk
+            if len(chunks) > MAX_SUBMISSION_BYTES:
+                raise BodyTooLargeError(f"the body is larger than {MAX_SUBMISSION_BYTES} bytes")
+    except ClientDisconnect as error:
+        raise HeaderInvalidError("the body was cut short") from error
+    return bytes(chunks)
+
+
+def _read_repeatable(request: Request) -> bool:
+    text = request.headers.get(REPEATABLE_HEADER, "false").lower()
+    if text not in BOOLEANS:
+        raise HeaderInvalidError(f"{REPEATABLE_HEADER} must be true or false")
+    return BOOLEANS[text]
+
+
+def _read_timeout_s(request: Request) -> float:
+    text = request.headers.get(TIMEOUT_HEADER)
+    return SERVICE_TIMEOUT if text is None else _parse_seconds(text, TIMEOUT_HEADER)
+
+
+def _parse_seconds(text: str, name: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 <= seconds <= MAX_TIMEOUT_S:
+        raise HeaderInvalidError(f"{name} must be from 0 to {MAX_TIMEOUT_S:.0f} seconds")
+    return seconds
--- /dev/null
+++ b/berylproxy/deduplicate/identifiers.py
@@ -0,0 +1,81 @@
+"""Identifiers that name the one daemon that may run a submission.
+
+An identifier is ``<incarnation>-<sequence>``. The incarnation names one run of one daemon, so no
+other process, and no later run of the same daemon, ever starts the tasks of that submission.
+"""
+
+import re
+from collections import deque
+from dataclasses import dataclass
+
+from berylproxy.clock import Clock
+
+IDENTIFIER_PATTERN = re.compile(r"([0-9a-f]{12})-([1-9][0-9]{0,17})")
+
+
+@dataclass(frozen=True, slots=True)
+class JobIdentifier:
+    """A parsed identifier.
+
+    :param incarnation: the home's incarnation.
+    :param sequence: the number that the home gave it.
+    """
+
+    incarnation: str
+    sequence: int
+
+    def __str__(self) -> str:
+        return f"{self.incarnation}-{self.sequence}"
+
+
+def parse_identifier(text: str) -> JobIdentifier | None:
+    """Parses an identifier; ``None`` if it is not one.
+
+    Example::
+
+        parse_identifier("0123456789ab-7")
+    """
+    match = IDENTIFIER_PATTERN.fullmatch(text)
+    if match is None:
+        return None
+    return JobIdentifier(match[1], int(match[2]))
+
+
+class IdentifierMint:
+    """Mints identifiers and knows which may still be used for the first time.
+
+    :param incarnation: the incarnation of this daemon.
+    :param valid_for_s: how long an identifier may be used for the first time.
+    """
+
+    def __init__(self, incarnation: str, clock: Clock, valid_for_s: float) -> None:
+        self._incarnation = incarnation
+        self._clock = clock
+        self._valid_for_s = valid_for_s
+        self._last_sequence = 0
+        self._oldest_valid_sequence = 1
+        self._blocks: deque[tuple[float, int]] = deque()  # (minted at, first sequence)
+
+    def mint(self, count: int) -> list[str]:
+        """Mints a block of identifiers."""
+        first = self._last_sequence + 1
+        self._last_sequence += count
+        self._blocks.append((self._clock.now_s(), first))
+        return [f"{self._incarnation}-{first + offset}" for offset in range(count)]
+
+    def is_usable(self, sequence: int) -> bool:
+        """Tells whether the number was minted here, and not so long ago that its use is over."""
+        self._expire_blocks()
+        return self._oldest_valid_sequence <= sequence <= self._last_sequence
+
+    def was_minted(self, sequence: int) -> bool:
+        """Tells whether the number was ever minted here."""
+        return 1 <= sequence <= self._last_sequence
+
+    def _expire_blocks(self) -> None:
+        oldest_minted_s = self._clock.now_s() - self._valid_for_s
+        while self._blocks and self._blocks[0][0] < oldest_minted_s:
+            self._blocks.popleft()
+            self._oldest_valid_sequence = (
+                self._blocks[0][1] if self._blocks else self._last_sequence + 1
+            )
--- /dev/null
+++ b/berylproxy/deduplicate/registry.py
@@ -0,0 +1,119 @@
+"""The jobs that this daemon is the home of."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from hashlib import sha256
+
+from berylproxy.clock import Clock
+from berylproxy.collect.job import Job
+from berylproxy.deduplicate.errors import (
+    IdentifierExpiredError,
+    IdentifierMalformedError,
+    IdentifierReusedError,
+    JobNotFoundError,
+)
+from berylproxy.deduplicate.identifiers import IdentifierMint, parse_identifier
+from berylproxy.models import Submission
+
+
+def digest_submission(submission: Submission) -> bytes:
+    """Hashes what makes two submissions the same: team, service, mark and tasks."""
+    digest = sha256()
+    header = (submission.team, submission.service, submission.repeatable, len(submission.tasks))
+    digest.update(repr(header).encode())
+    for task in submission.tasks:
+        digest.update(repr((task.task_id, task.content_type, sorted(task.needs.items()))).encode())
+        digest.update(len(task.body).to_bytes(8, "big"))
+        digest.update(task.body)
+    return digest.digest()
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredJob:
+    """A job and the digest of its content."""
+
+    job: Job
+    digest: bytes
+
+
+class JobRegistry:
+    """Remembers each submission from its first arrival until its answer has been kept long enough.
+
+    :param retention_s: how long an answer is kept; at least as long as identifiers are valid, so
+        that a forgotten identifier can't be taken for a new one.
+    """
+
+    def __init__(self, mint: IdentifierMint, clock: Clock, retention_s: float) -> None:
+        self._mint = mint
+        self._clock = clock
+        self._retention_s = retention_s
+        self._jobs: dict[str, RegisteredJob] = {}
+        self._finished: OrderedDict[str, float] = OrderedDict()  # job id -> finished at
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def register(self, submission: Submission, timeout_s: float) -> tuple[Job, bool]:
+        """Finds the submission's job or makes it; tells whether it is new.
+
+        :param timeout_s: time from now after which a new job is given up on.
+
+        :raises IdentifierReusedError: if the identifier stands for other content.
+        :raises IdentifierExpiredError: if it was minted too long ago to be used first now.
+        :raises IdentifierMalformedError: if it was never minted here.
+        """
+        digest = digest_submission(submission)
+        known = self._jobs.get(submission.job_id)
+        if known is not None:
+            if known.digest != digest:
+                raise IdentifierReusedError(
+                    f"id {submission.job_id} stands for a submission with other content",
+                    hint="take a new id for new content",
+                )
+            return known.job, False
+        self._check_first_use(submission.job_id)
+        job = Job(submission, self._clock.now_s(), timeout_s)
+        self._jobs[submission.job_id] = RegisteredJob(job, digest)
+        return job, True
+
+    def find(self, job_id: str) -> Job:
+        """Finds a job by its identifier.
+
+        :raises IdentifierExpiredError: if it may have run and been forgotten.
+        :raises JobNotFoundError: if no submission has arrived under it.
+        """
+        known = self._jobs.get(job_id)
+        if known is not None:
+            return known.job
+        self._check_first_use(job_id)
+        raise JobNotFoundError(f"no job {job_id}", hint="submit it under this id")
+
+    def note_finished(self, job: Job) -> None:
+        """Starts the time for which the answer is kept."""
+        self._finished[job.job_id] = job.finished_s
+
+    def forget_old_jobs(self) -> None:
+        """Evicts answers that have been kept for the retention time."""
+        oldest_kept_s = self._clock.now_s() - self._retention_s
+        while self._finished:
+            job_id, finished_s = next(iter(self._finished.items()))
+            if finished_s >= oldest_kept_s:
+                return
+            del self._finished[job_id]
+            del self._jobs[job_id]
+
+    def list_unfinished(self) -> list[Job]:
+        """Lists the jobs that have no answer yet."""
+        return [known.job for known in self._jobs.values() if not known.job.is_finished]
+
+    def _check_first_use(self, job_id: str) -> None:
+        identifier = parse_identifier(job_id)
+        if identifier is None or not self._mint.was_minted(identifier.sequence):
+            raise IdentifierMalformedError(
+                f"id {job_id} was not minted here", hint="take ids from POST /v1/job-ids"
+            )
+        if not self._mint.is_usable(identifier.sequence):
+            raise IdentifierExpiredError(
+                f"id {job_id} is too old to be used: its submission may have run",
+                hint="find out at the endpoint's owner before submitting again under a new id",
+            )
--- /dev/null
+++ b/berylproxy/deduplicate/router.py
@@ -0,0 +1,159 @@
+"""Brings a submission, wherever it arrives, to its home, and the answer back."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from anyio import move_on_after, sleep
+
+from berylproxy.clock import Clock
+from berylproxy.collect.job import Job
+from berylproxy.deduplicate.errors import (
+    DeduplicateError,
+    HomeGoneError,
+    HomeUnreachableError,
+    IdentifierMalformedError,
+    JobNotFoundError,
+)
+from berylproxy.deduplicate.identifiers import IdentifierMint, parse_identifier
+from berylproxy.deduplicate.messages import CancelJob, FetchJob, JobState, SubmitJob
+from berylproxy.deduplicate.registry import JobRegistry
+from berylproxy.errors import BerylproxyError
+from berylproxy.models import JobAnswer, Outcome, Submission
+from berylproxy.peers.membership import (
+    MemberStatus,
+    PeerError,
+    PeerNetwork,
+)
+
+HOME_RETRY_INTERVAL_S = 0.2
+HOME_REPLY_MARGIN_S = 2.0
+UNREACHABLE_RETRY_AFTER_S = 2.0
+
+Message = TypeVar("Message", SubmitJob, FetchJob, CancelJob)
+
+
+def make_refusal(job_id: str, error: BerylproxyError, outcome: Outcome) -> JobAnswer:
+    """Makes the answer that tells an error."""
+    return JobAnswer(job_id, outcome, error.code, error.message, error.hint, error.retry_after_s)
+
+
+class JobRouter:
+    """Serves jobs whose home is here and forwards to the home otherwise.
+
+    Only the home named by the identifier ever starts the tasks, so a message to it may be repeated
+    over a new stream: the home finds the job that it already knows.
+
+    :param submit: takes a submission at its home.
+    :param cancel: gives a job up at its home.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        clock: Clock,
+        mint: IdentifierMint,
+        registry: JobRegistry,
+        network: PeerNetwork,
+        submit: Callable[[Submission], Job],
+        cancel: Callable[[Job], None],
+    ) -> None:
+        self._incarnation = incarnation
+        self._clock = clock
+        self._mint = mint
+        self._registry = registry
+        self._network = network
+        self._submit = submit
+        self._cancel = cancel
+
+    def mint(self, count: int) -> list[str]:
+        """Mints identifiers whose home is this daemon."""
+        return self._mint.mint(count)
+
+    async def submit(self, submission: Submission, wait_s: float) -> JobState:
+        """Submits to the home; returns the job's state after its end or after ``wait_s``.
+
+        A refusal, and a home that can't be asked, are told as the job's answer.
+        """
+        return await self._route(submission.job_id, SubmitJob(submission, wait_s), wait_s)
+
+    async def fetch(self, job_id: str, team: str, wait_s: float) -> JobState:
+        """Fetches a job's state after its end or after ``wait_s``."""
+        return await self._route(job_id, FetchJob(job_id, team, wait_s), wait_s)
+
+    async def cancel(self, job_id: str, team: str) -> JobState:
+        """Cancels a job and returns its state."""
+        return await self._route(job_id, CancelJob(job_id, team), 0.0)
+
+    async def handle(self, message: Message) -> JobState:
+        """Serves a message at the home; errors become the answer."""
+        try:
+            return await self._serve(message)
+        except BerylproxyError as error:
+            job_id = message.submission.job_id if isinstance(message, SubmitJob) else message.job_id
+            outcome = error.outcome if isinstance(error, DeduplicateError) else Outcome.NOT_RUN
+            return JobState(job_id, make_refusal(job_id, error, outcome))
+
+    async def _serve(self, message: Message) -> JobState:
+        match message:
+            case SubmitJob(submission, wait_s):
+                return await self._wait(self._submit(submission), wait_s)
+            case FetchJob(job_id, team, wait_s):
+                return await self._wait(self._find(job_id, team), wait_s)
+            case CancelJob(job_id, team):
+                job = self._find(job_id, team)
+                self._cancel(job)
+                return JobState(job_id, job.answer)
+        raise TypeError(f"{type(message).__name__} is not a message about jobs")
+
+    async def _route(self, job_id: str, message: Message, wait_s: float) -> JobState:
+        identifier = parse_identifier(job_id)
+        if identifier is not None and identifier.incarnation == self._incarnation:
+            return await self.handle(message)
+        try:
+            if identifier is None:
+                raise IdentifierMalformedError(
+                    f"{job_id[:64]!r} is not an id", hint="take ids from POST /v1/job-ids"
+                )
+            return await self._forward(identifier.incarnation, message, wait_s)
+        except DeduplicateError as error:
+            return JobState(job_id, make_refusal(job_id, error, error.outcome))
+
+    async def _forward(self, home: str, message: Message, wait_s: float) -> JobState:
+        end_s = self._clock.now_s() + wait_s + HOME_REPLY_MARGIN_S
+        while True:
+            self._check_home(home)
+            remaining_s = end_s - self._clock.now_s()
+            if remaining_s <= 0:
+                raise HomeUnreachableError(
+                    "the job's home does not answer: its tasks may have run",
+                    hint="ask again under the same id",
+                    retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+                )
+            try:
+                return await self._network.request(home, message, remaining_s)
+            except PeerError:
+                # The stream may come back, and the home finds the job by its identifier.
+                await sleep(HOME_RETRY_INTERVAL_S)
+
+    def _check_home(self, home: str) -> None:
+        for member in self._network.members():
+            if member.identity.incarnation != home:
+                continue
+            if member.status is MemberStatus.DEAD:
+                break
+            return
+        raise HomeGoneError(
+            "the job's home has ended or is not known here: its tasks may have run",
+            hint="submit again under a new id only if running twice does no harm",
+        )
+
+    def _find(self, job_id: str, team: str) -> Job:
+        job = self._registry.find(job_id)
+        if job.submission.team != team:
+            raise JobNotFoundError(f"no job {job_id}")
+        return job
+
+    async def _wait(self, job: Job, wait_s: float) -> JobState:
+        with move_on_after(max(0.0, wait_s)):
+            await job.finished.wait()
+        return JobState(job.job_id, job.answer)
--- a/berylproxy/models.py
+++ b/berylproxy/models.py
@@ -57,7 +57,8 @@
     :param team: the submitting team's name.
     :param service: the service's name.
     :param tasks: the tasks in the order of the answer.
-    :param timeout_s: time from acceptance after which the job is given up on.
+    :param timeout_s: time from acceptance after which the job is given up on; 0 until the home has
+        taken the service's.
     :param repeatable: whether a task may be run again after a finished failure.
     :param traceparent: W3C trace context of the caller; may be empty.
     """
@@ -96,12 +97,15 @@
 
     :param results: one for each task in submission order if ``outcome`` is ``DONE``, else empty.
     :param code: why, for every outcome but ``DONE``.
-    :param retry_after_s: when to come back, for ``NOT_RUN``.
+    :param message: the same in one line for people.
+    :param hint: what to do next; may be empty.
+    :param retry_after_s: when to come back; ``None`` when that cannot help.
     """
 
     job_id: str
     outcome: Outcome
     code: str = ""
     message: str = ""
+    hint: str = ""
     retry_after_s: float | None = None
     results: tuple[TaskResult, ...] = ()
--- /dev/null
+++ b/berylproxy/pipeline.py
@@ -0,0 +1,231 @@
+"""Joins the filters at a submission's home: deduplicate, waiting, place, send, collect."""
+
+from collections.abc import Callable
+
+from anyio import Event, move_on_after, sleep
+from anyio.abc import TaskGroup
+
+from berylproxy.clock import Clock
+from berylproxy.collect.job import Job, TaskRun
+from berylproxy.deduplicate.registry import JobRegistry
+from berylproxy.models import DaemonIdentity, Outcome, Submission, TaskResult
+from berylproxy.place.holder import Holder
+from berylproxy.place.ledger import SlotResult
+from berylproxy.place.messages import (
+    GrantSlots,
+    HeldSlot,
+    HolderSummary,
+    ReleaseSlots,
+    UpdateDemand,
+)
+from berylproxy.place.requester import SlotRequester
+from berylproxy.records.models import Configuration
+from berylproxy.send.dispatcher import Dispatcher
+from berylproxy.send.sender import TaskSender
+from berylproxy.tracing import Tracer
+from berylproxy.waiting.limits import (
+    AdmissionError,
+    HomeLeavingError,
+    Load,
+    NoEndpointError,
+    ServiceUnknownError,
+    check_load,
+    check_tasks,
+)
+from berylproxy.waiting.queue import WaitingQueue
+
+TICK_INTERVAL_S = 0.05
+DEFAULT_TEAM_QUOTA = 5_000
+REFUSED_RETRY_AFTER_S = 2.0
+MAX_FLUSH_ROUNDS = 8
+
+
+class Pipeline:
+    """The path of tasks at one daemon, as a home and as a holder of slots.
+
+    :param notify: sends a message without reply to another daemon, by incarnation.
+    """
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        clock: Clock,
+        registry: JobRegistry,
+        sender: TaskSender,
+        tracer: Tracer,
+        notify: Callable[[str, object], None],
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._registry = registry
+        self._notify = notify
+        self._queue = WaitingQueue()
+        self._dispatcher = Dispatcher(
+            clock, sender, tracer, self._release, self._requeue, self._finish_task
+        )
+        self.holder = Holder(identity, clock, self._send)
+        self.requester = SlotRequester(
+            identity, clock, self._queue, self._send, self._dispatcher.start
+        )
+        self._configuration = Configuration()
+        self.is_leaving = False
+        self._changed = Event()
+        self._task_group: TaskGroup | None = None
+
+    @property
+    def waiting_tasks(self) -> int:
+        """How many tasks wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def running_tasks(self) -> int:
+        """How many tasks are at endpoints."""
+        return self._dispatcher.in_flight
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        self._configuration = configuration
+        self._dispatcher.configure(configuration)
+        self.holder.configure(configuration)
+        self.requester.configure(configuration)
+        self._wake()
+
+    def update_members(self, live: list[DaemonIdentity]) -> None:
+        """Takes the daemons that live and are not leaving."""
+        self.holder.update_members(live)
+        self.requester.update_members(live)
+        self._wake()
+
+    def forget_home(self, incarnation: str) -> None:
+        """A daemon has died."""
+        self.holder.forget_home(incarnation)
+        self._wake()
+
+    def receive(self, sender: str, message: object) -> None:
+        """Takes a message about slots from a daemon, this one included."""
+        match message:
+            case UpdateDemand():
+                self.holder.receive_demand(sender, message)
+            case ReleaseSlots():
+                self.holder.receive_releases(message)
+            case GrantSlots():
+                self.requester.receive_grants(sender, message)
+            case HolderSummary():
+                self.requester.receive_summary(message)
+        self._wake()
+
+    def submit(self, submission: Submission) -> Job:
+        """Takes a submission whose home this daemon is; returns its job, new or known.
+
+        A job that is refused is finished at once.
+
+        :raises DeduplicateError: if the identifier can't be used.
+        """
+        job, is_new = self._registry.register(submission, self._resolve_timeout_s(submission))
+        if not is_new:
+            return job
+        try:
+            self._check_admission(submission)
+        except AdmissionError as error:
+            # Final for this id: another copy of the submission must not run after this refusal.
+            job.refuse(error, self._clock.now_s())
+            self._registry.note_finished(job)
+            return job
+        for run in job.runs:
+            self._queue.push(run)
+        self._task_group.start_soon(self._watch_job, job)
+        self._wake()
+        return job
+
+    def cancel(self, job: Job) -> None:
+        """Gives a job up at the caller's wish."""
+        job.fail(Outcome.NOT_RUN, "cancelled", "cancelled by the caller", self._clock.now_s())
+
+    async def run(self, task_group: TaskGroup) -> None:
+        """Moves tasks and messages on until cancelled."""
+        self._task_group = task_group
+        self._dispatcher.bind(task_group)
+        task_group.start_soon(self._tick)
+        while True:
+            await self._changed.wait()
+            self._changed = Event()
+            self._flush()
+
+    async def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until no job is unfinished; tells whether that came about in time."""
+        with move_on_after(timeout_s):
+            while jobs := self._registry.list_unfinished():
+                await jobs[0].finished.wait()
+            return True
+        return False
+
+    def _resolve_timeout_s(self, submission: Submission) -> float:
+        service = self._configuration.services.get(submission.service)
+        longest_s = service.timeout_s if service is not None else 0.0
+        return min(submission.timeout_s or longest_s, longest_s)
+
+    def _check_admission(self, submission: Submission) -> None:
+        if self.is_leaving:
+            raise HomeLeavingError("this daemon is stopping", retry_after_s=REFUSED_RETRY_AFTER_S)
+        configuration = self._configuration
+        service = configuration.services.get(submission.service)
+        if service is None:
+            raise ServiceUnknownError(f"no service {submission.service[:64]!r}")
+        check_tasks(service, configuration.endpoints.values(), submission.tasks)
+        if not self.requester.can_place(service.name):
+            raise NoEndpointError(
+                f"no endpoint serves {service.name} now", retry_after_s=REFUSED_RETRY_AFTER_S
+            )
+        team = configuration.teams.get(submission.team)
+        load = Load(
+            self._queue.count_team(submission.team),
+            team.max_waiting_tasks if team is not None else DEFAULT_TEAM_QUOTA,
+            len(self._queue),
+            self.requester.estimate_wait_s(service.name, len(submission.tasks)),
+        )
+        check_load(load, len(submission.tasks), self._resolve_timeout_s(submission))
+
+    async def _watch_job(self, job: Job) -> None:
+        with move_on_after(max(0.0, job.deadline_s - self._clock.now_s())):
+            await job.finished.wait()
+        if not job.is_finished:
+            outcome = Outcome.UNKNOWN if job.may_have_run else Outcome.NOT_RUN
+            job.fail(outcome, "timeout", "not finished in time", self._clock.now_s(), 1.0)
+        self._queue.discard(job.runs)
+        self._dispatcher.cancel(job.runs)
+        self._registry.note_finished(job)
+        self._wake()
+
+    async def _tick(self) -> None:
+        while True:
+            await sleep(TICK_INTERVAL_S)
+            self.holder.mark_waiting_groups()
+            self._wake()
+
+    def _flush(self) -> None:
+        for _ in range(MAX_FLUSH_ROUNDS):
+            self.requester.flush()
+            self.holder.flush()
+            if not self.requester.has_releases():
+                return
+
+    def _send(self, incarnation: str, message: object) -> None:
+        if incarnation == self._identity.incarnation:
+            self.receive(incarnation, message)
+        else:
+            self._notify(incarnation, message)
+
+    def _release(self, slot: HeldSlot, result: SlotResult, run_time_s: float) -> None:
+        self.requester.release(slot, result, run_time_s)
+        self._wake()
+
+    def _requeue(self, run: TaskRun) -> None:
+        if not run.job.is_finished:
+            self._queue.push_front(run)
+            self._wake()
+
+    def _finish_task(self, run: TaskRun, result: TaskResult) -> None:
+        run.job.add_result(result, self._clock.now_s())
+
+    def _wake(self) -> None:
+        self._changed.set()
--- /dev/null
+++ b/berylproxy/place/ledger.py
@@ -0,0 +1,356 @@
+"""The slots of one failure domain's endpoints of one pool, and who uses them.
+
+This module decides and does nothing else: it has no clock and no sockets, every method takes the
+time. One daemon, the holder, keeps the ledger; the homes of the tasks ask it for slots.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from berylproxy.collect.job import DemandKey
+from berylproxy.place.health import EndpointHealth
+from berylproxy.place.messages import (
+    DemandEntry,
+    HeldSlot,
+    HolderSummary,
+    SlotGrant,
+    SlotRelease,
+)
+from berylproxy.place.schedule import (
+    EndpointForecast,
+    FairOrder,
+    HomeDemand,
+    SlotForecast,
+    TeamShare,
+)
+from berylproxy.place.speed import RunTimeBook
+from berylproxy.records.models import Endpoint, Service, Team
+
+LOST_SLOT_RUN_TIMES = 4  # a dead home's slot is kept for that many expected run times
+LOST_SLOT_MARGIN_S = 1.0
+OVERRUN_SHARE = 0.3  # a task that overran its expected time is taken to need that share more
+DEFAULT_RUN_TIME_S = 0.3
+UNLIMITED_SLOTS = 1_000_000
+SHORTEST_RUN_TIME_S = 0.001
+MAX_CONSIDERED_TASKS = 256  # in one decision
+
+
+class SlotResult(StrEnum):
+    """How the use of a slot ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    NO_ANSWER = "no_answer"
+    ABANDONED = "abandoned"
+    UNREACHABLE = "unreachable"
+    FULL = "full"
+    LEAVING = "leaving"
+    UNUSED = "unused"
+
+
+# After these the endpoint may go on running the task.
+STILL_BUSY_RESULTS = (SlotResult.NO_ANSWER, SlotResult.ABANDONED)
+UNHEALTHY_RESULTS = (SlotResult.FAILED, SlotResult.NO_ANSWER, SlotResult.UNREACHABLE)
+
+
+@dataclass(frozen=True, slots=True)
+class SlotKey:
+    """Names one use of a slot over changes of the holder."""
+
+    issuer: str
+    sequence: int
+
+
+@dataclass(slots=True)
+class SlotUse:
+    """A slot in use.
+
+    :param free_at_s: when it is expected to be free again.
+    :param lost_until_s: when it is given up, if its home has died; 0 while the home lives.
+    """
+
+    home: str
+    team: str
+    since_s: float
+    free_at_s: float
+    lost_until_s: float = 0.0
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """An endpoint with its slots in use and its health."""
+
+    endpoint: Endpoint
+    uses: dict[SlotKey, SlotUse] = field(default_factory=dict)
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+
+    def count_free(self, now_s: float) -> int:
+        """Counts the slots that may be granted now."""
+        if self.endpoint.leaving or not self.health.may_take(now_s, len(self.uses)):
+            return 0
+        free = max(0, self.endpoint.slots - len(self.uses))
+        return min(free, 1) if self.health.on_probation else free
+
+    def can_ever_take(self, needs: Iterable[tuple[str, int]]) -> bool:
+        """Tells whether a task with these needs fits the endpoint."""
+        resources = self.endpoint.resources
+        return all(amount <= resources.get(name, 0) for name, amount in needs)
+
+
+@dataclass(frozen=True, slots=True)
+class AddressedGrant:
+    """A grant and the home that gets it."""
+
+    home: str
+    grant: SlotGrant
+
+
+class SlotLedger:
+    """Grants slots: teams share by weight, older tasks go first, each goes where it ends soonest.
+
+    :param issuer: incarnation of the daemon that keeps the ledger.
+    """
+
+    def __init__(self, issuer: str, pool: str, failure_domain: str) -> None:
+        self.issuer = issuer
+        self.pool = pool
+        self.failure_domain = failure_domain
+        self.run_times = RunTimeBook()
+        self._states: dict[str, EndpointState] = {}
+        self._demands: dict[DemandKey, dict[str, HomeDemand]] = {}
+        self._services: dict[str, Service] = {}
+        self._teams: dict[str, Team] = {}
+        self._running: dict[str, int] = {}
+        self._last_sequence = 0
+        self._quotas: dict[str, int] = {}
+        self._unseen_grants: dict[str, dict[int, DemandKey]] = {}  # by home and number
+
+    def configure(
+        self,
+        endpoints: dict[str, Endpoint],
+        services: dict[str, Service],
+        teams: dict[str, Team],
+        quotas: dict[str, int],
+    ) -> None:
+        """Takes a new configuration; slots in use at endpoints that are gone are forgotten.
+
+        :param quotas: the most slots that each team may use here.
+        """
+        for name in self._states.keys() - endpoints.keys():
+            for key in list(self._states[name].uses):
+                self._end_use(name, key)
+            del self._states[name]
+            self.run_times.forget_endpoint(name)
+        for name, endpoint in endpoints.items():
+            state = self._states.get(name)
+            if state is None:
+                self._states[name] = EndpointState(endpoint)
+                continue
+            if state.endpoint.url != endpoint.url:
+                state.health = EndpointHealth()
+            state.endpoint = endpoint
+        self._services = services
+        self._teams = teams
+        self._quotas = quotas
+
+    def update_demand(
+        self, home: str, entries: Iterable[DemandEntry], last_grant: int, now_s: float
+    ) -> None:
+        """Replaces what a home asks for.
+
+        :param last_grant: the last grant that the home had seen when it counted.
+        """
+        unseen = self._count_unseen_grants(home, last_grant)
+        self._drop_demand(home)
+        for entry in entries:
+            key = DemandKey(entry.service, entry.team, entry.needs)
+            waiting = entry.waiting - unseen.get(key, 0)
+            if waiting > 0:
+                demand = HomeDemand(waiting, now_s - entry.oldest_age_s)
+                self._demands.setdefault(key, {})[home] = demand
+
+    def report_held(
+        self, home: str, held: Iterable[HeldSlot], last_grant: int, now_s: float
+    ) -> None:
+        """Takes a home's whole list of slots in use, in place of what was known of it."""
+        reported = {SlotKey(slot.issuer, slot.sequence): slot for slot in held}
+        for name, state in self._states.items():
+            for key, use in list(state.uses.items()):
+                on_its_way = key.issuer == self.issuer and key.sequence > last_grant
+                if use.home == home and key not in reported and not on_its_way:
+                    self._end_use(name, key)
+        for key, slot in reported.items():
+            state = self._states.get(slot.endpoint)
+            if state is not None and key not in state.uses:
+                expected_s = self._expect_s(slot.endpoint, slot.service)
+                self._begin_use(state, key, home, slot.team, now_s, expected_s)
+
+    def forget_home(self, home: str, now_s: float) -> None:
+        """A home has died: its demand goes; its slots stay in use while its tasks may still run."""
+        self._drop_demand(home)
+        self._unseen_grants.pop(home, None)
+        for state in self._states.values():
+            for use in state.uses.values():
+                if use.home == home and not use.lost_until_s:
+                    expected_s = max(use.free_at_s - use.since_s, DEFAULT_RUN_TIME_S)
+                    use.lost_until_s = now_s + LOST_SLOT_RUN_TIMES * expected_s + LOST_SLOT_MARGIN_S
+
+    def release(self, release: SlotRelease, now_s: float) -> None:
+        """Takes the end of a slot's use and learns from it."""
+        state = self._states.get(release.endpoint)
+        if state is None:
+            return
+        result = SlotResult(release.result)
+        slot = SlotKey(release.issuer, release.sequence)
+        use = state.uses.get(slot)
+        if use is not None and result in STILL_BUSY_RESULTS and use.free_at_s > now_s:
+            use.lost_until_s = use.free_at_s
+        else:
+            self._end_use(release.endpoint, slot)
+        if result is SlotResult.DONE:
+            state.health.note_success()
+            self.run_times.add(release.endpoint, release.service, release.run_time_s)
+        elif result is SlotResult.LEAVING:
+            state.health.note_leaving(now_s)
+        elif result in UNHEALTHY_RESULTS:
+            state.health.note_failure(now_s)
+
+    def decide(self, now_s: float) -> list[AddressedGrant]:
+        """Grants free slots to waiting tasks.
+
+        A task is left waiting while a slot is free if a faster endpoint is expected to finish it
+        sooner, counting the time until that endpoint has a slot.
+        """
+        self._drop_lost_slots(now_s)
+        if not self._demands:
+            return []
+        forecast = self._forecast(now_s)
+        order = FairOrder(self._demands, self._share_teams())
+        grants = []
+        for _ in range(MAX_CONSIDERED_TASKS):
+            task = order.take() if forecast.free else None
+            if task is None:
+                break
+            key, home = task
+            placement = forecast.place(key)
+            if placement is not None and placement.starts_now:
+                grants.append(self._grant(key, home, placement.endpoint, now_s))
+        return grants
+
+    def count_waiting(self) -> int:
+        """Counts the tasks that wait for a slot here."""
+        return sum(demand.waiting for homes in self._demands.values() for demand in homes.values())
+
+    def summarize(self, now_s: float) -> HolderSummary:
+        """Tells how busy the endpoints are."""
+        usable = [
+            state
+            for state in self._states.values()
+            if not state.endpoint.leaving and now_s >= state.health.ejected_until_s
+        ]
+        turnover_per_s = sum(
+            state.endpoint.slots / self._expect_any_s(state.endpoint.name) for state in usable
+        )
+        return HolderSummary(
+            self.pool,
+            self.failure_domain,
+            free=sum(state.count_free(now_s) for state in usable),
+            waiting=self.count_waiting(),
+            slots=sum(state.endpoint.slots for state in usable),
+            turnover_per_s=turnover_per_s,
+        )
+
+    def list_states(self) -> list[EndpointState]:
+        """Lists the endpoints with their slots in use and their health."""
+        return list(self._states.values())
+
+    def _drop_demand(self, home: str) -> None:
+        for homes in self._demands.values():
+            homes.pop(home, None)
+        self._demands = {key: homes for key, homes in self._demands.items() if homes}
+
+    def _forecast(self, now_s: float) -> SlotForecast:
+        forecasts = {}
+        for name, state in self._states.items():
+            if state.endpoint.leaving or now_s < state.health.ejected_until_s:
+                continue
+            free_at_s = sorted(_predict_end_s(use, now_s) for use in state.uses.values())
+            forecasts[name] = EndpointForecast(state.count_free(now_s), free_at_s)
+        return SlotForecast(forecasts, self._expect_s, self._can_take, now_s)
+
+    def _share_teams(self) -> dict[str, TeamShare]:
+        shares = {}
+        for key in self._demands:
+            team = self._teams.get(key.team)
+            weight = team.weight if team is not None else 1
+            quota = self._quotas.get(key.team, UNLIMITED_SLOTS)
+            shares[key.team] = TeamShare(self._running.get(key.team, 0), weight, quota)
+        return shares
+
+    def _grant(self, key: DemandKey, home: str, endpoint: str, now_s: float) -> AddressedGrant:
+        self._last_sequence += 1
+        homes = self._demands[key]
+        homes[home].waiting -= 1
+        if not homes[home].waiting:
+            del homes[home]
+            if not homes:
+                del self._demands[key]
+        self._unseen_grants.setdefault(home, {})[self._last_sequence] = key
+        state = self._states[endpoint]
+        slot = SlotKey(self.issuer, self._last_sequence)
+        self._begin_use(state, slot, home, key.team, now_s, self._expect_s(endpoint, key.service))
+        grant = SlotGrant(self._last_sequence, endpoint, key.service, key.team, key.needs)
+        return AddressedGrant(home, grant)
+
+    def _begin_use(
+        self,
+        state: EndpointState,
+        slot: SlotKey,
+        home: str,
+        team: str,
+        now_s: float,
+        expected_s: float,
+    ) -> None:
+        state.uses[slot] = SlotUse(home, team, now_s, now_s + expected_s)
+        self._running[team] = self._running.get(team, 0) + 1
+
+    def _end_use(self, endpoint: str, slot: SlotKey) -> None:
+        use = self._states[endpoint].uses.pop(slot, None)
+        if use is None:
+            return
+        self._running[use.team] -= 1
+        if not self._running[use.team]:
+            del self._running[use.team]
+
+    def _drop_lost_slots(self, now_s: float) -> None:
+        for name, state in self._states.items():
+            for slot, use in list(state.uses.items()):
+                if use.lost_until_s and now_s >= use.lost_until_s:
+                    self._end_use(name, slot)
+
+    def _count_unseen_grants(self, home: str, last_grant: int) -> Counter[DemandKey]:
+        unseen = self._unseen_grants.get(home, {})
+        remaining = {number: key for number, key in unseen.items() if number > last_grant}
+        self._unseen_grants[home] = remaining
+        return Counter(remaining.values())
+
+    def _can_take(self, endpoint: str, key: DemandKey) -> bool:
+        return self._states[endpoint].can_ever_take(key.needs)
+
+    def _expect_s(self, endpoint: str, service: str) -> float:
+        known = self._services.get(service)
+        declared_s = known.run_time_s if known is not None else DEFAULT_RUN_TIME_S
+        return self.run_times.expect_s(endpoint, service, declared_s)
+
+    def _expect_any_s(self, endpoint: str) -> float:
+        services = [name for name, known in self._services.items() if self.pool in known.pools]
+        times_s = [self._expect_s(endpoint, service) for service in services]
+        return max(sum(times_s) / len(times_s), SHORTEST_RUN_TIME_S) if times_s else 1.0
+
+
+def _predict_end_s(use: SlotUse, now_s: float) -> float:
+    if use.free_at_s > now_s:
+        return use.free_at_s
+    return now_s + OVERRUN_SHARE * (now_s - use.since_s)
--- /dev/null
+++ b/berylproxy/place/requester.py
@@ -0,0 +1,179 @@
+"""Asks the holders for slots on behalf of this daemon's waiting tasks."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from berylproxy.clock import Clock
+from berylproxy.collect.job import DemandKey, TaskRun
+from berylproxy.models import DaemonIdentity
+from berylproxy.place.assignment import SlotGroup, choose_holder, list_slot_groups
+from berylproxy.place.ledger import SlotResult
+from berylproxy.place.messages import (
+    DemandEntry,
+    GrantSlots,
+    HeldSlot,
+    HolderSummary,
+    ReleaseSlots,
+    SlotRelease,
+    UpdateDemand,
+)
+from berylproxy.place.spread import DemandSpread
+from berylproxy.records.models import Configuration
+from berylproxy.waiting.queue import WaitingQueue
+
+REPORT_INTERVAL_S = 1.0
+
+
+class GroupLink:
+    """What this daemon knows of the holder of one slot group.
+
+    :param holder: the holder's incarnation.
+    """
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self.last_grant = 0
+        self.last_counts: Counter[DemandKey] = Counter()
+        self.report_due_s = 0.0
+        self.releases: list[SlotRelease] = []
+
+
+class SlotRequester:
+    """Registers demand with holders, hands granted slots to tasks and gives slots back.
+
+    :param send: sends a message to a daemon by incarnation, this one included.
+    :param start: starts a task in a slot; it must call :meth:`release` once.
+    """
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        clock: Clock,
+        queue: WaitingQueue,
+        send: Callable[[str, object], None],
+        start: Callable[[TaskRun, HeldSlot], None],
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._send = send
+        self._start = start
+        self._spread = DemandSpread(identity.failure_domain)
+        self._links: dict[SlotGroup, GroupLink] = {}
+        self._held: dict[tuple[str, int], tuple[SlotGroup, HeldSlot]] = {}
+        self._configuration = Configuration()
+        self._live: list[DaemonIdentity] = [identity]
+        self.unused_grants = 0
+
+    def update_members(self, live: Iterable[DaemonIdentity]) -> None:
+        """Takes the daemons that live and are not leaving."""
+        self._live = list(live)
+        self._choose_holders()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        self._configuration = configuration
+        self._choose_holders()
+
+    def can_place(self, service: str) -> bool:
+        """Tells whether any holder can grant slots for a service."""
+        return self._spread.has_group(service)
+
+    def estimate_wait_s(self, service: str, new_tasks: int) -> float:
+        """Estimates the time until the last of some new tasks of a service would start."""
+        return self._spread.estimate_wait_s(service, new_tasks)
+
+    def has_releases(self) -> bool:
+        """Tells whether slots are to be given back."""
+        return any(link.releases for link in self._links.values())
+
+    def receive_summary(self, summary: HolderSummary) -> None:
+        """Takes a holder's summary."""
+        if SlotGroup(summary.pool, summary.failure_domain) in self._links:
+            self._spread.update_summary(summary)
+
+    def receive_grants(self, holder: str, message: GrantSlots) -> None:
+        """Starts a waiting task in each granted slot, or gives the slot back."""
+        group = SlotGroup(message.pool, message.failure_domain)
+        link = self._links.get(group)
+        for grant in message.grants:
+            key = DemandKey(grant.service, grant.team, grant.needs)
+            if link is not None and link.holder == holder:
+                link.last_grant = grant.sequence
+                self._note_grant(group, link, key)
+            slot = HeldSlot(holder, grant.sequence, grant.endpoint, grant.service, grant.team)
+            self._held[holder, grant.sequence] = (group, slot)
+            run = self._queue.pop(key, grant.endpoint)
+            if run is None:
+                self.unused_grants += 1
+                self.release(slot, SlotResult.UNUSED)
+            else:
+                self._start(run, slot)
+
+    def release(self, slot: HeldSlot, result: SlotResult, run_time_s: float = 0.0) -> None:
+        """Gives a slot back and tells how its use ended."""
+        group, _ = self._held.pop((slot.issuer, slot.sequence))
+        link = self._links.get(group)
+        if link is not None:
+            link.releases.append(
+                SlotRelease(
+                    slot.issuer, slot.sequence, slot.endpoint, slot.service, result, run_time_s
+                )
+            )
+
+    def flush(self) -> None:
+        """Tells the holders what has changed."""
+        now_s = self._clock.now_s()
+        for key in self._spread.list_keys().union(self._queue.list_keys()):
+            self._spread.balance(key, self._queue.count(key))
+        for group, link in self._links.items():
+            self._flush_releases(group, link)
+            self._flush_demand(group, link, now_s)
+
+    def _note_grant(self, group: SlotGroup, link: GroupLink, key: DemandKey) -> None:
+        self._spread.note_grant(group, key)
+        # The holder counts its grants itself, so that an update for each would tell it nothing.
+        if link.last_counts[key] > 0:
+            link.last_counts[key] -= 1
+
+    def _choose_holders(self) -> None:
+        links: dict[SlotGroup, GroupLink] = {}
+        for group in list_slot_groups(self._configuration):
+            holder = choose_holder(group, self._live)
+            if holder is None:
+                continue
+            link = self._links.get(group)
+            if link is None or link.holder != holder.incarnation:
+                link = GroupLink(holder.incarnation)
+            links[group] = link
+        self._links = links
+        groups_of_service = {
+            name: [group for group in links if group.pool in service.pools]
+            for name, service in self._configuration.services.items()
+        }
+        self._spread.configure(groups_of_service)
+
+    def _flush_releases(self, group: SlotGroup, link: GroupLink) -> None:
+        if not link.releases:
+            return
+        releases, link.releases = tuple(link.releases), []
+        self._send(link.holder, ReleaseSlots(group.pool, group.failure_domain, releases))
+
+    def _flush_demand(self, group: SlotGroup, link: GroupLink, now_s: float) -> None:
+        counts = self._spread.list_entries(group)
+        report_due = now_s >= link.report_due_s
+        if counts == link.last_counts and not report_due:
+            return
+        link.last_counts = counts
+        held = None
+        if report_due:
+            link.report_due_s = now_s + REPORT_INTERVAL_S
+            held = tuple(slot for held_group, slot in self._held.values() if held_group == group)
+        entries = tuple(self._make_entry(key, count, now_s) for key, count in counts.items())
+        self._send(
+            link.holder,
+            UpdateDemand(group.pool, group.failure_domain, entries, link.last_grant, held),
+        )
+
+    def _make_entry(self, key: DemandKey, count: int, now_s: float) -> DemandEntry:
+        age_s = now_s - self._queue.oldest_accepted_s(key)
+        return DemandEntry(key.service, key.team, key.needs, count, age_s)
--- /dev/null
+++ b/berylproxy/place/schedule.py
@@ -0,0 +1,157 @@
+"""The order in which waiting tasks get slots, and the endpoint where each would end soonest."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+
+from berylproxy.collect.job import DemandKey
+
+
+@dataclass(slots=True)
+class HomeDemand:
+    """What one home asks for.
+
+    :param since_s: when the oldest waiting task was accepted, by the holder's clock.
+    """
+
+    waiting: int
+    since_s: float
+
+
+@dataclass(slots=True)
+class TeamShare:
+    """A team's place among the others.
+
+    :param running: its slots in use.
+    :param weight: its share when teams compete.
+    :param quota: the most slots that it may use here.
+    """
+
+    running: int
+    weight: int
+    quota: int
+
+
+class FairOrder:
+    """Yields waiting tasks: least running per weight first among teams, oldest first within one.
+
+    Works on copies of the counts, so that tasks can be considered without being granted a slot.
+    """
+
+    def __init__(
+        self,
+        demands: Mapping[DemandKey, Mapping[str, HomeDemand]],
+        shares: Mapping[str, TeamShare],
+    ) -> None:
+        self._shares = shares
+        self._queues: dict[str, list[list]] = {}  # team -> heap of [since_s, order, key, home, n]
+        order = 0
+        for key, homes in demands.items():
+            for home, demand in homes.items():
+                order += 1
+                item = [demand.since_s, order, key, home, demand.waiting]
+                self._queues.setdefault(key.team, []).append(item)
+        for queue in self._queues.values():
+            heapify(queue)
+
+    def take(self) -> tuple[DemandKey, str] | None:
+        """Takes the next waiting task: its key and its home; ``None`` if none may run."""
+        team = min(self._eligible_teams(), key=self._rank, default=None)
+        if team is None:
+            return None
+        queue = self._queues[team]
+        item = queue[0]
+        item[4] -= 1
+        if not item[4]:
+            heappop(queue)
+            if not queue:
+                del self._queues[team]
+        self._shares[team].running += 1
+        return item[2], item[3]
+
+    def _eligible_teams(self) -> list[str]:
+        return [
+            team for team in self._queues if self._shares[team].running < self._shares[team].quota
+        ]
+
+    def _rank(self, team: str) -> tuple[float, float]:
+        share = self._shares[team]
+        return share.running / share.weight, self._queues[team][0][0]
+
+
+@dataclass(slots=True)
+class EndpointForecast:
+    """When an endpoint's slots are expected to be free.
+
+    :param free: slots that may be granted now.
+    :param free_at_s: heap of the times at which the others become free.
+    """
+
+    free: int
+    free_at_s: list[float] = field(default_factory=list)
+
+    def next_free_s(self, now_s: float) -> float | None:
+        """The time at which one more task could start; ``None`` for never."""
+        if self.free:
+            return now_s
+        return self.free_at_s[0] if self.free_at_s else None
+
+    def reserve(self, run_time_s: float, now_s: float) -> None:
+        """Takes the next slot for a task of that run time."""
+        start_s = now_s
+        if self.free:
+            self.free -= 1
+        else:
+            start_s = heappop(self.free_at_s)
+        heappush(self.free_at_s, start_s + run_time_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a task would end soonest."""
+
+    endpoint: str
+    starts_now: bool
+
+
+class SlotForecast:
+    """Assigns tasks one after another, each to the endpoint where it is expected to end soonest.
+
+    :param forecasts: by endpoint.
+    :param expect_s: expected run time of an endpoint and a service.
+    :param can_take: whether an endpoint can run tasks of a key at all.
+    """
+
+    def __init__(
+        self,
+        forecasts: dict[str, EndpointForecast],
+        expect_s: Callable[[str, str], float],
+        can_take: Callable[[str, DemandKey], bool],
+        now_s: float,
+    ) -> None:
+        self._forecasts = forecasts
+        self._expect_s = expect_s
+        self._can_take = can_take
+        self._now_s = now_s
+        self.free = sum(forecast.free for forecast in forecasts.values())
+
+    def place(self, key: DemandKey) -> Placement | None:
+        """Assigns one task; ``None`` if no endpoint can take it."""
+        best_name = None
+        best_end_s = float("inf")
+        for name, forecast in self._forecasts.items():
+            start_s = forecast.next_free_s(self._now_s)
+            if start_s is None or not self._can_take(name, key):
+                continue
+            end_s = start_s + self._expect_s(name, key.service)
+            if end_s < best_end_s:
+                best_name = name
+                best_end_s = end_s
+        if best_name is None:
+            return None
+        best = self._forecasts[best_name]
+        starts_now = best.free > 0
+        best.reserve(self._expect_s(best_name, key.service), self._now_s)
+        if starts_now:
+            self.free -= 1
+        return Placement(best_name, starts_now)
--- /dev/null
+++ b/berylproxy/place/speed.py
@@ -0,0 +1,53 @@
+"""Run times learnt for each endpoint and service."""
+
+from dataclasses import dataclass
+
+MEAN_GAIN = 0.1  # weight of a new run time in the moving mean
+FIRST_SAMPLES = 10  # plain mean until then
+
+
+@dataclass(slots=True)
+class RunTimeMean:
+    """A moving mean of run times in seconds."""
+
+    mean_s: float = 0.0
+    samples: int = 0
+
+    def add(self, run_time_s: float) -> None:
+        """Takes one run time."""
+        self.samples += 1
+        gain = max(MEAN_GAIN, 1 / self.samples) if self.samples <= FIRST_SAMPLES else MEAN_GAIN
+        self.mean_s += gain * (run_time_s - self.mean_s)
+
+
+class RunTimeBook:
+    """Expected run times by endpoint and service.
+
+    An endpoint that has not run a service yet is taken to be as fast as the fastest known one, so
+    that it is tried.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[tuple[str, str], RunTimeMean] = {}
+        self._fastest_s: dict[str, float] = {}
+
+    def add(self, endpoint: str, service: str, run_time_s: float) -> None:
+        """Takes the run time of a finished task."""
+        self._means.setdefault((endpoint, service), RunTimeMean()).add(run_time_s)
+        self._fastest_s[service] = min(
+            mean.mean_s for (_, known), mean in self._means.items() if known == service
+        )
+
+    def expect_s(self, endpoint: str, service: str, declared_s: float) -> float:
+        """The expected run time of a task.
+
+        :param declared_s: the service's declared run time, used until one is learnt.
+        """
+        mean = self._means.get((endpoint, service))
+        if mean is not None:
+            return mean.mean_s
+        return self._fastest_s.get(service, declared_s)
+
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Drops what was learnt of an endpoint."""
+        self._means = {key: mean for key, mean in self._means.items() if key[0] != endpoint}
--- /dev/null
+++ b/berylproxy/place/spread.py
@@ -0,0 +1,134 @@
+"""How a home divides its waiting tasks among the holders. Pure: no clock, no sockets."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from berylproxy.collect.job import DemandKey
+from berylproxy.place.assignment import SlotGroup
+from berylproxy.place.messages import HolderSummary
+
+REMOTE_PENALTY_S = 0.003  # cost of a slot in another failure domain
+UNKNOWN_SUMMARY = HolderSummary("", "", free=1, waiting=0, slots=1, turnover_per_s=1.0)
+
+
+class DemandSpread:
+    """Counts of waiting tasks by key and slot group.
+
+    :param failure_domain: the home's own, which is preferred when nothing is gained elsewhere.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self._failure_domain = failure_domain
+        self._allotted: dict[SlotGroup, Counter[DemandKey]] = {}
+        self._summaries: dict[SlotGroup, HolderSummary] = {}
+        self._groups_of_service: dict[str, list[SlotGroup]] = {}
+        self._taken: Counter[SlotGroup] = Counter()  # free slots asked for since the summary
+
+    def configure(self, groups_of_service: Mapping[str, list[SlotGroup]]) -> list[DemandKey]:
+        """Takes the groups that have a holder; returns the keys whose tasks must be added anew."""
+        self._groups_of_service = dict(groups_of_service)
+        usable = {group for groups in groups_of_service.values() for group in groups}
+        orphaned: Counter[DemandKey] = Counter()
+        for group in self._allotted.keys() - usable:
+            orphaned.update(self._allotted.pop(group))
+            self._summaries.pop(group, None)
+        return list(orphaned)
+
+    def has_group(self, service: str) -> bool:
+        """Tells whether any holder can grant slots for a service."""
+        return bool(self._groups_of_service.get(service))
+
+    def update_summary(self, summary: HolderSummary) -> None:
+        """Takes a holder's summary and moves waiting tasks to it if it has slots to spare."""
+        group = SlotGroup(summary.pool, summary.failure_domain)
+        self._summaries[group] = summary
+        self._taken[group] = 0
+        spare = summary.free - summary.waiting - self._count(group)
+        if spare > 0:
+            self._pull(group, spare)
+
+    def balance(self, key: DemandKey, waiting: int) -> None:
+        """Makes the allotments of a key add up to the number of its waiting tasks."""
+        allotted = {group: self._allotted_of(group, key) for group in self._groups(key)}
+        missing = waiting - sum(allotted.values())
+        for _ in range(missing):
+            group = min(self._groups(key), key=self._estimate_wait_s, default=None)
+            if group is None:
+                return
+            self._add(group, key, 1)
+        for _ in range(-missing):
+            group = max(
+                (group for group in allotted if self._allotted_of(group, key)),
+                key=self._estimate_wait_s,
+            )
+            self._add(group, key, -1)
+
+    def estimate_wait_s(self, service: str, new_tasks: int) -> float:
+        """Estimates the time until the last of some new tasks of a service would start.
+
+        Zero while a holder has not told its turnover yet.
+        """
+        ahead = new_tasks
+        turnover_per_s = 0.0
+        for group in self._groups_of_service.get(service, ()):
+            summary = self._summaries.get(group)
+            if summary is None:
+                return 0.0
+            ahead += max(summary.waiting, self._count(group)) - summary.free
+            turnover_per_s += summary.turnover_per_s
+        return max(0, ahead) / turnover_per_s if turnover_per_s else 0.0
+
+    def note_grant(self, group: SlotGroup, key: DemandKey) -> None:
+        """A holder granted a slot."""
+        if self._allotted_of(group, key):
+            self._add(group, key, -1)
+
+    def list_keys(self) -> set[DemandKey]:
+        """Lists the keys that have allotments."""
+        return {key for allotted in self._allotted.values() for key in +allotted}
+
+    def list_entries(self, group: SlotGroup) -> Counter[DemandKey]:
+        """The waiting tasks allotted to a group, by key."""
+        return +self._allotted.get(group, Counter())
+
+    def _groups(self, key: DemandKey) -> Iterable[SlotGroup]:
+        return self._groups_of_service.get(key.service, ())
+
+    def _allotted_of(self, group: SlotGroup, key: DemandKey) -> int:
+        return self._allotted.get(group, Counter())[key]
+
+    def _count(self, group: SlotGroup) -> int:
+        return sum(self._allotted.get(group, Counter()).values())
+
+    def _add(self, group: SlotGroup, key: DemandKey, count: int) -> None:
+        self._allotted.setdefault(group, Counter())[key] += count
+        if count > 0:
+            self._taken[group] += count
+
+    def _estimate_wait_s(self, group: SlotGroup) -> float:
+        summary = self._summaries.get(group, UNKNOWN_SUMMARY)
+        penalty_s = 0.0 if group.failure_domain == self._failure_domain else REMOTE_PENALTY_S
+        ahead = summary.waiting + self._taken[group] - summary.free
+        if ahead < 0:
+            return penalty_s
+        if not summary.turnover_per_s:
+            return float("inf")
+        return penalty_s + (ahead + 1) / summary.turnover_per_s
+
+    def _pull(self, target: SlotGroup, spare: int) -> None:
+        for group, allotted in self._allotted.items():
+            if group == target or self._has_free(group):
+                continue
+            for key in list(+allotted):
+                if target not in self._groups(key):
+                    continue
+                moved = min(spare, allotted[key])
+                self._add(group, key, -moved)
+                self._add(target, key, moved)
+                spare -= moved
+                if not spare:
+                    return
+
+    def _has_free(self, group: SlotGroup) -> bool:
+        summary = self._summaries.get(group, UNKNOWN_SUMMARY)
+        return summary.free - summary.waiting - self._taken[group] > 0
--- /dev/null
+++ b/berylproxy/send/dispatcher.py
@@ -0,0 +1,124 @@
+"""Runs tasks in granted slots: sends each once, and again only if it certainly did not start."""
+
+from collections.abc import Callable
+
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+
+from berylproxy.clock import Clock
+from berylproxy.collect.job import TaskRun
+from berylproxy.models import Outcome, TaskResult
+from berylproxy.place.ledger import SlotResult
+from berylproxy.place.messages import HeldSlot
+from berylproxy.records.models import Configuration, Endpoint
+from berylproxy.send.errors import SendError
+from berylproxy.send.sender import TaskSender
+from berylproxy.tracing import Tracer
+
+MAX_ATTEMPTS = 5  # sends of one task, the refused ones included
+
+
+class Dispatcher:
+    """Starts granted tasks and reports how they ended.
+
+    :param release: gives the slot back, with how its use ended and the run time in seconds.
+    :param requeue: takes a task back that has certainly not started.
+    :param finish: takes a task's result.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        sender: TaskSender,
+        tracer: Tracer,
+        release: Callable[[HeldSlot, SlotResult, float], None],
+        requeue: Callable[[TaskRun], None],
+        finish: Callable[[TaskRun, TaskResult], None],
+    ) -> None:
+        self._clock = clock
+        self._sender = sender
+        self._tracer = tracer
+        self._release = release
+        self._requeue = requeue
+        self._finish = finish
+        self._configuration = Configuration()
+        self._task_group: TaskGroup | None = None
+        self._scopes: dict[TaskRun, CancelScope] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """How many tasks are at endpoints now."""
+        return len(self._scopes)
+
+    def bind(self, task_group: TaskGroup) -> None:
+        """Takes the task group in which tasks run."""
+        self._task_group = task_group
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        self._configuration = configuration
+
+    def start(self, run: TaskRun, slot: HeldSlot) -> None:
+        """Starts a task in a granted slot."""
+        endpoint = self._configuration.endpoints.get(slot.endpoint)
+        unusable = endpoint is None or endpoint.leaving or run.job.is_finished
+        if unusable or self._clock.now_s() >= run.job.deadline_s:
+            self._release(slot, SlotResult.UNUSED, 0.0)
+            if not run.job.is_finished:
+                self._requeue(run)
+            return
+        # Counted before the first await, so that "not run" can't be said from here on.
+        run.job.note_start()
+        run.attempts += 1
+        self._scopes[run] = CancelScope()
+        self._task_group.start_soon(self._run, run, slot, endpoint)
+
+    def cancel(self, runs: list[TaskRun]) -> None:
+        """Gives up on tasks whose job is finished; their connections are closed."""
+        for run in runs:
+            scope = self._scopes.get(run)
+            if scope is not None:
+                scope.cancel()
+
+    async def _run(self, run: TaskRun, slot: HeldSlot, endpoint: Endpoint) -> None:
+        service = self._configuration.services.get(run.key.service)
+        started_s = self._clock.now_s()
+        timeout_s = run.job.deadline_s - started_s
+        if service is not None:
+            timeout_s = min(timeout_s, service.max_run_time_s)
+        result = SlotResult.ABANDONED
+        run_time_s = 0.0
+        try:
+            with (
+                self._scopes[run],
+                self._tracer.span(
+                    "send", run.job.submission.traceparent, task_id=run.task.task_id, slot=slot
+                ) as span,
+            ):
+                answer = await self._sender.send(run, endpoint, timeout_s, span.traceparent)
+                result = SlotResult.DONE
+                run_time_s = self._clock.now_s() - started_s
+                self._finish(run, answer)
+        except SendError as error:
+            result = error.slot_result
+            self._end_badly(run, slot, error)
+        finally:
+            del self._scopes[run]
+            self._release(slot, result, run_time_s)
+
+    def _end_badly(self, run: TaskRun, slot: HeldSlot, error: SendError) -> None:
+        if error.outcome is Outcome.NOT_RUN:
+            run.job.note_refusal()
+            run.refused_by.add(slot.endpoint)
+            if run.attempts < MAX_ATTEMPTS:
+                self._requeue(run)
+                return
+        elif error.outcome is Outcome.FAILED and self._may_repeat(run):
+            self._requeue(run)
+            return
+        self._finish(run, TaskResult(run.task.task_id, error.outcome, error.code))
+
+    def _may_repeat(self, run: TaskRun) -> bool:
+        service = self._configuration.services.get(run.key.service)
+        allowed = service is not None and service.repeat_after_failure
+        return allowed and run.job.submission.repeatable and run.attempts < MAX_ATTEMPTS
--- /dev/null
+++ b/berylproxy/settings.py
@@ -0,0 +1,185 @@
+"""The daemon's settings, from flags and environment variables, checked at start."""
+
+from collections.abc import Mapping
+from ipaddress import ip_address
+from typing import Annotated
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    field_validator,
+    model_validator,
+)
+
+from berylproxy.errors import BerylproxyError
+from berylproxy.logs import LEVELS
+
+VARIABLE_PREFIX = "BERYLPROXY_"
+# Secrets have no flags, as a process list shows them.
+SECRET_FIELDS = ("operator_tokens", "peer_keys")
+SHORTEST_SECRET_CHARACTERS = 16
+MAX_PORT = 65_535
+
+
+class SettingsError(BerylproxyError):
+    """One or more settings are wrong.
+
+    :param problems: one line for each.
+    """
+
+    code = "settings_invalid"
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems), hint="see berylproxyd --help")
+        self.problems = problems
+
+
+def _split_list(value: object) -> object:
+    if isinstance(value, str):
+        return tuple(part.strip() for part in value.split(",") if part.strip())
+    return value
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ip_address(host.strip("[]"))
+        valid = 0 <= int(port) <= MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError("must be an IP address and a port, such as 127.0.0.1:8080")
+    return value
+
+
+def is_loopback(address: str) -> bool:
+    """Tells whether ``host:port`` is on the loopback."""
+    return ip_address(address.rpartition(":")[0].strip("[]")).is_loopback
+
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+TextList = Annotated[tuple[str, ...], BeforeValidator(_split_list)]
+
+
+class Settings(BaseModel):
+    """What a daemon must know before it starts.
+
+    :param http_address: where callers, operators and the balancer reach it; port 0 picks a port.
+    :param peer_address: where other daemons reach it; port 0 picks a port.
+    :param peers: addresses of other daemons to begin with.
+    :param store_urls: base URLs of the platform's key-value service.
+    :param vm_list_url: base URL of the platform's list of VMs; empty if there is none.
+    :param trace_target: empty for none, an OTLP URL, or a file.
+    :param drain_grace_s: time for the balancer to see that the daemon is not ready any more.
+    :param drain_timeout_s: the longest that a planned stop waits for requests in flight.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    daemon_id: Name
+    failure_domain: Name
+    http_address: str = "127.0.0.1:8080"
+    peer_address: str = "127.0.0.1:8081"
+    peers: TextList = ()
+    store_urls: TextList = Field(min_length=1)
+    vm_list_url: str = ""
+    cluster: Name = "berylproxy"
+    operator_tokens: TextList = ()
+    peer_keys: TextList = ()
+    tls_certificate: str = ""
+    tls_key: str = ""
+    log_level: str = "info"
+    trace_target: str = ""
+    drain_grace_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    drain_timeout_s: Annotated[float, Field(gt=0, le=3600)] = 60.0
+
+    @field_validator("http_address", "peer_address")
+    @classmethod
+    def check_address(cls, value: str) -> str:
+        """Refuses what is no IP address and port."""
+        return _check_address(value)
+
+    @field_validator("peers")
+    @classmethod
+    def check_peers(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuses a list with a wrong address."""
+        return tuple(_check_address(peer) for peer in value)
+
+    @field_validator("store_urls")
+    @classmethod
+    def check_store_urls(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuses what is no HTTP URL."""
+        if not all(url.startswith(("http://", "https://")) for url in value):
+            raise ValueError("must be http:// or https:// URLs")
+        return value
+
+    @field_validator("operator_tokens", "peer_keys")
+    @classmethod
+    def check_secrets(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuses short secrets, without repeating them."""
+        if any(len(secret) < SHORTEST_SECRET_CHARACTERS for secret in value):
+            raise ValueError(f"must have at least {SHORTEST_SECRET_CHARACTERS} characters each")
+        return value
+
+    @field_validator("peer_keys")
+    @classmethod
+    def check_key_count(cls, value: tuple[str, ...]) -> tuple[str, ...]:
+        """Allows a second key while one is replaced."""
+        if len(value) > 2:
+            raise ValueError("at most two keys: the new one and the one being replaced")
+        return value
+
+    @field_validator("log_level")
+    @classmethod
+    def check_log_level(cls, value: str) -> str:
+        """Refuses unknown levels."""
+        if value not in LEVELS:
+            raise ValueError(f"must be one of {', '.join(LEVELS)}")
+        return value
+
+    @model_validator(mode="after")
+    def check_protection(self) -> "Settings":
+        """Refuses to be reachable from other machines without tokens and keys."""
+        if not self.operator_tokens and not is_loopback(self.http_address):
+            raise ValueError(
+                "http_address: without BERYLPROXY_OPERATOR_TOKENS only a loopback address is served"
+            )
+        if not self.peer_keys and not is_loopback(self.peer_address):
+            raise ValueError(
+                "peer_address: without BERYLPROXY_PEER_KEYS only a loopback address is served"
+            )
+        if bool(self.tls_certificate) != bool(self.tls_key):
+            raise ValueError("tls_certificate and tls_key go together")
+        return self
+
+
+def load_settings(flags: Mapping[str, str | None], variables: Mapping[str, str]) -> Settings:
+    """Joins flags and environment variables; a flag goes before its variable.
+
+    :raises SettingsError: with all problems at once.
+    """
+    values: dict[str, str] = {}
+    for name in Settings.model_fields:
+        flag = None if name in SECRET_FIELDS else flags.get(name)
+        value = flag if flag is not None else variables.get(VARIABLE_PREFIX + name.upper())
+        if value is not None:
+            values[name] = value
+    try:
+        return Settings.model_validate(values)
+    except ValidationError as error:
+        raise SettingsError([_describe_problem(problem) for problem in error.errors()]) from None
+
+
+def _describe_problem(problem: dict) -> str:
+    message = problem["msg"].removeprefix("Value error, ")
+    if not problem["loc"]:
+        return message
+    name = str(problem["loc"][0])
+    if problem["type"] == "missing":
+        message = "is required"
+    variable = VARIABLE_PREFIX + name.upper()
+    flag = "" if name in SECRET_FIELDS else f"--{name.replace('_', '-')} or "
+    return f"{name}: {message} ({flag}{variable})"
--- /dev/null
+++ b/berylproxy/tracing.py
@@ -0,0 +1,94 @@
+"""Traces: one span for each hop, W3C trace context between them."""
+
+import json
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from opentelemetry.context import Context
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from berylproxy.constants import TRACEPARENT_HEADER
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class FileSpanExporter(SpanExporter):
+    """Appends spans to a file as JSON lines."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("a", encoding="utf-8")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Writes a batch of spans."""
+        for span in spans:
+            self._file.write(json.dumps(json.loads(span.to_json(indent=None))) + "\n")
+        self._file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Closes the file."""
+        self._file.close()
+
+
+@dataclass(frozen=True, slots=True)
+class SpanHandle:
+    """An open span.
+
+    :param traceparent: trace context for the next hop; empty if nothing is traced.
+    """
+
+    traceparent: str
+
+
+class Tracer:
+    """Makes spans, or passes the caller's trace context on where tracing is off.
+
+    :param target: empty for off, ``http://…`` for an OTLP collector, else a file's path.
+    """
+
+    def __init__(self, target: str, daemon_id: str, failure_domain: str) -> None:
+        self._provider: TracerProvider | None = None
+        if not target:
+            return
+        is_collector = target.startswith(("http://", "https://"))
+        exporter = OTLPSpanExporter(target) if is_collector else FileSpanExporter(Path(target))
+        resource = Resource.create(
+            {
+                "service.name": "berylproxyd",
+                "service.instance.id": daemon_id,
+                "berylproxy.failure_domain": failure_domain,
+            }
+        )
+        self._provider = TracerProvider(resource=resource)
+        self._provider.add_span_processor(BatchSpanProcessor(exporter))
+        self._tracer = self._provider.get_tracer("berylproxy")
+
+    @contextmanager
+    def span(self, name: str, traceparent: str, **attributes: object) -> Iterator[SpanHandle]:
+        """Opens a span below the caller's; values are written as text."""
+        if self._provider is None:
+            yield SpanHandle(traceparent)
+            return
+        parent = _PROPAGATOR.extract({TRACEPARENT_HEADER: traceparent}, context=Context())
+        texts = {key: str(value) for key, value in attributes.items()}
+        with self._tracer.start_as_current_span(name, context=parent, attributes=texts) as span:
+            carrier: dict[str, str] = {}
+            _PROPAGATOR.inject(carrier)
+            handle = SpanHandle(carrier.get(TRACEPARENT_HEADER, ""))
+            del span
+            yield handle
+
+    def close(self) -> None:
+        """Sends the spans that are left."""
+        if self._provider is not None:
+            self._provider.shutdown()
