--- /dev/null
+++ b/berylproxy/platform/etcd.py
@@ -0,0 +1,344 @@
+"""The key-value service over etcd v3's JSON gateway."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from types import TracebackType
+from typing import Self, TypeVar
+
+from anyio import current_time, fail_after, move_on_after
+from httpx import (
+    AsyncClient,
+    ConnectError,
+    ConnectTimeout,
+    HTTPError,
+    Limits,
+    PoolTimeout,
+    Response,
+    Timeout,
+)
+from pydantic import BaseModel, ValidationError
+
+from berylproxy.platform.errors import (
+    StoreCompactedError,
+    StoreLeaseLapsedError,
+    StoreRefusedError,
+    StoreRevisionBehindError,
+    StoreWatchError,
+)
+from berylproxy.platform.etcd_messages import (
+    Compare,
+    DeleteRangeRequest,
+    ErrorResponse,
+    KeyValue,
+    LeaseGrantRequest,
+    LeaseKeepAliveResponse,
+    LeaseRequest,
+    LeaseResponse,
+    PutRequest,
+    RangeRequest,
+    RangeResponse,
+    RequestOp,
+    TxnRequest,
+    TxnResponse,
+    WatchCreateRequest,
+    WatchRequest,
+    WatchResponse,
+    WatchResult,
+)
+from berylproxy.platform.store import (
+    ABSENT_REVISION,
+    ChangeBatch,
+    Entry,
+    Listing,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+MAX_CONNECTIONS = 32
+NOT_DELIVERED_ERRORS = (ConnectError, ConnectTimeout, PoolTimeout)
+HTTP_OK = 200
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
+GRPC_NOT_FOUND = 5
+# etcd answers 503 with these messages although the write may still be applied.
+UNDECIDED_MESSAGES = ("timed out", "leader changed")
+
+ResponseT = TypeVar("ResponseT", bound=BaseModel)
+
+
+class EtcdStore:
+    """Implements :class:`berylproxy.platform.store.Store`.
+
+    :param base_urls: one or several base URLs of the same service.
+    :param timeout_s: bound of each call over all base URLs.
+    """
+
+    def __init__(self, base_urls: Sequence[str], timeout_s: float) -> None:
+        self.base_urls = [url.rstrip("/") for url in base_urls]
+        self.timeout_s = timeout_s
+        self.preferred = 0
+        # No environment: a proxy setting must not come between the daemon and the service.
+        self.client = AsyncClient(
+            trust_env=False, limits=Limits(max_connections=MAX_CONNECTIONS), timeout=timeout_s
+        )
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.client.aclose()
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key; ``None`` if it does not exist."""
+        request = RangeRequest(key=key.encode())
+        response = await self.read("/v3/kv/range", request, RangeResponse)
+        return convert_entry(response.kvs[0]) if response.kvs else None
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Reads all keys that start with ``prefix``."""
+        start, end = prefix_range(prefix)
+        request = RangeRequest(key=start, range_end=end)
+        response = await self.read("/v3/kv/range", request, RangeResponse)
+        entries = tuple(convert_entry(kv) for kv in response.kvs)
+        return Listing(response.header.revision, entries)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int, *, lease_id: int = 0
+    ) -> int:
+        """Writes ``value`` if the key's revision is the expected one; returns the new revision."""
+        put = PutRequest(key=key.encode(), value=value, lease=lease_id)
+        return await self.run_txn(key, expected_revision, RequestOp(request_put=put))
+
+    async def delete(self, key: str, expected_revision: int) -> int:
+        """Deletes the key if its revision is the expected one; returns the store's new revision."""
+        request = DeleteRangeRequest(key=key.encode())
+        return await self.run_txn(key, expected_revision, RequestOp(request_delete_range=request))
+
+    async def run_txn(self, key: str, expected_revision: int, operation: RequestOp) -> int:
+        """Runs one operation on condition of the key's revision; returns the store's revision."""
+        request = TxnRequest(
+            compare=[build_compare(key, expected_revision)],
+            success=[operation],
+        )
+        response = await self.write("/v3/kv/txn", request, TxnResponse)
+        if not response.succeeded:
+            raise StoreConflictError(f"{key}: revision is not {expected_revision}")
+        return response.header.revision
+
+    async def wait_for_changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> ChangeBatch:
+        """Waits for changes below ``prefix`` later than a revision, for at most ``wait_s``.
+
+        :raises StoreWatchError: if the prefix must be listed anew.
+        """
+        start, end = prefix_range(prefix)
+        create = WatchCreateRequest(key=start, range_end=end, start_revision=after_revision + 1)
+        body = WatchRequest(create_request=create).model_dump_json(exclude_none=True)
+        try:
+            # Only the start is bounded by the call's timeout: changes may be long in coming.
+            with fail_after(self.timeout_s) as scope:
+                async with self.open_watch(body) as response:
+                    lines = response.aiter_lines()
+                    await read_created(lines, after_revision)
+                    scope.deadline = current_time() + wait_s + self.timeout_s
+                    with move_on_after(wait_s):
+                        return convert_batch(await read_events(lines))
+        except (HTTPError, TimeoutError) as error:
+            self.prefer_next()
+            raise StoreUnavailableError(f"watch of {prefix}: {error!r}") from error
+        return ChangeBatch(after_revision, (), ())
+
+    @asynccontextmanager
+    async def open_watch(self, body: str) -> AsyncIterator[Response]:
+        """Opens a watch's stream."""
+        url = self.base_urls[self.preferred] + "/v3/watch"
+        timeout = Timeout(self.timeout_s, read=None)
+        async with self.client.stream("POST", url, content=body, timeout=timeout) as response:
+            if response.status_code != HTTP_OK:
+                await response.aread()
+                raise convert_status(response, is_write=False)
+            yield response
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Makes a lease and returns its identifier."""
+        response = await self.write("/v3/lease/grant", LeaseGrantRequest(TTL=ttl_s), LeaseResponse)
+        return response.ID
+
+    async def renew_lease(self, lease_id: int) -> bool:
+        """Renews a lease; ``False`` if it has lapsed."""
+        request = LeaseRequest(ID=lease_id)
+        response = await self.write("/v3/lease/keepalive", request, LeaseKeepAliveResponse)
+        return response.result.TTL > 0
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """Ends a lease and deletes its keys; a lapsed lease is no error."""
+        try:
+            await self.write("/v3/lease/revoke", LeaseRequest(ID=lease_id), LeaseResponse)
+        except StoreLeaseLapsedError:
+            return
+
+    async def read(
+        self, path: str, request: BaseModel, response_type: type[ResponseT]
+    ) -> ResponseT:
+        """Calls one base URL after the other until one answers."""
+        return await self.call(path, request, response_type, is_write=False)
+
+    async def write(
+        self, path: str, request: BaseModel, response_type: type[ResponseT]
+    ) -> ResponseT:
+        """Calls the next base URL only if the write was certainly not delivered to the last."""
+        return await self.call(path, request, response_type, is_write=True)
+
+    async def call(
+        self, path: str, request: BaseModel, response_type: type[ResponseT], *, is_write: bool
+    ) -> ResponseT:
+        """Posts a request within the timeout and checks the answer."""
+        body = request.model_dump_json(exclude_none=True)
+        deadline = current_time() + self.timeout_s
+        try:
+            with fail_after(self.timeout_s):
+                response = await self.post_with_failover(path, body, deadline, is_write)
+        except TimeoutError as error:
+            self.prefer_next()
+            raise lost_answer_error(f"{path}: no answer in time", is_write) from error
+        try:
+            return response_type.model_validate_json(response.content)
+        except ValidationError as error:
+            raise lost_answer_error(f"{path}: answer is malformed", is_write) from error
+
+    async def post_with_failover(
+        self, path: str, body: str, deadline: float, is_write: bool
+    ) -> Response:
+        """Tries the base URLs in turn, beginning with the one that answered last."""
+        for attempts_left in range(len(self.base_urls), 1, -1):
+            try:
+                return await self.post(path, body, deadline, attempts_left, is_write)
+            except StoreUnavailableError:
+                self.prefer_next()
+        return await self.post(path, body, deadline, 1, is_write)
+
+    async def post(
+        self, path: str, body: str, deadline: float, attempts_left: int, is_write: bool
+    ) -> Response:
+        """Posts to the preferred base URL and converts what goes wrong."""
+        url = self.base_urls[self.preferred] + path
+        remaining_s = max(deadline - current_time(), 0.0)
+        share_s = remaining_s / attempts_left
+        # A sent write has nowhere else to go, so it may use all the time that is left.
+        timeout = Timeout(share_s, read=remaining_s if is_write else share_s)
+        try:
+            response = await self.client.post(url, content=body, timeout=timeout)
+        except NOT_DELIVERED_ERRORS as error:
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
+        except HTTPError as error:
+            raise lost_answer_error(f"{path}: {error!r}", is_write) from error
+        if response.status_code != HTTP_OK:
+            raise convert_status(response, is_write=is_write)
+        return response
+
+    def prefer_next(self) -> None:
+        """Makes the next base URL the first to be called."""
+        self.preferred = (self.preferred + 1) % len(self.base_urls)
+
+
+def prefix_range(prefix: str) -> tuple[bytes, bytes]:
+    """Returns the key and ``range_end`` that cover all keys with the prefix."""
+    start = prefix.encode()
+    if not start:
+        return b"\0", b"\0"
+    # UTF-8 has no byte 255, so the last byte can always be raised.
+    return start, start[:-1] + bytes([start[-1] + 1])
+
+
+def build_compare(key: str, expected_revision: int) -> Compare:
+    """Builds the condition that a key has a revision, or does not exist."""
+    if expected_revision == ABSENT_REVISION:
+        return Compare(key=key.encode(), target="CREATE", create_revision=0)
+    return Compare(key=key.encode(), target="MOD", mod_revision=expected_revision)
+
+
+def convert_entry(kv: KeyValue) -> Entry:
+    """Converts a stored key."""
+    return Entry(kv.key.decode(), kv.value, kv.mod_revision)
+
+
+def convert_batch(result: WatchResult) -> ChangeBatch:
+    """Keeps the last change of each key.
+
+    The batch's revision is that of its last change: the header's may be ahead of the changes that
+    the message carries.
+    """
+    last = {event.kv.key: event for event in result.events}
+    updates = tuple(convert_entry(event.kv) for event in last.values() if event.type == "PUT")
+    deletions = tuple(convert_entry(event.kv) for event in last.values() if event.type == "DELETE")
+    return ChangeBatch(result.events[-1].kv.mod_revision, updates, deletions)
+
+
+async def read_created(lines: AsyncIterator[str], after_revision: int) -> None:
+    """Waits until the service confirms the watch."""
+    result = await read_result(lines)
+    if result.header.revision < after_revision:
+        raise StoreRevisionBehindError(
+            f"store is at revision {result.header.revision}, below {after_revision}"
+        )
+
+
+async def read_events(lines: AsyncIterator[str]) -> WatchResult:
+    """Reads up to the first message with changes."""
+    while True:
+        result = await read_result(lines)
+        if result.events:
+            return result
+
+
+async def read_result(lines: AsyncIterator[str]) -> WatchResult:
+    """Reads one message of a watch."""
+    line = await anext(lines, None)
+    if line is None:
+        raise StoreUnavailableError("watch ended")
+    try:
+        result = WatchResponse.model_validate_json(line).result
+    except ValidationError as error:
+        raise StoreUnavailableError("message of watch is malformed") from error
+    if result.compact_revision:
+        raise StoreCompactedError(f"changes before {result.compact_revision} are compacted")
+    if result.canceled:
+        raise StoreWatchError(f"watch was cancelled: {result.cancel_reason}")
+    return result
+
+
+def lost_answer_error(message: str, is_write: bool) -> StoreError:
+    """Builds the error for a call that was sent and not answered."""
+    return StoreOutcomeUnknownError(message) if is_write else StoreUnavailableError(message)
+
+
+def convert_status(response: Response, *, is_write: bool) -> StoreError:
+    """Builds the error for an answer that is not 200."""
+    try:
+        error = ErrorResponse.model_validate_json(response.content)
+    except ValidationError:
+        error = ErrorResponse()
+    reason = error.message or error.error
+    status = response.status_code
+    message = f"{response.request.url.path}: {status} {reason}".rstrip()
+    if status in (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS):
+        undecided = is_write and any(text in reason for text in UNDECIDED_MESSAGES)
+        return lost_answer_error(message, undecided)
+    if status >= HTTP_SERVER_ERROR:
+        return lost_answer_error(message, is_write)
+    if error.code == GRPC_NOT_FOUND:
+        return StoreLeaseLapsedError(message)
+    return StoreRefusedError(message)
--- /dev/null
+++ b/berylproxy/platform/machines.py
@@ -0,0 +1,56 @@
+"""The platform's lagging list of VMs over HTTP."""
+
+from typing import Literal
+
+from httpx import AsyncClient, HTTPError
+from pydantic import BaseModel, ValidationError
+
+from berylproxy.platform.store import StoreUnavailableError, VirtualMachine
+
+VMS_PATH = "/v1/vms"
+
+
+class VirtualMachineRow(BaseModel):
+    """One VM as the platform writes it."""
+
+    name: str
+    host: str
+    failure_domain: str
+    state: Literal["live", "leaving"]
+
+
+class VirtualMachinePage(BaseModel):
+    """The platform's answer."""
+
+    vms: list[VirtualMachineRow]
+
+
+class HttpVirtualMachineList:
+    """Implements :class:`berylproxy.platform.store.VirtualMachineList`.
+
+    :param url: base URL of the platform.
+    :param timeout_s: bound of each call.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self.url = url.rstrip("/") + VMS_PATH
+        self.client = AsyncClient(trust_env=False, timeout=timeout_s)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.client.aclose()
+
+    async def fetch(self) -> tuple[VirtualMachine, ...]:
+        """Reads the list; raises :class:`StoreUnavailableError` while the platform is away."""
+        try:
+            response = await self.client.get(self.url)
+            response.raise_for_status()
+            page = VirtualMachinePage.model_validate_json(response.content)
+        except (HTTPError, ValidationError) as error:
+            raise StoreUnavailableError(f"{VMS_PATH}: {error!r}") from error
+        return tuple(convert_row(row) for row in page.vms)
+
+
+def convert_row(row: VirtualMachineRow) -> VirtualMachine:
+    """Converts a checked row."""
+    return VirtualMachine(row.name, row.host, row.failure_domain, row.state == "leaving")
