--- /dev/null
+++ b/tests/support/memory_store.py
@@ -0,0 +1,160 @@
+"""A key-value service in memory, with switches for its failures."""
+
+from collections import Counter
+
+import anyio
+
+from berylproxy.platform.store import (
+    ChangeBatch,
+    Entry,
+    Listing,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+
+class StoreCompactedError(StoreError):
+    """The changes asked for are no longer kept."""
+
+    code = "store_compacted"
+
+
+class MemoryStore:
+    """Implements :class:`berylproxy.platform.store.Store`.
+
+    :ivar is_out: every call fails.
+    :ivar lost_answers: how many of the next writes take effect without an answer.
+    :ivar lost_writes: how many of the next writes are lost themselves, also without an answer.
+    :ivar is_out_after_loss: whether the outage starts with a lost answer.
+    :ivar calls: number of calls by method.
+    """
+
+    def __init__(self) -> None:
+        self.is_out = False
+        self.lost_answers = 0
+        self.lost_writes = 0
+        self.is_out_after_loss = False
+        self.calls: Counter[str] = Counter()
+        self.revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._log: list[Entry] = []  # a deletion has an empty value
+        self._compacted_revision = 0
+        self._leases: dict[int, set[str]] = {}
+        self._changed = anyio.Event()
+
+    def set_outage(self, is_out: bool) -> None:
+        """Starts or ends an outage; watches that wait fail at once."""
+        self.is_out = is_out
+        self._wake()
+
+    def compact(self) -> None:
+        """Forgets all past changes; watches that wait fail at once."""
+        self._compacted_revision = self.revision
+        self._log.clear()
+        self._wake()
+
+    def make_backup(self) -> tuple[int, dict[str, Entry]]:
+        """Copies the present state."""
+        return self.revision, dict(self._entries)
+
+    def restore(self, backup: tuple[int, dict[str, Entry]]) -> None:
+        """Goes back to an earlier state."""
+        self.revision, self._entries = backup[0], dict(backup[1])
+        self._log = [entry for entry in self._log if entry.revision <= self.revision]
+        self._wake()
+
+    async def get(self, key: str) -> Entry | None:
+        self._count("get")
+        return self._entries.get(key)
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        self._count("list_prefix")
+        entries = (self._entries[key] for key in sorted(self._entries) if key.startswith(prefix))
+        return Listing(self.revision, tuple(entries))
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int, *, lease_id: int = 0
+    ) -> int:
+        self._count("compare_and_swap")
+        if lease_id:
+            self._leases[lease_id].add(key)
+        return self._write(key, value, expected_revision)
+
+    async def delete(self, key: str, expected_revision: int) -> int:
+        self._count("delete")
+        return self._write(key, b"", expected_revision)
+
+    async def wait_for_changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> ChangeBatch:
+        self._count("wait_for_changes")
+        with anyio.move_on_after(wait_s):
+            while after_revision >= self._compacted_revision:
+                self._check_available()
+                if self.revision != after_revision:
+                    return self._collect(prefix, after_revision)
+                await self._changed.wait()
+            raise StoreCompactedError("compacted")
+        return ChangeBatch(after_revision, (), ())
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        self._count("grant_lease")
+        lease_id = len(self._leases) + 1
+        self._leases[lease_id] = set()
+        return lease_id
+
+    async def renew_lease(self, lease_id: int) -> bool:
+        self._count("renew_lease")
+        return lease_id in self._leases
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        self._count("revoke_lease")
+        for key in self._leases.pop(lease_id, set()):
+            if key in self._entries:
+                self._write(key, b"", self._entries[key].revision)
+
+    def _count(self, method: str) -> None:
+        self.calls[method] += 1
+        self._check_available()
+
+    def _check_available(self) -> None:
+        if self.is_out:
+            raise StoreUnavailableError("outage")
+
+    def _write(self, key: str, value: bytes, expected_revision: int) -> int:
+        if self.lost_writes:
+            self.lost_writes -= 1
+            raise self._lose()
+        held = self._entries.get(key)
+        if (held.revision if held else 0) != expected_revision:
+            raise StoreConflictError("another revision")
+        self.revision += 1
+        entry = Entry(key, value, self.revision)
+        if value:
+            self._entries[key] = entry
+        else:
+            del self._entries[key]
+        self._log.append(entry)
+        self._wake()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise self._lose()
+        return self.revision
+
+    def _lose(self) -> StoreOutcomeUnknownError:
+        if self.is_out_after_loss:
+            self.set_outage(True)
+        return StoreOutcomeUnknownError("no answer")
+
+    def _collect(self, prefix: str, after_revision: int) -> ChangeBatch:
+        changes = (entry for entry in self._log if entry.revision > after_revision)
+        last = {entry.key: entry for entry in changes if entry.key.startswith(prefix)}
+        updates = tuple(entry for entry in last.values() if entry.value)
+        deletions = tuple(entry for entry in last.values() if not entry.value)
+        return ChangeBatch(self.revision, updates, deletions)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
