Add streams between daemons and the membership learnt from them

Daemons forward work and place slots through each other, so they need authenticated streams and a view of who is alive. Frames are msgpack maps checked by pydantic validators; the handshake proves a shared key over both hellos; heartbeats go to a bounded number of members in each round.

--- /dev/null
+++ b/berylproxy/peers/codec.py
@@ -0,0 +1,194 @@
+"""Frames of the streams: dataclasses to msgpack and back, checked on receipt."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from msgpack import Packer, Unpacker
+from pydantic import TypeAdapter
+from pydantic_core import SchemaValidator, ValidationError
+
+from berylproxy.peers.errors import PeerProtocolError
+
+REQUEST, REPLY, REFUSAL, NOTICE = range(4)
+MAX_REQUEST_ID = 2**63
+MAX_CONTAINER_ITEMS = 100_000
+# Lax validation would turn str into bytes and numbers into str.
+STRICT_TYPES = frozenset({"str", "bytes", "int", "float", "bool"})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFrame:
+    """A message that wants a reply with the same number."""
+
+    request_id: int
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyFrame:
+    """The reply to a request."""
+
+    request_id: int
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalFrame:
+    """The error that a request ended with."""
+
+    request_id: int
+    code: str
+    message: str
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeFrame:
+    """A message without reply."""
+
+    message: Any
+
+
+Frame = RequestFrame | ReplyFrame | RefusalFrame | NoticeFrame
+
+
+class MessageCodec:
+    """Encodes and decodes frames that carry messages of registered dataclasses.
+
+    Fields travel by name, so that a daemon of another version may add fields with defaults.
+
+    :param message_types: dataclasses, known on the wire by their class names.
+    """
+
+    def __init__(self, message_types: Iterable[type]) -> None:
+        self._types = tuple(dict.fromkeys(message_types))
+        adapters = {message_type: TypeAdapter(message_type) for message_type in self._types}
+        self._dumpers = {kind: adapter.serializer.to_python for kind, adapter in adapters.items()}
+        self._validators = {
+            kind.__name__: SchemaValidator(_make_strict(adapter.core_schema)).validate_python
+            for kind, adapter in adapters.items()
+        }
+        if len(self._validators) != len(self._types):
+            raise ValueError("two message types have the same name")
+        self._pack = Packer(use_bin_type=True).pack
+
+    def extend(self, message_types: Iterable[type]) -> "MessageCodec":
+        """Makes a codec that knows further types."""
+        return MessageCodec((*self._types, *message_types))
+
+    def encode(self, frame: Frame) -> bytes:
+        """Encodes a frame.
+
+        :raises TypeError: if the message's type is not registered or cannot be encoded.
+        """
+        match frame:
+            case RequestFrame(request_id, message):
+                return self._pack((REQUEST, request_id, *self._dump(message)))
+            case ReplyFrame(request_id, message):
+                return self._pack((REPLY, request_id, *self._dump(message)))
+            case NoticeFrame(message):
+                return self._pack((NOTICE, 0, *self._dump(message)))
+            case RefusalFrame(request_id, code, text, retry_after_s):
+                return self._pack((REFUSAL, request_id, code, (text, retry_after_s)))
+
+    def make_decoder(self, max_frame_bytes: int) -> "FrameDecoder":
+        """Makes the decoder of one stream."""
+        return FrameDecoder(self, max_frame_bytes)
+
+    def check(self, value: Any) -> Frame:
+        """Turns a decoded msgpack value into a frame."""
+        if type(value) is not list or len(value) != 4:
+            raise PeerProtocolError("a frame is not a list of four")
+        frame_kind, request_id, name, body = value
+        if type(request_id) is not int or not 0 <= request_id < MAX_REQUEST_ID:
+            raise PeerProtocolError("a frame has no valid number")
+        if type(frame_kind) is not int or type(name) is not str:
+            raise PeerProtocolError("a frame has no valid kind")
+        if frame_kind == REFUSAL:
+            return _check_refusal(request_id, name, body)
+        message = self._check_message(name, body)
+        if frame_kind == REQUEST:
+            return RequestFrame(request_id, message)
+        if frame_kind == REPLY:
+            return ReplyFrame(request_id, message)
+        if frame_kind == NOTICE:
+            return NoticeFrame(message)
+        raise PeerProtocolError(f"unknown kind of frame {frame_kind}")
+
+    def _dump(self, message: Any) -> tuple[str, Any]:
+        message_type = type(message)
+        dump = self._dumpers.get(message_type)
+        if dump is None:
+            raise TypeError(f"{message_type.__name__} is not a registered message type")
+        return message_type.__name__, dump(message)
+
+    def _check_message(self, name: str, body: Any) -> Any:
+        validate = self._validators.get(name)
+        if validate is None:
+            raise PeerProtocolError(f"unknown message type {name[:64]!r}")
+        if type(body) is not dict:
+            raise PeerProtocolError(f"the body of {name} is not a map")
+        try:
+            return validate(body)
+        except ValidationError as error:
+            first = error.errors(include_url=False, include_input=False)[0]
+            place = ".".join(map(str, first["loc"]))
+            raise PeerProtocolError(f"malformed {name}: {place[:64]}: {first['msg']}") from error
+
+
+class FrameDecoder:
+    """Cuts one stream's bytes into checked frames.
+
+    :param max_frame_bytes: bound of what is kept for an unfinished frame.
+    """
+
+    def __init__(self, codec: MessageCodec, max_frame_bytes: int) -> None:
+        self._check = codec.check
+        self._unpacker = Unpacker(
+            raw=False,
+            max_buffer_size=max_frame_bytes,
+            max_array_len=min(MAX_CONTAINER_ITEMS, max_frame_bytes),
+            max_map_len=min(MAX_CONTAINER_ITEMS, max_frame_bytes),
+            ext_hook=_refuse_extension,
+        )
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yields the frames that the data completes.
+
+        :raises PeerProtocolError: on the first thing that is wrong; the stream is then unusable.
+        """
+        for value in self._unpack(data):
+            yield self._check(value)
+
+    def _unpack(self, data: bytes) -> Iterator[Any]:
+        try:
+            self._unpacker.feed(data)
+            yield from self._unpacker
+        except PeerProtocolError:
+            raise
+        except Exception as error:  # msgpack documents no closed set of errors for bad input
+            raise PeerProtocolError(f"not a msgpack stream: {type(error).__name__}") from error
+
+
+def _check_refusal(request_id: int, code: str, body: Any) -> RefusalFrame:
+    if type(body) is not list or len(body) != 2 or type(body[0]) is not str:
+        raise PeerProtocolError("malformed refusal")
+    if body[1] is not None and type(body[1]) not in (int, float):
+        raise PeerProtocolError("malformed refusal")
+    return RefusalFrame(request_id, code, body[0], body[1])
+
+
+def _refuse_extension(code: int, _: bytes) -> Any:
+    raise PeerProtocolError(f"extension type {code} is not used here")
+
+
+def _make_strict(schema: Any) -> Any:
+    if isinstance(schema, dict):
+        strict = {key: _make_strict(value) for key, value in schema.items()}
+        if strict.get("type") in STRICT_TYPES:
+            strict["strict"] = True
+        return strict
+    if isinstance(schema, list):
+        return [_make_strict(item) for item in schema]
+    return schema
--- /dev/null
+++ b/berylproxy/peers/control.py
@@ -0,0 +1,172 @@
+"""What daemons tell each other about themselves: heartbeats, lists of members, leaving."""
+
+from collections.abc import Callable
+from random import choice
+from typing import Any, Protocol
+
+from anyio import current_time
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.link import LinkCounters, PeerLink
+from berylproxy.peers.membership import MemberStatus, PeerError
+from berylproxy.peers.messages import (
+    Heartbeat,
+    IndirectProbe,
+    IndirectProbeResult,
+    LeaveNotice,
+    MemberList,
+    MemberListRequest,
+)
+from berylproxy.peers.prober import Prober
+from berylproxy.peers.settings import PeerSettings
+from berylproxy.peers.table import MemberEntry, MemberTable
+
+GREETING_LIST_INTERVAL_S = 5.0
+LIST_INTERVAL_S = 60.0
+MAX_INDIRECT_TIMEOUT_S = 10.0
+MAX_LISTED_MEMBERS = 1000
+
+
+class Network(Protocol):
+    """What the control messages need of the streams."""
+
+    table: MemberTable
+    counters: LinkCounters
+
+    def handle_request(self, message_type: type, handler: Callable[..., Any]) -> None:
+        """Registers what answers a type of request."""
+
+    def handle_notice(self, message_type: type, handler: Callable[..., Any]) -> None:
+        """Registers what takes a type of notice."""
+
+    def links(self, incarnation: str) -> list[PeerLink]:
+        """Lists the open streams of a member, the dialled one first."""
+
+    async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
+        """Sends a request to a member."""
+
+
+class Control:
+    """Sends and answers the control messages.
+
+    :ivar ready: whether this daemon takes new work.
+    """
+
+    def __init__(self, network: Network, settings: PeerSettings) -> None:
+        self.ready = True
+        self._network = network
+        self._table = network.table
+        self._settings = settings
+        self._providers: dict[str, Callable[[], dict[str, Any]]] = {}
+        self._state: dict[str, Any] = {}
+        self._state_version = 1
+        self._list_due_s = 0.0
+        self._greeting_list_due_s = 0.0
+        self._prober = Prober(settings, self._table, self, self._begin_round)
+        network.handle_request(Heartbeat, self._answer_heartbeat)
+        network.handle_request(IndirectProbe, self._answer_indirect_probe)
+        network.handle_request(MemberListRequest, self._answer_list)
+        network.handle_notice(LeaveNotice, self._take_leave)
+
+    def provide(self, name: str, provide: Callable[[], dict[str, Any]]) -> None:
+        """Adds a concern's state to the heartbeats."""
+        self._providers[name] = provide
+
+    async def run(self) -> None:
+        """Sends heartbeats until cancelled."""
+        self._refresh_state()
+        self._list_due_s = current_time() + LIST_INTERVAL_S
+        await self._prober.run()
+
+    async def greet(self, entry: MemberEntry) -> None:
+        """Exchanges the first heartbeat on a fresh stream, and lists of members now and then."""
+        await self.exchange_heartbeat(entry, self._settings.heartbeat_timeout_s)
+        if current_time() >= self._greeting_list_due_s:
+            self._greeting_list_due_s = current_time() + GREETING_LIST_INTERVAL_S
+            await self._fetch_list(entry)
+
+    def links(self, incarnation: str) -> list[PeerLink]:
+        """Lists the open streams of a member, the dialled one first."""
+        return self._network.links(incarnation)
+
+    async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
+        """Sends a request to a member."""
+        return await self._network.request(incarnation, message, timeout_s)
+
+    async def exchange_heartbeat(self, entry: MemberEntry, timeout_s: float) -> bool:
+        """Sends a heartbeat on the first open stream and applies the reply."""
+        links = self._network.links(entry.identity.incarnation)
+        if not links:
+            return False
+        try:
+            reply = await links[0].request(self._make_heartbeat(entry), timeout_s)
+        except PeerError:
+            return False
+        if not isinstance(reply, Heartbeat):
+            return False
+        self._table.take_heartbeat(entry, reply)
+        return True
+
+    async def _begin_round(self) -> None:
+        self._refresh_state()
+        self._table.expire()
+        if current_time() < self._list_due_s:
+            return
+        self._list_due_s = current_time() + LIST_INTERVAL_S
+        alive = self._alive_entries()
+        if alive:
+            await self._fetch_list(choice(alive))
+
+    async def _fetch_list(self, entry: MemberEntry) -> None:
+        try:
+            reply = await self._network.request(
+                entry.identity.incarnation,
+                MemberListRequest(),
+                self._settings.heartbeat_timeout_s,
+            )
+        except PeerError:
+            return
+        if isinstance(reply, MemberList):
+            for update in reply.members:
+                self._table.take_update(update)
+
+    def _alive_entries(self) -> list[MemberEntry]:
+        entries = self._table.entries()
+        return [entry for entry in entries if entry.member.status is MemberStatus.ALIVE]
+
+    def _refresh_state(self) -> None:
+        state = {name: provide() for name, provide in self._providers.items()}
+        if state != self._state:
+            self._state = state
+            self._state_version += 1
+
+    def _make_heartbeat(self, entry: MemberEntry) -> Heartbeat:
+        is_held = entry.sent_state_version == self._state_version
+        return Heartbeat(
+            ready=self.ready,
+            refutations=self._table.refutations,
+            state_version=self._state_version,
+            known_state_version=entry.known_state_version,
+            state=None if is_held else self._state,
+            updates=self._table.pick_updates(entry),
+        )
+
+    async def _answer_heartbeat(self, identity: DaemonIdentity, heartbeat: Heartbeat) -> Heartbeat:
+        entry = self._table.meet(identity)
+        self._table.take_heartbeat(entry, heartbeat)
+        return self._make_heartbeat(entry)
+
+    async def _answer_indirect_probe(
+        self, _: DaemonIdentity, probe: IndirectProbe
+    ) -> IndirectProbeResult:
+        timeout_s = min(probe.timeout_s, MAX_INDIRECT_TIMEOUT_S)
+        return IndirectProbeResult(await self._prober.reach(probe.incarnation, timeout_s))
+
+    async def _answer_list(self, _: DaemonIdentity, __: MemberListRequest) -> MemberList:
+        entries = self._alive_entries()[:MAX_LISTED_MEMBERS]
+        return MemberList(tuple(entry.make_update() for entry in entries))
+
+    def _take_leave(self, identity: DaemonIdentity, _: LeaveNotice) -> None:
+        entry = self._table.get(identity.incarnation)
+        if entry is not None:
+            self._table.leave(entry)
--- /dev/null
+++ b/berylproxy/peers/errors.py
@@ -0,0 +1,52 @@
+"""The errors of the streams beyond those that :mod:`berylproxy.peers.membership` declares."""
+
+from berylproxy.peers.membership import PeerError, PeerUnreachableError
+
+
+class PeerSettingsError(PeerError):
+    """The settings of the streams contradict each other."""
+
+    code = "peer_settings_invalid"
+
+
+class PeerProtocolError(PeerError):
+    """The other side sent something malformed, unknown or too large."""
+
+    code = "peer_protocol_error"
+
+
+class PeerHandshakeError(PeerError):
+    """The other side is not a daemon of this cluster."""
+
+    code = "peer_handshake_failed"
+
+
+class PeerVersionUnsupportedError(PeerHandshakeError):
+    """The two sides have no protocol version in common."""
+
+    code = "peer_version_unsupported"
+
+
+class PeerMessageTooLargeError(PeerUnreachableError):
+    """The message is larger than the other side accepts: it was not sent."""
+
+    code = "peer_message_too_large"
+
+
+class PeerRequestRefusedError(PeerError):
+    """The other daemon answered a request with an error.
+
+    :param code: the code of the error raised there.
+    """
+
+    code = "peer_request_refused"
+
+    def __init__(self, code: str, message: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.code = code
+
+
+class PeerOverloadedError(PeerError):
+    """The daemon already handles as many requests of this stream as it may."""
+
+    code = "peer_overloaded"
--- /dev/null
+++ b/berylproxy/peers/handshake.py
@@ -0,0 +1,212 @@
+"""The handshake that opens each stream: versions, identities and proof of the shared key.
+
+Both sides send a :class:`Hello`, then the dialling side proves the key, then the accepting one.
+A proof is an HMAC over the prover's role and the bytes of both hellos, which hold both nonces and
+both identities.
+"""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from hashlib import sha256
+from secrets import token_bytes
+from typing import TypeVar
+
+from anyio import BrokenResourceError, ClosedResourceError, EndOfStream, fail_after
+from anyio.abc import ByteStream
+from msgpack import packb
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.codec import FrameDecoder, MessageCodec, NoticeFrame
+from berylproxy.peers.errors import (
+    PeerHandshakeError,
+    PeerProtocolError,
+    PeerVersionUnsupportedError,
+)
+from berylproxy.peers.settings import MAX_KEYS, PeerSettings
+
+PROTOCOL_VERSION = 1
+OLDEST_PROTOCOL_VERSION = 1
+NONCE_BYTES = 32
+MAX_HANDSHAKE_BYTES = 4096
+PROOF_LABEL = "berylproxy peer handshake"
+DIALLER = "dialler"
+ACCEPTOR = "acceptor"
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """The first message of either side.
+
+    :param protocol_version: the newest version that the sender speaks.
+    :param oldest_protocol_version: the oldest one.
+    """
+
+    protocol_version: int
+    oldest_protocol_version: int
+    cluster: str
+    identity: DaemonIdentity
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """Proves the sender's keys, one digest for each."""
+
+    digests: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HandshakeRefusal:
+    """Why the sender closes the stream, with the versions that it speaks."""
+
+    code: str
+    message: str
+    protocol_version: int
+    oldest_protocol_version: int
+
+
+HANDSHAKE_CODEC = MessageCodec((Hello, Proof, HandshakeRefusal))
+Message = TypeVar("Message", Hello, Proof)
+HelloBytes = tuple[bytes, bytes]  # as sent: the dialling side's, then the accepting side's
+CheckIdentity = Callable[[DaemonIdentity], None]
+
+
+class Handshake:
+    """One side's handshake on a fresh stream.
+
+    :param check_identity: raises :class:`PeerHandshakeError` for an identity that is not welcome.
+    """
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        identity: DaemonIdentity,
+        settings: PeerSettings,
+        check_identity: CheckIdentity,
+    ) -> None:
+        self._stream = stream
+        self._settings = settings
+        self._check_identity = check_identity
+        self._decoder: FrameDecoder = HANDSHAKE_CODEC.make_decoder(MAX_HANDSHAKE_BYTES)
+        self._received: list[object] = []
+        self._received_bytes = b""
+        hello = Hello(
+            PROTOCOL_VERSION,
+            OLDEST_PROTOCOL_VERSION,
+            settings.cluster,
+            identity,
+            token_bytes(NONCE_BYTES),
+        )
+        self._nonce = hello.nonce
+        self._hello_bytes = HANDSHAKE_CODEC.encode(NoticeFrame(hello))
+
+    async def dial(self) -> DaemonIdentity:
+        """Runs the dialling side and returns the other side's identity."""
+        return await self._run_bounded(self._dial)
+
+    async def accept(self) -> DaemonIdentity:
+        """Runs the accepting side and returns the other side's identity."""
+        return await self._run_bounded(self._accept)
+
+    async def _dial(self) -> DaemonIdentity:
+        await self._stream.send(self._hello_bytes)
+        other = await self._receive(Hello)
+        hellos = (self._hello_bytes, self._received_bytes)
+        await self._check_hello(other)
+        await self._send(self._prove(DIALLER, hellos))
+        await self._check_proof(await self._receive(Proof), ACCEPTOR, hellos)
+        await self._welcome(other)
+        return other.identity
+
+    async def _accept(self) -> DaemonIdentity:
+        other = await self._receive(Hello)
+        hellos = (self._received_bytes, self._hello_bytes)
+        await self._check_hello(other)
+        await self._stream.send(self._hello_bytes)
+        await self._check_proof(await self._receive(Proof), DIALLER, hellos)
+        await self._welcome(other)
+        await self._send(self._prove(ACCEPTOR, hellos))
+        return other.identity
+
+    async def _run_bounded(self, side: Callable[[], Awaitable[DaemonIdentity]]) -> DaemonIdentity:
+        try:
+            with fail_after(self._settings.handshake_timeout_s):
+                return await side()
+        except TimeoutError as error:
+            raise PeerHandshakeError("no handshake in time") from error
+        except (EndOfStream, BrokenResourceError, ClosedResourceError) as error:
+            raise PeerHandshakeError("the stream ended in the handshake") from error
+        except PeerProtocolError as error:
+            raise PeerHandshakeError(f"not a daemon: {error.message}") from error
+
+    async def _check_hello(self, other: Hello) -> None:
+        if not _have_common_version(other):
+            message = (
+                f"versions {OLDEST_PROTOCOL_VERSION} to {PROTOCOL_VERSION} are spoken here,"
+                f" {other.oldest_protocol_version} to {other.protocol_version} there"
+            )
+            await self._refuse(PeerVersionUnsupportedError(message))
+        if other.cluster != self._settings.cluster:
+            await self._refuse(PeerHandshakeError("the other side is of another cluster"))
+        if len(other.nonce) != NONCE_BYTES or other.nonce == self._nonce:
+            await self._refuse(PeerHandshakeError("the nonce is not a fresh one"))
+
+    async def _check_proof(self, proof: Proof, role: str, hellos: HelloBytes) -> None:
+        expected = [make_digest(key, role, hellos) for key in self._settings.keys]
+        offered = proof.digests[:MAX_KEYS]
+        matches = [hmac.compare_digest(mine, theirs) for mine in expected for theirs in offered]
+        if any(matches) or (not expected and not offered):
+            return
+        await self._refuse(PeerHandshakeError("the other side has no shared key of this cluster"))
+
+    async def _welcome(self, other: Hello) -> None:
+        try:
+            self._check_identity(other.identity)
+        except PeerHandshakeError as error:
+            await self._refuse(error)
+
+    def _prove(self, role: str, hellos: HelloBytes) -> Proof:
+        return Proof(tuple(make_digest(key, role, hellos) for key in self._settings.keys))
+
+    async def _refuse(self, error: PeerHandshakeError) -> None:
+        refusal = HandshakeRefusal(
+            error.code, error.message, PROTOCOL_VERSION, OLDEST_PROTOCOL_VERSION
+        )
+        await self._send(refusal)
+        raise error
+
+    async def _send(self, message: object) -> None:
+        await self._stream.send(HANDSHAKE_CODEC.encode(NoticeFrame(message)))
+
+    async def _receive(self, message_type: type[Message]) -> Message:
+        self._received_bytes = b""
+        while not self._received:
+            data = await self._stream.receive(MAX_HANDSHAKE_BYTES)
+            self._received_bytes += data
+            for frame in self._decoder.feed(data):
+                self._received.append(getattr(frame, "message", None))
+        message = self._received.pop(0)
+        if isinstance(message, HandshakeRefusal):
+            raise _make_error(message)
+        if not isinstance(message, message_type) or self._received:
+            raise PeerProtocolError(f"expected one {message_type.__name__}")
+        return message
+
+
+def make_digest(key: bytes, role: str, hellos: HelloBytes) -> bytes:
+    """Makes the proof of one key for one role."""
+    return hmac.new(key, packb((PROOF_LABEL, role, *hellos)), sha256).digest()
+
+
+def _have_common_version(other: Hello) -> bool:
+    newest = min(PROTOCOL_VERSION, other.protocol_version)
+    return newest >= max(OLDEST_PROTOCOL_VERSION, other.oldest_protocol_version)
+
+
+def _make_error(refusal: HandshakeRefusal) -> PeerHandshakeError:
+    message = f"refused by the other side: {refusal.message}"
+    if refusal.code != PeerVersionUnsupportedError.code:
+        return PeerHandshakeError(message)
+    spoken = f"{refusal.oldest_protocol_version} to {refusal.protocol_version}"
+    return PeerVersionUnsupportedError(f"{message} (it speaks {spoken})")
--- /dev/null
+++ b/berylproxy/peers/link.py
@@ -0,0 +1,257 @@
+"""One stream to another daemon: requests, replies and notices over one connection."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+from typing import Any
+
+from anyio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    EndOfStream,
+    Event,
+    aclose_forcefully,
+    create_task_group,
+    current_time,
+    move_on_after,
+)
+from anyio.abc import ByteStream
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.codec import (
+    Frame,
+    MessageCodec,
+    NoticeFrame,
+    RefusalFrame,
+    ReplyFrame,
+    RequestFrame,
+)
+from berylproxy.peers.errors import (
+    PeerMessageTooLargeError,
+    PeerRequestRefusedError,
+)
+from berylproxy.peers.membership import PeerLostError, PeerUnreachableError
+from berylproxy.peers.settings import PeerSettings
+
+RECEIVE_BYTES = 64 * 1024
+STREAM_ENDED = (BrokenResourceError, ClosedResourceError, EndOfStream)
+HandleRequest = Callable[["PeerLink", RequestFrame], None]
+HandleNotice = Callable[["PeerLink", Any], None]
+
+
+@dataclass(slots=True)
+class LinkCounters:
+    """What the streams did, summed over all of them."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_frames: int = 0
+    received_frames: int = 0
+    writes: int = 0
+    dropped_notices: int = 0
+    late_replies: int = 0
+    dropped_replies: int = 0
+
+
+class _Waiter:
+    """Waits for the end of one request."""
+
+    __slots__ = ("event", "frame", "unsent")
+
+    def __init__(self) -> None:
+        self.event = Event()
+        self.frame: Frame | None = None
+        self.unsent = True
+
+
+class PeerLink:
+    """One open stream after its handshake.
+
+    :param identity: the daemon at the other end.
+    :param on_request: takes each request; answers it with :meth:`reply`.
+    :param on_notice: takes each notice.
+    """
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        identity: DaemonIdentity,
+        codec: MessageCodec,
+        settings: PeerSettings,
+        counters: LinkCounters,
+        on_request: HandleRequest,
+        on_notice: HandleNotice,
+    ) -> None:
+        self.identity = identity
+        self.running_requests = 0
+        self.opened_s = current_time()
+        self.last_received_s = self.opened_s
+        self._stream = stream
+        self._codec = codec
+        self._settings = settings
+        self._counters = counters
+        self._on_request = on_request
+        self._on_notice = on_notice
+        self._request_ids = count(1)
+        self._waiters: dict[int, _Waiter] = {}
+        self._queue: list[bytes] = []
+        self._queued_waiters: list[_Waiter] = []
+        self._queued_bytes = 0
+        self._wakeup = Event()
+        self._scope = CancelScope()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the stream has ended."""
+        return self._closed
+
+    @property
+    def has_waiting_requests(self) -> bool:
+        """Whether a request sent on this stream waits for its reply."""
+        return bool(self._waiters)
+
+    async def run(self) -> None:
+        """Serves the stream until either side ends it.
+
+        :raises PeerProtocolError: if the other side broke the protocol.
+        """
+        try:
+            with self._scope:
+                async with create_task_group() as task_group:
+                    task_group.start_soon(self._write)
+                    await self._read()
+                    task_group.cancel_scope.cancel()
+        except ExceptionGroup as group:
+            raise group.exceptions[0] from group
+        finally:
+            self.close()
+            await aclose_forcefully(self._stream)
+
+    def close(self) -> None:
+        """Ends the stream and every request that waits on it."""
+        self._closed = True
+        self._scope.cancel()
+        waiters, self._waiters = self._waiters, {}
+        for waiter in waiters.values():
+            waiter.event.set()
+
+    async def request(self, message: Any, timeout_s: float) -> Any:
+        """Sends a message and waits for the reply."""
+        request_id = next(self._request_ids)
+        waiter = _Waiter()
+        self._enqueue(RequestFrame(request_id, message), waiter)
+        self._waiters[request_id] = waiter
+        try:
+            with move_on_after(timeout_s):
+                await waiter.event.wait()
+        finally:
+            self._waiters.pop(request_id, None)
+        return self._conclude(waiter, timeout_s)
+
+    def notify(self, message: Any) -> None:
+        """Queues a message without reply; drops and counts it if that is impossible."""
+        try:
+            self._enqueue(NoticeFrame(message))
+        except PeerUnreachableError:
+            self._counters.dropped_notices += 1
+
+    def reply(self, frame: ReplyFrame | RefusalFrame) -> None:
+        """Queues the reply to a request; drops and counts it if that is impossible."""
+        try:
+            self._enqueue(frame)
+        except PeerUnreachableError:
+            self._counters.dropped_replies += 1
+            if not self._closed and isinstance(frame, ReplyFrame):
+                self._refuse_unsendable(frame.request_id)
+
+    def _refuse_unsendable(self, request_id: int) -> None:
+        refusal = RefusalFrame(request_id, "peer_reply_undeliverable", "the reply is lost", None)
+        data = self._codec.encode(refusal)
+        if self._queued_bytes + len(data) <= self._settings.max_queued_bytes:
+            self._append(data)
+
+    def _conclude(self, waiter: _Waiter, timeout_s: float) -> Any:
+        match waiter.frame:
+            case ReplyFrame(_, message):
+                return message
+            case RefusalFrame(_, code, text, retry_after_s):
+                raise PeerRequestRefusedError(code, text, retry_after_s=retry_after_s)
+        name = self.identity.daemon_id
+        if not self._closed:
+            raise PeerLostError(f"no reply from daemon {name!r} in {timeout_s} s")
+        if waiter.unsent:
+            raise PeerUnreachableError(f"the stream to daemon {name!r} ended before the request")
+        raise PeerLostError(f"the stream to daemon {name!r} ended before the reply")
+
+    def _enqueue(self, frame: Frame, waiter: _Waiter | None = None) -> None:
+        name = self.identity.daemon_id
+        if self._closed:
+            raise PeerUnreachableError(f"the stream to daemon {name!r} has ended")
+        data = self._codec.encode(frame)
+        if len(data) > self._settings.max_message_bytes:
+            raise PeerMessageTooLargeError(f"a message of {len(data)} bytes is too large")
+        if self._queued_bytes + len(data) > self._settings.max_queued_bytes:
+            raise PeerUnreachableError(f"too much waits to be sent to daemon {name!r}")
+        if waiter is not None:
+            self._queued_waiters.append(waiter)
+        self._append(data)
+
+    def _append(self, data: bytes) -> None:
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self._wakeup.set()
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._wakeup.wait()
+                await self._flush()
+        except STREAM_ENDED:
+            self.close()
+
+    async def _flush(self) -> None:
+        self._wakeup = Event()
+        frames, self._queue = self._queue, []
+        waiters, self._queued_waiters = self._queued_waiters, []
+        for waiter in waiters:
+            waiter.unsent = False
+        data = b"".join(frames)
+        self._counters.writes += 1
+        self._counters.sent_frames += len(frames)
+        self._counters.sent_bytes += len(data)
+        try:
+            await self._stream.send(data)
+        finally:
+            self._queued_bytes -= len(data)
+
+    async def _read(self) -> None:
+        decoder = self._codec.make_decoder(self._settings.max_message_bytes)
+        while not self._closed:
+            try:
+                data = await self._stream.receive(RECEIVE_BYTES)
+            except STREAM_ENDED:
+                return
+            self.last_received_s = current_time()
+            self._counters.received_bytes += len(data)
+            for frame in decoder.feed(data):
+                self._counters.received_frames += 1
+                self._dispatch(frame)
+
+    def _dispatch(self, frame: Frame) -> None:
+        match frame:
+            case RequestFrame():
+                self._on_request(self, frame)
+            case NoticeFrame(message):
+                self._on_notice(self, message)
+            case ReplyFrame() | RefusalFrame():
+                self._settle(frame)
+
+    def _settle(self, frame: ReplyFrame | RefusalFrame) -> None:
+        waiter = self._waiters.pop(frame.request_id, None)
+        if waiter is None:
+            self._counters.late_replies += 1
+            return
+        waiter.frame = frame
+        waiter.event.set()
--- /dev/null
+++ b/berylproxy/peers/prober.py
@@ -0,0 +1,175 @@
+"""Finds out which members live, at a cost that does not grow with their number.
+
+Each round sends heartbeats to a bounded number of members, in a shuffled order that reaches each
+of them once before any of them twice (SWIM, section 4.3). A member that does not reply is asked
+for through other members before it becomes suspect (SWIM, section 3.1).
+"""
+
+from collections.abc import Awaitable, Callable
+from random import sample, shuffle, uniform
+from typing import Any, Protocol
+
+from anyio import create_task_group, current_time, sleep
+from anyio.abc import TaskGroup
+
+from berylproxy.peers.link import PeerLink
+from berylproxy.peers.membership import MemberStatus, PeerError
+from berylproxy.peers.messages import IndirectProbe, IndirectProbeResult
+from berylproxy.peers.settings import PeerSettings
+from berylproxy.peers.table import MemberEntry, MemberTable
+
+PAUSE_LIMIT_S = 0.5
+ROUND_JITTER = 0.1
+
+
+class ProbeTransport(Protocol):
+    """What the prober needs of the streams."""
+
+    def links(self, incarnation: str) -> list[PeerLink]:
+        """Lists the open streams of a member, the dialled one first."""
+
+    async def exchange_heartbeat(self, entry: MemberEntry, timeout_s: float) -> bool:
+        """Sends a heartbeat and applies the reply; returns whether one came."""
+
+    async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
+        """Sends a request to a member."""
+
+
+class Prober:
+    """Sends the heartbeats and judges the silence.
+
+    :param on_round: called at the start of each round.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        table: MemberTable,
+        transport: ProbeTransport,
+        on_round: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._transport = transport
+        self._on_round = on_round
+        self._order: list[str] = []
+        self._checked: set[str] = set()
+        self._resumed_s = 0.0
+
+    async def run(self) -> None:
+        """Runs a round in every interval."""
+        async with create_task_group() as task_group:
+            while True:
+                await self._sleep_between_rounds()
+                await self._on_round()
+                for entry in self._pick():
+                    self.check_soon(task_group, entry)
+
+    async def _sleep_between_rounds(self) -> None:
+        planned_s = self._settings.heartbeat_interval_s * uniform(
+            1 - ROUND_JITTER, 1 + ROUND_JITTER
+        )
+        started_s = current_time()
+        await sleep(planned_s)
+        pause_s = current_time() - started_s - planned_s
+        if pause_s > PAUSE_LIMIT_S:
+            self._resumed_s = current_time()
+            self._table.postpone(pause_s)
+
+    def check_soon(self, task_group: TaskGroup, entry: MemberEntry) -> None:
+        """Begins to check a member unless that is under way."""
+        if entry.identity.incarnation not in self._checked:
+            self._checked.add(entry.identity.incarnation)
+            task_group.start_soon(self._check, entry)
+
+    async def reach(self, incarnation: str, timeout_s: float) -> bool:
+        """Sends a heartbeat on behalf of another daemon."""
+        entry = self._table.get(incarnation)
+        return entry is not None and await self._transport.exchange_heartbeat(entry, timeout_s)
+
+    def _pick(self) -> list[MemberEntry]:
+        picked = [entry for entry in self._table.entries() if self._has_stalled(entry)]
+        for _ in range(self._settings.heartbeats_per_interval):
+            entry = self._next()
+            if entry is None:
+                break
+            picked.append(entry)
+        return picked
+
+    def _has_stalled(self, entry: MemberEntry) -> bool:
+        limit_s = current_time() - self._settings.heartbeat_timeout_s
+        links = self._transport.links(entry.identity.incarnation)
+        return any(link.has_waiting_requests and link.last_received_s < limit_s for link in links)
+
+    def _next(self) -> MemberEntry | None:
+        if not self._order:
+            self._order = [entry.identity.incarnation for entry in self._probed_entries()]
+            shuffle(self._order)
+        while self._order:
+            entry = self._table.get(self._order.pop())
+            if entry is not None and entry.member.status is not MemberStatus.DEAD:
+                return entry
+        return None
+
+    def _probed_entries(self) -> list[MemberEntry]:
+        entries = self._table.entries()
+        return [entry for entry in entries if entry.member.status is not MemberStatus.DEAD]
+
+    async def _check(self, entry: MemberEntry) -> None:
+        try:
+            await self._check_in_two_stages(entry)
+        finally:
+            self._checked.discard(entry.identity.incarnation)
+
+    async def _check_in_two_stages(self, entry: MemberEntry) -> None:
+        started_s = current_time()
+        if await self._transport.exchange_heartbeat(entry, self._settings.heartbeat_timeout_s):
+            return
+        if self._was_paused(started_s, self._settings.heartbeat_timeout_s):
+            return
+        reached = await self._reach_indirectly(entry)
+        total_s = self._settings.heartbeat_timeout_s + self._settings.indirect_timeout_s
+        if self._was_paused(started_s, total_s):
+            return
+        links = self._transport.links(entry.identity.incarnation)
+        heard = reached or any(link.last_received_s > started_s for link in links)
+        for link in links:
+            if link.last_received_s < started_s and link.opened_s < started_s:
+                link.close()
+        if not heard and entry.last_heard_s < started_s:
+            self._table.suspect(entry)
+
+    def _was_paused(self, started_s: float, expected_s: float) -> bool:
+        elapsed_s = current_time() - started_s
+        return self._resumed_s > started_s or elapsed_s > expected_s + PAUSE_LIMIT_S
+
+    async def _reach_indirectly(self, entry: MemberEntry) -> bool:
+        timeout_s = self._settings.indirect_timeout_s
+        reached: list[bool] = []
+
+        async def try_directly() -> None:
+            reached.append(await self._transport.exchange_heartbeat(entry, timeout_s))
+
+        async def try_through(helper: MemberEntry) -> None:
+            probe = IndirectProbe(entry.identity.incarnation, timeout_s)
+            try:
+                result = await self._transport.request(
+                    helper.identity.incarnation, probe, timeout_s
+                )
+            except PeerError:
+                return
+            reached.append(isinstance(result, IndirectProbeResult) and result.reached)
+
+        async with create_task_group() as task_group:
+            task_group.start_soon(try_directly)
+            for helper in self._pick_helpers(entry):
+                task_group.start_soon(try_through, helper)
+        return any(reached)
+
+    def _pick_helpers(self, entry: MemberEntry) -> list[MemberEntry]:
+        alive = [
+            other
+            for other in self._table.entries()
+            if other is not entry and other.member.status is MemberStatus.ALIVE
+        ]
+        return sample(alive, min(self._settings.indirect_probes, len(alive)))
