Serve a job end to end through separate processes

A resubmission through another daemon attaches to the first submission; other content under the same id is refused.

--- /dev/null
+++ b/berylproxy/daemon/application.py
@@ -0,0 +1,265 @@
+"""Builds the daemon from its parts and runs it until a planned stop."""
+
+import json
+import signal
+from random import Random
+from secrets import token_hex
+
+from anyio import (
+    Event,
+    create_task_group,
+    open_signal_receiver,
+    sleep,
+)
+from logbook import Logger
+from starlette.applications import Starlette
+
+from berylproxy.admit.api import CallerApi
+from berylproxy.admit.authorization import OperatorGate
+from berylproxy.clock import MonotonicClock
+from berylproxy.daemon.http_server import describe_listener, open_listener, serve_http
+from berylproxy.daemon.monitoring import Monitor
+from berylproxy.deduplicate.identifiers import IdentifierMint
+from berylproxy.deduplicate.messages import JOB_MESSAGES, CancelJob, FetchJob, SubmitJob
+from berylproxy.deduplicate.registry import JobRegistry
+from berylproxy.deduplicate.router import JobRouter
+from berylproxy.environment import Environment
+from berylproxy.metrics import Metrics
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.codec import MessageCodec
+from berylproxy.peers.membership import Member, MemberStatus
+from berylproxy.peers.network import TcpPeerNetwork
+from berylproxy.peers.settings import PeerSettings
+from berylproxy.pipeline import Pipeline
+from berylproxy.place.messages import PLACE_MESSAGES
+from berylproxy.platform.etcd import EtcdStore
+from berylproxy.platform.machines import HttpVirtualMachineList
+from berylproxy.platform.store import StoreUnavailableError
+from berylproxy.records.api import make_record_routes
+from berylproxy.records.editor import RecordEditor
+from berylproxy.records.leaving import mark_leaving_endpoints
+from berylproxy.records.messages import FetchRecords, Records, RecordsAccepted
+from berylproxy.records.spread import CONFIG_PART, RecordSpreader
+from berylproxy.records.view import RecordView
+from berylproxy.records.watcher import RecordWatcher
+from berylproxy.send.sender import TaskSender
+from berylproxy.settings import Settings
+from berylproxy.tracing import Tracer
+
+IDENTIFIER_VALIDITY_S = 600.0
+ANSWER_RETENTION_S = 900.0
+HOUSEKEEPING_INTERVAL_S = 1.0
+VM_LIST_INTERVAL_S = 1.0
+VM_LIST_TIMEOUT_S = 2.0
+STORE_TIMEOUT_S = 3.0
+INCARNATION_BYTES = 6
+
+logger = Logger(__name__)
+
+
+class Application:
+    """One daemon.
+
+    :param env: standard output gets one JSON line with the addresses once the daemon serves.
+    """
+
+    def __init__(self, settings: Settings, env: Environment) -> None:
+        self._settings = settings
+        self._env = env
+        self._random = Random()
+        clock = MonotonicClock()
+        identity = DaemonIdentity(
+            settings.daemon_id,
+            token_hex(INCARNATION_BYTES),
+            settings.failure_domain,
+            settings.peer_address,
+        )
+        self._network = self._make_network(identity)
+        self._store = EtcdStore(settings.store_urls, STORE_TIMEOUT_S)
+        self._view = RecordView()
+        self._watcher = RecordWatcher(self._store, self._view, self._random)
+        self._spreader = RecordSpreader(self._view, self._network, self._random)
+        self._tracer = Tracer(settings.trace_target, settings.daemon_id, settings.failure_domain)
+        self._sender = TaskSender(clock, self._count_daemons)
+        self._mint = IdentifierMint(identity.incarnation, clock, IDENTIFIER_VALIDITY_S)
+        self._registry = JobRegistry(self._mint, clock, ANSWER_RETENTION_S)
+        self._pipeline = Pipeline(
+            identity, clock, self._registry, self._sender, self._tracer, self._network.notify
+        )
+        self._router = JobRouter(
+            identity.incarnation,
+            clock,
+            self._mint,
+            self._registry,
+            self._network,
+            self._pipeline.submit,
+            self._pipeline.cancel,
+        )
+        self._gate = OperatorGate(settings.operator_tokens)
+        self._monitor = Monitor(
+            lambda: self._network.identity,
+            self._network,
+            self._view,
+            self._watcher,
+            self._spreader,
+            self._pipeline,
+            self._gate.authorize,
+        )
+        self._leaving_hosts: frozenset[str] = frozenset()
+        self._dead_members: set[str] = set()
+        self._http_stopped = Event()
+        self._connect_parts()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then stops without cutting a request in flight."""
+        listener = open_listener(self._settings.http_address)
+        http_address = describe_listener(listener)
+        application = self._make_http_application()
+        async with create_task_group() as task_group:
+            peer_address = await task_group.start(self._network.run)
+            task_group.start_soon(self._watcher.run)
+            task_group.start_soon(self._spreader.run)
+            task_group.start_soon(self._pipeline.run, task_group)
+            task_group.start_soon(self._keep_house)
+            if self._settings.vm_list_url:
+                task_group.start_soon(self._follow_vm_list)
+            self._update_members()
+            async with create_task_group() as http_task_group:
+                http_task_group.start_soon(
+                    serve_http, application, listener, self._settings, self._http_stopped.wait
+                )
+                self._announce(http_address, peer_address)
+                await self._wait_for_stop()
+            task_group.cancel_scope.cancel()
+        await self._close()
+
+    def _make_network(self, identity: DaemonIdentity) -> TcpPeerNetwork:
+        settings = self._settings
+        peer_settings = PeerSettings(
+            listen_address=settings.peer_address,
+            addresses=settings.peers,
+            cluster=settings.cluster,
+            keys=tuple(key.encode() for key in settings.peer_keys),
+        )
+        codec = MessageCodec(
+            (*PLACE_MESSAGES, *JOB_MESSAGES, FetchRecords, Records, RecordsAccepted)
+        )
+        return TcpPeerNetwork(identity, peer_settings, codec, Logger("berylproxy.peers"))
+
+    def _connect_parts(self) -> None:
+        network = self._network
+        for message_type in (SubmitJob, FetchJob, CancelJob):
+            network.handle_request(message_type, lambda _, message: self._router.handle(message))
+        for message_type in PLACE_MESSAGES:
+            network.handle_notice(
+                message_type,
+                lambda sender, message: self._pipeline.receive(sender.incarnation, message),
+            )
+        network.handle_request(FetchRecords, self._answer_fetch)
+        network.handle_notice(
+            RecordsAccepted, lambda _, message: self._spreader.handle_accepted(message)
+        )
+        network.provide_heartbeat(CONFIG_PART, self._spreader.make_heartbeat_part)
+        network.on_change(self._take_member)
+        self._view.subscribe(lambda _: self._apply_configuration())
+
+    def _make_http_application(self) -> Starlette:
+        api = CallerApi(
+            self._router,
+            self._tracer,
+            lambda: self._view.configuration,
+            lambda: self._monitor.is_ready or self._pipeline.is_stopping,
+            IDENTIFIER_VALIDITY_S,
+        )
+        editor = RecordEditor(
+            self._store, self._view, self._spreader, lambda: self._watcher.accepts_writes
+        )
+        metrics = Metrics()
+        metrics.add_source(self._monitor.collect_samples)
+        routes = [
+            *api.routes(),
+            *make_record_routes(self._view, editor, self._gate.authorize),
+            *self._monitor.routes(),
+            *metrics.routes(),
+        ]
+        return Starlette(routes=routes)
+
+    def _announce(self, http_address: str, peer_address: str) -> None:
+        if not self._settings.operator_tokens:
+            logger.warning("no operator tokens are set: serving on loopback addresses only")
+        logger.info("serving on {}, peers on {}", http_address, peer_address)
+        addresses = {"http_address": http_address, "peer_address": peer_address}
+        self._env.stdout.write(json.dumps(addresses) + "\n")
+        self._env.stdout.flush()
+
+    async def _answer_fetch(self, _: DaemonIdentity, message: FetchRecords) -> Records:
+        return self._spreader.handle_fetch(message)
+
+    def _count_daemons(self) -> int:
+        return 1 + sum(member.status is not MemberStatus.DEAD for member in self._network.members())
+
+    def _take_member(self, member: Member) -> None:
+        incarnation = member.identity.incarnation
+        if member.status is MemberStatus.DEAD and incarnation not in self._dead_members:
+            self._dead_members.add(incarnation)
+            self._pipeline.forget_home(incarnation)
+        self._update_members()
+
+    def _update_members(self) -> None:
+        live = [
+            member.identity
+            for member in self._network.members()
+            if member.status is MemberStatus.ALIVE and member.ready
+        ]
+        if not live or not self._pipeline.is_stopping:
+            live.append(self._network.identity)
+        self._pipeline.update_members(live)
+
+    def _apply_configuration(self) -> None:
+        self._pipeline.configure(
+            mark_leaving_endpoints(self._view.configuration, self._leaving_hosts)
+        )
+
+    async def _follow_vm_list(self) -> None:
+        vm_list = HttpVirtualMachineList(self._settings.vm_list_url, VM_LIST_TIMEOUT_S)
+        try:
+            while True:
+                await self._fetch_vm_list(vm_list)
+                await sleep(VM_LIST_INTERVAL_S)
+        finally:
+            await vm_list.close()
+
+    async def _fetch_vm_list(self, vm_list: HttpVirtualMachineList) -> None:
+        try:
+            machines = await vm_list.fetch()
+        except StoreUnavailableError:
+            return  # the last list stays in force
+        leaving_hosts = frozenset(machine.host for machine in machines if machine.leaving)
+        if leaving_hosts != self._leaving_hosts:
+            self._leaving_hosts = leaving_hosts
+            self._apply_configuration()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await sleep(HOUSEKEEPING_INTERVAL_S)
+            self._registry.forget_old_jobs()
+            await self._sender.close_expired()
+
+    async def _wait_for_stop(self) -> None:
+        with open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        logger.info("stopping: no new work after {} s", self._settings.drain_grace_s)
+        self._pipeline.is_stopping = True
+        self._network.announce_leaving()
+        self._update_members()
+        await sleep(self._settings.drain_grace_s)
+        self._pipeline.refuse_new_jobs()
+        if not await self._pipeline.wait_until_idle(self._settings.drain_timeout_s):
+            logger.warning("stopping with jobs unfinished after the drain timeout")
+        self._http_stopped.set()
+
+    async def _close(self) -> None:
+        await self._sender.close()
+        await self._store.close()
+        self._tracer.close()
--- /dev/null
+++ b/berylproxy/daemon/http_server.py
@@ -0,0 +1,52 @@
+"""Serves the daemon's HTTP interfaces with hypercorn."""
+
+import socket
+from collections.abc import Awaitable, Callable
+
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from starlette.applications import Starlette
+
+from berylproxy.settings import Settings
+
+BACKLOG_CONNECTIONS = 1_024
+KEEP_ALIVE_TIMEOUT_S = 75.0
+MAX_REQUESTS_PER_CONNECTION = 1_000_000
+SHUTDOWN_TIMEOUT_S = 5.0
+
+
+def open_listener(address: str) -> socket.socket:
+    """Binds and listens on ``host:port``, so that connections are queued from then on."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, int(port)), family=family, backlog=BACKLOG_CONNECTIONS)
+    listener.setblocking(False)
+    return listener
+
+
+def describe_listener(listener: socket.socket) -> str:
+    """Returns the bound ``host:port``."""
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+async def serve_http(
+    application: Starlette,
+    listener: socket.socket,
+    settings: Settings,
+    stopped: Callable[[], Awaitable[None]],
+) -> None:
+    """Serves until ``stopped`` returns, then lets open requests end."""
+    config = Config()
+    config.bind = [f"fd://{listener.detach()}"]
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
+    config.graceful_timeout = SHUTDOWN_TIMEOUT_S
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    if settings.tls_certificate:
+        config.certfile = settings.tls_certificate
+        config.keyfile = settings.tls_key
+    await serve(application, config, shutdown_trigger=stopped)
--- /dev/null
+++ b/berylproxy/daemon/monitoring.py
@@ -0,0 +1,177 @@
+"""What the balancer, operators and the monitoring ask a daemon."""
+
+from collections.abc import Callable, Iterable
+
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from berylproxy import __version__
+from berylproxy.admit.answers import make_error_response, make_json_response
+from berylproxy.errors import BerylproxyError
+from berylproxy.metrics import Sample
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.network import TcpPeerNetwork
+from berylproxy.pipeline import Pipeline
+from berylproxy.place.ledger import EndpointState
+from berylproxy.records.spread import RecordSpreader
+from berylproxy.records.view import RecordView
+from berylproxy.records.watcher import RecordWatcher
+
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+
+
+class Monitor:
+    """Answers ``/healthz``, ``/readyz`` and ``/v1/status``, and gives the gauges.
+
+    :param authorize: raises a :class:`BerylproxyError` unless the request is an operator's.
+    """
+
+    def __init__(
+        self,
+        identity: Callable[[], DaemonIdentity],
+        network: TcpPeerNetwork,
+        view: RecordView,
+        watcher: RecordWatcher,
+        spreader: RecordSpreader,
+        pipeline: Pipeline,
+        authorize: Callable[[Request], None],
+    ) -> None:
+        self._identity = identity
+        self._network = network
+        self._view = view
+        self._watcher = watcher
+        self._spreader = spreader
+        self._pipeline = pipeline
+        self._authorize = authorize
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new work here."""
+        return self._view.is_loaded and not self._pipeline.is_stopping
+
+    def routes(self) -> list[Route]:
+        """Makes the routes."""
+        return [
+            Route("/healthz", self.answer_health, methods=["GET"]),
+            Route("/readyz", self.answer_readiness, methods=["GET"]),
+            Route("/v1/status", self.answer_status, methods=["GET"]),
+        ]
+
+    async def answer_health(self, request: Request) -> Response:
+        """Answers while the process runs."""
+        return make_json_response({"healthy": True})
+
+    async def answer_readiness(self, request: Request) -> Response:
+        """Answers with 200 if new work may come, else with 503 and why."""
+        reason = "stopping" if self._pipeline.is_stopping else self._spreader.state.value
+        status = STATUS_OK if self.is_ready else STATUS_UNAVAILABLE
+        return make_json_response({"ready": self.is_ready, "reason": reason}, status)
+
+    async def answer_status(self, request: Request) -> Response:
+        """Describes the daemon, its peers and its endpoints."""
+        try:
+            self._authorize(request)
+        except BerylproxyError as error:
+            return make_error_response(error)
+        content = {
+            "daemon": self._describe_daemon(),
+            "peers": self._describe_peers(),
+            "endpoints": list(self._describe_endpoints()),
+        }
+        return make_json_response(content)
+
+    def collect_samples(self) -> Iterable[Sample]:
+        """Gives the gauges of a scrape."""
+        yield Sample("berylproxy_ready", "1 if new work may come", float(self.is_ready), {})
+        yield Sample(
+            "berylproxy_waiting_tasks", "Tasks waiting here", self._pipeline.waiting_tasks, {}
+        )
+        yield Sample(
+            "berylproxy_running_tasks", "Tasks at endpoints", self._pipeline.running_tasks, {}
+        )
+        yield Sample("berylproxy_jobs_kept", "Jobs in memory", self._pipeline.kept_jobs, {})
+        yield Sample(
+            "berylproxy_unused_grants_total",
+            "Slot grants given back unused",
+            self._pipeline.requester.unused_grants,
+            {},
+        )
+        yield Sample(
+            "berylproxy_config_revision", "Highest revision in force", self._view.revision, {}
+        )
+        yield Sample(
+            "berylproxy_config_problems",
+            "Records that are not in force as written",
+            len(self._view.list_problems()),
+            {},
+        )
+        yield Sample(
+            "berylproxy_store_ok",
+            "1 if the store is followed",
+            float(self._watcher.state.value == "following"),
+            {},
+        )
+        for status in ("alive", "suspect", "dead"):
+            members = [m for m in self._network.members() if m.status.value == status]
+            yield Sample(
+                "berylproxy_peers", "Other daemons by status", len(members), {"status": status}
+            )
+
+    def _describe_daemon(self) -> dict[str, object]:
+        identity = self._identity()
+        return {
+            "daemon_id": identity.daemon_id,
+            "incarnation": identity.incarnation,
+            "failure_domain": identity.failure_domain,
+            "peer_address": identity.peer_address,
+            "version": __version__,
+            "ready": self.is_ready,
+            "stopping": self._pipeline.is_stopping,
+            "config_revision": self._view.revision,
+            "config_source": self._view.source,
+            "config_problems": [problem.message for problem in self._view.list_problems()],
+            "store": self._watcher.state.value,
+            "store_problem": self._watcher.problem,
+            "waiting_tasks": self._pipeline.waiting_tasks,
+            "running_tasks": self._pipeline.running_tasks,
+            "kept_jobs": self._pipeline.kept_jobs,
+        }
+
+    def _describe_peers(self) -> list[dict[str, object]]:
+        return [
+            {
+                "daemon_id": member.identity.daemon_id,
+                "incarnation": member.identity.incarnation,
+                "failure_domain": member.identity.failure_domain,
+                "address": member.identity.peer_address,
+                "status": member.status.value,
+                "ready": member.ready,
+            }
+            for member in self._network.members()
+        ]
+
+    def _describe_endpoints(self) -> Iterable[dict[str, object]]:
+        held = {
+            state.endpoint.name: state
+            for ledger in self._pipeline.holder.list_ledgers()
+            for state in ledger.list_states()
+        }
+        for name, endpoint in sorted(self._view.configuration.endpoints.items()):
+            yield {
+                "name": name,
+                "pool": endpoint.pool,
+                "failure_domain": endpoint.failure_domain,
+                "owner": endpoint.owner,
+                "slots": endpoint.slots,
+                "leaving": endpoint.leaving,
+                "held_here": name in held,
+                **_describe_state(held.get(name)),
+            }
+
+
+def _describe_state(state: EndpointState | None) -> dict[str, object]:
+    if state is None:
+        return {"in_use": None, "ejected": None}
+    return {"in_use": len(state.uses), "ejected": state.health.on_probation}
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -68,7 +68,8 @@
             identity, clock, self._queue, self._send, self._dispatcher.start
         )
         self._configuration = Configuration()
-        self.is_leaving = False
+        self.is_stopping = False
+        self._refuses_new_jobs = False
         self._changed = Event()
         self._task_group: TaskGroup | None = None
 
@@ -77,6 +78,11 @@
         """How many tasks wait for a slot."""
         return len(self._queue)
 
+    @property
+    def kept_jobs(self) -> int:
+        """How many jobs are in memory, finished ones included."""
+        return len(self._registry)
+
     @property
     def running_tasks(self) -> int:
         """How many tasks are at endpoints."""
@@ -137,6 +143,10 @@
         self._wake()
         return job
 
+    def refuse_new_jobs(self) -> None:
+        """Takes no new jobs from now on; known ones go on."""
+        self._refuses_new_jobs = True
+
     def cancel(self, job: Job) -> None:
         """Gives a job up at the caller's wish."""
         job.fail(Outcome.NOT_RUN, "cancelled", "cancelled by the caller", self._clock.now_s())
@@ -165,7 +175,7 @@
         return min(submission.timeout_s or longest_s, longest_s)
 
     def _check_admission(self, submission: Submission) -> None:
-        if self.is_leaving:
+        if self._refuses_new_jobs:
             raise HomeLeavingError("this daemon is stopping", retry_after_s=REFUSED_RETRY_AFTER_S)
         configuration = self._configuration
         service = configuration.services.get(submission.service)
--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -121,15 +121,17 @@
 
     def _choose_groups(self) -> None:
         chosen = {
-            group
-            for group in list_slot_groups(self._configuration)
-            if choose_holder(group, self._live.values()) == self._identity
+            group for group in list_slot_groups(self._configuration) if self._is_chosen(group)
         }
         for group in self._groups.keys() - chosen:
             del self._groups[group]
         for group in chosen - self._groups.keys():
             self._begin_group(group)
 
+    def _is_chosen(self, group: SlotGroup) -> bool:
+        holder = choose_holder(group, self._live.values())
+        return holder is not None and holder.incarnation == self._identity.incarnation
+
     def _begin_group(self, group: SlotGroup) -> None:
         ledger = SlotLedger(self._identity.incarnation, group.pool, group.failure_domain)
         self._configure_ledger(group, ledger)
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -30,6 +30,7 @@
 
 LOST_SLOT_RUN_TIMES = 4  # a dead home's slot is kept for that many expected run times
 LOST_SLOT_MARGIN_S = 1.0
+GRANT_TRANSIT_S = 3.0  # a grant that its home has not seen by then is lost
 OVERRUN_SHARE = 0.3  # a task that overran its expected time is taken to need that share more
 DEFAULT_RUN_TIME_S = 0.3
 UNLIMITED_SLOTS = 1_000_000
@@ -178,7 +179,11 @@
         reported = {SlotKey(slot.issuer, slot.sequence): slot for slot in held}
         for name, state in self._states.items():
             for key, use in list(state.uses.items()):
-                on_its_way = key.issuer == self.issuer and key.sequence > last_grant
+                on_its_way = (
+                    key.issuer == self.issuer
+                    and key.sequence > last_grant
+                    and now_s < use.since_s + GRANT_TRANSIT_S
+                )
                 if use.home == home and key not in reported and not on_its_way:
                     self._end_use(name, key)
         for key, slot in reported.items():
