--- a/berylproxy/admit/api.py
+++ b/berylproxy/admit/api.py
@@ -27,7 +27,9 @@
     parse_body,
 )
 from berylproxy.constants import (
+    IDEMPOTENCY_KEY_HEADER,
     JSON_CONTENT_TYPE,
+    MAX_IDEMPOTENCY_KEY_CHARACTERS,
     MAX_SUBMISSION_BYTES,
     REPEATABLE_HEADER,
     REQUEST_ID_HEADER,
@@ -96,7 +98,7 @@
         schema = parse_body(SubmissionSchema, await _read_body(request))
         submission = Submission(
             schema.id or "",
-            "",
+            _read_idempotency_key(request, schema.id or ""),
             "",
             schema.service,
             tuple(task.to_task() for task in schema.tasks),
@@ -111,9 +113,10 @@
         """Serves a single request."""
         content_type = request.headers.get("content-type", JSON_CONTENT_TYPE)
         task = Task(SINGLE_TASK_ID, await _read_body(request), content_type, {})
+        job_id = request.headers.get(REQUEST_ID_HEADER, "")
         submission = Submission(
-            request.headers.get(REQUEST_ID_HEADER, ""),
-            "",
+            job_id,
+            _read_idempotency_key(request, job_id),
             "",
             request.path_params["service"],
             (task,),
@@ -136,12 +139,13 @@
         return make_job_response(await self._router.cancel(request.path_params["job_id"], team))
 
     async def _submit(self, request: Request, submission: Submission, wait_s: float) -> JobState:
+        is_named = bool(submission.job_id or submission.idempotency_key)
         try:
             team = authorize_team(request, self._configuration())
-            job_id = submission.job_id or self._mint_one()
+            job_id = submission.job_id if is_named else self._mint_one()
         except AdmitError as error:
-            # Under an id of the caller's the submission may be running: not for this daemon to say.
-            outcome = Outcome.UNKNOWN if submission.job_id else Outcome.NOT_RUN
+            # Under a name of the caller's it may be running: not for this daemon to say.
+            outcome = Outcome.UNKNOWN if is_named else Outcome.NOT_RUN
             return JobState(submission.job_id, make_refusal(submission.job_id, error, outcome))
         attributes = {"job_id": job_id, "tasks": len(submission.tasks)}
         with self._tracer.span("admit", submission.traceparent, **attributes) as span:
@@ -183,6 +187,17 @@
     return bytes(chunks)
 
 
+def _read_idempotency_key(request: Request, job_id: str) -> str:
+    key = request.headers.get(IDEMPOTENCY_KEY_HEADER, "")
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
+        raise HeaderInvalidError(
+            f"{IDEMPOTENCY_KEY_HEADER} has more than {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
+        )
+    if key and job_id:
+        raise HeaderInvalidError(f"{IDEMPOTENCY_KEY_HEADER} and an id don't go together")
+    return key
+
+
 def _read_repeatable(request: Request) -> bool:
     text = request.headers.get(REPEATABLE_HEADER, "false").lower()
     if text not in BOOLEANS:
--- a/berylproxy/admit/schemas.py
+++ b/berylproxy/admit/schemas.py
@@ -13,7 +13,7 @@
 )
 from berylproxy.models import Task
 
-MAX_TIMEOUT_S = 3_600.0
+MAX_TIMEOUT_S = 600.0
 
 Schema = TypeVar("Schema", bound=BaseModel)
 
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -19,6 +19,7 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.daemon.http_server import describe_listener, open_listener, serve_http
 from berylproxy.daemon.monitoring import Monitor
+from berylproxy.deduplicate.claims import ClaimBook
 from berylproxy.deduplicate.identifiers import IdentifierMint
 from berylproxy.deduplicate.messages import JOB_MESSAGES, CancelJob, FetchJob, SubmitJob
 from berylproxy.deduplicate.registry import JobRegistry
@@ -47,7 +48,7 @@
 from berylproxy.tracing import Tracer
 
 IDENTIFIER_VALIDITY_S = 600.0
-ANSWER_RETENTION_S = 900.0
+ANSWER_RETENTION_S = 1_200.0
 HOUSEKEEPING_INTERVAL_S = 1.0
 VM_LIST_INTERVAL_S = 1.0
 VM_LIST_TIMEOUT_S = 2.0
@@ -92,6 +93,8 @@
             self._mint,
             self._registry,
             self._network,
+            ClaimBook(self._store, clock),
+            self._pipeline.check_admission,
             self._pipeline.submit,
             self._pipeline.cancel,
         )
--- a/berylproxy/deduplicate/errors.py
+++ b/berylproxy/deduplicate/errors.py
@@ -54,6 +54,10 @@
 
 
 class ClaimUnavailableError(DeduplicateError):
-    """The platform's key-value service can't tell whether the idempotency key is new."""
+    """The platform's key-value service can't tell whether the idempotency key is new.
+
+    Nothing is started, but an earlier submission under the key may have run.
+    """
 
     code = "claim_unavailable"
+    outcome = Outcome.UNKNOWN
--- a/berylproxy/deduplicate/router.py
+++ b/berylproxy/deduplicate/router.py
@@ -1,12 +1,15 @@
 """Brings a submission, wherever it arrives, to its home, and the answer back."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from hashlib import blake2b
 from typing import TypeVar
 
 from anyio import move_on_after, sleep
 
 from berylproxy.clock import Clock
 from berylproxy.collect.job import Job
+from berylproxy.deduplicate.claims import ClaimBook, choose_bucket, hash_key
 from berylproxy.deduplicate.errors import (
     DeduplicateError,
     HomeGoneError,
@@ -20,6 +23,7 @@
 from berylproxy.errors import BerylproxyError
 from berylproxy.models import JobAnswer, Outcome, Submission
 from berylproxy.peers.membership import (
+    Member,
     MemberStatus,
     PeerError,
     PeerNetwork,
@@ -37,12 +41,26 @@
     return JobAnswer(job_id, outcome, error.code, error.message, error.hint, error.retry_after_s)
 
 
+def choose_claimant(bucket: int, own_incarnation: str, members: Iterable[Member]) -> str:
+    """Chooses the live daemon that claims the keys of a bucket, by rendezvous hashing."""
+    live = [
+        member.identity.incarnation
+        for member in members
+        if member.status is MemberStatus.ALIVE and member.ready
+    ]
+    return max(
+        (own_incarnation, *live),
+        key=lambda incarnation: blake2b(f"{bucket}\0{incarnation}".encode()).digest(),
+    )
+
+
 class JobRouter:
     """Serves jobs whose home is here and forwards to the home otherwise.
 
     Only the home named by the identifier ever starts the tasks, so a message to it may be repeated
     over a new stream: the home finds the job that it already knows.
 
+    :param check_admission: raises if a submission would be refused now.
     :param submit: takes a submission at its home.
     :param cancel: gives a job up at its home.
     """
@@ -54,6 +72,8 @@
         mint: IdentifierMint,
         registry: JobRegistry,
         network: PeerNetwork,
+        claims: ClaimBook,
+        check_admission: Callable[[Submission], None],
         submit: Callable[[Submission], Job],
         cancel: Callable[[Job], None],
     ) -> None:
@@ -62,6 +82,8 @@
         self._mint = mint
         self._registry = registry
         self._network = network
+        self._claims = claims
+        self._check_admission = check_admission
         self._submit = submit
         self._cancel = cancel
 
@@ -74,6 +96,8 @@
 
         A refusal, and a home that can't be asked, are told as the job's answer.
         """
+        if not submission.job_id and submission.idempotency_key:
+            return await self._submit_keyed(submission, wait_s)
         return await self._route(submission.job_id, SubmitJob(submission, wait_s), wait_s)
 
     async def fetch(self, job_id: str, team: str, wait_s: float) -> JobState:
@@ -95,6 +119,8 @@
 
     async def _serve(self, message: Message) -> JobState:
         match message:
+            case SubmitJob(submission, wait_s) if not submission.job_id:
+                return await self._claim(submission, wait_s)
             case SubmitJob(submission, wait_s):
                 return await self._wait(self._submit(submission), wait_s)
             case FetchJob(job_id, team, wait_s):
@@ -105,6 +131,33 @@
                 return JobState(job_id, job.answer)
         raise TypeError(f"{type(message).__name__} is not a message about jobs")
 
+    async def _submit_keyed(self, submission: Submission, wait_s: float) -> JobState:
+        """Hands the submission to the daemon that usually claims the keys of its bucket."""
+        bucket = choose_bucket(hash_key(submission.team, submission.idempotency_key))
+        claimant = choose_claimant(bucket, self._incarnation, self._network.members())
+        message = SubmitJob(submission, wait_s)
+        if claimant != self._incarnation:
+            try:
+                return await self._network.request(claimant, message, wait_s + HOME_REPLY_MARGIN_S)
+            except PeerError:
+                pass  # the claim in the store keeps two daemons from starting it both
+        return await self.handle(message)
+
+    async def _claim(self, submission: Submission, wait_s: float) -> JobState:
+        key_hash = hash_key(submission.team, submission.idempotency_key)
+        try:
+            self._check_admission(submission)
+        except BerylproxyError:
+            # Refused before it is claimed, so that the key can be used later; but "not run" is only
+            # true of a key that stands for nothing yet.
+            job_id = await self._claims.find(key_hash)
+            if not job_id:
+                raise
+        else:
+            job_id = await self._claims.claim(key_hash, self._mint.mint(1)[0])
+        claimed = replace(submission, job_id=job_id)
+        return await self._route(job_id, SubmitJob(claimed, wait_s), wait_s)
+
     async def _route(self, job_id: str, message: Message, wait_s: float) -> JobState:
         identifier = parse_identifier(job_id)
         if identifier is not None and identifier.incarnation == self._incarnation:
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -131,7 +131,7 @@
         if not is_new:
             return job
         try:
-            self._check_admission(submission)
+            self.check_admission(submission)
         except AdmissionError as error:
             # Final for this id: another copy of the submission must not run after this refusal.
             job.refuse(error, self._clock.now_s())
@@ -174,7 +174,11 @@
         longest_s = service.timeout_s if service is not None else 0.0
         return min(submission.timeout_s or longest_s, longest_s)
 
-    def _check_admission(self, submission: Submission) -> None:
+    def check_admission(self, submission: Submission) -> None:
+        """Checks whether a new submission can be taken now.
+
+        :raises AdmissionError: if not.
+        """
         if self._refuses_new_jobs:
             raise HomeLeavingError("this daemon is stopping", retry_after_s=REFUSED_RETRY_AFTER_S)
         configuration = self._configuration
