--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,11 +3,12 @@
 import socket
 import struct
 from argparse import ArgumentParser
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
 import anyio
-from anyio import BrokenResourceError, ClosedResourceError, EndOfStream
+from anyio import BrokenResourceError, ClosedResourceError
 from anyio.abc import SocketAttribute, SocketListener, SocketStream
 from pydantic import BaseModel
 from starlette.applications import Starlette
@@ -17,7 +18,6 @@
 
 from standins.serving import announce, open_listener, port_of, serve_app
 
-CHUNK_BYTES = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
 LOSS_SEED = 1
 
@@ -50,7 +50,9 @@
         """Ends both sides at once, with a reset."""
         for stream in (self.client, self.target):
             raw_socket = stream.extra(SocketAttribute.raw_socket)
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # A connection that its other end has reset may be closed already.
+            with suppress(OSError):
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.scope.cancel()
 
 
@@ -179,12 +181,11 @@
     ) -> None:
         """Relays one direction until its source ends."""
         try:
-            while True:
-                await self.pass_chunk(connection, await source.receive(CHUNK_BYTES), sink)
-        except EndOfStream:
+            async for chunk in source:
+                await self.pass_chunk(connection, chunk, sink)
             if not connection.silent:
                 await sink.send_eof()
-        except (BrokenResourceError, ClosedResourceError):
+        except (BrokenResourceError, ClosedResourceError, OSError):
             if not connection.silent:
                 connection.reset()
 
