Prove the records by features and mark new records in the store

A store restored from a backup lacks records created since, which looked like deletions: each creation now writes a mark first, whose loss tells the two apart. Weighed: a tombstone value in place of each deletion, which needs its own removal later.

--- a/berylproxy/records/editor.py
+++ b/berylproxy/records/editor.py
@@ -14,8 +14,15 @@
     StoreConflictError,
     StoreError,
     StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from berylproxy.records.envelope import (
+    MARK_KEY,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+    make_key,
 )
-from berylproxy.records.envelope import Envelope, decode_envelope, encode_envelope, make_key
 from berylproxy.records.errors import (
     RecordConflictError,
     RecordError,
@@ -148,17 +155,31 @@
 
     async def _write(self, change: Change) -> int:
         try:
+            is_new = self._view.find(change.key) is None
+            if is_new and change.expected_revision == ABSENT_REVISION:
+                await self._write_mark(change.change_id)
             return await self._swap(change)
         except StoreConflictError:
             raise await self._explain_conflict(change) from None
         except StoreOutcomeUnknownError:
             return await self._find_outcome(change)
         except StoreError as error:
-            raise RecordStoreUnavailableError(
-                f"nothing was written: {error.message}",
-                hint="the configuration in force stays as it is",
-                retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
-            ) from None
+            raise make_unavailable(error) from None
+
+    async def _write_mark(self, change_id: str) -> None:
+        """Marks that a record is about to be created."""
+        value = encode_envelope(Envelope(change_id, ABSENT_REVISION, None))
+        try:
+            with anyio.fail_after(self._pace.call_timeout_s):
+                held = await self._store.get(MARK_KEY)
+                revision = held.revision if held else ABSENT_REVISION
+                await self._store.compare_and_swap(MARK_KEY, value, revision)
+        except StoreConflictError:
+            pass  # another new record has just been marked, which serves as well
+        except StoreOutcomeUnknownError as error:
+            raise make_unavailable(error) from None  # of the record itself nothing is written
+        except TimeoutError:
+            raise StoreUnavailableError("the store did not answer") from None
 
     async def _swap(self, change: Change) -> int:
         with anyio.move_on_after(self._pace.call_timeout_s):
@@ -233,6 +254,15 @@
     return RecordConflictError(message, revision)
 
 
+def make_unavailable(error: StoreError) -> RecordStoreUnavailableError:
+    """Makes the error of a change of which nothing was written."""
+    return RecordStoreUnavailableError(
+        f"nothing was written: {error.message}",
+        hint="the configuration in force stays as it is",
+        retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
+    )
+
+
 def make_outcome_unknown(change: Change, reason: str) -> RecordOutcomeUnknownError:
     """Makes the error of a write that may have taken effect."""
     return RecordOutcomeUnknownError(
--- a/berylproxy/records/envelope.py
+++ b/berylproxy/records/envelope.py
@@ -8,6 +8,10 @@
 
 KEY_PREFIX = "berylproxy/records/"
 
+# Written before each new record. A store restored from a backup that lacks the new record also
+# lacks this write, so that the record is not taken for a deleted one.
+MARK_KEY = "berylproxy/records/marks/created"
+
 
 def make_key(kind: str, name: str) -> str:
     """Makes the store's key of a record."""
--- a/berylproxy/records/spread.py
+++ b/berylproxy/records/spread.py
@@ -80,14 +80,18 @@
         self._pace = pace or SpreadPace()
         self._suspected: set[tuple[str, str, str]] = set()
         self._fruitless: set[tuple[str, str, str]] = set()
-        self._sourceless = False
+        self._sourceless = anyio.Event()
 
     @property
     def state(self) -> ViewState:
         """Whether the daemon can serve by its view."""
         if self._view.is_loaded:
             return ViewState.LOADED
-        return ViewState.SOURCELESS if self._sourceless else ViewState.LOADING
+        return ViewState.SOURCELESS if self._sourceless.is_set() else ViewState.LOADING
+
+    async def wait_sourceless(self) -> None:
+        """Waits until the stated wait for a first view is over in vain."""
+        await self._sourceless.wait()
 
     def make_heartbeat_part(self) -> dict[str, Any]:
         """Makes the part :data:`CONFIG_PART` of this daemon's heartbeats."""
@@ -181,10 +185,8 @@
         with anyio.move_on_after(self._pace.source_timeout_s):
             await self._view.wait_loaded()
             return
-        self._sourceless = True
+        self._sourceless.set()
         logger.error("no configuration from the store or a peer: not ready")
-        await self._view.wait_loaded()
-        self._sourceless = False
 
     def _list_differing(self) -> list[Member]:
         """Lists the living members with a whole view that differs from this one."""
--- a/berylproxy/records/view.py
+++ b/berylproxy/records/view.py
@@ -14,7 +14,7 @@
 
 from berylproxy.platform.store import Entry, Listing
 from berylproxy.records.digest import BucketDigests
-from berylproxy.records.envelope import decode_envelope, make_key, split_key
+from berylproxy.records.envelope import MARK_KEY, decode_envelope, make_key, split_key
 from berylproxy.records.errors import RecordError
 from berylproxy.records.models import Configuration
 from berylproxy.records.references import list_dangling
@@ -76,6 +76,8 @@
 
 def read_entry(entry: Entry, earlier: ViewedRecord | None) -> ViewedRecord:
     """Parses an entry; one that cannot be parsed keeps the earlier form."""
+    if entry.key == MARK_KEY:
+        return ViewedRecord(entry, "", None, None, entry.revision, None)
     kind, name = split_key(entry.key)
     change_id = ""
     raw = None
--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -14,7 +14,8 @@
     StoreError,
     StoreUnavailableError,
 )
-from berylproxy.records.envelope import KEY_PREFIX
+from berylproxy.records.backoff import Backoff
+from berylproxy.records.envelope import KEY_PREFIX, MARK_KEY
 from berylproxy.records.view import RecordView, ViewSnapshot
 
 logger = Logger(__name__)
@@ -54,6 +55,8 @@
     """
     if listing.revision < known.revision:
         return f"the store is at revision {listing.revision}, {known.revision} is in force"
+    if MARK_KEY in known.entries and all(entry.key != MARK_KEY for entry in listing.entries):
+        return "the mark of the last new record is missing"
     for entry in listing.entries:
         held = known.entries.get(entry.key)
         if held and entry.revision < held.revision:
@@ -76,9 +79,8 @@
     ) -> None:
         self._store = store
         self._view = view
-        self._random = random
         self._pace = pace or WatchPace()
-        self._failures = 0
+        self._backoff = Backoff(random, self._pace.first_delay_s, self._pace.max_delay_s)
         self._state = StoreState.STARTING
         self._state_changed = anyio.Event()
         self._problem = ""
@@ -113,7 +115,7 @@
             except StoreError as error:
                 # A watch from a compacted revision ends here: only a new list can help.
                 logger.info("listing the records again: {}", error.message)
-            await anyio.sleep(self._choose_delay_s())
+            await anyio.sleep(self._backoff.choose_delay_s())
 
     async def _follow(self) -> None:
         known = self._view.take_snapshot()
@@ -130,7 +132,7 @@
             batch = await self._wait_for_changes(revision)
             if batch.revision < max(revision, known_revision):
                 return  # possibly a store that went back: a list tells
-            self._failures = 0
+            self._backoff.reset()
             self._view.apply(batch.updates, batch.deletions)
             revision = batch.revision
             await anyio.sleep(self._pace.min_interval_s)
@@ -145,14 +147,6 @@
             return await self._store.wait_for_changes(KEY_PREFIX, revision, self._pace.wait_s)
         raise StoreUnavailableError("the store did not answer a watch")
 
-    def _choose_delay_s(self) -> float:
-        """Chooses an exponentially growing delay, between half and one and a half of its mean."""
-        mean_s = min(
-            self._pace.max_delay_s, self._pace.first_delay_s * 2 ** min(self._failures, 16)
-        )
-        self._failures += 1
-        return mean_s * (0.5 + self._random.random())
-
     def _set_unavailable(self, problem: str) -> None:
         # A reverted store that goes silent is still not to be written to when it comes back.
         if self._state is not StoreState.REVERTED:
--- /dev/null
+++ b/tests/records/spread.feature
@@ -0,0 +1,76 @@
+Feature: Accepted records come into force everywhere without the store
+  Background:
+    Given a record store with a pool "oak"
+    And a records daemon "a"
+    And records daemon "a" has pool "oak" in force
+
+  Scenario: The store goes out right after an acceptance
+    Given a records daemon "b" that cannot reach the store
+    When records daemon "a" applies pool "elm" and the store goes out at once
+    Then records daemon "b" has pool "elm" in force
+
+  Scenario: A missed notification shows in the digest
+    Given a records daemon "b" that cannot reach the store
+    And records daemon "b" has pool "oak" in force
+    When records daemon "a" applies pool "elm" unnoticed and then pool "ash"
+    Then records daemon "b" has pool "elm" in force
+    And records daemon "b" has pool "ash" in force
+
+  Scenario: A missed deletion shows in the digest
+    Given a records daemon "b" that cannot reach the store
+    And records daemon "b" has pool "oak" in force
+    When records daemon "a" deletes pool "oak" and the notification is lost
+    Then records daemon "b" has no pool "oak"
+
+  Scenario: A daemon restarted during an outage loads its view from a peer in chunks
+    Given records daemon "a" applied 60 more pools
+    And the record store is out
+    When a records daemon "b" starts
+    Then records daemon "b" has 61 pools in force
+    And records daemon "b" is "loaded" from "peer"
+    And the peers' record messages were several, each below 2000 bytes
+
+  Scenario: Only what differs is fetched
+    Given records daemon "a" applied 60 more pools
+    And a records daemon "b" that cannot reach the store
+    And records daemon "b" has 61 pools in force
+    When records daemon "a" applies pool "elm" and the notification is lost
+    Then records daemon "b" has pool "elm" in force
+    And the last record fetch carried at most 5 records
+
+  Scenario: A difference that fetching does not settle is not fetched again
+    Given only records daemons "b" and "c" that do not run by themselves
+    And records daemon "b" alone knows of pool "elm"
+    When records daemon "b" looks 10 times at the digests
+    Then 1 record fetch was made
+    When records daemon "c" looks 10 times at the digests
+    Then 2 record fetches were made
+    And records daemon "c" has pool "elm" in force
+
+  Scenario: Without store and peer a daemon says that it is not ready
+    Given the record store is out
+    And no other records daemon runs
+    When a records daemon "b" starts
+    Then records daemon "b" comes to be "no_configuration_source"
+    When the record store is back
+    Then records daemon "b" has pool "oak" in force
+    And records daemon "b" is "loaded" from "store"
+
+  Scenario: A daemon without a view is no source for another
+    Given the record store is out
+    And no other records daemon runs
+    When records daemons "b" and "c" start
+    Then records daemon "b" comes to be "no_configuration_source"
+    And records daemon "c" comes to be "no_configuration_source"
+
+  Scenario Outline: Malformed messages change nothing
+    When records daemon "a" is notified of the items <items>
+    Then the record notification is refused and changes nothing
+
+    Examples:
+      | items                                                    |
+      | null                                                     |
+      | [["berylproxy/records/pools/x", "text", 9]]              |
+      | [["berylproxy/records/pools/x", "bytes", 0]]             |
+      | [["other/pools/x", "bytes", 9]]                          |
+      | [["berylproxy/records/pools/x", "bytes", 9], [1]]        |
--- /dev/null
+++ b/tests/records/watcher.feature
@@ -0,0 +1,43 @@
+Feature: The view follows the store and keeps out a store that went back
+  Background:
+    Given a record store with a pool "oak"
+    And a records daemon "a" without a network
+    And records daemon "a" has pool "oak" in force
+
+  Scenario: A change at another daemon comes into force
+    Given a records daemon "b" without a network
+    And records daemon "b" has pool "oak" in force
+    When records daemon "b" applies pool "elm"
+    Then records daemon "a" has pool "elm" in force
+
+  Scenario: A deletion comes into force
+    When record pool "oak" is deleted in the store
+    Then records daemon "a" has no pool "oak"
+
+  Scenario: An outage leaves the view in force and does not flood the store
+    When the record store goes out for 20 attempts of records daemon "a"
+    Then records daemon "a" has pool "oak" in force
+    When record pool "elm" is written, "oak" deleted and the outage ends
+    Then records daemon "a" has pool "elm" in force
+    And records daemon "a" has no pool "oak"
+
+  Scenario: Changes that were compacted away are listed
+    When record pool "elm" is written and the store compacts before it is seen
+    Then records daemon "a" has pool "elm" in force
+    And records daemon "a" follows the store
+
+  Scenario Outline: A store restored from a backup is kept out
+    When the record store is backed up, gets pool "elm" and is restored <afterwards>
+    Then records daemon "a" reports the store as reverted
+    And records daemon "a" still has pool "elm" in force
+    And records daemon "a" refuses to apply pool "ash" with "store_reverted"
+    And the record store has no pool "ash"
+
+    Examples:
+      | afterwards                          |
+      | with nothing written since          |
+      | with pool "oak" deleted and rebuilt |
+      | with pool "elm" written differently |
+
+  Scenario: The delays between attempts grow up to their bound
+    Then 12 record watch delays grow from about 0.5 s to at most 30 s
--- a/tests/support/memory_store.py
+++ b/tests/support/memory_store.py
@@ -1,6 +1,7 @@
 """A key-value service in memory, with switches for its failures."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import anyio
 
@@ -27,7 +28,8 @@
     :ivar is_out: every call fails.
     :ivar lost_answers: how many of the next writes take effect without an answer.
     :ivar lost_writes: how many of the next writes are lost themselves, also without an answer.
-    :ivar is_out_after_loss: whether the outage starts with a lost answer.
+    :ivar spared_key: a key whose writes are not lost.
+    :ivar on_loss: called when a write or an answer is lost.
     :ivar calls: number of calls by method.
     """
 
@@ -35,14 +37,17 @@
         self.is_out = False
         self.lost_answers = 0
         self.lost_writes = 0
-        self.is_out_after_loss = False
+        self.spared_key = ""
+        self.on_loss: Callable[[], None] = lambda: None
         self.calls: Counter[str] = Counter()
         self.revision = 0
         self._entries: dict[str, Entry] = {}
         self._log: list[Entry] = []  # a deletion has an empty value
         self._compacted_revision = 0
+        self._restorations = 0
         self._leases: dict[int, set[str]] = {}
         self._changed = anyio.Event()
+        self._called = anyio.Event()
 
     def set_outage(self, is_out: bool) -> None:
         """Starts or ends an outage; watches that wait fail at once."""
@@ -60,7 +65,8 @@
         return self.revision, dict(self._entries)
 
     def restore(self, backup: tuple[int, dict[str, Entry]]) -> None:
-        """Goes back to an earlier state."""
+        """Goes back to an earlier state, which breaks watches that wait."""
+        self._restorations += 1
         self.revision, self._entries = backup[0], dict(backup[1])
         self._log = [entry for entry in self._log if entry.revision <= self.revision]
         self._wake()
@@ -80,19 +86,22 @@
         self._count("compare_and_swap")
         if lease_id:
             self._leases[lease_id].add(key)
-        return self._write(key, value, expected_revision)
+        return self.write(key, value, expected_revision)
 
     async def delete(self, key: str, expected_revision: int) -> int:
         self._count("delete")
-        return self._write(key, b"", expected_revision)
+        return self.write(key, b"", expected_revision)
 
     async def wait_for_changes(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> ChangeBatch:
         self._count("wait_for_changes")
+        restorations = self._restorations
         with anyio.move_on_after(wait_s):
             while after_revision >= self._compacted_revision:
                 self._check_available()
+                if self._restorations != restorations:
+                    raise StoreUnavailableError("restored")
                 if self.revision != after_revision:
                     return self._collect(prefix, after_revision)
                 await self._changed.wait()
@@ -113,18 +122,34 @@
         self._count("revoke_lease")
         for key in self._leases.pop(lease_id, set()):
             if key in self._entries:
-                self._write(key, b"", self._entries[key].revision)
+                self.write(key, b"", self._entries[key].revision)
 
     def _count(self, method: str) -> None:
         self.calls[method] += 1
+        self._called.set()
+        self._called = anyio.Event()
         self._check_available()
 
+    async def wait_for_calls(self, method: str, count: int) -> None:
+        """Waits until a method has been called so often."""
+        while self.calls[method] < count:
+            await self._called.wait()
+
+    def find(self, key: str) -> Entry | None:
+        """Reads at once, also during an outage."""
+        return self._entries.get(key)
+
+    def count_writes(self, key: str) -> int:
+        """Counts the writes of a key that took effect."""
+        return sum(entry.key == key for entry in self._log)
+
     def _check_available(self) -> None:
         if self.is_out:
             raise StoreUnavailableError("outage")
 
-    def _write(self, key: str, value: bytes, expected_revision: int) -> int:
-        if self.lost_writes:
+    def write(self, key: str, value: bytes, expected_revision: int) -> int:
+        """Writes at once; an empty value deletes."""
+        if self.lost_writes and key != self.spared_key:
             self.lost_writes -= 1
             raise self._lose()
         held = self._entries.get(key)
@@ -138,14 +163,13 @@
             del self._entries[key]
         self._log.append(entry)
         self._wake()
-        if self.lost_answers:
+        if self.lost_answers and key != self.spared_key:
             self.lost_answers -= 1
             raise self._lose()
         return self.revision
 
     def _lose(self) -> StoreOutcomeUnknownError:
-        if self.is_out_after_loss:
-            self.set_outage(True)
+        self.on_loss()
         return StoreOutcomeUnknownError("no answer")
 
     def _collect(self, prefix: str, after_revision: int) -> ChangeBatch:
--- /dev/null
+++ b/tests/support/records_world.py
@@ -0,0 +1,201 @@
+"""Several daemons' records in one event loop, joined by a network in memory."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
+from random import Random
+from typing import Any
+
+import anyio
+from anyio.from_thread import start_blocking_portal
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.membership import Member, MemberStatus, PeerUnreachableError
+from berylproxy.records.editor import EditPace, RecordEditor
+from berylproxy.records.envelope import MARK_KEY, Envelope, encode_envelope, make_key
+from berylproxy.records.messages import FetchRecords
+from berylproxy.records.models import Configuration
+from berylproxy.records.spread import CONFIG_PART, RecordSpreader, SpreadPace
+from berylproxy.records.view import RecordView
+from berylproxy.records.watcher import RecordWatcher, WatchPace
+from tests.support.memory_store import MemoryStore
+
+STEP_TIMEOUT_S = 60
+POOL = {"schema_version": 1}
+ENDPOINT_V1 = {
+    "schema_version": 1,
+    "pool": "oak",
+    "url": "http://10.0.3.7:8080",
+    "slots": 8,
+    "connections": 64,
+    "owner": "savinja",
+    "failure_domain": "north",
+}
+ENDPOINT_V2 = {
+    "schema_version": 2,
+    "pool": "oak",
+    "url": "http://10.0.3.7:8080",
+    "takes": {"slots": 8, "connections": 64, "memory_mb": 512, "accelerators": 0},
+    "owner": "savinja",
+    "cost_bearer": "orar",
+    "failure_domain": "north",
+}
+SERVICE = {
+    "schema_version": 1,
+    "pools": ["oak"],
+    "timeout_s": 30,
+    "run_time_s": 0.2,
+    "max_run_time_s": 10,
+    "max_body_bytes": 65536,
+}
+TEAM = {"schema_version": 1, "max_running_tasks": 100, "max_waiting_tasks": 1000}
+TEMPLATES = {
+    "pool": ("pools", POOL),
+    "endpoint": ("endpoints", ENDPOINT_V1),
+    "endpoint v2": ("endpoints", ENDPOINT_V2),
+    "service": ("services", SERVICE),
+    "team": ("teams", TEAM),
+}
+
+
+class MemoryNetwork:
+    """Implements :class:`berylproxy.peers.membership.PeerNetwork` for one daemon.
+
+    :ivar lost_notifications: how many of the next notifications are lost.
+    :ivar is_cut: whether the daemon sees no others.
+    """
+
+    def __init__(self, world: "RecordsWorld", name: str) -> None:
+        self._world = world
+        self._name = name
+        self.lost_notifications = 0
+        self.is_cut = False
+
+    def members(self) -> list[Member]:
+        if self.is_cut:
+            return []
+        others = [daemon for name, daemon in self._world.daemons.items() if name != self._name]
+        return [daemon.describe() for daemon in others]
+
+    async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
+        await anyio.lowlevel.checkpoint()
+        if incarnation not in self._world.daemons:
+            raise PeerUnreachableError("no stream")
+        assert isinstance(message, FetchRecords)
+        self._world.requests.append(message)
+        reply = self._world.daemons[incarnation].spreader.handle_fetch(message)
+        self._world.replies.append(reply)
+        return reply
+
+    def notify(self, incarnation: str, message: Any) -> None:
+        if self.lost_notifications:
+            self.lost_notifications -= 1
+        else:
+            self._world.daemons[incarnation].spreader.handle_accepted(message)
+
+
+class RecordsDaemon:
+    """The records' part of one daemon. Its name stands for its incarnation."""
+
+    def __init__(self, world: "RecordsWorld", name: str) -> None:
+        self.name = name
+        self.view = RecordView()
+        self.network = MemoryNetwork(world, name)
+        self.watcher = RecordWatcher(
+            world.store,
+            self.view,
+            Random(1),
+            pace=WatchPace(wait_s=5, min_interval_s=0, first_delay_s=0.01, max_delay_s=0.05),
+        )
+        self.spreader = RecordSpreader(
+            self.view,
+            self.network,
+            Random(2),
+            pace=SpreadPace(check_interval_s=0.01, source_timeout_s=0.05, max_chunk_bytes=2_000),
+        )
+        self.editor = RecordEditor(
+            world.store,
+            self.view,
+            self.spreader,
+            lambda: self.watcher.accepts_writes,
+            pace=EditPace(outcome_timeout_s=0.3, read_back_interval_s=0.01),
+            new_change_id=lambda: f"change-of-{name}",
+        )
+
+    def describe(self) -> Member:
+        identity = DaemonIdentity(self.name, self.name, "north", "127.0.0.1:1")
+        heartbeat = {CONFIG_PART: self.spreader.make_heartbeat_part()}
+        return Member(identity, MemberStatus.ALIVE, True, heartbeat)
+
+
+class RecordsWorld:
+    """A store, daemons and the event loop that they run in."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.store.spared_key = MARK_KEY
+        self.daemons: dict[str, RecordsDaemon] = {}
+        self.requests: list[Any] = []
+        self.replies: list[Any] = []
+        self._stack = ExitStack()
+        self._portal = self._stack.enter_context(start_blocking_portal())
+        self._tasks: list[tuple[str, Any]] = []
+
+    def close(self) -> None:
+        """Stops all that runs."""
+        for name in list(self.daemons):
+            self.stop_daemon(name)
+        self._stack.close()
+
+    def stop_daemon(self, name: str) -> None:
+        """Stops a daemon and takes it from the network."""
+        for owner, task in self._tasks:
+            if owner == name:
+                task.cancel()
+        del self.daemons[name]
+
+    def run(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> Any:
+        """Runs a coroutine function in the event loop with a bound on its time."""
+
+        async def bounded() -> Any:
+            with anyio.fail_after(STEP_TIMEOUT_S):
+                return await function(*arguments)
+
+        return self._portal.call(bounded)
+
+    def add_daemon(self, name: str, *, follows_store: bool = True, spreads: bool = True) -> None:
+        """Starts a daemon, with or without each of its two tasks."""
+        self.daemons[name] = self._portal.call(RecordsDaemon, self, name)
+        if follows_store:
+            self._start(name, self.daemons[name].watcher.run)
+        if spreads:
+            self._start(name, self.daemons[name].spreader.run)
+
+    def _start(self, name: str, function: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append((name, self._portal.start_task_soon(function)))
+
+    def write(self, kind: str, name: str, raw: Any, expected_revision: int = 0) -> int:
+        """Writes a record into the store past the daemons; ``None`` deletes it."""
+        key = make_key(kind, name)
+        envelope = Envelope("change-of-other", expected_revision, raw)
+        value = b"" if raw is None else encode_envelope(envelope)
+        return self.call(self.store.write, key, value, expected_revision)
+
+    def put(self, daemon: str, kind: str, name: str, raw: Any, expected_revision: int = 0) -> int:
+        """Applies a record as an operator does at one daemon."""
+        editor = self.daemons[daemon].editor
+        return self.run(editor.put, kind, name, raw, expected_revision)
+
+    def wait_until(self, daemon: str, accepts: Callable[[Configuration], bool]) -> None:
+        """Waits until a daemon's configuration satisfies a condition."""
+
+        async def wait() -> None:
+            satisfied = anyio.Event()
+            view = self.daemons[daemon].view
+            view.subscribe(lambda configuration: accepts(configuration) and satisfied.set())
+            await satisfied.wait()
+
+        self.run(wait)
+
+    def call(self, function: Callable[..., Any], *arguments: Any) -> Any:
+        """Calls a plain function in the event loop."""
+        return self._portal.call(function, *arguments)
