--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -42,7 +42,7 @@
     """
 
     wait_s: float = 20.0
-    min_interval_s: float = 0.2
+    min_interval_s: float = 2.0
     first_delay_s: float = 0.5
     max_delay_s: float = 20.0
     call_timeout_s: float = 10.0
