--- /dev/null
+++ b/berylproxy/peers/acceptor.py
@@ -0,0 +1,81 @@
+"""Accepts connections and runs their handshakes, few at a time."""
+
+from collections.abc import Awaitable, Callable
+
+from anyio import aclose_forcefully, sleep
+from anyio.abc import ByteStream, Listener, SocketAttribute, SocketStream, TaskGroup
+from logbook import Logger
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.errors import PeerHandshakeError
+from berylproxy.peers.handshake import Handshake
+from berylproxy.peers.settings import PeerSettings, is_loopback
+
+ACCEPT_RETRY_S = 0.1
+
+MakeHandshake = Callable[[ByteStream], Handshake]
+ServeStream = Callable[[DaemonIdentity, ByteStream], Awaitable[None]]
+
+
+class Acceptor:
+    """Serves the accepted connections that turn out to be daemons of this cluster.
+
+    :param make_handshake: makes the handshake of a connection.
+    :param serve: runs the stream after the handshake.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        make_handshake: MakeHandshake,
+        serve: ServeStream,
+        logger: Logger,
+    ) -> None:
+        self._settings = settings
+        self._make_handshake = make_handshake
+        self._serve = serve
+        self._logger = logger
+        self._handshakes = 0
+        self._is_full = False
+
+    async def run(self, listener: Listener[SocketStream], task_group: TaskGroup) -> None:
+        """Accepts connections until cancelled."""
+        while True:
+            try:
+                await listener.serve(self._serve_connection, task_group)
+            except OSError as error:
+                self._logger.warning("cannot accept a connection: {}", error)
+                await sleep(ACCEPT_RETRY_S)
+
+    async def _serve_connection(self, stream: SocketStream) -> None:
+        identity = None
+        try:
+            if self._has_room():
+                identity = await self._shake_hands(stream)
+        except (PeerHandshakeError, OSError) as error:
+            self._logger.warning("refused a connection: {}", error)
+        finally:
+            if identity is None:
+                await aclose_forcefully(stream)
+        if identity is not None:
+            await self._serve(identity, stream)
+
+    def _has_room(self) -> bool:
+        was_full = self._is_full
+        self._is_full = self._handshakes >= self._settings.max_handshakes
+        if self._is_full and not was_full:
+            self._logger.warning("too many connections in their handshake, refusing more")
+        return not self._is_full
+
+    async def _shake_hands(self, stream: SocketStream) -> DaemonIdentity:
+        self._handshakes += 1
+        remote_host = "unknown host"
+        try:
+            remote_host = stream.extra(SocketAttribute.remote_address)[0]
+            if not self._settings.keys and not is_loopback(remote_host):
+                raise PeerHandshakeError("not a loopback address, and there is no key")
+            return await self._make_handshake(stream).accept()
+        except PeerHandshakeError as error:
+            raise PeerHandshakeError(f"{remote_host}: {error.message}") from error
+        finally:
+            self._handshakes -= 1
--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -12,7 +12,7 @@
 
 REQUEST, REPLY, REFUSAL, NOTICE = range(4)
 MAX_REQUEST_ID = 2**63
-MAX_CONTAINER_ITEMS = 100_000
+MAX_CONTAINER_ITEMS = 16_384
 # Lax validation would turn str into bytes and numbers into str.
 STRICT_TYPES = frozenset({"str", "bytes", "int", "float", "bool"})
 
@@ -92,9 +92,11 @@
             case RefusalFrame(request_id, code, text, retry_after_s):
                 return self._pack((REFUSAL, request_id, code, (text, retry_after_s)))
 
-    def make_decoder(self, max_frame_bytes: int) -> "FrameDecoder":
+    def make_decoder(
+        self, max_frame_bytes: int, max_items: int = MAX_CONTAINER_ITEMS
+    ) -> "FrameDecoder":
         """Makes the decoder of one stream."""
-        return FrameDecoder(self, max_frame_bytes)
+        return FrameDecoder(self, max_frame_bytes, max_items)
 
     def check(self, value: Any) -> Frame:
         """Turns a decoded msgpack value into a frame."""
@@ -141,15 +143,16 @@
     """Cuts one stream's bytes into checked frames.
 
     :param max_frame_bytes: bound of what is kept for an unfinished frame.
+    :param max_items: bound of the items in one list or map, which are allocated before they come.
     """
 
-    def __init__(self, codec: MessageCodec, max_frame_bytes: int) -> None:
+    def __init__(self, codec: MessageCodec, max_frame_bytes: int, max_items: int) -> None:
         self._check = codec.check
         self._unpacker = Unpacker(
             raw=False,
             max_buffer_size=max_frame_bytes,
-            max_array_len=min(MAX_CONTAINER_ITEMS, max_frame_bytes),
-            max_map_len=min(MAX_CONTAINER_ITEMS, max_frame_bytes),
+            max_array_len=max_items,
+            max_map_len=max_items,
             ext_hook=_refuse_extension,
         )
 
--- a/berylproxy/peers/control.py
+++ b/berylproxy/peers/control.py
@@ -42,6 +42,12 @@
     def links(self, incarnation: str) -> list[PeerLink]:
         """Lists the open streams of a member, the dialled one first."""
 
+    async def wait_for_link(self, incarnation: str, timeout_s: float) -> PeerLink | None:
+        """Waits until there is an open stream to a member."""
+
+    def forget_address(self, address: str) -> None:
+        """Stops to dial an address that was learnt from other daemons."""
+
     async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
         """Sends a request to a member."""
 
@@ -94,12 +100,14 @@
         return await self._network.request(incarnation, message, timeout_s)
 
     async def exchange_heartbeat(self, entry: MemberEntry, timeout_s: float) -> bool:
-        """Sends a heartbeat on the first open stream and applies the reply."""
-        links = self._network.links(entry.identity.incarnation)
-        if not links:
+        """Sends a heartbeat, once there is an open stream, and applies the reply."""
+        started_s = current_time()
+        link = await self._network.wait_for_link(entry.identity.incarnation, timeout_s)
+        if link is None:
             return False
+        left_s = timeout_s - (current_time() - started_s)
         try:
-            reply = await links[0].request(self._make_heartbeat(entry), timeout_s)
+            reply = await link.request(self._make_heartbeat(entry), left_s)
         except PeerError:
             return False
         if not isinstance(reply, Heartbeat):
@@ -109,7 +117,8 @@
 
     async def _begin_round(self) -> None:
         self._refresh_state()
-        self._table.expire()
+        for entry in self._table.expire():
+            self._network.forget_address(entry.identity.peer_address)
         if current_time() < self._list_due_s:
             return
         self._list_due_s = current_time() + LIST_INTERVAL_S
--- a/berylproxy/peers/handshake.py
+++ b/berylproxy/peers/handshake.py
@@ -29,6 +29,7 @@
 OLDEST_PROTOCOL_VERSION = 1
 NONCE_BYTES = 32
 MAX_HANDSHAKE_BYTES = 4096
+MAX_HANDSHAKE_ITEMS = 16
 PROOF_LABEL = "berylproxy peer handshake"
 DIALLER = "dialler"
 ACCEPTOR = "acceptor"
@@ -88,7 +89,9 @@
         self._stream = stream
         self._settings = settings
         self._check_identity = check_identity
-        self._decoder: FrameDecoder = HANDSHAKE_CODEC.make_decoder(MAX_HANDSHAKE_BYTES)
+        self._decoder: FrameDecoder = HANDSHAKE_CODEC.make_decoder(
+            MAX_HANDSHAKE_BYTES, MAX_HANDSHAKE_ITEMS
+        )
         self._received: list[object] = []
         self._received_bytes = b""
         hello = Hello(
--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -101,6 +101,7 @@
         self._wakeup = Event()
         self._scope = CancelScope()
         self._closed = False
+        self._ended = Event()
 
     @property
     def closed(self) -> bool:
@@ -128,6 +129,7 @@
         finally:
             self.close()
             await aclose_forcefully(self._stream)
+            self._ended.set()
 
     def close(self) -> None:
         """Ends the stream and every request that waits on it."""
@@ -137,6 +139,10 @@
         for waiter in waiters.values():
             waiter.event.set()
 
+    async def wait_closed(self) -> None:
+        """Waits for the end of the stream."""
+        await self._ended.wait()
+
     async def request(self, message: Any, timeout_s: float) -> Any:
         """Sends a message and waits for the reply."""
         request_id = next(self._request_ids)
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -1,27 +1,28 @@
 """The streams to the other daemons and the membership learnt from them."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from anyio import (
     TASK_STATUS_IGNORED,
+    Event,
     aclose_forcefully,
     create_task_group,
     create_tcp_listener,
     current_time,
+    move_on_after,
 )
 from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
 from logbook import Logger
 
-from berylproxy.errors import BerylproxyError
 from berylproxy.models import DaemonIdentity
-from berylproxy.peers.codec import MessageCodec, RefusalFrame, ReplyFrame, RequestFrame
+from berylproxy.peers.acceptor import Acceptor
+from berylproxy.peers.codec import MessageCodec
 from berylproxy.peers.control import Control
 from berylproxy.peers.dialler import Dialler
 from berylproxy.peers.errors import (
     PeerHandshakeError,
-    PeerOverloadedError,
     PeerProtocolError,
     PeerSettingsError,
 )
@@ -29,14 +30,10 @@
 from berylproxy.peers.link import LinkCounters, PeerLink
 from berylproxy.peers.membership import Member, PeerUnreachableError
 from berylproxy.peers.messages import CONTROL_MESSAGES, LeaveNotice
-from berylproxy.peers.settings import PeerSettings, is_loopback, join_address, split_address
+from berylproxy.peers.router import MessageRouter, NoticeHandler, RequestHandler
+from berylproxy.peers.settings import PeerSettings, join_address, split_address
 from berylproxy.peers.table import MemberEntry, MemberTable
 
-OVERLOAD_RETRY_S = 1.0
-
-RequestHandler = Callable[[DaemonIdentity, Any], Awaitable[Any]]
-NoticeHandler = Callable[[DaemonIdentity, Any], None]
-
 
 class TcpPeerNetwork:
     """Implements :class:`berylproxy.peers.membership.PeerNetwork` over TCP.
@@ -63,24 +60,24 @@
         self._settings = settings
         self._codec = codec.extend(CONTROL_MESSAGES)
         self._logger = logger
-        self._request_handlers: dict[type, RequestHandler] = {}
-        self._notice_handlers: dict[type, NoticeHandler] = {}
+        self._router = MessageRouter(settings.max_running_requests, logger)
         self._dialled: dict[str, PeerLink] = {}
         self._accepted: dict[str, PeerLink] = {}
-        self._handshakes = 0
-        self._refusing = False
+        self._given_addresses: set[str] = set()
+        self._link_opened = Event()
         self._task_group: TaskGroup | None = None
         self._dialler = Dialler(settings, self._serve_dialled, self._on_refused, logger)
+        self._acceptor = Acceptor(settings, self._make_handshake, self._serve_accepted, logger)
         self._control = Control(self, settings)
         self.table.on_change(self._close_if_dead)
 
     def handle_request(self, message_type: type, handler: RequestHandler) -> None:
         """Registers what answers a type of request."""
-        self._request_handlers[message_type] = handler
+        self._router.handle_request(message_type, handler)
 
     def handle_notice(self, message_type: type, handler: NoticeHandler) -> None:
         """Registers what takes a type of notice."""
-        self._notice_handlers[message_type] = handler
+        self._router.handle_notice(message_type, handler)
 
     def provide_heartbeat(self, name: str, provide: Callable[[], dict[str, Any]]) -> None:
         """Adds a concern's state to the heartbeats."""
@@ -91,9 +88,19 @@
         self.table.on_change(listener)
 
     def add_address(self, address: str) -> None:
-        """Adds the ``host:port`` of another daemon."""
-        if address != self.identity.peer_address:
-            self._dialler.add(address)
+        """Adds the ``host:port`` of another daemon, to be dialled until it is removed."""
+        self._given_addresses.add(address)
+        self._dial(address)
+
+    def remove_address(self, address: str) -> None:
+        """Stops to dial an address when the member there is forgotten."""
+        self._given_addresses.discard(address)
+
+    def forget_address(self, address: str) -> None:
+        """Stops to dial an address that was learnt from other daemons."""
+        in_use = any(entry.identity.peer_address == address for entry in self.table.entries())
+        if not in_use and address not in self._given_addresses:
+            self._dialler.remove(address)
 
     def members(self) -> list[Member]:
         """Lists the other members, alive ones first."""
@@ -104,6 +111,13 @@
         links = (self._dialled.get(incarnation), self._accepted.get(incarnation))
         return [link for link in links if link is not None and not link.closed]
 
+    async def wait_for_link(self, incarnation: str, timeout_s: float) -> PeerLink | None:
+        """Waits until there is an open stream to a member."""
+        with move_on_after(timeout_s):
+            while not self.links(incarnation):
+                await self._link_opened.wait()
+        return next(iter(self.links(incarnation)), None)
+
     async def request(self, incarnation: str, message: Any, timeout_s: float) -> Any:
         """Sends a message to one incarnation and waits for the reply.
 
@@ -142,7 +156,8 @@
             bound = join_address(host, listener.extra(SocketAttribute.local_port))
             self._take_bound_address(bound)
             self._task_group = task_group
-            task_group.start_soon(listener.serve, self._serve_accepted)
+            self._router.start(task_group)
+            task_group.start_soon(self._acceptor.run, listener, task_group)
             for address in self._settings.addresses:
                 self.add_address(address)
             self._dialler.start(task_group)
@@ -156,58 +171,31 @@
         self.table.set_own_identity(self.identity)
         self._dialler.exclude(self.identity.peer_address)
 
-    async def _serve_accepted(self, stream: ByteStream) -> None:
-        try:
-            identity = await self._accept(stream)
-        except PeerHandshakeError as error:
-            remote = stream.extra(SocketAttribute.remote_address, ("unknown",))
-            self._logger.warning("refused a connection from {}: {}", remote[0], error.message)
-            await aclose_forcefully(stream)
-            return
-        except BaseException:
-            await aclose_forcefully(stream)
-            raise
-        if identity is None:
-            await aclose_forcefully(stream)
-            return
-        # The dialling side has only one stream: it has given up the older one.
+    async def _serve_accepted(self, identity: DaemonIdentity, stream: ByteStream) -> None:
         older = self._accepted.get(identity.incarnation)
         if older is not None:
-            older.close()
+            older.close()  # the dialling side has only one stream and has given this one up
         await self._run_link(stream, identity, self._accepted)
 
-    async def _accept(self, stream: ByteStream) -> DaemonIdentity | None:
-        """Runs the handshake; returns ``None`` while there are too many of them."""
-        if self._handshakes >= self._settings.max_handshakes:
-            if not self._refusing:
-                self._logger.warning("too many connections in their handshake, refusing more")
-            self._refusing = True
-            return None
-        self._handshakes += 1
-        try:
-            remote_host = stream.extra(SocketAttribute.remote_address)[0]
-            if not self._settings.keys and not is_loopback(remote_host):
-                raise PeerHandshakeError("not a loopback address and there is no key")
-            handshake = Handshake(stream, self.identity, self._settings, self._check_identity)
-            return await handshake.accept()
-        finally:
-            self._handshakes -= 1
-            self._refusing = self._refusing and self._handshakes > 0
-
     async def _serve_dialled(self, address: str, stream: ByteStream) -> bool:
         try:
-            handshake = Handshake(stream, self.identity, self._settings, self._check_identity)
-            identity = await handshake.dial()
+            identity = await self._make_handshake(stream).dial()
         except BaseException:
             await aclose_forcefully(stream)
             raise
         older = self._dialled.get(identity.incarnation)
         if older is not None and not older.closed:
             await aclose_forcefully(stream)
-            return identity.peer_address == address
+            if identity.peer_address != address:
+                return False
+            await older.wait_closed()
+            return True
         await self._run_link(stream, identity, self._dialled)
         return True
 
+    def _make_handshake(self, stream: ByteStream) -> Handshake:
+        return Handshake(stream, self.identity, self._settings, self._check_identity)
+
     def _check_identity(self, identity: DaemonIdentity) -> None:
         if identity.incarnation == self.identity.incarnation:
             raise PeerHandshakeError("this daemon dialled itself")
@@ -230,10 +218,12 @@
             self._codec,
             self._settings,
             self.counters,
-            self._on_request,
-            self._on_notice,
+            self._router.route_request,
+            self._router.route_notice,
         )
         links[identity.incarnation] = link
+        opened, self._link_opened = self._link_opened, Event()
+        opened.set()
         entry = self.table.meet(identity)
         self._add_learnt_address(identity.peer_address)
         if links is self._dialled:
@@ -242,6 +232,8 @@
             await link.run()
         except PeerProtocolError as error:
             self._logger.warning("closed the stream of {}: {}", identity.daemon_id, error.message)
+        except Exception:
+            self._logger.exception("closed the stream of {}", identity.daemon_id)
         finally:
             if links.get(identity.incarnation) is link:
                 del links[identity.incarnation]
@@ -251,47 +243,19 @@
         if entry.leaving and not self.links(entry.identity.incarnation):
             self.table.end(entry)
 
-    def _on_request(self, link: PeerLink, frame: RequestFrame) -> None:
-        if link.running_requests >= self._settings.max_running_requests:
-            error = PeerOverloadedError("too many requests run", retry_after_s=OVERLOAD_RETRY_S)
-            link.reply(_make_refusal(frame.request_id, error))
-            return
-        link.running_requests += 1
-        # Not in the stream's own task group: a request outlives the stream that brought it.
-        self._require_task_group().start_soon(self._answer, link, frame)
-
-    async def _answer(self, link: PeerLink, frame: RequestFrame) -> None:
-        handler = self._request_handlers.get(type(frame.message))
-        try:
-            if handler is None:
-                raise PeerProtocolError(f"{type(frame.message).__name__} is not a request here")
-            link.reply(ReplyFrame(frame.request_id, await handler(link.identity, frame.message)))
-        except BerylproxyError as error:
-            link.reply(_make_refusal(frame.request_id, error))
-        except Exception:
-            self._logger.exception("a request of {} failed", link.identity.daemon_id)
-            link.reply(_make_refusal(frame.request_id, BerylproxyError("the request failed")))
-        finally:
-            link.running_requests -= 1
-
-    def _on_notice(self, link: PeerLink, message: Any) -> None:
-        handler = self._notice_handlers.get(type(message))
-        if handler is None:
-            raise PeerProtocolError(f"{type(message).__name__} is not a notice here")
-        try:
-            handler(link.identity, message)
-        except Exception:
-            self._logger.exception("a notice of {} failed", link.identity.daemon_id)
-
     def _on_unknown(self, identity: DaemonIdentity) -> None:
         self._add_learnt_address(identity.peer_address)
 
     def _add_learnt_address(self, address: str) -> None:
         try:
-            self.add_address(address)
+            self._dial(address)
         except PeerSettingsError as error:
             self._logger.warning("ignored the address {}: {}", address, error.message)
 
+    def _dial(self, address: str) -> None:
+        if address != self.identity.peer_address:
+            self._dialler.add(address)
+
     def _on_refused(self, address: str) -> None:
         for entry in self.table.entries():
             is_there = entry.identity.peer_address == address
@@ -308,7 +272,3 @@
         if self._task_group is None:
             raise RuntimeError("the network is not running")
         return self._task_group
-
-
-def _make_refusal(request_id: int, error: BerylproxyError) -> RefusalFrame:
-    return RefusalFrame(request_id, error.code, error.message, error.retry_after_s)
--- a/berylproxy/peers/settings.py
+++ b/berylproxy/peers/settings.py
@@ -7,6 +7,7 @@
 
 MIN_KEY_BYTES = 16
 MAX_KEYS = 2
+MAX_PORT = 65_535
 LOOPBACK_NAME = "localhost"
 
 
@@ -67,11 +68,13 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Splits ``host:port``; the host of IPv6 may stand in brackets."""
+    """Splits ``host:port``; the host is an IP number, of IPv6 in brackets, or ``localhost``."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise PeerSettingsError(f"{address!r} is not host:port")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5 and int(port) <= MAX_PORT
+    if not is_port or not _is_host(host):
+        raise PeerSettingsError(f"{address!r} is not host:port with an IP number as host")
+    return host, int(port)
 
 
 def join_address(host: str, port: int) -> str:
@@ -85,3 +88,13 @@
         return ip_address(host).is_loopback
     except ValueError:
         return host == LOOPBACK_NAME
+
+
+def _is_host(host: str) -> bool:
+    if host == LOOPBACK_NAME:
+        return True
+    try:
+        ip_address(host)
+    except ValueError:
+        return False
+    return True
