Add the callers' library and berylctl

Callers would each have to write resubmission, back-off and answer matching. The client keeps an identifier as long as a daemon may hold the work under it, and takes a new one only after attempts that certainly ended without a start. A refusal that names no job says nothing about an earlier, lost attempt, so it ends as outcome_unknown instead of not_run. Weighed: keeping one identifier for ever (the home says that it is used up after not_run) and trusting every not_run (a daemon may refuse before it asks the home).

berylctl takes tokens from the environment only and reports each error on one line with its code and an own exit status.

--- /dev/null
+++ b/berylproxy/cli/definition.py
@@ -0,0 +1,173 @@
+"""The arguments of berylctl."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+from cappa import Arg, Subcommands, command
+
+
+class OutputFormat(StrEnum):
+    """How a command prints what it found."""
+
+    AUTO = "auto"  # table on a terminal, else JSON
+    JSON = "json"
+    TABLE = "table"
+
+
+@command(name="submit", help="Submit a job and wait for its answer")
+@dataclass
+class SubmitCommand:
+    """Arguments of ``berylctl submit``.
+
+    :param file: JSON file with ``{"service", "tasks"}``, the body of a submission.
+    """
+
+    file: Annotated[
+        Path | None, Arg(help="JSON file of the job, - for standard input", default=None)
+    ]
+    service: Annotated[str, Arg(long=True, help="Service, if the file does not name it")] = ""
+    count: Annotated[int, Arg(long=True, help="Make so many tasks instead of reading a file")] = 0
+    run_time_s: Annotated[str, Arg(long=True, help="Run time of the made tasks, as FROM:TO")] = (
+        "0.05:1"
+    )
+    seed: Annotated[int, Arg(long=True, help="Seed of the made tasks' run times")] = 0
+    timeout_s: Annotated[float, Arg(long=True, help="Give the job up after so long")] = 30.0
+    wait_s: Annotated[
+        float | None, Arg(long=True, help="Wait at most so long; by default until the answer")
+    ] = None
+    repeatable: Annotated[bool, Arg(long=True, help="Tasks may run again after a failure")] = False
+    id: Annotated[str, Arg(long=True, help="Attach to an earlier submission of the same job")] = ""
+
+
+@command(name="request", help="Send a single request and print the endpoint's answer")
+@dataclass
+class RequestCommand:
+    """Arguments of ``berylctl request``."""
+
+    service: Annotated[str, Arg(help="Service that answers it")]
+    file: Annotated[Path | None, Arg(help="File with the body, - for standard input", default=None)]
+    timeout_s: Annotated[float, Arg(long=True, help="Give it up after so long")] = 30.0
+    repeatable: Annotated[bool, Arg(long=True, help="It may run more than once")] = False
+    content_type: Annotated[str, Arg(long=True, help="Media type of the body")] = "application/json"
+    id: Annotated[str, Arg(long=True, help="Attach to an earlier sending of it")] = ""
+
+
+@command(name="status", help="Show a job")
+@dataclass
+class StatusCommand:
+    """Arguments of ``berylctl status``."""
+
+    job: Annotated[str, Arg(help="Identifier of the job")]
+    wait_s: Annotated[float, Arg(long=True, help="Wait at most so long for the answer")] = 0.0
+
+
+@command(name="cancel", help="Cancel a job")
+@dataclass
+class CancelCommand:
+    """Arguments of ``berylctl cancel``."""
+
+    job: Annotated[str, Arg(help="Identifier of the job")]
+
+
+@command(name="apply", help="Apply configuration records")
+@dataclass
+class ApplyCommand:
+    """Arguments of ``berylctl apply``."""
+
+    files: Annotated[
+        list[Path], Arg(num_args=-1, required=True, help="JSON files of records, - for input")
+    ]
+    expect_revision: Annotated[
+        int | None,
+        Arg(long=True, help="Revision that the one record must have, 0 if it must not exist"),
+    ] = None
+
+
+@command(name="get", help="Show the records of a kind, or one of them")
+@dataclass
+class GetCommand:
+    """Arguments of ``berylctl get``."""
+
+    kind: Annotated[str, Arg(help="services, pools, endpoints or teams")]
+    name: Annotated[str, Arg(help="Name of the record", default="")]
+
+
+@command(name="diff", help="Compare records in files with those in force")
+@dataclass
+class DiffCommand:
+    """Arguments of ``berylctl diff``."""
+
+    files: Annotated[list[Path], Arg(num_args=-1, required=True, help="JSON files of records")]
+
+
+@command(name="delete", help="Delete a record")
+@dataclass
+class DeleteCommand:
+    """Arguments of ``berylctl delete``."""
+
+    kind: Annotated[str, Arg(help="services, pools, endpoints or teams")]
+    name: Annotated[str, Arg(help="Name of the record")]
+    expect_revision: Annotated[
+        int | None, Arg(long=True, help="Revision that the record must have")
+    ] = None
+
+
+@command(name="validate", help="Check records without applying them")
+@dataclass
+class ValidateCommand:
+    """Arguments of ``berylctl validate``."""
+
+    files: Annotated[list[Path], Arg(num_args=-1, required=True, help="JSON files of records")]
+
+
+@command(name="status", help="Show the daemon, its peers and its endpoints")
+@dataclass
+class DaemonStatusCommand:
+    """Arguments of ``berylctl daemon status``."""
+
+
+@command(name="daemon", help="Look at a daemon")
+@dataclass
+class DaemonCommand:
+    """Arguments of ``berylctl daemon``."""
+
+    command: Subcommands[DaemonStatusCommand]
+
+
+Command = (
+    SubmitCommand
+    | RequestCommand
+    | StatusCommand
+    | CancelCommand
+    | ApplyCommand
+    | GetCommand
+    | DiffCommand
+    | DeleteCommand
+    | ValidateCommand
+    | DaemonCommand
+)
+
+
+@command(
+    name="berylctl",
+    help="Submit work to berylproxy and administer it",
+    description="Tokens are read from BERYLPROXY_TOKEN; they are never given as an argument.",
+)
+@dataclass
+class Arguments:
+    """All arguments of berylctl."""
+
+    command: Subcommands[Command]
+    url: Annotated[
+        list[str],
+        Arg(long=True, propagate=True, help="Base URL of a daemon; repeatable (BERYLPROXY_URL)"),
+    ] = field(default_factory=list)
+    team: Annotated[
+        str, Arg(long=True, propagate=True, help="Submitting team (BERYLPROXY_TEAM)")
+    ] = ""
+    output: Annotated[
+        OutputFormat,
+        Arg(long=True, propagate=True, help="Auto is table on a terminal, else json"),
+    ] = OutputFormat.AUTO
--- /dev/null
+++ b/berylproxy/cli/errors.py
@@ -0,0 +1,79 @@
+"""Errors of berylctl and the exit status of each error that may reach it."""
+
+from berylproxy.client.errors import (
+    AnswerLostError,
+    AnswerMismatchError,
+    CannotConnectError,
+    JobFailedError,
+    NotRunError,
+    OutcomeUnknownError,
+    RecordConflictError,
+    RecordRefusedError,
+)
+from berylproxy.errors import BerylproxyError
+from berylproxy.exit_status import ExitStatus
+
+
+class CommandError(BerylproxyError):
+    """Base of berylctl's own errors."""
+
+    code = "command_error"
+
+
+class UsageError(CommandError):
+    """An argument is missing or wrong."""
+
+    code = "usage_error"
+
+
+class SettingsError(CommandError):
+    """An address, team or token cannot be used."""
+
+    code = "settings_invalid"
+
+
+class FileError(CommandError):
+    """A file cannot be read or is not what the command needs."""
+
+    code = "file_invalid"
+
+
+class StillRunningError(CommandError):
+    """The wait is over and the job is not finished."""
+
+    code = "still_running"
+
+
+# The first class that an error is an instance of decides.
+EXIT_STATUSES: tuple[tuple[type[BerylproxyError], ExitStatus], ...] = (
+    (UsageError, ExitStatus.USAGE_ERROR),
+    (FileError, ExitStatus.USAGE_ERROR),
+    (SettingsError, ExitStatus.SETTINGS_INVALID),
+    (StillRunningError, ExitStatus.TIMED_OUT),
+    (NotRunError, ExitStatus.NOT_RUN),
+    (JobFailedError, ExitStatus.JOB_FAILED),
+    (OutcomeUnknownError, ExitStatus.OUTCOME_UNKNOWN),
+    (RecordRefusedError, ExitStatus.RECORD_INVALID),
+    (RecordConflictError, ExitStatus.RECORD_CONFLICT),
+    (CannotConnectError, ExitStatus.CANNOT_CONNECT),
+    (AnswerMismatchError, ExitStatus.CANNOT_CONNECT),
+    (AnswerLostError, ExitStatus.TIMED_OUT),
+)
+
+
+def choose_exit_status(error: BerylproxyError) -> ExitStatus:
+    """Chooses the exit status of an error."""
+    for error_type, status in EXIT_STATUSES:
+        if isinstance(error, error_type):
+            return status
+    return ExitStatus.INTERNAL_ERROR
+
+
+def format_error(error: BerylproxyError) -> str:
+    """Formats an error as one line: ``berylctl: CODE: message; hint``."""
+    parts = [error.message]
+    if error.hint:
+        parts.append(error.hint)
+    if error.retry_after_s is not None:
+        parts.append(f"come back in {error.retry_after_s:g} s")
+    return " ".join(f"berylctl: {error.code}: {'; '.join(parts)}".split())
--- /dev/null
+++ b/berylproxy/client/answers.py
@@ -0,0 +1,169 @@
+"""Reads a daemon's answer and makes sure that it belongs to the call."""
+
+from typing import NoReturn
+
+from pydantic import ValidationError
+
+from berylproxy.client.connection import Reply
+from berylproxy.client.errors import (
+    AnswerMismatchError,
+    ClientError,
+    JobFailedError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from berylproxy.client.models import (
+    ErrorBody,
+    JobAnswer,
+    JobAnswerBody,
+    JobState,
+    RequestAnswer,
+    TaskAnswer,
+)
+from berylproxy.models import Outcome
+
+REQUEST_ID_HEADER = "Berylproxy-Request-Id"
+OUTCOME_HEADER = "Berylproxy-Outcome"
+OUTCOME_ERRORS: dict[Outcome, type[ClientError]] = {
+    Outcome.NOT_RUN: NotRunError,
+    Outcome.FAILED: JobFailedError,
+    Outcome.UNKNOWN: OutcomeUnknownError,
+}
+OUTCOME_STATUSES: dict[Outcome | None, frozenset[int]] = {
+    None: frozenset({202}),
+    Outcome.DONE: frozenset({200}),
+    Outcome.NOT_RUN: frozenset({400, 401, 403, 404, 409, 413, 422, 429, 503}),
+    Outcome.FAILED: frozenset({502}),
+    Outcome.UNKNOWN: frozenset({504}),
+}
+
+
+def read_job_answer(
+    reply: Reply, job_id: str, task_ids: tuple[str, ...] | None = None
+) -> JobAnswer:
+    """Returns a job's answer if it is running or done, and raises its error otherwise.
+
+    The error's ``job_id`` is empty if the call was refused before the job was looked at.
+
+    :param task_ids: identifiers of the job's tasks in order; ``None`` if they are not known.
+    :raises AnswerMismatchError: if the answer is not this job's.
+    """
+    body = _parse_job_answer(reply)
+    _check_belongs(body, reply.status, job_id)
+    if body.outcome in OUTCOME_ERRORS:
+        _raise_outcome(body)
+    if body.outcome is Outcome.DONE:
+        _check_results(body, task_ids)
+    return JobAnswer(
+        job_id=job_id,
+        state=body.state,
+        outcome=body.outcome,
+        code=body.code,
+        message=body.message,
+        retry_after_s=body.retry_after_s,
+        results=tuple(TaskAnswer(result.id, result.payload) for result in body.results),
+    )
+
+
+def read_request_answer(reply: Reply, request_id: str) -> RequestAnswer:
+    """Returns an endpoint's answer, and raises the request's error if there is none.
+
+    :raises AnswerMismatchError: if the answer is not this request's.
+    """
+    answered_id = reply.headers.get(REQUEST_ID_HEADER, request_id)
+    if answered_id != request_id:
+        raise AnswerMismatchError(f"the answer is for request {answered_id!r}", job_id=request_id)
+    outcome = _read_outcome(reply, request_id)
+    if outcome is Outcome.DONE:
+        content_type = reply.headers.get("Content-Type", "")
+        return RequestAnswer(request_id, reply.status, content_type, reply.body)
+    error = _parse_error(reply) or ErrorBody(code=outcome)
+    if error.id not in ("", request_id):
+        raise AnswerMismatchError(f"the answer is for request {error.id!r}", job_id=request_id)
+    details = {"body": reply.body} if outcome is Outcome.FAILED else {}
+    raise OUTCOME_ERRORS[outcome](
+        error.message or f"the request ended as {outcome}",
+        hint=error.hint,
+        retry_after_s=_read_retry_after_s(reply, error.retry_after_s),
+        code=error.code,
+        job_id=error.id,
+        **details,
+    )
+
+
+def raise_refusal(reply: Reply) -> NoReturn:
+    """Raises the error of a call that is about no job.
+
+    :raises NotRunError: with the daemon's code.
+    :raises AnswerMismatchError: if the answer is not a daemon's error.
+    """
+    error = _parse_error(reply)
+    if error is None:
+        raise AnswerMismatchError(f"status {reply.status} without a daemon's error")
+    raise NotRunError(
+        error.message,
+        hint=error.hint,
+        retry_after_s=_read_retry_after_s(reply, error.retry_after_s),
+        code=error.code,
+    )
+
+
+def _parse_job_answer(reply: Reply) -> JobAnswerBody:
+    try:
+        return JobAnswerBody.model_validate_json(reply.body)
+    except ValidationError as error:
+        raise AnswerMismatchError(f"status {reply.status} without a job's answer") from error
+
+
+def _check_belongs(body: JobAnswerBody, status: int, job_id: str) -> None:
+    # A submission that is refused before its identifier is read is answered without one.
+    anonymous = body.outcome is Outcome.NOT_RUN and not body.id
+    if body.id != job_id and not anonymous:
+        raise AnswerMismatchError(f"the answer is for job {body.id!r}", job_id=job_id)
+    if status not in OUTCOME_STATUSES[body.outcome]:
+        raise AnswerMismatchError(f"status {status} contradicts its body", job_id=job_id)
+    if (body.state is JobState.RUNNING) != (body.outcome is None):
+        raise AnswerMismatchError(f"state {body.state} contradicts its outcome", job_id=job_id)
+
+
+def _check_results(body: JobAnswerBody, task_ids: tuple[str, ...] | None) -> None:
+    answered_ids = tuple(result.id for result in body.results)
+    if task_ids is not None and answered_ids != task_ids:
+        raise AnswerMismatchError(
+            f"the answer has {len(answered_ids)} results that are not those of the"
+            f" {len(task_ids)} tasks submitted",
+            job_id=body.id,
+        )
+
+
+def _raise_outcome(body: JobAnswerBody) -> NoReturn:
+    raise OUTCOME_ERRORS[body.outcome](
+        body.message or f"the job ended as {body.outcome}",
+        hint=body.hint,
+        retry_after_s=body.retry_after_s,
+        code=body.code,
+        job_id=body.id,
+    )
+
+
+def _read_outcome(reply: Reply, request_id: str) -> Outcome:
+    try:
+        return Outcome(reply.headers.get(OUTCOME_HEADER, ""))
+    except ValueError as error:
+        raise AnswerMismatchError(
+            f"status {reply.status} without {OUTCOME_HEADER}", job_id=request_id
+        ) from error
+
+
+def _parse_error(reply: Reply) -> ErrorBody | None:
+    try:
+        return ErrorBody.model_validate_json(reply.body)
+    except ValidationError:
+        return None
+
+
+def _read_retry_after_s(reply: Reply, told_s: float | None) -> float | None:
+    if told_s is not None:
+        return told_s
+    header = reply.headers.get("Retry-After", "")
+    return float(header) if header.isdecimal() else None
--- /dev/null
+++ b/berylproxy/exit_status.py
@@ -0,0 +1,21 @@
+"""The exit statuses of the project's programs."""
+
+from enum import IntEnum
+
+
+class ExitStatus(IntEnum):
+    """What a program tells its parent process. The numbers are stable."""
+
+    SUCCESS = 0
+    INTERNAL_ERROR = 1
+    USAGE_ERROR = 2
+    SETTINGS_INVALID = 3
+    NOT_RUN = 4
+    JOB_FAILED = 5
+    OUTCOME_UNKNOWN = 6
+    RECORD_INVALID = 7
+    RECORD_CONFLICT = 8
+    CANNOT_CONNECT = 9
+    TIMED_OUT = 10
+    DIFFERENCES_FOUND = 11
+    INTERRUPTED = 130  # 128 + SIGINT, as shells report it
--- /dev/null
+++ b/tests/steps/client_steps.py
@@ -0,0 +1,212 @@
+"""Steps for the callers' library."""
+
+from functools import partial
+from random import Random
+
+from anyio import run
+from behave import given, then, when
+from httpx import ByteStream, MockTransport, Response
+
+from berylproxy.client.client import Client
+from berylproxy.client.errors import ClientError
+from berylproxy.client.models import JobTask
+from tests.support.fake_daemon import FakeCluster, FakeDaemon, Fault, serve_daemons
+
+SEED = 4
+REQUEST_BODY = b'{"hours": 2}'
+
+
+class StepClock:
+    """Time that passes only when somebody waits for it."""
+
+    def __init__(self) -> None:
+        self.time_s = 0.0
+        self.waits_s: list[float] = []
+
+    def now_s(self) -> float:
+        """Tells the time."""
+        return self.time_s
+
+    async def sleep(self, duration_s: float) -> None:
+        """Lets the time pass at once."""
+        self.waits_s.append(duration_s)
+        self.time_s += duration_s
+
+
+class CallerSession:
+    """One caller's client; ``calls`` run one after the other in one event loop."""
+
+    def __init__(self, daemons: dict[str, FakeDaemon]) -> None:
+        self.daemons = daemons
+        self.clock = StepClock()
+        self.transport = None
+        self.calls = []
+        self.answer = None
+        self.error: ClientError | None = None
+        self.done = False
+
+    def finish(self) -> None:
+        """Runs the calls unless they have run."""
+        if not self.done:
+            self.done = True
+            run(self._run_all)
+
+    async def _run_all(self) -> None:
+        urls = [daemon.base_url for daemon in self.daemons.values()]
+        client = Client(
+            urls, team="x", random=Random(SEED), clock=self.clock, transport=self.transport
+        )
+        async with client:
+            for call in self.calls:
+                try:
+                    self.answer = await call(client)
+                except ClientError as error:
+                    self.error = error
+
+
+def make_tasks(count):
+    return [JobTask(f"t{number}", {"number": number}) for number in range(count)]
+
+
+def add_submission(session, count, timeout_s=30.0):
+    session.calls.append(
+        lambda client: client.submit("enquiry", make_tasks(count), timeout_s=timeout_s)
+    )
+
+
+def finish(context):
+    context.caller.finish()
+    return context.caller
+
+
+@given('the fake daemons "{first}" and "{second}"')
+def step_daemons(context, first, second):
+    context.cluster = FakeCluster()
+    daemons = {name: FakeDaemon(name, context.cluster) for name in (first, second)}
+    context.stops = {}
+    for name, daemon in daemons.items():
+        serving = serve_daemons(daemon)
+        serving.__enter__()
+        context.stops[name] = partial(serving.__exit__, None, None, None)
+    context.add_cleanup(lambda: [stop() for stop in context.stops.values()])
+    context.caller = CallerSession(daemons)
+
+
+@given('daemon "{name}" will {faults}')
+def step_faults(context, name, faults):
+    daemon = context.caller.daemons[name]
+    daemon.faults.extend(Fault[fault.strip()] for fault in faults.split(","))
+
+
+@given("every daemon answers without telling the length")
+def step_no_length(context):
+    body = b'{"ids": ["a-0"], "valid_for_s": 600}'
+    context.caller.transport = MockTransport(lambda _: Response(200, stream=ByteStream(body)))
+
+
+@given("identifiers are valid for {valid_for_s:d} s")
+def step_validity(context, valid_for_s):
+    context.cluster.valid_for_s = valid_for_s
+
+
+@given('daemon "{name}" is gone')
+def step_gone(context, name):
+    context.stops.pop(name)()
+
+
+@when('daemon "{name}" is gone')
+def step_goes(context, name):
+    async def stop(client):
+        context.stops.pop(name)()
+
+    context.caller.calls.append(stop)
+
+
+@when("{duration_s:d} s pass for the caller")
+def step_time_passes(context, duration_s):
+    context.caller.calls.append(lambda client: context.caller.clock.sleep(duration_s))
+
+
+@when("a caller submits {count:d} tasks")
+@when("the caller submits {count:d} tasks again")
+def step_submit(context, count):
+    add_submission(context.caller, count)
+
+
+@when("a caller submits {count:d} tasks within {timeout_s:d} s")
+def step_submit_within(context, count, timeout_s):
+    add_submission(context.caller, count, float(timeout_s))
+
+
+@when("a caller submits {count:d} tasks {times:d} times")
+def step_submit_often(context, count, times):
+    for _ in range(times):
+        add_submission(context.caller, count)
+
+
+@when("a caller sends a single request")
+def step_send(context):
+    context.caller.calls.append(lambda client: client.send("ledger", REQUEST_BODY))
+
+
+@then("the caller gets {count:d} results in the order of submission")
+def step_results(context, count):
+    caller = finish(context)
+    assert caller.error is None, repr(caller.error)
+    results = [(result.task_id, result.payload) for result in caller.answer.results]
+    assert results == [(task.task_id, task.payload) for task in make_tasks(count)], results
+
+
+@then("the caller gets the endpoint's answer")
+def step_request_answer(context):
+    caller = finish(context)
+    assert caller.error is None, repr(caller.error)
+    assert caller.answer.body == REQUEST_BODY, caller.answer
+
+
+@then('the submission ends as "{code}"')
+def step_ends_as(context, code):
+    caller = finish(context)
+    assert caller.answer is None, caller.answer
+    assert caller.error.code == code, repr(caller.error)
+
+
+@then('the arrivals were "{expected}"')
+def step_arrivals(context, expected):
+    finish(context)
+    arrivals = " ".join(f"{daemon}:{job_id}" for daemon, job_id in context.cluster.arrivals)
+    assert arrivals == expected, arrivals
+
+
+@then('only the identifier "{job_id}" has arrived')
+def step_only_identifier(context, job_id):
+    finish(context)
+    assert {arrived for _, arrived in context.cluster.arrivals} == {
+        job_id
+    }, context.cluster.arrivals
+
+
+@then("the waits were between {least_s:g} and {most_s:g} seconds each")
+def step_waits(context, least_s, most_s):
+    waits_s = finish(context).clock.waits_s
+    assert waits_s, "there was no wait"
+    assert all(least_s <= wait_s <= most_s for wait_s in waits_s), waits_s
+
+
+@then("there were no waits")
+def step_no_waits(context):
+    assert finish(context).clock.waits_s == []
+
+
+@then("identifiers were asked for {times:d} times")
+def step_mint_calls(context, times):
+    finish(context)
+    assert len(context.cluster.mint_calls) == times, context.cluster.mint_calls
+
+
+@then("all arrived contents are the same but for their waits")
+def step_contents(context):
+    finish(context)
+    contents = [{**body, "wait_s": 0} for body in context.cluster.contents]
+    assert len(contents) == 2, contents
+    assert contents[0] == contents[1], contents
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces, shared by the steps."""
