Try berylctl as a new user would

Adds the client's failures around an accepted job, and makes the team default to the daemon's default team.

--- a/berylproxy/cli/context.py
+++ b/berylproxy/cli/context.py
@@ -7,7 +7,7 @@
 from berylproxy.cli.definition import Arguments
 from berylproxy.cli.errors import SettingsError
 from berylproxy.cli.output import Printer
-from berylproxy.client.client import Client
+from berylproxy.client.client import DEFAULT_TEAM, Client
 from berylproxy.client.operator import OperatorClient
 from berylproxy.environment import Environment
 
@@ -22,7 +22,7 @@
     """Checked settings, and the streams to work with.
 
     :param base_urls: the daemons, in order of preference.
-    :param team: the submitting team; may be empty.
+    :param team: the submitting team.
     :param token: the team's or operator's token; may be empty.
     """
 
@@ -33,12 +33,7 @@
     printer: Printer
 
     def open_client(self) -> Client:
-        """Opens a callers' client.
-
-        :raises SettingsError: if no team is named.
-        """
-        if not self.team:
-            raise SettingsError("no team is named", hint=f"give --team or set {TEAM_VARIABLE}")
+        """Opens a callers' client."""
         return Client(self.base_urls, team=self.team, token=self.token)
 
     def open_operator_client(self) -> OperatorClient:
@@ -52,7 +47,7 @@
     :raises SettingsError: if one cannot be used.
     """
     variables = environment.variables
-    team = arguments.team or variables.get(TEAM_VARIABLE, "")
+    team = arguments.team or variables.get(TEAM_VARIABLE, DEFAULT_TEAM)
     token = variables.get(TOKEN_VARIABLE, "")
     _check_header_value(team, f"the team in --team or {TEAM_VARIABLE}")
     _check_header_value(token, f"the token in {TOKEN_VARIABLE}")
--- a/berylproxy/client/client.py
+++ b/berylproxy/client/client.py
@@ -27,6 +27,7 @@
 from berylproxy.client.retries import Clock, EventLoopClock, RetryBudget, RetryPolicy
 from berylproxy.client.submission import Exchange, Submitter
 
+DEFAULT_TEAM = "default"  # the team of a system without team records
 JSON_TYPE = "application/json"
 DEFAULT_TIMEOUT_S = 30.0
 POLL_WAIT_S = 5.0  # one call's wait for the answer; bounds the harm of a silent connection
@@ -56,7 +57,7 @@
         self,
         base_urls: Sequence[str],
         *,
-        team: str,
+        team: str = DEFAULT_TEAM,
         token: str = "",
         retry_policy: RetryPolicy | None = None,
         random: Random | None = None,
--- a/tests/client/submission.feature
+++ b/tests/client/submission.feature
@@ -113,6 +113,31 @@
     When a caller submits 3 tasks
     Then all arrived contents are the same but for their waits
 
+  Scenario: A repetition does not trust the connection that failed before
+    Given daemon "a" will OTHER_JOB
+    And the caller knows only daemon "a"
+    When a caller submits 3 tasks
+    Then the caller gets 3 results in the order of submission
+    And each of 2 arrivals came over another connection
+
+  Scenario: A job that was accepted and is not known any more may have run
+    Given daemon "a" will FORGET
+    When a caller submits 3 tasks
+    Then the submission ends as "job_not_found"
+    And the outcome is unknown to the caller
+
+  Scenario: A job that was accepted may have run although no daemon can be asked any more
+    Given daemon "a" will STAY_RUNNING
+    And both daemons are gone once the job is accepted
+    When a caller submits 3 tasks
+    Then the submission ends as "outcome_unknown"
+
+  Scenario: A caller's own identifier is never replaced
+    Given daemon "a" will REFUSE
+    When a caller submits 3 tasks under the identifier "a-77"
+    Then the caller gets 3 results in the order of submission
+    And the arrivals were "a:a-77 b:a-77"
+
   Scenario Outline: A single request keeps its identifier too
     Given daemon "a" will <fault>
     When a caller sends a single request
--- a/tests/steps/client_steps.py
+++ b/tests/steps/client_steps.py
@@ -1,18 +1,20 @@
 """Steps for the callers' library."""
 
 from functools import partial
+from logging import WARNING, getLogger
 from random import Random
 
 from anyio import run
 from behave import given, then, when
-from httpx import ByteStream, MockTransport, Response
+from httpx import AsyncHTTPTransport, ByteStream, ConnectError, MockTransport, Response
 
 from berylproxy.client.client import Client
-from berylproxy.client.errors import ClientError
+from berylproxy.client.errors import ClientError, OutcomeUnknownError
 from berylproxy.client.models import JobTask
 from tests.support.fake_daemon import FakeCluster, FakeDaemon, Fault, serve_daemons
 
 SEED = 4
+getLogger("httpx").setLevel(WARNING)
 REQUEST_BODY = b'{"hours": 2}'
 
 
@@ -104,6 +106,23 @@
     context.caller.transport = MockTransport(lambda _: Response(200, stream=ByteStream(body)))
 
 
+@given('the caller knows only daemon "{name}"')
+def step_only(context, name):
+    context.caller.daemons = {name: context.caller.daemons[name]}
+
+
+@given("both daemons are gone once the job is accepted")
+def step_gone_after_acceptance(context):
+    async def refuse_connections(request):
+        if request.method == "GET":
+            raise ConnectError("connection refused")
+        async with AsyncHTTPTransport() as network:
+            response = await network.handle_async_request(request)
+            return Response(response.status_code, content=await response.aread())
+
+    context.caller.transport = MockTransport(refuse_connections)
+
+
 @given("identifiers are valid for {valid_for_s:d} s")
 def step_validity(context, valid_for_s):
     context.cluster.valid_for_s = valid_for_s
@@ -138,6 +157,13 @@
     add_submission(context.caller, count, float(timeout_s))
 
 
+@when('a caller submits {count:d} tasks under the identifier "{job_id}"')
+def step_submit_under(context, count, job_id):
+    context.caller.calls.append(
+        lambda client: client.submit("enquiry", make_tasks(count), job_id=job_id)
+    )
+
+
 @when("a caller submits {count:d} tasks {times:d} times")
 def step_submit_often(context, count, times):
     for _ in range(times):
@@ -171,6 +197,19 @@
     assert caller.error.code == code, repr(caller.error)
 
 
+@then("the outcome is unknown to the caller")
+def step_outcome_unknown(context):
+    error = finish(context).error
+    assert isinstance(error, OutcomeUnknownError), repr(error)
+
+
+@then("each of {count:d} arrivals came over another connection")
+def step_connections(context, count):
+    finish(context)
+    ports = context.cluster.caller_ports
+    assert len(ports) == len(set(ports)) == count, ports
+
+
 @then('the arrivals were "{expected}"')
 def step_arrivals(context, expected):
     finish(context)
--- a/tests/support/fake_daemon.py
+++ b/tests/support/fake_daemon.py
@@ -34,6 +34,7 @@
     UNKNOWN = auto()  # 504
     FAIL = auto()  # 502
     STAY_RUNNING = auto()  # 202
+    FORGET = auto()  # 202 for a job that is not known afterwards
 
 
 class BrokenConnection(Exception):  # noqa: N818 - it is no error of the tests
@@ -60,6 +61,9 @@
 
     :param arrivals: daemon and identifier of each submission or request that arrived.
     :param running: jobs that stay running.
+    :param contents: body of each submission that arrived.
+    :param caller_ports: the callers' end of the connection of each submission that arrived.
+    :param callers: team and authorization of each submission that arrived.
     :param records: records by kind and name, with their revisions.
     """
 
@@ -73,6 +77,8 @@
     revision: int = 0
     store_is_down: bool = False
     contents: list[dict[str, Any]] = field(default_factory=list)
+    caller_ports: list[int] = field(default_factory=list)
+    callers: list[tuple[str, str]] = field(default_factory=list)
 
 
 class FakeDaemon:
@@ -112,6 +118,9 @@
         job_id = body["id"]
         self.cluster.arrivals.append((self.name, job_id))
         self.cluster.contents.append(body)
+        self.cluster.caller_ports.append(request.client.port)
+        headers = request.headers
+        self.cluster.callers.append((headers["Berylproxy-Team"], headers.get("Authorization", "")))
         results = [{"id": task["id"], "payload": task["payload"]} for task in body["tasks"]]
         answer = make_answer(job_id, "done", results=results)
         return self._spoil(answer) if self.faults else JSONResponse(answer)
@@ -150,6 +159,8 @@
             case Fault.STAY_RUNNING:
                 self.cluster.jobs[job_id] = answer
                 return JSONResponse({"id": job_id, "state": "running", "outcome": None}, 202)
+            case Fault.FORGET:
+                return JSONResponse({"id": job_id, "state": "running", "outcome": None}, 202)
         raise AssertionError("no such fault")
 
     async def _fetch(self, request: Request) -> Response:
