Bound kept answers, obey one holder, distrust grants after a pause

Kept answers are bounded in bytes; an evicted job's id stays used up for as long as ids are valid. A home takes grants from the holder that it chose only, and none right after its own pause, when the holder may have given the slots away. Groups whose holder has no stream from here are left out. A planned stop waits until finished answers are fetched, for a bounded time.

--- a/berylproxy/admit/api.py
+++ b/berylproxy/admit/api.py
@@ -55,7 +55,8 @@
     """Checks what callers send and hands it to the job router.
 
     :param configuration: gives the configuration in force.
-    :param is_accepting: tells whether new work is taken.
+    :param is_ready: tells whether the balancer may send new work here.
+    :param is_accepting: tells whether new work that comes all the same is taken.
     :param identifier_validity_s: how long a minted identifier may be used first.
     """
 
@@ -64,12 +65,14 @@
         router: JobRouter,
         tracer: Tracer,
         configuration: Callable[[], Configuration],
+        is_ready: Callable[[], bool],
         is_accepting: Callable[[], bool],
         identifier_validity_s: float,
     ) -> None:
         self._router = router
         self._tracer = tracer
         self._configuration = configuration
+        self._is_ready = is_ready
         self._is_accepting = is_accepting
         self._identifier_validity_s = identifier_validity_s
 
@@ -87,7 +90,7 @@
     async def mint(self, request: Request) -> Response:
         """Mints identifiers."""
         authorize_team(request, self._configuration())
-        self._check_accepting()
+        self._check(self._is_ready())
         body = await _read_body(request)
         asked = parse_body(IdentifierRequestSchema, body or b"{}")
         ids = self._router.mint(asked.count)
@@ -153,11 +156,11 @@
             return await self._router.submit(traced, wait_s)
 
     def _mint_one(self) -> str:
-        self._check_accepting()
+        self._check(self._is_accepting())
         return self._router.mint(1)[0]
 
-    def _check_accepting(self) -> None:
-        if not self._is_accepting():
+    def _check(self, takes_work: bool) -> None:
+        if not takes_work:
             raise NotReadyError(
                 "this daemon takes no new work now",
                 hint="ask another daemon",
--- a/berylproxy/collect/job.py
+++ b/berylproxy/collect/job.py
@@ -1,12 +1,14 @@
 """A job at its home: its tasks' results on the way to one answer."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from anyio import Event
 
 from berylproxy.errors import BerylproxyError
 from berylproxy.models import JobAnswer, Outcome, Submission, Task, TaskResult
 
+JOB_OVERHEAD_BYTES = 1_500
+RESULT_OVERHEAD_BYTES = 200
 NEW_ID_HINT = "this id is used up: come back with a new one"
 
 
@@ -52,6 +54,7 @@
         self.deadline_s = accepted_s + timeout_s
         self.answer: JobAnswer | None = None
         self.finished = Event()
+        self.delivered = Event()
         self.finished_s = 0.0
         self.runs = [self._make_run(task) for task in submission.tasks]
         self._results: dict[str, TaskResult] = {}
@@ -62,6 +65,14 @@
         """The identifier under which the job runs."""
         return self.submission.job_id
 
+    @property
+    def answer_bytes(self) -> int:
+        """Roughly how much memory the kept answer takes."""
+        results = self.answer.results if self.answer is not None else ()
+        return JOB_OVERHEAD_BYTES + sum(
+            len(result.body) + RESULT_OVERHEAD_BYTES for result in results
+        )
+
     @property
     def is_finished(self) -> bool:
         """Whether the answer is set."""
@@ -117,6 +128,11 @@
         """Finishes the job before any task has been queued."""
         self.fail(Outcome.NOT_RUN, error.code, error.message, now_s, error.retry_after_s)
 
+    def drop_tasks(self) -> None:
+        """Frees what only an unfinished job needs."""
+        self.runs = []
+        self.submission = replace(self.submission, tasks=())
+
     def _make_run(self, task: Task) -> TaskRun:
         needs = tuple(sorted(task.needs.items()))
         return TaskRun(self, task, DemandKey(self.submission.service, self.submission.team, needs))
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -85,7 +85,13 @@
         self._mint = IdentifierMint(identity.incarnation, clock, IDENTIFIER_VALIDITY_S)
         self._registry = JobRegistry(self._mint, clock, ANSWER_RETENTION_S)
         self._pipeline = Pipeline(
-            identity, clock, self._registry, self._sender, self._tracer, self._network.notify
+            identity,
+            clock,
+            self._registry,
+            self._sender,
+            self._tracer,
+            self._network.notify,
+            lambda incarnation: bool(self._network.links(incarnation)),
         )
         self._router = JobRouter(
             identity.incarnation,
@@ -171,6 +177,7 @@
             self._router,
             self._tracer,
             lambda: self._view.configuration,
+            lambda: self._monitor.is_ready,
             lambda: self._monitor.is_ready or self._pipeline.is_stopping,
             IDENTIFIER_VALIDITY_S,
         )
--- a/berylproxy/deduplicate/errors.py
+++ b/berylproxy/deduplicate/errors.py
@@ -33,6 +33,13 @@
     outcome = Outcome.UNKNOWN
 
 
+class AnswerEvictedError(DeduplicateError):
+    """The job has ended, and its answer had to make room for others."""
+
+    code = "answer_evicted"
+    outcome = Outcome.UNKNOWN
+
+
 class HomeGoneError(DeduplicateError):
     """The home of the submission has ended: its tasks may have run."""
 
--- a/berylproxy/deduplicate/identifiers.py
+++ b/berylproxy/deduplicate/identifiers.py
@@ -51,7 +51,7 @@
     def __init__(self, incarnation: str, clock: Clock, valid_for_s: float) -> None:
         self._incarnation = incarnation
         self._clock = clock
-        self._valid_for_s = valid_for_s
+        self.valid_for_s = valid_for_s
         self._last_sequence = 0
         self._oldest_valid_sequence = 1
         self._blocks: deque[tuple[float, int]] = deque()  # (minted at, first sequence)
@@ -73,7 +73,7 @@
         return 1 <= sequence <= self._last_sequence
 
     def _expire_blocks(self) -> None:
-        oldest_minted_s = self._clock.now_s() - self._valid_for_s
+        oldest_minted_s = self._clock.now_s() - self.valid_for_s
         while self._blocks and self._blocks[0][0] < oldest_minted_s:
             self._blocks.popleft()
             self._oldest_valid_sequence = (
--- a/berylproxy/deduplicate/registry.py
+++ b/berylproxy/deduplicate/registry.py
@@ -7,6 +7,7 @@
 from berylproxy.clock import Clock
 from berylproxy.collect.job import Job
 from berylproxy.deduplicate.errors import (
+    AnswerEvictedError,
     IdentifierExpiredError,
     IdentifierMalformedError,
     IdentifierReusedError,
@@ -15,6 +16,8 @@
 from berylproxy.deduplicate.identifiers import IdentifierMint, parse_identifier
 from berylproxy.models import Submission
 
+MAX_KEPT_ANSWER_BYTES = 32 * 1024 * 1024
+
 
 def digest_submission(submission: Submission) -> bytes:
     """Hashes what makes two submissions the same: team, service, mark and tasks."""
@@ -39,15 +42,24 @@
 class JobRegistry:
     """Remembers each submission from its first arrival until its answer has been kept long enough.
 
-    :param retention_s: how long an answer is kept; at least as long as identifiers are valid, so
-        that a forgotten identifier can't be taken for a new one.
+    :param retention_s: how long an answer is kept.
+    :param max_kept_bytes: how much all kept answers may take; the oldest go first.
     """
 
-    def __init__(self, mint: IdentifierMint, clock: Clock, retention_s: float) -> None:
+    def __init__(
+        self,
+        mint: IdentifierMint,
+        clock: Clock,
+        retention_s: float,
+        max_kept_bytes: int = MAX_KEPT_ANSWER_BYTES,
+    ) -> None:
         self._mint = mint
         self._clock = clock
         self._retention_s = retention_s
         self._jobs: dict[str, RegisteredJob] = {}
+        self._max_kept_bytes = max_kept_bytes
+        self._kept_bytes = 0
+        self._forgotten: OrderedDict[str, float] = OrderedDict()  # job id -> finished at
         self._finished: OrderedDict[str, float] = OrderedDict()  # job id -> finished at
 
     def __len__(self) -> int:
@@ -90,23 +102,37 @@
 
     def note_finished(self, job: Job) -> None:
         """Starts the time for which the answer is kept."""
+        job.drop_tasks()
         self._finished[job.job_id] = job.finished_s
+        self._kept_bytes += job.answer_bytes
 
     def forget_old_jobs(self) -> None:
-        """Evicts answers that have been kept for the retention time."""
+        """Evicts answers kept for the retention time, and the oldest ones beyond the bound."""
         oldest_kept_s = self._clock.now_s() - self._retention_s
+        oldest_usable_s = self._clock.now_s() - self._mint.valid_for_s
         while self._finished:
             job_id, finished_s = next(iter(self._finished.items()))
-            if finished_s >= oldest_kept_s:
-                return
+            is_over_bound = self._kept_bytes > self._max_kept_bytes
+            if finished_s >= oldest_kept_s and not is_over_bound:
+                break
             del self._finished[job_id]
-            del self._jobs[job_id]
+            self._kept_bytes -= self._jobs.pop(job_id).job.answer_bytes
+            self._forgotten[job_id] = finished_s
+        # An identifier that can still be used first must not be taken for a new one.
+        while self._forgotten and next(iter(self._forgotten.values())) < oldest_usable_s:
+            self._forgotten.popitem(last=False)
+
+    def list_undelivered(self) -> list[Job]:
+        """Lists the jobs whose answer nobody has fetched yet."""
+        return [known.job for known in self._jobs.values() if not known.job.delivered.is_set()]
 
     def list_unfinished(self) -> list[Job]:
         """Lists the jobs that have no answer yet."""
         return [known.job for known in self._jobs.values() if not known.job.is_finished]
 
     def _check_first_use(self, job_id: str) -> None:
+        if job_id in self._forgotten:
+            raise AnswerEvictedError(f"job {job_id} has ended, its answer is not kept any more")
         identifier = parse_identifier(job_id)
         if identifier is None or not self._mint.was_minted(identifier.sequence):
             raise IdentifierMalformedError(
--- a/berylproxy/deduplicate/router.py
+++ b/berylproxy/deduplicate/router.py
@@ -128,7 +128,7 @@
             case CancelJob(job_id, team):
                 job = self._find(job_id, team)
                 self._cancel(job)
-                return JobState(job_id, job.answer)
+                return await self._wait(job, 0.0)
         raise TypeError(f"{type(message).__name__} is not a message about jobs")
 
     async def _submit_keyed(self, submission: Submission, wait_s: float) -> JobState:
@@ -209,4 +209,6 @@
     async def _wait(self, job: Job, wait_s: float) -> JobState:
         with move_on_after(max(0.0, wait_s)):
             await job.finished.wait()
+        if job.is_finished:
+            job.delivered.set()
         return JobState(job.job_id, job.answer)
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -38,12 +38,15 @@
 DEFAULT_TEAM_QUOTA = 5_000
 REFUSED_RETRY_AFTER_S = 2.0
 MAX_FLUSH_ROUNDS = 8
+LONGEST_PAUSE_S = 1.0  # below the time after which holders take a grant for lost
+UNDELIVERED_LINGER_S = 10.0
 
 
 class Pipeline:
     """The path of tasks at one daemon, as a home and as a holder of slots.
 
     :param notify: sends a message without reply to another daemon, by incarnation.
+    :param is_reachable: tells whether there is a stream to another daemon.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         sender: TaskSender,
         tracer: Tracer,
         notify: Callable[[str, object], None],
+        is_reachable: Callable[[str], bool],
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -65,11 +69,18 @@
         )
         self.holder = Holder(identity, clock, self._send)
         self.requester = SlotRequester(
-            identity, clock, self._queue, self._send, self._dispatcher.start
+            identity,
+            clock,
+            self._queue,
+            self._send,
+            self._dispatcher.start,
+            lambda incarnation: incarnation == identity.incarnation or is_reachable(incarnation),
+            self._has_run_without_pause,
         )
         self._configuration = Configuration()
         self.is_stopping = False
         self._refuses_new_jobs = False
+        self._last_tick_s = clock.now_s()
         self._changed = Event()
         self._task_group: TaskGroup | None = None
 
@@ -162,10 +173,16 @@
             self._flush()
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
-        """Waits until no job is unfinished; tells whether that came about in time."""
+        """Waits until every job is finished and its answer fetched; tells whether that came about.
+
+        An answer that nobody fetches is waited for a bounded time.
+        """
         with move_on_after(timeout_s):
             while jobs := self._registry.list_unfinished():
                 await jobs[0].finished.wait()
+            with move_on_after(UNDELIVERED_LINGER_S):
+                while jobs := self._registry.list_undelivered():
+                    await jobs[0].delivered.wait()
             return True
         return False
 
@@ -212,10 +229,14 @@
 
     async def _tick(self) -> None:
         while True:
+            self._last_tick_s = self._clock.now_s()
             await sleep(TICK_INTERVAL_S)
             self.holder.mark_waiting_groups()
             self._wake()
 
+    def _has_run_without_pause(self) -> bool:
+        return self._clock.now_s() - self._last_tick_s < LONGEST_PAUSE_S
+
     def _flush(self) -> None:
         for _ in range(MAX_FLUSH_ROUNDS):
             self.requester.flush()
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -43,6 +43,9 @@
 
     :param send: sends a message to a daemon by incarnation, this one included.
     :param start: starts a task in a slot; it must call :meth:`release` once.
+    :param is_reachable: tells whether messages get to a daemon now.
+    :param may_use_grants: tells whether this process has run without a pause, as a grant that was
+        received before a pause may have been given to another home since.
     """
 
     def __init__(
@@ -52,17 +55,23 @@
         queue: WaitingQueue,
         send: Callable[[str, object], None],
         start: Callable[[TaskRun, HeldSlot], None],
+        is_reachable: Callable[[str], bool],
+        may_use_grants: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._queue = queue
         self._send = send
         self._start = start
+        self._is_reachable = is_reachable
+        self._may_use_grants = may_use_grants
         self._spread = DemandSpread(identity.failure_domain)
         self._links: dict[SlotGroup, GroupLink] = {}
         self._held: dict[tuple[str, int], tuple[SlotGroup, HeldSlot]] = {}
         self._configuration = Configuration()
         self._live: list[DaemonIdentity] = [identity]
+        self._reachable: frozenset[str] = frozenset()
         self.unused_grants = 0
+        self.ignored_grants = 0
 
     def update_members(self, live: Iterable[DaemonIdentity]) -> None:
         """Takes the daemons that live and are not leaving."""
@@ -95,14 +104,17 @@
         """Starts a waiting task in each granted slot, or gives the slot back."""
         group = SlotGroup(message.pool, message.failure_domain)
         link = self._links.get(group)
+        if link is None or link.holder != holder:
+            # Two daemons may both take themselves for the holder; a home obeys only one of them.
+            self.ignored_grants += len(message.grants)
+            return
         for grant in message.grants:
             key = DemandKey(grant.service, grant.team, grant.needs)
-            if link is not None and link.holder == holder:
-                link.last_grant = grant.sequence
-                self._note_grant(group, link, key)
+            link.last_grant = grant.sequence
+            self._note_grant(group, link, key)
             slot = HeldSlot(holder, grant.sequence, grant.endpoint, grant.service, grant.team)
             self._held[holder, grant.sequence] = (group, slot)
-            run = self._queue.pop(key, grant.endpoint)
+            run = self._queue.pop(key, grant.endpoint) if self._may_use_grants() else None
             if run is None:
                 self.unused_grants += 1
                 self.release(slot, SlotResult.UNUSED)
@@ -123,6 +135,7 @@
     def flush(self) -> None:
         """Tells the holders what has changed."""
         now_s = self._clock.now_s()
+        self._check_reachable_holders()
         for key in self._spread.list_keys().union(self._queue.list_keys()):
             self._spread.balance(key, self._queue.count(key))
         for group, link in self._links.items():
@@ -146,8 +159,23 @@
                 link = GroupLink(holder.incarnation)
             links[group] = link
         self._links = links
+        self._reachable = self._list_reachable_holders()
+        self._configure_spread()
+
+    def _check_reachable_holders(self) -> None:
+        reachable = self._list_reachable_holders()
+        if reachable != self._reachable:
+            self._reachable = reachable
+            self._configure_spread()
+
+    def _list_reachable_holders(self) -> frozenset[str]:
+        holders = {link.holder for link in self._links.values()}
+        return frozenset(holder for holder in holders if self._is_reachable(holder))
+
+    def _configure_spread(self) -> None:
+        usable = [group for group, link in self._links.items() if link.holder in self._reachable]
         groups_of_service = {
-            name: [group for group in links if group.pool in service.pools]
+            name: [group for group in usable if group.pool in service.pools]
             for name, service in self._configuration.services.items()
         }
         self._spread.configure(groups_of_service)
