Count finished work by owner, as absolute counts per incarnation in the store

Counted is what an endpoint itself has answered; work without an answer is billed to nobody. Weighed: increments by compare-and-swap on one key per owner (a lost answer leaves it open whether to add again, and all daemons meet on the same keys) against absolute counts on a key of each incarnation (a write can be repeated, nobody else writes the key). The second costs one key per restart.

Seen to fail: without re-reading the revision after a lost answer, the scenario 'The answer to a write of the counts is lost' fails (3 tasks in place of 5). The one with the outage passes either way: it shows that nothing is billed twice, which absolute counts give by themselves.

--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -46,6 +46,9 @@
 from berylproxy.send.sender import TaskSender
 from berylproxy.settings import Settings
 from berylproxy.tracing import Tracer
+from berylproxy.usage.api import UsageApi
+from berylproxy.usage.counters import UsageCounters
+from berylproxy.usage.recorder import UsageRecorder
 
 IDENTIFIER_VALIDITY_S = 600.0
 ANSWER_RETENTION_S = 1_200.0
@@ -84,12 +87,15 @@
         self._sender = TaskSender(clock, self._count_daemons)
         self._mint = IdentifierMint(identity.incarnation, clock, IDENTIFIER_VALIDITY_S)
         self._registry = JobRegistry(self._mint, clock, ANSWER_RETENTION_S)
+        usage = UsageCounters()
+        self._usage_recorder = UsageRecorder(self._store, identity, usage)
         self._pipeline = Pipeline(
             identity,
             clock,
             self._registry,
             self._sender,
             self._tracer,
+            usage,
             self._network.notify,
             lambda incarnation: bool(self._network.links(incarnation)),
         )
@@ -129,6 +135,7 @@
             task_group.start_soon(self._watcher.run)
             task_group.start_soon(self._spreader.run)
             task_group.start_soon(self._pipeline.run, task_group)
+            task_group.start_soon(self._usage_recorder.run)
             task_group.start_soon(self._keep_house)
             if self._settings.vm_list_url:
                 task_group.start_soon(self._follow_vm_list)
@@ -139,6 +146,7 @@
                 )
                 self._announce(http_address, peer_address)
                 await self._wait_for_stop()
+            await self._usage_recorder.record_last()
             task_group.cancel_scope.cancel()
         await self._close()
 
@@ -190,6 +198,7 @@
             *api.routes(),
             *make_record_routes(self._view, editor, self._gate.authorize),
             *self._monitor.routes(),
+            *UsageApi(self._store, self._gate.authorize).routes(),
             *metrics.routes(),
         ]
         return Starlette(routes=routes)
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -23,6 +23,7 @@
 from berylproxy.send.dispatcher import Dispatcher
 from berylproxy.send.sender import TaskSender
 from berylproxy.tracing import Tracer
+from berylproxy.usage.counters import UsageCounters
 from berylproxy.waiting.limits import (
     AdmissionError,
     HomeLeavingError,
@@ -56,6 +57,7 @@
         registry: JobRegistry,
         sender: TaskSender,
         tracer: Tracer,
+        usage: UsageCounters,
         notify: Callable[[str, object], None],
         is_reachable: Callable[[str], bool],
     ) -> None:
@@ -65,7 +67,7 @@
         self._notify = notify
         self._queue = WaitingQueue()
         self._dispatcher = Dispatcher(
-            clock, sender, tracer, self._release, self._requeue, self._finish_task
+            clock, sender, tracer, usage, self._release, self._requeue, self._finish_task
         )
         self.holder = Holder(identity, clock, self._send)
         self.requester = SlotRequester(
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -14,6 +14,7 @@
 from berylproxy.send.errors import SendError
 from berylproxy.send.sender import TaskSender
 from berylproxy.tracing import Tracer
+from berylproxy.usage.counters import UsageCounters
 
 MAX_ATTEMPTS = 5  # sends of one task, the refused ones included
 
@@ -31,6 +32,7 @@
         clock: Clock,
         sender: TaskSender,
         tracer: Tracer,
+        usage: UsageCounters,
         release: Callable[[HeldSlot, SlotResult, float], None],
         requeue: Callable[[TaskRun], None],
         finish: Callable[[TaskRun, TaskResult], None],
@@ -38,6 +40,7 @@
         self._clock = clock
         self._sender = sender
         self._tracer = tracer
+        self._usage = usage
         self._release = release
         self._requeue = requeue
         self._finish = finish
@@ -98,14 +101,23 @@
                 answer = await self._sender.send(run, endpoint, timeout_s, span.traceparent)
                 result = SlotResult.DONE
                 run_time_s = self._clock.now_s() - started_s
+                self._note_answer(run, endpoint, run_time_s, failed=False)
                 self._finish(run, answer)
         except SendError as error:
             result = error.slot_result
+            if error.was_answered:
+                run_time_s = self._clock.now_s() - started_s
+                self._note_answer(run, endpoint, run_time_s, failed=True)
             self._end_badly(run, slot, error)
         finally:
             del self._scopes[run]
             self._release(slot, result, run_time_s)
 
+    def _note_answer(
+        self, run: TaskRun, endpoint: Endpoint, run_time_s: float, *, failed: bool
+    ) -> None:
+        self._usage.note_answer(endpoint, run.key.team, run.key.service, run_time_s, failed=failed)
+
     def _end_badly(self, run: TaskRun, slot: HeldSlot, error: SendError) -> None:
         if error.outcome is Outcome.NOT_RUN:
             run.job.note_refusal()
--- a/berylproxy/send/errors.py
+++ b/berylproxy/send/errors.py
@@ -10,11 +10,13 @@
 
     :cvar outcome: what is known of the task.
     :cvar slot_result: what the holder of the slot is told.
+    :cvar was_answered: whether the endpoint itself has told the task's end.
     """
 
     code = "send_error"
     outcome = Outcome.UNKNOWN
     slot_result = SlotResult.NO_ANSWER
+    was_answered = False
 
 
 class EndpointUnreachableError(SendError):
@@ -47,6 +49,7 @@
     code = "task_failed"
     outcome = Outcome.FAILED
     slot_result = SlotResult.FAILED
+    was_answered = True
 
 
 class AnswerTooLargeError(SendError):
@@ -55,6 +58,7 @@
     code = "answer_too_large"
     outcome = Outcome.FAILED
     slot_result = SlotResult.FAILED
+    was_answered = True
 
 
 class AnswerLostError(SendError):
--- /dev/null
+++ b/berylproxy/usage/__init__.py
@@ -0,0 +1,1 @@
+"""What each owner's endpoints have done, for billing."""
--- /dev/null
+++ b/berylproxy/usage/recorder.py
@@ -0,0 +1,93 @@
+"""Keeps this daemon's counts in the store.
+
+The counts are absolute and only this incarnation writes its key. So a write whose answer was lost
+is simply written again, and cannot bill twice.
+"""
+
+from anyio import move_on_after, sleep
+from logbook import Logger
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.platform.store import (
+    ABSENT_REVISION,
+    Store,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from berylproxy.usage.counters import UsageCounters
+from berylproxy.usage.report import encode_report, make_key
+
+RECORD_INTERVAL_S = 10.0
+LAST_RECORD_TIMEOUT_S = 5.0
+LAST_RECORD_RETRY_S = 1.0
+MAX_TRIES = 3
+
+logger = Logger(__name__)
+
+
+class UsageRecorder:
+    """Writes the counts from time to time, and once more at a planned stop."""
+
+    def __init__(
+        self,
+        store: Store,
+        identity: DaemonIdentity,
+        counters: UsageCounters,
+        interval_s: float = RECORD_INTERVAL_S,
+    ) -> None:
+        self._store = store
+        self._identity = identity
+        self._counters = counters
+        self._interval_s = interval_s
+        self._revision = ABSENT_REVISION
+        self._recorded_version = 0
+
+    @property
+    def is_up_to_date(self) -> bool:
+        """Whether the store has all counts."""
+        return self._recorded_version == self._counters.version
+
+    async def run(self) -> None:
+        """Writes what has changed until cancelled."""
+        while True:
+            await sleep(self._interval_s)
+            await self.record()
+
+    async def record(self) -> bool:
+        """Writes the counts if they have changed; tells whether the store has them."""
+        if self.is_up_to_date:
+            return True
+        try:
+            await self._write()
+        except StoreError as error:
+            logger.warning("usage not recorded, {}: {}", error.code, error.message)
+            return False
+        return True
+
+    async def record_last(self) -> None:
+        """Writes the counts at a planned stop, for a bounded time."""
+        with move_on_after(LAST_RECORD_TIMEOUT_S):
+            for _ in range(MAX_TRIES):
+                if await self.record():
+                    return
+                await sleep(LAST_RECORD_RETRY_S)
+        if not self.is_up_to_date:
+            logger.error("usage since the last record is lost; nobody is billed for it")
+
+    async def _write(self) -> None:
+        key = make_key(self._identity.incarnation)
+        for tries_left in reversed(range(MAX_TRIES)):
+            version = self._counters.version
+            value = encode_report(self._identity.daemon_id, self._counters)
+            try:
+                self._revision = await self._store.compare_and_swap(key, value, self._revision)
+            except (StoreConflictError, StoreOutcomeUnknownError):
+                # Only this incarnation writes the key, so an earlier write of its own took effect.
+                if not tries_left:
+                    raise
+                entry = await self._store.get(key)
+                self._revision = entry.revision if entry is not None else ABSENT_REVISION
+                continue
+            self._recorded_version = version
+            return
--- /dev/null
+++ b/tests/steps/usage_steps.py
@@ -0,0 +1,123 @@
+"""Steps for usage counters."""
+
+from base64 import b64decode, b64encode
+from dataclasses import replace
+from json import loads
+
+from anyio import run
+from behave import given, then, when
+from httpx import post
+
+from berylproxy.models import DaemonIdentity
+from berylproxy.records.models import Endpoint
+from berylproxy.usage.counters import UsageCounters
+from berylproxy.usage.recorder import UsageRecorder
+from berylproxy.usage.report import KEY_PREFIX, UsageReportError, make_key, sum_reports
+from tests.support.memory_store import MemoryStore
+
+ENDPOINT = Endpoint("e", "p", "http://127.0.0.1:1", 8, 64, {}, "alder", "alder", "fd", False)
+
+
+def start_daemon(context, incarnation: str) -> None:
+    """Makes the counters and the recorder of a new incarnation."""
+    identity = DaemonIdentity("d", incarnation, "fd", "")
+    context.counters = UsageCounters()
+    context.recorder = UsageRecorder(context.usage_store, identity, context.counters)
+
+
+def answer_tasks(context, count: int, owner: str) -> None:
+    """Counts answered tasks."""
+    endpoint = replace(ENDPOINT, owner=owner, cost_bearer=owner)
+    for _ in range(count):
+        context.counters.note_answer(endpoint, "team", "service", 0.5, failed=False)
+
+
+def sum_store(context) -> dict[str, int]:
+    """Adds up the tasks in the store by owner."""
+    listing = run(context.usage_store.list_prefix, KEY_PREFIX)
+    return {key.owner: usage.tasks for key, usage in sum_reports(listing.entries)}
+
+
+@given('a usage recorder with {count:d} answered tasks of "{owner}"')
+def step_recorder(context, count, owner):
+    context.usage_store = MemoryStore()
+    start_daemon(context, "a" * 12)
+    answer_tasks(context, count, owner)
+
+
+@when('{count:d} more tasks of "{owner}" are answered')
+def step_answer(context, count, owner):
+    answer_tasks(context, count, owner)
+
+
+@when("the answer to the next record is lost")
+def step_lose(context):
+    context.usage_store.lost_answers = 1
+
+
+@when("the answer to the next record is lost and the store goes out")
+def step_lose_and_out(context):
+    context.usage_store.lost_answers = 1
+    context.usage_store.is_out_after_loss = True
+
+
+@when("the store comes back")
+def step_back(context):
+    context.usage_store.set_outage(False)
+
+
+@when("the usage is recorded")
+def step_record(context):
+    run(context.recorder.record)
+
+
+@when("the daemon restarts")
+def step_restart(context):
+    start_daemon(context, "b" * 12)
+
+
+@when("somebody writes a report that can't be read")
+def step_spoil(context):
+    run(context.usage_store.compare_and_swap, make_key("c" * 12), b"{}", 0)
+
+
+@when("all daemons are stopped in an orderly way but the last")
+def step_stop(context):
+    for daemon in context.cluster.daemons[:-1]:
+        assert daemon.terminate() == 0
+
+
+@then('the sum over all reports is {count:d} tasks of "{owner}"')
+def step_sum(context, count, owner):
+    assert sum_store(context) == {owner: count}, sum_store(context)
+
+
+@then('adding up the reports fails with code "{code}"')
+def step_sum_fails(context, code):
+    try:
+        sum_store(context)
+    except UsageReportError as error:
+        assert error.code == code
+    else:
+        raise AssertionError("the reports were added up")
+
+
+@then("the usage of the stopped daemons is exactly what their endpoints have ended")
+def step_usage_is_exact(context):
+    stopped = len(context.cluster.daemons) - 1
+    homes = {job_id.split("-")[0] for job_id in context.started_ids[:stopped]}
+    ended = sum(
+        event["event"] == "end" and event["task_id"].split("-")[0] in homes
+        for event in context.cluster.read_events()
+    )
+    recorded = 0
+    for home in homes:
+        recorded += sum(row["tasks"] for row in read_report(context, home)["rows"])
+    assert recorded == ended == stopped * len(context.tasks), (recorded, ended)
+
+
+def read_report(context, incarnation: str) -> dict:
+    """Reads an incarnation's report from the store."""
+    key = b64encode(make_key(incarnation).encode()).decode()
+    response = post(f"{context.cluster.store.url}/v3/kv/range", json={"key": key})
+    return loads(b64decode(response.json()["kvs"][0]["value"]))
