--- a/berylproxy/deduplicate/errors.py
+++ b/berylproxy/deduplicate/errors.py
@@ -55,9 +55,10 @@
 
 
 class JobNotFoundError(DeduplicateError):
-    """No job is known under the identifier."""
+    """No job is known under the identifier; its submission may still arrive."""
 
     code = "job_not_found"
+    outcome = Outcome.UNKNOWN
 
 
 class ClaimUnavailableError(DeduplicateError):
