--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -66,6 +66,7 @@
             daemons = pool.map(lambda numbered: self.start_daemon(*numbered), others)
             self.endpoints.extend(endpoints)
             self.daemons.extend(list(daemons))
+        self.wait_until(lambda: self.is_ready(0), "the first configuration")
         self.write_records()
         for daemon in self.daemons:
             self.wait_until(lambda daemon=daemon: self._is_settled(daemon), daemon.name)
@@ -131,6 +132,10 @@
         """Base URL of a daemon."""
         return f"http://{self.daemons[daemon].announced['http_address']}"
 
+    def is_ready(self, daemon: int) -> bool:
+        """Tells what the balancer sees of a daemon."""
+        return self.client.get(f"{self.url(daemon)}/readyz").status_code == 200
+
     def read_status(self, daemon: int) -> dict:
         """Reads a daemon's status."""
         return self.client.get(f"{self.url(daemon)}/v1/status").json()
