Bound the steps of the store's features and test an error status with rows

Without the bound a watch that is never confirmed would hang the run instead of failing it, and the check of the VM list's status was not seen to fail: a 503 has no rows, so the body's check hid it.

--- a/tests/platform/machines.feature
+++ b/tests/platform/machines.feature
@@ -21,3 +21,6 @@
       | switches                    |
       | {"outage": true}            |
       | {"vms": [{"name": "vm-1"}]} |
+
+  Scenario: An error status is unavailable even if it carries rows
+    Then a list of VMs with the status 500 raises "store_unavailable"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -22,6 +22,7 @@
 from standins.process import ManagedProcess
 
 TIMEOUT_S = 30.0
+STEP_TIMEOUT_S = 60.0  # ends a call that would hang for good
 MAX_ATTEMPTS = 1000
 
 logging.getLogger("httpx").setLevel(logging.WARNING)  # it logs each request at INFO
@@ -31,8 +32,9 @@
     """Runs an async function on a store that talks to the stand-in."""
 
     async def run():
-        async with EtcdStore([context.platform.url], timeout_s) as store:
-            return await operation(store)
+        with anyio.fail_after(STEP_TIMEOUT_S):
+            async with EtcdStore([context.platform.url], timeout_s) as store:
+                return await operation(store)
 
     return anyio.run(run)
 
@@ -203,7 +205,9 @@
 @then('reading "{key}" and watching "{prefix}" with a timeout of {timeout_s:f} s raise "{code}"')
 def step_read_raises(context, key, prefix, timeout_s, code):
     assert find_code(context, lambda store: store.get(key), timeout_s) == code
-    watch = find_code(context, lambda store: store.wait_for_changes(prefix, 0, 60), timeout_s)
+    watch = find_code(
+        context, lambda store: store.wait_for_changes(prefix, 0, TIMEOUT_S), timeout_s
+    )
     assert watch == code, watch
 
 
@@ -216,9 +220,9 @@
     return httpx.Response(int(status), content=content)
 
 
-def replace_transport(store, handler):
-    """Lets a function answer the store's requests."""
-    store.client = httpx.AsyncClient(transport=httpx.MockTransport(handler))
+def replace_transport(caller, handler):
+    """Lets a function answer the requests of a store or a list of VMs."""
+    caller.client = httpx.AsyncClient(transport=httpx.MockTransport(handler))
 
 
 @given("a store whose gateway answers with {fault}")
@@ -437,6 +441,21 @@
         raise AssertionError("no error")
 
 
+@then('a list of VMs with the status {status:d} raises "{code}"')
+def step_machines_status(context, status, code):
+    async def fetch():
+        machines = HttpVirtualMachineList("http://a", TIMEOUT_S)
+        replace_transport(machines, lambda request: httpx.Response(status, json={"vms": []}))
+        return await machines.fetch()
+
+    try:
+        anyio.run(fetch)
+    except StoreError as error:
+        assert error.code == code, error.code
+    else:
+        raise AssertionError("no error")
+
+
 @when('a watch below "{prefix}" has ended')
 def step_watch_ended(context, prefix):
     run_with_store(context, lambda store: store.wait_for_changes(prefix, 0, TIMEOUT_S))
