--- a/berylproxy/records/schemas.py
+++ b/berylproxy/records/schemas.py
@@ -208,7 +208,7 @@
     except ValueError:
         known = ", ".join(RecordKind)
         raise RecordKindUnknownError(
-            f"no such kind of record: {kind!r}", hint=f"known kinds: {known}"
+            f"no such kind of record: {kind!r:.80}", hint=f"known kinds: {known}"
         ) from None
 
 
@@ -219,7 +219,7 @@
     """
     if not re.fullmatch(NAME_PATTERN, name):
         problem = FieldProblem("name", f"must match {NAME_PATTERN}")
-        raise RecordInvalidError(f"{kind}/{name!r}", (problem,))
+        raise RecordInvalidError(f"{kind}/{name!r:.80}", (problem,))
 
 
 def choose_schema(kind: RecordKind, name: str, raw: Any) -> type[StrictModel]:
--- a/berylproxy/records/spread.py
+++ b/berylproxy/records/spread.py
@@ -118,7 +118,12 @@
         self._view.apply_from_peer(updates, deletions)
 
     def handle_fetch(self, message: FetchRecords) -> Records:
-        """Answers another daemon's request with the next chunk of what differs."""
+        """Answers another daemon's request with the next chunk of what differs.
+
+        :raises RecordMessageInvalidError: if the request is malformed.
+        """
+        if not isinstance(message.after_key, str) or not isinstance(message.bucket_digests, bytes):
+            raise RecordMessageInvalidError("not a request for records")
         snapshot = self._view.take_snapshot()
         buckets = self._view.digests.find_differing(message.bucket_digests)
         keys = sorted(
--- a/tests/records/spread.feature
+++ b/tests/records/spread.feature
@@ -105,3 +105,6 @@
       | [["berylproxy/records/pools/x", "bytes", 0]]             |
       | [["other/pools/x", "bytes", 9]]                          |
       | [["berylproxy/records/pools/x", "bytes", 9], [1]]        |
+
+  Scenario: A malformed request is refused
+    Then records daemon "a" refuses requests for records with wrong fields
--- a/tests/steps/records_steps.py
+++ b/tests/steps/records_steps.py
@@ -12,7 +12,12 @@
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.envelope import Envelope, encode_envelope, make_key
 from berylproxy.records.errors import RecordError
-from berylproxy.records.messages import RecordMessageInvalidError, Records, RecordsAccepted
+from berylproxy.records.messages import (
+    FetchRecords,
+    RecordMessageInvalidError,
+    Records,
+    RecordsAccepted,
+)
 from berylproxy.records.spread import ViewState
 from berylproxy.records.view import RecordView
 from berylproxy.records.watcher import StoreState, find_reversal
@@ -477,3 +482,11 @@
 def step_notification_refused(context):
     assert context.refused
     assert context.is_unchanged
+
+
+@then('records daemon "{name:w}" refuses requests for records with wrong fields')
+def step_wrong_requests(context, name):
+    spreader = context.world.daemons[name].spreader
+    for request in (FetchRecords(b"", 1), FetchRecords("text", "")):
+        attempt(context, context.world.call, spreader.handle_fetch, request)
+        assert context.error is not None
