--- /dev/null
+++ b/tests/steps/records_watcher_steps.py
@@ -0,0 +1,121 @@
+"""Steps for records that follow the store."""
+
+from random import Random
+
+from behave import given, then, when
+
+from berylproxy.platform.store import Entry, Listing
+from berylproxy.records.backoff import Backoff
+from berylproxy.records.envelope import make_key
+from berylproxy.records.view import RecordView
+from berylproxy.records.watcher import StoreState, find_reversal
+from tests.support.records_world import POOL
+
+ALL = 1_000_000
+
+
+@given('a records daemon "{name:w}" without a network')
+def step_daemon_cut(context, name):
+    context.world.add_daemon(name, spreads=False)
+    context.world.daemons[name].network.is_cut = True
+
+
+@when('record pool "{pool:w}" is deleted in the store')
+def step_delete_in_store(context, pool):
+    held = context.world.store.find(make_key("pools", pool))
+    context.world.write("pools", pool, None, held.revision)
+
+
+@when('the record store goes out for {count:d} attempts of records daemon "{name:w}"')
+def step_outage_attempts(context, count, name):
+    store = context.world.store
+    context.world.call(store.set_outage, True)
+
+    context.world.run(store.wait_for_calls, "list_prefix", store.calls["list_prefix"] + count)
+
+
+@when('record pool "{new:w}" is written, "{old:w}" deleted and the outage ends')
+def step_write_in_outage(context, new, old):
+    context.world.write("pools", new, POOL)
+    step_delete_in_store(context, old)
+    context.world.call(context.world.store.set_outage, False)
+
+
+@when('record pool "{pool:w}" is written and the store compacts before it is seen')
+def step_compact(context, pool):
+    context.lists = context.world.store.calls["list_prefix"]
+
+    def write_and_compact() -> None:
+        held = context.world.store.find(make_key("pools", "oak"))
+        context.world.store.write(make_key("pools", pool), held.value, 0)
+        context.world.store.compact()
+
+    context.world.call(write_and_compact)
+
+
+@then('records daemon "{name:w}" follows the store')
+def step_follows(context, name):
+    watcher = context.world.daemons[name].watcher
+    context.world.run(watcher.wait_for_state, StoreState.FOLLOWING)
+    assert context.world.store.calls["list_prefix"] == context.lists + 1
+
+
+@when('the record store is backed up, gets pool "{pool:w}" and is restored {afterwards}')
+def step_restore(context, pool, afterwards):
+    world = context.world
+    backup = world.store.make_backup()
+    world.put("a", "pools", pool, POOL)
+
+    def restore() -> None:
+        store = world.store
+        store.restore(backup)
+        held = store.find(make_key("pools", "oak"))
+        if "rebuilt" in afterwards:
+            store.write(held.key, b"", held.revision)
+            for revision in (0, 3, 4):
+                store.write(held.key, held.value, revision)
+        if "differently" in afterwards:
+            for revision in (0, 2, 3):
+                store.write(make_key("pools", pool), held.value, revision)
+
+    world.call(restore)
+
+
+@then('records daemon "{name:w}" reports the store as "{state:w}"')
+def step_store_state(context, name, state):
+    watcher = context.world.daemons[name].watcher
+    context.world.run(watcher.wait_for_state, StoreState(state))
+    assert watcher.problem
+
+
+@then('with pool "oak" at revision 5 and pool "elm" deleted at 9 these lists tell:')
+def step_signs(context):
+    known = RecordView()
+    known.apply((Entry("oak", b"5", 5),), (Entry("elm", b"", 9),))
+    for row in context.table:
+        entries = []
+        for words in (text.split() for text in row["records"].split(", ")):
+            value = b"other" if words[-1] == "value" else b"5"
+            entries.append(Entry(words[0], value, int(words[2])))
+        listing = Listing(int(row["revision"]), tuple(entries))
+        sign = find_reversal(listing, known.take_snapshot())
+        assert bool(sign) == (row["sign"] == "older"), (row, sign)
+
+
+@then('records daemon "{name:w}" refuses to apply pool "{pool:w}" with "{code:w}"')
+def step_refuses(context, name, pool, code):
+    context.execute_steps(
+        f'When records daemon "{name}" applies pool "{pool}"\n'
+        f'Then the record change is refused with "{code}"'
+    )
+
+
+@then("{count:d} record watch delays grow from about {first:g} s to at most {last:g} s")
+def step_backoff(context, count, first, last):
+    backoff = Backoff(Random(1), first, last / 1.5)
+    delays = [backoff.choose_delay_s() for _ in range(count)]
+    assert first * 0.5 <= delays[0] <= first * 1.5, delays
+    assert max(delays) <= last, delays
+    assert min(delays[-5:]) >= last / 1.5 * 0.5, delays
+    backoff.reset()
+    assert backoff.choose_delay_s() <= first * 1.5
--- a/tests/support/records_world.py
+++ b/tests/support/records_world.py
@@ -12,6 +12,7 @@
 from berylproxy.peers.membership import Member, MemberStatus, PeerUnreachableError
 from berylproxy.records.editor import EditPace, RecordEditor
 from berylproxy.records.envelope import MARK_KEY, Envelope, encode_envelope, make_key
+from berylproxy.records.errors import RecordError
 from berylproxy.records.messages import FetchRecords
 from berylproxy.records.models import Configuration
 from berylproxy.records.spread import CONFIG_PART, RecordSpreader, SpreadPace
@@ -202,3 +203,12 @@
     def call(self, function: Callable[..., Any], *arguments: Any) -> Any:
         """Calls a plain function in the event loop."""
         return self._portal.call(function, *arguments)
+
+
+def attempt(context: Any, function: Callable[..., Any], *arguments: Any) -> None:
+    """Calls a function and keeps its result or its record error."""
+    context.result = context.error = None
+    try:
+        context.result = function(*arguments)
+    except RecordError as error:
+        context.error = error
