List the records anew only when a watch tells nothing of what peers told

A watch may tell changes in several batches, each with the revision of its last change. One below a revision already learnt from a peer counted as a sign of a reverted store and cost a list of all records. Now only an empty batch does, or one below the revision that was asked for; the features now fail without either guard.

--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -68,6 +68,11 @@
     return ""
 
 
+def is_empty(batch: ChangeBatch) -> bool:
+    """Tells whether a watch ended without changes."""
+    return not batch.updates and not batch.deletions
+
+
 class RecordWatcher:
     """Keeps the view at what the store holds, and keeps out a store that went back in time.
 
@@ -130,7 +135,7 @@
         while True:
             known_revision = self._view.revision
             batch = await self._wait_for_changes(revision)
-            if batch.revision < max(revision, known_revision):
+            if batch.revision < revision or (is_empty(batch) and revision < known_revision):
                 return  # possibly a store that went back: a list tells
             self._backoff.reset()
             self._view.apply(batch.updates, batch.deletions)
--- a/tests/records/watcher.feature
+++ b/tests/records/watcher.feature
@@ -27,10 +27,16 @@
     Then records daemon "a" has pool "elm" in force
     And records daemon "a" follows the store
 
+  Scenario: A watch that has not told all that peers told is no sign of a reverted store
+    When pools "ash", "elm" and "fir" are written, peers tell the last and the watch one by one
+    Then records daemon "a" has pool "elm" in force
+    And the record store was not listed again
+
   Scenario Outline: A store restored from a backup is kept out
     When the record store is backed up, gets pool "elm" and is restored <afterwards>
     Then records daemon "a" reports the store as "store_reverted"
     And records daemon "a" still has pool "elm" in force
+    And records daemon "a" still has no pool "fir"
     And records daemon "a" refuses to apply pool "ash" with "store_reverted"
     And the record store has no pool "ash"
     When the record store goes out for 3 attempts of records daemon "a"
@@ -39,6 +45,7 @@
     Examples:
       | afterwards                          |
       | with nothing written since          |
+      | silently between two watches        |
       | with pool "oak" deleted and rebuilt |
       | with pool "elm" written differently |
 
--- a/tests/steps/records_watcher_steps.py
+++ b/tests/steps/records_watcher_steps.py
@@ -53,6 +53,27 @@
     context.world.call(write_and_compact)
 
 
+@when('pools "ash", "elm" and "fir" are written, peers tell the last and the watch one by one')
+def step_one_by_one(context):
+    store = context.world.store
+    store.max_batch_changes = 1
+    context.lists = store.calls["list_prefix"]
+
+    def write_and_tell() -> None:
+        value = store.find(make_key("pools", "oak")).value
+        for pool in ("ash", "elm", "fir"):
+            revision = store.write(make_key("pools", pool), value, 0)
+        told = Entry(make_key("pools", "fir"), value, revision)
+        context.world.daemons["a"].view.apply_from_peer((told,), ())
+
+    context.world.call(write_and_tell)
+
+
+@then("the record store was not listed again")
+def step_not_listed(context):
+    assert context.world.store.calls["list_prefix"] == context.lists
+
+
 @then('records daemon "{name:w}" follows the store')
 def step_follows(context, name):
     watcher = context.world.daemons[name].watcher
@@ -68,7 +89,7 @@
 
     def restore() -> None:
         store = world.store
-        store.restore(backup)
+        store.restore(backup, breaks_watches="silently" not in afterwards)
         held = store.find(make_key("pools", "oak"))
         if "rebuilt" in afterwards:
             store.write(held.key, b"", held.revision)
@@ -79,6 +100,7 @@
                 store.write(make_key("pools", pool), held.value, revision)
 
     world.call(restore)
+    world.write("pools", "fir", POOL)
 
 
 @then('records daemon "{name:w}" reports the store as "{state:w}"')
--- a/tests/support/memory_store.py
+++ b/tests/support/memory_store.py
@@ -30,6 +30,7 @@
     :ivar lost_writes: how many of the next writes are lost themselves, also without an answer.
     :ivar spared_key: a key whose writes are not lost.
     :ivar on_loss: called when a write or an answer is lost.
+    :ivar max_batch_changes: the most changes that one watch returns; 0 for no bound.
     :ivar calls: number of calls by method.
     """
 
@@ -39,6 +40,7 @@
         self.lost_writes = 0
         self.spared_key = ""
         self.on_loss: Callable[[], None] = lambda: None
+        self.max_batch_changes = 0
         self.calls: Counter[str] = Counter()
         self.revision = 0
         self._entries: dict[str, Entry] = {}
@@ -64,9 +66,9 @@
         """Copies the present state."""
         return self.revision, dict(self._entries)
 
-    def restore(self, backup: tuple[int, dict[str, Entry]]) -> None:
-        """Goes back to an earlier state, which breaks watches that wait."""
-        self._restorations += 1
+    def restore(self, backup: tuple[int, dict[str, Entry]], *, breaks_watches: bool = True) -> None:
+        """Goes back to an earlier state."""
+        self._restorations += breaks_watches
         self.revision, self._entries = backup[0], dict(backup[1])
         self._log = [entry for entry in self._log if entry.revision <= self.revision]
         self._wake()
@@ -173,11 +175,15 @@
         return StoreOutcomeUnknownError("no answer")
 
     def _collect(self, prefix: str, after_revision: int) -> ChangeBatch:
-        changes = (entry for entry in self._log if entry.revision > after_revision)
+        revision = self.revision
+        changes = [entry for entry in self._log if entry.revision > after_revision]
+        if self.max_batch_changes and len(changes) > self.max_batch_changes:
+            changes = changes[: self.max_batch_changes]
+            revision = changes[-1].revision
         last = {entry.key: entry for entry in changes if entry.key.startswith(prefix)}
         updates = tuple(entry for entry in last.values() if entry.value)
         deletions = tuple(entry for entry in last.values() if not entry.value)
-        return ChangeBatch(self.revision, updates, deletions)
+        return ChangeBatch(revision, updates, deletions)
 
     def _wake(self) -> None:
         self._changed.set()
