Bound the streams' read buffers and keep faults of a concern out of the membership

Each msgpack Unpacker allocated a megabyte, which 320 streams do not have. A failing or oversized heartbeat state now leaves the last one in force. A reply that cannot be sent is a lost one to the requester, as its request was handled.

--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -12,6 +12,7 @@
 
 REQUEST, REPLY, REFUSAL, NOTICE = range(4)
 MAX_REQUEST_ID = 2**63
+READ_BYTES = 16 * 1024
 MAX_CONTAINER_ITEMS = 16_384
 # Lax validation would turn str into bytes and numbers into str.
 STRICT_TYPES = frozenset({"str", "bytes", "int", "float", "bool"})
@@ -150,6 +151,7 @@
         self._check = codec.check
         self._unpacker = Unpacker(
             raw=False,
+            read_size=min(READ_BYTES, max_frame_bytes),  # allocated for each stream at once
             max_buffer_size=max_frame_bytes,
             max_array_len=max_items,
             max_map_len=max_items,
--- a/berylproxy/peers/control.py
+++ b/berylproxy/peers/control.py
@@ -5,6 +5,8 @@
 from typing import Any, Protocol
 
 from anyio import current_time
+from logbook import Logger
+from msgpack import packb
 
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.link import LinkCounters, PeerLink
@@ -25,6 +27,7 @@
 LIST_INTERVAL_S = 60.0
 MAX_INDIRECT_TIMEOUT_S = 10.0
 MAX_LISTED_MEMBERS = 1000
+MAX_STATE_BYTES = 16 * 1024
 
 
 class Network(Protocol):
@@ -58,10 +61,11 @@
     :ivar ready: whether this daemon takes new work.
     """
 
-    def __init__(self, network: Network, settings: PeerSettings) -> None:
+    def __init__(self, network: Network, settings: PeerSettings, logger: Logger) -> None:
         self.ready = True
         self._network = network
         self._table = network.table
+        self._logger = logger
         self._settings = settings
         self._providers: dict[str, Callable[[], dict[str, Any]]] = {}
         self._state: dict[str, Any] = {}
@@ -144,7 +148,12 @@
         return [entry for entry in entries if entry.member.status is MemberStatus.ALIVE]
 
     def _refresh_state(self) -> None:
-        state = {name: provide() for name, provide in self._providers.items()}
+        state = dict(self._state)
+        for name, provide in self._providers.items():
+            try:
+                state[name] = _check_state(provide())
+            except Exception:  # a concern's fault must not silence the daemon
+                self._logger.exception("no new state of {} for the heartbeats", name)
         if state != self._state:
             self._state = state
             self._state_version += 1
@@ -179,3 +188,10 @@
         entry = self._table.get(identity.incarnation)
         if entry is not None:
             self._table.leave(entry)
+
+
+def _check_state(state: dict[str, Any]) -> dict[str, Any]:
+    size_bytes = len(packb(state))
+    if size_bytes > MAX_STATE_BYTES:
+        raise ValueError(f"a state of {size_bytes} bytes is too large")
+    return state
--- a/berylproxy/peers/errors.py
+++ b/berylproxy/peers/errors.py
@@ -46,6 +46,12 @@
         self.code = code
 
 
+class PeerReplyUndeliverableError(PeerError):
+    """The request was handled, but its reply is too large or its stream too full to send it."""
+
+    code = "peer_reply_undeliverable"
+
+
 class PeerOverloadedError(PeerError):
     """The daemon already handles as many requests of this stream as it may."""
 
--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -29,6 +29,7 @@
 )
 from berylproxy.peers.errors import (
     PeerMessageTooLargeError,
+    PeerReplyUndeliverableError,
     PeerRequestRefusedError,
 )
 from berylproxy.peers.membership import PeerLostError, PeerUnreachableError
@@ -173,7 +174,8 @@
                 self._refuse_unsendable(frame.request_id)
 
     def _refuse_unsendable(self, request_id: int) -> None:
-        refusal = RefusalFrame(request_id, "peer_reply_undeliverable", "the reply is lost", None)
+        code = PeerReplyUndeliverableError.code
+        refusal = RefusalFrame(request_id, code, "the reply could not be sent", None)
         data = self._codec.encode(refusal)
         if self._queued_bytes + len(data) <= self._settings.max_queued_bytes:
             self._append(data)
@@ -182,6 +184,8 @@
         match waiter.frame:
             case ReplyFrame(_, message):
                 return message
+            case RefusalFrame(_, PeerReplyUndeliverableError.code, text, _):
+                raise PeerLostError(text)
             case RefusalFrame(_, code, text, retry_after_s):
                 raise PeerRequestRefusedError(code, text, retry_after_s=retry_after_s)
         name = self.identity.daemon_id
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -68,7 +68,7 @@
         self._task_group: TaskGroup | None = None
         self._dialler = Dialler(settings, self._serve_dialled, self._on_refused, logger)
         self._acceptor = Acceptor(settings, self._make_handshake, self._serve_accepted, logger)
-        self._control = Control(self, settings)
+        self._control = Control(self, settings, logger)
         self.table.on_change(self._close_if_dead)
 
     def handle_request(self, message_type: type, handler: RequestHandler) -> None:
@@ -85,7 +85,14 @@
 
     def on_change(self, listener: Callable[[Member], None]) -> None:
         """Calls the listener when a member's status, readiness or state has changed."""
-        self.table.on_change(listener)
+
+        def listen(member: Member) -> None:
+            try:
+                listener(member)
+            except Exception:  # a concern's fault must not end the daemon
+                self._logger.exception("a change of {} was missed", member.identity.daemon_id)
+
+        self.table.on_change(listen)
 
     def add_address(self, address: str) -> None:
         """Adds the ``host:port`` of another daemon, to be dialled until it is removed."""
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import anyio
-from anyio import connect_tcp, create_task_group
+from anyio import connect_tcp, create_task_group, fail_after
 from anyio.from_thread import start_blocking_portal
 from behave import given, then, use_step_matcher, when
 from logbook import TestHandler
@@ -93,12 +93,13 @@
     call(context, node.wait_until, condition)
 
 
-def ask(context, name, incarnation, text, timeout_s=GUARD_S):
+def ask(context, name, incarnation, text, timeout_s=NEVER_S):
     context.peer_answer = context.peer_error = None
     network = context.peers[name].network
 
     async def request():
-        return await network.request(incarnation, Question(text), timeout_s)
+        with fail_after(GUARD_S):
+            return await network.request(incarnation, Question(text), timeout_s)
 
     try:
         context.peer_answer = call(context, request)
@@ -332,7 +333,7 @@
 
 @when('"{first}" asks "{second}" for "{text}" over the stream')
 def step_ask(context, first, second, text):
-    timeout_s = 0.05 if text == "never" else GUARD_S
+    timeout_s = 0.05 if text == "never" else NEVER_S
     ask(context, first, context.peers[second].incarnation, text, timeout_s)
 
 
--- a/tools/measure_membership.py
+++ b/tools/measure_membership.py
@@ -1,6 +1,6 @@
 """Measures what the membership costs and how fast it sees failures, over real sockets.
 
-Usage: python -m tools.measure_membership [cost|detect|codec] ...
+Usage: python -m tools.measure_membership cost|cost-of-full-mesh|detect <daemons>|codec
 
 ``cost`` runs the daemons as processes of their own, so that processor time is counted for each.
 Bytes are those of the streams' payload, and an estimate with headers is given next to them.
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from statistics import mean
 from timeit import timeit
@@ -41,6 +41,8 @@
 LOSS_RATE = 0.01
 LOSS_WINDOW_S = 60.0
 SEED = 11
+LOSS = "BERYLPROXY_MEASURE_LOSS"
+FULL_MESH = "BERYLPROXY_MEASURE_FULL_MESH"
 CODEC_ROUNDS = 20_000
 THROUGHPUT_REQUESTS = 20_000
 THROUGHPUT_WORKERS = 100
@@ -60,6 +62,8 @@
     name = f"daemon-{number}"
     identity = DaemonIdentity(name, os.urandom(6).hex(), f"domain-{number % 4}", "")
     settings = PeerSettings(f"127.0.0.{number + 1}:0", addresses=addresses, keys=(KEY,))
+    if FULL_MESH in os.environ:
+        settings = replace(settings, heartbeats_per_interval=max(DAEMON_COUNTS))
     network = TcpPeerNetwork(identity, settings, MessageCodec((Echo,)), Logger(name))
     network.provide_heartbeat("config", lambda: {"revision": 1234})
     network.provide_heartbeat("place", lambda: {"waiting": time.time_ns() % 1000, "free": 64})
@@ -83,7 +87,7 @@
 
 async def run_daemon(number: int, seed_address: str) -> None:
     """Runs one daemon: prints its address and changes, and its counters on each input line."""
-    loss = Random(SEED + number) if os.environ.get("LOSE_HEARTBEATS") else None
+    loss = Random(SEED + number) if LOSS in os.environ else None
     network = make_network(number, (seed_address,) if seed_address else (), loss)
 
     def print_change(member) -> None:
@@ -125,10 +129,8 @@
 class Fleet:
     """Daemon processes started by this one."""
 
-    def __init__(self, count: int, *, loses_heartbeats: bool = False) -> None:
-        self._environment = dict(os.environ)
-        if loses_heartbeats:
-            self._environment["LOSE_HEARTBEATS"] = "1"
+    def __init__(self, count: int, *variants: str) -> None:
+        self._environment = os.environ | dict.fromkeys(variants, "1")
         self.daemons: list[subprocess.Popen] = []
         self.changes: list[dict] = []
         seed_address = ""
@@ -174,11 +176,11 @@
                 return line
 
 
-def measure_cost() -> None:
+def measure_cost(*variants: str) -> None:
     """Prints bytes and processor time per daemon, with the slope over the number of daemons."""
     rows = []
     for count in DAEMON_COUNTS:
-        with Fleet(count) as fleet:
+        with Fleet(count, *variants) as fleet:
             time.sleep(SETTLE_S)
             before = [fleet.count(daemon) for daemon in fleet.daemons]
             time.sleep(COST_WINDOW_S)
@@ -190,6 +192,13 @@
             f"{count} daemons: sent {rows[-1][1]:.0f} B/s payload, {rows[-1][2]:.0f} B/s with"
             f" headers, {rows[-1][3]:.2f}% of a core, {memory_mb:.0f} MB, at least {alive} alive"
         )
+    for first in (0, 1):
+        print(f"by the slope from {rows[first][0]} daemons on:")
+        print_slopes(rows[first:])
+
+
+def print_slopes(rows: list[tuple[float, ...]]) -> None:
+    """Prints each figure's slope over the number of daemons and what it gives at size."""
     for label, column in (("payload B/s", 1), ("B/s with headers", 2), ("% of a core", 3)):
         slope, start = fit_line([row[0] for row in rows], [row[column] for row in rows])
         projected = [f"{start + slope * n:.2f} at {n}" for n in PROJECTED_COUNTS]
@@ -226,7 +235,7 @@
             measure_freezes(fleet, freeze_s)
         measure_failure(fleet, fleet.daemons[-1], signal.SIGSTOP)
         measure_failure(fleet, fleet.daemons[-2], signal.SIGKILL)
-    with Fleet(count, loses_heartbeats=True) as fleet:
+    with Fleet(count, LOSS) as fleet:
         time.sleep(SETTLE_S)
         fleet.collect_changes(fleet.daemons)
         time.sleep(LOSS_WINDOW_S)
@@ -335,6 +344,8 @@
             anyio.run(run_daemon, int(number), seed_address)
         case ["cost"]:
             measure_cost()
+        case ["cost-of-full-mesh"]:
+            measure_cost(FULL_MESH)
         case ["detect", count]:
             measure_detection(int(count))
         case ["codec"]:
