--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -114,6 +114,11 @@
         """Whether a request sent on this stream waits for its reply."""
         return bool(self._waiters)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a received request is unanswered or something waits to be written."""
+        return not self._closed and bool(self.running_requests or self._queued_bytes)
+
     async def run(self) -> None:
         """Serves the stream until either side ends it.
 
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -12,6 +12,7 @@
     create_tcp_listener,
     current_time,
     move_on_after,
+    sleep,
 )
 from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
 from logbook import Logger
@@ -34,6 +35,9 @@
 from berylproxy.peers.settings import PeerSettings, join_address, split_address
 from berylproxy.peers.table import MemberEntry, MemberTable
 
+DRAIN_INTERVAL_S = 0.02
+UNSPECIFIED_HOSTS = ("0.0.0.0", "::")
+
 
 class TcpPeerNetwork:
     """Implements :class:`berylproxy.peers.membership.PeerNetwork` over TCP.
@@ -155,6 +159,13 @@
         for incarnation in list(self._dialled):
             self.notify(incarnation, LeaveNotice())
 
+    async def drain(self, timeout_s: float) -> bool:
+        """Waits until received requests are answered and queues written; ``False`` if late."""
+        with move_on_after(timeout_s):
+            while self._is_busy():  # noqa: ASYNC110 - counters of many streams, read at a stop
+                await sleep(DRAIN_INTERVAL_S)
+        return not self._is_busy()
+
     async def run(self, *, task_status: TaskStatus[str] = TASK_STATUS_IGNORED) -> None:
         """Listens, dials and sends heartbeats until cancelled; reports the bound address."""
         host, port = split_address(self._settings.listen_address)
@@ -171,9 +182,18 @@
             task_group.start_soon(self._control.run)
             task_status.started(bound)
 
+    def _is_busy(self) -> bool:
+        links = [*self._dialled.values(), *self._accepted.values()]
+        return any(link.is_busy for link in links)
+
     def _take_bound_address(self, bound: str) -> None:
         address = self.identity.peer_address
         if not address or split_address(address)[1] == 0:
+            if split_address(bound)[0] in UNSPECIFIED_HOSTS:
+                raise PeerSettingsError(
+                    f"{bound} is no address that other daemons can dial",
+                    hint="set the daemon's own peer address",
+                )
             self.identity = replace(self.identity, peer_address=bound)
         self.table.set_own_identity(self.identity)
         self._dialler.exclude(self.identity.peer_address)
--- a/berylproxy/peers/prober.py
+++ b/berylproxy/peers/prober.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from itertools import zip_longest
 from random import sample, shuffle, uniform
 from typing import Any, Protocol
 
@@ -172,4 +173,18 @@
             for other in self._table.entries()
             if other is not entry and other.member.status is MemberStatus.ALIVE
         ]
-        return sample(alive, min(self._settings.indirect_probes, len(alive)))
+        return pick_helpers(alive, self._table.own_domain, self._settings.indirect_probes)
+
+
+def pick_helpers(alive: list[MemberEntry], own_domain: str, count: int) -> list[MemberEntry]:
+    """Picks members at random, from as many failure domains as possible, the own one last.
+
+    Where two failure domains are cut off from each other, a third one reaches both.
+    """
+    by_domain: dict[str, list[MemberEntry]] = {}
+    for entry in sample(alive, len(alive)):
+        by_domain.setdefault(entry.identity.failure_domain, []).append(entry)
+    own = by_domain.pop(own_domain, [])
+    rounds = zip_longest(*by_domain.values())
+    others = [entry for entries in rounds for entry in entries if entry is not None]
+    return [*others, *own][:count]
--- a/berylproxy/peers/table.py
+++ b/berylproxy/peers/table.py
@@ -75,6 +75,11 @@
         """Tells the table whose it is."""
         self._own = identity
 
+    @property
+    def own_domain(self) -> str:
+        """The failure domain of this daemon; empty before its identity is known."""
+        return self._own.failure_domain if self._own is not None else ""
+
     def on_change(self, listener: OnChange) -> None:
         """Calls the listener when a member's status or heartbeat has changed."""
         self._listeners.append(listener)
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -79,3 +79,7 @@
     Given a member table that gives up after 4 s and forgets after 60 s
     When news name an unknown daemon that is alive
     Then the unknown daemon is to be dialled but is no member
+
+  Scenario: Members are asked about others across failure domains
+    Then of 3 helpers among 5 members in each of 4 domains none is of the own domain nor of one twice
+    And of 3 helpers among 5 members in the own domain alone all are of it
--- a/tests/peers/streams.feature
+++ b/tests/peers/streams.feature
@@ -57,3 +57,8 @@
     And "a" counts a dropped peer notice
     When "a" asks "b" for "hello" over the stream
     Then the peer answer is "hello"
+
+  Scenario: A daemon that stops first answers what it has received
+    Given two peers "a" and "b" that know each other
+    When "a" has asked "b" for "later" and "b" drains its streams
+    Then "b" is drained only when "a" has got its peer answer
--- /dev/null
+++ b/tests/steps/peers_handshake_steps.py
@@ -0,0 +1,237 @@
+"""Steps for the handshake of the streams between daemons."""
+
+import anyio
+from anyio import connect_tcp, create_task_group
+from behave import given, then, when
+
+from berylproxy.peers.codec import NoticeFrame
+from berylproxy.peers.errors import PeerSettingsError
+from berylproxy.peers.handshake import (
+    HANDSHAKE_CODEC,
+    HandshakeRefusal,
+    Hello,
+)
+from berylproxy.peers.membership import PeerError
+from berylproxy.peers.settings import PeerSettings, split_address
+from tests.support.peer_networks import (
+    KEY,
+    dial_raw,
+    make_identity,
+    read_to_end,
+)
+from tests.support.peer_scenario import (
+    call,
+    start,
+    start_node,
+    wait,
+)
+
+OTHER_KEY = b"a second key of the cluster"
+
+
+@given('a listening peer "{name}"')
+def step_listening(context, name):
+    start_node(context, name)
+
+
+@given('a listening peer "{name}" that allows {seconds:g} s for a handshake')
+def step_listening_briefly(context, name, seconds):
+    start_node(context, name, handshake_timeout_s=seconds)
+
+
+def try_to_dial(context, address, **values):
+    context.peer_error = None
+
+    async def dial():
+        stream = await dial_raw(address, make_identity("stranger"), **values)
+        await stream.aclose()
+
+    try:
+        call(context, dial)
+    except PeerError as error:
+        context.peer_error = error
+
+
+@when('a peer dials "{name}" with the key "{key}"')
+def step_dial_with_key(context, name, key):
+    try_to_dial(context, context.peers[name].address, keys=(key.encode(),))
+
+
+@when('a peer dials "{name}" with the old key and a new one')
+def step_dial_with_two_keys(context, name):
+    try_to_dial(context, context.peers[name].address, keys=(OTHER_KEY, KEY))
+
+
+@when('a peer dials "{name}" without a key')
+def step_dial_without_key(context, name):
+    try_to_dial(context, context.peers[name].address, keys=())
+
+
+@when('a peer dials "{name}" as a member of cluster "{cluster}"')
+def step_dial_from_cluster(context, name, cluster):
+    try_to_dial(context, context.peers[name].address, cluster=cluster)
+
+
+@when("a peer dials a listener that reflects its proof")
+def step_dial_reflector(context):
+    async def reflect(stream):
+        async with stream:
+            await stream.receive()
+            hello = Hello(1, 1, "berylproxy", make_identity("reflector"), bytes(32))
+            await stream.send(HANDSHAKE_CODEC.encode(NoticeFrame(hello)))
+            await stream.send(await stream.receive())
+            await read_to_end(stream)
+
+    async def run(*, task_status):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started(f"127.0.0.1:{port}")
+        async with listener:
+            await listener.serve(reflect)
+
+    try_to_dial(context, start(context, run))
+
+
+@then('the peer handshake fails with "{code}" saying "{words}"')
+def step_handshake_fails(context, code, words):
+    assert context.peer_error is not None, "the handshake succeeded"
+    assert context.peer_error.code == code, context.peer_error.code
+    assert words in context.peer_error.message, context.peer_error.message
+
+
+@then("the peer handshake succeeds")
+def step_handshake_succeeds(context):
+    assert context.peer_error is None, context.peer_error
+
+
+@then('peer "{name}" has no members')
+def step_no_members(context, name):
+    assert context.peers[name].network.members() == []
+
+
+ALIEN_BYTES = {
+    "an HTTP request": b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+    "random bytes": bytes(range(255, 0, -7)),
+    "a long frame": b"\xc6\x7f\xff\xff\xff" + bytes(8192),
+    "a long list": b"\xdc\x0f\xff" * 1000,
+    "nothing and waits": b"",
+    "nothing and closes": None,
+}
+
+
+def send_as_alien(context, name, data):
+    async def send():
+        stream = await connect_tcp(*split_address(context.peers[name].address))
+        if data is None:
+            await stream.send_eof()
+        elif data:
+            await stream.send(data)
+        async with stream:
+            return await read_to_end(stream)
+
+    context.peer_received = call(context, send)
+
+
+@when('an alien sends "{name}" a hello of versions {oldest:d} to {newest:d}')
+def step_send_version(context, name, oldest, newest):
+    hello = Hello(newest, oldest, "berylproxy", make_identity("older"), bytes(32))
+    send_as_alien(context, name, HANDSHAKE_CODEC.encode(NoticeFrame(hello)))
+
+
+@when('an alien sends "{name}" {what}')
+def step_send_alien(context, name, what):
+    send_as_alien(context, name, ALIEN_BYTES[what])
+
+
+@then("the alien is closed")
+def step_alien_closed(context):
+    assert context.peer_received == b"", context.peer_received
+
+
+@then('the alien is told "{code}" with the versions {oldest:d} to {newest:d}')
+def step_alien_told(context, code, oldest, newest):
+    decoder = HANDSHAKE_CODEC.make_decoder(4096)
+    frames = list(decoder.feed(context.peer_received))
+    refusal = frames[-1].message
+    assert isinstance(refusal, HandshakeRefusal), frames
+    assert refusal.code == code, refusal
+    assert (refusal.oldest_protocol_version, refusal.protocol_version) == (oldest, newest), refusal
+
+
+@then('peer "{name}" has logged one refusal saying "{words}"')
+def step_logged_once(context, name, words):
+    records = [r for r in context.peer_log.records if r.channel == f"peers-{name}"]
+    matching = [r.message for r in records if words in r.message]
+    assert len(matching) == 1, [r.message for r in records]
+
+
+@then('a genuine peer gets its stream to "{name}"')
+def step_genuine(context, name):
+    listening = context.peers[name]
+    genuine = start_node(context, "genuine", addresses=(listening.address,))
+    wait(context, genuine, lambda: genuine.knows(listening))
+
+
+@when('{count:d} silent aliens connect to "{name}", which allows {limit:d} handshakes')
+def step_flood(context, count, name, limit):
+    node = start_node(context, name, max_handshakes=limit)
+
+    async def connect():
+        address = split_address(node.address)
+        return [await connect_tcp(*address) for _ in range(count)]
+
+    context.peer_aliens = call(context, connect)
+
+
+@then("{count:d} aliens are closed at once")
+def step_flood_closed(context, count):
+    closed = []
+
+    async def watch(stream, scope):
+        await read_to_end(stream)
+        closed.append(stream)
+        if len(closed) == count:
+            scope.cancel()
+
+    async def watch_all():
+        async with create_task_group() as task_group:
+            for stream in context.peer_aliens:
+                task_group.start_soon(watch, stream, task_group.cancel_scope)
+
+    call(context, watch_all)
+    assert len(closed) == count, len(closed)
+
+
+@then('a genuine peer gets its stream to "{name}" when the silent aliens are gone')
+def step_genuine_later(context, name):
+    async def close():
+        for stream in context.peer_aliens:
+            await stream.aclose()
+
+    call(context, close)
+    step_genuine(context, name)
+
+
+@then('peer settings without keys for "{address}" fail with "{code}"')
+def step_settings_fail(context, address, code):
+    try:
+        PeerSettings(address)
+    except PeerSettingsError as error:
+        assert error.code == code, error.code
+        return
+    raise AssertionError("the settings were accepted")
+
+
+@then('peer settings without keys for "{address}" are accepted')
+def step_settings_accepted(context, address):
+    PeerSettings(address)
+
+
+@then('peer settings with an IP name "{address}" fail with "{code}"')
+def step_settings_name_fails(context, address, code):
+    try:
+        PeerSettings(address, keys=(KEY,))
+    except PeerSettingsError as error:
+        assert error.code == code, error.code
+        return
+    raise AssertionError("the settings were accepted")
--- /dev/null
+++ b/tests/steps/peers_membership_steps.py
@@ -0,0 +1,193 @@
+"""Steps for the membership learnt from the streams."""
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+from berylproxy.peers.membership import MemberStatus
+from tests.support.peer_networks import (
+    NEVER_S,
+    Answer,
+    Relay,
+)
+from tests.support.peer_scenario import (
+    ask,
+    call,
+    start,
+    start_node,
+    wait,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@given('peers "{first}" and "{second}" that know only "{known}"')
+def step_known_through(context, first, second, known):
+    address = start_node(context, known).address
+    for name in (first, second):
+        start_node(context, name, addresses=(address,))
+
+
+@then('"{first}" and "{second}" get streams to each other')
+def step_streams_to_each_other(context, first, second):
+    one, other = context.peers[first], context.peers[second]
+    wait(context, one, lambda: one.knows(other))
+    wait(context, other, lambda: other.knows(one))
+
+
+@when('"{name}" provides the state {value:d} under "{concern}"')
+def step_provide(context, name, value, concern):
+    network = context.peers[name].network
+    call(context, network.provide_heartbeat, concern, lambda: {"value": value})
+
+
+@then('"{name}" sees the state {value:d} of "{other}" under "{concern}"')
+def step_sees_state(context, name, value, other, concern):
+    node = context.peers[name]
+    expected = {concern: {"value": value}}
+    wait(context, node, lambda: any(m.heartbeat == expected for m in node.network.members()))
+
+
+@given('peers "{first}" and "{second}" whose streams run through relays')
+def step_relayed(context, first, second):
+    context.peer_relays = [Relay(), Relay()]
+    addresses = [start(context, relay.run) for relay in context.peer_relays]
+    nodes = []
+    for index, name in enumerate((first, second)):
+        nodes.append(
+            start_node(
+                context,
+                name,
+                advertised=addresses[index],
+                addresses=(addresses[1 - index],),
+                heartbeat_timeout_s=0.3,
+                indirect_timeout_s=0.3,
+                dead_after_s=30.0,
+            )
+        )
+        context.peer_relays[index].target = nodes[index].address
+    for one, other in (nodes, reversed(nodes)):
+        wait(context, one, lambda one=one, other=other: one.knows(other))
+
+
+@when("the relays silence the open connections")
+def step_silence(context):
+    context.peer_links = {name: dict(node.network._dialled) for name, node in context.peers.items()}
+    for relay in context.peer_relays:
+        call(context, relay.silence_open_connections)
+
+
+@then("both peers get new streams and a request passes")
+def step_new_streams(context):
+    nodes = list(context.peers.values())
+    for one, other in (nodes, nodes[::-1]):
+        old = context.peer_links[one.name][other.incarnation]
+
+        def has_new(one=one, other=other, old=old):
+            return one.knows(other) and one.network._dialled[other.incarnation] is not old
+
+        wait(context, one, has_new)
+        ask(context, one.name, other.incarnation, "hello")
+        assert context.peer_answer == Answer("hello"), context.peer_error
+
+
+@then("neither peer has ever been held for dead")
+def step_never_dead(context):
+    for node in context.peers.values():
+        assert MemberStatus.DEAD not in [status for _, status in node.statuses], node.statuses
+
+
+@when('"{name}" is stopped and started again under its name')
+def step_restart(context, name):
+    context.peer_old = context.peers[name]
+    call(context, context.peer_old.stop)
+    others = tuple(n.address for n in context.peers.values() if n is not context.peer_old)
+    start_node(context, name, addresses=others, dead_after_s=NEVER_S)
+
+
+@then('"{name}" holds the old incarnation of "{other}" for dead and the new one for alive')
+def step_restarted(context, name, other):
+    node, new, old = context.peers[name], context.peers[other], context.peer_old
+    wait(context, node, lambda: node.status_of(old.incarnation) is MemberStatus.DEAD)
+    wait(context, node, lambda: node.knows(new))
+    current = [member.identity.incarnation for member in node.network.members()]
+    assert current == [new.incarnation], current
+
+
+@when('"{name}" is stopped without a word')
+def step_stop(context, name):
+    call(context, context.peers[name].stop)
+
+
+@then('"{name}" holds "{other}" for {status:w}')
+def step_holds_for(context, name, other, status):
+    node, incarnation = context.peers[name], context.peers[other].incarnation
+    wait(context, node, lambda: node.status_of(incarnation) == status)
+    seen = [s for i, s in node.statuses if i == incarnation]
+    assert status == "dead" or "dead" not in seen, seen
+
+
+@when('"{name}" announces that it leaves')
+def step_leave(context, name):
+    call(context, context.peers[name].network.announce_leaving)
+
+
+@then('"{name}" holds "{other}" for alive but not ready')
+def step_not_ready(context, name, other):
+    node, incarnation = context.peers[name], context.peers[other].incarnation
+    entry = node.network.table.get(incarnation)
+    wait(context, node, lambda: entry.leaving and not entry.member.ready)
+    assert entry.member.status is MemberStatus.ALIVE, entry
+
+
+@given('a peer "{name}" and a peer process "{process}" that know each other')
+def step_peer_process(context, name, process):
+    node = start_node(
+        context, name, heartbeat_timeout_s=0.5, indirect_timeout_s=0.5, dead_after_s=2.0
+    )
+    command = [sys.executable, "-m", "tests.support.peer_process", process, node.address]
+    child = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    context.peer_stack.callback(child.stdout.close)
+    context.peer_stack.callback(child.wait)
+    context.peer_stack.callback(child.kill)
+    context.peer_process = child
+    context.peer_frozen = json.loads(child.stdout.readline())["own"]
+    wait(context, node, lambda: node.status_of(context.peer_frozen) is MemberStatus.ALIVE)
+    wait(context, node, lambda: rounds_of(node, context.peer_frozen) > 2)
+
+
+def rounds_of(node, incarnation):
+    heartbeat = node.network.table.get(incarnation).member.heartbeat
+    return heartbeat.get("rounds", {}).get("count", 0)
+
+
+@when('the process is frozen until "{name}" holds it for dead')
+def step_freeze(context, name):
+    node = context.peers[name]
+    context.peer_process.send_signal(signal.SIGSTOP)
+    wait(context, node, lambda: node.status_of(context.peer_frozen) is MemberStatus.DEAD)
+
+
+@when("the process is resumed")
+def step_resume(context):
+    context.peer_process.send_signal(signal.SIGCONT)
+
+
+@then('"{name}" holds the process for alive again')
+def step_alive_again(context, name):
+    node, frozen = context.peers[name], context.peer_frozen
+    wait(context, node, lambda: node.status_of(frozen) is MemberStatus.ALIVE)
+    rounds = rounds_of(node, frozen)
+    wait(context, node, lambda: rounds_of(node, frozen) > rounds + 3)
+
+
+@then('the process has never held "{name}" for suspect or dead')
+def step_never_suspected(context, name):
+    context.peer_process.kill()
+    lines = [json.loads(line) for line in context.peer_process.stdout]
+    seen = [line["status"] for line in lines if line["incarnation"]]
+    assert seen and set(seen) == {"alive"}, seen
--- a/tests/steps/peers_table_steps.py
+++ b/tests/steps/peers_table_steps.py
@@ -1,13 +1,14 @@
 """Steps for the member table and for the prober on their own."""
 
 import time
+from dataclasses import replace
 
 import anyio
 from behave import given, then, when
 
 from berylproxy.peers.membership import MemberStatus
 from berylproxy.peers.messages import Heartbeat, MemberUpdate
-from berylproxy.peers.prober import Prober
+from berylproxy.peers.prober import Prober, pick_helpers
 from berylproxy.peers.settings import PeerSettings
 from berylproxy.peers.table import MemberTable
 from tests.support.peer_networks import LOOPBACK, make_identity
@@ -137,3 +138,30 @@
 @then("the checked member is suspect")
 def step_is_suspect(context):
     assert context.member_entry.member.status is MemberStatus.SUSPECT
+
+
+def pick_helper_domains(count, per_domain, domains):
+    table = MemberTable(4.0, 60.0, lambda: 0.0, lambda _: None)
+    for domain in domains:
+        for number in range(per_domain):
+            identity = make_identity(f"{domain}-{number}", f"127.0.0.1:{len(table.entries()) + 1}")
+            table.meet(replace(identity, failure_domain=domain))
+    helpers = pick_helpers(table.entries(), "own", count)
+    return [entry.identity.failure_domain for entry in helpers]
+
+
+@then(
+    "of {count:d} helpers among {members:d} members in each of {domains:d} domains none is of the "
+    "own domain nor of one twice"
+)
+def step_helpers_spread(context, count, members, domains):
+    names = ["own", *(f"other-{number}" for number in range(1, domains))]
+    for _ in range(20):
+        picked = pick_helper_domains(count, members, names)
+        assert len(picked) == len(set(picked)) == count, picked
+        assert "own" not in picked, picked
+
+
+@then("of {count:d} helpers among {members:d} members in the own domain alone all are of it")
+def step_helpers_own(context, count, members):
+    assert pick_helper_domains(count, members, ["own"]) == ["own"] * count
--- a/tests/support/peer_networks.py
+++ b/tests/support/peer_networks.py
@@ -77,6 +77,8 @@
         self.network = TcpPeerNetwork(identity, self.settings, CODEC, Logger(f"peers-{name}"))
         self.statuses = []
         self.news = []
+        self.asked = Event()
+        self.may_answer = Event()
         self.address = ""
         self._changed = Event()
         self._scope = CancelScope()
@@ -135,6 +137,9 @@
             raise TestError("refused by the feature", retry_after_s=3.0)
         if question.text == "never":
             await sleep_forever()
+        if question.text == "later":
+            self.asked.set()
+            await self.may_answer.wait()
         return Answer(question.text)
 
 
