--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -18,6 +18,7 @@
     Given two peers "a" and "b" that know each other and never give up on time
     When "b" is stopped and started again under its name
     Then "a" holds the old incarnation of "b" for dead and the new one for alive
+    And a handshake of the old incarnation of "b" with "a" is refused
 
   Scenario: A refused connection alone makes a member suspect
     Given two peers "a" and "b" that know each other and never give up on time
--- a/tests/steps/peers_membership_steps.py
+++ b/tests/steps/peers_membership_steps.py
@@ -8,11 +8,13 @@
 
 from behave import given, then, when
 
+from berylproxy.peers.errors import PeerHandshakeError
 from berylproxy.peers.membership import MemberStatus
 from tests.support.peer_networks import (
     NEVER_S,
     Answer,
     Relay,
+    dial_raw,
 )
 from tests.support.peer_scenario import (
     ask,
@@ -118,6 +120,16 @@
     assert current == [new.incarnation], current
 
 
+@then('a handshake of the old incarnation of "{other}" with "{name}" is refused')
+def step_old_refused(context, other, name):
+    try:
+        call(context, dial_raw, context.peers[name].address, context.peer_old.network.identity)
+    except PeerHandshakeError as error:
+        assert "newer incarnation" in error.message, error.message
+        return
+    raise AssertionError("the handshake succeeded")
+
+
 @when('"{name}" is stopped without a word')
 def step_stop(context, name):
     call(context, context.peers[name].stop)
