--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -29,6 +29,7 @@
 )
 from berylproxy.peers.errors import (
     PeerMessageTooLargeError,
+    PeerReplyUndeliverableError,
     PeerRequestRefusedError,
 )
 from berylproxy.peers.membership import PeerLostError, PeerUnreachableError
@@ -113,6 +114,11 @@
         """Whether a request sent on this stream waits for its reply."""
         return bool(self._waiters)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a received request is unanswered or something waits to be written."""
+        return not self._closed and bool(self.running_requests or self._queued_bytes)
+
     async def run(self) -> None:
         """Serves the stream until either side ends it.
 
@@ -173,7 +179,8 @@
                 self._refuse_unsendable(frame.request_id)
 
     def _refuse_unsendable(self, request_id: int) -> None:
-        refusal = RefusalFrame(request_id, "peer_reply_undeliverable", "the reply is lost", None)
+        code = PeerReplyUndeliverableError.code
+        refusal = RefusalFrame(request_id, code, "the reply could not be sent", None)
         data = self._codec.encode(refusal)
         if self._queued_bytes + len(data) <= self._settings.max_queued_bytes:
             self._append(data)
@@ -182,6 +189,8 @@
         match waiter.frame:
             case ReplyFrame(_, message):
                 return message
+            case RefusalFrame(_, PeerReplyUndeliverableError.code, text, _):
+                raise PeerLostError(text)
             case RefusalFrame(_, code, text, retry_after_s):
                 raise PeerRequestRefusedError(code, text, retry_after_s=retry_after_s)
         name = self.identity.daemon_id
