Check records offline and accept the daemon's status for a cancelled job

A job cancelled while it ran is answered as failed with status 409, which the client took for another's answer: it now compares only success with success and takes the outcome from the body. Headers and the clock come from the shared modules.

--- a/berylproxy/cli/definition.py
+++ b/berylproxy/cli/definition.py
@@ -120,6 +120,9 @@
     """Arguments of ``berylctl validate``."""
 
     files: Annotated[list[Path], Arg(num_args=-1, required=True, help="JSON files of records")]
+    online: Annotated[
+        bool, Arg(long=True, help="Let a daemon check them against the records in force, too")
+    ] = False
 
 
 @command(name="status", help="Show the daemon, its peers and its endpoints")
--- a/berylproxy/cli/jobs.py
+++ b/berylproxy/cli/jobs.py
@@ -7,9 +7,11 @@
 from berylproxy.cli.definition import CancelCommand, RequestCommand, StatusCommand, SubmitCommand
 from berylproxy.cli.errors import StillRunningError, UsageError
 from berylproxy.cli.inputs import check_duration, make_tasks, read_input, read_job
+from berylproxy.cli.output import Section
 from berylproxy.client.errors import JobFailedError, NotRunError
 from berylproxy.client.models import JobAnswer, JobState, JobTask
 from berylproxy.exit_status import ExitStatus
+from berylproxy.models import Outcome
 
 CANCELLED_CODE = "cancelled"
 
@@ -74,8 +76,11 @@
         except (NotRunError, JobFailedError) as error:
             if error.code != CANCELLED_CODE:
                 raise
-            fields = {"id": command.job, "state": "finished", "code": error.code}
-            context.printer.print(fields, [], f"job {command.job}: cancelled")
+            outcome = Outcome.NOT_RUN if isinstance(error, NotRunError) else Outcome.FAILED
+            fields = {"id": command.job, "state": "finished", "outcome": outcome}
+            fields["code"] = error.code
+            title = f"job {command.job}: cancelled, {outcome}"
+            context.printer.print(fields, Section([], title))
             return ExitStatus.SUCCESS
     _print_job(answer, context)
     return ExitStatus.SUCCESS
@@ -105,4 +110,5 @@
         "results": [{"id": task.task_id, "payload": task.payload} for task in answer.results],
     }
     title = f"job {answer.job_id}: {answer.outcome or answer.state}"
-    context.printer.print(value, [asdict(task) for task in answer.results], title)
+    rows = [asdict(task) for task in answer.results]
+    context.printer.print(value, Section(rows, title))
--- a/berylproxy/cli/output.py
+++ b/berylproxy/cli/output.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 from rich.console import Console
@@ -16,6 +17,17 @@
 PLAIN_WIDTH_CHARACTERS = 160  # line length where there is no terminal to ask
 
 
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A table below a title; either may be empty.
+
+    :param rows: the rows as fields by column; the first row to have a column places it.
+    """
+
+    rows: Sequence[dict[str, Any]]
+    title: str = ""
+
+
 class Printer:
     """Prints to standard output in the chosen format."""
 
@@ -26,17 +38,18 @@
             output = OutputFormat.TABLE if terminal else OutputFormat.JSON
         self._output = output
 
-    def print(self, value: Any, rows: Sequence[dict[str, Any]], title: str = "") -> None:
-        """Prints a JSON value, or rows of the same columns as a table below a title."""
+    def print(self, value: Any, *sections: Section) -> None:
+        """Prints a JSON value, or the sections that show the same as tables."""
         if self._output is OutputFormat.JSON:
             text = json.dumps(value, indent=2, ensure_ascii=False)
             self._environment.stdout.write(text + "\n")
             return
         console = self._open_console()
-        if title:
-            console.print(Text(title))
-        if rows:
-            console.print(_make_table(rows))
+        for section in sections:
+            if section.title:
+                console.print(Text(section.title))
+            if section.rows:
+                console.print(_make_table(section.rows))
 
     def print_text(self, text: str) -> None:
         """Prints a text as it is."""
--- a/berylproxy/cli/records.py
+++ b/berylproxy/cli/records.py
@@ -16,6 +16,8 @@
 )
 from berylproxy.cli.errors import UsageError
 from berylproxy.cli.inputs import RecordFile, read_records
+from berylproxy.cli.output import Section
+from berylproxy.cli.record_checks import check_records
 from berylproxy.client.errors import ClientError, RecordRefusedError
 from berylproxy.client.models import RecordBody
 from berylproxy.client.operator import ABSENT_REVISION, OperatorClient
@@ -36,12 +38,13 @@
     records = read_records(command.files, context.environment)
     if command.expect_revision is not None and len(records) != 1:
         raise UsageError("--expect-revision is for one record", hint="apply the records singly")
+    check_records(records, newer_allowed=True)
     async with context.open_operator_client() as client:
         changes = [
             await _plan_change(client, record, command.expect_revision) for record in records
         ]
         lines = await _apply_changes(client, changes)
-    context.printer.print(lines, lines)
+    context.printer.print(lines, Section(lines))
     return ExitStatus.SUCCESS
 
 
@@ -56,7 +59,7 @@
     rows = [
         {"name": record.name, "revision": record.revision, **record.record} for record in records
     ]
-    context.printer.print(values[0] if command.name else values, rows)
+    context.printer.print(values[0] if command.name else values, Section(rows))
     return ExitStatus.SUCCESS
 
 
@@ -81,18 +84,20 @@
             revision = (await _get_existing(client, command.kind, command.name)).revision
         await client.delete_record(command.kind, command.name, revision)
     line = {"kind": command.kind, "name": command.name, "change": "deleted"}
-    context.printer.print(line, [line])
+    context.printer.print(line, Section([line]))
     return ExitStatus.SUCCESS
 
 
 async def run_validate(command: ValidateCommand, context: Context) -> ExitStatus:
-    """Lets a daemon check records; nothing is changed."""
+    """Checks records by themselves, and against those in force if asked to; changes nothing."""
     records = read_records(command.files, context.environment)
-    async with context.open_operator_client() as client:
-        for record in records:
-            await client.validate_record(record.kind, record.name, record.record)
+    check_records(records)
+    if command.online:
+        async with context.open_operator_client() as client:
+            for record in records:
+                await client.validate_record(record.kind, record.name, record.record)
     lines = [{"kind": record.kind, "name": record.name, "valid": True} for record in records]
-    context.printer.print(lines, lines)
+    context.printer.print(lines, Section(lines))
     return ExitStatus.SUCCESS
 
 
@@ -100,12 +105,12 @@
     """Prints the state of a daemon, its peers and its endpoints."""
     async with context.open_operator_client() as client:
         status = await client.fetch_status()
-    rows = [
-        {"part": "daemon", **status.daemon},
-        *({"part": "peer", **peer} for peer in status.peers),
-        *({"part": "endpoint", **endpoint} for endpoint in status.endpoints),
-    ]
-    context.printer.print(status.model_dump(), rows)
+    context.printer.print(
+        status.model_dump(),
+        Section([{"field": name, "value": value} for name, value in status.daemon.items()]),
+        Section(status.peers, f"peers: {len(status.peers)}"),
+        Section(status.endpoints, f"endpoints: {len(status.endpoints)}"),
+    )
     return ExitStatus.SUCCESS
 
 
--- a/berylproxy/client/answers.py
+++ b/berylproxy/client/answers.py
@@ -20,22 +20,15 @@
     RequestAnswer,
     TaskAnswer,
 )
+from berylproxy.constants import OUTCOME_HEADER, REQUEST_ID_HEADER
 from berylproxy.models import Outcome
 
-REQUEST_ID_HEADER = "Berylproxy-Request-Id"
-OUTCOME_HEADER = "Berylproxy-Outcome"
 OUTCOME_ERRORS: dict[Outcome, type[ClientError]] = {
     Outcome.NOT_RUN: NotRunError,
     Outcome.FAILED: JobFailedError,
     Outcome.UNKNOWN: OutcomeUnknownError,
 }
-OUTCOME_STATUSES: dict[Outcome | None, frozenset[int]] = {
-    None: frozenset({202}),
-    Outcome.DONE: frozenset({200}),
-    Outcome.NOT_RUN: frozenset({400, 401, 403, 404, 409, 413, 422, 429, 503}),
-    Outcome.FAILED: frozenset({502}),
-    Outcome.UNKNOWN: frozenset({504}),
-}
+LOWEST_ERROR_STATUS = 400
 
 
 def read_job_answer(
@@ -120,7 +113,7 @@
     anonymous = body.outcome is Outcome.NOT_RUN and not body.id
     if body.id != job_id and not anonymous:
         raise AnswerMismatchError(f"the answer is for job {body.id!r}", job_id=job_id)
-    if status not in OUTCOME_STATUSES[body.outcome]:
+    if (status >= LOWEST_ERROR_STATUS) != (body.outcome in OUTCOME_ERRORS):
         raise AnswerMismatchError(f"status {status} contradicts its body", job_id=job_id)
     if (body.state is JobState.RUNNING) != (body.outcome is None):
         raise AnswerMismatchError(f"state {body.state} contradicts its outcome", job_id=job_id)
--- a/berylproxy/client/client.py
+++ b/berylproxy/client/client.py
@@ -10,7 +10,6 @@
 from httpx import AsyncBaseTransport
 
 from berylproxy.client.answers import (
-    REQUEST_ID_HEADER,
     read_job_answer,
     read_request_answer,
 )
@@ -24,11 +23,17 @@
 )
 from berylproxy.client.identifiers import IdentifierSource
 from berylproxy.client.models import JobAnswer, JobState, JobTask, RequestAnswer
-from berylproxy.client.retries import Clock, EventLoopClock, RetryBudget, RetryPolicy
+from berylproxy.client.retries import EventLoopClock, RetryBudget, RetryPolicy, WaitingClock
 from berylproxy.client.submission import Exchange, Submitter
+from berylproxy.constants import (
+    JSON_CONTENT_TYPE,
+    REPEATABLE_HEADER,
+    REQUEST_ID_HEADER,
+    TEAM_HEADER,
+    TIMEOUT_HEADER,
+)
 
 DEFAULT_TEAM = "default"  # the team of a system without team records
-JSON_TYPE = "application/json"
 DEFAULT_TIMEOUT_S = 30.0
 POLL_WAIT_S = 5.0  # one call's wait for the answer; bounds the harm of a silent connection
 REQUEST_ATTEMPT_S = 10.0  # then the request is sent again under its identifier, to attach to it
@@ -61,7 +66,7 @@
         token: str = "",
         retry_policy: RetryPolicy | None = None,
         random: Random | None = None,
-        clock: Clock | None = None,
+        clock: WaitingClock | None = None,
         transport: AsyncBaseTransport | None = None,
     ) -> None:
         if not base_urls:
@@ -119,7 +124,7 @@
         def make_call(identifier: str, remaining_s: float) -> Call:
             poll_s = min(POLL_WAIT_S, remaining_s, total_wait_s)
             body = json.dumps({"id": identifier, "wait_s": poll_s, **content}).encode()
-            headers = {"Content-Type": JSON_TYPE}
+            headers = {"Content-Type": JSON_CONTENT_TYPE}
             return Call("POST", "/v1/jobs", poll_s + ANSWER_GRACE_S, headers, body)
 
         exchange = Exchange(make_call, lambda reply, key: read_job_answer(reply, key, task_ids))
@@ -143,7 +148,7 @@
         *,
         repeatable: bool = False,
         timeout_s: float = DEFAULT_TIMEOUT_S,
-        content_type: str = JSON_TYPE,
+        content_type: str = JSON_CONTENT_TYPE,
         request_id: str = "",
     ) -> RequestAnswer:
         """Sends a single request and returns the endpoint's whole answer.
@@ -157,8 +162,8 @@
             headers = {
                 "Content-Type": content_type,
                 REQUEST_ID_HEADER: identifier,
-                "Berylproxy-Timeout-S": f"{timeout_s:g}",
-                "Berylproxy-Repeatable": "true" if repeatable else "false",
+                TIMEOUT_HEADER: f"{timeout_s:g}",
+                REPEATABLE_HEADER: "true" if repeatable else "false",
             }
             attempt_s = min(REQUEST_ATTEMPT_S, remaining_s + ANSWER_GRACE_S)
             return Call("POST", path, attempt_s, headers, body)
@@ -241,7 +246,7 @@
 
 
 def _make_headers(team: str, token: str) -> Mapping[str, str]:
-    headers = {"Berylproxy-Team": team}
+    headers = {TEAM_HEADER: team}
     return {**headers, "Authorization": f"Bearer {token}"} if token else headers
 
 
--- a/berylproxy/client/identifiers.py
+++ b/berylproxy/client/identifiers.py
@@ -17,7 +17,8 @@
     NotRunError,
 )
 from berylproxy.client.models import JobIdsBody
-from berylproxy.client.retries import Clock
+from berylproxy.clock import Clock
+from berylproxy.constants import JSON_CONTENT_TYPE
 
 BLOCK_SIZE = 16
 USED_VALIDITY = 0.8  # fraction of a block's life after which a new one is fetched
@@ -90,7 +91,7 @@
             "POST",
             "/v1/job-ids",
             MINT_TIMEOUT_S,
-            {"Content-Type": "application/json"},
+            {"Content-Type": JSON_CONTENT_TYPE},
             json.dumps({"count": BLOCK_SIZE}).encode(),
         )
         body = _read_ids(await self._connections.exchange(base_url, call))
--- a/berylproxy/client/operator.py
+++ b/berylproxy/client/operator.py
@@ -26,6 +26,7 @@
     RevisionBody,
     StatusBody,
 )
+from berylproxy.constants import JSON_CONTENT_TYPE
 
 CALL_TIMEOUT_S = 10.0
 ABSENT_REVISION = 0  # expected revision of a record that must not exist yet
@@ -109,7 +110,7 @@
         :raises RecordRefusedError: if the record is wrong.
         """
         body = json.dumps({"kind": kind, "name": name, "record": record}).encode()
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": JSON_CONTENT_TYPE}
         await self._read("/v1/records/validate", method="POST", body=body, headers=headers)
 
     async def fetch_status(self) -> StatusBody:
@@ -139,7 +140,7 @@
 
     async def _write(self, method: str, path: str, expected_revision: int, body: bytes) -> Reply:
         """Makes a call that changes a record; tries the next daemon only if nothing was sent."""
-        headers = {"Content-Type": "application/json", **_make_condition(expected_revision)}
+        headers = {"Content-Type": JSON_CONTENT_TYPE, **_make_condition(expected_revision)}
         call = Call(method, path, CALL_TIMEOUT_S, headers, body)
         failures: list[ClientError] = []
         for base_url in self._base_urls:
--- a/berylproxy/client/retries.py
+++ b/berylproxy/client/retries.py
@@ -4,28 +4,23 @@
 from random import Random
 from typing import Protocol
 
-from anyio import current_time, sleep
+from anyio import sleep
 
+from berylproxy.clock import Clock, MonotonicClock
 
-class Clock(Protocol):
-    """Time as the library sees it; tests replace it."""
 
-    def now_s(self) -> float:
-        """Tells a time that never goes back."""
+class WaitingClock(Clock, Protocol):
+    """A clock that one can also wait on; tests replace it."""
 
     async def sleep(self, duration_s: float) -> None:
         """Waits."""
 
 
-class EventLoopClock:
-    """The event loop's own time."""
-
-    def now_s(self) -> float:
-        """Tells the event loop's time."""
-        return current_time()
+class EventLoopClock(MonotonicClock):
+    """The system's clock, waited on without blocking the event loop."""
 
     async def sleep(self, duration_s: float) -> None:
-        """Waits without blocking the event loop."""
+        """Waits."""
         await sleep(duration_s)
 
 
@@ -51,7 +46,9 @@
     :param timeout_s: time from now to the deadline.
     """
 
-    def __init__(self, policy: RetryPolicy, clock: Clock, random: Random, timeout_s: float) -> None:
+    def __init__(
+        self, policy: RetryPolicy, clock: WaitingClock, random: Random, timeout_s: float
+    ) -> None:
         self._policy = policy
         self._clock = clock
         self._random = random
--- a/berylproxy/client/submission.py
+++ b/berylproxy/client/submission.py
@@ -41,13 +41,11 @@
 
     :param identifier: the identifier; ``None`` until one is taken.
     :param base_url: the daemon that the next attempt goes to.
-    :param fixed: whether the caller gave the identifier.
     :param uncertain: whether a daemon may hold the work although no answer came.
     """
 
     identifier: Identifier | None
     base_url: str
-    fixed: bool
     uncertain: bool
     attempts: int = 0
     unreachable: set[str] = field(default_factory=set)
@@ -81,9 +79,9 @@
     def _start(self, job_id: str) -> _Progress:
         first_url = self._base_urls[0]
         if not job_id:
-            return _Progress(None, first_url, fixed=False, uncertain=False)
+            return _Progress(None, first_url, uncertain=False)
         # The earlier submission may be running.
-        return _Progress(Identifier(job_id, first_url), first_url, fixed=True, uncertain=True)
+        return _Progress(Identifier(job_id, first_url), first_url, uncertain=True)
 
     async def _attempt(
         self, exchange: Exchange[Answer], budget: RetryBudget, progress: _Progress
@@ -116,7 +114,7 @@
         if not await budget.wait(error.retry_after_s):
             raise _conclude(error, progress)
         progress.base_url = self._choose_next(progress.base_url)
-        if not progress.uncertain and not progress.fixed:
+        if not progress.uncertain:
             progress.identifier = None
 
     def _choose_next(self, base_url: str) -> str:
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -114,12 +114,39 @@
     And the user runs "apply FILE --expect-revision 0"
     Then berylctl ends as RECORD_CONFLICT with the error "record_conflict"
 
-  Scenario: A wrong record stops the rest, and what was applied is said
-    Given a file of the record pools/oak and a wrong record
+  Scenario: A wrong record is found before anything is sent
+    Given a file of the record pools/oak and a misspelt endpoint
+    When the user runs "apply FILE"
+    Then berylctl ends as RECORD_INVALID with the error "record_invalid"
+    And the error names "slotz"
+    And the records are at revision 0
+
+  Scenario: Records are validated without a daemon
+    Given a file of the record pools/oak and a misspelt endpoint
+    When the user runs "validate FILE --url http://127.0.0.1:1"
+    Then berylctl ends as RECORD_INVALID with the error "record_invalid"
+    And the error names "slotz"
+
+  Scenario: Records are validated against those in force
+    Given a file of the record pools/oak and an endpoint of a pool that does not exist
+    When the user runs "validate FILE"
+    Then berylctl ends as SUCCESS and prints "oak"
+    When the user runs "validate FILE --online"
+    Then berylctl ends as RECORD_INVALID with the error "record_invalid"
+
+  Scenario: A record that the daemon refuses stops the rest, and what was applied is said
+    Given a file of the record pools/oak and an endpoint of a pool that does not exist
     When the user runs "apply FILE"
     Then berylctl ends as RECORD_INVALID with the error "record_invalid"
     And the error names "(1 of 2 records were applied)"
 
+  Scenario: A schema version that is newer than berylctl is left to the daemon
+    Given a file of a record in a schema version that only the daemon knows
+    When the user runs "validate FILE"
+    Then berylctl ends as RECORD_INVALID with the error "schema_version_unknown"
+    When the user runs "apply FILE"
+    Then berylctl ends as SUCCESS and prints "applied"
+
   Scenario: The store is down
     Given a file of the record pools/oak
     And the platform's store is down for the fake daemons
--- a/tests/client/submission.feature
+++ b/tests/client/submission.feature
@@ -21,10 +21,11 @@
     And the arrivals were "a:a-0 b:a-0"
 
     Examples:
-      | fault       |
-      | TRUNCATE    |
-      | OTHER_JOB   |
-      | OTHER_TASKS |
+      | fault        |
+      | TRUNCATE     |
+      | OTHER_JOB    |
+      | OTHER_TASKS  |
+      | WRONG_STATUS |
 
   Scenario: An answer whose end is told by nothing but the closed connection is not trusted
     Given every daemon answers without telling the length
@@ -85,6 +86,12 @@
     Then the caller gets 3 results in the order of submission
     And the arrivals were "a:a-0 b:b-16"
 
+  Scenario: The preferred daemon is not there
+    Given daemon "a" is gone
+    When a caller submits 3 tasks
+    Then the caller gets 3 results in the order of submission
+    And there were no waits
+
   Scenario: No daemon is there
     Given daemon "a" is gone
     And daemon "b" is gone
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -10,11 +10,25 @@
 from berylproxy.cli.core import main
 from berylproxy.environment import Environment
 from berylproxy.exit_status import ExitStatus
-from tests.support.fake_daemon import FakeCluster, FakeDaemon, Fault, serve_daemons
+from tests.support.fake_daemon import MISSING_POOL, FakeCluster, FakeDaemon, Fault, serve_daemons
 
 POOL = {"kind": "pools", "name": "oak", "record": {"schema_version": 1}}
-ENDPOINT = {"kind": "endpoints", "name": "e1", "record": {"schema_version": 2, "pool": "oak"}}
-WRONG_RECORD = {"kind": "endpoints", "name": "e2", "record": {}}
+NEWER_POOL = {"kind": "pools", "name": "elm", "record": {"schema_version": 99}}
+ENDPOINT = {
+    "kind": "endpoints",
+    "name": "e1",
+    "record": {
+        "schema_version": 1,
+        "pool": "oak",
+        "url": "http://127.0.0.1:9001",
+        "slots": 8,
+        "connections": 64,
+        "owner": "owner-a",
+        "failure_domain": "domain-a",
+    },
+}
+WRONG_ENDPOINT = {**ENDPOINT, "record": {**ENDPOINT["record"], "slotz": 8}}
+LOST_ENDPOINT = {**ENDPOINT, "record": {**ENDPOINT["record"], "pool": MISSING_POOL}}
 
 
 def enter(context, manager):
@@ -79,9 +93,19 @@
     write_records(context, POOL, ENDPOINT)
 
 
-@given("a file of the record pools/oak and a wrong record")
+@given("a file of the record pools/oak and a misspelt endpoint")
 def step_wrong_file(context):
-    write_records(context, POOL, WRONG_RECORD)
+    write_records(context, POOL, WRONG_ENDPOINT)
+
+
+@given("a file of the record pools/oak and an endpoint of a pool that does not exist")
+def step_lost_file(context):
+    write_records(context, POOL, LOST_ENDPOINT)
+
+
+@given("a file of a record in a schema version that only the daemon knows")
+def step_newer_file(context):
+    write_records(context, NEWER_POOL)
 
 
 @given("the platform's store is down for the fake daemons")
--- a/tests/support/fake_daemon.py
+++ b/tests/support/fake_daemon.py
@@ -19,6 +19,7 @@
 from starlette.routing import Route
 
 RETRY_AFTER_S = 7.0
+MISSING_POOL = "nowhere"
 
 
 class Fault(Enum):
@@ -28,6 +29,7 @@
     TRUNCATE = auto()  # takes the work and closes the connection within the answer
     OTHER_JOB = auto()  # answers with another job
     OTHER_TASKS = auto()  # leaves out a result
+    WRONG_STATUS = auto()  # sends a whole answer with the status of an error
     REFUSE = auto()  # 503 about this work, with Retry-After
     REFUSE_UNREAD = auto()  # 503 before the work is looked at, with Retry-After
     REFUSE_FOR_GOOD = auto()  # 422
@@ -146,6 +148,8 @@
                 return JSONResponse({**answer, "id": "other"}, headers=headers)
             case Fault.OTHER_TASKS:
                 return JSONResponse({**answer, "results": answer["results"][1:]})
+            case Fault.WRONG_STATUS:
+                return JSONResponse(answer, 502)
             case Fault.REFUSE:
                 return make_error(job_id, "not_run", "team_queue_full", 503, RETRY_AFTER_S)
             case Fault.REFUSE_UNREAD:
@@ -238,7 +242,7 @@
     job_id: str, outcome: str, code: str, status: int, retry_after_s: float | None
 ) -> Response:
     """Makes an error as the daemon sends it."""
-    body = make_answer(job_id, outcome, message=f"{code} it is", hint="", retry_after_s=None)
+    body = make_answer(job_id, outcome, message=f"{code}\nit is", hint="", retry_after_s=None)
     body |= {"code": code, "retry_after_s": retry_after_s}
     headers = {"Berylproxy-Outcome": outcome}
     if retry_after_s is not None:
@@ -254,8 +258,8 @@
 
 
 def check_record(record: dict[str, Any]) -> Response | None:
-    """Refuses a record without a schema version."""
-    if "schema_version" in record:
+    """Refuses a record that refers to the pool that does not exist."""
+    if record.get("pool") != MISSING_POOL:
         return None
     return make_error("", "not_run", "record_invalid", 422, None)
 
