Number the grants of a daemon once over all of its ledgers

A daemon crashed with KeyError in SlotRequester.release when it held two slot groups, as after a cut between failure domains or the end of a holder: each SlotLedger numbered its grants from 1, so two uses had the same issuer and number. The numbers now come from the holder, which lives as long as the incarnation that names the issuer.

A grant that was lost on its way stayed in the count of unseen grants for good, and as many waiting tasks were never asked for again. It is now forgotten after GRANT_TRANSIT_S, like the slot itself.

--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -1,6 +1,7 @@
 """Keeps the ledgers of the slot groups that this daemon holds."""
 
 from collections.abc import Callable, Iterable
+from itertools import count
 from math import ceil
 
 from berylproxy.clock import Clock
@@ -45,6 +46,7 @@
         self._configuration = Configuration()
         self._live: dict[str, DaemonIdentity] = {identity.incarnation: identity}
         self._dirty: set[SlotGroup] = set()
+        self._grant_numbers = count(1)
 
     def update_members(self, live: Iterable[DaemonIdentity]) -> None:
         """Takes the daemons that live and are not leaving, this one included if it stays."""
@@ -133,7 +135,9 @@
         return holder is not None and holder.incarnation == self._identity.incarnation
 
     def _begin_group(self, group: SlotGroup) -> None:
-        ledger = SlotLedger(self._identity.incarnation, group.pool, group.failure_domain)
+        ledger = SlotLedger(
+            self._identity.incarnation, group.pool, group.failure_domain, self._grant_numbers
+        )
         self._configure_ledger(group, ledger)
         settled_by_s = self._clock.now_s() + SETTLING_S
         self._groups[group] = HeldGroup(ledger, set(self._live), settled_by_s)
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -100,6 +100,14 @@
         return all(amount <= resources.get(name, 0) for name, amount in needs)
 
 
+@dataclass(frozen=True, slots=True)
+class UnseenGrant:
+    """A grant that its home has not counted yet."""
+
+    key: DemandKey
+    since_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class AddressedGrant:
     """A grant and the home that gets it."""
@@ -112,9 +120,11 @@
     """Grants slots: teams share by weight, older tasks go first, each goes where it ends soonest.
 
     :param issuer: incarnation of the daemon that keeps the ledger.
+    :param numbers: gives the grants' numbers; all ledgers that an issuer ever keeps share it, as
+        issuer and number name a slot's use.
     """
 
-    def __init__(self, issuer: str, pool: str, failure_domain: str) -> None:
+    def __init__(self, issuer: str, pool: str, failure_domain: str, numbers: Iterator[int]) -> None:
         self.issuer = issuer
         self.pool = pool
         self.failure_domain = failure_domain
@@ -124,9 +134,9 @@
         self._services: dict[str, Service] = {}
         self._teams: dict[str, Team] = {}
         self._running: dict[str, int] = {}
-        self._last_sequence = 0
+        self._numbers = numbers
         self._quotas: dict[str, int] = {}
-        self._unseen_grants: dict[str, dict[int, DemandKey]] = {}  # by home and number
+        self._unseen_grants: dict[str, dict[int, UnseenGrant]] = {}  # by home and number
 
     def configure(
         self,
@@ -163,7 +173,7 @@
 
         :param last_grant: the last grant that the home had seen when it counted.
         """
-        unseen = self._count_unseen_grants(home, last_grant)
+        unseen = self._count_unseen_grants(home, last_grant, now_s)
         self._drop_demand(home)
         for entry in entries:
             key = DemandKey(entry.service, entry.team, entry.needs)
@@ -295,18 +305,18 @@
         return shares
 
     def _grant(self, key: DemandKey, home: str, endpoint: str, now_s: float) -> AddressedGrant:
-        self._last_sequence += 1
+        number = next(self._numbers)
         homes = self._demands[key]
         homes[home].waiting -= 1
         if not homes[home].waiting:
             del homes[home]
             if not homes:
                 del self._demands[key]
-        self._unseen_grants.setdefault(home, {})[self._last_sequence] = key
+        self._unseen_grants.setdefault(home, {})[number] = UnseenGrant(key, now_s)
         state = self._states[endpoint]
-        slot = SlotKey(self.issuer, self._last_sequence)
+        slot = SlotKey(self.issuer, number)
         self._begin_use(state, slot, home, key.team, now_s, self._expect_s(endpoint, key.service))
-        grant = SlotGrant(self._last_sequence, endpoint, key.service, key.team, key.needs)
+        grant = SlotGrant(number, endpoint, key.service, key.team, key.needs)
         return AddressedGrant(home, grant)
 
     def _begin_use(
@@ -335,11 +345,14 @@
                 if use.lost_until_s and now_s >= use.lost_until_s:
                     self._end_use(name, slot)
 
-    def _count_unseen_grants(self, home: str, last_grant: int) -> Counter[DemandKey]:
-        unseen = self._unseen_grants.get(home, {})
-        remaining = {number: key for number, key in unseen.items() if number > last_grant}
+    def _count_unseen_grants(self, home: str, last_grant: int, now_s: float) -> Counter[DemandKey]:
+        remaining = {
+            number: grant
+            for number, grant in self._unseen_grants.get(home, {}).items()
+            if number > last_grant and now_s < grant.since_s + GRANT_TRANSIT_S
+        }
         self._unseen_grants[home] = remaining
-        return Counter(remaining.values())
+        return Counter(grant.key for grant in remaining.values())
 
     def _can_take(self, endpoint: str, key: DemandKey) -> bool:
         return self._states[endpoint].can_ever_take(key.needs)
