Forget a home also when it dies for a second time; add peer_listen_address

A daemon that was taken for dead, came back and died again was not forgotten: its demand and its slots stayed in the ledgers.

peer_listen_address lets a daemon listen on another address than the one it is reached at, as behind a relay; the tests of cuts between daemons need it.

--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -136,7 +136,7 @@
     def _make_network(self, identity: DaemonIdentity) -> TcpPeerNetwork:
         settings = self._settings
         peer_settings = PeerSettings(
-            listen_address=settings.peer_address,
+            listen_address=settings.peer_listen_address or settings.peer_address,
             addresses=settings.peers,
             cluster=settings.cluster,
             keys=tuple(key.encode() for key in settings.peer_keys),
@@ -200,7 +200,9 @@
 
     def _take_member(self, member: Member) -> None:
         incarnation = member.identity.incarnation
-        if member.status is MemberStatus.DEAD and incarnation not in self._dead_members:
+        if member.status is not MemberStatus.DEAD:
+            self._dead_members.discard(incarnation)  # taken for dead, it may die another time
+        elif incarnation not in self._dead_members:
             self._dead_members.add(incarnation)
             self._pipeline.forget_home(incarnation)
         self._update_members()
--- a/berylproxy/daemon/definition.py
+++ b/berylproxy/daemon/definition.py
@@ -28,6 +28,9 @@
     peer_address: Annotated[
         TextFlag, Arg(long=True, help="IP:PORT for other daemons [127.0.0.1:8081]")
     ] = None
+    peer_listen_address: Annotated[
+        TextFlag, Arg(long=True, help="IP:PORT to listen on for them, if it is another one")
+    ] = None
     peers: Annotated[
         TextFlag, Arg(long=True, help="Peer addresses of other daemons, with commas between")
     ] = None
--- a/berylproxy/settings.py
+++ b/berylproxy/settings.py
@@ -69,6 +69,7 @@
 
     :param http_address: where callers, operators and the balancer reach it; port 0 picks a port.
     :param peer_address: where other daemons reach it; port 0 picks a port.
+    :param peer_listen_address: where it listens for them, if that is another address.
     :param peers: addresses of other daemons to begin with.
     :param store_urls: base URLs of the platform's key-value service.
     :param vm_list_url: base URL of the platform's list of VMs; empty if there is none.
@@ -83,6 +84,7 @@
     failure_domain: Name
     http_address: str = "127.0.0.1:8080"
     peer_address: str = "127.0.0.1:8081"
+    peer_listen_address: str = ""
     peers: TextList = ()
     store_urls: TextList = Field(min_length=1)
     vm_list_url: str = ""
@@ -102,6 +104,12 @@
         """Refuses what is no IP address and port."""
         return _check_address(value)
 
+    @field_validator("peer_listen_address")
+    @classmethod
+    def check_listen_address(cls, value: str) -> str:
+        """Refuses what is neither empty nor an IP address and port."""
+        return _check_address(value) if value else value
+
     @field_validator("peers")
     @classmethod
     def check_peers(cls, value: tuple[str, ...]) -> tuple[str, ...]:
@@ -147,7 +155,7 @@
             raise ValueError(
                 "http_address: without BERYLPROXY_OPERATOR_TOKENS only a loopback address is served"
             )
-        if not self.peer_keys and not is_loopback(self.peer_address):
+        if not self.peer_keys and not is_loopback(self.peer_listen_address or self.peer_address):
             raise ValueError(
                 "peer_address: without BERYLPROXY_PEER_KEYS only a loopback address is served"
             )
