Keep "not run" true for an id whose submission is still on its way

Cancelling or asking for an id before its submission arrived was answered with not_run, and the submission that arrived later ran. Cancelling now uses the id up; asking says outcome_unknown, as it must not use up an id that its own caller is about to submit. Weighed: using the id up on asking as well; a caller that polls from another thread would then cancel its own job.

--- a/berylproxy/collect/job.py
+++ b/berylproxy/collect/job.py
@@ -113,6 +113,10 @@
         answer = JobAnswer(self.job_id, outcome, code, message, hint, retry_after_s)
         self._finish(answer, now_s)
 
+    def cancel(self, now_s: float) -> None:
+        """Finishes the job at the caller's wish."""
+        self.fail(Outcome.NOT_RUN, "cancelled", "cancelled by the caller", now_s)
+
     def refuse(self, error: BerylproxyError, now_s: float) -> None:
         """Finishes the job before any task has been queued."""
         self.fail(Outcome.NOT_RUN, error.code, error.message, now_s, error.retry_after_s)
--- a/berylproxy/deduplicate/errors.py
+++ b/berylproxy/deduplicate/errors.py
@@ -48,9 +48,10 @@
 
 
 class JobNotFoundError(DeduplicateError):
-    """No job is known under the identifier."""
+    """No job of the asking team is known under the identifier; its submission may still arrive."""
 
     code = "job_not_found"
+    outcome = Outcome.UNKNOWN
 
 
 class ClaimUnavailableError(DeduplicateError):
--- a/berylproxy/deduplicate/registry.py
+++ b/berylproxy/deduplicate/registry.py
@@ -15,6 +15,8 @@
 from berylproxy.deduplicate.identifiers import IdentifierMint, parse_identifier
 from berylproxy.models import Submission
 
+ANY_CONTENT = b""  # digest of a job that was cancelled before its content arrived
+
 
 def digest_submission(submission: Submission) -> bytes:
     """Hashes what makes two submissions the same: team, service, mark and tasks."""
@@ -65,7 +67,7 @@
         digest = digest_submission(submission)
         known = self._jobs.get(submission.job_id)
         if known is not None:
-            if known.digest != digest:
+            if known.digest not in (digest, ANY_CONTENT):
                 raise IdentifierReusedError(
                     f"id {submission.job_id} stands for a submission with other content",
                     hint="take a new id for new content",
@@ -76,6 +78,24 @@
         self._jobs[submission.job_id] = RegisteredJob(job, digest)
         return job, True
 
+    def cancel_unseen(self, job_id: str, team: str) -> Job | None:
+        """Uses an identifier up before its submission has arrived, which then won't run.
+
+        Returns ``None`` if a submission has arrived.
+
+        :raises IdentifierExpiredError: if it may have run and been forgotten.
+        :raises IdentifierMalformedError: if the identifier was never minted here.
+        """
+        if job_id in self._jobs:
+            return None
+        self._check_first_use(job_id)
+        placeholder = Submission(job_id, "", team, "", (), 0.0, False, "")
+        job = Job(placeholder, self._clock.now_s(), 0.0)
+        job.cancel(self._clock.now_s())
+        self._jobs[job_id] = RegisteredJob(job, ANY_CONTENT)
+        self.note_finished(job)
+        return job
+
     def find(self, job_id: str) -> Job:
         """Finds a job by its identifier.
 
--- a/berylproxy/deduplicate/router.py
+++ b/berylproxy/deduplicate/router.py
@@ -100,8 +100,10 @@
             case FetchJob(job_id, team, wait_s):
                 return await self._wait(self._find(job_id, team), wait_s)
             case CancelJob(job_id, team):
-                job = self._find(job_id, team)
-                self._cancel(job)
+                job = self._registry.cancel_unseen(job_id, team)
+                if job is None:
+                    job = self._find(job_id, team)
+                    self._cancel(job)
                 return JobState(job_id, job.answer)
         raise TypeError(f"{type(message).__name__} is not a message about jobs")
 
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -149,7 +149,7 @@
 
     def cancel(self, job: Job) -> None:
         """Gives a job up at the caller's wish."""
-        job.fail(Outcome.NOT_RUN, "cancelled", "cancelled by the caller", self._clock.now_s())
+        job.cancel(self._clock.now_s())
 
     async def run(self, task_group: TaskGroup) -> None:
         """Moves tasks and messages on until cancelled."""
