Judge resubmission and single answers by the history of real processes

The peer links of the proving cluster go through relays that can be cut or silenced. The relay ends a connection soon after its client has closed it: hypercorn keeps such connections open until its keep-alive timeout, and the endpoint stand-in then refused new ones as full.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -20,6 +20,7 @@
 CHUNK_BYTES = 65536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
 LOSS_SEED = 1
+HALF_CLOSE_LIMIT_S = 0.5  # hypercorn keeps a connection that its client has closed
 
 
 class RelaySwitches(BaseModel):
@@ -29,12 +30,14 @@
     :param silent: silences the connections open at the time of the switch, for good.
     :param delay_s: time by which each chunk is late, in both directions.
     :param lose_share: share of chunks at which their connection goes silent for good.
+    :param target: ``host:port`` to which new connections are relayed.
     """
 
     cut: bool | None = None
     silent: bool | None = None
     delay_s: float | None = None
     lose_share: float | None = None
+    target: str | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -109,6 +112,8 @@
             self.delay_s = switches.delay_s
         if switches.lose_share is not None:
             self.lose_share = switches.lose_share
+        if switches.target is not None:
+            self.target_host, self.target_port = split_target(switches.target)
         if switches.silent:
             self.silence_open_connections()
         if switches.cut is not None and switches.cut != self.is_cut:
@@ -184,6 +189,8 @@
         except EndOfStream:
             if not connection.silent:
                 await sink.send_eof()
+                await anyio.sleep(HALF_CLOSE_LIMIT_S)
+                connection.scope.cancel()
         except (BrokenResourceError, ClosedResourceError):
             if not connection.silent:
                 connection.reset()
@@ -200,6 +207,12 @@
             await sink.send(chunk)
 
 
+def split_target(target: str) -> tuple[str, int]:
+    """Splits ``host:port``."""
+    host, _, port = target.rpartition(":")
+    return host, int(port)
+
+
 def build_control_app(relay: Relay) -> Starlette:
     """Builds the application that sets the relay's switches."""
 
@@ -227,8 +240,7 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--target", required=True, help="host:port")
     arguments = parser.parse_args()
-    target_host, _, target_port = arguments.target.rpartition(":")
-    anyio.run(main, arguments.host, arguments.port, target_host, int(target_port))
+    anyio.run(main, arguments.host, arguments.port, *split_target(arguments.target))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/support/proving_cluster.py
@@ -0,0 +1,144 @@
+"""A cluster whose daemons, links, endpoints and store can be made to fail, one by one."""
+
+from dataclasses import dataclass, field, replace
+from time import monotonic
+
+from standins.process import ManagedProcess
+from tests.support.cluster import Cluster
+from tests.support.history import EndpointEvent, History
+
+CLOSED_TARGET = "127.0.0.1:1"  # refuses connections until the daemon's port is known
+STATE_TIMEOUT_S = 30.0
+
+
+@dataclass
+class ProvingCluster(Cluster):
+    """Reaches each daemon's peer address through a relay, and replaces what has ended."""
+
+    relays: list[ManagedProcess] = field(default_factory=list)
+    generations: dict[str, int] = field(default_factory=dict)
+
+    def start(self) -> None:
+        """Starts the relays, then everything else."""
+        for number, _ in enumerate(self.daemon_domains):
+            arguments = ["-m", "standins.relay", "--target", CLOSED_TARGET]
+            self.relays.append(self._start(f"relay{number}", arguments))
+        super().start()
+
+    def start_daemon(self, number: int, domain: str, name: str = "") -> ManagedProcess:
+        """Starts a daemon behind its relay."""
+        addresses = [f"127.0.0.1:{relay.announced['port']}" for relay in self.relays]
+        own = addresses.pop(number)
+        variables = {
+            "BERYLPROXY_DRAIN_GRACE_S": "0.5",
+            **self.environment,
+            "BERYLPROXY_DAEMON_ID": f"d{number}",
+            "BERYLPROXY_FAILURE_DOMAIN": domain,
+            "BERYLPROXY_HTTP_ADDRESS": "127.0.0.1:0",
+            "BERYLPROXY_PEER_ADDRESS": own,
+            "BERYLPROXY_PEER_LISTEN_ADDRESS": "127.0.0.1:0",
+            "BERYLPROXY_PEERS": ",".join(addresses),
+            "BERYLPROXY_STORE_URLS": self.store.url,
+            "BERYLPROXY_VM_LIST_URL": self.store.url,
+        }
+        name = name or f"d{number}"
+        daemon = self._start(name, ["-m", "berylproxy.daemon"], environment=variables)
+        self.control(self.relays[number], target=daemon.announced["peer_address"], cut=False)
+        return daemon
+
+    def kill_daemon(self, number: int) -> None:
+        """Ends a daemon at once; its peer address refuses connections from then on."""
+        self.daemons[number].kill()
+        self.control(self.relays[number], cut=True)
+
+    def restart_daemon(self, number: int) -> None:
+        """Starts a new run of a daemon that has ended."""
+        self.daemons[number] = self.start_daemon(number, self.daemon_domains[number])
+
+    def kill_endpoint(self, number: int) -> None:
+        """Ends an endpoint at once."""
+        self.endpoints[number].kill()
+
+    def restart_endpoint(self, number: int) -> None:
+        """Starts an ended endpoint again at the same port."""
+        ended = self.endpoints[number]
+        arguments = [*ended.arguments, "--port", str(ended.announced["port"])]
+        self.endpoints[number] = self._start(f"e{number}", arguments)
+
+    def cut_links(self, *numbers: int) -> None:
+        """Cuts all streams towards these daemons."""
+        for number in numbers:
+            self.control(self.relays[number], cut=True)
+
+    def mend(self) -> None:
+        """Undoes all failures and waits until the cluster is whole."""
+        self.control(self.store, outage=False, delay_s=0.0, lose_answers=0)
+        for number, daemon in enumerate(self.daemons):
+            daemon.resume()
+            if not daemon.is_running():
+                self.restart_daemon(number)
+            self.control(self.relays[number], cut=False, delay_s=0.0, lose_share=0.0)
+        for number, endpoint in enumerate(self.endpoints):
+            if not endpoint.is_running():
+                self.restart_endpoint(number)
+            endpoint.resume()
+            self.control(
+                self.endpoints[number],
+                fail_everything=False,
+                freeze=False,
+                leaving=False,
+                truncate=False,
+                oversize_bytes=0,
+                late_s=0.0,
+            )
+        for daemon in self.daemons:
+            self.wait_until(
+                lambda daemon=daemon: self._is_settled(daemon), daemon.name, STATE_TIMEOUT_S
+            )
+
+    def peer_status(self, daemon: int, peer: int) -> str:
+        """Tells how a daemon sees another one; empty if it does not know it."""
+        for known in self.read_status(daemon)["peers"]:
+            if known["daemon_id"] == f"d{peer}":
+                return known["status"]
+        return ""
+
+    def collect_events(self, history: History) -> None:
+        """Reads the endpoints' logs into a history."""
+        history.events = [
+            EndpointEvent(
+                line["event"], line["task_id"], line["endpoint"], line["time_s"], line["status"]
+            )
+            for line in self.read_events()
+        ]
+
+    def count_running(self, job_id: str) -> int:
+        """Counts a job's tasks that have started and not ended at their endpoints."""
+        running = 0
+        for event in self.read_events():
+            if event["task_id"].startswith(f"{job_id}/"):
+                running += {"start": 1, "end": -1}.get(event["event"], 0)
+        return running
+
+    def find_running_endpoint(self, job_id: str) -> int:
+        """Finds an endpoint at which a task of a job has started and not ended."""
+        running: dict[str, str] = {}
+        for event in self.read_events():
+            if event["task_id"].startswith(f"{job_id}/"):
+                if event["event"] == "start":
+                    running[event["task_id"]] = event["endpoint"]
+                elif event["event"] == "end":
+                    running.pop(event["task_id"], None)
+        return int(next(iter(running.values())).removeprefix("e"))
+
+    def mark_back_at_work(self, history: History, endpoint: str) -> None:
+        """Ends the time for which an endpoint is leaving."""
+        now_s = monotonic()
+        history.leaving = [
+            (
+                replace(mark, until_s=now_s)
+                if mark.endpoint == endpoint and mark.until_s > now_s
+                else mark
+            )
+            for mark in history.leaving
+        ]
--- /dev/null
+++ b/tests/support/recording_caller.py
@@ -0,0 +1,115 @@
+"""A caller that records what it asks and what it is told."""
+
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from threading import Lock
+from time import monotonic
+from typing import Any
+
+from httpx import Client, HTTPError, Limits, Response
+
+from tests.support.cluster import SERVICE, Cluster
+from tests.support.history import CallerAnswer, History, LostCall, SubmittedJob
+
+CALL_TIMEOUT_S = 40.0
+MAX_CALLS_AT_ONCE = 64
+SINGLE_TASK_ID = "request"
+
+
+class RecordingCaller:
+    """Calls any daemon; each call and its answer go to the history."""
+
+    def __init__(self, cluster: Cluster, history: History) -> None:
+        self.cluster = cluster
+        self.history = history
+        self._lock = Lock()
+        self._pool = ThreadPoolExecutor(MAX_CALLS_AT_ONCE)
+        self._client = Client(
+            trust_env=False,
+            timeout=CALL_TIMEOUT_S,
+            limits=Limits(max_connections=MAX_CALLS_AT_ONCE, max_keepalive_connections=0),
+        )
+
+    def close(self) -> None:
+        """Waits for all calls to end."""
+        self._pool.shutdown()
+        self._client.close()
+
+    def begin(self, call: Callable[..., Any], *arguments: Any) -> Future:
+        """Runs a call in the background."""
+        return self._pool.submit(call, *arguments)
+
+    def mint(self, daemon: int) -> str:
+        """Takes an identifier whose home is that daemon."""
+        response = self._client.post(f"{self.cluster.url(daemon)}/v1/job-ids", json={})
+        response.raise_for_status()
+        return response.json()["ids"][0]
+
+    def note_job(self, job: SubmittedJob) -> SubmittedJob:
+        """Enters a job into the history before it is submitted."""
+        with self._lock:
+            self.history.jobs[job.job_id] = job
+        return job
+
+    def submit(
+        self, job: SubmittedJob, daemon: int, timeout_s: float | None = None
+    ) -> CallerAnswer | LostCall:
+        """Submits a job, again or for the first time, and waits for its answer."""
+        tasks = [{"id": task_id, "payload": value} for task_id, value in job.payloads.items()]
+        body = {
+            "id": job.job_id,
+            "service": SERVICE,
+            "tasks": tasks,
+            "repeatable": job.repeatable,
+            "timeout_s": timeout_s,
+        }
+        return self._call(job, daemon, "POST", "/v1/jobs", json=body)
+
+    def send_request(self, job: SubmittedJob, daemon: int) -> CallerAnswer | LostCall:
+        """Sends a single request under an identifier."""
+        return self._call(
+            job,
+            daemon,
+            "POST",
+            f"/v1/services/{SERVICE}/requests",
+            json=job.payloads[SINGLE_TASK_ID],
+            headers={"Berylproxy-Request-Id": job.job_id},
+        )
+
+    def fetch(self, job: SubmittedJob, daemon: int, wait_s: float = 0.0) -> CallerAnswer | LostCall:
+        """Asks for a job's answer."""
+        return self._call(job, daemon, "GET", f"/v1/jobs/{job.job_id}?wait_s={wait_s}")
+
+    def cancel(self, job: SubmittedJob, daemon: int) -> CallerAnswer | LostCall:
+        """Cancels a job."""
+        return self._call(job, daemon, "DELETE", f"/v1/jobs/{job.job_id}")
+
+    def _call(
+        self, job: SubmittedJob, daemon: int, method: str, path: str, **options: Any
+    ) -> CallerAnswer | LostCall:
+        name = f"d{daemon}"
+        submitted_s = monotonic()
+        try:
+            response = self._client.request(method, self.cluster.url(daemon) + path, **options)
+            answer = _read_answer(job, name, submitted_s, response)
+        except (HTTPError, ValueError) as error:
+            lost = LostCall(job.job_id, name, submitted_s, monotonic(), repr(error))
+            with self._lock:
+                self.history.lost_calls.append(lost)
+            return lost
+        with self._lock:
+            self.history.answers.append(answer)
+        return answer
+
+
+def _read_answer(
+    job: SubmittedJob, daemon: str, submitted_s: float, response: Response
+) -> CallerAnswer:
+    content = response.json()
+    outcome = response.headers.get("Berylproxy-Outcome", "")
+    if "results" in content:
+        results = tuple((result["id"], result["payload"]) for result in content["results"])
+    else:
+        results = ((SINGLE_TASK_ID, content),) if outcome == "done" else ()
+    code = response.headers.get("Berylproxy-Code", "")
+    return CallerAnswer(job.job_id, daemon, submitted_s, monotonic(), outcome, code, results)
