Pause between polls of a running job

A daemon that answers a poll before its wait is over would be asked without end: the new scenario did not finish within 20 s without the pause.

--- a/berylproxy/client/client.py
+++ b/berylproxy/client/client.py
@@ -36,6 +36,7 @@
 DEFAULT_TEAM = "default"  # the team of a system without team records
 DEFAULT_TIMEOUT_S = 30.0
 POLL_WAIT_S = 5.0  # one call's wait for the answer; bounds the harm of a silent connection
+POLL_PAUSE_S = 0.05
 REQUEST_ATTEMPT_S = 10.0  # then the request is sent again under its identifier, to attach to it
 ANSWER_GRACE_S = 2.0  # time for the daemon's final answer after the work's own timeout
 JOB_NOT_FOUND_CODE = "job_not_found"
@@ -218,6 +219,8 @@
             answer = await self._ask(call, base_url, job_id, task_ids, budget)
             if answer.state is JobState.FINISHED or self._clock.now_s() >= deadline_s:
                 return answer
+            # A daemon that answers before the wait is over must not be asked without end.
+            await self._clock.sleep(POLL_PAUSE_S)
 
     async def _ask(
         self,
--- a/tests/client/submission.feature
+++ b/tests/client/submission.feature
@@ -104,6 +104,13 @@
     Then the caller gets 3 results in the order of submission
     And the arrivals were "a:a-0"
 
+  Scenario: A job that never ends is not waited for without end
+    Given daemon "a" will STAY_RUNNING
+    And jobs that run never end
+    When a caller submits 3 tasks within 5 s
+    Then the submission ends as "outcome_unknown"
+    And the arrivals were "a:a-0"
+
   Scenario: One block of identifiers serves many submissions
     When a caller submits 3 tasks 16 times
     Then identifiers were asked for 1 times
--- a/tests/steps/client_steps.py
+++ b/tests/steps/client_steps.py
@@ -123,6 +123,11 @@
     context.caller.transport = MockTransport(refuse_connections)
 
 
+@given("jobs that run never end")
+def step_never_ends(context):
+    context.cluster.never_finishes = True
+
+
 @given("identifiers are valid for {valid_for_s:d} s")
 def step_validity(context, valid_for_s):
     context.cluster.valid_for_s = valid_for_s
--- a/tests/support/fake_daemon.py
+++ b/tests/support/fake_daemon.py
@@ -62,7 +62,7 @@
     """What all fake daemons know.
 
     :param arrivals: daemon and identifier of each submission or request that arrived.
-    :param running: jobs that stay running.
+    :param never_finishes: whether jobs that run go on for ever.
     :param contents: body of each submission that arrived.
     :param caller_ports: the callers' end of the connection of each submission that arrived.
     :param callers: team and authorization of each submission that arrived.
@@ -74,7 +74,7 @@
     mint_calls: list[str] = field(default_factory=list)
     valid_for_s: float = 600.0
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)
-    running: set[str] = field(default_factory=set)
+    never_finishes: bool = False
     records: dict[tuple[str, str], tuple[int, dict[str, Any]]] = field(default_factory=dict)
     revision: int = 0
     store_is_down: bool = False
@@ -171,7 +171,7 @@
         job_id = request.path_params["id"]
         if job_id not in self.cluster.jobs:
             return make_error(job_id, "not_run", "job_not_found", 404, None)
-        if job_id in self.cluster.running:
+        if self.cluster.never_finishes:
             return JSONResponse({"id": job_id, "state": "running", "outcome": None}, 202)
         return JSONResponse(self.cluster.jobs[job_id])
 
