Say how long the client waited, and test an answer that comes too late

berylctl showed the bare name of the exception. The scenario fails when a time-out counts as nothing sent, since a second identifier then goes out.

--- a/berylproxy/client/connection.py
+++ b/berylproxy/client/connection.py
@@ -16,6 +16,7 @@
     PoolTimeout,
     Response,
     Timeout,
+    TimeoutException,
     UnsupportedProtocol,
 )
 
@@ -103,7 +104,9 @@
             )
     except NOT_SENT_ERRORS as error:
         raise CannotConnectError(f"no connection to {base_url}: {_describe(error)}") from error
-    except (HTTPError, TimeoutError) as error:
+    except (TimeoutException, TimeoutError) as error:
+        raise AnswerLostError(f"no answer from {base_url} in {call.timeout_s:g} s") from error
+    except HTTPError as error:
         raise AnswerLostError(f"no answer from {base_url}: {_describe(error)}") from error
     _check_whole(response, base_url)
     return Reply(response.status_code, response.headers, response.content)
--- a/tests/client/submission.feature
+++ b/tests/client/submission.feature
@@ -14,6 +14,12 @@
     Then the caller gets 3 results in the order of submission
     And the arrivals were "a:a-0 b:a-0"
 
+  Scenario: The answer does not come in time
+    Given the caller's connection goes silent after its first submission
+    When a caller submits 3 tasks
+    Then the caller gets 3 results in the order of submission
+    And the arrivals were "a:a-0 b:a-0"
+
   Scenario Outline: An answer that is cut off or is another's is never handed to the caller
     Given daemon "a" will <fault>
     When a caller submits 3 tasks
--- a/tests/steps/client_steps.py
+++ b/tests/steps/client_steps.py
@@ -6,7 +6,14 @@
 
 from anyio import run
 from behave import given, then, when
-from httpx import AsyncHTTPTransport, ByteStream, ConnectError, MockTransport, Response
+from httpx import (
+    AsyncHTTPTransport,
+    ByteStream,
+    ConnectError,
+    MockTransport,
+    ReadTimeout,
+    Response,
+)
 
 from berylproxy.client.client import Client
 from berylproxy.client.errors import ClientError, OutcomeUnknownError
@@ -70,6 +77,13 @@
     return [JobTask(f"t{number}", {"number": number}) for number in range(count)]
 
 
+async def pass_on(request):
+    """Sends a request over the network and returns the whole answer."""
+    async with AsyncHTTPTransport() as network:
+        response = await network.handle_async_request(request)
+        return Response(response.status_code, content=await response.aread())
+
+
 def add_submission(session, count, timeout_s=30.0):
     session.calls.append(
         lambda client: client.submit("enquiry", make_tasks(count), timeout_s=timeout_s)
@@ -113,14 +127,23 @@
 
 @given("both daemons are gone once the job is accepted")
 def step_gone_after_acceptance(context):
-    async def refuse_connections(request):
+    async def refuse_polls(request):
         if request.method == "GET":
             raise ConnectError("connection refused")
-        async with AsyncHTTPTransport() as network:
-            response = await network.handle_async_request(request)
-            return Response(response.status_code, content=await response.aread())
+        return await pass_on(request)
+
+    context.caller.transport = MockTransport(refuse_polls)
+
+
+@given("the caller's connection goes silent after its first submission")
+def step_silent_connection(context):
+    async def lose_first_answer(request):
+        response = await pass_on(request)
+        if len(context.cluster.arrivals) == 1:
+            raise ReadTimeout("")
+        return response
 
-    context.caller.transport = MockTransport(refuse_connections)
+    context.caller.transport = MockTransport(lose_first_answer)
 
 
 @given("jobs that run never end")
