Let a task go again to an endpoint that was full

Cause: a task remembered each endpoint that had refused it and never went there again. After a cancelled job the endpoints went on running its tasks for longer than the holder expected, all three refused a later job's tasks as full, and these were then granted and given back 4,752 times in 5 s until the job timed out (feature: a job is asked for before its submission arrives). Ruled out by the log of grants: lost demand, ignored grants, the pause check.

Now the refusal is the holder's to learn from: it leaves a full endpoint alone for 50 ms, doubled up to 1 s. A task may be refused 20 times.

--- a/berylproxy/collect/job.py
+++ b/berylproxy/collect/job.py
@@ -1,6 +1,6 @@
 """A job at its home: its tasks' results on the way to one answer."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from anyio import Event
 
@@ -29,14 +29,12 @@
     """One task of a job at its home.
 
     :param attempts: how many times it has been sent to an endpoint.
-    :param refused_by: endpoints that refused to start it.
     """
 
     job: "Job"
     task: Task
     key: DemandKey
     attempts: int = 0
-    refused_by: set[str] = field(default_factory=set)
 
 
 class Job:
--- a/berylproxy/place/health.py
+++ b/berylproxy/place/health.py
@@ -5,6 +5,8 @@
 FAILURES_TO_EJECT = 3  # in a row
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
+FIRST_FULL_PAUSE_S = 0.05
+LONGEST_FULL_PAUSE_S = 1.0
 LEAVING_EJECTION_S = 30.0
 
 
@@ -14,18 +16,27 @@
 
     :param ejected_until_s: no grants before that time.
     :param on_probation: whether only one task at a time may go there.
+    :param full_until_s: no grants before that time, as the endpoint said that it has no room.
     """
 
     failures_in_a_row: int = 0
     ejection_s: float = FIRST_EJECTION_S
     ejected_until_s: float = 0.0
     on_probation: bool = False
+    full_pause_s: float = FIRST_FULL_PAUSE_S
+    full_until_s: float = 0.0
 
     def note_success(self) -> None:
         """A task finished well."""
         self.failures_in_a_row = 0
         self.ejection_s = FIRST_EJECTION_S
         self.on_probation = False
+        self.full_pause_s = FIRST_FULL_PAUSE_S
+
+    def note_full(self, now_s: float) -> None:
+        """The endpoint refused a task for want of room: it runs some that are not known here."""
+        self.full_until_s = now_s + self.full_pause_s
+        self.full_pause_s = min(LONGEST_FULL_PAUSE_S, 2 * self.full_pause_s)
 
     def note_failure(self, now_s: float) -> None:
         """A task failed, got no answer, or could not be sent."""
@@ -40,7 +51,7 @@
 
     def may_take(self, now_s: float, in_use: int) -> bool:
         """Tells whether a task may be sent there now."""
-        if now_s < self.ejected_until_s:
+        if now_s < max(self.ejected_until_s, self.full_until_s):
             return False
         return not self.on_probation or in_use == 0
 
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -227,6 +227,8 @@
         if result is SlotResult.DONE:
             state.health.note_success()
             self.run_times.add(release.endpoint, release.service, release.run_time_s)
+        elif result is SlotResult.FULL:
+            state.health.note_full(now_s)
         elif result is SlotResult.LEAVING:
             state.health.note_leaving(now_s)
         elif result in UNHEALTHY_RESULTS:
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -114,7 +114,7 @@
             self._note_grant(group, link, key)
             slot = HeldSlot(holder, grant.sequence, grant.endpoint, grant.service, grant.team)
             self._held[holder, grant.sequence] = (group, slot)
-            run = self._queue.pop(key, grant.endpoint) if self._may_use_grants() else None
+            run = self._queue.pop(key) if self._may_use_grants() else None
             if run is None:
                 self.unused_grants += 1
                 self.release(slot, SlotResult.UNUSED)
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -16,7 +16,7 @@
 from berylproxy.tracing import Tracer
 from berylproxy.usage.counters import UsageCounters
 
-MAX_ATTEMPTS = 5  # sends of one task, the refused ones included
+MAX_ATTEMPTS = 20  # sends of one task, the refused ones included
 
 
 class Dispatcher:
@@ -121,7 +121,6 @@
     def _end_badly(self, run: TaskRun, slot: HeldSlot, error: SendError) -> None:
         if error.outcome is Outcome.NOT_RUN:
             run.job.note_refusal()
-            run.refused_by.add(slot.endpoint)
             if run.attempts < MAX_ATTEMPTS:
                 self._requeue(run)
                 return
--- a/berylproxy/waiting/queue.py
+++ b/berylproxy/waiting/queue.py
@@ -31,24 +31,17 @@
         self._queues.setdefault(run.key, deque()).appendleft(run)
         self._add(run)
 
-    def pop(self, key: DemandKey, endpoint: str) -> TaskRun | None:
-        """Takes the oldest task that the endpoint has not refused; ``None`` if there is none."""
+    def pop(self, key: DemandKey) -> TaskRun | None:
+        """Takes the oldest task of a key; ``None`` if there is none."""
         queue = self._queues.get(key)
         if queue is None:
             return None
-        passed_over: list[TaskRun] = []
         found = None
-        while queue:
+        while queue and found is None:
             run = queue.popleft()
-            if run not in self._waiting:
-                continue
-            if endpoint in run.refused_by:
-                passed_over.append(run)
-                continue
-            found = run
-            self._subtract(run)
-            break
-        queue.extendleft(reversed(passed_over))
+            if run in self._waiting:
+                self._subtract(run)
+                found = run
         if not queue:
             del self._queues[key]
         return found
