--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -13,6 +13,7 @@
 REQUEST, REPLY, REFUSAL, NOTICE = range(4)
 MAX_REQUEST_ID = 2**63
 READ_BYTES = 16 * 1024
+MAX_FEED_BYTES = 64 * 1024
 MAX_CONTAINER_ITEMS = 16_384
 # Lax validation would turn str into bytes and numbers into str.
 STRICT_TYPES = frozenset({"str", "bytes", "int", "float", "bool"})
@@ -94,10 +95,13 @@
                 return self._pack((REFUSAL, request_id, code, (text, retry_after_s)))
 
     def make_decoder(
-        self, max_frame_bytes: int, max_items: int = MAX_CONTAINER_ITEMS
+        self,
+        max_frame_bytes: int,
+        max_items: int = MAX_CONTAINER_ITEMS,
+        max_feed_bytes: int = MAX_FEED_BYTES,
     ) -> "FrameDecoder":
         """Makes the decoder of one stream."""
-        return FrameDecoder(self, max_frame_bytes, max_items)
+        return FrameDecoder(self, max_frame_bytes, max_items, max_feed_bytes)
 
     def check(self, value: Any) -> Frame:
         """Turns a decoded msgpack value into a frame."""
@@ -145,14 +149,19 @@
 
     :param max_frame_bytes: bound of what is kept for an unfinished frame.
     :param max_items: bound of the items in one list or map, which are allocated before they come.
+    :param max_feed_bytes: the most that is fed at once; it may hold the starts of later frames.
     """
 
-    def __init__(self, codec: MessageCodec, max_frame_bytes: int, max_items: int) -> None:
+    def __init__(
+        self, codec: MessageCodec, max_frame_bytes: int, max_items: int, max_feed_bytes: int
+    ) -> None:
         self._check = codec.check
         self._unpacker = Unpacker(
             raw=False,
             read_size=min(READ_BYTES, max_frame_bytes),  # allocated for each stream at once
-            max_buffer_size=max_frame_bytes,
+            max_buffer_size=max_frame_bytes + max_feed_bytes,
+            max_str_len=max_frame_bytes,
+            max_bin_len=max_frame_bytes,
             max_array_len=max_items,
             max_map_len=max_items,
             ext_hook=_refuse_extension,
--- a/berylproxy/peers/dialler.py
+++ b/berylproxy/peers/dialler.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from random import uniform
 
-from anyio import Event, connect_tcp, move_on_after
+from anyio import Event, connect_tcp, current_time, move_on_after
 from anyio.abc import ByteStream, TaskGroup
 from logbook import Logger
 
@@ -11,6 +11,7 @@
 from berylproxy.peers.settings import PeerSettings, is_loopback, split_address
 
 BACKOFF_FACTOR = 2.0
+STABLE_STREAM_S = 5.0
 
 ServeStream = Callable[[str, ByteStream], Awaitable[bool]]
 OnRefused = Callable[[str], None]
@@ -32,13 +33,14 @@
         self._logger = logger
         self._wakeups: dict[str, Event] = {}
         self._unwanted: set[str] = set()
+        self._running: set[str] = set()
         self._task_group: TaskGroup | None = None
 
     def start(self, task_group: TaskGroup) -> None:
         """Begins to dial the addresses known so far."""
         self._task_group = task_group
         for address in self._wakeups:
-            task_group.start_soon(self._keep_open, address)
+            self._begin(address)
 
     def add(self, address: str) -> None:
         """Adds an address; dials at once if it is known and waiting to be dialled again."""
@@ -51,8 +53,11 @@
         if not self._settings.keys and not is_loopback(host):
             raise PeerSettingsError(f"without a key {address!r} cannot be dialled")
         self._wakeups[address] = Event()
-        if self._task_group is not None:
-            self._task_group.start_soon(self._keep_open, address)
+        self._begin(address)
+
+    def addresses(self) -> list[str]:
+        """Lists the addresses that are kept dialled."""
+        return list(self._wakeups)
 
     def remove(self, address: str) -> None:
         """Stops to dial an address after its present stream."""
@@ -65,20 +70,37 @@
         self._unwanted.add(address)
         self.remove(address)
 
+    def _begin(self, address: str) -> None:
+        # An address that is removed and added again may still have its task.
+        if self._task_group is not None and address not in self._running:
+            self._running.add(address)
+            self._task_group.start_soon(self._run, address)
+
+    async def _run(self, address: str) -> None:
+        try:
+            await self._keep_open(address)
+        finally:
+            self._running.discard(address)
+
     async def _keep_open(self, address: str) -> None:
         delay_s = self._settings.redial_min_delay_s
         last_problem = ""
         while address in self._wakeups:
             self._wakeups[address] = wakeup = Event()
+            started_s = current_time()
             problem = await self._dial(address)
-            if not problem:
+            # A stream that breaks soon after each handshake must not be dialled in a tight loop.
+            was_stable = not problem and current_time() - started_s >= STABLE_STREAM_S
+            if was_stable:
                 delay_s = self._settings.redial_min_delay_s
-            elif problem != last_problem:
+            if problem and problem != last_problem:
                 self._logger.warning("cannot reach daemon at {}: {}", address, problem)
             last_problem = problem
+            if not problem:
+                wakeup = Event()  # the other side's own dialling is no reason to hurry then
             with move_on_after(uniform(delay_s / 2, delay_s)):
                 await wakeup.wait()
-            if problem:
+            if not was_stable:
                 delay_s = min(delay_s * BACKOFF_FACTOR, self._settings.redial_max_delay_s)
 
     async def _dial(self, address: str) -> str:
--- a/berylproxy/peers/handshake.py
+++ b/berylproxy/peers/handshake.py
@@ -28,7 +28,7 @@
 PROTOCOL_VERSION = 1
 OLDEST_PROTOCOL_VERSION = 1
 NONCE_BYTES = 32
-MAX_HANDSHAKE_BYTES = 4096
+MAX_HANDSHAKE_BYTES = 2048
 MAX_HANDSHAKE_ITEMS = 16
 PROOF_LABEL = "berylproxy peer handshake"
 DIALLER = "dialler"
@@ -90,7 +90,7 @@
         self._settings = settings
         self._check_identity = check_identity
         self._decoder: FrameDecoder = HANDSHAKE_CODEC.make_decoder(
-            MAX_HANDSHAKE_BYTES, MAX_HANDSHAKE_ITEMS
+            MAX_HANDSHAKE_BYTES, MAX_HANDSHAKE_ITEMS, MAX_HANDSHAKE_BYTES
         )
         self._received: list[object] = []
         self._received_bytes = b""
--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -20,6 +20,7 @@
 
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import (
+    MAX_FEED_BYTES,
     Frame,
     MessageCodec,
     NoticeFrame,
@@ -35,7 +36,6 @@
 from berylproxy.peers.membership import PeerLostError, PeerUnreachableError
 from berylproxy.peers.settings import PeerSettings
 
-RECEIVE_BYTES = 64 * 1024
 STREAM_ENDED = (BrokenResourceError, ClosedResourceError, EndOfStream)
 HandleRequest = Callable[["PeerLink", RequestFrame], None]
 HandleNotice = Callable[["PeerLink", Any], None]
@@ -245,7 +245,7 @@
         decoder = self._codec.make_decoder(self._settings.max_message_bytes)
         while not self._closed:
             try:
-                data = await self._stream.receive(RECEIVE_BYTES)
+                data = await self._stream.receive(MAX_FEED_BYTES)
             except STREAM_ENDED:
                 return
             self.last_received_s = current_time()
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -73,7 +73,7 @@
         self._dialler = Dialler(settings, self._serve_dialled, self._on_refused, logger)
         self._acceptor = Acceptor(settings, self._make_handshake, self._serve_accepted, logger)
         self._control = Control(self, settings, logger)
-        self.table.on_change(self._close_if_dead)
+        self.table.on_change(self._close_if_over)
 
     def handle_request(self, message_type: type, handler: RequestHandler) -> None:
         """Registers what answers a type of request."""
@@ -109,7 +109,10 @@
 
     def forget_address(self, address: str) -> None:
         """Stops to dial an address that was learnt from other daemons."""
-        in_use = any(entry.identity.peer_address == address for entry in self.table.entries())
+        in_use = any(
+            entry.identity.peer_address == address and not entry.final
+            for entry in self.table.entries()
+        )
         if not in_use and address not in self._given_addresses:
             self._dialler.remove(address)
 
@@ -289,11 +292,12 @@
             if is_there and not self.links(entry.identity.incarnation):
                 self.table.suspect(entry)
 
-    def _close_if_dead(self, member: Member) -> None:
+    def _close_if_over(self, member: Member) -> None:
         entry = self.table.get(member.identity.incarnation)
         if entry is not None and entry.final:
             for link in self.links(member.identity.incarnation):
                 link.close()
+            self.forget_address(member.identity.peer_address)
 
     def _require_task_group(self) -> TaskGroup:
         if self._task_group is None:
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -31,6 +31,7 @@
     Then "a" holds "b" for alive but not ready
     When "b" is stopped without a word
     Then "a" holds "b" for dead
+    And "a" does not dial "b" any more
 
   Scenario: A frozen daemon is given up and on resuming gives up nobody
     Given a peer "a" and a peer process "frozen" that know each other
--- a/tests/peers/streams.feature
+++ b/tests/peers/streams.feature
@@ -62,3 +62,9 @@
     Given two peers "a" and "b" that know each other
     When "a" has asked "b" for "later" and "b" drains its streams
     Then "b" is drained only when "a" has got its peer answer
+
+  Scenario: A message of the greatest size passes among others
+    Given two peers "a" and "b" that know each other
+    When "a" sends "b" the greatest notice among 100 small ones and a request
+    Then the peer answer is "last"
+    And "b" has got all 101 notices
--- a/tests/steps/peers_membership_steps.py
+++ b/tests/steps/peers_membership_steps.py
@@ -156,6 +156,12 @@
     assert entry.member.status is MemberStatus.ALIVE, entry
 
 
+@then('"{name}" does not dial "{other}" any more')
+def step_not_dialled(context, name, other):
+    addresses = context.peers[name].network._dialler.addresses()
+    assert context.peers[other].address not in addresses, addresses
+
+
 @given('a peer "{name}" and a peer process "{process}" that know each other')
 def step_peer_process(context, name, process):
     node = start_node(
--- a/tests/steps/peers_streams_steps.py
+++ b/tests/steps/peers_streams_steps.py
@@ -250,3 +250,22 @@
 def step_drained(context, name, other):
     assert context.peer_order[0] is False, context.peer_order
     assert sorted(map(str, context.peer_order[1:])) == ["True", "answered"], context.peer_order
+
+
+@when('"{first}" sends "{second}" the greatest notice among {count:d} small ones and a request')
+def step_send_greatest(context, first, second, count):
+    sender, receiver = context.peers[first], context.peers[second]
+    overhead_bytes = len(FULL_CODEC.encode(NoticeFrame(News("x" * 100_000)))) - 100_000
+    greatest = "x" * (sender.settings.max_message_bytes - overhead_bytes)
+
+    def notify():
+        for text in [*["small"] * (count // 2), greatest, *["small" * 1000] * (count // 2)]:
+            sender.network.notify(receiver.incarnation, News(text))
+
+    call(context, notify)
+    ask(context, first, receiver.incarnation, "last")
+
+
+@then('"{name}" has got all {count:d} notices')
+def step_got_all(context, name, count):
+    assert len(context.peers[name].news) == count, len(context.peers[name].news)
