Bind ids to their team; tell a home that may be cut off from one that has ended

An id could be used up, or cancelled before its first use, by any team that guessed its number. It now carries a proof for its team, keyed by a secret of the daemon's run.

A daemon that is held for dead may only be cut off. Its jobs are answered home_unreachable with Retry-After, at once; home_gone only when a later run of the daemon proves the end, or after 10 s.

Also: a refusal keeps its own hint, a done request echoes its id, a job that was cancelled while it ran is answered 502 as documented, and a planned stop writes what is queued for other daemons.

--- a/berylproxy/admit/answers.py
+++ b/berylproxy/admit/answers.py
@@ -6,7 +6,12 @@
 from starlette.responses import Response
 
 from berylproxy.admit.errors import AdmitError, TeamTokenRequiredError, TeamUnknownError
-from berylproxy.constants import CODE_HEADER, JSON_CONTENT_TYPE, OUTCOME_HEADER
+from berylproxy.constants import (
+    CODE_HEADER,
+    JSON_CONTENT_TYPE,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+)
 from berylproxy.deduplicate.errors import (
     IdentifierMalformedError,
     IdentifierReusedError,
@@ -69,7 +74,11 @@
     if answer is None or answer.outcome is not Outcome.DONE:
         return make_job_response(state)
     result = answer.results[0]
-    headers = {OUTCOME_HEADER: Outcome.DONE.value, "Content-Type": result.content_type}
+    headers = {
+        OUTCOME_HEADER: Outcome.DONE.value,
+        REQUEST_ID_HEADER: state.job_id,
+        "Content-Type": result.content_type,
+    }
     return Response(result.body, STATUS_OF_OUTCOME[Outcome.DONE], headers)
 
 
@@ -97,7 +106,9 @@
 
 
 def _choose_status(outcome: Outcome, code: str) -> int:
-    return STATUS_OF_CODE.get(code, STATUS_OF_OUTCOME[outcome])
+    if outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN):
+        return STATUS_OF_CODE.get(code, STATUS_OF_OUTCOME[outcome])
+    return STATUS_OF_OUTCOME[outcome]
 
 
 def _headers(answer: JobAnswer) -> dict[str, str]:
--- a/berylproxy/admit/api.py
+++ b/berylproxy/admit/api.py
@@ -89,11 +89,11 @@
 
     async def mint(self, request: Request) -> Response:
         """Mints identifiers."""
-        authorize_team(request, self._configuration())
+        team = authorize_team(request, self._configuration())
         self._check(self._is_ready())
         body = await _read_body(request)
         asked = parse_body(IdentifierRequestSchema, body or b"{}")
-        ids = self._router.mint(asked.count)
+        ids = self._router.mint(asked.count, team)
         return make_json_response({"ids": ids, "valid_for_s": self._identifier_validity_s})
 
     async def submit(self, request: Request) -> Response:
@@ -145,7 +145,7 @@
         is_named = bool(submission.job_id or submission.idempotency_key)
         try:
             team = authorize_team(request, self._configuration())
-            job_id = submission.job_id if is_named else self._mint_one()
+            job_id = submission.job_id if is_named else self._mint_one(team)
         except AdmitError as error:
             # Under a name of the caller's it may be running: not for this daemon to say.
             outcome = Outcome.UNKNOWN if is_named else Outcome.NOT_RUN
@@ -155,9 +155,9 @@
             traced = replace(submission, job_id=job_id, team=team, traceparent=span.traceparent)
             return await self._router.submit(traced, wait_s)
 
-    def _mint_one(self) -> str:
+    def _mint_one(self, team: str) -> str:
         self._check(self._is_accepting())
-        return self._router.mint(1)[0]
+        return self._router.mint(1, team)[0]
 
     def _check(self, takes_work: bool) -> None:
         if not takes_work:
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -56,6 +56,7 @@
 VM_LIST_INTERVAL_S = 1.0
 VM_LIST_TIMEOUT_S = 2.0
 STORE_TIMEOUT_S = 3.0
+PEER_DRAIN_TIMEOUT_S = 2.0
 INCARNATION_BYTES = 6
 
 logger = Logger(__name__)
@@ -147,6 +148,7 @@
                 self._announce(http_address, peer_address)
                 await self._wait_for_stop()
             await self._usage_recorder.record_last()
+            await self._network.drain(PEER_DRAIN_TIMEOUT_S)
             task_group.cancel_scope.cancel()
         await self._close()
 
--- a/berylproxy/deduplicate/identifiers.py
+++ b/berylproxy/deduplicate/identifiers.py
@@ -1,16 +1,22 @@
 """Identifiers that name the one daemon that may run a submission.
 
-An identifier is ``<incarnation>-<sequence>``. The incarnation names one run of one daemon, so no
-other process, and no later run of the same daemon, ever starts the tasks of that submission.
+An identifier is ``<incarnation>-<sequence>-<proof>``. The incarnation names one run of one daemon,
+so no other process, and no later run of the same daemon, ever starts the tasks of that submission.
+The proof binds it to the team that it was minted for, so that no other team can use it up.
 """
 
 import re
 from collections import deque
 from dataclasses import dataclass
+from hashlib import blake2b
+from hmac import compare_digest
+from secrets import token_bytes
 
 from berylproxy.clock import Clock
 
-IDENTIFIER_PATTERN = re.compile(r"([0-9a-f]{12})-([1-9][0-9]{0,17})")
+IDENTIFIER_PATTERN = re.compile(r"([0-9a-f]{12})-([1-9][0-9]{0,17})-([0-9a-f]{8})")
+SECRET_BYTES = 16
+PROOF_BYTES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,13 +25,12 @@
 
     :param incarnation: the home's incarnation.
     :param sequence: the number that the home gave it.
+    :param proof: what binds it to its team.
     """
 
     incarnation: str
     sequence: int
-
-    def __str__(self) -> str:
-        return f"{self.incarnation}-{self.sequence}"
+    proof: str
 
 
 def parse_identifier(text: str) -> JobIdentifier | None:
@@ -33,12 +38,12 @@
 
     Example::
 
-        parse_identifier("0123456789ab-7")
+        parse_identifier("0123456789ab-7-89abcdef")
     """
     match = IDENTIFIER_PATTERN.fullmatch(text)
     if match is None:
         return None
-    return JobIdentifier(match[1], int(match[2]))
+    return JobIdentifier(match[1], int(match[2]), match[3])
 
 
 class IdentifierMint:
@@ -52,25 +57,36 @@
         self._incarnation = incarnation
         self._clock = clock
         self.valid_for_s = valid_for_s
+        self._secret = token_bytes(SECRET_BYTES)
         self._last_sequence = 0
         self._oldest_valid_sequence = 1
         self._blocks: deque[tuple[float, int]] = deque()  # (minted at, first sequence)
 
-    def mint(self, count: int) -> list[str]:
-        """Mints a block of identifiers."""
+    def mint(self, count: int, team: str) -> list[str]:
+        """Mints a block of identifiers for a team."""
         first = self._last_sequence + 1
         self._last_sequence += count
         self._blocks.append((self._clock.now_s(), first))
-        return [f"{self._incarnation}-{first + offset}" for offset in range(count)]
+        return [self._format(sequence, team) for sequence in range(first, first + count)]
 
     def is_usable(self, sequence: int) -> bool:
         """Tells whether the number was minted here, and not so long ago that its use is over."""
         self._expire_blocks()
         return self._oldest_valid_sequence <= sequence <= self._last_sequence
 
-    def was_minted(self, sequence: int) -> bool:
-        """Tells whether the number was ever minted here."""
-        return 1 <= sequence <= self._last_sequence
+    def was_minted(self, identifier: JobIdentifier, team: str) -> bool:
+        """Tells whether the identifier was ever minted here for the team."""
+        is_counted = 1 <= identifier.sequence <= self._last_sequence
+        return is_counted and compare_digest(
+            identifier.proof, self._prove(identifier.sequence, team)
+        )
+
+    def _format(self, sequence: int, team: str) -> str:
+        return f"{self._incarnation}-{sequence}-{self._prove(sequence, team)}"
+
+    def _prove(self, sequence: int, team: str) -> str:
+        text = f"{sequence}\0{team}".encode()
+        return blake2b(text, key=self._secret, digest_size=PROOF_BYTES).hexdigest()
 
     def _expire_blocks(self) -> None:
         oldest_minted_s = self._clock.now_s() - self.valid_for_s
--- a/berylproxy/deduplicate/registry.py
+++ b/berylproxy/deduplicate/registry.py
@@ -84,7 +84,7 @@
                     hint="take a new id for new content",
                 )
             return known.job, False
-        self._check_first_use(submission.job_id)
+        self._check_first_use(submission.job_id, submission.team)
         job = Job(submission, self._clock.now_s(), timeout_s)
         self._jobs[submission.job_id] = RegisteredJob(job, digest)
         return job, True
@@ -99,7 +99,7 @@
         """
         if job_id in self._jobs:
             return None
-        self._check_first_use(job_id)
+        self._check_first_use(job_id, team)
         placeholder = Submission(job_id, "", team, "", (), 0.0, False, "")
         job = Job(placeholder, self._clock.now_s(), 0.0)
         job.cancel(self._clock.now_s())
@@ -107,16 +107,16 @@
         self.note_finished(job)
         return job
 
-    def find(self, job_id: str) -> Job:
-        """Finds a job by its identifier.
+    def find(self, job_id: str, team: str) -> Job:
+        """Finds a team's job by its identifier.
 
         :raises IdentifierExpiredError: if it may have run and been forgotten.
         :raises JobNotFoundError: if no submission has arrived under it.
         """
         known = self._jobs.get(job_id)
-        if known is not None:
+        if known is not None and known.job.submission.team == team:
             return known.job
-        self._check_first_use(job_id)
+        self._check_first_use(job_id, team)
         raise JobNotFoundError(f"no job {job_id}", hint="submit it under this id")
 
     def note_finished(self, job: Job) -> None:
@@ -149,14 +149,15 @@
         """Lists the jobs that have no answer yet."""
         return [known.job for known in self._jobs.values() if not known.job.is_finished]
 
-    def _check_first_use(self, job_id: str) -> None:
-        if job_id in self._forgotten:
-            raise AnswerEvictedError(f"job {job_id} has ended, its answer is not kept any more")
+    def _check_first_use(self, job_id: str, team: str) -> None:
         identifier = parse_identifier(job_id)
-        if identifier is None or not self._mint.was_minted(identifier.sequence):
+        if identifier is None or not self._mint.was_minted(identifier, team):
             raise IdentifierMalformedError(
-                f"id {job_id} was not minted here", hint="take ids from POST /v1/job-ids"
+                f"id {job_id} was not minted here for this team",
+                hint="take ids from POST /v1/job-ids",
             )
+        if job_id in self._forgotten:
+            raise AnswerEvictedError(f"job {job_id} has ended, its answer is not kept any more")
         if not self._mint.is_usable(identifier.sequence):
             raise IdentifierExpiredError(
                 f"id {job_id} is too old to be used: its submission may have run",
--- a/berylproxy/deduplicate/router.py
+++ b/berylproxy/deduplicate/router.py
@@ -15,7 +15,6 @@
     HomeGoneError,
     HomeUnreachableError,
     IdentifierMalformedError,
-    JobNotFoundError,
 )
 from berylproxy.deduplicate.identifiers import IdentifierMint, parse_identifier
 from berylproxy.deduplicate.messages import CancelJob, FetchJob, JobState, SubmitJob
@@ -32,6 +31,7 @@
 HOME_RETRY_INTERVAL_S = 0.2
 HOME_REPLY_MARGIN_S = 2.0
 UNREACHABLE_RETRY_AFTER_S = 2.0
+HOME_GONE_AFTER_S = 10.0  # a dead home is not waited for any longer, though it may be cut off
 
 Message = TypeVar("Message", SubmitJob, FetchJob, CancelJob)
 
@@ -87,9 +87,9 @@
         self._submit = submit
         self._cancel = cancel
 
-    def mint(self, count: int) -> list[str]:
-        """Mints identifiers whose home is this daemon."""
-        return self._mint.mint(count)
+    def mint(self, count: int, team: str) -> list[str]:
+        """Mints identifiers for a team; their home is this daemon."""
+        return self._mint.mint(count, team)
 
     async def submit(self, submission: Submission, wait_s: float) -> JobState:
         """Submits to the home; returns the job's state after its end or after ``wait_s``.
@@ -124,11 +124,11 @@
             case SubmitJob(submission, wait_s):
                 return await self._wait(self._submit(submission), wait_s)
             case FetchJob(job_id, team, wait_s):
-                return await self._wait(self._find(job_id, team), wait_s)
+                return await self._wait(self._registry.find(job_id, team), wait_s)
             case CancelJob(job_id, team):
                 job = self._registry.cancel_unseen(job_id, team)
                 if job is None:
-                    job = self._find(job_id, team)
+                    job = self._registry.find(job_id, team)
                     self._cancel(job)
                 return await self._wait(job, 0.0)
         raise TypeError(f"{type(message).__name__} is not a message about jobs")
@@ -156,7 +156,7 @@
             if not job_id:
                 raise
         else:
-            job_id = await self._claims.claim(key_hash, self._mint.mint(1)[0])
+            job_id = await self._claims.claim(key_hash, self._mint.mint(1, submission.team)[0])
         claimed = replace(submission, job_id=job_id)
         return await self._route(job_id, SubmitJob(claimed, wait_s), wait_s)
 
@@ -194,20 +194,22 @@
         for member in self._network.members():
             if member.identity.incarnation != home:
                 continue
-            if member.status is MemberStatus.DEAD:
+            is_dead = member.status is MemberStatus.DEAD
+            dead_for_s = self._clock.now_s() - member.changed_s if is_dead else 0.0
+            if member.is_final or dead_for_s > HOME_GONE_AFTER_S:
                 break
+            if is_dead:
+                raise HomeUnreachableError(
+                    "the job's home can't be reached: its tasks may have run",
+                    hint="ask again under the same id",
+                    retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+                )
             return
         raise HomeGoneError(
             "the job's home has ended or is not known here: its tasks may have run",
             hint="submit again under a new id only if running twice does no harm",
         )
 
-    def _find(self, job_id: str, team: str) -> Job:
-        job = self._registry.find(job_id)
-        if job.submission.team != team:
-            raise JobNotFoundError(f"no job {job_id}")
-        return job
-
     async def _wait(self, job: Job, wait_s: float) -> JobState:
         with move_on_after(max(0.0, wait_s)):
             await job.finished.wait()
--- a/berylproxy/models.py
+++ b/berylproxy/models.py
@@ -80,6 +80,7 @@
     :param task_id: the task's identifier.
     :param outcome: what became of it.
     :param code: why, for every outcome but ``DONE``.
+    :param message: the same in one line for people.
     :param body: the endpoint's whole answer, for ``DONE``.
     :param content_type: media type of the answer.
     """
@@ -87,6 +88,7 @@
     task_id: str
     outcome: Outcome
     code: str = ""
+    message: str = ""
     body: bytes = b""
     content_type: str = ""
 
--- a/berylproxy/peers/membership.py
+++ b/berylproxy/peers/membership.py
@@ -40,12 +40,17 @@
 
     :param heartbeat: the state that the member sent with its last heartbeat: plain msgpack values,
         a map per concern (``{"config": {...}, "place": {...}}``).
+    :param is_final: whether the incarnation has certainly ended; one that is dead but not final may
+        only be cut off.
+    :param changed_s: the monotonic clock's time at which the status changed.
     """
 
     identity: DaemonIdentity
     status: MemberStatus
     ready: bool = True
     heartbeat: dict[str, Any] = field(default_factory=dict)
+    is_final: bool = False
+    changed_s: float = 0.0
 
 
 class PeerNetwork(Protocol):
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -110,7 +110,7 @@
     def forget_address(self, address: str) -> None:
         """Stops to dial an address that was learnt from other daemons."""
         in_use = any(
-            entry.identity.peer_address == address and not entry.final
+            entry.identity.peer_address == address and not entry.member.is_final
             for entry in self.table.entries()
         )
         if not in_use and address not in self._given_addresses:
@@ -236,7 +236,7 @@
         except PeerSettingsError as error:
             raise PeerHandshakeError(error.message) from error
         entry = self.table.get(identity.incarnation)
-        if entry is not None and entry.final:
+        if entry is not None and entry.member.is_final:
             raise PeerHandshakeError("a newer incarnation of this daemon has been seen")
 
     async def _run_link(
@@ -294,7 +294,7 @@
 
     def _close_if_over(self, member: Member) -> None:
         entry = self.table.get(member.identity.incarnation)
-        if entry is not None and entry.final:
+        if entry is not None and entry.member.is_final:
             for link in self.links(member.identity.incarnation):
                 link.close()
             self.forget_address(member.identity.peer_address)
--- a/berylproxy/peers/table.py
+++ b/berylproxy/peers/table.py
@@ -19,7 +19,6 @@
 class MemberEntry:
     """A member with what the table needs to know of it.
 
-    :param final: whether the incarnation is certainly over.
     :param leaving: whether it has said that it stops.
     :param known_state_version: version of its state held here.
     :param sent_state_version: version of the own state that it holds.
@@ -27,11 +26,9 @@
 
     member: Member
     refutations: int = 0
-    final: bool = False
     leaving: bool = False
     known_state_version: int = 0
     sent_state_version: int = 0
-    changed_s: float = 0.0
     last_heard_s: float = -inf
 
     @property
@@ -41,7 +38,9 @@
 
     def make_update(self) -> MemberUpdate:
         """Describes the member for others."""
-        return MemberUpdate(self.identity, self.member.status, self.refutations, self.final)
+        return MemberUpdate(
+            self.identity, self.member.status, self.refutations, self.member.is_final
+        )
 
 
 class MemberTable:
@@ -108,7 +107,7 @@
             for older in self.entries():
                 if _is_succeeded_by(older.identity, identity):
                     self.end(older)
-            entry = MemberEntry(Member(identity, MemberStatus.ALIVE), changed_s=self._clock())
+            entry = MemberEntry(Member(identity, MemberStatus.ALIVE, changed_s=self._clock()))
             self._entries[identity.incarnation] = entry
             self._changed(entry)
         entry.last_heard_s = self._clock()
@@ -168,7 +167,7 @@
         now_s = self._clock()
         forgotten = []
         for entry in self.entries():
-            age_s = now_s - entry.changed_s
+            age_s = now_s - entry.member.changed_s
             if entry.member.status is MemberStatus.SUSPECT and age_s >= self._dead_after_s:
                 self._apply(entry, MemberStatus.DEAD, entry.refutations, False)
             elif entry.member.status is MemberStatus.DEAD and age_s >= self._forget_after_s:
@@ -180,7 +179,7 @@
     def postpone(self, pause_s: float) -> None:
         """Moves all limits by a time in which this daemon itself did not run."""
         for entry in self.entries():
-            entry.changed_s += pause_s
+            entry.member.changed_s += pause_s
 
     def pick_updates(self, receiver: MemberEntry | None) -> tuple[MemberUpdate, ...]:
         """Picks the news to send along, those sent least often first.
@@ -199,7 +198,10 @@
         return tuple(picked)
 
     def _by_finality(self) -> Iterable[MemberEntry]:
-        return sorted(self._entries.values(), key=lambda entry: (not entry.final, entry.changed_s))
+        return sorted(
+            self._entries.values(),
+            key=lambda entry: (not entry.member.is_final, entry.member.changed_s),
+        )
 
     def _refute(self, update: MemberUpdate) -> None:
         if update.status is not MemberStatus.ALIVE and update.refutations >= self.refutations:
@@ -208,15 +210,15 @@
     def _apply(
         self, entry: MemberEntry, status: MemberStatus, refutations: int, final: bool
     ) -> None:
-        old = (entry.final, entry.refutations, STATUS_RANK[entry.member.status])
+        old = (entry.member.is_final, entry.refutations, STATUS_RANK[entry.member.status])
         new = (final, refutations, STATUS_RANK[status])
         if new <= old:
             return
-        is_news = entry.member.status is not status or entry.final is not final
-        entry.final, entry.refutations = final, refutations
+        is_news = entry.member.status is not status or entry.member.is_final is not final
+        entry.member.is_final, entry.refutations = final, refutations
         if is_news:
             entry.member.status = status
-            entry.changed_s = self._clock()
+            entry.member.changed_s = self._clock()
             self._changed(entry)
 
     def _changed(self, entry: MemberEntry) -> None:
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -203,7 +203,9 @@
         configuration = self._configuration
         service = configuration.services.get(submission.service)
         if service is None:
-            raise ServiceUnknownError(f"no service {submission.service[:64]!r}")
+            raise ServiceUnknownError(
+                f"no service {submission.service[:64]!r}", hint="see berylctl get services"
+            )
         check_tasks(service, configuration.endpoints.values(), submission.tasks)
         if not self.requester.can_place(service.name):
             raise NoEndpointError(
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -127,7 +127,7 @@
         elif error.outcome is Outcome.FAILED and self._may_repeat(run):
             self._requeue(run)
             return
-        self._finish(run, TaskResult(run.task.task_id, error.outcome, error.code))
+        self._finish(run, TaskResult(run.task.task_id, error.outcome, error.code, error.message))
 
     def _may_repeat(self, run: TaskRun) -> bool:
         service = self._configuration.services.get(run.key.service)
