Send waiting tasks to free slots, also when a summary came early or was lost

A job of 60 tasks stayed until its timeout while two of three endpoints were idle: waiting tasks moved between slot groups only at the moment a summary came, a summary within 50 ms of the last one was dropped for good, and one lost with its stream was never repeated. Weighed: repeating summaries to all, which costs the same when nothing is free, and moving single tasks as probes, which drains one task for each interval.

Tasks that every endpoint had refused once as full waited until their timeout, as a refusal kept a task away from that endpoint for good. Refusals for want of room no longer do, and don't use up attempts; the holder lowers what it grants at that endpoint to the slots still in use, waits 50 ms, and grows it slowly.

--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -24,6 +24,7 @@
         self.settled_by_s = settled_by_s
         self.last_summary: HolderSummary | None = None
         self.last_summary_s = 0.0
+        self.idle_homes: set[str] = set()  # have reported and wait for nothing here
 
     def is_settled(self, now_s: float) -> bool:
         """Tells whether all live homes have told what they use, or had the time to."""
@@ -78,6 +79,8 @@
         if message.held is not None:
             held.ledger.report_held(home, message.held, message.last_grant, now_s)
             held.unreported.discard(home)
+            if not message.entries:
+                held.idle_homes.add(home)
         held.ledger.update_demand(home, message.entries, message.last_grant, now_s)
         self._dirty.add(group)
 
@@ -110,7 +113,7 @@
                 self._dirty.add(group)
                 continue
             self._send_grants(group, held.ledger.decide(now_s))
-            self._send_summary(held, now_s)
+            self._send_summary(group, held, now_s)
 
     def list_summaries(self) -> list[HolderSummary]:
         """Summarizes all groups held here."""
@@ -165,13 +168,20 @@
         for home, home_grants in by_home.items():
             self._send(home, GrantSlots(group.pool, group.failure_domain, tuple(home_grants)))
 
-    def _send_summary(self, held: HeldGroup, now_s: float) -> None:
+    def _send_summary(self, group: SlotGroup, held: HeldGroup, now_s: float) -> None:
         summary = held.ledger.summarize(now_s)
+        idle_homes, held.idle_homes = held.idle_homes, set()
         last = held.last_summary
         changed = last is None or bool(last.free) != bool(summary.free)
-        if not changed or now_s - held.last_summary_s < SUMMARY_INTERVAL_S:
+        if changed and now_s - held.last_summary_s >= SUMMARY_INTERVAL_S:
+            held.last_summary = summary
+            held.last_summary_s = now_s
+            idle_homes = set(self._live)
+        elif changed:
+            self._dirty.add(group)  # tells it at the next flush that is late enough
+        elif not summary.free:
             return
-        held.last_summary = summary
-        held.last_summary_s = now_s
-        for incarnation in self._live:
+        # An earlier summary may have been lost with its stream, and a home that takes this group
+        # for full would let its tasks wait elsewhere.
+        for incarnation in idle_homes:
             self._send(incarnation, summary)
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -36,6 +36,8 @@
 UNLIMITED_SLOTS = 1_000_000
 SHORTEST_RUN_TIME_S = 0.001
 MAX_CONSIDERED_TASKS = 256  # in one decision
+FULL_PAUSE_S = 0.05  # no grants to an endpoint that has just refused a task as full
+LIMIT_GROWTH = 0.1  # by which a lowered limit grows while as many tasks finish as it allows
 
 
 class SlotResult(StrEnum):
@@ -81,19 +83,36 @@
 
 @dataclass(slots=True)
 class EndpointState:
-    """An endpoint with its slots in use and its health."""
+    """An endpoint with its slots in use and its health.
+
+    :param limit: slots that it has shown to have, where that is fewer than its record says.
+    :param full_until_s: no grants before that time.
+    """
 
     endpoint: Endpoint
     uses: dict[SlotKey, SlotUse] = field(default_factory=dict)
     health: EndpointHealth = field(default_factory=EndpointHealth)
+    limit: float = float("inf")
+    full_until_s: float = 0.0
 
     def count_free(self, now_s: float) -> int:
         """Counts the slots that may be granted now."""
         if self.endpoint.leaving or not self.health.may_take(now_s, len(self.uses)):
             return 0
-        free = max(0, self.endpoint.slots - len(self.uses))
+        if now_s < self.full_until_s:
+            return 0
+        free = max(0, int(min(self.endpoint.slots, self.limit)) - len(self.uses))
         return min(free, 1) if self.health.on_probation else free
 
+    def note_full(self, now_s: float) -> None:
+        """Takes the slots that are still in use for all that it has."""
+        self.limit = max(1.0, len(self.uses))
+        self.full_until_s = now_s + FULL_PAUSE_S
+
+    def note_done(self) -> None:
+        """Tries a little more than the limit after a task has finished."""
+        self.limit += LIMIT_GROWTH / self.limit
+
     def can_ever_take(self, needs: Iterable[tuple[str, int]]) -> bool:
         """Tells whether a task with these needs fits the endpoint."""
         resources = self.endpoint.resources
@@ -226,7 +245,10 @@
             self._end_use(release.endpoint, slot)
         if result is SlotResult.DONE:
             state.health.note_success()
+            state.note_done()
             self.run_times.add(release.endpoint, release.service, release.run_time_s)
+        elif result is SlotResult.FULL:
+            state.note_full(now_s)
         elif result is SlotResult.LEAVING:
             state.health.note_leaving(now_s)
         elif result in UNHEALTHY_RESULTS:
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -125,6 +125,7 @@
         now_s = self._clock.now_s()
         for key in self._spread.list_keys().union(self._queue.list_keys()):
             self._spread.balance(key, self._queue.count(key))
+        self._spread.move_to_free_slots()
         for group, link in self._links.items():
             self._flush_releases(group, link)
             self._flush_demand(group, link, now_s)
--- a/berylproxy/place/spread.py
+++ b/berylproxy/place/spread.py
@@ -43,9 +43,16 @@
         group = SlotGroup(summary.pool, summary.failure_domain)
         self._summaries[group] = summary
         self._taken[group] = 0
-        spare = summary.free - summary.waiting - self._count(group)
-        if spare > 0:
-            self._pull(group, spare)
+        self._pull(group)
+
+    def move_to_free_slots(self) -> None:
+        """Moves waiting tasks to where slots were free when last heard of.
+
+        A summary moves only what was allotted when it came: without this, tasks at a group that
+        has come to a stop would stay there while other groups are idle.
+        """
+        for group in self._summaries:
+            self._pull(group)
 
     def balance(self, key: DemandKey, waiting: int) -> None:
         """Makes the allotments of a key add up to the number of its waiting tasks."""
@@ -115,8 +122,12 @@
             return float("inf")
         return penalty_s + (ahead + 1) / summary.turnover_per_s
 
-    def _pull(self, target: SlotGroup, spare: int) -> None:
-        for group, allotted in self._allotted.items():
+    def _pull(self, target: SlotGroup) -> None:
+        summary = self._summaries[target]
+        spare = summary.free - summary.waiting - self._count(target)
+        if spare <= 0:
+            return
+        for group, allotted in list(self._allotted.items()):
             if group == target or self._has_free(group):
                 continue
             for key in list(+allotted):
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -11,11 +11,11 @@
 from berylproxy.place.ledger import SlotResult
 from berylproxy.place.messages import HeldSlot
 from berylproxy.records.models import Configuration, Endpoint
-from berylproxy.send.errors import SendError
+from berylproxy.send.errors import EndpointFullError, SendError
 from berylproxy.send.sender import TaskSender
 from berylproxy.tracing import Tracer
 
-MAX_ATTEMPTS = 5  # sends of one task, the refused ones included
+MAX_ATTEMPTS = 5  # sends of one task, but for those refused for want of room
 
 
 class Dispatcher:
@@ -109,7 +109,10 @@
     def _end_badly(self, run: TaskRun, slot: HeldSlot, error: SendError) -> None:
         if error.outcome is Outcome.NOT_RUN:
             run.job.note_refusal()
-            run.refused_by.add(slot.endpoint)
+            if isinstance(error, EndpointFullError):
+                run.attempts -= 1  # it may have room again at any time
+            else:
+                run.refused_by.add(slot.endpoint)
             if run.attempts < MAX_ATTEMPTS:
                 self._requeue(run)
                 return
