Bound a job's whole answer and let it pass between daemons

A job's results may now be 8 MiB together, else it has failed with answer_too_large, and messages between daemons 32 MiB, which also carries any submission of 8 MiB that JSON escapes make longer.

--- a/berylproxy/collect/job.py
+++ b/berylproxy/collect/job.py
@@ -4,9 +4,11 @@
 
 from anyio import Event
 
+from berylproxy.constants import MAX_ANSWER_BYTES
 from berylproxy.errors import BerylproxyError
 from berylproxy.models import JobAnswer, Outcome, Submission, Task, TaskResult
 
+ANSWER_TOO_LARGE_CODE = "answer_too_large"
 NEW_ID_HINT = "this id is used up: come back with a new one"
 
 
@@ -55,6 +57,7 @@
         self.finished_s = 0.0
         self.runs = [self._make_run(task) for task in submission.tasks]
         self._results: dict[str, TaskResult] = {}
+        self._answer_bytes = 0
         self._started_tasks = 0
 
     @property
@@ -87,6 +90,11 @@
         if result.outcome is not Outcome.DONE:
             self.fail(result.outcome, result.code, f"task {result.task_id}", now_s)
             return
+        self._answer_bytes += len(result.body)
+        if self._answer_bytes > MAX_ANSWER_BYTES:
+            message = f"the results are together larger than {MAX_ANSWER_BYTES} bytes"
+            self.fail(Outcome.FAILED, ANSWER_TOO_LARGE_CODE, message, now_s)
+            return
         self._results[result.task_id] = result
         if len(self._results) == len(self.runs):
             results = tuple(self._results[run.task.task_id] for run in self.runs)
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -17,6 +17,7 @@
 from berylproxy.admit.api import CallerApi
 from berylproxy.admit.authorization import OperatorGate
 from berylproxy.clock import MonotonicClock
+from berylproxy.constants import MAX_PEER_MESSAGE_BYTES
 from berylproxy.daemon.http_server import describe_listener, open_listener, serve_http
 from berylproxy.daemon.monitoring import Monitor
 from berylproxy.deduplicate.identifiers import IdentifierMint
@@ -140,6 +141,8 @@
             addresses=settings.peers,
             cluster=settings.cluster,
             keys=tuple(key.encode() for key in settings.peer_keys),
+            max_message_bytes=MAX_PEER_MESSAGE_BYTES,
+            max_queued_bytes=2 * MAX_PEER_MESSAGE_BYTES,
         )
         codec = MessageCodec(
             (*PLACE_MESSAGES, *JOB_MESSAGES, FetchRecords, Records, RecordsAccepted)
