--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 from argparse import ArgumentParser
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 
@@ -53,7 +54,8 @@
         """Ends both sides at once, with a reset."""
         for stream in (self.client, self.target):
             raw_socket = stream.extra(SocketAttribute.raw_socket)
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            with suppress(OSError):  # one side may be closed already
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.scope.cancel()
 
 
--- /dev/null
+++ b/tests/place/refusals.feature
@@ -0,0 +1,32 @@
+Feature: A task that an endpoint refuses runs elsewhere, exactly once
+
+  Background:
+    Given the proving cluster of 3 daemons and 3 endpoints in 3 failure domains
+
+  Scenario: an endpoint says that it is leaving
+    When endpoint 0 says that it is leaving
+    And proving job "A" of 60 tasks of 0.3 s with home 0 is submitted to daemon 0
+    Then answer 1 of proving job "A" is "done"
+    And every task of proving job "A" has started once
+    And the history meets all conditions
+
+  Scenario: an operator's record says that an endpoint is leaving
+    When the record of endpoint 1 says that it is leaving
+    And proving job "A" of 36 tasks of 0.5 s with home 0 is submitted to daemon 0
+    And proving job "B" of 36 tasks of 0.5 s with home 1 is submitted to daemon 1
+    Then answer 1 of proving job "A" is "done"
+    And answer 1 of proving job "B" is "done"
+    And the history meets all conditions
+
+  Scenario: the platform's list says that an endpoint is leaving, then the store is out
+    When the list of VMs says that all endpoints are leaving, then the store refuses all calls
+    And proving job "A" of 3 tasks of 0.1 s with home 0 and a timeout of 4 s is submitted to daemon 0
+    Then answer 1 of proving job "A" is "not_run"
+    And the history meets all conditions
+
+  Scenario: more tasks are sent than an endpoint has room for
+    When the records of all endpoints say that they have 8 slots
+    And proving job "A" of 40 tasks of 0.2 s with home 0 is submitted to daemon 0
+    Then answer 1 of proving job "A" is "done"
+    And every task of proving job "A" has started once
+    And the history meets all conditions
--- a/tests/steps/proving_steps.py
+++ b/tests/steps/proving_steps.py
@@ -2,18 +2,28 @@
 
 from pathlib import Path
 from tempfile import mkdtemp
+from time import monotonic, sleep
 
 from behave import given, step, then, when
 
 from tests.support.cluster import EndpointPlan
-from tests.support.history import CallerAnswer, History, SubmittedJob, check_history
+from tests.support.history import (
+    CallerAnswer,
+    History,
+    LeavingMark,
+    SubmittedJob,
+    check_history,
+)
 from tests.support.proving_cluster import ProvingCluster
 from tests.support.recording_caller import SINGLE_TASK_ID, RecordingCaller
 
 DOMAINS = ["a", "b", "c"]
 SLOTS = 4
 MAX_RUN_TIME_S = 15.0
+MAX_BODY_BYTES = 7_000_000
 STATE_TIMEOUT_S = 30.0
+LEAVING_BOUND_S = 3.0  # from the record or the platform's list
+REFUSAL_BOUND_S = 1.0  # from the endpoint's own refusal
 ANSWER_TIMEOUT_S = 40.0
 
 
@@ -30,13 +40,18 @@
     context.add_cleanup(context.caller.close)
     context.named_jobs = {}
     context.calls = {}
+    context.refusing_endpoints = []
 
 
 def start_cluster(context) -> ProvingCluster:
     """Starts the cluster that the scenarios of a feature share."""
     folder = Path(mkdtemp(prefix="berylproxy-proving-"))
     plans = [EndpointPlan(domain, slots=SLOTS) for domain in DOMAINS]
-    service = {"max_run_time_s": MAX_RUN_TIME_S, "repeat_after_failure": True}
+    service = {
+        "max_run_time_s": MAX_RUN_TIME_S,
+        "max_body_bytes": MAX_BODY_BYTES,
+        "repeat_after_failure": True,
+    }
     cluster = ProvingCluster(folder, DOMAINS, plans, service=service)
     context.add_cleanup(cluster.stop, layer="feature")
     cluster.start()
@@ -44,18 +59,24 @@
     return cluster
 
 
-def begin_submission(context, name: str, daemon: int) -> None:
+def begin_submission(context, name: str, daemon: int, timeout_s: float | None = None) -> None:
     """Submits a named job in the background."""
-    submit = context.caller.submit
     job = context.named_jobs[name]
     if list(job.payloads) == [SINGLE_TASK_ID]:
-        submit = context.caller.send_request
-    context.calls.setdefault(name, []).append(context.caller.begin(submit, job, daemon))
+        call = context.caller.begin(context.caller.send_request, job, daemon)
+    else:
+        call = context.caller.begin(context.caller.submit, job, daemon, timeout_s)
+    context.calls.setdefault(name, []).append(call)
+
 
+def make_payloads(count: int, run_time_s: float) -> dict:
+    """Makes the payloads of a job's tasks, all different."""
+    return {f"t{number}": {"run_time_s": run_time_s, "n": number} for number in range(count)}
 
-def make_job(context, name: str, home: int, payloads: dict, repeatable: bool = False) -> None:
+
+def make_job(context, name: str, home: int, payloads: dict) -> None:
     """Takes an identifier for a new job."""
-    job = SubmittedJob(context.caller.mint(home), name, payloads, repeatable)
+    job = SubmittedJob(context.caller.mint(home), name, payloads)
     context.named_jobs[name] = context.caller.note_job(job)
 
 
@@ -71,15 +92,31 @@
     "to daemon {daemon:d}"
 )
 def step_submit(context, name, count, run_time_s, home, daemon):
-    payloads = {f"t{number}": {"run_time_s": run_time_s, "n": number} for number in range(count)}
-    make_job(context, name, home, payloads)
+    make_job(context, name, home, make_payloads(count, run_time_s))
     begin_submission(context, name, daemon)
 
 
 @when('proving job "{name}" of {count:d} tasks of {run_time_s:g} s gets an id of daemon {home:d}')
 def step_make_job(context, name, count, run_time_s, home):
-    payloads = {f"t{number}": {"run_time_s": run_time_s, "n": number} for number in range(count)}
-    make_job(context, name, home, payloads)
+    make_job(context, name, home, make_payloads(count, run_time_s))
+
+
+@when(
+    'proving job "{name}" of {count:d} tasks of {run_time_s:g} s with home {home:d} and a timeout '
+    "of {timeout_s:g} s is submitted to daemon {daemon:d}"
+)
+def step_submit_with_timeout(context, name, count, run_time_s, home, timeout_s, daemon):
+    make_job(context, name, home, make_payloads(count, run_time_s))
+    begin_submission(context, name, daemon, timeout_s)
+
+
+@when(
+    'proving job "{name}" of 1 task of {size_bytes:d} bytes with home {home:d} is submitted to '
+    "daemon {daemon:d}"
+)
+def step_submit_large(context, name, size_bytes, home, daemon):
+    make_job(context, name, home, {"t0": {"run_time_s": 0.1, "text": "x" * size_bytes}})
+    begin_submission(context, name, daemon)
 
 
 @when('proving request "{name}" of {run_time_s:g} s with home {home:d} is sent to all daemons')
@@ -152,6 +189,56 @@
         context.cluster.control(relay, silent=True)
 
 
+@when("the links between daemons pass 64 KiB in {delay_s:g} s")
+def step_slow_links(context, delay_s):
+    for relay in context.cluster.relays:
+        context.cluster.control(relay, delay_s=delay_s)
+
+
+@when("all links between daemons are cut after {after_s:g} s and mended")
+def step_cut_and_mend(context, after_s):
+    sleep(after_s)
+    context.cluster.cut_links(*range(len(context.cluster.daemons)))
+    for relay in context.cluster.relays:
+        context.cluster.control(relay, cut=False, delay_s=0.0)
+
+
+@when("endpoint {number:d} says that it is leaving")
+def step_refuse_as_leaving(context, number):
+    context.cluster.control(context.cluster.endpoints[number], leaving=True)
+    context.refusing_endpoints.append((f"e{number}", monotonic()))
+
+
+@when("the record of endpoint {number:d} says that it is leaving")
+def step_record_leaving(context, number):
+    context.cluster.change_record("endpoints", f"e{number}", leaving=True)
+    context.history.leaving.append(LeavingMark(f"e{number}", monotonic() + LEAVING_BOUND_S))
+
+
+@when("the list of VMs says that all endpoints are leaving, then the store refuses all calls")
+def step_list_leaving(context):
+    cluster = context.cluster
+    machine = {"name": "vm", "host": "127.0.0.1", "failure_domain": "a", "state": "leaving"}
+    cluster.control(cluster.store, vms=[machine])
+    from_s = monotonic() + LEAVING_BOUND_S
+    context.history.leaving += [
+        LeavingMark(f"e{number}", from_s) for number, _ in enumerate(cluster.endpoints)
+    ]
+    asked = cluster.count_store_calls("vms")
+    cluster.wait_until(
+        lambda: cluster.count_store_calls("vms") >= asked + 2 * len(cluster.daemons),
+        "each daemon has read the list",
+        LEAVING_BOUND_S,
+    )
+    cluster.control(cluster.store, outage=True)
+
+
+@when("the records of all endpoints say that they have {slots:d} slots")
+def step_record_slots(context, slots):
+    for number, _ in enumerate(context.cluster.endpoints):
+        context.cluster.change_record("endpoints", f"e{number}", slots=slots)
+
+
 @when("the store refuses all calls")
 def step_store_out(context):
     context.cluster.control(context.cluster.store, outage=True)
@@ -168,8 +255,9 @@
     switches = {
         "truncate its answers": {"truncate": True},
         "answer with 9000000 bytes": {"oversize_bytes": 9_000_000},
+        "answer with 8388000 bytes": {"oversize_bytes": 8_388_000},
         "answer with 3000000 bytes": {"oversize_bytes": 3_000_000},
-        "answer 6 s late": {"late_s": 6.0},
+        "answer 3 s late": {"late_s": 3.0},
         "answer in time": {"late_s": 0.0},
         "silence its open connections": {"silent": True},
         "fail everything": {"fail_everything": True},
@@ -222,12 +310,26 @@
     assert not started, started
 
 
+def mark_refusing_endpoints(context) -> None:
+    """Notes from when on the endpoints that have refused must get no new work."""
+    for endpoint, since_s in context.refusing_endpoints:
+        refusals_s = [
+            event.time_s
+            for event in context.history.events
+            if event.event == "refuse" and event.endpoint == endpoint and event.time_s > since_s
+        ]
+        assert refusals_s, f"{endpoint} was not asked"
+        mark = LeavingMark(endpoint, min(refusals_s) + REFUSAL_BOUND_S)
+        context.history.leaving.append(mark)
+
+
 @then("the history meets all conditions")
 def step_check(context):
     for calls in context.calls.values():
         for call in calls:
             call.result(ANSWER_TIMEOUT_S)
     context.cluster.collect_events(context.history)
+    mark_refusing_endpoints(context)
     violations = [
         f"{condition}: {line}"
         for condition, lines in check_history(context.history).items()
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -217,14 +217,16 @@
     ]
 
 
-def find_starts_while_leaving(history: History) -> list[str]:
-    """An endpoint that is leaving gets no new work."""
+def find_work_while_leaving(history: History) -> list[str]:
+    """An endpoint that is leaving gets no new work, not even to refuse it."""
     return [
-        f"task {start.task} started at {start.endpoint} "
-        f"{start.time_s - mark.from_s:.3f} s after the bound"
+        f"{event.event} of task {event.task} at {event.endpoint} "
+        f"{event.time_s - mark.from_s:.3f} s after the bound"
         for mark in history.leaving
-        for start in history.starts()
-        if start.endpoint == mark.endpoint and mark.from_s <= start.time_s < mark.until_s
+        for event in history.events
+        if event.event in ("start", "refuse")
+        and event.endpoint == mark.endpoint
+        and mark.from_s <= event.time_s < mark.until_s
     ]
 
 
@@ -236,7 +238,7 @@
     "an answer never changes": find_changed_answers,
     "not run is true": find_false_refusals,
     "done has run": find_unstarted_results,
-    "a leaving endpoint gets no new work": find_starts_while_leaving,
+    "a leaving endpoint gets no new work": find_work_while_leaving,
 }
 
 
--- a/tests/support/proving_cluster.py
+++ b/tests/support/proving_cluster.py
@@ -16,7 +16,7 @@
     """Reaches each daemon's peer address through a relay, and replaces what has ended."""
 
     relays: list[ManagedProcess] = field(default_factory=list)
-    generations: dict[str, int] = field(default_factory=dict)
+    changed_endpoints: set[str] = field(default_factory=set)
 
     def start(self) -> None:
         """Starts the relays, then everything else."""
@@ -72,7 +72,7 @@
 
     def mend(self) -> None:
         """Undoes all failures and waits until the cluster is whole."""
-        self.control(self.store, outage=False, delay_s=0.0, lose_answers=0)
+        self.control(self.store, outage=False, delay_s=0.0, lose_answers=0, vms=[])
         for number, daemon in enumerate(self.daemons):
             daemon.resume()
             if not daemon.is_running():
@@ -91,11 +91,33 @@
                 oversize_bytes=0,
                 late_s=0.0,
             )
+        for name in list(self.changed_endpoints):
+            number = int(name.removeprefix("e"))
+            plan = self.endpoint_plans[number]
+            self.change_record("endpoints", name, leaving=False, slots=plan.slots)
+        self.changed_endpoints.clear()
         for daemon in self.daemons:
             self.wait_until(
                 lambda daemon=daemon: self._is_settled(daemon), daemon.name, STATE_TIMEOUT_S
             )
 
+    def change_record(self, kind: str, name: str, **fields: object) -> None:
+        """Changes fields of a record through daemon 0."""
+        url = f"{self.url(0)}/v1/records/{kind}/{name}"
+        self.wait_until(lambda: self._change_record(url, fields), f"{kind}/{name} is changed")
+        if kind == "endpoints":
+            self.changed_endpoints.add(name)
+
+    def _change_record(self, url: str, fields: dict[str, object]) -> bool:
+        read = self.client.get(url)
+        headers = {"If-Match": read.headers["ETag"]}
+        written = self.client.put(url, json=read.json()["record"] | fields, headers=headers)
+        return written.status_code == 200
+
+    def count_store_calls(self, kind: str) -> int:
+        """Counts the calls of a kind that the store has seen."""
+        return self.client.get(f"{self.store.url}/control/counts").json()["calls"].get(kind, 0)
+
     def peer_status(self, daemon: int, peer: int) -> str:
         """Tells how a daemon sees another one; empty if it does not know it."""
         for known in self.read_status(daemon)["peers"]:
