Let requests that a stopping daemon forwards end

A daemon that was stopped as planned cut the answer of a job whose home is another daemon 5 s after its own jobs had ended: hypercorn's grace was fixed at 5 s. It is now the drain timeout, as for the daemon's own jobs.

--- a/berylproxy/daemon/http_server.py
+++ b/berylproxy/daemon/http_server.py
@@ -12,7 +12,6 @@
 BACKLOG_CONNECTIONS = 1_024
 KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
-SHUTDOWN_TIMEOUT_S = 5.0
 
 
 def open_listener(address: str) -> socket.socket:
@@ -42,7 +41,7 @@
     config.bind = [f"fd://{listener.detach()}"]
     config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
-    config.graceful_timeout = SHUTDOWN_TIMEOUT_S
+    config.graceful_timeout = settings.drain_timeout_s
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
