--- a/tests/steps/proving_steps.py
+++ b/tests/steps/proving_steps.py
@@ -1,6 +1,7 @@
 """Steps that bring failures about on real processes and judge the history of the run."""
 
 from pathlib import Path
+from signal import SIGTERM
 from tempfile import mkdtemp
 from time import monotonic, sleep
 
@@ -16,11 +17,13 @@
 )
 from tests.support.proving_cluster import ProvingCluster
 from tests.support.recording_caller import SINGLE_TASK_ID, RecordingCaller
+from tests.support.steady_load import SteadyLoad
 
 DOMAINS = ["a", "b", "c"]
 SLOTS = 4
 MAX_RUN_TIME_S = 15.0
 MAX_BODY_BYTES = 7_000_000
+CALLERS = 6
 STATE_TIMEOUT_S = 30.0
 LEAVING_BOUND_S = 3.0  # from the record or the platform's list
 REFUSAL_BOUND_S = 1.0  # from the endpoint's own refusal
@@ -166,6 +169,7 @@
     failures = {
         "frozen": lambda: cluster.daemons[number].freeze(),
         "resumed": lambda: cluster.daemons[number].resume(),
+        "stopped as planned": lambda: cluster.daemons[number].send_signal(SIGTERM),
         "killed": lambda: cluster.kill_daemon(number),
         "started again": lambda: cluster.restart_daemon(number),
     }
@@ -256,6 +260,7 @@
         "truncate its answers": {"truncate": True},
         "answer with 9000000 bytes": {"oversize_bytes": 9_000_000},
         "answer with 8388000 bytes": {"oversize_bytes": 8_388_000},
+        "answer with 8000000 bytes": {"oversize_bytes": 8_000_000},
         "answer with 3000000 bytes": {"oversize_bytes": 3_000_000},
         "answer 3 s late": {"late_s": 3.0},
         "answer in time": {"late_s": 0.0},
@@ -277,6 +282,44 @@
     )
 
 
+@when(
+    "callers that honour readiness submit jobs of {count:d} tasks of {run_time_s:g} s all the time"
+)
+def step_load(context, count, run_time_s):
+    context.load = SteadyLoad(context.caller, CALLERS, make_payloads(count, run_time_s))
+    context.load.start()
+
+
+@when("each daemon is stopped as planned and started again")
+def step_roll(context):
+    cluster = context.cluster
+    for number, daemon in enumerate(cluster.daemons):
+        assert daemon.terminate() == 0, f"d{number} did not end well"
+        cluster.restart_daemon(number)
+        cluster.wait_until(lambda number=number: cluster.is_ready(number), f"d{number} is ready")
+
+
+@when("the callers stop")
+def step_stop_load(context):
+    context.calls["load"] = context.load.stop()
+
+
+@then("no proving job has failed")
+def step_no_failures(context):
+    failures = [answer for answer in context.history.answers if answer.outcome != "done"]
+    assert not failures and not context.history.lost_calls, (
+        failures[:3],
+        context.history.lost_calls[:3],
+        len(failures),
+        len(context.history.answers),
+    )
+
+
+@then("daemon {number:d} has ended well")
+def step_ended_well(context, number):
+    assert context.cluster.daemons[number].wait(STATE_TIMEOUT_S) == 0
+
+
 @then('answer {number:d} of proving job "{name}" is "{outcome}" with code "{code}"')
 def step_answer_code(context, number, name, outcome, code):
     answer = answer_of(context, name, number - 1)
--- a/tests/support/proving_cluster.py
+++ b/tests/support/proving_cluster.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field, replace
 from time import monotonic
 
+from httpx import HTTPError
+
 from standins.process import ManagedProcess
 from tests.support.cluster import Cluster
 from tests.support.history import EndpointEvent, History
@@ -114,6 +116,13 @@
         written = self.client.put(url, json=read.json()["record"] | fields, headers=headers)
         return written.status_code == 200
 
+    def is_ready(self, daemon: int) -> bool:
+        """Tells whether a balancer would send new work to a daemon."""
+        try:
+            return self.client.get(f"{self.url(daemon)}/readyz").status_code == 200
+        except HTTPError:
+            return False
+
     def count_store_calls(self, kind: str) -> int:
         """Counts the calls of a kind that the store has seen."""
         return self.client.get(f"{self.store.url}/control/counts").json()["calls"].get(kind, 0)
