Start nothing for 2 s after a pause of the process

A daemon that finds more than 1 s between two of its ticks now gives grants back unused and asks for none until its configuration has had 2 s to come up to date. Weighed: an age in each grant, which needs clocks that agree; leases for grants, which cost messages all the time.

--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -38,6 +38,8 @@
 DEFAULT_TEAM_QUOTA = 5_000
 REFUSED_RETRY_AFTER_S = 2.0
 MAX_FLUSH_ROUNDS = 8
+PAUSE_LIMIT_S = 1.0  # without a tick for longer, the process has not run
+REFRESH_S = 2.0  # time after a pause for the configuration to come up to date
 
 
 class Pipeline:
@@ -64,9 +66,9 @@
             clock, sender, tracer, self._release, self._requeue, self._finish_task
         )
         self.holder = Holder(identity, clock, self._send)
-        self.requester = SlotRequester(
-            identity, clock, self._queue, self._send, self._dispatcher.start
-        )
+        self.requester = SlotRequester(identity, clock, self._queue, self._send, self._start_task)
+        self._last_run_s = clock.now_s()
+        self._refreshed_at_s = 0.0
         self._configuration = Configuration()
         self.is_stopping = False
         self._refuses_new_jobs = False
@@ -109,6 +111,7 @@
 
     def receive(self, sender: str, message: object) -> None:
         """Takes a message about slots from a daemon, this one included."""
+        self._note_pause()
         match message:
             case UpdateDemand():
                 self.holder.receive_demand(sender, message)
@@ -159,7 +162,8 @@
         while True:
             await self._changed.wait()
             self._changed = Event()
-            self._flush()
+            if not self._is_refreshing():
+                self._flush()
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Waits until no job is unfinished; tells whether that came about in time."""
@@ -209,6 +213,7 @@
     async def _tick(self) -> None:
         while True:
             await sleep(TICK_INTERVAL_S)
+            self._note_pause()
             self.holder.mark_waiting_groups()
             self._wake()
 
@@ -219,6 +224,23 @@
             if not self.requester.has_releases():
                 return
 
+    def _note_pause(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s - self._last_run_s > PAUSE_LIMIT_S:
+            self._refreshed_at_s = now_s + REFRESH_S
+        self._last_run_s = now_s
+
+    def _is_refreshing(self) -> bool:
+        return self._clock.now_s() < self._refreshed_at_s
+
+    def _start_task(self, run: TaskRun, slot: HeldSlot) -> None:
+        if self._is_refreshing():
+            # Granted before a pause of this process: the endpoint may have begun to leave since.
+            self.requester.release(slot, SlotResult.UNUSED)
+            self._requeue(run)
+        else:
+            self._dispatcher.start(run, slot)
+
     def _send(self, incarnation: str, message: object) -> None:
         if incarnation == self._identity.incarnation:
             self.receive(incarnation, message)
