--- a/berylproxy/peers/dialler.py
+++ b/berylproxy/peers/dialler.py
@@ -32,6 +32,7 @@
         self._on_refused = on_refused
         self._logger = logger
         self._wakeups: dict[str, Event] = {}
+        self._pauses: dict[str, Event] = {}
         self._unwanted: set[str] = set()
         self._running: set[str] = set()
         self._task_group: TaskGroup | None = None
@@ -55,6 +56,12 @@
         self._wakeups[address] = Event()
         self._begin(address)
 
+    def hurry(self, address: str) -> None:
+        """Dials at once, whatever happened before: another daemon than before runs there."""
+        pause = self._pauses.get(address)
+        if pause is not None:
+            pause.set()
+
     def addresses(self) -> list[str]:
         """Lists the addresses that are kept dialled."""
         return list(self._wakeups)
@@ -98,8 +105,10 @@
             last_problem = problem
             if not problem:
                 wakeup = Event()  # the other side's own dialling is no reason to hurry then
+            self._pauses[address] = wakeup
             with move_on_after(uniform(delay_s / 2, delay_s)):
                 await wakeup.wait()
+            del self._pauses[address]
             if not was_stable:
                 delay_s = min(delay_s * BACKOFF_FACTOR, self._settings.redial_max_delay_s)
 
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -254,8 +254,11 @@
         links[identity.incarnation] = link
         opened, self._link_opened = self._link_opened, Event()
         opened.set()
+        is_new = self.table.get(identity.incarnation) is None
         entry = self.table.meet(identity)
         self._add_learnt_address(identity.peer_address)
+        if is_new:
+            self._dialler.hurry(identity.peer_address)
         if links is self._dialled:
             self._require_task_group().start_soon(self._control.greet, entry)
         try:
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -39,7 +39,8 @@
 DEFAULT_TEAM_QUOTA = 5_000
 REFUSED_RETRY_AFTER_S = 2.0
 MAX_FLUSH_ROUNDS = 8
-LONGEST_PAUSE_S = 1.0  # below the time after which holders take a grant for lost
+PAUSE_LIMIT_S = 1.0  # without a tick for longer, the process has not run
+REFRESH_S = 2.0  # time after a pause for the configuration to come up to date
 UNDELIVERED_LINGER_S = 10.0
 
 
@@ -75,14 +76,14 @@
             clock,
             self._queue,
             self._send,
-            self._dispatcher.start,
+            self._start_task,
             lambda incarnation: incarnation == identity.incarnation or is_reachable(incarnation),
-            self._has_run_without_pause,
         )
+        self._last_run_s = clock.now_s()
+        self._refreshed_at_s = 0.0
         self._configuration = Configuration()
         self.is_stopping = False
         self._refuses_new_jobs = False
-        self._last_tick_s = clock.now_s()
         self._changed = Event()
         self._task_group: TaskGroup | None = None
 
@@ -122,6 +123,7 @@
 
     def receive(self, sender: str, message: object) -> None:
         """Takes a message about slots from a daemon, this one included."""
+        self._note_pause()
         match message:
             case UpdateDemand():
                 self.holder.receive_demand(sender, message)
@@ -156,6 +158,11 @@
         self._wake()
         return job
 
+    @property
+    def takes_new_jobs(self) -> bool:
+        """Whether new jobs are taken; a stopping daemon still does for a while."""
+        return not self._refuses_new_jobs
+
     def refuse_new_jobs(self) -> None:
         """Takes no new jobs from now on; known ones go on."""
         self._refuses_new_jobs = True
@@ -172,7 +179,8 @@
         while True:
             await self._changed.wait()
             self._changed = Event()
-            self._flush()
+            if not self._is_refreshing():
+                self._flush()
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
         """Waits until every job is finished and its answer fetched; tells whether that came about.
@@ -233,14 +241,11 @@
 
     async def _tick(self) -> None:
         while True:
-            self._last_tick_s = self._clock.now_s()
             await sleep(TICK_INTERVAL_S)
+            self._note_pause()
             self.holder.mark_waiting_groups()
             self._wake()
 
-    def _has_run_without_pause(self) -> bool:
-        return self._clock.now_s() - self._last_tick_s < LONGEST_PAUSE_S
-
     def _flush(self) -> None:
         for _ in range(MAX_FLUSH_ROUNDS):
             self.requester.flush()
@@ -248,6 +253,23 @@
             if not self.requester.has_releases():
                 return
 
+    def _note_pause(self) -> None:
+        now_s = self._clock.now_s()
+        if now_s - self._last_run_s > PAUSE_LIMIT_S:
+            self._refreshed_at_s = now_s + REFRESH_S
+        self._last_run_s = now_s
+
+    def _is_refreshing(self) -> bool:
+        return self._clock.now_s() < self._refreshed_at_s
+
+    def _start_task(self, run: TaskRun, slot: HeldSlot) -> None:
+        if self._is_refreshing():
+            # Granted before a pause of this process: the endpoint may have begun to leave since.
+            self.requester.release(slot, SlotResult.UNUSED)
+            self._requeue(run)
+        else:
+            self._dispatcher.start(run, slot)
+
     def _send(self, incarnation: str, message: object) -> None:
         if incarnation == self._identity.incarnation:
             self.receive(incarnation, message)
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -44,8 +44,6 @@
     :param send: sends a message to a daemon by incarnation, this one included.
     :param start: starts a task in a slot; it must call :meth:`release` once.
     :param is_reachable: tells whether messages get to a daemon now.
-    :param may_use_grants: tells whether this process has run without a pause, as a grant that was
-        received before a pause may have been given to another home since.
     """
 
     def __init__(
@@ -56,14 +54,12 @@
         send: Callable[[str, object], None],
         start: Callable[[TaskRun, HeldSlot], None],
         is_reachable: Callable[[str], bool],
-        may_use_grants: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._queue = queue
         self._send = send
         self._start = start
         self._is_reachable = is_reachable
-        self._may_use_grants = may_use_grants
         self._spread = DemandSpread(identity.failure_domain)
         self._links: dict[SlotGroup, GroupLink] = {}
         self._held: dict[tuple[str, int], tuple[SlotGroup, HeldSlot]] = {}
@@ -114,7 +110,7 @@
             self._note_grant(group, link, key)
             slot = HeldSlot(holder, grant.sequence, grant.endpoint, grant.service, grant.team)
             self._held[holder, grant.sequence] = (group, slot)
-            run = self._queue.pop(key) if self._may_use_grants() else None
+            run = self._queue.pop(key)
             if run is None:
                 self.unused_grants += 1
                 self.release(slot, SlotResult.UNUSED)
@@ -138,6 +134,7 @@
         self._check_reachable_holders()
         for key in self._spread.list_keys().union(self._queue.list_keys()):
             self._spread.balance(key, self._queue.count(key))
+        self._spread.move_to_free_slots()
         for group, link in self._links.items():
             self._flush_releases(group, link)
             self._flush_demand(group, link, now_s)
--- a/tests/place/ledger.feature
+++ b/tests/place/ledger.feature
@@ -7,12 +7,14 @@
     When home "a" asks for 5 slots
     Then 2 slots of "e0" and 2 slots of "e1" are granted
 
-  Scenario: A full endpoint is left alone for a moment and then used again
+  Scenario: A full endpoint is left alone for a moment and then tried with few tasks
     When home "a" asks for 1 slot
     And the slot is given back as "full"
     And home "a" asks for 4 slots
     Then the refusing endpoint gets no grant
     When 0.06 s pass in the ledger
+    Then the refusing endpoint gets 1 grants
+    When 20 tasks one after another are done there
     Then the refusing endpoint gets 2 grants
 
   Scenario: An endpoint that fails everything gets one task at a time
--- a/tests/steps/ledger_steps.py
+++ b/tests/steps/ledger_steps.py
@@ -95,6 +95,18 @@
     release(context, grant, result)
 
 
+@when("{tasks:d} tasks one after another are done there")
+def step_do_more(context, tasks):
+    for _ in range(tasks):
+        for grant in context.grants:
+            release(context, grant, "done")
+        ask(context, "a", 4)
+        decide(context)
+    for grant in context.grants:
+        release(context, grant, "done")
+    ask(context, "a", 4)
+
+
 @when('{failures:d} tasks in a row fail at "{endpoint}"')
 def step_fail(context, failures, endpoint):
     ask(context, "a", 4)
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -8,7 +8,8 @@
 DONE, NOT_RUN, FAILED, UNKNOWN = "done", "not_run", "failed", "outcome_unknown"
 # Said of other content than the job's, so they tell nothing of the job itself.
 FOREIGN_CODES = ("id_reused",)
-STOPPED_WAITING_CODES = ("home_unreachable", "home_gone")
+# Codes of "outcome unknown" that a home gives for good; others come from daemons that can't ask it.
+HOME_UNKNOWN_CODES = ("timeout", "answer_lost", "answer_timeout")
 
 
 @dataclass(frozen=True)
@@ -177,7 +178,8 @@
         answers = [
             answer
             for answer in history.answers_of(job_id)
-            if answer.code not in FOREIGN_CODES + STOPPED_WAITING_CODES
+            if answer.code not in FOREIGN_CODES
+            and (answer.outcome != UNKNOWN or answer.code in HOME_UNKNOWN_CODES)
         ]
         for answer in answers[1:]:
             first = answers[0]
@@ -217,14 +219,16 @@
     ]
 
 
-def find_starts_while_leaving(history: History) -> list[str]:
-    """An endpoint that is leaving gets no new work."""
+def find_work_while_leaving(history: History) -> list[str]:
+    """An endpoint that is leaving gets no new work, not even to refuse it."""
     return [
-        f"task {start.task} started at {start.endpoint} "
-        f"{start.time_s - mark.from_s:.3f} s after the bound"
+        f"{event.event} of task {event.task} at {event.endpoint} "
+        f"{event.time_s - mark.from_s:.3f} s after the bound"
         for mark in history.leaving
-        for start in history.starts()
-        if start.endpoint == mark.endpoint and mark.from_s <= start.time_s < mark.until_s
+        for event in history.events
+        if event.event in ("start", "refuse")
+        and event.endpoint == mark.endpoint
+        and mark.from_s <= event.time_s < mark.until_s
     ]
 
 
@@ -236,7 +240,7 @@
     "an answer never changes": find_changed_answers,
     "not run is true": find_false_refusals,
     "done has run": find_unstarted_results,
-    "a leaving endpoint gets no new work": find_starts_while_leaving,
+    "a leaving endpoint gets no new work": find_work_while_leaving,
 }
 
 
