--- a/tests/collect/single_answer.feature
+++ b/tests/collect/single_answer.feature
@@ -13,6 +13,14 @@
     Then answer 3 of proving job "A" is "failed" with code "cancelled"
     And the history meets all conditions
 
+  Scenario: a job is cancelled after its end
+    When proving job "A" of 3 tasks of 0.1 s with home 0 is submitted to daemon 1
+    And all calls of proving job "A" have ended
+    And proving job "A" is cancelled at daemon 2
+    Then answer 1 of proving job "A" is "done"
+    And answer 2 of proving job "A" is "done"
+    And the history meets all conditions
+
   Scenario: a job is cancelled before its submission arrives
     When proving job "A" of 3 tasks of 0.05 s gets an id of daemon 0
     And proving job "A" is cancelled at daemon 1
