Measure the placement on real processes: first form of the bench

A load program sends seeded Poisson arrivals to the product's daemons and to two baselines in one run.

--- /dev/null
+++ b/tools/bench/system.py
@@ -0,0 +1,131 @@
+"""Starts the processes of a scenario and runs the arrivals through one policy at a time."""
+
+import json
+import re
+from collections import Counter
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from subprocess import TimeoutExpired
+
+from httpx import Client
+
+from standins.cluster import Cluster, EndpointPlan
+from standins.process import ManagedProcess
+from tools.bench.arrivals import Arrival, write_arrivals
+from tools.bench.scenarios import Scenario
+
+PRODUCT = "berylproxy"
+BASELINES = ("random", "round_robin")
+ENDPOINT_CONNECTIONS = 64
+LOAD_TIMEOUT_S = 90.0
+WASTE_SAMPLE = re.compile(r'^berylproxy_wasted_messages_total\{kind="(\w+)"\} (\S+)$', re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyRun:
+    """What a run of one policy left.
+
+    :param rows: one for each arrival, as the load program wrote them.
+    :param events: what the endpoints logged during the run.
+    :param wasted: messages that carried no useful work, by kind.
+    """
+
+    rows: list[dict]
+    events: list[dict]
+    wasted: Counter[str]
+
+
+class BenchSystem:
+    """The processes of one scenario: store, endpoints, product daemons, baselines in turn."""
+
+    def __init__(self, scenario: Scenario, arrivals: list[Arrival], folder: Path) -> None:
+        self._scenario = scenario
+        self._folder = folder
+        self._arrivals_path = folder / "arrivals.json"
+        write_arrivals(self._arrivals_path, arrivals)
+        plans = [
+            EndpointPlan(domain, speed, scenario.slots)
+            for domain in scenario.domains
+            for speed in scenario.speeds
+        ]
+        service = {"run_time_s": scenario.declared_run_time_s}
+        self.cluster = Cluster(folder, list(scenario.daemon_domains), plans, service)
+        self._client = Client(trust_env=False)
+        self._seen_events = 0
+
+    def __enter__(self) -> "BenchSystem":
+        try:
+            self.cluster.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        self._client.close()
+        self.cluster.stop()
+
+    def run_policy(self, policy: str) -> PolicyRun:
+        """Sends all arrivals through one policy."""
+        return self._run_product() if policy == PRODUCT else self._run_baseline(policy)
+
+    def _run_product(self) -> PolicyRun:
+        daemons = range(len(self.cluster.daemons))
+        urls = [self.cluster.url(daemon) for daemon in daemons]
+        before = self._read_product_waste(urls)
+        rows = self._run_load(PRODUCT, urls)
+        wasted = self._read_product_waste(urls)
+        wasted.subtract(before)
+        return PolicyRun(rows, self._take_events(), wasted)
+
+    def _run_baseline(self, policy: str) -> PolicyRun:
+        with ExitStack() as stack:
+            daemons = [
+                stack.enter_context(self._make_baseline(policy, number))
+                for number in range(len(self._scenario.daemon_domains))
+            ]
+            urls = [daemon.url for daemon in daemons]
+            rows = self._run_load(policy, urls)
+            wasted: Counter[str] = Counter()
+            for url in urls:
+                wasted.update(self._client.get(f"{url}/counts").json())
+        return PolicyRun(rows, self._take_events(), wasted)
+
+    def _make_baseline(self, policy: str, number: int) -> ManagedProcess:
+        endpoints = ",".join(endpoint.url for endpoint in self.cluster.endpoints)
+        connections = ENDPOINT_CONNECTIONS // len(self._scenario.daemon_domains)
+        arguments = ["-m", "tools.bench.baseline", "--policy", policy, "--endpoints", endpoints]
+        arguments += ["--connections", str(connections), "--seed", str(number)]
+        return ManagedProcess(f"{policy}{number}", arguments, self._folder)
+
+    def _run_load(self, policy: str, urls: list[str]) -> list[dict]:
+        results = self._folder / f"{policy}.json"
+        arguments = ["-m", "tools.bench.load", "--urls", ",".join(urls)]
+        arguments += ["--arrivals", str(self._arrivals_path), "--results", str(results)]
+        with ManagedProcess(f"load-{policy}", arguments, self._folder) as load:
+            try:
+                status = load.wait(LOAD_TIMEOUT_S)
+            except TimeoutExpired as error:
+                raise RuntimeError(f"{policy}: the load program did not end") from error
+        if status:
+            raise RuntimeError(f"{policy}: {load.stderr_path.read_text()}")
+        return json.loads(results.read_text())
+
+    def _read_product_waste(self, urls: list[str]) -> Counter[str]:
+        wasted: Counter[str] = Counter()
+        for url in urls:
+            text = self._client.get(f"{url}/metrics").text
+            for kind, value in WASTE_SAMPLE.findall(text):
+                wasted[kind] += int(float(value))
+        return wasted
+
+    def _take_events(self) -> list[dict]:
+        events = sorted(self.cluster.read_events(), key=lambda event: event["time_s"])
+        fresh = events[self._seen_events :]
+        self._seen_events = len(events)
+        return fresh
