--- a/tools/bench/scenarios.py
+++ b/tools/bench/scenarios.py
@@ -53,6 +53,7 @@
         Scenario("steady-50", load=0.5),
         Scenario("steady-70", load=0.7),
         Scenario("steady-90", load=0.9),
+        Scenario("one-domain-70", load=0.7, daemon_domains=("fd-a",) * 4, speeds=2 * MIXED_SPEEDS),
         Scenario("alike-70", load=0.7, speeds=(2.5, 2.5, 2.5, 2.5)),
         Scenario("unequal-daemons-70", load=0.7, daemon_weights=(8.0, 1.0, 4.0, 1.0)),
         Scenario("wrong-run-times-70", load=0.7, declared_run_time_s=3.0),
