Hold a slot back for a faster endpoint only where the wait is short

Cause: each task waited for a faster endpoint as long as it alone gained by that. So a queue stood before the fast endpoints, as long as the slow ones' handicap, and delayed everybody behind it: at 70 % load the speed-1 endpoints ran 8 tasks each while a quarter of the slot time was idle with tasks waiting.

--- a/berylproxy/place/schedule.py
+++ b/berylproxy/place/schedule.py
@@ -6,6 +6,8 @@
 
 from berylproxy.collect.job import DemandKey
 
+WAIT_WEIGHT = 5.0  # a task that waits for a faster endpoint also delays those behind it
+
 
 @dataclass(slots=True)
 class HomeDemand:
@@ -117,6 +119,9 @@
 class SlotForecast:
     """Assigns tasks one after another, each to the endpoint where it is expected to end soonest.
 
+    Time spent waiting counts :data:`WAIT_WEIGHT` times, so that a free slot is held back only where
+    a faster endpoint has one soon.
+
     :param forecasts: by endpoint.
     :param expect_s: expected run time of an endpoint and a service.
     :param can_take: whether an endpoint can run tasks of a key at all.
@@ -138,15 +143,16 @@
     def place(self, key: DemandKey) -> Placement | None:
         """Assigns one task; ``None`` if no endpoint can take it."""
         best_name = None
-        best_end_s = float("inf")
+        best_cost_s = float("inf")
         for name, forecast in self._forecasts.items():
             start_s = forecast.next_free_s(self._now_s)
             if start_s is None or not self._can_take(name, key):
                 continue
-            end_s = start_s + self._expect_s(name, key.service)
-            if end_s < best_end_s:
+            wait_s = start_s - self._now_s
+            cost_s = WAIT_WEIGHT * wait_s + self._expect_s(name, key.service)
+            if cost_s < best_cost_s:
                 best_name = name
-                best_end_s = end_s
+                best_cost_s = cost_s
         if best_name is None:
             return None
         best = self._forecasts[best_name]
