Divide demand over failure domains by what each holder's next tasks cost

Cause: a holder told how busy it is only when its first slot freed or its last was taken, and a home counted all it had asked for since. A failure domain with free slots told nothing new, so the count grew until it looked full for good; the busy one told often and so always looked free. With two failure domains nearly all tasks queued in one while the other was idle.

Left: more than one task in a hundred starts at the slowest endpoint.

--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -107,8 +107,10 @@
             if not held.is_settled(now_s):
                 self._dirty.add(group)
                 continue
-            self._send_grants(group, held.ledger.decide(now_s))
-            self._send_summary(held, now_s)
+            grants = held.ledger.decide(now_s)
+            summary = held.ledger.summarize(now_s)
+            self._send_grants(group, grants, summary)
+            self._send_summary(held, summary, now_s)
 
     def list_summaries(self) -> list[HolderSummary]:
         """Summarizes all groups held here."""
@@ -154,20 +156,24 @@
         }
         ledger.configure(endpoints, configuration.services, configuration.teams, quotas)
 
-    def _send_grants(self, group: SlotGroup, grants: list[AddressedGrant]) -> None:
+    def _send_grants(
+        self, group: SlotGroup, grants: list[AddressedGrant], summary: HolderSummary
+    ) -> None:
         by_home: dict[str, list] = {}
         for addressed in grants:
             by_home.setdefault(addressed.home, []).append(addressed.grant)
         for home, home_grants in by_home.items():
-            self._send(home, GrantSlots(group.pool, group.failure_domain, tuple(home_grants)))
+            message = GrantSlots(group.pool, group.failure_domain, tuple(home_grants), summary)
+            self._send(home, message)
 
-    def _send_summary(self, held: HeldGroup, now_s: float) -> None:
-        summary = held.ledger.summarize(now_s)
+    def _send_summary(self, held: HeldGroup, summary: HolderSummary, now_s: float) -> None:
+        own = self._identity.incarnation
+        self._send(own, summary)
         last = held.last_summary
         changed = last is None or bool(last.free) != bool(summary.free)
         if not changed or now_s - held.last_summary_s < SUMMARY_INTERVAL_S:
             return
         held.last_summary = summary
         held.last_summary_s = now_s
-        for incarnation in self._live:
+        for incarnation in self._live.keys() - {own}:
             self._send(incarnation, summary)
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from heapq import nsmallest
 
 from berylproxy.collect.job import DemandKey
 from berylproxy.place.health import EndpointHealth
@@ -19,6 +20,7 @@
     SlotRelease,
 )
 from berylproxy.place.schedule import (
+    WAIT_WEIGHT,
     EndpointForecast,
     FairOrder,
     HomeDemand,
@@ -36,6 +38,7 @@
 UNLIMITED_SLOTS = 1_000_000
 SHORTEST_RUN_TIME_S = 0.001
 MAX_CONSIDERED_TASKS = 256  # in one decision
+SUMMARIZED_COSTS = 8
 
 
 class SlotResult(StrEnum):
@@ -265,25 +268,41 @@
             waiting=self.count_waiting(),
             slots=sum(state.endpoint.slots for state in usable),
             turnover_per_s=turnover_per_s,
+            costs_s=self._list_costs_s(turnover_per_s, now_s),
         )
 
     def list_states(self) -> list[EndpointState]:
         """Lists the endpoints with their slots in use and their health."""
         return list(self._states.values())
 
+    def _list_costs_s(self, turnover_per_s: float, now_s: float) -> tuple[float, ...]:
+        """What the next tasks would cost after those that wait."""
+        costs_s: list[float] = []
+        for name, forecast in self._make_forecasts(now_s).items():
+            run_time_s = self._expect_any_s(name)
+            costs_s += forecast.list_costs_s(run_time_s, now_s, SUMMARIZED_COSTS)
+        waiting = self.count_waiting()
+        wait_s = waiting / turnover_per_s if turnover_per_s else 0.0
+        return tuple(
+            cost_s + WAIT_WEIGHT * wait_s for cost_s in nsmallest(SUMMARIZED_COSTS, costs_s)
+        )
+
     def _drop_demand(self, home: str) -> None:
         for homes in self._demands.values():
             homes.pop(home, None)
         self._demands = {key: homes for key, homes in self._demands.items() if homes}
 
     def _forecast(self, now_s: float) -> SlotForecast:
+        return SlotForecast(self._make_forecasts(now_s), self._expect_s, self._can_take, now_s)
+
+    def _make_forecasts(self, now_s: float) -> dict[str, EndpointForecast]:
         forecasts = {}
         for name, state in self._states.items():
             if state.endpoint.leaving or now_s < state.health.ejected_until_s:
                 continue
             free_at_s = sorted(_predict_end_s(use, now_s) for use in state.uses.values())
             forecasts[name] = EndpointForecast(state.count_free(now_s), free_at_s)
-        return SlotForecast(forecasts, self._expect_s, self._can_take, now_s)
+        return forecasts
 
     def _share_teams(self) -> dict[str, TeamShare]:
         shares = {}
--- a/berylproxy/place/messages.py
+++ b/berylproxy/place/messages.py
@@ -62,15 +62,6 @@
     needs: tuple[tuple[str, int], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class GrantSlots:
-    """Holder to home: slots that the home may use now."""
-
-    pool: str
-    failure_domain: str
-    grants: tuple[SlotGrant, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class SlotRelease:
     """The end of a slot's use.
@@ -104,6 +95,8 @@
     :param waiting: tasks that wait for a slot here.
     :param slots: all usable slots.
     :param turnover_per_s: slots that become free in a second when all are in use.
+    :param costs_s: what each of the next few tasks would cost, the first one's first: its expected
+        run time and its weighted wait.
     """
 
     pool: str
@@ -112,6 +105,20 @@
     waiting: int
     slots: int
     turnover_per_s: float
+    costs_s: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GrantSlots:
+    """Holder to home: slots that the home may use now.
+
+    :param summary: how busy the holder's endpoints are after these grants.
+    """
+
+    pool: str
+    failure_domain: str
+    grants: tuple[SlotGrant, ...]
+    summary: HolderSummary | None = None
 
 
 PLACE_MESSAGES = (UpdateDemand, GrantSlots, ReleaseSlots, HolderSummary)
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -120,6 +120,8 @@
                 self.release(slot, SlotResult.UNUSED)
             else:
                 self._start(run, slot)
+        if message.summary is not None:
+            self._spread.update_summary(message.summary)
 
     def release(self, slot: HeldSlot, result: SlotResult, run_time_s: float = 0.0) -> None:
         """Gives a slot back and tells how its use ended."""
--- a/berylproxy/place/schedule.py
+++ b/berylproxy/place/schedule.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, nsmallest
 
 from berylproxy.collect.job import DemandKey
 
@@ -107,6 +107,12 @@
             start_s = heappop(self.free_at_s)
         heappush(self.free_at_s, start_s + run_time_s)
 
+    def list_costs_s(self, run_time_s: float, now_s: float, count: int) -> list[float]:
+        """What each of the next tasks would cost here, see :data:`WAIT_WEIGHT`."""
+        costs_s = [run_time_s] * min(self.free, count)
+        starts_s = nsmallest(count - len(costs_s), self.free_at_s)
+        return costs_s + [WAIT_WEIGHT * (start_s - now_s) + run_time_s for start_s in starts_s]
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
--- a/berylproxy/place/spread.py
+++ b/berylproxy/place/spread.py
@@ -6,9 +6,10 @@
 from berylproxy.collect.job import DemandKey
 from berylproxy.place.assignment import SlotGroup
 from berylproxy.place.messages import HolderSummary
+from berylproxy.place.schedule import WAIT_WEIGHT
 
 REMOTE_PENALTY_S = 0.003  # cost of a slot in another failure domain
-UNKNOWN_SUMMARY = HolderSummary("", "", free=1, waiting=0, slots=1, turnover_per_s=1.0)
+UNKNOWN_TASK_COST_S = 0.1
 
 
 class DemandSpread:
@@ -22,7 +23,7 @@
         self._allotted: dict[SlotGroup, Counter[DemandKey]] = {}
         self._summaries: dict[SlotGroup, HolderSummary] = {}
         self._groups_of_service: dict[str, list[SlotGroup]] = {}
-        self._taken: Counter[SlotGroup] = Counter()  # free slots asked for since the summary
+        self._added: Counter[SlotGroup] = Counter()  # tasks allotted since the last summary
 
     def configure(self, groups_of_service: Mapping[str, list[SlotGroup]]) -> list[DemandKey]:
         """Takes the groups that have a holder; returns the keys whose tasks must be added anew."""
@@ -42,24 +43,22 @@
         """Takes a holder's summary and moves waiting tasks to it if it has slots to spare."""
         group = SlotGroup(summary.pool, summary.failure_domain)
         self._summaries[group] = summary
-        self._taken[group] = 0
-        spare = summary.free - summary.waiting - self._count(group)
-        if spare > 0:
-            self._pull(group, spare)
+        self._added[group] = 0
+        self._pull(group)
 
     def balance(self, key: DemandKey, waiting: int) -> None:
         """Makes the allotments of a key add up to the number of its waiting tasks."""
         allotted = {group: self._allotted_of(group, key) for group in self._groups(key)}
         missing = waiting - sum(allotted.values())
         for _ in range(missing):
-            group = min(self._groups(key), key=self._estimate_wait_s, default=None)
+            group = min(self._groups(key), key=self._estimate_cost_s, default=None)
             if group is None:
                 return
             self._add(group, key, 1)
         for _ in range(-missing):
             group = max(
                 (group for group in allotted if self._allotted_of(group, key)),
-                key=self._estimate_wait_s,
+                key=self._estimate_cost_s,
             )
             self._add(group, key, -1)
 
@@ -102,33 +101,34 @@
 
     def _add(self, group: SlotGroup, key: DemandKey, count: int) -> None:
         self._allotted.setdefault(group, Counter())[key] += count
-        if count > 0:
-            self._taken[group] += count
+        self._added[group] += count
 
-    def _estimate_wait_s(self, group: SlotGroup) -> float:
-        summary = self._summaries.get(group, UNKNOWN_SUMMARY)
+    def _estimate_cost_s(self, group: SlotGroup) -> float:
+        """What one more task would cost there; nothing while the holder has not told."""
         penalty_s = 0.0 if group.failure_domain == self._failure_domain else REMOTE_PENALTY_S
-        ahead = summary.waiting + self._taken[group] - summary.free
-        if ahead < 0:
-            return penalty_s
-        if not summary.turnover_per_s:
+        summary = self._summaries.get(group)
+        added = self._added[group]
+        if summary is None:
+            return penalty_s + added * UNKNOWN_TASK_COST_S
+        if not summary.costs_s or not summary.turnover_per_s:
             return float("inf")
-        return penalty_s + (ahead + 1) / summary.turnover_per_s
-
-    def _pull(self, target: SlotGroup, spare: int) -> None:
-        for group, allotted in self._allotted.items():
-            if group == target or self._has_free(group):
+        step = min(max(added, 0), len(summary.costs_s) - 1)
+        cost_s = summary.costs_s[step]
+        beyond = added - step
+        return penalty_s + cost_s + WAIT_WEIGHT * beyond / summary.turnover_per_s
+
+    def _pull(self, target: SlotGroup) -> None:
+        """Moves waiting tasks to a group for as long as that lowers their cost."""
+        for group, allotted in list(self._allotted.items()):
+            if group == target:
                 continue
             for key in list(+allotted):
-                if target not in self._groups(key):
-                    continue
-                moved = min(spare, allotted[key])
-                self._add(group, key, -moved)
-                self._add(target, key, moved)
-                spare -= moved
-                if not spare:
-                    return
-
-    def _has_free(self, group: SlotGroup) -> bool:
-        summary = self._summaries.get(group, UNKNOWN_SUMMARY)
-        return summary.free - summary.waiting - self._taken[group] > 0
+                if target in self._groups(key):
+                    self._move(key, group, target)
+
+    def _move(self, key: DemandKey, source: SlotGroup, target: SlotGroup) -> None:
+        while self._allotted_of(source, key):
+            if self._estimate_cost_s(target) >= self._estimate_cost_s(source):
+                return
+            self._add(source, key, -1)
+            self._add(target, key, 1)
--- /dev/null
+++ b/tests/steps/place_spread_steps.py
@@ -0,0 +1,104 @@
+"""Steps for how homes divide their demand, and for what holders tell them."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from berylproxy.collect.job import DemandKey
+from berylproxy.models import DaemonIdentity
+from berylproxy.place.assignment import SlotGroup
+from berylproxy.place.holder import Holder
+from berylproxy.place.messages import (
+    DemandEntry,
+    GrantSlots,
+    HolderSummary,
+    ReleaseSlots,
+    SlotRelease,
+    UpdateDemand,
+)
+from berylproxy.place.spread import DemandSpread
+from berylproxy.records.models import Configuration, Endpoint, Pool, Service
+
+POOL, SERVICE = "pool", "enquiry"
+KEY = DemandKey(SERVICE, "team")
+HOME = "home"
+TURNOVER_PER_S = 20.0
+
+
+def parse_costs(text):
+    """Reads numbers with commas between."""
+    return tuple(float(cost) for cost in text.split(","))
+
+
+@given('a home in "{own}" with holders in "{first}" and "{second}"')
+def step_spread(context, own, first, second):
+    context.spread = DemandSpread(own)
+    context.spread.configure({SERVICE: [SlotGroup(POOL, first), SlotGroup(POOL, second)]})
+
+
+@given('the holder in "{domain}" told costs of "{costs}"')
+@when('the holder in "{domain}" tells costs of "{costs}"')
+def step_told(context, domain, costs):
+    costs_s = parse_costs(costs)
+    slots = len(costs_s)
+    context.spread.update_summary(
+        HolderSummary(POOL, domain, slots, 0, slots, TURNOVER_PER_S, costs_s)
+    )
+
+
+@when("{count:d} task waits")
+@when("{count:d} tasks wait")
+def step_wait(context, count):
+    context.spread.balance(KEY, count)
+
+
+@then('{first:d} tasks are asked for in "{domain}" and {second:d} in "{other}"')
+@then('{first:d} task is asked for in "{domain}" and {second:d} in "{other}"')
+def step_asked(context, first, domain, second, other):
+    asked = [context.spread.list_entries(SlotGroup(POOL, name))[KEY] for name in (domain, other)]
+    assert asked == [first, second], asked
+
+
+@given(
+    "a holder of endpoints with {fast_slots:d} slots that take {fast:g} s and {slow_slots:d} slot "
+    "that takes {slow:g} s"
+)
+def step_holder(context, fast_slots, fast, slow_slots, slow):
+    context.sent = []
+    identity = DaemonIdentity("d0", "i0", "fd-a", "127.0.0.1:1")
+    home = DaemonIdentity("d1", HOME, "fd-b", "127.0.0.1:2")
+    clock = SimpleNamespace(now_s=lambda: 100.0)
+    holder = Holder(identity, clock, lambda _, message: context.sent.append(message))
+    holder.update_members([identity, home])
+    holder.configure(make_configuration({"fast": fast_slots, "slow": slow_slots}))
+    releases = [
+        SlotRelease("before", number, name, SERVICE, "done", run_time_s)
+        for number, (name, run_time_s) in enumerate({"fast": fast, "slow": slow}.items())
+    ]
+    holder.receive_releases(ReleaseSlots(POOL, "fd-a", tuple(releases)))
+    holder.receive_demand("i0", UpdateDemand(POOL, "fd-a", (), 0, ()))
+    context.holder = holder
+
+
+def make_configuration(slots):
+    """Makes a configuration with one endpoint for each name."""
+    endpoints = {
+        name: Endpoint(name, POOL, f"http://{name}", count, 64, {}, "o", "o", "fd-a", False)
+        for name, count in slots.items()
+    }
+    service = Service(SERVICE, (POOL,), 30.0, 0.3, 1_000, False, 10.0)
+    return Configuration(1, {SERVICE: service}, {POOL: Pool(POOL)}, endpoints, {})
+
+
+@when("a home asks for {count:d} slot")
+def step_ask(context, count):
+    entry = DemandEntry(SERVICE, "team", (), count, 0.0)
+    context.holder.receive_demand(HOME, UpdateDemand(POOL, "fd-a", (entry,), 0, ()))
+    context.holder.flush()
+
+
+@then('the grant tells costs of "{costs}"')
+def step_grant_tells(context, costs):
+    [grant] = [message for message in context.sent if isinstance(message, GrantSlots)]
+    expected_s = parse_costs(costs)
+    assert grant.summary.costs_s[: len(expected_s)] == expected_s, grant
