End a relayed connection once its client has closed it

Cause: the stand-ins' HTTP server, hypercorn, keeps a connection whose client has gone until its keep-alive time is over (its idle timer is awaited first), an hour in the stand-ins. The relay counted such connections against the endpoint's limit.

The relay ends both sides when the client's side ends. A half-closed connection is so cut, which no HTTP client here uses. Weighed: a keep-alive time of 5 s; the connections would still count for 5 s.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -183,8 +183,12 @@
         try:
             async for chunk in source:
                 await self.pass_chunk(connection, chunk, sink)
-            if not connection.silent:
-                await sink.send_eof()
+            if connection.silent:
+                return
+            await sink.send_eof()
+            if source is connection.client:
+                # hypercorn keeps a connection whose client has gone until its keep-alive time ends.
+                connection.scope.cancel()
         except (BrokenResourceError, ClosedResourceError, OSError):
             if not connection.silent:
                 connection.reset()
--- a/tests/standins/endpoint.feature
+++ b/tests/standins/endpoint.feature
@@ -49,6 +49,11 @@
     And the stand-in gets the task "t1" with {}
     Then the stand-in's answer is longer than 100000 bytes
 
+  Scenario: A connection that its client has closed does not count any more
+    When two connections to the stand-in are open
+    And both of them are closed
+    Then a new connection to the stand-in is served in the end
+
   Scenario: Open connections go silent while new ones work
     When an open connection to the stand-in has gone silent
     Then a task on the silent connection gets no answer and does not start
--- a/tests/steps/standins_steps.py
+++ b/tests/steps/standins_steps.py
@@ -15,6 +15,8 @@
 SILENCE_S = 0.3  # an answer that never comes is waited for this long
 POLL_INTERVAL_S = 0.01
 MAX_POLLS = 3000
+MAX_CONNECTION_TRIES = 300
+READ_BYTES = 65_536
 
 
 def start_process(context, name, *arguments):
@@ -142,12 +144,37 @@
 
 @when("two connections to the stand-in are open")
 def step_two_connections(context):
+    context.standin_connections = []
     for _ in range(2):
         connection = open_connection(context)
+        context.standin_connections.append(connection)
         connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n")
         assert connection.recv(1)
 
 
+@when("both of them are closed")
+def step_close_both(context):
+    for connection in context.standin_connections:
+        # Nothing may be left to read, or the end would be a reset.
+        while b"}" not in connection.recv(READ_BYTES):
+            pass
+        connection.close()
+
+
+@then("a new connection to the stand-in is served in the end")
+def step_served_in_the_end(context):
+    for _ in range(MAX_CONNECTION_TRIES):
+        connection = open_connection(context)
+        connection.sendall(b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n")
+        try:
+            if connection.recv(1):
+                return
+        except ConnectionResetError:
+            pass
+        sleep(POLL_INTERVAL_S)
+    raise AssertionError("every new connection was closed")
+
+
 @then("a third connection to the stand-in is closed")
 def step_third_connection(context):
     connection = open_connection(context)
