Repeat unchanged reports to holders every 5 s instead of each second

Weighed: no repetition (an update lost with a stream would leave tasks waiting), repeating only after a holder was out of reach (a stream may break and come back between two looks). Now the whole report goes every 5 s, the first three by the second, since a new holder may learn later than its homes that it is one, and at once when a holder is in reach again; demand that waits unchanged is repeated each second as before. A slot whose grant or release was lost is found within 8 s, not 4.

--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -21,7 +21,10 @@
 from berylproxy.records.models import Configuration
 from berylproxy.waiting.queue import WaitingQueue
 
-REPORT_INTERVAL_S = 1.0
+FIRST_REPORT_INTERVAL_S = 1.0  # a holder may learn later than its homes that it is one
+FIRST_REPORTS = 3
+REPORT_INTERVAL_S = 5.0
+DEMAND_REPEAT_S = 1.0  # an update that was lost must not leave tasks waiting
 
 
 class GroupLink:
@@ -35,6 +38,8 @@
         self.last_grant = 0
         self.last_counts: Counter[DemandKey] = Counter()
         self.report_due_s = 0.0
+        self.reports = 0
+        self.last_update_s = 0.0
         self.releases: list[SlotRelease] = []
 
 
@@ -169,6 +174,9 @@
     def _check_reachable_holders(self) -> None:
         reachable = self._list_reachable_holders()
         if reachable != self._reachable:
+            for link in self._links.values():
+                if link.holder in reachable - self._reachable:
+                    link.report_due_s = 0.0  # messages may have been lost
             self._reachable = reachable
             self._configure_spread()
 
@@ -193,21 +201,26 @@
     def _flush_demand(self, group: SlotGroup, link: GroupLink, now_s: float) -> None:
         counts = self._spread.list_entries(group)
         report_due = now_s >= link.report_due_s
-        if counts == link.last_counts and not report_due:
+        repeat_due = bool(counts) and now_s >= link.last_update_s + DEMAND_REPEAT_S
+        if counts == link.last_counts and not report_due and not repeat_due:
             return
         if counts == link.last_counts and link.holder != self._incarnation:
             self.unchanged_reports += 1
         link.last_counts = counts
-        held = None
-        if report_due:
-            link.report_due_s = now_s + REPORT_INTERVAL_S
-            held = tuple(slot for held_group, slot in self._held.values() if held_group == group)
+        link.last_update_s = now_s
         entries = tuple(self._make_entry(key, count, now_s) for key, count in counts.items())
+        held = self._report_held(group, link, now_s) if report_due else None
         self._send(
             link.holder,
             UpdateDemand(group.pool, group.failure_domain, entries, link.last_grant, held),
         )
 
+    def _report_held(self, group: SlotGroup, link: GroupLink, now_s: float) -> tuple[HeldSlot, ...]:
+        link.reports += 1
+        is_new = link.reports <= FIRST_REPORTS
+        link.report_due_s = now_s + (FIRST_REPORT_INTERVAL_S if is_new else REPORT_INTERVAL_S)
+        return tuple(slot for held_group, slot in self._held.values() if held_group == group)
+
     def _make_entry(self, key: DemandKey, count: int, now_s: float) -> DemandEntry:
         age_s = now_s - self._queue.oldest_accepted_s(key)
         return DemandEntry(key.service, key.team, key.needs, count, age_s)
--- a/tests/steps/place_spread_steps.py
+++ b/tests/steps/place_spread_steps.py
@@ -17,9 +17,8 @@
     UpdateDemand,
 )
 from berylproxy.place.spread import DemandSpread
-from berylproxy.records.models import Configuration, Endpoint, Pool, Service
+from tests.support.place_world import POOL, SERVICE, make_configuration
 
-POOL, SERVICE = "pool", "enquiry"
 KEY = DemandKey(SERVICE, "team")
 HOME = "home"
 TURNOVER_PER_S = 20.0
@@ -80,16 +79,6 @@
     context.holder = holder
 
 
-def make_configuration(slots):
-    """Makes a configuration with one endpoint for each name."""
-    endpoints = {
-        name: Endpoint(name, POOL, f"http://{name}", count, 64, {}, "o", "o", "fd-a", False)
-        for name, count in slots.items()
-    }
-    service = Service(SERVICE, (POOL,), 30.0, 0.3, 1_000, False, 10.0)
-    return Configuration(1, {SERVICE: service}, {POOL: Pool(POOL)}, endpoints, {})
-
-
 @when("a home asks for {count:d} slot")
 def step_ask(context, count):
     entry = DemandEntry(SERVICE, "team", (), count, 0.0)
