Send a request to an endpoint in one write and without a time-out for each step

Cause: by cProfile, 8.7 of the 10.3 s that sending took were in httpcore. Its stream sends head and body apart and opens a cancel scope for each read and write, also where no time-out is given; the daemon bounds the whole exchange itself.

Weighed: uvloop (ruled out: it may use io_uring), asyncio streams in place of anyio's (house style), httpcore's AsyncHTTP11Connection without its wrapper (not tried yet).

--- a/berylproxy/send/connections.py
+++ b/berylproxy/send/connections.py
@@ -12,6 +12,7 @@
 from httpcore import URL, AnyIOBackend, AsyncHTTPConnection, Origin
 
 from berylproxy.clock import Clock
+from berylproxy.send.streams import ExchangeBackend
 
 IDLE_LIMIT_S = 4.0  # below the keep-alive time of common HTTP servers, 5 s
 
@@ -37,7 +38,7 @@
         self._clock = clock
         self._max_idle = max_idle
         self._idle: deque[IdleConnection] = deque()
-        self._backend = AnyIOBackend()
+        self._backend = AnyIOBackend() if parsed.scheme == b"https" else ExchangeBackend()
 
     async def take(self) -> AsyncHTTPConnection:
         """Takes the connection used last if it is good, or makes a new one."""
--- /dev/null
+++ b/tests/send/streams.feature
@@ -0,0 +1,27 @@
+Feature: Bytes to endpoints go out in few sends
+
+  Scenario: Head and body of a request go out as one
+    Given an exchange stream whose peer answers "ok"
+    When "head" and "body" are written and an answer is read
+    Then the stream sent "headbody" at once and read "ok"
+
+  Scenario: Much is sent before the answer is read
+    Given an exchange stream whose peer answers "ok"
+    When 70000 bytes are written
+    Then the stream sent 70000 bytes
+
+  Scenario Outline: Errors are told as the library's own
+    Given an exchange stream that meets a peer which <peer>
+    When "head" and "body" are written and an answer is read
+    Then the stream's user got <result>
+
+    Examples:
+      | peer                  | result       |
+      | has reset             | "WriteError" |
+      | resets before it ends | "ReadError"  |
+      | ends without answer   | ""           |
+
+  Scenario: An idle connection that its endpoint has closed is found out
+    When an exchange stream is connected to a listener on loopback
+    Then the stream is not readable
+    And it is readable once the listener's side has closed
