--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -13,6 +13,7 @@
 
 SETTLING_S = 1.0  # a new holder waits that long for the reports of homes that live
 SUMMARY_INTERVAL_S = 0.05
+STALL_S = 0.9  # below the interval at which homes repeat demand that waits
 
 
 class HeldGroup:
@@ -25,6 +26,8 @@
         self.last_summary: HolderSummary | None = None
         self.last_summary_s = 0.0
         self.idle_homes: set[str] = set()  # have reported and wait for nothing here
+        self.stalled_homes: set[str] = set()  # wait here and have heard nothing for a while
+        self.told_s: dict[str, float] = {}
 
     def is_settled(self, now_s: float) -> bool:
         """Tells whether all live homes have told what they use, or had the time to."""
@@ -81,6 +84,8 @@
             held.unreported.discard(home)
             if not message.entries:
                 held.idle_homes.add(home)
+        if message.entries and now_s - held.told_s.get(home, 0.0) >= STALL_S:
+            held.stalled_homes.add(home)
         held.ledger.update_demand(home, message.entries, message.last_grant, now_s)
         self._dirty.add(group)
 
@@ -112,8 +117,10 @@
             if not held.is_settled(now_s):
                 self._dirty.add(group)
                 continue
-            self._send_grants(group, held.ledger.decide(now_s))
-            self._send_summary(group, held, now_s)
+            grants = held.ledger.decide(now_s)
+            summary = held.ledger.summarize(now_s)
+            self._send_grants(group, grants, summary)
+            self._send_summary(group, held, summary, now_s)
 
     def list_summaries(self) -> list[HolderSummary]:
         """Summarizes all groups held here."""
@@ -161,16 +168,24 @@
         }
         ledger.configure(endpoints, configuration.services, configuration.teams, quotas)
 
-    def _send_grants(self, group: SlotGroup, grants: list[AddressedGrant]) -> None:
+    def _send_grants(
+        self, group: SlotGroup, grants: list[AddressedGrant], summary: HolderSummary
+    ) -> None:
         by_home: dict[str, list] = {}
         for addressed in grants:
             by_home.setdefault(addressed.home, []).append(addressed.grant)
         for home, home_grants in by_home.items():
-            self._send(home, GrantSlots(group.pool, group.failure_domain, tuple(home_grants)))
+            self._groups[group].told_s[home] = self._clock.now_s()
+            message = GrantSlots(group.pool, group.failure_domain, tuple(home_grants), summary)
+            self._send(home, message)
 
-    def _send_summary(self, group: SlotGroup, held: HeldGroup, now_s: float) -> None:
-        summary = held.ledger.summarize(now_s)
+    def _send_summary(
+        self, group: SlotGroup, held: HeldGroup, summary: HolderSummary, now_s: float
+    ) -> None:
+        own = self._identity.incarnation
+        self._send(own, summary)
         idle_homes, held.idle_homes = held.idle_homes, set()
+        stalled_homes, held.stalled_homes = held.stalled_homes, set()
         last = held.last_summary
         changed = last is None or bool(last.free) != bool(summary.free)
         if changed and now_s - held.last_summary_s >= SUMMARY_INTERVAL_S:
@@ -180,8 +195,9 @@
         elif changed:
             self._dirty.add(group)  # tells it at the next flush that is late enough
         elif not summary.free:
-            return
-        # An earlier summary may have been lost with its stream, and a home that takes this group
-        # for full would let its tasks wait elsewhere.
-        for incarnation in idle_homes:
+            idle_homes = set()
+        # An earlier summary may have been lost with its stream. A home that takes this group for
+        # full would let its tasks wait elsewhere; one that takes it for free would wait in vain.
+        for incarnation in (idle_homes | stalled_homes) - {own}:
+            held.told_s[incarnation] = now_s
             self._send(incarnation, summary)
--- a/berylproxy/place/schedule.py
+++ b/berylproxy/place/schedule.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heappush, nsmallest
 
 from berylproxy.collect.job import DemandKey
 
+WAIT_WEIGHT = 5.0  # a task that waits for a faster endpoint also delays those behind it
+
 
 @dataclass(slots=True)
 class HomeDemand:
@@ -105,6 +107,12 @@
             start_s = heappop(self.free_at_s)
         heappush(self.free_at_s, start_s + run_time_s)
 
+    def list_costs_s(self, run_time_s: float, now_s: float, count: int) -> list[float]:
+        """What each of the next tasks would cost here, see :data:`WAIT_WEIGHT`."""
+        costs_s = [run_time_s] * min(self.free, count)
+        starts_s = nsmallest(count - len(costs_s), self.free_at_s)
+        return costs_s + [WAIT_WEIGHT * (start_s - now_s) + run_time_s for start_s in starts_s]
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
@@ -117,6 +125,9 @@
 class SlotForecast:
     """Assigns tasks one after another, each to the endpoint where it is expected to end soonest.
 
+    Time spent waiting counts :data:`WAIT_WEIGHT` times, so that a free slot is held back only where
+    a faster endpoint has one soon.
+
     :param forecasts: by endpoint.
     :param expect_s: expected run time of an endpoint and a service.
     :param can_take: whether an endpoint can run tasks of a key at all.
@@ -138,15 +149,16 @@
     def place(self, key: DemandKey) -> Placement | None:
         """Assigns one task; ``None`` if no endpoint can take it."""
         best_name = None
-        best_end_s = float("inf")
+        best_cost_s = float("inf")
         for name, forecast in self._forecasts.items():
             start_s = forecast.next_free_s(self._now_s)
             if start_s is None or not self._can_take(name, key):
                 continue
-            end_s = start_s + self._expect_s(name, key.service)
-            if end_s < best_end_s:
+            wait_s = start_s - self._now_s
+            cost_s = WAIT_WEIGHT * wait_s + self._expect_s(name, key.service)
+            if cost_s < best_cost_s:
                 best_name = name
-                best_end_s = end_s
+                best_cost_s = cost_s
         if best_name is None:
             return None
         best = self._forecasts[best_name]
