--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 BIN := $(VENV)/bin
 
 .DEFAULT_GOAL := help
-.PHONY: help setup demo test format clean
+.PHONY: help setup demo test prove bench report throughput format clean
+
+SEED ?= 1
+SCENARIO ?= steady-70
 
 help:  ## Lists the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -21,6 +24,18 @@
 test: setup  ## Runs formatter check, linter and all behave features
 	$(BIN)/python -m tools.run_tests
 
+prove: setup  ## Runs a random schedule of faults and checks all histories (SEED=n)
+	$(BIN)/python -m tools.prove --seed $(SEED)
+
+bench: setup  ## Compares placement with simple policies and a bound (SCENARIO=s SEED=n)
+	$(BIN)/python -m tools.bench --scenario $(SCENARIO) --seed $(SEED)
+
+report: setup  ## Runs a scenario over five seeds and reports the spread (SCENARIO=s)
+	$(BIN)/python -m tools.bench.report --scenario $(SCENARIO)
+
+throughput: setup  ## Measures task starts a processor second against direct calls
+	$(BIN)/python -m tools.bench.throughput
+
 format: setup  ## Formats the code
 	$(BIN)/black --quiet berylproxy standins tests tools
 	$(BIN)/ruff check --fix berylproxy standins tests tools
