--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(BIN)/python -m tools.bench --scenario $(SCENARIO) --seed $(SEED)
 
 report: setup  ## Runs a scenario over five seeds and reports the spread (SCENARIO=s)
-	$(BIN)/python -m tools.bench.report --scenario $(SCENARIO)
+	$(BIN)/python -m tools.bench.report --scenarios $(SCENARIO)
 
 throughput: setup  ## Measures task starts a processor second against direct calls
 	$(BIN)/python -m tools.bench.throughput
