--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -13,7 +13,7 @@
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.pipeline import Pipeline
-from berylproxy.place.ledger import EndpointState
+from berylproxy.place.endpoint_state import EndpointState
 from berylproxy.records.spread import RecordSpreader
 from berylproxy.records.view import RecordView
 from berylproxy.records.watcher import RecordWatcher
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -10,8 +10,8 @@
 from berylproxy.collect.job import Job, TaskRun
 from berylproxy.deduplicate.registry import JobRegistry
 from berylproxy.models import DaemonIdentity, Outcome, Submission, TaskResult
+from berylproxy.place.endpoint_state import SlotResult
 from berylproxy.place.holder import Holder
-from berylproxy.place.ledger import SlotResult
 from berylproxy.place.messages import (
     GrantSlots,
     HeldSlot,
--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -4,13 +4,19 @@
 time. One daemon, the holder, keeps the ledger; the homes of the tasks ask it for slots.
 """
 
-from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
-from enum import StrEnum
+from dataclasses import dataclass
 from heapq import nsmallest
 
 from berylproxy.collect.job import DemandKey
+from berylproxy.place.demands import GRANT_TRANSIT_S, DemandTable
+from berylproxy.place.endpoint_state import (
+    STILL_BUSY_RESULTS,
+    EndpointState,
+    SlotKey,
+    SlotResult,
+    SlotUse,
+)
 from berylproxy.place.health import EndpointHealth
 from berylproxy.place.messages import (
     DemandEntry,
@@ -23,113 +29,19 @@
     WAIT_WEIGHT,
     EndpointForecast,
     FairOrder,
-    HomeDemand,
     SlotForecast,
     TeamShare,
 )
 from berylproxy.place.speed import RunTimeBook
 from berylproxy.records.models import Endpoint, Service, Team
 
-LOST_SLOT_RUN_TIMES = 4  # a dead home's slot is kept for that many expected run times
-LOST_SLOT_MARGIN_S = 1.0
-GRANT_TRANSIT_S = 3.0  # a grant that its home has not seen by then is lost
-OVERRUN_SHARE = 0.3  # a task that overran its expected time is taken to need that share more
 DEFAULT_RUN_TIME_S = 0.3
 UNLIMITED_SLOTS = 1_000_000
 SHORTEST_RUN_TIME_S = 0.001
 MAX_CONSIDERED_TASKS = 256  # in one decision
-FULL_PAUSE_S = 0.05  # no grants to an endpoint that has just refused a task as full
-LIMIT_GROWTH = 0.1  # by which a lowered limit grows while as many tasks finish as it allows
 SUMMARIZED_COSTS = 8
 
 
-class SlotResult(StrEnum):
-    """How the use of a slot ended."""
-
-    DONE = "done"
-    FAILED = "failed"
-    NO_ANSWER = "no_answer"
-    ABANDONED = "abandoned"
-    UNREACHABLE = "unreachable"
-    FULL = "full"
-    LEAVING = "leaving"
-    UNUSED = "unused"
-
-
-# After these the endpoint may go on running the task.
-STILL_BUSY_RESULTS = (SlotResult.NO_ANSWER, SlotResult.ABANDONED)
-UNHEALTHY_RESULTS = (SlotResult.FAILED, SlotResult.NO_ANSWER, SlotResult.UNREACHABLE)
-
-
-@dataclass(frozen=True, slots=True)
-class SlotKey:
-    """Names one use of a slot over changes of the holder."""
-
-    issuer: str
-    sequence: int
-
-
-@dataclass(slots=True)
-class SlotUse:
-    """A slot in use.
-
-    :param free_at_s: when it is expected to be free again.
-    :param lost_until_s: when it is given up, if its home has died; 0 while the home lives.
-    """
-
-    home: str
-    team: str
-    since_s: float
-    free_at_s: float
-    lost_until_s: float = 0.0
-
-
-@dataclass(slots=True)
-class EndpointState:
-    """An endpoint with its slots in use and its health.
-
-    :param limit: slots that it has shown to have, where that is fewer than its record says.
-    :param full_until_s: no grants before that time.
-    """
-
-    endpoint: Endpoint
-    uses: dict[SlotKey, SlotUse] = field(default_factory=dict)
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    limit: float = float("inf")
-    full_until_s: float = 0.0
-
-    def count_free(self, now_s: float) -> int:
-        """Counts the slots that may be granted now."""
-        if self.endpoint.leaving or not self.health.may_take(now_s, len(self.uses)):
-            return 0
-        if now_s < self.full_until_s:
-            return 0
-        free = max(0, int(min(self.endpoint.slots, self.limit)) - len(self.uses))
-        return min(free, 1) if self.health.on_probation else free
-
-    def note_full(self, now_s: float) -> None:
-        """Takes the slots that are still in use for all that it has."""
-        self.limit = max(1.0, len(self.uses))
-        self.full_until_s = now_s + FULL_PAUSE_S
-
-    def note_done(self) -> None:
-        """Tries a little more than the limit after a task has finished."""
-        self.limit += LIMIT_GROWTH / self.limit
-
-    def can_ever_take(self, needs: Iterable[tuple[str, int]]) -> bool:
-        """Tells whether a task with these needs fits the endpoint."""
-        resources = self.endpoint.resources
-        return all(amount <= resources.get(name, 0) for name, amount in needs)
-
-
-@dataclass(frozen=True, slots=True)
-class UnseenGrant:
-    """A grant that its home has not counted yet."""
-
-    key: DemandKey
-    since_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class AddressedGrant:
     """A grant and the home that gets it."""
@@ -152,13 +64,12 @@
         self.failure_domain = failure_domain
         self.run_times = RunTimeBook()
         self._states: dict[str, EndpointState] = {}
-        self._demands: dict[DemandKey, dict[str, HomeDemand]] = {}
+        self._demands = DemandTable()
         self._services: dict[str, Service] = {}
         self._teams: dict[str, Team] = {}
         self._running: dict[str, int] = {}
         self._numbers = numbers
         self._quotas: dict[str, int] = {}
-        self._unseen_grants: dict[str, dict[int, UnseenGrant]] = {}  # by home and number
 
     def configure(
         self,
@@ -195,14 +106,7 @@
 
         :param last_grant: the last grant that the home had seen when it counted.
         """
-        unseen = self._count_unseen_grants(home, last_grant, now_s)
-        self._drop_demand(home)
-        for entry in entries:
-            key = DemandKey(entry.service, entry.team, entry.needs)
-            waiting = entry.waiting - unseen.get(key, 0)
-            if waiting > 0:
-                demand = HomeDemand(waiting, now_s - entry.oldest_age_s)
-                self._demands.setdefault(key, {})[home] = demand
+        self._demands.replace(home, entries, last_grant, now_s)
 
     def report_held(
         self, home: str, held: Iterable[HeldSlot], last_grant: int, now_s: float
@@ -226,13 +130,11 @@
 
     def forget_home(self, home: str, now_s: float) -> None:
         """A home has died: its demand goes; its slots stay in use while its tasks may still run."""
-        self._drop_demand(home)
-        self._unseen_grants.pop(home, None)
+        self._demands.forget(home)
         for state in self._states.values():
             for use in state.uses.values():
-                if use.home == home and not use.lost_until_s:
-                    expected_s = max(use.free_at_s - use.since_s, DEFAULT_RUN_TIME_S)
-                    use.lost_until_s = now_s + LOST_SLOT_RUN_TIMES * expected_s + LOST_SLOT_MARGIN_S
+                if use.home == home:
+                    use.mark_lost(now_s)
 
     def release(self, release: SlotRelease, now_s: float) -> None:
         """Takes the end of a slot's use and learns from it."""
@@ -246,16 +148,9 @@
             use.lost_until_s = use.free_at_s
         else:
             self._end_use(release.endpoint, slot)
+        state.note_result(result, now_s)
         if result is SlotResult.DONE:
-            state.health.note_success()
-            state.note_done()
             self.run_times.add(release.endpoint, release.service, release.run_time_s)
-        elif result is SlotResult.FULL:
-            state.note_full(now_s)
-        elif result is SlotResult.LEAVING:
-            state.health.note_leaving(now_s)
-        elif result in UNHEALTHY_RESULTS:
-            state.health.note_failure(now_s)
 
     def decide(self, now_s: float) -> list[AddressedGrant]:
         """Grants free slots to waiting tasks.
@@ -264,10 +159,10 @@
         sooner, counting the time until that endpoint has a slot.
         """
         self._drop_lost_slots(now_s)
-        if not self._demands:
+        if not self._demands.by_key:
             return []
         forecast = self._forecast(now_s)
-        order = FairOrder(self._demands, self._share_teams())
+        order = FairOrder(self._demands.by_key, self._share_teams())
         grants = []
         for _ in range(MAX_CONSIDERED_TASKS):
             task = order.take() if forecast.free else None
@@ -281,15 +176,11 @@
 
     def count_waiting(self) -> int:
         """Counts the tasks that wait for a slot here."""
-        return sum(demand.waiting for homes in self._demands.values() for demand in homes.values())
+        return self._demands.count_waiting()
 
     def summarize(self, now_s: float) -> HolderSummary:
         """Tells how busy the endpoints are."""
-        usable = [
-            state
-            for state in self._states.values()
-            if not state.endpoint.leaving and now_s >= state.health.ejected_until_s
-        ]
+        usable = [state for state in self._states.values() if state.is_usable(now_s)]
         turnover_per_s = sum(
             state.endpoint.slots / self._expect_any_s(state.endpoint.name) for state in usable
         )
@@ -319,26 +210,19 @@
             cost_s + WAIT_WEIGHT * wait_s for cost_s in nsmallest(SUMMARIZED_COSTS, costs_s)
         )
 
-    def _drop_demand(self, home: str) -> None:
-        for homes in self._demands.values():
-            homes.pop(home, None)
-        self._demands = {key: homes for key, homes in self._demands.items() if homes}
-
     def _forecast(self, now_s: float) -> SlotForecast:
         return SlotForecast(self._make_forecasts(now_s), self._expect_s, self._can_take, now_s)
 
     def _make_forecasts(self, now_s: float) -> dict[str, EndpointForecast]:
-        forecasts = {}
-        for name, state in self._states.items():
-            if state.endpoint.leaving or now_s < state.health.ejected_until_s:
-                continue
-            free_at_s = sorted(_predict_end_s(use, now_s) for use in state.uses.values())
-            forecasts[name] = EndpointForecast(state.count_free(now_s), free_at_s)
-        return forecasts
+        return {
+            name: state.forecast(now_s)
+            for name, state in self._states.items()
+            if state.is_usable(now_s)
+        }
 
     def _share_teams(self) -> dict[str, TeamShare]:
         shares = {}
-        for key in self._demands:
+        for key in self._demands.by_key:
             team = self._teams.get(key.team)
             weight = team.weight if team is not None else 1
             quota = self._quotas.get(key.team, UNLIMITED_SLOTS)
@@ -347,13 +231,7 @@
 
     def _grant(self, key: DemandKey, home: str, endpoint: str, now_s: float) -> AddressedGrant:
         number = next(self._numbers)
-        homes = self._demands[key]
-        homes[home].waiting -= 1
-        if not homes[home].waiting:
-            del homes[home]
-            if not homes:
-                del self._demands[key]
-        self._unseen_grants.setdefault(home, {})[number] = UnseenGrant(key, now_s)
+        self._demands.note_grant(home, key, number, now_s)
         state = self._states[endpoint]
         slot = SlotKey(self.issuer, number)
         self._begin_use(state, slot, home, key.team, now_s, self._expect_s(endpoint, key.service))
@@ -386,15 +264,6 @@
                 if use.lost_until_s and now_s >= use.lost_until_s:
                     self._end_use(name, slot)
 
-    def _count_unseen_grants(self, home: str, last_grant: int, now_s: float) -> Counter[DemandKey]:
-        remaining = {
-            number: grant
-            for number, grant in self._unseen_grants.get(home, {}).items()
-            if number > last_grant and now_s < grant.since_s + GRANT_TRANSIT_S
-        }
-        self._unseen_grants[home] = remaining
-        return Counter(grant.key for grant in remaining.values())
-
     def _can_take(self, endpoint: str, key: DemandKey) -> bool:
         return self._states[endpoint].can_ever_take(key.needs)
 
@@ -407,9 +276,3 @@
         services = [name for name, known in self._services.items() if self.pool in known.pools]
         times_s = [self._expect_s(endpoint, service) for service in services]
         return max(sum(times_s) / len(times_s), SHORTEST_RUN_TIME_S) if times_s else 1.0
-
-
-def _predict_end_s(use: SlotUse, now_s: float) -> float:
-    if use.free_at_s > now_s:
-        return use.free_at_s
-    return now_s + OVERRUN_SHARE * (now_s - use.since_s)
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -7,7 +7,7 @@
 from berylproxy.collect.job import DemandKey, TaskRun
 from berylproxy.models import DaemonIdentity
 from berylproxy.place.assignment import SlotGroup, choose_holder, list_slot_groups
-from berylproxy.place.ledger import SlotResult
+from berylproxy.place.endpoint_state import SlotResult
 from berylproxy.place.messages import (
     DemandEntry,
     GrantSlots,
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -8,7 +8,7 @@
 from berylproxy.clock import Clock
 from berylproxy.collect.job import TaskRun
 from berylproxy.models import Outcome, TaskResult
-from berylproxy.place.ledger import SlotResult
+from berylproxy.place.endpoint_state import SlotResult
 from berylproxy.place.messages import HeldSlot
 from berylproxy.records.models import Configuration, Endpoint
 from berylproxy.send.errors import EndpointFullError, SendError
--- a/berylproxy/send/errors.py
+++ b/berylproxy/send/errors.py
@@ -2,7 +2,7 @@
 
 from berylproxy.errors import BerylproxyError
 from berylproxy.models import Outcome
-from berylproxy.place.ledger import SlotResult
+from berylproxy.place.endpoint_state import SlotResult
 
 
 class SendError(BerylproxyError):
