Take a new id in the client once the home has refused the old one for good

A not_run that names the id is final: the home never runs it. The client kept asking under that id until its budget was spent when an earlier attempt had been lost.

--- a/berylproxy/client/submission.py
+++ b/berylproxy/client/submission.py
@@ -42,11 +42,13 @@
     :param identifier: the identifier; ``None`` until one is taken.
     :param base_url: the daemon that the next attempt goes to.
     :param uncertain: whether a daemon may hold the work although no answer came.
+    :param is_given: whether the caller gave the identifier, which is then never replaced.
     """
 
     identifier: Identifier | None
     base_url: str
     uncertain: bool
+    is_given: bool
     attempts: int = 0
     unreachable: set[str] = field(default_factory=set)
 
@@ -79,9 +81,9 @@
     def _start(self, job_id: str) -> _Progress:
         first_url = self._base_urls[0]
         if not job_id:
-            return _Progress(None, first_url, uncertain=False)
+            return _Progress(None, first_url, uncertain=False, is_given=False)
         # The earlier submission may be running.
-        return _Progress(Identifier(job_id, first_url), first_url, uncertain=True)
+        return _Progress(Identifier(job_id, first_url), first_url, uncertain=True, is_given=True)
 
     async def _attempt(
         self, exchange: Exchange[Answer], budget: RetryBudget, progress: _Progress
@@ -106,6 +108,8 @@
         """Waits and chooses the next attempt, or raises the final error."""
         if isinstance(error, AnswerLostError | OutcomeUnknownError):
             progress.uncertain = True
+        elif _is_final(error) and not progress.is_given:
+            progress.uncertain = False
         if not _is_worth_repeating(error):
             raise _conclude(error, progress)
         if isinstance(error, CannotConnectError):
@@ -122,6 +126,11 @@
         return self._base_urls[(position + 1) % len(self._base_urls)]
 
 
+def _is_final(error: ClientError) -> bool:
+    """Tells whether the identifier's home has said that its work has not run and never will."""
+    return isinstance(error, NotRunError) and bool(error.job_id)
+
+
 def _is_worth_repeating(error: ClientError) -> bool:
     """Tells whether another attempt may bring the answer."""
     if isinstance(error, NotRunError | OutcomeUnknownError):
@@ -133,7 +142,7 @@
     """Chooses the error that the caller gets."""
     if not progress.uncertain or isinstance(error, JobFailedError | OutcomeUnknownError):
         return error
-    if isinstance(error, NotRunError) and error.job_id:
+    if _is_final(error):
         return error
     # The last attempt was lost or refused before the work was looked at, which tells nothing about
     # an earlier attempt.
