Let a refused slot rest before it is granted again

Cause: an endpoint that refused a task as full got the next one at once, and a task that it had refused could never take its slot again, so that the holder granted the slot and the home gave it back in a loop.

A slot that comes back full, or unused although tasks wait (all refused by that endpoint), rests 0.1 s. A task that met a full endpoint may go there again.

--- a/berylproxy/place/ledger.py
+++ b/berylproxy/place/ledger.py
@@ -35,6 +35,7 @@
 GRANT_TRANSIT_S = 3.0  # a grant that its home has not seen by then is lost
 OVERRUN_SHARE = 0.3  # a task that overran its expected time is taken to need that share more
 DEFAULT_RUN_TIME_S = 0.3
+REFUSED_SLOT_PAUSE_S = 0.1
 UNLIMITED_SLOTS = 1_000_000
 SHORTEST_RUN_TIME_S = 0.001
 MAX_CONSIDERED_TASKS = 256  # in one decision
@@ -52,10 +53,13 @@
     FULL = "full"
     LEAVING = "leaving"
     UNUSED = "unused"
+    UNSUITABLE = "unsuitable"  # the endpoint has refused every task that waits there
 
 
 # After these the endpoint may go on running the task.
 STILL_BUSY_RESULTS = (SlotResult.NO_ANSWER, SlotResult.ABANDONED)
+# After these the same slot granted at once would come back the same way.
+PAUSING_RESULTS = (SlotResult.FULL, SlotResult.UNSUITABLE)
 UNHEALTHY_RESULTS = (SlotResult.FAILED, SlotResult.NO_ANSWER, SlotResult.UNREACHABLE)
 
 
@@ -215,6 +219,8 @@
         use = state.uses.get(slot)
         if use is not None and result in STILL_BUSY_RESULTS and use.free_at_s > now_s:
             use.lost_until_s = use.free_at_s
+        elif use is not None and result in PAUSING_RESULTS:
+            use.free_at_s = use.lost_until_s = now_s + REFUSED_SLOT_PAUSE_S
         else:
             self._end_use(release.endpoint, slot)
         if result is SlotResult.DONE:
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -124,7 +124,8 @@
             run = self._queue.pop(key, grant.endpoint) if self._may_use_grants() else None
             if run is None:
                 self.unused_grants += 1
-                self.release(slot, SlotResult.UNUSED)
+                refused = self._queue.count(key) > 0 and self._may_use_grants()
+                self.release(slot, SlotResult.UNSUITABLE if refused else SlotResult.UNUSED)
             else:
                 self._start(run, slot)
         if message.summary is not None:
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -123,7 +123,8 @@
         if error.outcome is Outcome.NOT_RUN:
             self.refused_sends += 1
             run.job.note_refusal()
-            run.refused_by.add(slot.endpoint)
+            if error.slot_result is not SlotResult.FULL:
+                run.refused_by.add(slot.endpoint)
             if run.attempts < MAX_ATTEMPTS:
                 self._requeue(run)
                 return
