Refuse a job whose tasks would start too late to end in time

Cause: admission compared the expected wait alone with the timeout. Under overload tasks were taken that started just before their deadline and were cut while running: the slot time was lost, and the callers learnt of it only at the timeout.

A job that has to wait must have three mean run times left when it starts (run times vary, and the slowest endpoints take longer than the mean). A job that need not wait is taken whatever its timeout. Weighed: dropping a task when it is granted (its caller has waited for nothing until then).

--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -230,6 +230,7 @@
             team.max_waiting_tasks if team is not None else DEFAULT_TEAM_QUOTA,
             len(self._queue),
             self.requester.estimate_wait_s(service.name, len(submission.tasks)),
+            self.requester.estimate_run_time_s(service.name),
         )
         check_load(load, len(submission.tasks), self._resolve_timeout_s(submission))
 
--- a/berylproxy/place/requester.py
+++ b/berylproxy/place/requester.py
@@ -98,6 +98,10 @@
         """Estimates the time until the last of some new tasks of a service would start."""
         return self._spread.estimate_wait_s(service, new_tasks)
 
+    def estimate_run_time_s(self, service: str) -> float:
+        """Estimates the mean run time of a service's tasks; 0 while nothing is known."""
+        return self._spread.estimate_run_time_s(service)
+
     def has_releases(self) -> bool:
         """Tells whether slots are to be given back."""
         return any(link.releases for link in self._links.values())
--- a/berylproxy/place/spread.py
+++ b/berylproxy/place/spread.py
@@ -77,6 +77,14 @@
             turnover_per_s += summary.turnover_per_s
         return max(0, ahead) / turnover_per_s if turnover_per_s else 0.0
 
+    def estimate_run_time_s(self, service: str) -> float:
+        """Estimates the mean run time of a service's tasks; 0 while nothing is known."""
+        groups = self._groups_of_service.get(service, ())
+        known = [self._summaries[group] for group in groups if group in self._summaries]
+        turnover_per_s = sum(summary.turnover_per_s for summary in known)
+        slots = sum(summary.slots for summary in known)
+        return slots / turnover_per_s if turnover_per_s else 0.0
+
     def note_grant(self, group: SlotGroup, key: DemandKey) -> None:
         """A holder granted a slot."""
         if self._allotted_of(group, key):
--- a/berylproxy/waiting/limits.py
+++ b/berylproxy/waiting/limits.py
@@ -10,6 +10,7 @@
 MAX_WAITING_TASKS = 20_000
 SHORTEST_RETRY_AFTER_S = 1.0
 LONGEST_RETRY_AFTER_S = 60.0
+RUN_TIMES_LEFT = 3.0  # a task that waits must have that many mean run times left when it starts
 
 
 class AdmissionError(BerylproxyError):
@@ -74,12 +75,14 @@
     :param team_quota: how many the team may have waiting.
     :param all_waiting: waiting tasks of everybody at this daemon.
     :param wait_s: expected time until the last task of the job starts.
+    :param run_time_s: expected run time of a task.
     """
 
     team_waiting: int
     team_quota: int
     all_waiting: int
     wait_s: float
+    run_time_s: float = 0.0
 
 
 def check_tasks(service: Service, endpoints: Iterable[Endpoint], tasks: Iterable[Task]) -> None:
@@ -117,11 +120,12 @@
         )
     if load.all_waiting + new_tasks > MAX_WAITING_TASKS:
         raise QueueFullError("too many tasks are waiting here", retry_after_s=retry_after_s)
-    if load.wait_s > timeout_s:
+    late_by_s = load.wait_s + RUN_TIMES_LEFT * load.run_time_s - timeout_s
+    if load.wait_s > 0 and late_by_s > 0:
         raise DeadlineTooSoonError(
             f"the job would wait {load.wait_s:.1f} s, its timeout is {timeout_s:.1f} s",
             hint="come back later or allow more time",
-            retry_after_s=min(load.wait_s - timeout_s + SHORTEST_RETRY_AFTER_S, 60.0),
+            retry_after_s=min(late_by_s + SHORTEST_RETRY_AFTER_S, LONGEST_RETRY_AFTER_S),
         )
 
 
