--- a/tools/bench/scenarios.py
+++ b/tools/bench/scenarios.py
@@ -5,6 +5,23 @@
 MIXED_SPEEDS = (1.0, 2.0, 3.0, 4.0)
 
 
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A switch of an endpoint stand-in, set during each policy's run and taken back after it.
+
+    :param endpoint: number of the endpoint.
+    :param switches: what is set, and what it is set back to.
+    """
+
+    at_s: float
+    endpoint: int
+    switches: dict[str, object]
+    undo: dict[str, object]
+
+
+FASTEST = MIXED_SPEEDS.index(max(MIXED_SPEEDS))
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """A situation.
@@ -16,6 +33,8 @@
     :param slots: slots of each endpoint.
     :param tasks_per_job: 1 for single requests.
     :param declared_run_time_s: run time in the service's record.
+    :param timeout_s: the same for the longest time of a request.
+    :param max_run_time_s: the same for the longest time of a task at an endpoint.
     """
 
     name: str
@@ -27,6 +46,9 @@
     slots: int = 8
     tasks_per_job: int = 1
     declared_run_time_s: float = 0.3
+    timeout_s: float = 30.0
+    max_run_time_s: float = 10.0
+    faults: tuple[Fault, ...] = ()
 
     @property
     def domains(self) -> list[str]:
@@ -58,5 +80,22 @@
         Scenario("unequal-daemons-70", load=0.7, daemon_weights=(8.0, 1.0, 4.0, 1.0)),
         Scenario("wrong-run-times-70", load=0.7, declared_run_time_s=3.0),
         Scenario("burst-jobs-70", load=0.7, tasks_per_job=310),
+        Scenario(
+            "straggler-50",
+            load=0.5,
+            faults=(Fault(5.0, FASTEST, {"speed": 0.5}, {"speed": MIXED_SPEEDS[FASTEST]}),),
+        ),
+        Scenario(
+            "failing-endpoint-50",
+            load=0.5,
+            faults=(Fault(5.0, FASTEST, {"fail_everything": True}, {"fail_everything": False}),),
+        ),
+        Scenario(
+            "silent-endpoint-50",
+            load=0.5,
+            max_run_time_s=5.0,
+            faults=(Fault(5.0, FASTEST, {"silent": True}, {}),),
+        ),
+        Scenario("overload-150", load=1.5, timeout_s=2.0, max_run_time_s=2.0),
     )
 }
--- a/tools/bench/system.py
+++ b/tools/bench/system.py
@@ -7,12 +7,14 @@
 from dataclasses import dataclass
 from pathlib import Path
 from subprocess import TimeoutExpired
+from time import monotonic, sleep
 
 from httpx import Client
 
 from standins.cluster import Cluster, EndpointPlan
 from standins.process import ManagedProcess
 from tools.bench.arrivals import Arrival, write_arrivals
+from tools.bench.load import START_DELAY_S
 from tools.bench.scenarios import Scenario
 
 PRODUCT = "berylproxy"
@@ -51,7 +53,11 @@
             for domain in scenario.domains
             for speed in scenario.speeds
         ]
-        service = {"run_time_s": scenario.declared_run_time_s}
+        service = {
+            "run_time_s": scenario.declared_run_time_s,
+            "timeout_s": scenario.timeout_s,
+            "max_run_time_s": scenario.max_run_time_s,
+        }
         self.cluster = Cluster(folder, list(scenario.daemon_domains), plans, service)
         self._client = Client(trust_env=False)
         self._seen_events = 0
@@ -117,13 +123,26 @@
         arguments += ["--arrivals", str(self._arrivals_path), "--results", str(results)]
         with ManagedProcess(f"load-{policy}", arguments, self._folder) as load:
             try:
+                self._set_faults()
                 status = load.wait(LOAD_TIMEOUT_S)
             except TimeoutExpired as error:
                 raise RuntimeError(f"{policy}: the load program did not end") from error
+            finally:
+                self._undo_faults()
         if status:
             raise RuntimeError(f"{policy}: {load.stderr_path.read_text()}")
         return json.loads(results.read_text())
 
+    def _set_faults(self) -> None:
+        began_s = monotonic() + START_DELAY_S
+        for fault in sorted(self._scenario.faults, key=lambda fault: fault.at_s):
+            sleep(max(0.0, began_s + fault.at_s - monotonic()))
+            self.cluster.control(self.cluster.endpoints[fault.endpoint], **fault.switches)
+
+    def _undo_faults(self) -> None:
+        for fault in self._scenario.faults:
+            self.cluster.control(self.cluster.endpoints[fault.endpoint], **fault.undo)
+
     def _count_product_messages(self, urls: list[str]) -> Counter[str]:
         """Counts wasted messages by kind, and the control traffic of daemons and store."""
         counts: Counter[str] = Counter()
