--- a/tests/place/ledger.feature
+++ b/tests/place/ledger.feature
@@ -62,3 +62,14 @@
     Given "e0" is known to run tasks in 0.1 s and "e1" in 0.9 s
     When home "a" asks for 3 slots
     Then 2 slots of "e0" and 0 slots of "e1" are granted
+
+  Scenario Outline: A slot that came back refused rests, then goes to a task again
+    Given a ledger of one endpoint with 1 slot and a home with 5 waiting tasks
+    When the slot is granted and comes back "<result>"
+    Then the next grant comes after <pause> s
+
+    Examples:
+      | result | pause |
+      | done   | 0     |
+      | unused | 0     |
+      | full   | 0.05  |
