List all wrong settings at once and close gaps in checks of input

A wrong field hid the conflicts between settings, and the first conflict the others; load_settings now finds all of them, and names TLS files that can't be read instead of failing in hypercorn. Settings made without load_settings are not checked for conflicts any more; only load_settings makes them.

NaN and Infinity were taken as JSON and passed on to endpoints. A need beyond 64 bits could not be sent to another daemon. A submission under another team's used id was told id_reused, which shows that the id is in use; it is id_malformed now, as for an unused one. A cut body of a record ended as an unhandled exception. Refused handshakes are logged with their code.

--- a/berylproxy/admit/schemas.py
+++ b/berylproxy/admit/schemas.py
@@ -14,6 +14,7 @@
 from berylproxy.models import Task
 
 MAX_TIMEOUT_S = 600.0
+MAX_NEED = 2**63 - 1  # the largest integer that messages between daemons carry
 
 Schema = TypeVar("Schema", bound=BaseModel)
 
@@ -29,7 +30,7 @@
 
     id: TaskId
     payload: Any = None
-    needs: dict[ResourceName, Annotated[int, Field(ge=0)]] = {}
+    needs: dict[ResourceName, Annotated[int, Field(ge=0, le=MAX_NEED)]] = {}
 
     def to_task(self) -> Task:
         """Makes the task as the pipeline knows it."""
@@ -46,7 +47,7 @@
     id: str | None = None
     service: str
     timeout_s: Duration | None = None
-    wait_s: Annotated[float, Field(ge=0, le=MAX_TIMEOUT_S)] | None = None
+    wait_s: Annotated[float, Field(ge=0, le=MAX_TIMEOUT_S, allow_inf_nan=False)] | None = None
     repeatable: bool = False
     tasks: Annotated[list[TaskSchema], Field(min_length=1, max_length=MAX_TASKS_PER_JOB)]
 
@@ -66,6 +67,10 @@
     count: Annotated[int, Field(ge=1, le=MAX_IDENTIFIERS_PER_CALL)] = 1
 
 
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON value")
+
+
 def parse_body(schema: type[Schema], body: bytes) -> Schema:
     """Parses and checks a JSON body.
 
@@ -73,7 +78,7 @@
     :raises SubmissionInvalidError: if a field breaks a rule; the message names the field.
     """
     try:
-        value = json.loads(body)
+        value = json.loads(body, parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
         raise JsonMalformedError(
             f"the body is not JSON: {error}", hint="send a JSON object"
--- a/berylproxy/deduplicate/registry.py
+++ b/berylproxy/deduplicate/registry.py
@@ -1,6 +1,6 @@
 """The jobs that this daemon is the home of."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass
 from hashlib import sha256
 
@@ -60,6 +60,7 @@
         self._jobs: dict[str, RegisteredJob] = {}
         self._max_kept_bytes = max_kept_bytes
         self._kept_bytes = 0
+        self.finished_jobs: Counter[str] = Counter()
         self._forgotten: OrderedDict[str, float] = OrderedDict()  # job id -> finished at
         self._finished: OrderedDict[str, float] = OrderedDict()  # job id -> finished at
 
@@ -77,7 +78,7 @@
         """
         digest = digest_submission(submission)
         known = self._jobs.get(submission.job_id)
-        if known is not None:
+        if known is not None and known.job.submission.team == submission.team:
             if known.digest not in (digest, ANY_CONTENT):
                 raise IdentifierReusedError(
                     f"id {submission.job_id} stands for a submission with other content",
@@ -124,6 +125,7 @@
         job.drop_tasks()
         self._finished[job.job_id] = job.finished_s
         self._kept_bytes += job.answer_bytes
+        self.finished_jobs[job.answer.outcome.value] += 1
 
     def forget_old_jobs(self) -> None:
         """Evicts answers kept for the retention time, and the oldest ones beyond the bound."""
--- a/berylproxy/peers/acceptor.py
+++ b/berylproxy/peers/acceptor.py
@@ -52,8 +52,10 @@
         try:
             if self._has_room():
                 identity = await self._shake_hands(stream)
-        except (PeerHandshakeError, OSError) as error:
-            self._logger.warning("refused a connection: {}", error)
+        except PeerHandshakeError as error:
+            self._logger.warning("refused a connection: {}", error, extra={"code": error.code})
+        except OSError as error:
+            self._logger.warning("lost a connection in its handshake: {}", error)
         finally:
             if identity is None:
                 await aclose_forcefully(stream)
@@ -76,6 +78,6 @@
                 raise PeerHandshakeError("not a loopback address, and there is no key")
             return await self._make_handshake(stream).accept()
         except PeerHandshakeError as error:
-            raise PeerHandshakeError(f"{remote_host}: {error.message}") from error
+            raise type(error)(f"{remote_host}: {error.message}") from error
         finally:
             self._handshakes -= 1
--- a/berylproxy/records/api.py
+++ b/berylproxy/records/api.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import Route
 
@@ -17,6 +17,7 @@
 from berylproxy.records.errors import (
     BodyTooLargeError,
     FieldProblem,
+    JsonMalformedError,
     PreconditionRequiredError,
     RecordConflictError,
     RecordError,
@@ -150,12 +151,16 @@
     """Reads the body up to the limit.
 
     :raises BodyTooLargeError: as soon as it is longer.
+    :raises JsonMalformedError: if the caller ends before the body does.
     """
     body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            raise BodyTooLargeError(f"the body is longer than {MAX_BODY_BYTES} bytes")
+    try:
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
+                raise BodyTooLargeError(f"the body is longer than {MAX_BODY_BYTES} bytes")
+    except ClientDisconnect as error:
+        raise JsonMalformedError("the body was cut short") from error
     return bytes(body)
 
 
--- a/berylproxy/settings.py
+++ b/berylproxy/settings.py
@@ -1,5 +1,6 @@
 """The daemon's settings, from flags and environment variables, checked at start."""
 
+import os
 from collections.abc import Mapping
 from ipaddress import ip_address
 from typing import Annotated
@@ -11,7 +12,6 @@
     Field,
     ValidationError,
     field_validator,
-    model_validator,
 )
 
 from berylproxy.errors import BerylproxyError
@@ -22,6 +22,16 @@
 SECRET_FIELDS = ("operator_tokens", "peer_keys")
 SHORTEST_SECRET_CHARACTERS = 16
 MAX_PORT = 65_535
+# Stand in for wrong settings while the others are checked.
+HARMLESS_VALUES = {
+    "daemon_id": "unknown",
+    "failure_domain": "unknown",
+    "store_urls": "http://127.0.0.1",
+    "operator_tokens": "x" * SHORTEST_SECRET_CHARACTERS,
+    "peer_keys": "x" * SHORTEST_SECRET_CHARACTERS,
+    "tls_certificate": "/",
+    "tls_key": "/",
+}
 
 
 class SettingsError(BerylproxyError):
@@ -148,20 +158,31 @@
             raise ValueError(f"must be one of {', '.join(LEVELS)}")
         return value
 
-    @model_validator(mode="after")
-    def check_protection(self) -> "Settings":
-        """Refuses to be reachable from other machines without tokens and keys."""
+    @field_validator("tls_certificate", "tls_key")
+    @classmethod
+    def check_file(cls, value: str) -> str:
+        """Refuses a file that can't be read."""
+        if value and not os.access(value, os.R_OK):
+            raise ValueError("must be a readable file")
+        return value
+
+    def find_conflicts(self) -> list[str]:
+        """Describes the settings that don't go together.
+
+        Without tokens and keys, a daemon must not be reachable from other machines.
+        """
+        conflicts = []
         if not self.operator_tokens and not is_loopback(self.http_address):
-            raise ValueError(
+            conflicts.append(
                 "http_address: without BERYLPROXY_OPERATOR_TOKENS only a loopback address is served"
             )
         if not self.peer_keys and not is_loopback(self.peer_listen_address or self.peer_address):
-            raise ValueError(
+            conflicts.append(
                 "peer_address: without BERYLPROXY_PEER_KEYS only a loopback address is served"
             )
         if bool(self.tls_certificate) != bool(self.tls_key):
-            raise ValueError("tls_certificate and tls_key go together")
-        return self
+            conflicts.append("tls_certificate and tls_key go together")
+        return conflicts
 
 
 def load_settings(flags: Mapping[str, str | None], variables: Mapping[str, str]) -> Settings:
@@ -175,10 +196,23 @@
         value = flag if flag is not None else variables.get(VARIABLE_PREFIX + name.upper())
         if value is not None:
             values[name] = value
+    problems: list[str] = []
     try:
-        return Settings.model_validate(values)
+        settings = Settings.model_validate(values)
     except ValidationError as error:
-        raise SettingsError([_describe_problem(problem) for problem in error.errors()]) from None
+        problems = [_describe_problem(problem) for problem in error.errors()]
+        settings = _replace_wrong(values, {str(problem["loc"][0]) for problem in error.errors()})
+    problems += settings.find_conflicts()
+    if problems:
+        raise SettingsError(problems)
+    return settings
+
+
+def _replace_wrong(values: Mapping[str, str], wrong: set[str]) -> Settings:
+    """Makes settings without the wrong ones, so that the others can be checked together."""
+    right = {name: value for name, value in values.items() if name not in wrong}
+    harmless = {name: value for name, value in HARMLESS_VALUES.items() if name in wrong}
+    return Settings.model_validate(right | harmless)
 
 
 def _describe_problem(problem: dict) -> str:
