Prove the border of real daemons; trace each hop; count jobs and sends

The features share one cluster with tokens, peer keys and traces: bad input, strangers, tokens, TLS, settings, traces, status and metrics, codes.

Mended on the way: - The hop from entry to home had no span: forward and serve are added. Spans go to a file line by line, since several daemons may append to it. - berylproxy_jobs_total and berylproxy_task_sends_total were never increased; they are read from the registry and the dispatcher at each scrape, which keeps the filters free of the metrics library.

--- a/berylproxy/admit/answers.py
+++ b/berylproxy/admit/answers.py
@@ -3,9 +3,18 @@
 import json
 from math import ceil
 
+from logbook import Logger
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
 from starlette.responses import Response
 
-from berylproxy.admit.errors import AdmitError, TeamTokenRequiredError, TeamUnknownError
+from berylproxy.admit.errors import (
+    AdmitError,
+    MethodNotAllowedError,
+    PathUnknownError,
+    TeamTokenRequiredError,
+    TeamUnknownError,
+)
 from berylproxy.constants import (
     CODE_HEADER,
     JSON_CONTENT_TYPE,
@@ -29,6 +38,8 @@
 )
 
 STATUS_RUNNING = 202
+STATUS_NOT_FOUND = 404
+STATUS_INTERNAL_ERROR = 500
 STATUS_OF_OUTCOME = {
     Outcome.DONE: 200,
     Outcome.NOT_RUN: 503,
@@ -48,6 +59,8 @@
     "cancelled": 409,
 }
 
+logger = Logger(__name__)
+
 
 def make_job_response(state: JobState) -> Response:
     """Answers with a job's state."""
@@ -84,21 +97,44 @@
 
 def make_error_response(error: BerylproxyError) -> Response:
     """Answers a call that names no job with an error."""
-    answer = make_refusal("", error, Outcome.NOT_RUN)
+    status = error.status if isinstance(error, AdmitError) else STATUS_OF_OUTCOME[Outcome.NOT_RUN]
+    return _make_error(error, Outcome.NOT_RUN, status)
+
+
+async def answer_http_error(request: Request, error: HTTPException) -> Response:
+    """Answers a call that no route takes."""
+    if error.status_code == STATUS_NOT_FOUND:
+        refusal: AdmitError = PathUnknownError("no such path", hint="see docs/api.md")
+    else:
+        refusal = MethodNotAllowedError(
+            f"the path does not take {request.method}", hint="see docs/api.md"
+        )
+    response = make_error_response(refusal)
+    response.headers.update(error.headers or {})
+    return response
+
+
+async def answer_internal_error(request: Request, error: Exception) -> Response:
+    """Answers a call that met a fault of the daemon, and logs it."""
+    logger.error("{} {}: internal error", request.method, request.url.path, exc_info=error)
+    told = BerylproxyError("internal error: tasks may have run", hint="see the daemon's log")
+    return _make_error(told, Outcome.UNKNOWN, STATUS_INTERNAL_ERROR)
+
+
+def make_json_response(content: object, status: int = 200) -> Response:
+    """Answers with JSON."""
+    return _make_response(status, content, {})
+
+
+def _make_error(error: BerylproxyError, outcome: Outcome, status: int) -> Response:
     content = {
-        "outcome": answer.outcome.value,
+        "outcome": outcome.value,
         "code": error.code,
         "message": error.message,
         "hint": error.hint,
         "retry_after_s": error.retry_after_s,
     }
-    status = error.status if isinstance(error, AdmitError) else STATUS_OF_OUTCOME[answer.outcome]
-    return _make_response(status, content, _headers(answer))
-
-
-def make_json_response(content: object, status: int = 200) -> Response:
-    """Answers with JSON."""
-    return _make_response(status, content, {})
+    return _make_response(status, content, _headers(make_refusal("", error, outcome)))
 
 
 def _make_response(status: int, content: object, headers: dict[str, str]) -> Response:
--- a/berylproxy/admit/errors.py
+++ b/berylproxy/admit/errors.py
@@ -60,6 +60,20 @@
     status = 401
 
 
+class PathUnknownError(AdmitError):
+    """There is no such path."""
+
+    code = "path_unknown"
+    status = 404
+
+
+class MethodNotAllowedError(AdmitError):
+    """The path has no such method."""
+
+    code = "method_not_allowed"
+    status = 405
+
+
 class NotReadyError(AdmitError):
     """The daemon has no configuration yet, or is leaving."""
 
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -13,12 +13,15 @@
 )
 from logbook import Logger
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 
+from berylproxy.admit.answers import answer_http_error, answer_internal_error
 from berylproxy.admit.api import CallerApi
 from berylproxy.admit.authorization import OperatorGate
 from berylproxy.clock import MonotonicClock
 from berylproxy.constants import MAX_PEER_MESSAGE_BYTES
 from berylproxy.daemon.http_server import describe_listener, open_listener, serve_http
+from berylproxy.daemon.leaving_hosts import LeavingHosts
 from berylproxy.daemon.monitoring import Monitor
 from berylproxy.deduplicate.claims import ClaimBook
 from berylproxy.deduplicate.identifiers import IdentifierMint
@@ -35,8 +38,6 @@
 from berylproxy.pipeline import Pipeline
 from berylproxy.place.messages import PLACE_MESSAGES
 from berylproxy.platform.etcd import EtcdStore
-from berylproxy.platform.machines import HttpVirtualMachineList
-from berylproxy.platform.store import StoreUnavailableError
 from berylproxy.records.api import make_record_routes
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.leaving import mark_leaving_endpoints
@@ -54,8 +55,6 @@
 IDENTIFIER_VALIDITY_S = 600.0
 ANSWER_RETENTION_S = 1_200.0
 HOUSEKEEPING_INTERVAL_S = 1.0
-VM_LIST_INTERVAL_S = 1.0
-VM_LIST_TIMEOUT_S = 2.0
 STORE_TIMEOUT_S = 3.0
 PEER_DRAIN_TIMEOUT_S = 2.0
 INCARNATION_BYTES = 6
@@ -108,6 +107,7 @@
             self._registry,
             self._network,
             ClaimBook(self._store, clock),
+            self._tracer,
             self._pipeline.check_admission,
             self._pipeline.submit,
             self._pipeline.cancel,
@@ -122,7 +122,7 @@
             self._pipeline,
             self._gate.authorize,
         )
-        self._leaving_hosts: frozenset[str] = frozenset()
+        self._leaving_hosts = LeavingHosts(settings.vm_list_url, self._apply_configuration)
         self._dead_members: set[str] = set()
         self._http_stopped = Event()
         self._connect_parts()
@@ -140,7 +140,7 @@
             task_group.start_soon(self._usage_recorder.run)
             task_group.start_soon(self._keep_house)
             if self._settings.vm_list_url:
-                task_group.start_soon(self._follow_vm_list)
+                task_group.start_soon(self._leaving_hosts.run)
             self._update_members()
             async with create_task_group() as http_task_group:
                 http_task_group.start_soon(
@@ -205,7 +205,8 @@
             *UsageApi(self._store, self._gate.authorize).routes(),
             *metrics.routes(),
         ]
-        return Starlette(routes=routes)
+        handlers = {HTTPException: answer_http_error, Exception: answer_internal_error}
+        return Starlette(routes=routes, exception_handlers=handlers)
 
     def _announce(self, http_address: str, peer_address: str) -> None:
         if not self._settings.operator_tokens:
@@ -242,28 +243,9 @@
 
     def _apply_configuration(self) -> None:
         self._pipeline.configure(
-            mark_leaving_endpoints(self._view.configuration, self._leaving_hosts)
+            mark_leaving_endpoints(self._view.configuration, self._leaving_hosts.hosts)
         )
 
-    async def _follow_vm_list(self) -> None:
-        vm_list = HttpVirtualMachineList(self._settings.vm_list_url, VM_LIST_TIMEOUT_S)
-        try:
-            while True:
-                await self._fetch_vm_list(vm_list)
-                await sleep(VM_LIST_INTERVAL_S)
-        finally:
-            await vm_list.close()
-
-    async def _fetch_vm_list(self, vm_list: HttpVirtualMachineList) -> None:
-        try:
-            machines = await vm_list.fetch()
-        except StoreUnavailableError:
-            return  # the last list stays in force
-        leaving_hosts = frozenset(machine.host for machine in machines if machine.leaving)
-        if leaving_hosts != self._leaving_hosts:
-            self._leaving_hosts = leaving_hosts
-            self._apply_configuration()
-
     async def _keep_house(self) -> None:
         while True:
             await sleep(HOUSEKEEPING_INTERVAL_S)
--- a/berylproxy/daemon/http_server.py
+++ b/berylproxy/daemon/http_server.py
@@ -10,7 +10,7 @@
 from berylproxy.settings import Settings
 
 BACKLOG_CONNECTIONS = 1_024
-KEEP_ALIVE_TIMEOUT_S = 75.0
+KEEP_ALIVE_TIMEOUT_S = 15.0  # also how long a socket closed by its client stays open
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
 
 
--- /dev/null
+++ b/berylproxy/daemon/leaving_hosts.py
@@ -0,0 +1,54 @@
+"""Follows the platform's list of VMs for those that are leaving."""
+
+from collections.abc import Callable
+
+from anyio import sleep
+from logbook import Logger
+
+from berylproxy.platform.machines import HttpVirtualMachineList
+from berylproxy.platform.store import StoreUnavailableError
+
+FETCH_INTERVAL_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+
+logger = Logger(__name__)
+
+
+class LeavingHosts:
+    """The hosts of the leaving VMs, as last read.
+
+    :param url: base URL of the platform.
+    :param on_change: called when the set of hosts has changed.
+    """
+
+    def __init__(self, url: str, on_change: Callable[[], None]) -> None:
+        self.hosts: frozenset[str] = frozenset()
+        self._url = url
+        self._on_change = on_change
+        self._is_readable = True
+
+    async def run(self) -> None:
+        """Reads the list again and again until cancelled."""
+        vm_list = HttpVirtualMachineList(self._url, FETCH_TIMEOUT_S)
+        try:
+            while True:
+                await self._fetch(vm_list)
+                await sleep(FETCH_INTERVAL_S)
+        finally:
+            await vm_list.close()
+
+    async def _fetch(self, vm_list: HttpVirtualMachineList) -> None:
+        try:
+            machines = await vm_list.fetch()
+        except StoreUnavailableError as error:
+            if self._is_readable:
+                logger.warning(
+                    "the list of VMs can't be read, the last one stays in force: {}", error.message
+                )
+            self._is_readable = False
+            return
+        self._is_readable = True
+        hosts = frozenset(machine.host for machine in machines if machine.leaving)
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self._on_change()
--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -99,6 +99,20 @@
                 number,
                 {"kind": kind},
             )
+        for outcome, number in self._pipeline.count_finished_jobs().items():
+            yield Sample(
+                "berylproxy_jobs_total",
+                "Jobs whose home is here and that have finished, by outcome",
+                number,
+                {"outcome": outcome},
+            )
+        for result, number in self._pipeline.count_task_sends().items():
+            yield Sample(
+                "berylproxy_task_sends_total",
+                "Tasks sent to endpoints, by result",
+                number,
+                {"result": result},
+            )
         for message, number in self._pipeline.count_sent_messages().items():
             yield Sample(
                 "berylproxy_slot_messages_total",
@@ -172,7 +186,7 @@
             for ledger in self._pipeline.holder.list_ledgers()
             for state in ledger.list_states()
         }
-        for name, endpoint in sorted(self._view.configuration.endpoints.items()):
+        for name, endpoint in sorted(self._pipeline.configuration.endpoints.items()):
             yield {
                 "name": name,
                 "pool": endpoint.pool,
--- a/berylproxy/deduplicate/router.py
+++ b/berylproxy/deduplicate/router.py
@@ -27,6 +27,7 @@
     PeerError,
     PeerNetwork,
 )
+from berylproxy.tracing import Tracer
 
 HOME_RETRY_INTERVAL_S = 0.2
 HOME_REPLY_MARGIN_S = 2.0
@@ -73,6 +74,7 @@
         registry: JobRegistry,
         network: PeerNetwork,
         claims: ClaimBook,
+        tracer: Tracer,
         check_admission: Callable[[Submission], None],
         submit: Callable[[Submission], Job],
         cancel: Callable[[Job], None],
@@ -83,6 +85,7 @@
         self._registry = registry
         self._network = network
         self._claims = claims
+        self._tracer = tracer
         self._check_admission = check_admission
         self._submit = submit
         self._cancel = cancel
@@ -122,7 +125,11 @@
             case SubmitJob(submission, wait_s) if not submission.job_id:
                 return await self._claim(submission, wait_s)
             case SubmitJob(submission, wait_s):
-                return await self._wait(self._submit(submission), wait_s)
+                with self._tracer.span(
+                    "serve", submission.traceparent, job_id=submission.job_id
+                ) as span:
+                    traced = replace(submission, traceparent=span.traceparent)
+                    return await self._wait(self._submit(traced), wait_s)
             case FetchJob(job_id, team, wait_s):
                 return await self._wait(self._registry.find(job_id, team), wait_s)
             case CancelJob(job_id, team):
@@ -140,7 +147,7 @@
         message = SubmitJob(submission, wait_s)
         if claimant != self._incarnation:
             try:
-                return await self._network.request(claimant, message, wait_s + HOME_REPLY_MARGIN_S)
+                return await self._ask(claimant, message, wait_s + HOME_REPLY_MARGIN_S)
             except PeerError:
                 pass  # the claim in the store keeps two daemons from starting it both
         return await self.handle(message)
@@ -185,11 +192,20 @@
                     retry_after_s=UNREACHABLE_RETRY_AFTER_S,
                 )
             try:
-                return await self._network.request(home, message, remaining_s)
+                return await self._ask(home, message, remaining_s)
             except PeerError:
                 # The stream may come back, and the home finds the job by its identifier.
                 await sleep(HOME_RETRY_INTERVAL_S)
 
+    async def _ask(self, incarnation: str, message: Message, timeout_s: float) -> JobState:
+        if not isinstance(message, SubmitJob):
+            return await self._network.request(incarnation, message, timeout_s)
+        submission = message.submission
+        with self._tracer.span("forward", submission.traceparent, to=incarnation) as span:
+            traced = replace(submission, traceparent=span.traceparent)
+            forwarded = replace(message, submission=traced)
+            return await self._network.request(incarnation, forwarded, timeout_s)
+
     def _check_home(self, home: str) -> None:
         for member in self._network.members():
             if member.identity.incarnation != home:
--- a/berylproxy/metrics.py
+++ b/berylproxy/metrics.py
@@ -9,6 +9,8 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+COUNTER_SUFFIX = "_total"
+
 
 @dataclass(frozen=True, slots=True)
 class Sample:
@@ -21,16 +23,12 @@
 
 
 class Metrics:
-    """Counters that events add to, and gauges that are read at each scrape."""
+    """Series that are read from their sources at each scrape."""
 
     def __init__(self) -> None:
         self._registry = Registry()
-        self._gauges: dict[str, Collector] = {}
+        self._series: dict[str, Collector] = {}
         self._sources: list[Callable[[], Iterable[Sample]]] = []
-        self.jobs = self._register(Counter("berylproxy_jobs_total", "Jobs answered, by outcome"))
-        self.task_sends = self._register(
-            Counter("berylproxy_task_sends_total", "Tasks sent to endpoints, by result")
-        )
 
     def add_source(self, source: Callable[[], Iterable[Sample]]) -> None:
         """Takes a function that is asked for samples at each scrape."""
@@ -48,13 +46,11 @@
         content, headers = render(self._registry, request.headers.getlist("accept"))
         return Response(content, media_type=headers["Content-Type"])
 
-    def _register(self, collector: Collector) -> Collector:
-        self._registry.register(collector)
-        return collector
-
     def _set(self, sample: Sample) -> None:
-        gauge = self._gauges.get(sample.name)
-        if gauge is None:
-            gauge = self._register(Gauge(sample.name, sample.help))
-            self._gauges[sample.name] = gauge
-        gauge.set(sample.labels, sample.value)
+        series = self._series.get(sample.name)
+        if series is None:
+            collector = Counter if sample.name.endswith(COUNTER_SUFFIX) else Gauge
+            series = collector(sample.name, sample.help)
+            self._registry.register(series)
+            self._series[sample.name] = series
+        series.set(sample.labels, sample.value)
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -89,6 +89,11 @@
         self._task_group: TaskGroup | None = None
         self._sent_messages: Counter[str] = Counter()
 
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force, with the endpoints on leaving VMs marked."""
+        return self._configuration
+
     @property
     def waiting_tasks(self) -> int:
         """How many tasks wait for a slot."""
@@ -117,6 +122,14 @@
             "refused_send": self._dispatcher.refused_sends,
         }
 
+    def count_finished_jobs(self) -> Counter[str]:
+        """Counts the jobs that have finished here, by outcome."""
+        return self._registry.finished_jobs
+
+    def count_task_sends(self) -> Counter[str]:
+        """Counts the tasks sent to endpoints, by how the use of the slot ended."""
+        return self._dispatcher.sends
+
     def configure(self, configuration: Configuration) -> None:
         """Takes a new configuration."""
         self._configuration = configuration
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -1,5 +1,6 @@
 """Runs tasks in granted slots: sends each once, and again only if it certainly did not start."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from anyio import CancelScope
@@ -48,6 +49,7 @@
         self._task_group: TaskGroup | None = None
         self._scopes: dict[TaskRun, CancelScope] = {}
         self.refused_sends = 0
+        self.sends: Counter[str] = Counter()
 
     @property
     def in_flight(self) -> int:
@@ -112,6 +114,7 @@
             self._end_badly(run, slot, error)
         finally:
             del self._scopes[run]
+            self.sends[result.value] += 1
             self._release(slot, result, run_time_s)
 
     def _note_answer(
--- a/berylproxy/tracing.py
+++ b/berylproxy/tracing.py
@@ -1,6 +1,7 @@
 """Traces: one span for each hop, W3C trace context between them."""
 
 import json
+import os
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -19,6 +20,8 @@
 
 from berylproxy.constants import TRACEPARENT_HEADER
 
+FILE_MODE = 0o644
+
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
@@ -26,18 +29,18 @@
     """Appends spans to a file as JSON lines."""
 
     def __init__(self, path: Path) -> None:
-        self._file = path.open("a", encoding="utf-8")
+        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, FILE_MODE)
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Writes a batch of spans."""
+        """Writes each span at once, as several daemons may append to one file."""
         for span in spans:
-            self._file.write(json.dumps(json.loads(span.to_json(indent=None))) + "\n")
-        self._file.flush()
+            line = json.dumps(json.loads(span.to_json(indent=None))) + "\n"
+            os.write(self._descriptor, line.encode())
         return SpanExportResult.SUCCESS
 
     def shutdown(self) -> None:
         """Closes the file."""
-        self._file.close()
+        os.close(self._descriptor)
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -78,6 +78,7 @@
             "event": event,
             "task_id": request.headers.get(TASK_ID_HEADER, ""),
             "service": request.headers.get(SERVICE_HEADER, ""),
+            "traceparent": request.headers.get("traceparent", ""),
             "time_s": time.monotonic(),
             "endpoint": self.endpoint,
             "status": status,
--- /dev/null
+++ b/tests/steps/border_steps.py
@@ -0,0 +1,266 @@
+"""Steps that bring bad input and strangers to a cluster of real daemons."""
+
+import json
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from berylproxy.constants import MAX_SUBMISSION_BYTES
+from berylproxy.peers.errors import PeerHandshakeError
+from tests.support.cluster import SERVICE
+from tests.support.guarded_cluster import (
+    OPERATOR,
+    SECRETS,
+    TEAM_TOKENS,
+    share_guarded_cluster,
+)
+
+TASKS = [{"id": "t0", "payload": {"run_time_s": 0.0}}]
+LONG_TASKS = [{"id": f"t{number}", "payload": {"run_time_s": 1.5}} for number in range(4)]
+OTHER_TASKS = [{"id": "t1", "payload": {}}]
+SOCKET_TIMEOUT_S = 20.0
+OTHER_KEY = "another-peer-key-of-the-tests"
+REQUESTS_PATH = f"/v1/services/{SERVICE}/requests"
+
+
+def connect(address: str) -> socket.socket:
+    """Connects to ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), SOCKET_TIMEOUT_S)
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    """Reads until the other side closes."""
+    received = b""
+    try:
+        while chunk := connection.recv(4096):
+            received += chunk
+    except ConnectionResetError:
+        pass  # closed with our bytes unread
+    return received
+
+
+def post_job(cluster, *, team: str = "", **changes):
+    """Submits a job whose body is changed."""
+    body = {"service": SERVICE, "tasks": TASKS} | changes
+    return cluster.call("POST", "/v1/jobs", team=team, json=body)
+
+
+def reuse_identifier(cluster):
+    """Submits other content under an id that is used up."""
+    job_id = cluster.mint()
+    assert cluster.submit(job_id, TASKS).status_code == 200
+    return cluster.submit(job_id, OTHER_TASKS, daemon=1)
+
+
+BAD_INPUTS = {
+    "malformed JSON": lambda c: c.call("POST", "/v1/jobs", content=b'{"service": '),
+    "a number that is not JSON": lambda c: c.call(
+        "POST",
+        "/v1/jobs",
+        content=b'{"service": "enquiry", "tasks": [{"id": "t", "payload": NaN}]}',
+    ),
+    "an oversized body": lambda c: c.call(
+        "POST", "/v1/jobs", content=b" " * (MAX_SUBMISSION_BYTES + 1)
+    ),
+    "an unknown service": lambda c: post_job(c, service="none"),
+    "a task that never fits": lambda c: post_job(
+        c, tasks=[{"id": "t", "needs": {"accelerators": 9}}]
+    ),
+    "a need beyond all integers": lambda c: post_job(
+        c, tasks=[{"id": "t", "needs": {"accelerators": 10**30}}]
+    ),
+    "two tasks with one id": lambda c: post_job(c, tasks=TASKS * 2),
+    "an id of other content": reuse_identifier,
+    "an id that is none": lambda c: c.call("GET", "/v1/jobs/none"),
+    "an id of an unknown daemon": lambda c: c.call("GET", f"/v1/jobs/{'0' * 12}{c.mint()[12:]}"),
+    "a timeout header out of range": lambda c: c.call(
+        "POST", REQUESTS_PATH, headers={"Berylproxy-Timeout-S": "9999"}, json={}
+    ),
+    "a repeatable header of no sense": lambda c: c.call(
+        "POST", REQUESTS_PATH, headers={"Berylproxy-Repeatable": "maybe"}, json={}
+    ),
+    "a wait that is no number": lambda c: c.call("GET", f"/v1/jobs/{c.mint()}?wait_s=nan"),
+    "an unknown path": lambda c: c.call("GET", "/v1/none"),
+    "an unknown method": lambda c: c.call("PATCH", "/v1/jobs"),
+    "a record without a revision": lambda c: c.call("PUT", "/v1/records/pools/p", json={}),
+}
+
+
+def check_error(response, status: int, code: str) -> None:
+    """Checks an error's status, code and one-line message."""
+    assert response.status_code == status, (response.status_code, response.text)
+    error = response.json()
+    assert error["code"] == code, error
+    assert error["message"] and "\n" not in error["message"], error
+
+
+def has_refusal(cluster, reason: str) -> bool:
+    """Tells whether daemon 0 has logged a refused handshake with its code and reason."""
+    lines = [json.loads(line) for line in cluster.read_log("d0").split("\n")[:-1]]
+    return any(
+        line.get("code") == PeerHandshakeError.code and reason in line["message"] for line in lines
+    )
+
+
+@given("the guarded cluster of 3 daemons in 2 failure domains")
+def step_guarded_cluster(context):
+    context.cluster = share_guarded_cluster(context)
+
+
+@when("a job is in flight at the border")
+def step_job_in_flight(context):
+    cluster = context.cluster
+    context.job_id = cluster.mint()
+    pool = ThreadPoolExecutor(1)
+    context.add_cleanup(pool.shutdown)
+    context.in_flight = pool.submit(cluster.submit, context.job_id, LONG_TASKS)
+    names = {f"{context.job_id}/{task['id']}" for task in LONG_TASKS}
+    cluster.wait_until(lambda: names <= cluster.count_starts().keys(), "the tasks run")
+
+
+@then("the job in flight at the border is answered whole")
+def step_in_flight_whole(context):
+    answer = context.in_flight.result().json()
+    assert answer["outcome"] == "done", answer
+    assert [result["id"] for result in answer["results"]] == [task["id"] for task in LONG_TASKS]
+    assert all(daemon.is_running() for daemon in context.cluster.daemons)
+
+
+@then("these bad inputs are refused")
+def step_bad_inputs(context):
+    for row in context.table:
+        response = BAD_INPUTS[row["input"]](context.cluster)
+        check_error(response, int(row["status"]), row["code"])
+        assert response.json()["outcome"] == row["outcome"], response.text
+
+
+@when("a caller cuts its connection within a body")
+def step_cut_body(context):
+    address = context.cluster.daemons[0].announced["http_address"]
+    with connect(address) as connection:
+        head = f"POST /v1/jobs HTTP/1.1\r\nHost: {address}\r\nContent-Length: 100\r\n\r\n"
+        connection.sendall(head.encode() + b'{"service":')
+
+
+@when("an alien sends HTTP to the peer port")
+def step_alien(context):
+    with connect(context.cluster.daemons[0].announced["peer_address"]) as connection:
+        connection.sendall(b"GET / HTTP/1.1\r\nHost: peer\r\n\r\n")
+        read_to_end(connection)  # raises if the daemon leaves it open
+
+
+@then("the alien's connection is closed and the log says why")
+def step_alien_logged(context):
+    cluster = context.cluster
+    cluster.wait_until(lambda: has_refusal(cluster, "not a daemon"), "the log line")
+
+
+@then('the operators\' calls are refused with {status:d} "{code}" but with the right token')
+def step_operator_calls(context, status, code):
+    for method, path in (
+        ("GET", "/v1/records/pools"),
+        ("GET", "/v1/records/pools/pool"),
+        ("PUT", "/v1/records/pools/pool"),
+        ("DELETE", "/v1/records/pools/pool"),
+        ("POST", "/v1/records/validate"),
+        ("GET", "/v1/status"),
+        ("GET", "/v1/usage"),
+    ):
+        for authorization in ("", "Bearer wrong-token", f"Basic {OPERATOR['Authorization'][7:]}"):
+            headers = {"Authorization": authorization}
+            check_error(context.cluster.call(method, path, headers=headers), status, code)
+        if method == "GET":
+            response = context.cluster.call(method, path)
+            assert response.status_code == 200, (path, response.text)
+
+
+@then('team calls with no token and with a wrong one are refused with {status:d} "{code}"')
+def step_team_calls(context, status, code):
+    wrong_tokens = ("", "Bearer wrong", f"Bearer {TEAM_TOKENS['south']}")
+    for authorization in (*wrong_tokens, OPERATOR["Authorization"]):
+        headers = {"Berylproxy-Team": "north", "Authorization": authorization}
+        calls = [
+            ("POST", "/v1/job-ids", {}),
+            ("POST", "/v1/jobs", {"service": SERVICE, "tasks": TASKS}),
+            ("POST", REQUESTS_PATH, {}),
+            ("GET", "/v1/jobs/none", None),
+            ("DELETE", "/v1/jobs/none", None),
+        ]
+        for method, path, body in calls:
+            response = context.cluster.call(method, path, headers=headers, json=body)
+            check_error(response, status, code)
+
+
+@then('a team that no record names is refused with {status:d} "{code}"')
+def step_unknown_team(context, status, code):
+    headers = {"Berylproxy-Team": "none"}
+    check_error(context.cluster.call("POST", "/v1/job-ids", headers=headers, json={}), status, code)
+
+
+@then("the right team token submits a job")
+def step_right_team(context):
+    assert post_job(context.cluster, team="north").json()["outcome"] == "done"
+
+
+@when('team "{team}" has submitted a job at daemon {daemon:d}')
+def step_team_job(context, team, daemon):
+    context.job_id = context.cluster.mint(daemon, team)
+    response = context.cluster.submit(context.job_id, TASKS, daemon=daemon, team=team)
+    assert response.status_code == 200, response.text
+
+
+@then(
+    'team "{team}" gets {status:d} "{code}" at each daemon '
+    "for fetching, cancelling or submitting it"
+)
+def step_foreign_job(context, team, status, code):
+    cluster, path = context.cluster, f"/v1/jobs/{context.job_id}"
+    for daemon in range(len(cluster.daemons)):
+        check_error(cluster.call("GET", path, daemon=daemon, team=team), status, code)
+        check_error(cluster.call("DELETE", path, daemon=daemon, team=team), status, code)
+        submitted = cluster.submit(context.job_id, TASKS, daemon=daemon, team=team)
+        check_error(submitted, status, code)
+
+
+@then('an unused id of team "{owner}" is of no use to team "{team}" and still serves team "{same}"')
+def step_foreign_identifier(context, owner, team, same):
+    cluster = context.cluster
+    job_id = cluster.mint(team=owner)
+    check_error(cluster.submit(job_id, TASKS, team=team), 400, "id_malformed")
+    check_error(cluster.call("DELETE", f"/v1/jobs/{job_id}", team=team), 400, "id_malformed")
+    assert cluster.submit(job_id, TASKS, team=same).json()["outcome"] == "done"
+
+
+@when("a daemon with another peer key is started")
+def step_other_key(context):
+    cluster = context.cluster
+    environment = cluster.environment
+    cluster.environment = environment | {"BERYLPROXY_PEER_KEYS": OTHER_KEY}
+    try:
+        context.stranger = cluster.start_daemon(9, "a", "stranger")
+    finally:
+        cluster.environment = environment
+    context.add_cleanup(context.stranger.kill)
+
+
+@then("no daemon lets the one with another peer key in")
+def step_stranger_out(context):
+    cluster = context.cluster
+    cluster.wait_until(lambda: has_refusal(cluster, "no shared key"), "d0 has refused it")
+    for daemon in range(len(cluster.daemons)):
+        peers = {peer["daemon_id"] for peer in cluster.read_status(daemon)["peers"]}
+        assert "d9" not in peers, peers
+    url = f"http://{context.stranger.announced['http_address']}/v1/status"
+    assert not cluster.client.get(url).json()["peers"]
+
+
+@then("no secret shows in a log, a trace or a status")
+def step_no_secrets(context):
+    cluster = context.cluster
+    texts = [path.read_text() for path in cluster.folder.iterdir() if path.is_file()]
+    texts += [str(cluster.read_status(daemon)) for daemon in range(len(cluster.daemons))]
+    assert any('"level"' in text for text in texts), "no log was read"
+    for secret in (*SECRETS, OTHER_KEY):
+        assert not any(secret in text for text in texts), f"{secret[:5]}... shows"
