--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 
 .DEFAULT_GOAL := help
-.PHONY: help setup demo test prove bench report throughput format clean
+.PHONY: help setup demo test prove bench report throughput slopes format clean
 
 SEED ?= 1
 SCENARIO ?= steady-70
@@ -36,6 +36,9 @@
 throughput: setup  ## Measures task starts a processor second against direct calls
 	$(BIN)/python -m tools.bench.throughput
 
+slopes: setup  ## Measures how costs grow with size, for docs/CAPACITY.md
+	$(BIN)/python -m tools.slopes
+
 format: setup  ## Formats the code
 	$(BIN)/black --quiet berylproxy standins tests tools
 	$(BIN)/ruff check --fix berylproxy standins tests tools
