--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass
 from itertools import count
+from mmap import PAGESIZE
 from pathlib import Path
 from random import Random
 from statistics import median
@@ -78,6 +79,7 @@
 CLAIM_WINDOW_S = 5.0
 REPEATS = 5
 US_PER_S = 1e6
+BYTES_PER_MB = 1024 * 1024
 
 Points = dict[str, list[float]]
 
@@ -141,6 +143,12 @@
     return held_bytes
 
 
+def read_resident_mb(pid: int) -> float:
+    """Reads how much memory a process holds now; the kernel's maximum starts at its parent's."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * PAGESIZE / BYTES_PER_MB
+
+
 def measure_daemons() -> list[Slope]:
     """Control traffic and processor time of idle members, one process each."""
     points: Points = {}
@@ -150,13 +158,14 @@
             before = [fleet.count(daemon) for daemon in fleet.daemons]
             time.sleep(MEMBERSHIP_WINDOW_S)
             after = [fleet.count(daemon) for daemon in fleet.daemons]
+            resident_mb = max(read_resident_mb(daemon.pid) for daemon in fleet.daemons)
         payload, with_headers, processor_percent = average_rates(before, after)
         add_point(
             points,
             sent_payload_bytes_per_s=payload,
             sent_bytes_per_s_with_headers=with_headers,
             processor_percent=processor_percent,
-            memory_mb=max(line["memory_kb"] for line in after) / 1024,
+            resident_mb=resident_mb,
         )
     return fit_points("daemon", DAEMON_COUNTS, points)
 
@@ -377,6 +386,8 @@
             anyio.run(run_jobs, cluster.url(0), max(TASKS_PER_JOB), JOBS_AT_ONCE)
             for tasks_per_job in TASKS_PER_JOB:
                 add_point(points, job_us=measure_job_us(cluster, tasks_per_job))
+                resident_mb = read_resident_mb(cluster.daemons[0].pid)
+                add_point(points, daemon_resident_mb=resident_mb)
         finally:
             cluster.stop()
     for tasks_per_job in TASKS_PER_JOB:
