--- a/berylproxy/cli/core.py
+++ b/berylproxy/cli/core.py
@@ -21,6 +21,7 @@
     RequestCommand,
     StatusCommand,
     SubmitCommand,
+    UsageCommand,
     ValidateCommand,
 )
 from berylproxy.cli.errors import CommandError, UsageError, choose_exit_status, format_error
@@ -31,6 +32,7 @@
     run_delete,
     run_diff,
     run_get,
+    run_usage,
     run_validate,
 )
 from berylproxy.environment import Environment
@@ -49,6 +51,7 @@
     DeleteCommand: run_delete,
     ValidateCommand: run_validate,
     DaemonCommand: run_daemon_status,
+    UsageCommand: run_usage,
 }
 
 
--- a/berylproxy/cli/definition.py
+++ b/berylproxy/cli/definition.py
@@ -139,6 +139,12 @@
     command: Subcommands[DaemonStatusCommand]
 
 
+@command(name="usage", help="Add up finished work by who is billed")
+@dataclass
+class UsageCommand:
+    """Arguments of ``berylctl usage``."""
+
+
 Command = (
     SubmitCommand
     | RequestCommand
@@ -150,6 +156,7 @@
     | DeleteCommand
     | ValidateCommand
     | DaemonCommand
+    | UsageCommand
 )
 
 
--- a/berylproxy/cli/records.py
+++ b/berylproxy/cli/records.py
@@ -12,6 +12,7 @@
     DeleteCommand,
     DiffCommand,
     GetCommand,
+    UsageCommand,
     ValidateCommand,
 )
 from berylproxy.cli.errors import UsageError
@@ -114,6 +115,14 @@
     return ExitStatus.SUCCESS
 
 
+async def run_usage(command: UsageCommand, context: Context) -> ExitStatus:
+    """Prints the sums of finished work over all daemons."""
+    async with context.open_operator_client() as client:
+        usage = await client.fetch_usage()
+    context.printer.print(usage.model_dump(), Section(usage.usage))
+    return ExitStatus.SUCCESS
+
+
 async def _plan_change(
     client: OperatorClient, record: RecordFile, expected_revision: int | None
 ) -> PlannedChange:
--- a/berylproxy/client/models.py
+++ b/berylproxy/client/models.py
@@ -139,3 +139,10 @@
     daemon: dict[str, Any]
     peers: list[dict[str, Any]] = Field(default_factory=list)
     endpoints: list[dict[str, Any]] = Field(default_factory=list)
+
+
+class UsageBody(BorderModel):
+    """Body of ``GET /v1/usage``."""
+
+    revision: int
+    usage: list[dict[str, Any]] = Field(default_factory=list)
--- a/berylproxy/client/operator.py
+++ b/berylproxy/client/operator.py
@@ -25,6 +25,7 @@
     RecordListBody,
     RevisionBody,
     StatusBody,
+    UsageBody,
 )
 from berylproxy.constants import JSON_CONTENT_TYPE
 
@@ -120,6 +121,13 @@
         """
         return _parse(StatusBody, await self._read("/v1/status"))
 
+    async def fetch_usage(self) -> UsageBody:
+        """Reads the sums of finished work over all daemons.
+
+        :raises ClientError: if they could not be read.
+        """
+        return _parse(UsageBody, await self._read("/v1/usage"))
+
     async def _read(
         self,
         path: str,
--- a/tests/steps/usage_steps.py
+++ b/tests/steps/usage_steps.py
@@ -2,12 +2,16 @@
 
 from base64 import b64decode, b64encode
 from dataclasses import replace
+from io import StringIO
 from json import loads
 
 from anyio import run
 from behave import given, then, when
 from httpx import post
 
+from berylproxy.cli.core import main
+from berylproxy.environment import Environment
+from berylproxy.exit_status import ExitStatus
 from berylproxy.models import DaemonIdentity
 from berylproxy.records.models import Endpoint
 from berylproxy.usage.counters import UsageCounters
@@ -113,9 +117,22 @@
     recorded = 0
     for home in homes:
         recorded += sum(row["tasks"] for row in read_report(context, home)["rows"])
+    context.recorded = recorded
     assert recorded == ended == stopped * len(context.tasks), (recorded, ended)
 
 
+@then("berylctl adds up the same number of tasks")
+def step_berylctl(context):
+    url = context.cluster.url(len(context.cluster.daemons) - 1)
+    output = StringIO()
+    status = main(["--url", url, "usage"], Environment(StringIO(), output, StringIO()))
+    assert status is ExitStatus.SUCCESS
+    own = [row for row in loads(output.getvalue())["usage"] if row["cost_bearer"] == "owner"]
+    # The daemon that still runs may have recorded its own tasks by now, all or none of them.
+    expected = (context.recorded, context.recorded + len(context.tasks))
+    assert sum(row["tasks"] for row in own) in expected, own
+
+
 def read_report(context, incarnation: str) -> dict:
     """Reads an incarnation's report from the store."""
     key = b64encode(make_key(incarnation).encode()).decode()
--- a/tests/usage/recorder.feature
+++ b/tests/usage/recorder.feature
@@ -34,3 +34,4 @@
     When a job of 60 tasks of 0.02 to 0.05 s with seed 4 is submitted to each daemon under its own id
     And all daemons are stopped in an orderly way but the last
     Then the usage of the stopped daemons is exactly what their endpoints have ended
+    And berylctl adds up the same number of tasks
