Say in one line why a daemon can't start

A port in use and a trace file that can't be written ended the daemon with a traceback (the feature errors on the code before). They now have codes and an exit status of their own, also where the error comes out of a task group.

--- a/berylproxy/daemon/core.py
+++ b/berylproxy/daemon/core.py
@@ -58,6 +58,25 @@
     try:
         run(Application(settings, env).run)
     except BerylproxyError as error:
-        env.stderr.write(f"berylproxyd: {error.code}: {error.message}; {error.hint}\n")
-        return ExitStatus.INTERNAL_ERROR
+        return _tell(error, env)
+    except BaseExceptionGroup as group:
+        error = _find_told_error(group)
+        if error is None:
+            raise
+        return _tell(error, env)
     return ExitStatus.SUCCESS
+
+
+def _find_told_error(group: BaseExceptionGroup) -> BerylproxyError | None:
+    """Finds the first error of the project in what a task group raised."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            error = _find_told_error(error)
+        if isinstance(error, BerylproxyError):
+            return error
+    return None
+
+
+def _tell(error: BerylproxyError, env: Environment) -> ExitStatus:
+    env.stderr.write(f"berylproxyd: {error.code}: {error.message}; {error.hint}\n")
+    return ExitStatus.CANNOT_START
--- a/berylproxy/daemon/http_server.py
+++ b/berylproxy/daemon/http_server.py
@@ -7,6 +7,7 @@
 from hypercorn.config import Config
 from starlette.applications import Starlette
 
+from berylproxy.errors import BerylproxyError
 from berylproxy.settings import Settings
 
 BACKLOG_CONNECTIONS = 1_024
@@ -14,12 +15,28 @@
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
 
 
+class AddressUnavailableError(BerylproxyError):
+    """The address can't be listened on."""
+
+    code = "address_unavailable"
+
+
 def open_listener(address: str) -> socket.socket:
-    """Binds and listens on ``host:port``, so that connections are queued from then on."""
+    """Binds and listens on ``host:port``, so that connections are queued from then on.
+
+    :raises AddressUnavailableError: if another process listens there, or the address isn't ours.
+    """
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, int(port)), family=family, backlog=BACKLOG_CONNECTIONS)
+    try:
+        listener = socket.create_server(
+            (host, int(port)), family=family, backlog=BACKLOG_CONNECTIONS
+        )
+    except OSError as error:
+        raise AddressUnavailableError(
+            f"can't listen on {address}: {error.strerror}", hint="choose another --http-address"
+        ) from error
     listener.setblocking(False)
     return listener
 
--- a/berylproxy/exit_status.py
+++ b/berylproxy/exit_status.py
@@ -18,4 +18,5 @@
     CANNOT_CONNECT = 9
     TIMED_OUT = 10
     DIFFERENCES_FOUND = 11
+    CANNOT_START = 12
     INTERRUPTED = 130  # 128 + SIGINT, as shells report it
--- a/berylproxy/peers/errors.py
+++ b/berylproxy/peers/errors.py
@@ -9,6 +9,12 @@
     code = "peer_settings_invalid"
 
 
+class PeerAddressUnavailableError(PeerError):
+    """The address can't be listened on."""
+
+    code = "peer_address_unavailable"
+
+
 class PeerProtocolError(PeerError):
     """The other side sent something malformed, unknown or too large."""
 
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -14,7 +14,14 @@
     move_on_after,
     sleep,
 )
-from anyio.abc import ByteStream, SocketAttribute, TaskGroup, TaskStatus
+from anyio.abc import (
+    ByteStream,
+    Listener,
+    SocketAttribute,
+    SocketStream,
+    TaskGroup,
+    TaskStatus,
+)
 from logbook import Logger
 
 from berylproxy.models import DaemonIdentity
@@ -23,6 +30,7 @@
 from berylproxy.peers.control import Control
 from berylproxy.peers.dialler import Dialler
 from berylproxy.peers.errors import (
+    PeerAddressUnavailableError,
     PeerHandshakeError,
     PeerProtocolError,
     PeerSettingsError,
@@ -172,7 +180,7 @@
     async def run(self, *, task_status: TaskStatus[str] = TASK_STATUS_IGNORED) -> None:
         """Listens, dials and sends heartbeats until cancelled; reports the bound address."""
         host, port = split_address(self._settings.listen_address)
-        listener = await create_tcp_listener(local_host=host, local_port=port)
+        listener = await _open_listener(host, port)
         async with listener, create_task_group() as task_group:
             bound = join_address(host, listener.extra(SocketAttribute.local_port))
             self._take_bound_address(bound)
@@ -306,3 +314,13 @@
         if self._task_group is None:
             raise RuntimeError("the network is not running")
         return self._task_group
+
+
+async def _open_listener(host: str, port: int) -> Listener[SocketStream]:
+    try:
+        return await create_tcp_listener(local_host=host, local_port=port)
+    except OSError as error:
+        raise PeerAddressUnavailableError(
+            f"can't listen on {join_address(host, port)}: {error.strerror}",
+            hint="choose another --peer-address",
+        ) from error
--- a/berylproxy/tracing.py
+++ b/berylproxy/tracing.py
@@ -19,17 +19,29 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from berylproxy.constants import TRACEPARENT_HEADER
+from berylproxy.errors import BerylproxyError
 
 FILE_MODE = 0o644
 
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
+class TraceTargetError(BerylproxyError):
+    """Traces can't be written where the settings say."""
+
+    code = "trace_target_unusable"
+
+
 class FileSpanExporter(SpanExporter):
     """Appends spans to a file as JSON lines."""
 
     def __init__(self, path: Path) -> None:
-        self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, FILE_MODE)
+        try:
+            self._descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, FILE_MODE)
+        except OSError as error:
+            raise TraceTargetError(
+                f"can't write traces to {path}: {error.strerror}", hint="see --trace-target"
+            ) from error
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Writes each span at once, as several daemons may append to one file."""
