Take admission, the pause check and JSON answers out of grown modules

No change of behaviour. The pipeline keeps the joining of the filters; what decides on new jobs stands with its limits, and both HTTP interfaces make their answers by one function.

--- a/berylproxy/admit/answers.py
+++ b/berylproxy/admit/answers.py
@@ -29,6 +29,7 @@
 from berylproxy.deduplicate.messages import JobState
 from berylproxy.deduplicate.router import make_refusal
 from berylproxy.errors import BerylproxyError
+from berylproxy.http_responses import make_json_response
 from berylproxy.models import JobAnswer, Outcome, TaskResult
 from berylproxy.waiting.limits import (
     ServiceUnknownError,
@@ -67,7 +68,7 @@
     answer = state.answer
     if answer is None:
         content = {"id": state.job_id, "state": "running", "outcome": None}
-        return _make_response(STATUS_RUNNING, content, {})
+        return make_json_response(content, STATUS_RUNNING)
     content = {
         "id": state.job_id,
         "state": "finished",
@@ -78,7 +79,9 @@
         "retry_after_s": answer.retry_after_s,
         "results": [_describe_result(result) for result in answer.results],
     }
-    return _make_response(_choose_status(answer.outcome, answer.code), content, _headers(answer))
+    return make_json_response(
+        content, _choose_status(answer.outcome, answer.code), _headers(answer)
+    )
 
 
 def make_request_response(state: JobState) -> Response:
@@ -121,11 +124,6 @@
     return _make_error(told, Outcome.UNKNOWN, STATUS_INTERNAL_ERROR)
 
 
-def make_json_response(content: object, status: int = 200) -> Response:
-    """Answers with JSON."""
-    return _make_response(status, content, {})
-
-
 def _make_error(error: BerylproxyError, outcome: Outcome, status: int) -> Response:
     content = {
         "outcome": outcome.value,
@@ -134,11 +132,7 @@
         "hint": error.hint,
         "retry_after_s": error.retry_after_s,
     }
-    return _make_response(status, content, _headers(make_refusal("", error, outcome)))
-
-
-def _make_response(status: int, content: object, headers: dict[str, str]) -> Response:
-    return Response(json.dumps(content), status, headers, JSON_CONTENT_TYPE)
+    return make_json_response(content, status, _headers(make_refusal("", error, outcome)))
 
 
 def _choose_status(outcome: Outcome, code: str) -> int:
--- a/berylproxy/admit/api.py
+++ b/berylproxy/admit/api.py
@@ -10,7 +10,6 @@
 from berylproxy.admit.answers import (
     make_error_response,
     make_job_response,
-    make_json_response,
     make_request_response,
 )
 from berylproxy.admit.authorization import authorize_team
@@ -39,6 +38,7 @@
 from berylproxy.deduplicate.messages import JobState
 from berylproxy.deduplicate.router import JobRouter, make_refusal
 from berylproxy.errors import BerylproxyError
+from berylproxy.http_responses import make_json_response
 from berylproxy.models import Outcome, Submission, Task
 from berylproxy.records.models import Configuration
 from berylproxy.tracing import Tracer
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -108,7 +108,7 @@
             self._network,
             ClaimBook(self._store, clock),
             self._tracer,
-            self._pipeline.check_admission,
+            self._pipeline.admission.check,
             self._pipeline.submit,
             self._pipeline.cancel,
         )
@@ -190,7 +190,7 @@
             self._router,
             self._tracer,
             lambda: self._view.configuration,
-            lambda: self._view.is_loaded and self._pipeline.takes_new_jobs,
+            lambda: self._view.is_loaded and self._pipeline.admission.takes_new_jobs,
             IDENTIFIER_VALIDITY_S,
         )
         editor = RecordEditor(
@@ -261,7 +261,7 @@
         self._network.announce_leaving()
         self._update_members()
         await sleep(self._settings.drain_grace_s)
-        self._pipeline.refuse_new_jobs()
+        self._pipeline.admission.takes_new_jobs = False
         if not await self._pipeline.wait_until_idle(self._settings.drain_timeout_s):
             logger.warning("stopping with jobs unfinished after the drain timeout")
         self._http_stopped.set()
--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -7,8 +7,9 @@
 from starlette.routing import Route
 
 from berylproxy import __version__
-from berylproxy.admit.answers import make_error_response, make_json_response
+from berylproxy.admit.answers import make_error_response
 from berylproxy.errors import BerylproxyError
+from berylproxy.http_responses import make_json_response
 from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.network import TcpPeerNetwork
--- /dev/null
+++ b/berylproxy/http_responses.py
@@ -0,0 +1,15 @@
+"""JSON answers of the HTTP interfaces."""
+
+import json
+from collections.abc import Mapping
+
+from starlette.responses import Response
+
+from berylproxy.constants import JSON_CONTENT_TYPE
+
+
+def make_json_response(
+    content: object, status: int = 200, headers: Mapping[str, str] | None = None
+) -> Response:
+    """Answers with JSON in ASCII, as a lone surrogate can't be encoded otherwise."""
+    return Response(json.dumps(content), status, headers, JSON_CONTENT_TYPE)
--- a/berylproxy/pipeline.py
+++ b/berylproxy/pipeline.py
@@ -10,6 +10,7 @@
 from berylproxy.collect.job import Job, TaskRun
 from berylproxy.deduplicate.registry import JobRegistry
 from berylproxy.models import DaemonIdentity, Outcome, Submission, TaskResult
+from berylproxy.pause import PauseDetector
 from berylproxy.place.endpoint_state import SlotResult
 from berylproxy.place.holder import Holder
 from berylproxy.place.messages import (
@@ -25,23 +26,12 @@
 from berylproxy.send.sender import TaskSender
 from berylproxy.tracing import Tracer
 from berylproxy.usage.counters import UsageCounters
-from berylproxy.waiting.limits import (
-    AdmissionError,
-    HomeLeavingError,
-    Load,
-    NoEndpointError,
-    ServiceUnknownError,
-    check_load,
-    check_tasks,
-)
+from berylproxy.waiting.admission import AdmissionControl
+from berylproxy.waiting.limits import AdmissionError
 from berylproxy.waiting.queue import WaitingQueue
 
 TICK_INTERVAL_S = 0.05
-DEFAULT_TEAM_QUOTA = 5_000
-REFUSED_RETRY_AFTER_S = 2.0
 MAX_FLUSH_ROUNDS = 8
-PAUSE_LIMIT_S = 1.0  # without a tick for longer, the process has not run
-REFRESH_S = 2.0  # time after a pause for the configuration to come up to date
 UNDELIVERED_LINGER_S = 10.0
 
 
@@ -80,11 +70,10 @@
             self._start_task,
             lambda incarnation: incarnation == identity.incarnation or is_reachable(incarnation),
         )
-        self._last_run_s = clock.now_s()
-        self._refreshed_at_s = 0.0
+        self.admission = AdmissionControl(self._queue, self.requester)
+        self._pause = PauseDetector(clock)
         self._configuration = Configuration()
         self.is_stopping = False
-        self._refuses_new_jobs = False
         self._changed = Event()
         self._task_group: TaskGroup | None = None
         self._sent_messages: Counter[str] = Counter()
@@ -133,6 +122,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Takes a new configuration."""
         self._configuration = configuration
+        self.admission.configure(configuration)
         self._dispatcher.configure(configuration)
         self.holder.configure(configuration)
         self.requester.configure(configuration)
@@ -151,7 +141,7 @@
 
     def receive(self, sender: str, message: object) -> None:
         """Takes a message about slots from a daemon, this one included."""
-        self._note_pause()
+        self._pause.note_run()
         match message:
             case UpdateDemand():
                 self.holder.receive_demand(sender, message)
@@ -170,11 +160,13 @@
 
         :raises DeduplicateError: if the identifier can't be used.
         """
-        job, is_new = self._registry.register(submission, self._resolve_timeout_s(submission))
+        job, is_new = self._registry.register(
+            submission, self.admission.resolve_timeout_s(submission)
+        )
         if not is_new:
             return job
         try:
-            self.check_admission(submission)
+            self.admission.check(submission)
         except AdmissionError as error:
             # Final for this id: another copy of the submission must not run after this refusal.
             job.refuse(error, self._clock.now_s())
@@ -186,15 +178,6 @@
         self._wake()
         return job
 
-    @property
-    def takes_new_jobs(self) -> bool:
-        """Whether new jobs are taken; a stopping daemon still does for a while."""
-        return not self._refuses_new_jobs
-
-    def refuse_new_jobs(self) -> None:
-        """Takes no new jobs from now on; known ones go on."""
-        self._refuses_new_jobs = True
-
     def cancel(self, job: Job) -> None:
         """Gives a job up at the caller's wish."""
         job.cancel(self._clock.now_s())
@@ -207,7 +190,7 @@
         while True:
             await self._changed.wait()
             self._changed = Event()
-            if not self._is_refreshing():
+            if not self._pause.is_refreshing:
                 self._flush()
 
     async def wait_until_idle(self, timeout_s: float) -> bool:
@@ -224,39 +207,6 @@
             return True
         return False
 
-    def _resolve_timeout_s(self, submission: Submission) -> float:
-        service = self._configuration.services.get(submission.service)
-        longest_s = service.timeout_s if service is not None else 0.0
-        return min(submission.timeout_s or longest_s, longest_s)
-
-    def check_admission(self, submission: Submission) -> None:
-        """Checks whether a new submission can be taken now.
-
-        :raises AdmissionError: if not.
-        """
-        if self._refuses_new_jobs:
-            raise HomeLeavingError("this daemon is stopping", retry_after_s=REFUSED_RETRY_AFTER_S)
-        configuration = self._configuration
-        service = configuration.services.get(submission.service)
-        if service is None:
-            raise ServiceUnknownError(
-                f"no service {submission.service[:64]!r}", hint="see berylctl get services"
-            )
-        check_tasks(service, configuration.endpoints.values(), submission.tasks)
-        if not self.requester.can_place(service.name):
-            raise NoEndpointError(
-                f"no endpoint serves {service.name} now", retry_after_s=REFUSED_RETRY_AFTER_S
-            )
-        team = configuration.teams.get(submission.team)
-        load = Load(
-            self._queue.count_team(submission.team),
-            team.max_waiting_tasks if team is not None else DEFAULT_TEAM_QUOTA,
-            len(self._queue),
-            self.requester.estimate_wait_s(service.name, len(submission.tasks)),
-            self.requester.estimate_run_time_s(service.name),
-        )
-        check_load(load, len(submission.tasks), self._resolve_timeout_s(submission))
-
     async def _watch_job(self, job: Job) -> None:
         with move_on_after(max(0.0, job.deadline_s - self._clock.now_s())):
             await job.finished.wait()
@@ -271,7 +221,7 @@
     async def _tick(self) -> None:
         while True:
             await sleep(TICK_INTERVAL_S)
-            self._note_pause()
+            self._pause.note_run()
             self.holder.mark_waiting_groups()
             self._wake()
 
@@ -282,17 +232,8 @@
             if not self.requester.has_releases():
                 return
 
-    def _note_pause(self) -> None:
-        now_s = self._clock.now_s()
-        if now_s - self._last_run_s > PAUSE_LIMIT_S:
-            self._refreshed_at_s = now_s + REFRESH_S
-        self._last_run_s = now_s
-
-    def _is_refreshing(self) -> bool:
-        return self._clock.now_s() < self._refreshed_at_s
-
     def _start_task(self, run: TaskRun, slot: HeldSlot) -> None:
-        if self._is_refreshing():
+        if self._pause.is_refreshing:
             # Granted before a pause of this process: the endpoint may have begun to leave since.
             self.requester.release(slot, SlotResult.UNUSED)
             self._requeue(run)
--- a/berylproxy/records/api.py
+++ b/berylproxy/records/api.py
@@ -1,6 +1,5 @@
 """The operators' interface to the records."""
 
-import json
 import math
 import re
 from collections.abc import Awaitable, Callable
@@ -11,6 +10,7 @@
 from starlette.routing import Route
 
 from berylproxy.errors import BerylproxyError
+from berylproxy.http_responses import make_json_response
 from berylproxy.platform.store import ABSENT_REVISION
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.envelope import make_key, parse_json, split_key
@@ -164,13 +164,6 @@
     return bytes(body)
 
 
-def make_json_response(
-    content: dict[str, Any], *, status: int = 200, headers: dict[str, str] | None = None
-) -> Response:
-    """Answers with JSON in ASCII, as a lone surrogate in a record cannot be encoded otherwise."""
-    return Response(json.dumps(content), status, headers, media_type="application/json")
-
-
 def make_revision_response(revision: int) -> Response:
     """Answers an accepted change."""
     return make_json_response({"revision": revision}, headers={"ETag": f'"{revision}"'})
--- a/berylproxy/usage/api.py
+++ b/berylproxy/usage/api.py
@@ -6,8 +6,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from berylproxy.admit.answers import make_error_response, make_json_response
+from berylproxy.admit.answers import make_error_response
 from berylproxy.errors import BerylproxyError
+from berylproxy.http_responses import make_json_response
 from berylproxy.platform.store import Store
 from berylproxy.usage.report import KEY_PREFIX, sum_reports
 
