--- a/tests/send/single_delivery.feature
+++ b/tests/send/single_delivery.feature
@@ -37,8 +37,8 @@
     And the history meets all conditions
 
   Scenario: an endpoint answers after the timeout, and its connections serve other jobs
-    When each endpoint is told to answer 3 s late
-    And proving job "A" of 6 tasks of 0.1 s with home 0 and a timeout of 1 s is submitted to daemon 1
+    When each endpoint is told to answer 6 s late
+    And proving job "A" of 6 tasks of 0.1 s with home 0 and a timeout of 3 s is submitted to daemon 1
     Then answer 1 of proving job "A" is "outcome_unknown" with code "timeout"
     When each endpoint is told to answer in time
     And proving job "B" of 24 tasks of 0.2 s with home 0 is submitted to daemon 2
--- a/tests/steps/proving_steps.py
+++ b/tests/steps/proving_steps.py
@@ -273,7 +273,7 @@
         "answer with 8388450 bytes": {"oversize_bytes": 8_388_450},
         "answer with 8000000 bytes": {"oversize_bytes": 8_000_000},
         "answer with 3000000 bytes": {"oversize_bytes": 3_000_000},
-        "answer 3 s late": {"late_s": 3.0},
+        "answer 6 s late": {"late_s": 6.0},
         "answer in time": {"late_s": 0.0},
         "silence its open connections": {"silent": True},
         "fail everything": {"fail_everything": True},
