Refuse no job of long tasks for a short wait

Cause: a job was refused as deadline_too_soon if its wait and three mean run times did not fit its timeout, but only once there was any wait at all.

The margin is now at most half the timeout.

--- a/berylproxy/waiting/limits.py
+++ b/berylproxy/waiting/limits.py
@@ -10,6 +10,7 @@
 MAX_WAITING_TASKS = 20_000
 SHORTEST_RETRY_AFTER_S = 1.0
 LONGEST_RETRY_AFTER_S = 60.0
+LARGEST_MARGIN_SHARE = 0.5  # of the timeout; else a short wait would refuse jobs of long tasks
 RUN_TIMES_LEFT = 3.0  # a task that waits must have that many mean run times left when it starts
 
 
@@ -120,7 +121,8 @@
         )
     if load.all_waiting + new_tasks > MAX_WAITING_TASKS:
         raise QueueFullError("too many tasks are waiting here", retry_after_s=retry_after_s)
-    late_by_s = load.wait_s + RUN_TIMES_LEFT * load.run_time_s - timeout_s
+    margin_s = min(RUN_TIMES_LEFT * load.run_time_s, LARGEST_MARGIN_SHARE * timeout_s)
+    late_by_s = load.wait_s + margin_s - timeout_s
     if load.wait_s > 0 and late_by_s > 0:
         raise DeadlineTooSoonError(
             f"the job would wait {load.wait_s:.1f} s, its timeout is {timeout_s:.1f} s",
