--- a/berylproxy/constants.py
+++ b/berylproxy/constants.py
@@ -1,7 +1,5 @@
 """Names and bounds that several concerns share."""
 
-API_VERSION_PREFIX = "/v1"
-
 TEAM_HEADER = "Berylproxy-Team"
 REQUEST_ID_HEADER = "Berylproxy-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -122,11 +122,6 @@
             self._send_grants(group, grants, summary)
             self._send_summary(group, held, summary, now_s)
 
-    def list_summaries(self) -> list[HolderSummary]:
-        """Summarizes all groups held here."""
-        now_s = self._clock.now_s()
-        return [held.ledger.summarize(now_s) for held in self._groups.values()]
-
     def list_ledgers(self) -> list[SlotLedger]:
         """Lists the ledgers kept here."""
         return [held.ledger for held in self._groups.values()]
--- a/berylproxy/place/spread.py
+++ b/berylproxy/place/spread.py
@@ -25,15 +25,13 @@
         self._groups_of_service: dict[str, list[SlotGroup]] = {}
         self._added: Counter[SlotGroup] = Counter()  # tasks allotted since the last summary
 
-    def configure(self, groups_of_service: Mapping[str, list[SlotGroup]]) -> list[DemandKey]:
-        """Takes the groups that have a holder; returns the keys whose tasks must be added anew."""
+    def configure(self, groups_of_service: Mapping[str, list[SlotGroup]]) -> None:
+        """Takes the groups that have a holder; tasks of other groups are divided anew."""
         self._groups_of_service = dict(groups_of_service)
         usable = {group for groups in groups_of_service.values() for group in groups}
-        orphaned: Counter[DemandKey] = Counter()
         for group in self._allotted.keys() - usable:
-            orphaned.update(self._allotted.pop(group))
+            del self._allotted[group]
             self._summaries.pop(group, None)
-        return list(orphaned)
 
     def has_group(self, service: str) -> bool:
         """Tells whether any holder can grant slots for a service."""
--- a/berylproxy/tracing.py
+++ b/berylproxy/tracing.py
@@ -96,11 +96,10 @@
             return
         parent = _PROPAGATOR.extract({TRACEPARENT_HEADER: traceparent}, context=Context())
         texts = {key: str(value) for key, value in attributes.items()}
-        with self._tracer.start_as_current_span(name, context=parent, attributes=texts) as span:
+        with self._tracer.start_as_current_span(name, context=parent, attributes=texts):
             carrier: dict[str, str] = {}
             _PROPAGATOR.inject(carrier)
             handle = SpanHandle(carrier.get(TRACEPARENT_HEADER, ""))
-            del span
             yield handle
 
     def close(self) -> None:
--- a/tools/bench/throughput.py
+++ b/tools/bench/throughput.py
@@ -75,9 +75,9 @@
         return await call_many(call)
 
 
-async def run_jobs(url: str, jobs: int) -> None:
-    """Submits jobs, some at once."""
-    tasks = [{"id": f"t{number}", "payload": {}} for number in range(TASKS_PER_JOB)]
+async def run_jobs(url: str, tasks_per_job: int, jobs: int) -> None:
+    """Submits jobs without run time, some at once."""
+    tasks = [{"id": f"t{number}", "payload": {}} for number in range(tasks_per_job)]
     body = json.dumps({"service": SERVICE, "tasks": tasks}).encode()
     caller = Caller(url)
     remaining = jobs
@@ -97,9 +97,9 @@
 def measure_daemon(cluster: Cluster, jobs: int) -> float:
     """Runs jobs through the only daemon."""
     pid = cluster.daemons[0].pid
-    anyio.run(run_jobs, cluster.url(0), JOBS_AT_ONCE)
+    anyio.run(run_jobs, cluster.url(0), TASKS_PER_JOB, JOBS_AT_ONCE)
     began_s = read_processor_s(pid)
-    anyio.run(run_jobs, cluster.url(0), jobs)
+    anyio.run(run_jobs, cluster.url(0), TASKS_PER_JOB, jobs)
     return jobs * TASKS_PER_JOB / (read_processor_s(pid) - began_s)
 
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -48,11 +48,10 @@
 from berylproxy.records.models import Endpoint, Service
 from berylproxy.records.spread import RecordSpreader
 from berylproxy.records.view import RecordView
-from standins.cluster import SERVICE, Cluster, EndpointPlan
+from standins.cluster import Cluster, EndpointPlan
 from tests.support.memory_store import MemoryStore
 from tests.support.records_world import ENDPOINT_V2, POOL, TEAM
-from tools.bench.caller import Caller
-from tools.bench.throughput import read_processor_s
+from tools.bench.throughput import JOBS_AT_ONCE, read_processor_s, run_jobs
 from tools.measure_membership import SETTLE_S, Fleet, average_rates, fit_line
 
 DAEMON_COUNTS = (4, 8, 16)
@@ -70,7 +69,6 @@
 MESSAGE_SIZES = (1, 8, 32)
 TASKS_PER_JOB = (10, 100, 310)
 TASK_STARTS = 3_100
-JOBS_AT_ONCE = 3
 TASK_ENDPOINTS = 4
 TASK_SLOTS = 16
 ANSWER_BODY = b"x" * 100
@@ -332,25 +330,6 @@
     return fit_points("item", MESSAGE_SIZES, points)
 
 
-async def run_jobs(url: str, tasks_per_job: int, jobs: int) -> None:
-    """Submits jobs without run time, some at once."""
-    tasks = [{"id": f"t{number}", "payload": {}} for number in range(tasks_per_job)]
-    body = json.dumps({"service": SERVICE, "tasks": tasks}).encode()
-    caller = Caller(url)
-    remaining = jobs
-
-    async def work() -> None:
-        nonlocal remaining
-        while remaining > 0:
-            remaining -= 1
-            answer = await caller.send("POST", "/v1/jobs", body)
-            assert json.loads(answer.body)["outcome"] == "done", answer.body[:500]
-
-    async with anyio.create_task_group() as group:
-        for _ in range(JOBS_AT_ONCE):
-            group.start_soon(work)
-
-
 def measure_job_us(cluster: Cluster, tasks_per_job: int) -> float:
     """Returns a daemon's processor time for one job."""
     pid = cluster.daemons[0].pid
