--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -37,7 +37,7 @@
 from berylproxy.peers.settings import PeerSettings
 from berylproxy.pipeline import Pipeline
 from berylproxy.place.messages import PLACE_MESSAGES
-from berylproxy.platform.etcd import EtcdStore
+from berylproxy.store.etcd import EtcdStore
 from berylproxy.records.api import make_record_routes
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.leaving import mark_leaving_endpoints
--- a/berylproxy/daemon/leaving_hosts.py
+++ b/berylproxy/daemon/leaving_hosts.py
@@ -5,8 +5,8 @@
 from anyio import sleep
 from logbook import Logger
 
-from berylproxy.platform.machines import HttpVirtualMachineList
-from berylproxy.platform.store import StoreUnavailableError
+from berylproxy.store.machines import HttpVirtualMachineList
+from berylproxy.store.port import StoreUnavailableError
 
 FETCH_INTERVAL_S = 1.0
 FETCH_TIMEOUT_S = 2.0
--- a/berylproxy/deduplicate/claims.py
+++ b/berylproxy/deduplicate/claims.py
@@ -16,7 +16,7 @@
 
 from berylproxy.clock import Clock
 from berylproxy.deduplicate.errors import ClaimUnavailableError
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ABSENT_REVISION,
     Store,
     StoreConflictError,
--- /dev/null
+++ b/berylproxy/durable/contention.py
@@ -0,0 +1,67 @@
+"""Who becomes the holder of a group, and when. The decisions are pure.
+
+A claim needs no lease: whoever takes the holder for dead replaces its claim by compare-and-swap, and
+the revision of the new claim is the fence under which endpoints refuse the former holder. A wrong
+suspicion costs a change of holder and no work.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+SUSPICION_S = 0.45  # three heartbeats of the holder
+BROKEN_STREAM_SUSPICION_S = 0.1  # its process has ended, or is just about to be dialled again
+RANK_DELAY_S = 0.12  # a claim and its first heartbeat take less
+LONELY_DELAY_S = 3.0  # until the entries of lost VMs have left the list of members
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A daemon that may become the holder.
+
+    :param cores: processor share of its VM; larger VMs go first.
+    """
+
+    daemon_id: str
+    cores: float
+
+
+@dataclass(frozen=True, slots=True)
+class HolderSight:
+    """What a daemon knows of the present holder.
+
+    :param silence_s: time since its last heartbeat, or since this daemon began to wait for one.
+    :param has_stream: whether there is an open stream to it.
+    :param is_leaving: whether it has asked to be replaced.
+    """
+
+    silence_s: float
+    has_stream: bool
+    is_leaving: bool
+
+
+def rank(group: str, own: Candidate, others: Sequence[Candidate]) -> int:
+    """Returns how many live candidates go before this one."""
+    own_key = _preference(group, own)
+    return sum(_preference(group, other) < own_key for other in others)
+
+
+def should_claim(sight: HolderSight, own_rank: int, reached: int, listed: int) -> bool:
+    """Tells whether this daemon should claim the group now.
+
+    :param reached: other daemons that it has streams to, without the holder.
+    :param listed: other daemons that the store lists, without the holder.
+    """
+    if sight.is_leaving:
+        limit_s = 0.0
+    else:
+        limit_s = SUSPICION_S if sight.has_stream else BROKEN_STREAM_SUSPICION_S
+    limit_s += own_rank * RANK_DELAY_S
+    if 2 * reached < listed:
+        limit_s += LONELY_DELAY_S
+    return sight.silence_s >= limit_s
+
+
+def _preference(group: str, candidate: Candidate) -> tuple[float, bytes]:
+    name = f"{group}/{candidate.daemon_id}".encode()
+    return -candidate.cores, blake2b(name, digest_size=8).digest()
--- /dev/null
+++ b/berylproxy/durable/entry.py
@@ -0,0 +1,234 @@
+"""The entry daemon's side: finds the holder for a caller's request and waits for its answer."""
+
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from anyio import fail_after, sleep
+from logbook import Logger
+
+from berylproxy.clock import Clock
+from berylproxy.durable.ledger import TenureLostError
+from berylproxy.durable.member import DurableMember
+from berylproxy.durable.messages import (
+    AskPending,
+    AskState,
+    CancelStored,
+    HandIn,
+    HandInReply,
+    PendingReply,
+    StateReply,
+)
+from berylproxy.durable.models import JobSpec, JobState
+from berylproxy.durable.ports import JobStore
+from berylproxy.durable.records import decode_final, final_key, open_key
+from berylproxy.errors import BerylproxyError
+from berylproxy.peers.membership import PeerUnreachableError
+from berylproxy.peers.network import TcpPeerNetwork
+from berylproxy.store.port import StoreError, StoreUnavailableError
+
+REMEMBERED_STATES = 20_000
+ASK_TIMEOUT_S = 0.5  # a holder answers in a few ms unless it has just gone silent
+HAND_IN_TIMEOUT_S = 1.0  # a slow store takes some 0.3 s
+RETRY_PAUSE_S = 0.03
+NO_HOLDER_WAIT_S = 1.0  # a new holder is found in that time unless the store is away
+
+
+logger = Logger(__name__)
+
+
+class NotAcceptedError(BerylproxyError):
+    """The job is not stored and never runs."""
+
+    code = "not_accepted"
+
+
+class NotKnownError(BerylproxyError):
+    """The answer can't be given now; asking again is safe."""
+
+    code = "not_known_now"
+
+
+class EntryDesk:
+    """Answers callers' requests about durable jobs."""
+
+    def __init__(
+        self, network: TcpPeerNetwork, member: DurableMember, store: JobStore, clock: Clock
+    ) -> None:
+        self._network = network
+        self._member = member
+        self._store = store
+        self._clock = clock
+        self._states: OrderedDict[str, JobState] = OrderedDict()
+        self._pending: dict[str, int] = {}
+
+    def take_ended(self, states: dict[str, str]) -> None:
+        """Keeps the outcomes that holders tell of."""
+        for job_id, state in states.items():
+            self._remember(job_id, JobState(state))
+
+    async def hand_in(self, spec: JobSpec, wait_s: float) -> None:
+        """Has a job stored; returns once it is.
+
+        :param wait_s: how long the caller waits for an answer.
+        :raises NotAcceptedError: if it is not stored and never will be.
+        :raises NotKnownError: if it may be stored.
+        """
+        group = spec.terms.service
+        started_s = self._clock.now_s()
+        may_be_stored = False
+        while True:
+            elapsed_s = self._clock.now_s() - started_s
+            left_s = wait_s - elapsed_s
+            if left_s <= 0 or (not may_be_stored and elapsed_s > NO_HOLDER_WAIT_S):
+                break
+            try:
+                reply = await self._ask(
+                    group,
+                    HandIn(spec),
+                    lambda holder: holder.hand_in(spec, self._member.own_incarnation),
+                    min(left_s, HAND_IN_TIMEOUT_S),
+                )
+            except (TenureLostError, PeerUnreachableError, StoreUnavailableError):
+                await sleep(RETRY_PAUSE_S)  # certainly not stored by this try
+                continue
+            except BerylproxyError as error:
+                may_be_stored = may_be_stored or error.code != TenureLostError.code
+                await sleep(RETRY_PAUSE_S)
+                continue
+            if reply.refusal:
+                raise NotAcceptedError(reply.refusal, retry_after_s=reply.retry_after_s)
+            self._remember(spec.job_id, JobState.QUEUED)
+            return
+        logger.info(
+            "job not handed in: no holder answered",
+            extra={
+                "job": spec.job_id,
+                "group": group,
+                "holder": self._member.holder_incarnation(group),
+                "waited_s": round(self._clock.now_s() - started_s, 3),
+                "may_be_stored": may_be_stored,
+            },
+        )
+        if may_be_stored:
+            raise NotKnownError("it is not known whether the job is stored")
+        raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
+
+    async def find_state(self, groups: list[str], job_id: str, wait_s: float) -> JobState | None:
+        """Finds a job's state; ``None`` if there is no such job.
+
+        :raises NotKnownError: if that can't be found out now.
+        """
+        remembered = self._states.get(job_id)
+        if remembered is not None and remembered in _FINAL:
+            return remembered
+        message = AskState("", job_id)
+        try:
+            return await self._find(groups, message, "find_state", wait_s)
+        except NotKnownError:
+            if remembered is not None:
+                return remembered
+            return await self._read_state(groups, job_id)
+
+    async def cancel(self, groups: list[str], job_id: str, wait_s: float) -> JobState | None:
+        """Cancels a job and waits until that is stored; ``None`` if there is no such job.
+
+        :raises NotKnownError: if it may not be stored.
+        """
+        return await self._find(groups, CancelStored("", job_id), "cancel", wait_s)
+
+    async def count_pending(self, group: str, queue: str, wait_s: float) -> int:
+        """Counts a queue's jobs of which no task has begun.
+
+        :raises NotKnownError: if that can't be found out now.
+        """
+        started_s = self._clock.now_s()
+        while self._clock.now_s() - started_s < min(wait_s, NO_HOLDER_WAIT_S):
+            try:
+                reply = await self._ask(
+                    group, AskPending(group, queue), self._count_here(queue), ASK_TIMEOUT_S
+                )
+                return reply.pending
+            except BerylproxyError as error:
+                logger.debug("pending jobs not counted: {}", error.message)
+                await sleep(RETRY_PAUSE_S)
+        raise NotKnownError("no holder answers")
+
+    def _count_here(self, queue: str) -> Callable[[Any], Awaitable[PendingReply]]:
+        async def count(holder: Any) -> PendingReply:
+            if not holder.is_loaded:
+                raise TenureLostError("the open jobs are not loaded yet")
+            return PendingReply(holder.count_pending(queue))
+
+        return count
+
+    async def _find(
+        self, groups: list[str], message: Any, method: str, wait_s: float
+    ) -> JobState | None:
+        started_s = self._clock.now_s()
+        limit_s = min(wait_s, NO_HOLDER_WAIT_S)
+        missing = set(groups)
+        while missing and self._clock.now_s() - started_s < limit_s:
+            for group in list(missing):
+                state = await self._find_in(group, message, method)
+                if state is None:
+                    continue
+                missing.discard(group)
+                if state:
+                    self._remember(message.job_id, JobState(state))
+                    return JobState(state)
+            if missing:
+                await sleep(RETRY_PAUSE_S)
+        if missing:
+            raise NotKnownError("no holder answers")
+        return None
+
+    async def _find_in(self, group: str, message: Any, method: str) -> str | None:
+        """Asks one holder; ``None`` without an answer, empty if it doesn't know the job."""
+
+        async def call(holder: Any) -> StateReply:
+            return StateReply(await getattr(holder, method)(message.job_id))
+
+        addressed = type(message)(group, message.job_id)
+        try:
+            reply = await self._ask(group, addressed, call, ASK_TIMEOUT_S)
+        except BerylproxyError as error:
+            logger.debug("state of {} not found: {}", message.job_id, error.message)
+            return None
+        return reply.state
+
+    async def _read_state(self, groups: list[str], job_id: str) -> JobState | None:
+        """Reads what the store tells of a job while its holder is away."""
+        try:
+            entry = await self._store.get(final_key(job_id))
+            if entry is not None:
+                return decode_final(entry.value)
+            for group in groups:
+                if await self._store.get(open_key(group, job_id)) is not None:
+                    return JobState.QUEUED
+        except StoreError as error:
+            raise NotKnownError(f"neither holder nor store answers: {error.message}") from error
+        raise NotKnownError("no holder answers")
+
+    async def _ask(
+        self, group: str, message: Any, call: Callable[[Any], Awaitable[Any]], timeout_s: float
+    ) -> Any:
+        """Asks the holder of a group, here or at another daemon."""
+        incarnation = self._member.holder_incarnation(group)
+        if incarnation == self._member.own_incarnation:
+            try:
+                with fail_after(timeout_s):
+                    return await call(self._member.require_holder(group))
+            except TimeoutError as error:
+                raise NotKnownError(f"no answer in {timeout_s} s") from error
+        if not incarnation:
+            raise PeerUnreachableError(f"no holder of {group} is known")
+        return await self._network.request(incarnation, message, timeout_s)
+
+    def _remember(self, job_id: str, state: JobState) -> None:
+        self._states[job_id] = state
+        while len(self._states) > REMEMBERED_STATES:
+            self._states.popitem(last=False)
+
+
+_FINAL = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
--- /dev/null
+++ b/berylproxy/durable/estimates.py
@@ -0,0 +1,64 @@
+"""Run times learnt from finished tasks: callers' estimates are rough, endpoints differ in speed.
+
+Pure: answers the load of many short tasks on VMs of several generations.
+"""
+
+from dataclasses import dataclass, field
+from math import exp, log
+
+QUEUE_LEARNING_RATE = 0.05  # share of a new observation in a queue's mean, some 20 tasks' memory
+SPEED_LEARNING_RATE = 0.1  # an endpoint that turns slow shows within some ten tasks
+SHORTEST_RUN_TIME_S = 0.001
+DEFAULT_RUN_TIME_S = 0.2  # for a queue's first task without an estimate
+MAX_SPEED_RATIO = 20.0
+
+
+@dataclass(slots=True)
+class QueueHistory:
+    """What a queue's tasks have shown, as logarithms of seconds.
+
+    :ivar mean_log_s: mean of the run times at speed 1.
+    :ivar seen: number of tasks.
+    """
+
+    mean_log_s: float = 0.0
+    seen: int = 0
+
+
+@dataclass(slots=True)
+class RunTimeModel:
+    """Expected run times by queue and the speed of each endpoint."""
+
+    _queues: dict[str, QueueHistory] = field(default_factory=dict)
+    _speeds: dict[str, float] = field(default_factory=dict)
+
+    def expect_s(self, queue: str, estimate_s: float) -> float:
+        """Expects a task's run time at speed 1: between its estimate and its queue's mean."""
+        history = self._queues.get(queue)
+        if history is None or not history.seen:
+            return max(estimate_s, SHORTEST_RUN_TIME_S) if estimate_s else DEFAULT_RUN_TIME_S
+        if not estimate_s:
+            return exp(history.mean_log_s)
+        # Both deviate from the truth by a similar factor, so each counts half.
+        return exp((log(max(estimate_s, SHORTEST_RUN_TIME_S)) + history.mean_log_s) / 2)
+
+    def speed(self, endpoint_id: str) -> float:
+        """Returns an endpoint's speed; 1 until it is known."""
+        return exp(self._speeds.get(endpoint_id, 0.0))
+
+    def learn(self, queue: str, estimate_s: float, endpoint_id: str, run_time_s: float) -> None:
+        """Takes the run time of a task that was done."""
+        observed = log(max(run_time_s, SHORTEST_RUN_TIME_S))
+        expected = log(self.expect_s(queue, estimate_s))
+        speed = self._speeds.get(endpoint_id, 0.0)
+        limit = log(MAX_SPEED_RATIO)
+        shown = min(max(expected - observed, -limit), limit)
+        self._speeds[endpoint_id] = speed + SPEED_LEARNING_RATE * (shown - speed)
+        history = self._queues.setdefault(queue, QueueHistory())
+        history.seen += 1
+        rate = max(QUEUE_LEARNING_RATE, 1 / history.seen)
+        history.mean_log_s += rate * (observed + speed - history.mean_log_s)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drops an endpoint that is gone."""
+        self._speeds.pop(endpoint_id, None)
--- /dev/null
+++ b/berylproxy/durable/fleet.py
@@ -0,0 +1,134 @@
+"""The endpoints of a group as their holder sees them: room, trust, ends to acknowledge."""
+
+from dataclasses import dataclass, field
+from math import inf
+
+from berylproxy.durable.models import EndedRun, EndpointFacts, Needs, TaskName
+
+FIRST_QUARANTINE_S = 0.5  # one task of a second or less may show whether it works again
+LONGEST_QUARANTINE_S = 4.0
+FAILURES_BEFORE_QUARANTINE = 2  # in a row, of tasks that have not failed elsewhere
+NO_ROOM_PAUSE_S = 0.05  # the longest stop of a run, whose room the holder counted as free
+
+
+@dataclass(slots=True, eq=False)
+class PresentRun:
+    """A run that an endpoint may have.
+
+    :ivar answered_s: when the endpoint confirmed it; infinite until then.
+    :ivar stop_answered_s: when the endpoint confirmed a stop; infinite until then.
+    :ivar is_uncertain: whether the order to start it was not answered.
+    """
+
+    needs: Needs
+    answered_s: float = inf
+    stop_answered_s: float = inf
+    is_uncertain: bool = False
+
+    def is_over(self, report_sent_s: float) -> bool:
+        """Tells whether a report that doesn't show the run means that it is not there."""
+        return min(self.answered_s, self.stop_answered_s) < report_sent_s
+
+
+@dataclass(slots=True, eq=False)
+class EndpointState:
+    """What the holder knows of one life of an endpoint.
+
+    :ivar present: what may run there, by task and run, with the room it takes.
+    :ivar is_contacted: whether it has answered under this holder's fence.
+    :ivar missed_calls: calls in a row without an answer.
+    :ivar is_listed: whether the platform's list names it.
+    :ivar closed_until_s: monotonic time before which nothing is started there.
+    """
+
+    facts: EndpointFacts
+    present: dict[tuple[TaskName, int], PresentRun] = field(default_factory=dict)
+    ends: dict[int, EndedRun] = field(default_factory=dict)
+    released: set[int] = field(default_factory=set)
+    acknowledged: int = 0
+    is_contacted: bool = False
+    is_listed: bool = True
+    missed_calls: int = 0
+    closed_until_s: float = 0.0
+    failures_in_row: int = 0
+    quarantine_s: float = FIRST_QUARANTINE_S
+    used: Needs = field(default_factory=Needs)
+
+    @property
+    def room(self) -> Needs:
+        """What is left of its capacity; stopping runs still count."""
+        return self.facts.capacity - self.used
+
+    def may_start(self, now_s: float) -> bool:
+        """Tells whether tasks may be started there now."""
+        return (
+            self.is_contacted
+            and self.is_listed
+            and not self.facts.leaving
+            and not self.missed_calls
+            and now_s >= self.closed_until_s
+        )
+
+    def occupy(self, name: TaskName, run: int, needs: Needs) -> PresentRun:
+        """Counts a run as present."""
+        present = self.present.get((name, run))
+        if present is None:
+            present = self.present[name, run] = PresentRun(needs)
+            self.used = self.used + needs
+        return present
+
+    def vacate(self, name: TaskName, run: int) -> None:
+        """Counts a run as gone."""
+        present = self.present.pop((name, run), None)
+        if present is not None:
+            self.used = self.used - present.needs
+
+    def note_failure(self, now_s: float) -> bool:
+        """Counts a failed task that did not fail elsewhere; returns whether it is now closed."""
+        self.failures_in_row += 1
+        if self.failures_in_row < FAILURES_BEFORE_QUARANTINE:
+            return False
+        self.close(now_s)
+        return True
+
+    def close(self, now_s: float) -> None:
+        """Starts nothing there for a while, twice as long each time."""
+        self.closed_until_s = now_s + self.quarantine_s
+        self.quarantine_s = min(2 * self.quarantine_s, LONGEST_QUARANTINE_S)
+
+    def note_success(self) -> None:
+        """Trusts the endpoint again."""
+        self.failures_in_row = 0
+        self.quarantine_s = FIRST_QUARANTINE_S
+
+    def note_no_room(self, now_s: float) -> None:
+        """Waits for what the endpoint still has to free."""
+        self.closed_until_s = max(self.closed_until_s, now_s + NO_ROOM_PAUSE_S)
+
+    def take_end(self, end: EndedRun) -> bool:
+        """Keeps an end until it may be forgotten; returns whether it is news."""
+        if end.number <= self.acknowledged or end.number in self.ends:
+            return False
+        self.ends[end.number] = end
+        return True
+
+    def release(self, number: int) -> None:
+        """Notes that an end need not be remembered by the endpoint."""
+        if number in self.ends:
+            self.released.add(number)
+
+    def next_acknowledgement(self) -> int:
+        """Returns the number up to which all ends may be forgotten, and drops them here."""
+        while self.ends:
+            first = min(self.ends)
+            if first not in self.released:
+                break
+            self.ends.pop(first)
+            self.released.discard(first)
+            self.acknowledged = first
+        return self.acknowledged
+
+    @property
+    def has_unreleased_ends(self) -> bool:
+        """Whether the endpoint is the only memory of some end."""
+        return len(self.released) < len(self.ends)
--- /dev/null
+++ b/berylproxy/durable/records.py
@@ -0,0 +1,76 @@
+"""Keys and values of durable jobs in the store."""
+
+from dataclasses import asdict
+
+from msgpack import packb, unpackb
+from pydantic import TypeAdapter, ValidationError
+
+from berylproxy.durable.models import JobState, StoredJob
+from berylproxy.errors import BerylproxyError
+
+ROOT = "berylproxy/"
+OPEN_PREFIX = ROOT + "open/"
+FINAL_PREFIX = ROOT + "final/"
+CLAIM_PREFIX = ROOT + "holders/"
+SCHEMA_VERSION = 1
+
+_stored_job = TypeAdapter(StoredJob)
+
+
+class StoredValueError(BerylproxyError):
+    """A value in the store can't be read."""
+
+    code = "stored_value_unreadable"
+
+
+def open_prefix(group: str) -> str:
+    """Prefix of the unfinished jobs of an endpoint group."""
+    return f"{OPEN_PREFIX}{group}/"
+
+
+def open_key(group: str, job_id: str) -> str:
+    """Key of an unfinished job."""
+    return open_prefix(group) + job_id
+
+
+def final_key(job_id: str) -> str:
+    """Key of a finished job's state."""
+    return FINAL_PREFIX + job_id
+
+
+def claim_key(group: str) -> str:
+    """Key that names the holder of an endpoint group; its revision is the fence."""
+    return CLAIM_PREFIX + group
+
+
+def encode_job(job: StoredJob) -> bytes:
+    """Encodes an unfinished job."""
+    return packb({"schema_version": SCHEMA_VERSION, **asdict(job)})
+
+
+def decode_job(value: bytes) -> StoredJob:
+    """Decodes an unfinished job.
+
+    :raises StoredValueError: if the value is not one.
+    """
+    try:
+        fields = unpackb(value)
+        return _stored_job.validate_python(fields)
+    except (ValueError, TypeError, ValidationError) as error:
+        raise StoredValueError(f"not a stored job: {error}") from error
+
+
+def encode_final(state: JobState, ended_unix_s: float) -> bytes:
+    """Encodes a finished job's state."""
+    return packb({"schema_version": SCHEMA_VERSION, "state": state.value, "ended": ended_unix_s})
+
+
+def decode_final(value: bytes) -> JobState:
+    """Decodes a finished job's state.
+
+    :raises StoredValueError: if the value is not one.
+    """
+    try:
+        return JobState(unpackb(value)["state"])
+    except (ValueError, TypeError, KeyError) as error:
+        raise StoredValueError(f"not a finished job: {error!r}") from error
--- a/berylproxy/platform/__init__.py
+++ b/berylproxy/platform/__init__.py
@@ -1,1 +1,1 @@
-"""What the platform gives: its key-value service and its list of VMs."""
+"""The users' platform: its names and protocols are decoded here and nowhere else."""
--- /dev/null
+++ b/berylproxy/platform/__main__.py
@@ -0,0 +1,31 @@
+"""Runs ``python -m berylproxy.platform``."""
+
+import sys
+
+from anyio import run
+
+from berylproxy.environment import Environment
+from berylproxy.exit_status import ExitStatus
+from berylproxy.logs import make_log_handler
+from berylproxy.platform.daemon import PlatformDaemon
+from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
+from berylproxy.settings import SettingsError
+
+
+def main(env: Environment) -> ExitStatus:
+    """Runs the daemon until it is told to stop."""
+    path = env.variables.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_platform_settings(path)
+    except SettingsError as error:
+        for problem in error.problems:
+            env.stderr.write(f"berylproxy: {error.code}: {problem}\n")
+        return ExitStatus.SETTINGS_INVALID
+    handler = make_log_handler(env.stdout, "info", daemon_id=settings.daemon_id)
+    with handler.applicationbound():
+        run(PlatformDaemon(settings).run)
+    return ExitStatus.SUCCESS
+
+
+if __name__ == "__main__":
+    sys.exit(main(Environment.from_process()))
--- /dev/null
+++ b/berylproxy/platform/callers.py
@@ -0,0 +1,236 @@
+"""The platform's HTTP interface for callers and for the balancer, as an ASGI application."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import unquote
+
+import orjson
+from logbook import Logger
+
+from berylproxy.durable.entry import EntryDesk, NotAcceptedError, NotKnownError
+from berylproxy.durable.models import JobSpec, StepSpec
+from berylproxy.errors import BerylproxyError
+from berylproxy.platform.configuration import JobRoute, PlatformConfiguration
+from berylproxy.platform.endpoints import decode_needs
+
+READY_PATH = "/-/ready"
+WAIT_HEADER = b"berylproxy-deadline-ms"
+LONGEST_WAIT_S = 30.0
+ANSWER_MARGIN_S = 0.05  # for the way back to the caller
+JOB_ID_CHARACTERS = 16
+MAX_PAYLOAD_CHARACTERS = 4_000
+MAX_STEPS = 64
+MAX_TASKS_PER_STEP = 10_000
+UNSUPPORTED_STEP_FIELDS = ("gang", "persistent", "image", "fills", "may-miss", "speculative")
+UNSUPPORTED_JOB_FIELDS = ("repeats", "best-effort")
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+logger = Logger(__name__)
+
+
+class RequestInvalidError(BerylproxyError):
+    """The body is no job."""
+
+    code = "request_invalid"
+
+
+class JobUnsupportedError(BerylproxyError):
+    """The job asks for what this version can't do."""
+
+    code = "job_unsupported"
+
+
+class PlatformCallers:
+    """Answers callers.
+
+    :param configuration: returns the configuration in force; version 0 while there is none.
+    :param is_ready: tells whether the daemon takes new connections.
+    :param is_stopping: tells whether connections are to be closed after their answer.
+    """
+
+    def __init__(
+        self,
+        desk: EntryDesk,
+        configuration: Callable[[], PlatformConfiguration],
+        is_ready: Callable[[], bool],
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._desk = desk
+        self._configuration = configuration
+        self._is_ready = is_ready
+        self._is_stopping = is_stopping
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Serves one request."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        if scope["path"] == READY_PATH:
+            await self._answer(send, 200 if self._is_ready() else 503)
+            return
+        try:
+            await self._serve(scope, receive, send)
+        except RequestInvalidError as error:
+            await self._answer(send, 400, {"error": error.message})
+        except JobUnsupportedError as error:
+            logger.warning("job not taken: {}", error.message, extra={"path": scope["path"]})
+            await self._answer(send, 503, {"error": error.message})
+        except NotAcceptedError as error:
+            status = 429 if error.retry_after_s and error.message.startswith("too late") else 503
+            await self._answer(send, status, {"error": error.message}, error.retry_after_s)
+        except NotKnownError as error:
+            status = 504 if scope["method"] in ("POST", "DELETE") else 503
+            await self._answer(send, status, {"error": error.message}, 1.0)
+        except BerylproxyError as error:
+            logger.error("request failed: {}: {}", error.code, error.message)
+            await self._answer(send, 504, {"error": error.message})
+
+    async def _serve(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        configuration = self._configuration()
+        if not configuration.version:
+            await self._answer(send, 503, {"error": "no configuration yet"}, 1.0)
+            return
+        headers = dict(scope["headers"])
+        host = headers.get(b"host", b"").decode("latin-1").lower()
+        path = unquote(scope["path"])
+        route = configuration.find_route(host, path)
+        if route is None and ":" in host:
+            route = configuration.find_route(host.rpartition(":")[0], path)
+        if route is None:
+            await self._answer(send, 404, {"error": "no such queue"})
+            return
+        job_id = path[len(route.prefix) :]
+        wait_s = _read_wait_s(headers, route) - ANSWER_MARGIN_S
+        method = scope["method"]
+        if method == "GET" and not job_id:
+            count = await self._desk.count_pending(route.terms.service, route.terms.queue, wait_s)
+            await self._answer(send, 200, {"pending": count})
+        elif len(job_id) != JOB_ID_CHARACTERS:
+            await self._answer(send, 404, {"error": "no such job"})
+        elif method == "POST":
+            body = await _read_body(receive, configuration.max_body_bytes)
+            await self._desk.hand_in(decode_job(job_id, route, body), wait_s)
+            await self._answer(send, 200, {})
+        elif method == "GET":
+            groups = _order_groups(configuration, route)
+            state = await self._desk.find_state(groups, job_id, wait_s)
+            if state is None:
+                await self._answer(send, 410, {"error": "no such job"})
+            else:
+                await self._answer(send, 200, {"state": state.value})
+        elif method == "DELETE":
+            groups = _order_groups(configuration, route)
+            state = await self._desk.cancel(groups, job_id, wait_s)
+            await self._answer(send, 410 if state is None else 200, {})
+        else:
+            await self._answer(send, 405, {"error": "POST, GET and DELETE are served"})
+
+    async def _answer(
+        self, send: Send, status: int, content: Any = None, retry_after_s: float | None = None
+    ) -> None:
+        body = orjson.dumps(content) if content is not None else b""
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if retry_after_s:
+            headers.append((b"retry-after", str(max(round(retry_after_s), 1)).encode()))
+        if self._is_stopping():
+            headers.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
+
+def decode_job(job_id: str, route: JobRoute, body: bytes) -> JobSpec:
+    """Decodes a job.
+
+    :raises RequestInvalidError: if the body is no job.
+    :raises JobUnsupportedError: if it asks for what can't be done.
+    """
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise RequestInvalidError(f"the body is not JSON: {error}") from error
+    if not isinstance(content, dict):
+        raise RequestInvalidError("the body is not a JSON object")
+    for name in UNSUPPORTED_JOB_FIELDS:
+        if content.get(name):
+            raise JobUnsupportedError(f"{name} is not supported")
+    payload, rows = content.get("spec", ""), content.get("steps")
+    if not isinstance(payload, str) or len(payload) > MAX_PAYLOAD_CHARACTERS:
+        raise RequestInvalidError(f"spec must be text of up to {MAX_PAYLOAD_CHARACTERS} characters")
+    if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
+        raise RequestInvalidError(f"steps must be a list of 1 to {MAX_STEPS}")
+    steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
+    return JobSpec(job_id, route.terms, payload, steps)
+
+
+def _decode_step(number: int, row: Any) -> StepSpec:
+    if not isinstance(row, dict):
+        raise RequestInvalidError(f"steps.{number} is not an object")
+    for name in UNSUPPORTED_STEP_FIELDS:
+        if row.get(name):
+            raise JobUnsupportedError(f"steps.{number}: {name} is not supported")
+    count, after = row.get("count", 0), row.get("after", [])
+    if type(count) is not int or not 0 < count <= MAX_TASKS_PER_STEP:
+        raise RequestInvalidError(f"steps.{number}.count must be 1 to {MAX_TASKS_PER_STEP}")
+    if not isinstance(after, list) or not all(
+        type(step) is int and 0 <= step < number for step in after
+    ):
+        raise RequestInvalidError(f"steps.{number}.after must name earlier steps")
+    estimate_ms = row.get("estimate-ms", 0)
+    if type(estimate_ms) not in (int, float) or estimate_ms < 0:
+        raise RequestInvalidError(f"steps.{number}.estimate-ms must be a number of 0 or more")
+    try:
+        needs = decode_needs(row)
+    except ValueError as error:
+        raise RequestInvalidError(f"steps.{number}: {error}") from error
+    return StepSpec(
+        count,
+        needs,
+        estimate_s=estimate_ms / 1000,
+        after=tuple(after),
+        required_label=str(row.get("requires", "")),
+        preferred_rack=str(row.get("affinity", "")),
+        # "max-per-server" counts tasks of the step on one runner.
+        max_per_endpoint=int(row.get("max-per-server", 0)),
+        saves_progress=bool(row.get("checkpoint")),
+    )
+
+
+def _read_wait_s(headers: dict[bytes, bytes], route: JobRoute) -> float:
+    text = headers.get(WAIT_HEADER, b"")
+    if not text.isdigit():
+        return route.timeout_s
+    return min(int(text) / 1000, LONGEST_WAIT_S)
+
+
+def _order_groups(configuration: PlatformConfiguration, route: JobRoute) -> list[str]:
+    """Lists all groups, the route's own first: its service may have changed meanwhile."""
+    own = route.terms.service
+    return [own, *(service for service in configuration.services if service != own)]
+
+
+async def _read_body(receive: Receive, max_bytes: int) -> bytes:
+    body, has_more = bytearray(), True
+    while has_more:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise RequestInvalidError("the caller went away before the end of the body")
+        body += message.get("body", b"")
+        if len(body) > max_bytes:
+            raise RequestInvalidError(f"the body is larger than {max_bytes} bytes")
+        has_more = message.get("more_body", False)
+    return bytes(body)
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/berylproxy/platform/configuration.py
@@ -0,0 +1,117 @@
+"""The operator's configuration, as the platform's store holds it."""
+
+from dataclasses import dataclass, field
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from berylproxy.durable.models import QueueTerms
+from berylproxy.errors import BerylproxyError
+from berylproxy.platform.settings import _to_key
+
+CONFIGURATION_KEY = "op/config"
+DEFAULT_MAX_BODY_BYTES = 262_144
+
+
+class ConfigurationInvalidError(BerylproxyError):
+    """The configuration can't be read; the one in force stays."""
+
+    code = "configuration_invalid"
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="ignore", alias_generator=_to_key, frozen=True)
+
+
+class _Route(_Table):
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int = 1500
+    # "target-latency-ms" is only the constant part of a job's objective.
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+
+
+class _Service(_Table):
+    name: str
+
+
+class _Limits(_Table):
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class _Configuration(_Table):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+@dataclass(frozen=True, slots=True)
+class JobRoute:
+    """Where callers reach a queue.
+
+    :param prefix: what the path begins with; the job's identifier follows.
+    :param timeout_s: how long a caller waits for an answer that doesn't tell itself.
+    """
+
+    host: str
+    prefix: str
+    terms: QueueTerms
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConfiguration:
+    """One version of the configuration."""
+
+    version: int = 0
+    routes: tuple[JobRoute, ...] = ()
+    services: tuple[str, ...] = ()
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    _by_host: dict[str, list[JobRoute]] = field(default_factory=dict)
+
+    def find_route(self, host: str, path: str) -> JobRoute | None:
+        """Finds the route with the longest prefix that the path begins with."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def decode_configuration(value: bytes) -> PlatformConfiguration:
+    """Decodes a version of the configuration.
+
+    :raises ConfigurationInvalidError: if it can't be read.
+    """
+    try:
+        file = _Configuration.model_validate_json(value)
+    except ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        place = ".".join(map(str, first["loc"]))
+        raise ConfigurationInvalidError(f"{place}: {first['msg']}") from error
+    routes = tuple(_convert_route(route) for route in file.routes)
+    by_host: dict[str, list[JobRoute]] = {}
+    for route in sorted(routes, key=lambda route: -len(route.prefix)):
+        by_host.setdefault(route.host.lower(), []).append(route)
+    services = dict.fromkeys(
+        [*(service.name for service in file.services), *(r.terms.service for r in routes)]
+    )
+    return PlatformConfiguration(
+        file.version, routes, tuple(services), file.limits.max_body_bytes, by_host
+    )
+
+
+def _convert_route(route: _Route) -> JobRoute:
+    terms = QueueTerms(
+        queue=route.name,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=max(route.max_attempts, 1),
+        objective_factor=route.stretch,
+        objective_s=route.target_latency_ms / 1000,
+    )
+    return JobRoute(route.host, route.prefix, terms, route.timeout_ms / 1000)
--- /dev/null
+++ b/berylproxy/platform/daemon.py
@@ -0,0 +1,254 @@
+"""Builds the daemon for the users' platform from its parts and runs it until a planned stop."""
+
+import signal
+from secrets import token_hex
+from time import monotonic
+
+import orjson
+from anyio import Event, create_task_group, open_signal_receiver, sleep
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from logbook import Logger
+
+from berylproxy.clock import MonotonicClock
+from berylproxy.durable.entry import EntryDesk
+from berylproxy.durable.member import DurableMember
+from berylproxy.durable.messages import DURABLE_MESSAGES
+from berylproxy.durable.ports import Transaction, TransactionConflictError
+from berylproxy.durable.records import ROOT
+from berylproxy.models import DaemonIdentity
+from berylproxy.peers.codec import MessageCodec
+from berylproxy.peers.network import TcpPeerNetwork
+from berylproxy.peers.settings import PeerSettings
+from berylproxy.platform.callers import PlatformCallers
+from berylproxy.platform.configuration import (
+    CONFIGURATION_KEY,
+    ConfigurationInvalidError,
+    PlatformConfiguration,
+    decode_configuration,
+)
+from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.settings import PlatformSettings
+from berylproxy.platform.store import PlatformStore
+from berylproxy.store.errors import StoreCompactedError, StoreLeaseLapsedError
+from berylproxy.store.port import StoreError
+
+PEER_KEY_KEY = ROOT + "peer-key"
+MEMBER_PREFIX = ROOT + "members/"
+PEER_KEY_BYTES = 32
+MEMBER_LEASE_S = 6.0  # a lost VM leaves the list in that time
+MEMBER_RENEWAL_S = 2.0
+MEMBER_LIST_INTERVAL_S = 1.0
+CONFIGURATION_WAIT_S = 0.9  # a silent watch shows within the 2 s in which a version must hold
+RETRY_PAUSE_S = 0.1
+INCARNATION_BYTES = 6
+STORE_SILENCE_S = 3.0  # without store and holder for longer, new callers go elsewhere
+BALANCER_NOTICE_S = 2.5  # the balancer asks once a second and believes two misses
+DRAIN_MARGIN_S = 0.7  # before the platform kills the process
+
+logger = Logger(__name__)
+
+
+class PlatformDaemon:
+    """One daemon on the users' platform."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._store = PlatformStore(settings.store_address)
+        self._configuration = PlatformConfiguration()
+        self._listed: frozenset[str] = frozenset()
+        self._is_stopping = False
+        self._is_ready = True
+        self._stopped = Event()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM, then stops without cutting a request in flight."""
+        settings = self._settings
+        self._identity = DaemonIdentity(
+            settings.daemon_id,
+            token_hex(INCARNATION_BYTES),
+            settings.failure_domain,
+            settings.peer_address,
+        )
+        key = await self._fetch_peer_key()
+        self._network = TcpPeerNetwork(
+            self._identity,
+            _make_peer_settings(settings, key),
+            MessageCodec(DURABLE_MESSAGES),
+            Logger("berylproxy.peers"),
+        )
+        self._member = DurableMember(
+            self._network,
+            self._store,
+            PlatformEndpoints(self._store, settings.longest_lease_s),
+            self._clock,
+            settings.cores,
+            lambda: self._listed,
+            lambda: self._store.heard_s,
+            lambda states: self._desk.take_ended(states),
+        )
+        self._desk = EntryDesk(self._network, self._member, self._store, self._clock)
+        async with create_task_group() as task_group:
+            await task_group.start(self._network.run)
+            task_group.start_soon(self._follow_configuration)
+            task_group.start_soon(self._follow_members)
+            task_group.start_soon(self._member.run)
+            task_group.start_soon(self._serve)
+            logger.info("serving on {}", settings.callers_address)
+            await self._wait_for_stop()
+            task_group.cancel_scope.cancel()
+        logger.info("stopped")
+
+    async def _serve(self) -> None:
+        application = PlatformCallers(
+            self._desk,
+            lambda: self._configuration,
+            self._check_ready,
+            lambda: self._is_stopping,
+        )
+        config = Config()
+        config.bind = [self._settings.callers_address, self._settings.ready_address]
+        config.keep_alive_timeout = 60.0
+        config.keep_alive_max_requests = 1_000_000
+        config.graceful_timeout = self._settings.stop_grace_s
+        config.accesslog = None
+        config.errorlog = None
+        config.include_server_header = False
+        config.include_date_header = False
+        await serve(application, config, shutdown_trigger=self._stopped.wait)
+
+    def _check_ready(self) -> bool:
+        if self._is_stopping or not self._configuration.version:
+            return False
+        store_silence_s = monotonic() - self._store.heard_s
+        has_holder = any(self._member.holder_incarnation(s) for s in self._configuration.services)
+        return has_holder or store_silence_s < STORE_SILENCE_S
+
+    async def _fetch_peer_key(self) -> bytes:
+        """Reads the key that all daemons share, or makes it."""
+        while True:
+            try:
+                entry = await self._store.get(PEER_KEY_KEY)
+                if entry is not None:
+                    return entry.value
+                key = token_hex(PEER_KEY_BYTES).encode()
+                change = Transaction(((PEER_KEY_KEY, 0),), ((PEER_KEY_KEY, key),))
+                await self._store.commit(change)
+                return key
+            except TransactionConflictError:
+                continue
+            except StoreError as error:
+                logger.info("the store is not available yet: {}", error.message)
+                await sleep(RETRY_PAUSE_S)
+
+    async def _follow_configuration(self) -> None:
+        revision = 0
+        while True:
+            try:
+                if not revision:
+                    revision = await self._read_configuration()
+                batch = await self._store.wait_for_changes(
+                    CONFIGURATION_KEY, revision, CONFIGURATION_WAIT_S
+                )
+                for entry in batch.updates:
+                    self._take_configuration(entry.value)
+                revision = max(revision, batch.revision)
+            except StoreCompactedError:
+                revision = 0
+            except StoreError as error:
+                logger.debug("the configuration can't be read: {}", error.message)
+                revision = 0
+                await sleep(RETRY_PAUSE_S)
+
+    async def _read_configuration(self) -> int:
+        page = await self._store.read_page(CONFIGURATION_KEY)
+        for entry in page.entries:
+            if entry.key == CONFIGURATION_KEY:
+                self._take_configuration(entry.value)
+        return page.revision
+
+    def _take_configuration(self, value: bytes) -> None:
+        try:
+            configuration = decode_configuration(value)
+        except ConfigurationInvalidError as error:
+            logger.error("configuration not taken: {}", error.message)
+            return
+        if configuration.version <= self._configuration.version:
+            return
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "former": self._configuration.version,
+                "routes": len(configuration.routes),
+            },
+        )
+        self._configuration = configuration
+        self._member.follow(set(configuration.services))
+
+    async def _follow_members(self) -> None:
+        """Keeps this daemon in the store's list of members, and dials the others."""
+        lease_id, renewed_s = 0, 0.0
+        value = orjson.dumps({"peer_address": self._identity.peer_address})
+        while True:
+            try:
+                if not self._is_stopping and monotonic() - renewed_s >= MEMBER_RENEWAL_S:
+                    if not lease_id or not await self._store.renew_lease(lease_id):
+                        lease_id = await self._store.grant_lease(MEMBER_LEASE_S)
+                        key = MEMBER_PREFIX + self._settings.daemon_id
+                        await self._store.put_with_lease(key, value, lease_id)
+                    renewed_s = monotonic()
+                await self._list_members()
+                await sleep(MEMBER_LIST_INTERVAL_S if len(self._listed) > 1 else RETRY_PAUSE_S)
+            except StoreLeaseLapsedError:
+                lease_id = 0
+            except StoreError as error:
+                logger.debug("the list of members is not available: {}", error.message)
+                await sleep(RETRY_PAUSE_S)
+
+    async def _list_members(self) -> None:
+        page = await self._store.read_page(MEMBER_PREFIX, may_be_stale=len(self._listed) > 1)
+        names = set()
+        for entry in page.entries:
+            names.add(entry.key.removeprefix(MEMBER_PREFIX))
+            try:
+                address = orjson.loads(entry.value)["peer_address"]
+            except (ValueError, TypeError, KeyError) as error:
+                logger.warning("member {} can't be read: {!r}", entry.key, error)
+                continue
+            if address != self._identity.peer_address:
+                self._network.add_address(address)
+        self._listed = frozenset(names)
+
+    async def _wait_for_stop(self) -> None:
+        with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                logger.info("the settings file may have changed; its addresses hold until a start")
+        logger.info("stopping")
+        self._is_stopping = True
+        self._member.leave()
+        self._network.announce_leaving()
+        await sleep(min(BALANCER_NOTICE_S, self._settings.stop_grace_s / 2))
+        self._stopped.set()
+        left_s = self._settings.stop_grace_s - BALANCER_NOTICE_S - DRAIN_MARGIN_S
+        await sleep(max(left_s, 0.0))
+
+
+def _make_peer_settings(settings: PlatformSettings, key: bytes) -> PeerSettings:
+    return PeerSettings(
+        listen_address=settings.peer_address,
+        keys=(key,),
+        heartbeat_interval_s=0.4,
+        heartbeats_per_interval=8,
+        heartbeat_timeout_s=0.4,
+        indirect_timeout_s=0.4,
+        dead_after_s=1.0,
+        forget_after_s=30.0,
+        redial_max_delay_s=0.5,
+        handshake_timeout_s=0.5,
+    )
+
+
--- /dev/null
+++ b/berylproxy/platform/settings.py
@@ -0,0 +1,119 @@
+"""The platform's settings file, checked whole."""
+
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from berylproxy.settings import SettingsError
+
+SETTINGS_VARIABLE = "BERYLPROXY_NODE_FILE"
+
+
+def _to_key(name: str) -> str:
+    return name.replace("_", "-")
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="ignore", alias_generator=_to_key, frozen=True)
+
+
+class _Listen(_Table):
+    frontend_addr: str
+    ready_addr: str
+
+
+class _Limits(_Table):
+    cpu_share: float = Field(1.0, gt=0)
+    cores: float = Field(1.0, gt=0)
+    memory_mb: int = Field(256, gt=0)
+
+
+class _Bounds(_Table):
+    grace_s: float = 6.0
+    hold_max_ms: int = 1000
+    remote_factor: float = 2.0
+
+
+class _Platform(_Table):
+    address: str
+    value_bytes: int = 1_048_576
+
+
+class _SettingsFile(_Table):
+    node_name: str = Field(min_length=1)
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _Platform
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What the platform tells a daemon.
+
+    :param callers_address: where callers connect.
+    :param ready_address: where the balancer asks whether the daemon takes new connections.
+    :param peer_address: where other daemons connect.
+    :param metrics_address: where metrics are served.
+    :param store_address: the platform's key-value service.
+    :param cores: share of a core that the VM has, of common speed.
+    :param stop_grace_s: time from SIGTERM to SIGKILL.
+    :param longest_lease_s: the longest lease that endpoints grant.
+    :param remote_factor: run time of a task away from its data, compared to near it.
+    """
+
+    daemon_id: str
+    failure_domain: str
+    callers_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    cores: float
+    stop_grace_s: float
+    longest_lease_s: float
+    remote_factor: float
+
+
+def load_platform_settings(path: str) -> PlatformSettings:
+    """Reads and checks the file.
+
+    :raises SettingsError: with everything that is wrong, and where.
+    """
+    try:
+        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: can't be read: {error}"]) from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError([f"{path}: not TOML: {error}"]) from error
+    try:
+        return _convert(_SettingsFile.model_validate(content))
+    except ValidationError as error:
+        raise SettingsError(
+            [
+                f"{path}: {'.'.join(map(str, problem['loc']))}: {problem['msg']}"
+                for problem in error.errors(include_url=False)
+            ]
+        ) from error
+
+
+def _convert(file: _SettingsFile) -> PlatformSettings:
+    first_port, last_port = file.internal_ports
+    return PlatformSettings(
+        daemon_id=file.node_name,
+        failure_domain=file.zone,
+        callers_address=file.listen.frontend_addr,
+        ready_address=file.listen.ready_addr,
+        peer_address=f"{file.ip}:{first_port}",
+        metrics_address=f"{file.ip}:{last_port}",
+        store_address=file.platform.address,
+        cores=file.limits.cpu_share * file.limits.cores,
+        stop_grace_s=file.bounds.grace_s,
+        longest_lease_s=file.bounds.hold_max_ms / 1000,
+        remote_factor=file.bounds.remote_factor,
+    )
--- a/berylproxy/records/api.py
+++ b/berylproxy/records/api.py
@@ -11,7 +11,7 @@
 
 from berylproxy.errors import BerylproxyError
 from berylproxy.http_responses import make_json_response
-from berylproxy.platform.store import ABSENT_REVISION
+from berylproxy.store.port import ABSENT_REVISION
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.envelope import make_key, parse_json, split_key
 from berylproxy.records.errors import (
--- a/berylproxy/records/editor.py
+++ b/berylproxy/records/editor.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ABSENT_REVISION,
     Entry,
     Store,
--- a/berylproxy/records/messages.py
+++ b/berylproxy/records/messages.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from berylproxy.platform.store import Entry
+from berylproxy.store.port import Entry
 from berylproxy.records.envelope import KEY_PREFIX
 from berylproxy.records.errors import RecordError
 
--- a/berylproxy/records/spread.py
+++ b/berylproxy/records/spread.py
@@ -14,7 +14,7 @@
 from logbook import Logger
 
 from berylproxy.peers.membership import Member, MemberStatus, PeerError, PeerNetwork
-from berylproxy.platform.store import Entry
+from berylproxy.store.port import Entry
 from berylproxy.records.digest import choose_bucket
 from berylproxy.records.messages import (
     ITEM_OVERHEAD_BYTES,
--- a/berylproxy/records/view.py
+++ b/berylproxy/records/view.py
@@ -12,7 +12,7 @@
 import anyio
 from logbook import Logger
 
-from berylproxy.platform.store import Entry, Listing
+from berylproxy.store.port import Entry, Listing
 from berylproxy.records.digest import BucketDigests
 from berylproxy.records.envelope import MARK_KEY, decode_envelope, make_key, split_key
 from berylproxy.records.errors import RecordError
--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -7,7 +7,7 @@
 import anyio
 from logbook import Logger
 
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ChangeBatch,
     Listing,
     Store,
--- a/berylproxy/platform/errors.py
+++ b/berylproxy/store/errors.py
@@ -1,6 +1,6 @@
 """Errors of the key-value service that concern watches, leases and refused calls."""
 
-from berylproxy.platform.store import StoreError
+from berylproxy.store.port import StoreError
 
 
 class StoreRefusedError(StoreError):
--- a/berylproxy/platform/etcd.py
+++ b/berylproxy/store/etcd.py
@@ -18,14 +18,14 @@
 )
 from pydantic import BaseModel, ValidationError
 
-from berylproxy.platform.errors import (
+from berylproxy.store.errors import (
     StoreCompactedError,
     StoreLeaseLapsedError,
     StoreRefusedError,
     StoreRevisionBehindError,
     StoreWatchError,
 )
-from berylproxy.platform.etcd_messages import (
+from berylproxy.store.etcd_messages import (
     Compare,
     DeleteRangeRequest,
     ErrorResponse,
@@ -45,7 +45,7 @@
     WatchResponse,
     WatchResult,
 )
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ABSENT_REVISION,
     ChangeBatch,
     Entry,
@@ -70,7 +70,7 @@
 
 
 class EtcdStore:
-    """Implements :class:`berylproxy.platform.store.Store`.
+    """Implements :class:`berylproxy.store.port.Store`.
 
     :param base_urls: one or several base URLs of the same service.
     :param timeout_s: bound of each call over all base URLs.
--- a/berylproxy/platform/machines.py
+++ b/berylproxy/store/machines.py
@@ -5,7 +5,7 @@
 from httpx import AsyncClient, HTTPError
 from pydantic import BaseModel, ValidationError
 
-from berylproxy.platform.store import StoreUnavailableError, VirtualMachine
+from berylproxy.store.port import StoreUnavailableError, VirtualMachine
 
 VMS_PATH = "/v1/vms"
 
@@ -26,7 +26,7 @@
 
 
 class HttpVirtualMachineList:
-    """Implements :class:`berylproxy.platform.store.VirtualMachineList`.
+    """Implements :class:`berylproxy.store.port.VirtualMachineList`.
 
     :param url: base URL of the platform.
     :param timeout_s: bound of each call.
--- /dev/null
+++ b/berylproxy/store/port.py
@@ -0,0 +1,134 @@
+"""The key-value service as the daemon sees it."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from berylproxy.errors import BerylproxyError
+
+ABSENT_REVISION = 0  # expected revision of a key that must not exist yet
+
+
+class StoreError(BerylproxyError):
+    """Base of the key-value service's errors."""
+
+    code = "store_error"
+
+
+class StoreUnavailableError(StoreError):
+    """The call did not reach the service, or it refused it: nothing was written."""
+
+    code = "store_unavailable"
+
+
+class StoreOutcomeUnknownError(StoreError):
+    """The answer was lost: the write may have taken effect."""
+
+    code = "store_outcome_unknown"
+
+
+class StoreConflictError(StoreError):
+    """The key's revision is not the expected one: nothing was written."""
+
+    code = "store_conflict"
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key's value.
+
+    :param revision: the store-wide revision of the write that made it.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """The entries below a prefix at one revision of the whole store."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """What changed below a prefix.
+
+    :param revision: the store's revision up to which the batch tells all changes.
+    :param updates: new values, the last of each key.
+    :param deletions: deleted keys, with the revision of the deletion in ``revision`` and no value.
+    """
+
+    revision: int
+    updates: tuple[Entry, ...]
+    deletions: tuple[Entry, ...]
+
+
+class Store(Protocol):
+    """A key-value service with compare-and-swap, leases and watches.
+
+    Every method raises :class:`StoreUnavailableError` when nothing can have been written, and the
+    writing ones :class:`StoreOutcomeUnknownError` when that is not known.
+    """
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key; ``None`` if it does not exist."""
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Reads all keys that start with ``prefix``."""
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int, *, lease_id: int = 0
+    ) -> int:
+        """Writes ``value`` if the key's revision is the expected one; returns the new revision.
+
+        :param expected_revision: :data:`ABSENT_REVISION` if the key must not exist.
+        :param lease_id: lease with which the key goes away; 0 for none.
+        :raises StoreConflictError: if the key has another revision.
+        """
+
+    async def delete(self, key: str, expected_revision: int) -> int:
+        """Deletes the key if its revision is the expected one; returns the store's new revision.
+
+        :raises StoreConflictError: if the key has another revision.
+        """
+
+    async def wait_for_changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> ChangeBatch:
+        """Waits for changes below ``prefix`` later than a revision, for at most ``wait_s``.
+
+        Returns an empty batch when the time is over.
+        """
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Makes a lease and returns its identifier."""
+
+    async def renew_lease(self, lease_id: int) -> bool:
+        """Renews a lease; ``False`` if it has lapsed."""
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """Ends a lease and deletes its keys."""
+
+
+@dataclass(frozen=True, slots=True)
+class VirtualMachine:
+    """One row of the platform's lagging list.
+
+    :param host: the VM's address.
+    :param leaving: whether the platform is about to take the VM away.
+    """
+
+    name: str
+    host: str
+    failure_domain: str
+    leaving: bool
+
+
+class VirtualMachineList(Protocol):
+    """The platform's lagging list of VMs."""
+
+    async def fetch(self) -> tuple[VirtualMachine, ...]:
+        """Reads the list; raises :class:`StoreUnavailableError` while the platform is away."""
--- a/berylproxy/usage/api.py
+++ b/berylproxy/usage/api.py
@@ -9,7 +9,7 @@
 from berylproxy.admit.answers import make_error_response
 from berylproxy.errors import BerylproxyError
 from berylproxy.http_responses import make_json_response
-from berylproxy.platform.store import Store
+from berylproxy.store.port import Store
 from berylproxy.usage.report import KEY_PREFIX, sum_reports
 
 
--- a/berylproxy/usage/recorder.py
+++ b/berylproxy/usage/recorder.py
@@ -8,7 +8,7 @@
 from logbook import Logger
 
 from berylproxy.models import DaemonIdentity
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ABSENT_REVISION,
     Store,
     StoreConflictError,
--- a/berylproxy/usage/report.py
+++ b/berylproxy/usage/report.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from berylproxy.errors import BerylproxyError
-from berylproxy.platform.store import Entry
+from berylproxy.store.port import Entry
 from berylproxy.usage.counters import Usage, UsageCounters, UsageKey
 
 SCHEMA_VERSION = 1
--- a/tests/steps/records_view_steps.py
+++ b/tests/steps/records_view_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from berylproxy.platform.store import Entry
+from berylproxy.store.port import Entry
 from berylproxy.records.envelope import Envelope, encode_envelope, make_key
 from berylproxy.records.view import RecordView
 from tests.support.records_world import ENDPOINT_V1, ENDPOINT_V2, POOL
--- a/tests/steps/records_watcher_steps.py
+++ b/tests/steps/records_watcher_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from berylproxy.platform.store import Entry, Listing
+from berylproxy.store.port import Entry, Listing
 from berylproxy.records.backoff import Backoff
 from berylproxy.records.envelope import make_key
 from berylproxy.records.view import RecordView
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/store_steps.py
@@ -10,10 +10,10 @@
 import httpx
 from behave import given, step, then, when
 
-from berylproxy.platform.errors import StoreWatchError
-from berylproxy.platform.etcd import EtcdStore
-from berylproxy.platform.machines import HttpVirtualMachineList
-from berylproxy.platform.store import (
+from berylproxy.store.errors import StoreWatchError
+from berylproxy.store.etcd import EtcdStore
+from berylproxy.store.machines import HttpVirtualMachineList
+from berylproxy.store.port import (
     ABSENT_REVISION,
     StoreConflictError,
     StoreError,
--- a/tests/support/memory_store.py
+++ b/tests/support/memory_store.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from berylproxy.platform.store import (
+from berylproxy.store.port import (
     ChangeBatch,
     Entry,
     Listing,
@@ -23,7 +23,7 @@
 
 
 class MemoryStore:
-    """Implements :class:`berylproxy.platform.store.Store`.
+    """Implements :class:`berylproxy.store.port.Store`.
 
     :ivar is_out: every call fails.
     :ivar lost_answers: how many of the next writes take effect without an answer.
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -42,7 +42,7 @@
     SlotRelease,
     UpdateDemand,
 )
-from berylproxy.platform.store import Entry, Listing
+from berylproxy.store.port import Entry, Listing
 from berylproxy.records.envelope import Envelope, encode_envelope, make_key
 from berylproxy.records.messages import FetchRecords, Records
 from berylproxy.records.models import Endpoint, Service
