--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -37,7 +37,6 @@
 from berylproxy.peers.settings import PeerSettings
 from berylproxy.pipeline import Pipeline
 from berylproxy.place.messages import PLACE_MESSAGES
-from berylproxy.store.etcd import EtcdStore
 from berylproxy.records.api import make_record_routes
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.leaving import mark_leaving_endpoints
@@ -47,6 +46,7 @@
 from berylproxy.records.watcher import RecordWatcher
 from berylproxy.send.sender import TaskSender
 from berylproxy.settings import Settings
+from berylproxy.store.etcd import EtcdStore
 from berylproxy.tracing import Tracer
 from berylproxy.usage.api import UsageApi
 from berylproxy.usage.counters import UsageCounters
--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -11,7 +11,7 @@
 from berylproxy.durable.book import ACTIVE_STATUSES, Job, TaskStatus
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.placement import LATE_FACTOR, objective_s
+from berylproxy.durable.placement import last_useful_s, objective_s
 
 SHORTEST_RETRY_AFTER_S = 1.0  # Retry-After counts whole seconds
 LONGEST_RETRY_AFTER_S = 10.0
@@ -95,7 +95,7 @@
     )
     spread_s = own_core_s / backlog.capacity_cores
     end_s = backlog.wait_s + max(job.expected_s, spread_s)
-    if end_s <= LATE_FACTOR * objective_s(job):
+    if now_s + end_s <= last_useful_s(job):
         return None
     excess_s = end_s - objective_s(job)
     return float(ceil(min(max(excess_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)))
--- a/berylproxy/durable/book.py
+++ b/berylproxy/durable/book.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from math import inf
 
 from berylproxy.durable.models import (
     FINAL_STATES,
@@ -66,6 +67,7 @@
     """An open job: accepted, and its end is not stored.
 
     :ivar accepted_s: monotonic time of its acceptance.
+    :ivar deadline_s: monotonic time at which its caller stops to wait; infinite if it doesn't.
     :ivar entry: incarnation of the daemon that handed it in; empty after a change of holder.
     :ivar expected_s: expected run time of its longest chain of tasks at speed 1.
     :ivar waiting: its tasks that may be started now.
@@ -75,6 +77,7 @@
     spec: JobSpec
     accepted_unix_s: float
     accepted_s: float
+    deadline_s: float = inf
     tasks: dict[tuple[int, int], Task] = field(default_factory=dict)
     entry: str = ""
     state: JobState = JobState.QUEUED
@@ -103,10 +106,8 @@
         self.jobs: dict[str, Job] = {}
         self._outcomes: OrderedDict[str, JobState] = OrderedDict()
 
-    def open(
-        self, stored: StoredJob, now_s: float, *, entry: str = "", first_run: int = 0
-    ) -> Job:
-        """Takes in a stored job.
+    def open(self, stored: StoredJob, now_s: float, *, entry: str = "", first_run: int = 0) -> Job:
+        """Takes in a job.
 
         :param first_run: lower bound of the run numbers to use; above 0 for a job that another
             holder may have begun.
--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -1,10 +1,14 @@
 """Who becomes the holder of a group, and when. The decisions are pure.
 
 A claim needs no lease: whoever takes the holder for dead replaces its claim by compare-and-swap, and
-the revision of the new claim is the fence under which endpoints refuse the former holder. A wrong
+the revision of the new claim makes the fence under which endpoints refuse the former holder. A wrong
 suspicion costs a change of holder and no work.
+
+While the store is away no claim can be replaced. A daemon then takes a provisional fence between
+those of two claims: above the last claim known, below any later one.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -13,6 +17,7 @@
 BROKEN_STREAM_SUSPICION_S = 0.1  # its process has ended, or is just about to be dialled again
 RANK_DELAY_S = 0.12  # a claim and its first heartbeat take less
 LONELY_DELAY_S = 3.0  # until the entries of lost VMs have left the list of members
+FENCES_PER_CLAIM = 16  # one for the claim itself, the others for provisional holders by rank
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +67,31 @@
     return sight.silence_s >= limit_s
 
 
+def claim_fence(revision: int) -> int:
+    """Returns the fence of a claim."""
+    return revision * FENCES_PER_CLAIM
+
+
+def provisional_fence(known_fence: int, own_rank: int) -> int:
+    """Returns the fence of a holder without a claim; 0 if there is none left."""
+    first = known_fence - known_fence % FENCES_PER_CLAIM
+    fence = max(known_fence, first + own_rank) + 1
+    return fence if fence < first + FENCES_PER_CLAIM else 0
+
+
+def may_hold_provisionally(reached_domains: Counter, listed_domains: Counter, own: str) -> bool:
+    """Tells whether a daemon without the store may act as holder for those that it reaches.
+
+    Either it reaches half of the daemons, or exactly its own failure domain, which is then cut off.
+
+    :param reached_domains: reached daemons by failure domain, this one included.
+    :param listed_domains: all daemons by failure domain.
+    """
+    if 2 * reached_domains.total() >= listed_domains.total():
+        return True
+    return set(reached_domains) == {own} and reached_domains[own] >= listed_domains[own]
+
+
 def _preference(group: str, candidate: Candidate) -> tuple[float, bytes]:
     name = f"{group}/{candidate.daemon_id}".encode()
     return -candidate.cores, blake2b(name, digest_size=8).digest()
--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -4,16 +4,17 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from anyio import fail_after, sleep
+from anyio import create_task_group, fail_after, get_cancelled_exc_class, sleep
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.ledger import TenureLostError
+from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.member import DurableMember
 from berylproxy.durable.messages import (
     AskPending,
     AskState,
     CancelStored,
+    DropJob,
     HandIn,
     HandInReply,
     PendingReply,
@@ -67,6 +68,52 @@
         for job_id, state in states.items():
             self._remember(job_id, JobState(state))
 
+    async def carry_out(self, spec: JobSpec, wait_s: float) -> JobState:
+        """Has a job carried out that isn't kept; returns how it ended.
+
+        It is handed in again to each new holder while the caller waits. When the caller goes away,
+        which cancels this call, or its time is over, the job is dropped.
+
+        :raises NotAcceptedError: if it has not run and never will.
+        :raises NotKnownError: if it may have run.
+        """
+        group = spec.terms.service
+        started_s = self._clock.now_s()
+        attempt = 0
+        try:
+            while True:
+                elapsed_s = self._clock.now_s() - started_s
+                if elapsed_s >= wait_s or (not attempt and elapsed_s > NO_HOLDER_WAIT_S):
+                    break
+                message = HandIn(spec, attempt, wait_s - elapsed_s)
+                try:
+                    reply = await self._ask_while_held(group, message, wait_s - elapsed_s)
+                except PeerUnreachableError:
+                    await sleep(RETRY_PAUSE_S)
+                    continue
+                except BerylproxyError as error:
+                    logger.info(
+                        "job handed in again: {}",
+                        error.message,
+                        extra={"job": spec.job_id, "attempt": attempt, "code": error.code},
+                    )
+                    attempt += 1
+                    await sleep(RETRY_PAUSE_S)
+                    continue
+                if not reply.refusal:
+                    return JobState(reply.state)
+                if attempt:
+                    raise NotKnownError("a former holder may have begun it")
+                raise NotAcceptedError(reply.refusal, retry_after_s=reply.retry_after_s)
+        except get_cancelled_exc_class():
+            self._drop(group, spec.job_id)
+            raise
+        self._drop(group, spec.job_id)
+        self._log_unanswered(spec, started_s, attempt > 0)
+        if attempt:
+            raise NotKnownError("it is not known whether the job has run")
+        raise NotAcceptedError("no daemon can carry out the job now", retry_after_s=1.0)
+
     async def hand_in(self, spec: JobSpec, wait_s: float) -> None:
         """Has a job stored; returns once it is.
 
@@ -86,33 +133,83 @@
                 reply = await self._ask(
                     group,
                     HandIn(spec),
-                    lambda holder: holder.hand_in(spec, self._member.own_incarnation),
+                    lambda holder: holder.hand_in(HandIn(spec), self._member.own_incarnation),
                     min(left_s, HAND_IN_TIMEOUT_S),
                 )
             except (TenureLostError, PeerUnreachableError, StoreUnavailableError):
                 await sleep(RETRY_PAUSE_S)  # certainly not stored by this try
                 continue
             except BerylproxyError as error:
-                may_be_stored = may_be_stored or error.code != TenureLostError.code
+                may_be_stored = may_be_stored or error.code not in (
+                    TenureLostError.code,
+                    NotHolderError.code,
+                )
                 await sleep(RETRY_PAUSE_S)
                 continue
             if reply.refusal:
                 raise NotAcceptedError(reply.refusal, retry_after_s=reply.retry_after_s)
             self._remember(spec.job_id, JobState.QUEUED)
             return
+        self._log_unanswered(spec, started_s, may_be_stored)
+        if may_be_stored:
+            raise NotKnownError("it is not known whether the job is stored")
+        raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
+
+    def _log_unanswered(self, spec: JobSpec, started_s: float, may_have_arrived: bool) -> None:
+        group = spec.terms.service
         logger.info(
-            "job not handed in: no holder answered",
+            "job given up: no holder answered in time",
             extra={
                 "job": spec.job_id,
                 "group": group,
                 "holder": self._member.holder_incarnation(group),
                 "waited_s": round(self._clock.now_s() - started_s, 3),
-                "may_be_stored": may_be_stored,
+                "may_have_arrived": may_have_arrived,
             },
         )
-        if may_be_stored:
-            raise NotKnownError("it is not known whether the job is stored")
-        raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
+
+    def _drop(self, group: str, job_id: str) -> None:
+        incarnation = self._member.holder_incarnation(group)
+        if incarnation == self._member.own_incarnation:
+            holder = self._member.holders.get(group)
+            if holder is not None:
+                holder.drop(job_id, "its caller here has gone")
+        elif incarnation:
+            self._network.notify(incarnation, DropJob(group, job_id))
+
+    async def _ask_while_held(self, group: str, message: HandIn, timeout_s: float) -> HandInReply:
+        """Asks the holder and waits for its answer for as long as it is the holder.
+
+        :raises PeerUnreachableError: if the message certainly did not reach a holder.
+        :raises BerylproxyError: if it may have.
+        """
+        known = self._member.known.get(group)
+        if known is None:
+            raise PeerUnreachableError(f"no holder of {group} is known")
+        changed, replies, errors = known.changed, [], []
+
+        async def ask() -> None:
+            try:
+                reply = await self._ask(
+                    group,
+                    message,
+                    lambda holder: holder.hand_in(message, self._member.own_incarnation),
+                    timeout_s,
+                )
+                replies.append(reply)
+            except BerylproxyError as error:
+                errors.append(error)
+            task_group.cancel_scope.cancel()
+
+        async with create_task_group() as task_group:
+            task_group.start_soon(ask)
+            await changed.wait()
+            task_group.cancel_scope.cancel()
+        if replies:
+            return replies[0]
+        if errors and errors[0].code == NotHolderError.code:
+            raise PeerUnreachableError("the daemon asked is not the holder") from errors[0]
+        raise errors[0] if errors else NotKnownError("another daemon has become the holder")
 
     async def find_state(self, groups: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Finds a job's state; ``None`` if there is no such job.
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -14,8 +14,14 @@
 from berylproxy.durable.book import ACTIVE_STATUSES, Job, JobBook, Task, TaskStatus
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState, PresentRun
-from berylproxy.durable.ledger import AlreadyThereError, Change, Ledger, TenureLostError
-from berylproxy.durable.messages import HandInReply, HolderHeartbeat, JobsEnded
+from berylproxy.durable.ledger import (
+    AlreadyThereError,
+    Change,
+    Ledger,
+    NotHolderError,
+    TenureLostError,
+)
+from berylproxy.durable.messages import HandIn, HandInReply, HolderHeartbeat, JobsEnded
 from berylproxy.durable.models import (
     EndedRun,
     EndKind,
@@ -27,7 +33,7 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.placement import place_waiting
+from berylproxy.durable.placement import last_useful_s, place_waiting
 from berylproxy.durable.ports import (
     EndpointCallError,
     EndpointCalls,
@@ -61,6 +67,8 @@
 RENEWAL_WAIT_S = 0.3  # leaves two more tries within a lease of 1 s
 END_POLL_S = 0.025  # while an endpoint keeps ends whose jobs are open, it answers at once
 RETRY_PAUSE_S = 0.05
+ORPHAN_GRACE_S = 0.8  # in which entry daemons hand unfinished jobs in again
+TOO_LATE = "its answer would come too late"
 LEASE_LENGTH_S = 1.0  # the longest that endpoints grant
 PROGRESS_AGE_S = 1.0  # ends that are kept longer are stored with their unfinished job
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
@@ -84,6 +92,14 @@
     seen_s: float
 
 
+@dataclass(slots=True, eq=False)
+class Wait:
+    """Callers that wait for the end of a job that isn't kept."""
+
+    ended: Event = field(default_factory=Event)
+    reply: HandInReply | None = None
+
+
 @dataclass(slots=True, eq=False)
 class Acceptance:
     """A job that is being stored; its caller may give up meanwhile."""
@@ -96,7 +112,9 @@
 class Holder:
     """One tenure over one group.
 
-    :param fence: revision of the claim.
+    :param fence: under which endpoints take orders.
+    :param claim_revision: revision of the claim; 0 for a provisional holder, which has none.
+    :param is_entry_alive: tells whether the daemon that handed a job in was heard just now.
     :param inherited: identifiers of endpoints that the former holder used; ``None`` if unknown.
     :param has_store_elsewhere: tells whether any other daemon may reach the store; ``True`` also
         while too few are heard of.
@@ -115,6 +133,8 @@
         has_store_elsewhere: Callable[[], bool],
         inherited: frozenset[str] | None,
         model: RunTimeModel,
+        is_entry_alive: Callable[[str], bool],
+        claim_revision: int,
     ) -> None:
         self.group = group
         self.fence = fence
@@ -131,10 +151,14 @@
         self._members = members
         self._has_store_elsewhere = has_store_elsewhere
         self._inherited = inherited
+        self._is_entry_alive = is_entry_alive
+        self._claim_revision = claim_revision
+        self._waits: dict[str, Wait] = {}
         self._calls: dict[EndpointLife, EndpointCalls] = {}
         self._wakeups: dict[EndpointLife, Event] = {}
         self._missing_since_s: dict[EndpointLife, float] = {}
         self._kept_ends: dict[str, list[KeptEnd]] = {}
+        self._orphan_ends: list[KeptEnd] = []
         self._stored: dict[str, Event] = {}
         self._began_s = clock.now_s()
         self._confirmed_s = self._began_s
@@ -145,7 +169,7 @@
         self._handing_in: dict[str, Acceptance] = {}
         self._uncertain: set[str] = set()
         self._dispatch = Event()
-        self._ledger = Ledger(store, (claim_key(group), fence), self._note_confirmed)
+        self._ledger = Ledger(store, (claim_key(group), claim_revision), self._note_confirmed)
         self._task_group: TaskGroup | None = None
 
     # Life
@@ -155,17 +179,20 @@
         try:
             async with create_task_group() as task_group:
                 self._task_group = task_group
-                task_group.start_soon(self._ledger.run)
                 task_group.start_soon(self._send_heartbeats)
                 task_group.start_soon(self._follow_directory)
-                task_group.start_soon(self._watch_claim)
-                await self._load_jobs()
                 task_group.start_soon(self._keep_placing)
                 task_group.start_soon(self._tick)
+                if self._claim_revision:
+                    task_group.start_soon(self._ledger.run)
+                    task_group.start_soon(self._watch_claim)
+                    await self._load_jobs()
         finally:
             self._task_group = None
             for event in self._stored.values():
                 event.set()
+            for wait in self._waits.values():
+                wait.ended.set()
             for calls in self._calls.values():
                 await calls.close()
 
@@ -218,14 +245,21 @@
 
     # Callers' requests
 
-    async def hand_in(self, spec: JobSpec, entry: str) -> HandInReply:
-        """Stores a job and begins to carry it out, or refuses it.
+    async def hand_in(self, message: HandIn, entry: str) -> HandInReply:
+        """Stores a job and begins to carry it out, or refuses it; waits for one that isn't kept.
 
         :raises TenureLostError: if this daemon is not the holder any more.
         :raises StoreError: if it is not known whether the job is stored.
         """
-        if self._task_group is None or not self.is_loaded:
-            raise TenureLostError("not the holder, or not yet")
+        spec = message.job
+        if self._task_group is None:
+            raise NotHolderError("not the holder")
+        if not spec.is_kept:
+            return await self._carry_out(message, entry)
+        if not self._claim_revision:
+            return HandInReply("the store is not available", SHORTEST_RETRY_AFTER_S)
+        if not self.is_loaded:
+            raise NotHolderError("the open jobs are not loaded yet")
         if spec.job_id in self._handing_in:
             acceptance = self._handing_in[spec.job_id]
         elif self.book.state(spec.job_id) is not None:
@@ -241,6 +275,86 @@
             raise acceptance.error or StoreOutcomeUnknownError("the tenure ended meanwhile")
         return acceptance.reply
 
+    async def _carry_out(self, message: HandIn, entry: str) -> HandInReply:
+        """Carries out a job that isn't kept and waits for its end."""
+        spec, job_id = message.job, message.job.job_id
+        job, outcome = self.book.jobs.get(job_id), self.book.state(job_id)
+        if job is not None:
+            job.entry = entry
+        elif outcome is not None and not message.attempt:
+            return HandInReply(state=outcome.value)
+        else:
+            refusal = self._open_unkept(message, entry)
+            if refusal is not None:
+                return refusal
+        wait = self._waits.setdefault(job_id, Wait())
+        await wait.ended.wait()
+        if wait.reply is None:
+            raise TenureLostError("the tenure ended before the job")
+        return wait.reply
+
+    def _open_unkept(self, message: HandIn, entry: str) -> HandInReply | None:
+        spec, now_s = message.job, self._clock.now_s()
+        stored = StoredJob(spec, time())
+        draft = JobBook().open(stored, now_s)
+        draft.expected_s = self._expect(spec)
+        draft.deadline_s = now_s + message.wait_s
+        retry_after_s = self._judge(draft, now_s)
+        if retry_after_s is not None:
+            self._note_refused(spec, retry_after_s)
+            return HandInReply(TOO_LATE, retry_after_s)
+        first_run = message.attempt * RUN_NUMBERS_PER_TENURE
+        job = self.book.open(stored, now_s, entry=entry, first_run=first_run)
+        job.expected_s, job.deadline_s = draft.expected_s, draft.deadline_s
+        self._count("accepted")
+        if self._is_young(now_s):
+            self._adopt_orphans(job, now_s)
+        if message.attempt:
+            self._loaded_jobs.append(job)
+        self._dispatch.set()
+        return None
+
+    def _adopt_orphans(self, job: Job, now_s: float) -> None:
+        """Finds what a former holder has left of a job at the endpoints."""
+        for endpoint in self.endpoints.values():
+            for end in list(endpoint.ends.values()):
+                if end.name.job_id == job.spec.job_id and not job.is_final:
+                    task = self.book.find_task(end.name)
+                    if task is not None:
+                        self.book.note_end(task, end, endpoint.facts.life)
+            for name, run in list(endpoint.present):
+                task = self.book.find_task(name) if name.job_id == job.spec.job_id else None
+                if task is not None and self._may_adopt(task, endpoint.facts.life, run):
+                    endpoint.vacate(name, run)
+                    endpoint.occupy(name, run, task.step.needs).answered_s = now_s
+                    self.book.note_running(task, endpoint.facts.life, run, now_s)
+        if job.is_final:
+            self._finish(job, [])
+
+    def _is_young(self, now_s: float) -> bool:
+        """Whether jobs of the former holder may still be handed in again."""
+        return now_s - self._began_s < ORPHAN_GRACE_S
+
+    def drop(self, job_id: str, reason: str) -> None:
+        """Gives a job up that isn't kept: nobody waits for it."""
+        job = self.book.jobs.get(job_id)
+        if job is None or job.is_final or job.spec.is_kept:
+            return
+        logger.info("job dropped: {}", reason, extra=self._extra(job=job_id, started=job.started))
+        self._finish(job, self.book.cancel(job))
+
+    def _note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
+        self._count("refused")
+        logger.info(
+            "job refused: its answer would come too late",
+            extra=self._extra(
+                job=spec.job_id,
+                queue=spec.terms.queue,
+                open_jobs=len(self.book.jobs),
+                retry_after_s=retry_after_s,
+            ),
+        )
+
     async def _conclude(self, acceptance: "Acceptance", spec: JobSpec, entry: str) -> None:
         try:
             acceptance.reply = await self._accept(spec, entry)
@@ -260,14 +374,8 @@
         is_uncertain = spec.job_id in self._uncertain
         retry_after_s = None if is_uncertain else self._judge(draft, now_s)
         if retry_after_s is not None:
-            self._count("refused")
-            logger.info(
-                "job refused: its answer would come too late",
-                extra=self._extra(
-                    job=spec.job_id, open_jobs=len(self.book.jobs), retry_after_s=retry_after_s
-                ),
-            )
-            return HandInReply("too late to be of use", retry_after_s)
+            self._note_refused(spec, retry_after_s)
+            return HandInReply(TOO_LATE, retry_after_s)
         change = Change(
             absent=(final_key(spec.job_id),),
             written=((open_key(self.group, spec.job_id), encode_job(stored)),),
@@ -294,11 +402,9 @@
     def _judge(self, draft: Job, now_s: float) -> float | None:
         if len(self.book.jobs) >= MAX_OPEN_JOBS:
             return SHORTEST_RETRY_AFTER_S
-        if now_s - self._confirmed_s > LONE_TENURE_S:
+        if draft.spec.is_kept and now_s - self._confirmed_s > LONE_TENURE_S:
             return SHORTEST_RETRY_AFTER_S
-        return judge(
-            draft, self.book.jobs.values(), self.endpoints.values(), self.model, now_s
-        )
+        return judge(draft, self.book.jobs.values(), self.endpoints.values(), self.model, now_s)
 
     async def find_state(self, job_id: str) -> str:
         """Returns a job's state; empty if there is no such job.
@@ -308,7 +414,7 @@
         while job_id in self._handing_in:
             await self._handing_in[job_id].ended.wait()
         if self.is_over or not self.is_loaded:
-            raise TenureLostError("not the holder, or not yet")
+            raise NotHolderError("not the holder, or not yet")
         state = self.book.state(job_id)
         if state is not None:
             return state.value
@@ -478,9 +584,7 @@
 
     def _forget(self, endpoint: EndpointState, reason: str) -> None:
         life = endpoint.facts.life
-        logger.info(
-            "endpoint forgotten: {}", reason, extra=self._extra(endpoint=life.endpoint_id)
-        )
+        logger.info("endpoint forgotten: {}", reason, extra=self._extra(endpoint=life.endpoint_id))
         self._lapse_all(endpoint)
         self.endpoints.pop(life, None)
         self._missing_since_s.pop(life, None)
@@ -521,6 +625,8 @@
             present = endpoint.occupy(running.name, running.run, needs)
         present.answered_s = min(present.answered_s, now_s)
         present.is_uncertain = False
+        if task is None and running.name.job_id not in self.book.jobs and self._is_young(now_s):
+            return  # its job may be handed in again
         if task is None or not self._may_adopt(task, life, running.run):
             self._stop_soon(endpoint, running.name, running.run)
             return
@@ -541,7 +647,9 @@
         endpoint.vacate(end.name, end.run)
         task = self.book.find_task(end.name)
         job = self.book.jobs.get(end.name.job_id)
-        if job is None:
+        if job is None and self._is_young(now_s):
+            self._orphan_ends.append(KeptEnd(endpoint, end.number, now_s))
+        elif job is None or not job.spec.is_kept:
             endpoint.release(end.number)
         else:
             kept = KeptEnd(endpoint, end.number, now_s)
@@ -717,16 +825,15 @@
 
     # Ends of jobs
 
-    def _finish(self, job: Job, active: list[Task]) -> None:
+    def _finish(self, job: Job, active: list[Task], reply: HandInReply | None = None) -> None:
         """Stores a job's outcome and tells the daemon that handed it in."""
         for task in active:
             endpoint = self.endpoints.get(task.life) if task.life is not None else None
             if endpoint is not None:
                 self._stop_soon(endpoint, task.name, task.run)
         job_id = job.spec.job_id
-        if job_id in self._stored:
+        if job_id in self._stored or job_id not in self.book.jobs:
             return
-        self._stored[job_id] = Event()
         self._count(job.state.value)
         logger.info(
             "job {}",
@@ -737,6 +844,14 @@
                 age_s=round(self._clock.now_s() - job.accepted_s, 3),
             ),
         )
+        if not job.spec.is_kept:
+            self.book.close(job)
+            wait = self._waits.pop(job_id, None)
+            if wait is not None:
+                wait.reply = reply or HandInReply(state=job.state.value)
+                wait.ended.set()
+            return
+        self._stored[job_id] = Event()
         if job.entry and job.state is not JobState.CANCELLED:
             self._notify(job.entry, JobsEnded({job_id: job.state.value}))
         if self._task_group is not None:
@@ -798,11 +913,30 @@
                     if now_s - ends[0].seen_s > PROGRESS_AGE_S:
                         await self._store_progress(job)
             self._move_stalled(now_s)
-            if any(endpoint.closed_until_s for endpoint in self.endpoints.values()):
-                self._dispatch.set()
-            elif self._loaded_jobs:
+            self._give_up_unkept(now_s)
+            if self._orphan_ends and not self._is_young(now_s):
+                for kept in self._orphan_ends:
+                    kept.endpoint.release(kept.number)
+                self._orphan_ends = []
+            if (
+                any(endpoint.closed_until_s for endpoint in self.endpoints.values())
+                or self._loaded_jobs
+            ):
                 self._dispatch.set()
 
+    def _give_up_unkept(self, now_s: float) -> None:
+        """Ends the jobs that nobody waits for, or that would end too late if they began now."""
+        for job in list(self.book.jobs.values()):
+            if job.spec.is_kept or job.is_final:
+                continue
+            if not self._is_entry_alive(job.entry):
+                self.drop(job.spec.job_id, "its entry daemon is not heard")
+            elif not job.started and now_s + job.expected_s > last_useful_s(job):
+                retry_after_s = SHORTEST_RETRY_AFTER_S
+                self._note_refused(job.spec, retry_after_s)
+                self.book.cancel(job)
+                self._finish(job, [], HandInReply(TOO_LATE, retry_after_s))
+
     def _move_stalled(self, now_s: float) -> None:
         """Stops tasks that make no progress, so that they start elsewhere."""
         for endpoint in self.endpoints.values():
@@ -853,19 +987,35 @@
                 continue
             limit_s = LONE_TENURE_S if self._has_store_elsewhere() else OUTAGE_TENURE_S
             if age_s > limit_s:
-                self.end(f"the store has not confirmed the claim for {age_s:.1f} s")
-                return
+                self._suspend_kept(age_s)
             sent_s = self._clock.now_s()
             try:
                 entry = await self._store.get(claim_key(self.group))
             except StoreError as error:
                 logger.debug("the claim can't be checked: {}", error.message)
                 continue
-            if entry is None or entry.revision != self.fence:
+            if entry is None or entry.revision != self._claim_revision:
                 self.end("the claim is another daemon's")
                 return
             self._note_confirmed(sent_s)
 
+    def _suspend_kept(self, age_s: float) -> None:
+        """Stops the kept jobs: another holder may be carrying them out."""
+        for job in self.book.jobs.values():
+            if not job.spec.is_kept and not job.is_final:
+                continue
+            for task in job.tasks.values():
+                endpoint = self.endpoints.get(task.life) if task.life is not None else None
+                if endpoint is not None and task.status in ACTIVE_STATUSES:
+                    logger.info(
+                        "run stopped: the store has not confirmed the claim",
+                        extra=self._extra(job=job.spec.job_id, silent_s=round(age_s, 3)),
+                    )
+                    self._stop_soon(endpoint, task.name, task.run)
+            job.waiting.clear()
+        if any(job.spec.is_kept for job in self.book.jobs.values()):
+            self.end(f"the store has not confirmed the claim for {age_s:.1f} s")
+
     def _note_confirmed(self, at_s: float) -> None:
         self._confirmed_s = max(self._confirmed_s, at_s)
 
--- a/berylproxy/durable/ledger.py
+++ b/berylproxy/durable/ledger.py
@@ -27,6 +27,12 @@
     code = "tenure_lost"
 
 
+class NotHolderError(TenureLostError):
+    """This daemon is not the holder: the request has had no effect."""
+
+    code = "not_holder"
+
+
 class AlreadyThereError(BerylproxyError):
     """A key that must not exist is there."""
 
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -1,23 +1,34 @@
 """One daemon's part in durable jobs: follows the holders of all groups and becomes one if needed."""
 
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
-from anyio import create_task_group, sleep
+from anyio import Event, create_task_group, sleep
 from anyio.abc import TaskGroup
 from logbook import Logger
 from msgpack import packb, unpackb
 
 from berylproxy.clock import Clock
-from berylproxy.durable.contention import Candidate, HolderSight, rank, should_claim
+from berylproxy.durable.contention import (
+    FENCES_PER_CLAIM,
+    Candidate,
+    HolderSight,
+    claim_fence,
+    may_hold_provisionally,
+    provisional_fence,
+    rank,
+    should_claim,
+)
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder
-from berylproxy.durable.ledger import TenureLostError
+from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
     AskPending,
     AskState,
     CancelStored,
+    DropJob,
     HandIn,
     HandInReply,
     HolderHeartbeat,
@@ -40,8 +51,8 @@
 WATCH_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
 STORE_CONTACT_S = 1.0  # a daemon whose last answer is older may be cut off from the store
-FRESH_MEMBER_S = 1.2  # a few heartbeats between daemons
-
+ENTRY_SILENCE_S = 1.0  # two heartbeats between daemons and their delays
+HOLDER_SILENCE_S = 2.0  # a holder that is silent for longer is not asked any more
 
 logger = Logger(__name__)
 
@@ -50,7 +61,7 @@
 class KnownHolder:
     """The newest holder of a group that this daemon has heard of.
 
-    :ivar fence: revision of its claim; 0 if none is known.
+    :ivar fence: the fence of its tenure; 0 if none is known.
     :ivar heard_s: monotonic time of its last sign of life, or when waiting for one began.
     """
 
@@ -59,13 +70,22 @@
     heard_s: float = 0.0
     is_leaving: bool = False
     endpoints: frozenset[str] | None = None
+    changed: Event = field(default_factory=Event)
+
+    def change(self, fence: int, incarnation: str, now_s: float) -> None:
+        """Notes another holder and tells those that wait for one."""
+        is_other = (fence, incarnation) != (self.fence, self.incarnation)
+        self.fence, self.incarnation, self.heard_s = fence, incarnation, now_s
+        if is_other:
+            changed, self.changed = self.changed, Event()
+            changed.set()
 
 
 class DurableMember:
     """Follows holders, and serves the groups that this daemon holds.
 
     :param cores: processor share of this VM.
-    :param list_members: names of the daemons that the store lists.
+    :param list_members: failure domains of the daemons that the store lists, by name.
     :param store_heard_s: monotonic time of the store's last answer to this daemon.
     """
 
@@ -76,7 +96,7 @@
         directory: EndpointDirectory,
         clock: Clock,
         cores: float,
-        list_members: Callable[[], frozenset[str]],
+        list_members: Callable[[], dict[str, str]],
         store_heard_s: Callable[[], float],
         on_ended: Callable[[dict[str, str]], None],
     ) -> None:
@@ -93,11 +113,13 @@
         self._on_ended = on_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
+        self._fenced_off: dict[str, int] = {}
         self._task_group: TaskGroup | None = None
         network.handle_request(HandIn, self._answer_hand_in)
         network.handle_request(AskState, self._answer_state)
         network.handle_request(CancelStored, self._answer_cancel)
         network.handle_request(AskPending, self._answer_pending)
+        network.handle_notice(DropJob, self._take_drop)
         network.handle_notice(HolderHeartbeat, self._take_heartbeat)
         network.handle_notice(JobsEnded, lambda _, message: self._on_ended(message.states))
         network.provide_heartbeat(HEARTBEAT_PART, self._describe)
@@ -122,7 +144,8 @@
         known = self.known.get(group)
         if known is None or not known.incarnation:
             return ""
-        if self._silence_s(known) > 2.0:
+        is_own = known.incarnation == self.own_incarnation
+        if not is_own and self._silence_s(known) > HOLDER_SILENCE_S:
             return ""
         return known.incarnation
 
@@ -153,16 +176,20 @@
         return self._clock.now_s() - known.heard_s
 
     def _watch(self, group: str) -> None:
-        if group in self.holders or group in self._claiming or self.is_leaving:
-            return
-        if self._clock.now_s() - self._store_heard_s() > STORE_CONTACT_S:
+        if group in self._claiming or self.is_leaving:
             return
         known = self.known[group]
+        has_store = self._clock.now_s() - self._store_heard_s() <= STORE_CONTACT_S
+        if group in self.holders:
+            if has_store and known.fence % FENCES_PER_CLAIM:
+                known.is_leaving = True
+                self.holders[group].end("the store is back: a claim takes its place")
+            return
         members = [m for m in self.live_members() if m.identity.incarnation != known.incarnation]
         candidates = [
             Candidate(m.identity.daemon_id, _read_part(m).get("cores", 0.0))
             for m in members
-            if m.ready and _read_part(m).get("store_age_s", 0.0) < STORE_CONTACT_S
+            if m.ready and (not has_store or _read_part(m).get("store_age_s", 0) < STORE_CONTACT_S)
         ]
         own = Candidate(self._network.identity.daemon_id, self._cores)
         sight = HolderSight(
@@ -170,11 +197,36 @@
             bool(known.incarnation) and bool(self._network.links(known.incarnation)),
             known.is_leaving,
         )
-        listed = len(self._list_members() - {own.daemon_id, self._holder_name(known)})
-        if should_claim(sight, rank(group, own, candidates), len(members), listed):
+        listed = len(set(self._list_members()) - {own.daemon_id, self._holder_name(known)})
+        own_rank = rank(group, own, candidates)
+        if self._task_group is None:
+            return
+        if has_store and should_claim(sight, own_rank, len(members), listed):
             self._claiming.add(group)
-            if self._task_group is not None:
-                self._task_group.start_soon(self._claim, group, sight)
+            self._task_group.start_soon(self._claim, group, sight)
+        elif not has_store and should_claim(sight, own_rank, listed, listed):
+            self._hold_provisionally(group, known, own_rank)
+
+    def _hold_provisionally(self, group: str, known: KnownHolder, own_rank: int) -> None:
+        """Becomes the holder without a claim, for the daemons that are reached."""
+        fence = provisional_fence(known.fence, own_rank)
+        listed = Counter(self._list_members().values())
+        own_domain = self._network.identity.failure_domain
+        reached = Counter(m.identity.failure_domain for m in self.live_members())
+        reached[own_domain] += 1
+        if not known.fence or not fence or self._fenced_off.get(group) == known.fence:
+            return
+        if not may_hold_provisionally(reached, listed, own_domain):
+            return
+        logger.warning(
+            "holding {} without a claim: neither store nor holder is heard",
+            group,
+            extra={"group": group, "fence": fence, "former": known.fence, "reached": dict(reached)},
+        )
+        self._fenced_off[group] = fence
+        self._claiming.add(group)
+        if self._task_group is not None:
+            self._task_group.start_soon(self._hold, group, fence, 0)
 
     def _holder_name(self, known: KnownHolder) -> str:
         for member in self._network.members():
@@ -184,13 +236,14 @@
 
     async def _claim(self, group: str, sight: HolderSight) -> None:
         try:
-            fence = await self._try_claim(group)
+            revision = await self._try_claim(group)
         except StoreError as error:
             logger.info("claim on {} not made: {}", group, error.message)
             return
         finally:
             self._claiming.discard(group)
-        if fence:
+        if revision:
+            fence = claim_fence(revision)
             logger.info(
                 "claimed {}",
                 group,
@@ -202,20 +255,19 @@
                     "holder_leaving": sight.is_leaving,
                 },
             )
-            await self._hold(group, fence)
+            await self._hold(group, fence, revision)
 
     async def _try_claim(self, group: str) -> int:
-        """Replaces the claim unless it is newer than the known one; returns the fence or 0."""
+        """Replaces the claim unless it is newer than the known one; returns its revision or 0."""
         known = self.known[group]
         key = claim_key(group)
         entry = await self._store.get(key)
         revision = entry.revision if entry is not None else 0
-        if revision > known.fence:
-            known.fence = revision
-            known.incarnation = _read_claimant(entry.value)
-            known.heard_s = self._clock.now_s()
+        if claim_fence(revision) > known.fence:
+            claimant = _read_claimant(entry.value)
+            known.change(claim_fence(revision), claimant, self._clock.now_s())
             known.is_leaving = False
-            if known.incarnation != self.own_incarnation:
+            if claimant != self.own_incarnation:
                 return 0
             return revision  # an earlier try whose answer was lost
         identity = self._network.identity
@@ -226,12 +278,12 @@
             known.heard_s = self._clock.now_s()
             return 0
 
-    async def _hold(self, group: str, fence: int) -> None:
+    async def _hold(self, group: str, fence: int, claim_revision: int) -> None:
         known = self.known[group]
-        now_s = self._clock.now_s()
         inherited = known.endpoints
-        known.fence, known.incarnation = fence, self.own_incarnation
-        known.heard_s, known.is_leaving = now_s, False
+        known.change(fence, self.own_incarnation, self._clock.now_s())
+        known.is_leaving = False
+        self._claiming.discard(group)
         holder = Holder(
             group,
             fence,
@@ -243,6 +295,8 @@
             self._has_store_elsewhere,
             inherited,
             self._models.setdefault(group, RunTimeModel()),
+            self._is_entry_alive,
+            claim_revision,
         )
         self.holders[group] = holder
         try:
@@ -250,8 +304,14 @@
         finally:
             del self.holders[group]
             if known.incarnation == self.own_incarnation:
-                known.heard_s = self._clock.now_s()
-                known.incarnation = ""
+                known.change(known.fence, "", self._clock.now_s())
+
+    def _is_entry_alive(self, incarnation: str) -> bool:
+        """Tells whether a daemon was heard lately, or is this one."""
+        if incarnation == self.own_incarnation:
+            return True
+        oldest_s = self._clock.now_s() - ENTRY_SILENCE_S
+        return any(link.last_received_s > oldest_s for link in self._network.links(incarnation))
 
     def _has_store_elsewhere(self) -> bool:
         """Tells whether another daemon may reach the store, as far as is known."""
@@ -285,8 +345,7 @@
                 sender.daemon_id,
                 extra={"group": message.group, "fence": message.fence, "former": known.fence},
             )
-        known.fence, known.incarnation = message.fence, sender.incarnation
-        known.heard_s = self._clock.now_s()
+        known.change(message.fence, sender.incarnation, self._clock.now_s())
         known.is_leaving = message.leaving
         known.endpoints = frozenset(message.endpoints)
 
@@ -295,16 +354,16 @@
     def require_holder(self, group: str) -> Holder:
         """Returns the holder that runs here.
 
-        :raises TenureLostError: if there is none.
+        :raises NotHolderError: if there is none.
         """
         holder = self.holders.get(group)
         if holder is None:
-            raise TenureLostError("not the holder", retry_after_s=HEARTBEAT_INTERVAL_S)
+            raise NotHolderError("not the holder", retry_after_s=HEARTBEAT_INTERVAL_S)
         return holder
 
     async def _answer_hand_in(self, sender: DaemonIdentity, message: HandIn) -> HandInReply:
         holder = self.require_holder(message.job.terms.service)
-        return await holder.hand_in(message.job, sender.incarnation)
+        return await holder.hand_in(message, sender.incarnation)
 
     async def _answer_state(self, _: DaemonIdentity, message: AskState) -> StateReply:
         return StateReply(await self.require_holder(message.group).find_state(message.job_id))
@@ -312,6 +371,11 @@
     async def _answer_cancel(self, _: DaemonIdentity, message: CancelStored) -> StateReply:
         return StateReply(await self.require_holder(message.group).cancel(message.job_id))
 
+    def _take_drop(self, sender: DaemonIdentity, message: DropJob) -> None:
+        holder = self.holders.get(message.group)
+        if holder is not None:
+            holder.drop(message.job_id, f"its caller at {sender.daemon_id} has gone")
+
     async def _answer_pending(self, _: DaemonIdentity, message: AskPending) -> PendingReply:
         holder = self.require_holder(message.group)
         if not holder.is_loaded:
--- a/berylproxy/durable/messages.py
+++ b/berylproxy/durable/messages.py
@@ -7,21 +7,37 @@
 
 @dataclass(frozen=True, slots=True)
 class HandIn:
-    """Asks the holder to store and carry out a job."""
+    """Asks the holder to carry out a job: to store it first, or to answer when it has ended.
+
+    :param attempt: how many holders it may have reached before.
+    :param wait_s: how long the caller waits for the answer.
+    """
 
     job: JobSpec
+    attempt: int = 0
+    wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class HandInReply:
     """What the holder made of it.
 
-    :param refusal: empty if the job is stored; else why it is not and never will be.
+    :param refusal: empty if the job was taken; else why it was not and never will be.
     :param retry_after_s: when it is useful to come back.
+    :param state: how a job that is not kept has ended.
     """
 
     refusal: str = ""
     retry_after_s: float = 0.0
+    state: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DropJob:
+    """Tells the holder that nobody waits for a job any more."""
+
+    group: str
+    job_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +82,7 @@
 class HolderHeartbeat:
     """Tells that the sender is the holder of a group.
 
-    :param fence: revision of its claim; the highest counts.
+    :param fence: the fence of its tenure; the highest counts.
     :param endpoints: identifiers of the endpoints that it has given work.
     :param leaving: whether another daemon should take over at once.
     """
@@ -87,6 +103,7 @@
 DURABLE_MESSAGES = (
     HandIn,
     HandInReply,
+    DropJob,
     AskState,
     CancelStored,
     StateReply,
--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -109,12 +109,15 @@
     """A job as it was handed in.
 
     :param payload: text that goes to the endpoints with each task.
+    :param is_kept: whether it is stored and outlives its caller's request; one that is not ends
+        with the request.
     """
 
     job_id: str
     terms: QueueTerms
     payload: str
     steps: tuple[StepSpec, ...]
+    is_kept: bool = True
 
 
 class TaskName(NamedTuple):
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -31,6 +31,11 @@
     return terms.objective_factor * job.expected_s + terms.objective_s
 
 
+def last_useful_s(job: Job) -> float:
+    """Returns the time after which a job's answer is of no use."""
+    return min(job.accepted_s + LATE_FACTOR * objective_s(job), job.deadline_s)
+
+
 def rank_job(job: Job, now_s: float) -> tuple[int, float, float]:
     """Orders jobs: on time before late before hopeless, then by the time left to start."""
     age_s = now_s - job.accepted_s
@@ -38,7 +43,7 @@
     slack_s = limit_s - age_s - job.expected_s
     if slack_s >= 0:
         return 0, slack_s, job.accepted_s
-    late_slack_s = LATE_FACTOR * limit_s - age_s - job.expected_s
+    late_slack_s = last_useful_s(job) - now_s - job.expected_s
     if late_slack_s >= 0:
         return 1, late_slack_s, job.accepted_s
     return 2, job.accepted_s, job.accepted_s
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -5,10 +5,11 @@
 from urllib.parse import unquote
 
 import orjson
+from anyio import create_task_group
 from logbook import Logger
 
 from berylproxy.durable.entry import EntryDesk, NotAcceptedError, NotKnownError
-from berylproxy.durable.models import JobSpec, StepSpec
+from berylproxy.durable.models import JobSpec, JobState, StepSpec
 from berylproxy.errors import BerylproxyError
 from berylproxy.platform.configuration import JobRoute, PlatformConfiguration
 from berylproxy.platform.endpoints import decode_needs
@@ -22,7 +23,7 @@
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
 UNSUPPORTED_STEP_FIELDS = ("gang", "persistent", "image", "fills", "may-miss", "speculative")
-UNSUPPORTED_JOB_FIELDS = ("repeats", "best-effort")
+UNSUPPORTED_JOB_FIELDS = ("repeats",)
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -104,6 +105,7 @@
             await self._answer(send, 404, {"error": "no such queue"})
             return
         job_id = path[len(route.prefix) :]
+        logger.debug("headers {}", headers)
         wait_s = _read_wait_s(headers, route) - ANSWER_MARGIN_S
         method = scope["method"]
         if method == "GET" and not job_id:
@@ -113,8 +115,14 @@
             await self._answer(send, 404, {"error": "no such job"})
         elif method == "POST":
             body = await _read_body(receive, configuration.max_body_bytes)
-            await self._desk.hand_in(decode_job(job_id, route, body), wait_s)
-            await self._answer(send, 200, {})
+            job = decode_job(job_id, route, body)
+            if job.is_kept:
+                await self._desk.hand_in(job, wait_s)
+                await self._answer(send, 200, {})
+            else:
+                state = await self._carry_out(job, wait_s, receive)
+                if state is not None:
+                    await self._answer(send, 200, {"state": state.value})
         elif method == "GET":
             groups = _order_groups(configuration, route)
             state = await self._desk.find_state(groups, job_id, wait_s)
@@ -129,6 +137,26 @@
         else:
             await self._answer(send, 405, {"error": "POST, GET and DELETE are served"})
 
+    async def _carry_out(self, job: JobSpec, wait_s: float, receive: Receive) -> JobState | None:
+        """Carries a job out unless the caller goes away first: ``None`` then."""
+        states, errors = [], []
+
+        async def carry_out() -> None:
+            try:
+                states.append(await self._desk.carry_out(job, wait_s))
+            except BerylproxyError as error:
+                errors.append(error)
+            task_group.cancel_scope.cancel()
+
+        async with create_task_group() as task_group:
+            task_group.start_soon(carry_out)
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            task_group.cancel_scope.cancel()
+        if errors:
+            raise errors[0]
+        return states[0] if states else None
+
     async def _answer(
         self, send: Send, status: int, content: Any = None, retry_after_s: float | None = None
     ) -> None:
@@ -166,7 +194,8 @@
     if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
         raise RequestInvalidError(f"steps must be a list of 1 to {MAX_STEPS}")
     steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
-    return JobSpec(job_id, route.terms, payload, steps)
+    # A job with "best-effort" is answered when it has ended, and need not be stored.
+    return JobSpec(job_id, route.terms, payload, steps, is_kept=not content.get("best-effort"))
 
 
 def _decode_step(number: int, row: Any) -> StepSpec:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -57,7 +57,7 @@
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
         self._configuration = PlatformConfiguration()
-        self._listed: frozenset[str] = frozenset()
+        self._listed: dict[str, str] = {}
         self._is_stopping = False
         self._is_ready = True
         self._stopped = Event()
@@ -190,7 +190,12 @@
     async def _follow_members(self) -> None:
         """Keeps this daemon in the store's list of members, and dials the others."""
         lease_id, renewed_s = 0, 0.0
-        value = orjson.dumps({"peer_address": self._identity.peer_address})
+        value = orjson.dumps(
+            {
+                "peer_address": self._identity.peer_address,
+                "failure_domain": self._identity.failure_domain,
+            }
+        )
         while True:
             try:
                 if not self._is_stopping and monotonic() - renewed_s >= MEMBER_RENEWAL_S:
@@ -209,17 +214,18 @@
 
     async def _list_members(self) -> None:
         page = await self._store.read_page(MEMBER_PREFIX, may_be_stale=len(self._listed) > 1)
-        names = set()
+        listed = {}
         for entry in page.entries:
-            names.add(entry.key.removeprefix(MEMBER_PREFIX))
             try:
-                address = orjson.loads(entry.value)["peer_address"]
+                member = orjson.loads(entry.value)
+                address, domain = member["peer_address"], member["failure_domain"]
             except (ValueError, TypeError, KeyError) as error:
                 logger.warning("member {} can't be read: {!r}", entry.key, error)
                 continue
+            listed[entry.key.removeprefix(MEMBER_PREFIX)] = domain
             if address != self._identity.peer_address:
                 self._network.add_address(address)
-        self._listed = frozenset(names)
+        self._listed = listed
 
     async def _wait_for_stop(self) -> None:
         with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -250,5 +256,3 @@
         redial_max_delay_s=0.5,
         handshake_timeout_s=0.5,
     )
-
-
--- a/berylproxy/records/api.py
+++ b/berylproxy/records/api.py
@@ -11,7 +11,6 @@
 
 from berylproxy.errors import BerylproxyError
 from berylproxy.http_responses import make_json_response
-from berylproxy.store.port import ABSENT_REVISION
 from berylproxy.records.editor import RecordEditor
 from berylproxy.records.envelope import make_key, parse_json, split_key
 from berylproxy.records.errors import (
@@ -27,6 +26,7 @@
 )
 from berylproxy.records.schemas import parse_kind
 from berylproxy.records.view import RecordView, ViewedRecord
+from berylproxy.store.port import ABSENT_REVISION
 
 MAX_BODY_BYTES = 64 * 1024
 ETAG_PATTERN = re.compile(r'"([1-9][0-9]{0,18})"')
--- a/berylproxy/records/editor.py
+++ b/berylproxy/records/editor.py
@@ -7,15 +7,6 @@
 
 import anyio
 
-from berylproxy.store.port import (
-    ABSENT_REVISION,
-    Entry,
-    Store,
-    StoreConflictError,
-    StoreError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
 from berylproxy.records.envelope import (
     MARK_KEY,
     Envelope,
@@ -34,6 +25,15 @@
 from berylproxy.records.references import check_references, check_unused
 from berylproxy.records.schemas import Record, check_name, parse_kind, parse_record
 from berylproxy.records.view import RecordView
+from berylproxy.store.port import (
+    ABSENT_REVISION,
+    Entry,
+    Store,
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 
 CALL_TIMEOUT_S = 3.0
 OUTCOME_TIMEOUT_S = 6.0  # bounds the search for the truth after a lost answer
--- a/berylproxy/records/messages.py
+++ b/berylproxy/records/messages.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from berylproxy.store.port import Entry
 from berylproxy.records.envelope import KEY_PREFIX
 from berylproxy.records.errors import RecordError
+from berylproxy.store.port import Entry
 
 MAX_MESSAGE_BYTES = 256 * 1024
 ITEM_OVERHEAD_BYTES = 32  # list, length and integer headers of one item
--- a/berylproxy/records/spread.py
+++ b/berylproxy/records/spread.py
@@ -14,7 +14,6 @@
 from logbook import Logger
 
 from berylproxy.peers.membership import Member, MemberStatus, PeerError, PeerNetwork
-from berylproxy.store.port import Entry
 from berylproxy.records.digest import choose_bucket
 from berylproxy.records.messages import (
     ITEM_OVERHEAD_BYTES,
@@ -29,6 +28,7 @@
     unpack_tombstones,
 )
 from berylproxy.records.view import RecordView
+from berylproxy.store.port import Entry
 
 CONFIG_PART = "config"  # the records' part of a heartbeat
 MAX_CHUNKS = 4_096
--- a/berylproxy/records/view.py
+++ b/berylproxy/records/view.py
@@ -12,13 +12,13 @@
 import anyio
 from logbook import Logger
 
-from berylproxy.store.port import Entry, Listing
 from berylproxy.records.digest import BucketDigests
 from berylproxy.records.envelope import MARK_KEY, decode_envelope, make_key, split_key
 from berylproxy.records.errors import RecordError
 from berylproxy.records.models import Configuration
 from berylproxy.records.references import list_dangling
 from berylproxy.records.schemas import Record, RecordKind, parse_record
+from berylproxy.store.port import Entry, Listing
 
 MAX_TOMBSTONES = 8_192
 
--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -7,6 +7,9 @@
 import anyio
 from logbook import Logger
 
+from berylproxy.records.backoff import Backoff
+from berylproxy.records.envelope import KEY_PREFIX, MARK_KEY
+from berylproxy.records.view import RecordView, ViewSnapshot
 from berylproxy.store.port import (
     ChangeBatch,
     Listing,
@@ -14,9 +17,6 @@
     StoreError,
     StoreUnavailableError,
 )
-from berylproxy.records.backoff import Backoff
-from berylproxy.records.envelope import KEY_PREFIX, MARK_KEY
-from berylproxy.records.view import RecordView, ViewSnapshot
 
 logger = Logger(__name__)
 
--- a/tests/steps/records_view_steps.py
+++ b/tests/steps/records_view_steps.py
@@ -4,9 +4,9 @@
 
 from behave import given, then, when
 
-from berylproxy.store.port import Entry
 from berylproxy.records.envelope import Envelope, encode_envelope, make_key
 from berylproxy.records.view import RecordView
+from berylproxy.store.port import Entry
 from tests.support.records_world import ENDPOINT_V1, ENDPOINT_V2, POOL
 
 
--- a/tests/steps/records_watcher_steps.py
+++ b/tests/steps/records_watcher_steps.py
@@ -4,11 +4,11 @@
 
 from behave import given, then, when
 
-from berylproxy.store.port import Entry, Listing
 from berylproxy.records.backoff import Backoff
 from berylproxy.records.envelope import make_key
 from berylproxy.records.view import RecordView
 from berylproxy.records.watcher import StoreState, find_reversal
+from berylproxy.store.port import Entry, Listing
 from tests.support.records_world import POOL
 
 ALL = 1_000_000
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -42,12 +42,12 @@
     SlotRelease,
     UpdateDemand,
 )
-from berylproxy.store.port import Entry, Listing
 from berylproxy.records.envelope import Envelope, encode_envelope, make_key
 from berylproxy.records.messages import FetchRecords, Records
 from berylproxy.records.models import Endpoint, Service
 from berylproxy.records.spread import RecordSpreader
 from berylproxy.records.view import RecordView
+from berylproxy.store.port import Entry, Listing
 from standins.cluster import Cluster, EndpointPlan
 from tests.support.memory_store import MemoryStore
 from tests.support.records_world import ENDPOINT_V2, POOL, TEAM
