Hold tasks back until endpoints obey the holder; end requests before hypercorn's timeout

Now it is judged for each job from the moment it is handed in, and what a former holder left at an endpoint is kept for a moment after that endpoint is contacted. Test: 'jobs are handed in again long after the takeover', fails before.

Now requests are answered before the grace time is over, and serve returns by itself.

Also: speeds of endpoints are relative to their mean.

--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -1,8 +1,8 @@
 """Who becomes the holder of a group, and when. The decisions are pure.
 
-A claim needs no lease: whoever takes the holder for dead replaces its claim by compare-and-swap, and
-the revision of the new claim makes the fence under which endpoints refuse the former holder. A wrong
-suspicion costs a change of holder and no work.
+A claim needs no lease: whoever takes the holder for dead replaces its claim by compare-and-swap,
+and the revision of the new claim makes the fence under which endpoints refuse the former holder. A
+wrong suspicion costs a change of holder and no work.
 
 While the store is away no claim can be replaced. A daemon then takes a provisional fence between
 those of two claims: above the last claim known, below any later one.
--- a/berylproxy/durable/estimates.py
+++ b/berylproxy/durable/estimates.py
@@ -31,6 +31,7 @@
 
     _queues: dict[str, QueueHistory] = field(default_factory=dict)
     _speeds: dict[str, float] = field(default_factory=dict)
+    _total_log_speed: float = 0.0
 
     def expect_s(self, queue: str, estimate_s: float) -> float:
         """Expects a task's run time at speed 1: between its estimate and its queue's mean."""
@@ -43,22 +44,33 @@
         return exp((log(max(estimate_s, SHORTEST_RUN_TIME_S)) + history.mean_log_s) / 2)
 
     def speed(self, endpoint_id: str) -> float:
-        """Returns an endpoint's speed; 1 until it is known."""
-        return exp(self._speeds.get(endpoint_id, 0.0))
+        """Returns an endpoint's speed against the mean of all; 1 until it is known."""
+        return exp(self._log_speed(endpoint_id))
+
+    def _mean_log_speed(self) -> float:
+        return self._total_log_speed / len(self._speeds) if self._speeds else 0.0
+
+    def _log_speed(self, endpoint_id: str) -> float:
+        if endpoint_id not in self._speeds:
+            return 0.0
+        return self._speeds[endpoint_id] - self._mean_log_speed()
 
     def learn(self, queue: str, estimate_s: float, endpoint_id: str, run_time_s: float) -> None:
         """Takes the run time of a task that was done."""
         observed = log(max(run_time_s, SHORTEST_RUN_TIME_S))
         expected = log(self.expect_s(queue, estimate_s))
-        speed = self._speeds.get(endpoint_id, 0.0)
+        speed = self._speeds.get(endpoint_id, self._mean_log_speed())
         limit = log(MAX_SPEED_RATIO)
         shown = min(max(expected - observed, -limit), limit)
+        self.forget(endpoint_id)
         self._speeds[endpoint_id] = speed + SPEED_LEARNING_RATE * (shown - speed)
+        self._total_log_speed += self._speeds[endpoint_id]
         history = self._queues.setdefault(queue, QueueHistory())
         history.seen += 1
         rate = max(QUEUE_LEARNING_RATE, 1 / history.seen)
-        history.mean_log_s += rate * (observed + speed - history.mean_log_s)
+        relative = self._log_speed(endpoint_id)
+        history.mean_log_s += rate * (observed + relative - history.mean_log_s)
 
     def forget(self, endpoint_id: str) -> None:
         """Drops an endpoint that is gone."""
-        self._speeds.pop(endpoint_id, None)
+        self._total_log_speed -= self._speeds.pop(endpoint_id, 0.0)
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -35,7 +35,7 @@
     """What the holder knows of one life of an endpoint.
 
     :ivar present: what may run there, by task and run, with the room it takes.
-    :ivar is_contacted: whether it has answered under this holder's fence.
+    :ivar contacted_s: when it first answered under this holder's fence; ``None`` until then.
     :ivar missed_calls: calls in a row without an answer.
     :ivar is_listed: whether the platform's list names it.
     :ivar closed_until_s: monotonic time before which nothing is started there.
@@ -46,7 +46,7 @@
     ends: dict[int, EndedRun] = field(default_factory=dict)
     released: set[int] = field(default_factory=set)
     acknowledged: int = 0
-    is_contacted: bool = False
+    contacted_s: float | None = None
     is_listed: bool = True
     missed_calls: int = 0
     closed_until_s: float = 0.0
@@ -54,6 +54,11 @@
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Needs = field(default_factory=Needs)
 
+    @property
+    def is_contacted(self) -> bool:
+        """Whether it takes orders under this holder's fence only."""
+        return self.contacted_s is not None
+
     @property
     def room(self) -> Needs:
         """What is left of its capacity; stopping runs still count."""
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -92,6 +92,26 @@
     seen_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class UnresolvedJob:
+    """A job that a former holder may be carrying out at endpoints that are not contacted yet."""
+
+    job: Job
+    since_s: float
+
+
+def can_resolve(age_s: float, are_contacted: bool, is_complete: bool) -> bool:
+    """Tells whether a task that no endpoint shows is certainly not running.
+
+    :param age_s: time since the job was loaded or handed in again.
+    :param are_contacted: whether all listed endpoints follow this holder's fence.
+    :param is_complete: whether all endpoints that the former holder used are listed.
+    """
+    if not are_contacted:
+        return age_s >= FOREIGN_TENURE_S
+    return is_complete or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+
+
 @dataclass(slots=True, eq=False)
 class Wait:
     """Callers that wait for the end of a job that isn't kept."""
@@ -164,10 +184,10 @@
         self._confirmed_s = self._began_s
         self._listed_s = self._began_s
         self._has_list = False
-        self._unresolved: set[EndpointLife] = set()
-        self._loaded_jobs: list[Job] = []
+        self._unresolved: list[UnresolvedJob] = []
         self._handing_in: dict[str, Acceptance] = {}
         self._uncertain: set[str] = set()
+        self._storing_progress: set[str] = set()
         self._dispatch = Event()
         self._ledger = Ledger(store, (claim_key(group), claim_revision), self._note_confirmed)
         self._task_group: TaskGroup | None = None
@@ -226,7 +246,7 @@
         logger.info(
             "holder of {}: {} open jobs loaded",
             self.group,
-            len(self._loaded_jobs),
+            len(self._unresolved),
             extra=self._extra(),
         )
 
@@ -241,7 +261,7 @@
         first_run = self.fence * RUN_NUMBERS_PER_TENURE
         job = self.book.open(stored, now_s - age_s, first_run=first_run)
         job.expected_s = self._expect(stored.spec)
-        self._loaded_jobs.append(job)
+        self._unresolved.append(UnresolvedJob(job, now_s))
 
     # Callers' requests
 
@@ -277,7 +297,7 @@
 
     async def _carry_out(self, message: HandIn, entry: str) -> HandInReply:
         """Carries out a job that isn't kept and waits for its end."""
-        spec, job_id = message.job, message.job.job_id
+        job_id = message.job.job_id
         job, outcome = self.book.jobs.get(job_id), self.book.state(job_id)
         if job is not None:
             job.entry = entry
@@ -307,10 +327,9 @@
         job = self.book.open(stored, now_s, entry=entry, first_run=first_run)
         job.expected_s, job.deadline_s = draft.expected_s, draft.deadline_s
         self._count("accepted")
-        if self._is_young(now_s):
-            self._adopt_orphans(job, now_s)
+        self._adopt_orphans(job, now_s)
         if message.attempt:
-            self._loaded_jobs.append(job)
+            self._unresolved.append(UnresolvedJob(job, now_s))
         self._dispatch.set()
         return None
 
@@ -331,9 +350,9 @@
         if job.is_final:
             self._finish(job, [])
 
-    def _is_young(self, now_s: float) -> bool:
-        """Whether jobs of the former holder may still be handed in again."""
-        return now_s - self._began_s < ORPHAN_GRACE_S
+    def _may_have_orphans(self, endpoint: EndpointState, now_s: float) -> bool:
+        """Tells whether a former holder's jobs there may still be handed in again."""
+        return endpoint.contacted_s is None or now_s - endpoint.contacted_s < ORPHAN_GRACE_S
 
     def drop(self, job_id: str, reason: str) -> None:
         """Gives a job up that isn't kept: nobody waits for it."""
@@ -498,8 +517,6 @@
         self.endpoints[facts.life] = endpoint
         self._calls[facts.life] = self._directory.connect(facts)
         self._wakeups[facts.life] = Event()
-        if self._clock.now_s() - self._began_s < FOREIGN_TENURE_S:
-            self._unresolved.add(facts.life)
         if self._task_group is not None:
             self._task_group.start_soon(self._follow_endpoint, endpoint)
 
@@ -558,8 +575,6 @@
         endpoint.missed_calls += 1
         if endpoint.present and now_s > calls.lease_end_s():
             self._lapse_all(endpoint)
-        if not endpoint.is_contacted and now_s > self._began_s + FOREIGN_TENURE_S:
-            self._note_resolved(endpoint.facts.life)
 
     def _lapse_all(self, endpoint: EndpointState) -> None:
         """Lets the tasks of an endpoint wait again whose leases have certainly lapsed."""
@@ -587,11 +602,8 @@
         logger.info("endpoint forgotten: {}", reason, extra=self._extra(endpoint=life.endpoint_id))
         self._lapse_all(endpoint)
         self.endpoints.pop(life, None)
+        self.model.forget(life.endpoint_id)
         self._missing_since_s.pop(life, None)
-        self._note_resolved(life)
-
-    def _note_resolved(self, life: EndpointLife) -> None:
-        self._unresolved.discard(life)
 
     def _take_report(self, endpoint: EndpointState, report: EndpointReport) -> None:
         now_s = self._clock.now_s()
@@ -611,9 +623,8 @@
         for (name, run), present in list(endpoint.present.items()):
             if (name, run) not in shown and present.is_over(report.sent_s):
                 self._drop_run(endpoint, name, run, "its endpoint does not run it")
-        if not endpoint.is_contacted:
-            endpoint.is_contacted = True
-            self._note_resolved(endpoint.facts.life)
+        if endpoint.contacted_s is None:
+            endpoint.contacted_s = now_s
         self._dispatch.set()
 
     def _take_running(self, endpoint: EndpointState, running: RunningTask, now_s: float) -> None:
@@ -625,7 +636,11 @@
             present = endpoint.occupy(running.name, running.run, needs)
         present.answered_s = min(present.answered_s, now_s)
         present.is_uncertain = False
-        if task is None and running.name.job_id not in self.book.jobs and self._is_young(now_s):
+        if (
+            task is None
+            and running.name.job_id not in self.book.jobs
+            and self._may_have_orphans(endpoint, now_s)
+        ):
             return  # its job may be handed in again
         if task is None or not self._may_adopt(task, life, running.run):
             self._stop_soon(endpoint, running.name, running.run)
@@ -647,7 +662,7 @@
         endpoint.vacate(end.name, end.run)
         task = self.book.find_task(end.name)
         job = self.book.jobs.get(end.name.job_id)
-        if job is None and self._is_young(now_s):
+        if job is None and self._may_have_orphans(endpoint, now_s):
             self._orphan_ends.append(KeptEnd(endpoint, end.number, now_s))
         elif job is None or not job.spec.is_kept:
             endpoint.release(end.number)
@@ -735,7 +750,7 @@
         while True:
             await self._dispatch.wait()
             self._dispatch = Event()
-            self._resolve_loaded()
+            self._resolve_jobs()
             place_waiting(
                 self.book,
                 self.endpoints.values(),
@@ -744,19 +759,22 @@
                 self._order,
             )
 
-    def _resolve_loaded(self) -> None:
-        """Lets loaded tasks wait once every endpoint that may run them was heard."""
-        if not self._loaded_jobs or not self._has_list or self._unresolved:
+    def _resolve_jobs(self) -> None:
+        """Lets tasks wait for a start once every endpoint that may run them was heard."""
+        if not self._unresolved or not self._has_list:
             return
+        now_s = self._clock.now_s()
+        are_contacted = all(endpoint.is_contacted for endpoint in self.endpoints.values())
         listed = {life.endpoint_id for life in self.endpoints}
         is_complete = self._inherited is not None and self._inherited <= listed
-        age_s = self._clock.now_s() - self._began_s
-        if not is_complete and age_s < LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S:
-            return
-        for job in self._loaded_jobs:
-            if not job.is_final:
-                self.book.resolve(job)
-        self._loaded_jobs = []
+        left = []
+        for unresolved in self._unresolved:
+            age_s = now_s - unresolved.since_s
+            if not unresolved.job.is_final and not can_resolve(age_s, are_contacted, is_complete):
+                left.append(unresolved)
+            elif not unresolved.job.is_final:
+                self.book.resolve(unresolved.job)
+        self._unresolved = left
 
     def _order(self, task: Task, endpoint: EndpointState) -> None:
         now_s = self._clock.now_s()
@@ -878,8 +896,17 @@
             kept.endpoint.release(kept.number)
         self._stored.pop(job_id).set()
 
+    def _store_old_progress(self, now_s: float) -> None:
+        """Begins to store what endpoints would otherwise have to remember for long."""
+        for job_id, ends in self._kept_ends.items():
+            job = self.book.jobs.get(job_id)
+            if job is None or job.is_final or job_id in self._storing_progress:
+                continue
+            if ends and now_s - ends[0].seen_s > PROGRESS_AGE_S and self._task_group is not None:
+                self._storing_progress.add(job_id)
+                self._task_group.start_soon(self._store_progress, job)
+
     async def _store_progress(self, job: Job) -> None:
-        """Stores what endpoints would otherwise have to remember for long."""
         job_id = job.spec.job_id
         kept = list(self._kept_ends.get(job_id, ()))
         stored = StoredJob(job.spec, job.accepted_unix_s, job.progress())
@@ -895,6 +922,8 @@
         except (StoreError, AlreadyThereError) as error:
             logger.debug("progress of {} not stored: {}", job_id, error.message)
             return
+        finally:
+            self._storing_progress.discard(job_id)
         left = [end for end in self._kept_ends.get(job_id, ()) if end not in kept]
         if job_id in self._kept_ends:
             self._kept_ends[job_id] = left
@@ -907,23 +936,25 @@
         while True:
             await sleep(TICK_S)
             now_s = self._clock.now_s()
-            for job_id, ends in list(self._kept_ends.items()):
-                job = self.book.jobs.get(job_id)
-                if job is not None and not job.is_final and ends:
-                    if now_s - ends[0].seen_s > PROGRESS_AGE_S:
-                        await self._store_progress(job)
+            self._store_old_progress(now_s)
             self._move_stalled(now_s)
             self._give_up_unkept(now_s)
-            if self._orphan_ends and not self._is_young(now_s):
-                for kept in self._orphan_ends:
-                    kept.endpoint.release(kept.number)
-                self._orphan_ends = []
+            self._release_orphan_ends(now_s)
             if (
                 any(endpoint.closed_until_s for endpoint in self.endpoints.values())
-                or self._loaded_jobs
+                or self._unresolved
             ):
                 self._dispatch.set()
 
+    def _release_orphan_ends(self, now_s: float) -> None:
+        left = []
+        for kept in self._orphan_ends:
+            if self._may_have_orphans(kept.endpoint, now_s):
+                left.append(kept)
+            else:
+                kept.endpoint.release(kept.number)
+        self._orphan_ends = left
+
     def _give_up_unkept(self, now_s: float) -> None:
         """Ends the jobs that nobody waits for, or that would end too late if they began now."""
         for job in list(self.book.jobs.values()):
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -1,4 +1,4 @@
-"""One daemon's part in durable jobs: follows the holders of all groups and becomes one if needed."""
+"""One daemon's part in durable jobs: follows the holders of all groups, becomes one if needed."""
 
 from collections import Counter
 from collections.abc import Callable
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -5,7 +5,7 @@
 from urllib.parse import unquote
 
 import orjson
-from anyio import create_task_group
+from anyio import Event, create_task_group
 from logbook import Logger
 
 from berylproxy.durable.entry import EntryDesk, NotAcceptedError, NotKnownError
@@ -62,6 +62,18 @@
         self._configuration = configuration
         self._is_ready = is_ready
         self._is_stopping = is_stopping
+        self._running = 0
+        self._idle = Event()
+        self._given_up = Event()
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no request is being served."""
+        while self._running:
+            await self._idle.wait()
+
+    def give_up(self) -> None:
+        """Answers the requests that wait for the end of a job at once, as unknown."""
+        self._given_up.set()
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Serves one request."""
@@ -73,6 +85,16 @@
         if scope["path"] == READY_PATH:
             await self._answer(send, 200 if self._is_ready() else 503)
             return
+        self._running += 1
+        try:
+            await self._serve_or_explain(scope, receive, send)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+                self._idle = Event()
+
+    async def _serve_or_explain(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         try:
             await self._serve(scope, receive, send)
         except RequestInvalidError as error:
@@ -148,14 +170,22 @@
                 errors.append(error)
             task_group.cancel_scope.cancel()
 
+        async def wait_for_stop() -> None:
+            await self._given_up.wait()
+            errors.append(NotKnownError("the daemon stops before the job's end"))
+            task_group.cancel_scope.cancel()
+
         async with create_task_group() as task_group:
             task_group.start_soon(carry_out)
+            task_group.start_soon(wait_for_stop)
             while (await receive())["type"] != "http.disconnect":
                 pass
             task_group.cancel_scope.cancel()
+        if states:
+            return states[0]
         if errors:
             raise errors[0]
-        return states[0] if states else None
+        return None
 
     async def _answer(
         self, send: Send, status: int, content: Any = None, retry_after_s: float | None = None
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -1,11 +1,12 @@
 """Builds the daemon for the users' platform from its parts and runs it until a planned stop."""
 
 import signal
+from asyncio import CancelledError, InvalidStateError
 from secrets import token_hex
 from time import monotonic
 
 import orjson
-from anyio import Event, create_task_group, open_signal_receiver, sleep
+from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from logbook import Logger
@@ -44,7 +45,8 @@
 INCARNATION_BYTES = 6
 STORE_SILENCE_S = 3.0  # without store and holder for longer, new callers go elsewhere
 BALANCER_NOTICE_S = 2.5  # the balancer asks once a second and believes two misses
-DRAIN_MARGIN_S = 0.7  # before the platform kills the process
+ANSWERING_SHARE = 0.85  # of the grace time; what is unfinished then is answered as unknown
+LAST_ANSWERS_S = 0.4  # for the last answers to be written
 
 logger = Logger(__name__)
 
@@ -89,34 +91,38 @@
             lambda states: self._desk.take_ended(states),
         )
         self._desk = EntryDesk(self._network, self._member, self._store, self._clock)
+        self._callers = PlatformCallers(
+            self._desk,
+            lambda: self._configuration,
+            self._check_ready,
+            lambda: self._is_stopping,
+        )
         async with create_task_group() as task_group:
             await task_group.start(self._network.run)
             task_group.start_soon(self._follow_configuration)
             task_group.start_soon(self._follow_members)
             task_group.start_soon(self._member.run)
-            task_group.start_soon(self._serve)
+            task_group.start_soon(self._wait_for_stop)
             logger.info("serving on {}", settings.callers_address)
-            await self._wait_for_stop()
+            await self._serve()
             task_group.cancel_scope.cancel()
         logger.info("stopped")
 
     async def _serve(self) -> None:
-        application = PlatformCallers(
-            self._desk,
-            lambda: self._configuration,
-            self._check_ready,
-            lambda: self._is_stopping,
-        )
         config = Config()
         config.bind = [self._settings.callers_address, self._settings.ready_address]
         config.keep_alive_timeout = 60.0
         config.keep_alive_max_requests = 1_000_000
-        config.graceful_timeout = self._settings.stop_grace_s
+        config.graceful_timeout = LAST_ANSWERS_S
         config.accesslog = None
         config.errorlog = None
         config.include_server_header = False
         config.include_date_header = False
-        await serve(application, config, shutdown_trigger=self._stopped.wait)
+        try:
+            await serve(self._callers, config, shutdown_trigger=self._stopped.wait)
+        except (CancelledError, InvalidStateError):
+            # hypercorn raises these when requests are left at the end of its graceful timeout
+            logger.warning("stopped with requests unanswered")
 
     def _check_ready(self) -> bool:
         if self._is_stopping or not self._configuration.version:
@@ -237,10 +243,11 @@
         self._is_stopping = True
         self._member.leave()
         self._network.announce_leaving()
-        await sleep(min(BALANCER_NOTICE_S, self._settings.stop_grace_s / 2))
+        with move_on_after(self._settings.stop_grace_s * ANSWERING_SHARE):
+            await sleep(min(BALANCER_NOTICE_S, self._settings.stop_grace_s / 2))
+            await self._callers.wait_until_idle()
+        self._callers.give_up()
         self._stopped.set()
-        left_s = self._settings.stop_grace_s - BALANCER_NOTICE_S - DRAIN_MARGIN_S
-        await sleep(max(left_s, 0.0))
 
 
 def _make_peer_settings(settings: PlatformSettings, key: bytes) -> PeerSettings:
--- /dev/null
+++ b/tests/durable/contention.feature
@@ -0,0 +1,47 @@
+Feature: Who becomes the holder of a group
+
+  Scenario Outline: a daemon claims a group when its holder is silent for long enough
+    Given a holder that is silent for <silence> s, <stream> open stream<leaving>
+    When a daemon of rank <rank> that reaches <reached> of <listed> others decides
+    Then it <claims> the group
+
+    Examples:
+      | silence | stream  | leaving         | rank | reached | listed | claims         |
+      | 0.3     | with an |                 | 0    | 5       | 5      | does not claim |
+      | 0.5     | with an |                 | 0    | 5       | 5      | claims         |
+      | 0.5     | with an |                 | 1    | 5       | 5      | does not claim |
+      | 0.6     | with an |                 | 1    | 5       | 5      | claims         |
+      | 0.12    | with no |                 | 0    | 5       | 5      | claims         |
+      | 0.5     | with an |                 | 0    | 2       | 5      | does not claim |
+      | 3.5     | with an |                 | 0    | 2       | 5      | claims         |
+      | 0.0     | with an | , and is leaving | 0   | 5       | 5      | claims         |
+
+  Scenario: one candidate goes first, whoever decides
+    Given candidates "d1" to "d5" of 1 core and "big" of 2 cores
+    Then each candidate has a rank of its own, and "big" the first
+
+  Scenario Outline: a provisional fence lies between those of two claims
+    Given the known fence is <known>
+    When a daemon of rank <rank> needs a provisional fence
+    Then the fence is <fence>
+
+    Examples:
+      | known | rank | fence |
+      | 160   | 0    | 161   |
+      | 160   | 3    | 164   |
+      | 161   | 0    | 162   |
+      | 170   | 2    | 171   |
+      | 175   | 0    | 0     |
+      | 160   | 15   | 0     |
+
+  Scenario Outline: only half of the daemons, or a whole failure domain, go on without the store
+    Given daemons are listed as <listed> and reached as <reached>
+    Then a daemon in domain "a" <may> hold provisionally
+
+    Examples:
+      | listed   | reached | may     |
+      | a3 b2 c1 | a3      | may     |
+      | a3 b2 c1 | a1      | may not |
+      | a1 b2 c3 | a1      | may     |
+      | a3 b2 c1 | a1 b1   | may not |
+      | a3 b2 c1 | a1 b2   | may     |
--- /dev/null
+++ b/tests/durable/decisions.feature
@@ -0,0 +1,73 @@
+Feature: Decisions about jobs, without a clock or a network
+
+  Scenario Outline: a lease has lapsed only when even a slow clock has passed its end
+    Given an endpoint's clock showed 5000 ms, asked at 10.0 s and answered at 10.2 s
+    When a lease of 1 s is sent at <sent> s
+    Then it ends at <end> ms on the endpoint's clock
+    And it has certainly lapsed after <lapsed> s
+
+    Examples:
+      | sent | end  | lapsed |
+      | 10.2 | 6000 | 11.281 |
+      | 10.5 | 6300 | 11.587 |
+
+  Scenario: an answer that overtook a newer one does not set the clock back
+    Given an endpoint's clock showed 5000 ms, asked at 10.0 s and answered at 10.2 s
+    When the endpoint's clock showed 4900 ms, asked at 9.8 s and answered at 10.3 s
+    And a lease of 1 s is sent at 10.2 s
+    Then it ends at 6000 ms on the endpoint's clock
+
+  Scenario: run times are learnt for queues and endpoints
+    Given 40 tasks of queue "q" with an estimate of 0.1 s took 0.2 s at "fast" and 0.4 s at "slow"
+    Then "fast" is about twice as fast as "slow"
+    And a task of queue "q" with an estimate of 0.1 s is expected to take longer than 0.12 s
+
+  Scenario: of waiting jobs the one that can still be in time goes first
+    Given jobs that wait:
+      | job  | age_s | run_time_s | objective_s |
+      | late | 0.5   | 0.2        | 0.4         |
+      | gone | 5.0   | 0.2        | 0.4         |
+      | easy | 0.0   | 0.2        | 2.0         |
+      | soon | 0.1   | 0.2        | 0.4         |
+    Then they start in the order "soon easy late gone"
+
+  Scenario: a task goes to the faster endpoint, and away from one where it failed
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    When a task of 20 cores is placed
+    Then it runs at "b"
+    When a task of 20 cores that failed at "b" is placed
+    Then it runs at "a"
+
+  Scenario: what is being stopped still takes room
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    When endpoint "b" has 50 cores in use by a run that is being stopped
+    And a task of 20 cores is placed
+    Then it runs at "a"
+
+  Scenario Outline: an endpoint that fails everything is closed, one that fails a bad task is not
+    Given an endpoint that failed <failures> tasks that had not failed elsewhere
+    Then it takes <takes> tasks after 0.1 s
+
+    Examples:
+      | failures | takes |
+      | 1        | new   |
+      | 2        | no    |
+
+  Scenario: ends are acknowledged in order, once their jobs are settled
+    Given an endpoint that listed the ends 1, 2 and 3
+    When the ends 1 and 3 may be forgotten
+    Then the ends up to 1 are acknowledged
+    When the end 2 may be forgotten
+    Then the ends up to 3 are acknowledged
+
+  Scenario Outline: a job is refused at once if its answer would come too late
+    Given 2 endpoints of 64 cores with <busy> s of work for each
+    When a job of <tasks> tasks of 20 cores and 0.2 s with an objective of 0.4 s comes
+    Then it is <taken>
+
+    Examples:
+      | busy | tasks | taken   |
+      | 0    | 4     | taken   |
+      | 0.5  | 4     | taken   |
+      | 3    | 4     | refused |
+      | 0    | 60    | refused |
--- /dev/null
+++ b/tests/durable/holder.feature
@@ -0,0 +1,118 @@
+Feature: The holder carries out the jobs of its endpoint group
+
+  Scenario: a job is carried out and its caller hears its end
+    Given a group of 3 endpoints whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And job "a" of 4 tasks is handed in
+    Then job "a" ends as "completed"
+    And each task of job "a" was done once
+
+  Scenario: a job whose tasks fail is failed after its last attempt
+    Given a group of 3 endpoints whose runs take 0.02 s
+    And every run of job "a" fails
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    Then job "a" ends as "failed"
+    And 3 runs of job "a" were started
+
+  Scenario: an order takes effect and its answer is lost
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And the answers of the next 2 starts are lost
+    When a holder with fence 16 takes over
+    And job "a" of 2 tasks is handed in
+    Then job "a" ends as "completed"
+    And each task of job "a" was done once
+    And 2 runs of job "a" were started
+
+  Scenario: an order is carried out late
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And the next 1 start is carried out 0.3 s late
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
+  Scenario: a new holder takes over the runs of a job that is handed in again
+    Given a group of 3 endpoints whose runs take 0.4 s
+    When a holder with fence 16 takes over
+    And job "a" of 6 tasks is handed in
+    And a holder with fence 32 takes over after 0.15 s
+    And job "a" of 6 tasks is handed in again
+    Then job "a" ends as "completed"
+    And each task of job "a" was done once
+    And 6 runs of job "a" were started
+
+  Scenario: a job that is handed in again waits for endpoints that still obey the former holder
+    Given a group of 2 endpoints whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And job "a" of 2 tasks is handed in
+    And endpoint 2 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.15 s
+    And endpoint 1 loses its runs
+    And job "a" of 2 tasks is handed in again
+    And endpoint 2 is reached by all holders after 0.5 s
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
+  Scenario: jobs are handed in again long after the takeover, when endpoints come back
+    Given a group of 2 endpoints whose runs take 0.9 s
+    And endpoint 2 is cut off from holders with fence 17
+    When a holder with fence 17 takes over
+    And a holder with fence 16 runs beside it
+    And 3.2 s have passed
+    And job "a" of 2 tasks is handed in to the holder with fence 16
+    And endpoint 2 is reached by all holders after 0.2 s
+    And job "a" of 2 tasks is handed in again
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
+  Scenario: a caller that goes away takes its job along
+    Given a group of 1 endpoint whose runs take 5 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    And the caller of job "a" goes away after 0.1 s
+    Then nothing runs at any endpoint within 0.3 s
+
+  Scenario: jobs whose entry daemon is silent are dropped
+    Given a group of 1 endpoint whose runs take 5 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    And the entry daemon is not heard any more
+    Then nothing runs at any endpoint within 0.3 s
+
+  Scenario: a kept job is stored before it starts, and its end as well
+    Given a group of 2 endpoints whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And kept job "k" of 3 tasks is handed in
+    Then kept job "k" is shown as "completed" within 1 s
+    And the store holds the end of job "k" and not the job
+
+  Scenario: a kept job goes on under a new holder, from what endpoints remember
+    Given a group of 2 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And kept job "k" of 6 tasks is handed in
+    And a holder with fence 32 takes over after 0.45 s
+    Then kept job "k" is shown as "completed" within 3 s
+    And each task of job "k" was done once
+
+  Scenario: the answer to storing a job is lost, and it is asked for again
+    Given a group of 1 endpoint whose runs take 0.05 s
+    And the answer to the next commit is lost
+    When a holder with fence 16 takes over
+    And kept job "k" of 1 task is handed in
+    Then kept job "k" is shown as "completed" within 1 s
+
+  Scenario: a kept job is refused while the job store is out
+    Given a group of 1 endpoint whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And the job store is out
+    Then kept job "k" is refused
+    And 0 runs of job "k" were started
+
+  Scenario: a cancelled kept job is stored as cancelled, and its runs are stopped
+    Given a group of 1 endpoint whose runs take 5 s
+    When a holder with fence 16 takes over
+    And kept job "k" of 2 tasks is handed in
+    And kept job "k" is cancelled after 0.1 s
+    Then kept job "k" is shown as "cancelled" within 1 s
+    And nothing runs at any endpoint within 0.3 s
--- /dev/null
+++ b/tests/steps/durable_decisions_steps.py
@@ -0,0 +1,280 @@
+"""Steps for the pure decisions about durable jobs."""
+
+from collections import Counter
+
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.durable.acceptance import judge
+from berylproxy.durable.book import JobBook
+from berylproxy.durable.contention import (
+    Candidate,
+    HolderSight,
+    may_hold_provisionally,
+    provisional_fence,
+    rank,
+    should_claim,
+)
+from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.leases import LeaseClock
+from berylproxy.durable.models import (
+    EndedRun,
+    EndKind,
+    EndpointFacts,
+    EndpointLife,
+    JobSpec,
+    Needs,
+    QueueTerms,
+    StepSpec,
+    StoredJob,
+    TaskName,
+)
+from berylproxy.durable.placement import place_waiting, rank_job
+
+GROUP = "ledger"
+
+
+def make_state(name, cores=64):
+    """Makes an endpoint that takes tasks."""
+    facts = EndpointFacts(
+        EndpointLife(name, 0), GROUP, f"{name}:1", "a", Needs(int(cores) * 1000, 128_000)
+    )
+    return EndpointState(facts, contacted_s=0.0)
+
+
+def open_job(book, name, *, tasks=1, cores=20, run_time_s=0.2, objective_s=0.4, age_s=0.0):
+    """Opens a job that came some time ago; the time is now 100 s."""
+    terms = QueueTerms("q", GROUP, max_attempts=3, objective_s=objective_s, objective_factor=0.0)
+    step = StepSpec(tasks, Needs(cores * 1000), run_time_s)
+    spec = JobSpec(name, terms, "", (step,), is_kept=False)
+    job = book.open(StoredJob(spec, 0.0), 100.0 - age_s)
+    job.expected_s = run_time_s
+    return job
+
+
+use_step_matcher("re")
+
+
+@given(
+    r"a holder that is silent for (?P<silence_s>[\d.]+) s, with (?P<stream>an|no) open stream"
+    r"(?P<leaving>, and is leaving)?"
+)
+def step_impl(context, silence_s, stream, leaving):
+    context.sight = HolderSight(float(silence_s), stream == "an", bool(leaving))
+
+
+@when(
+    r"a daemon of rank (?P<own>\d+) that reaches (?P<reached>\d+) of (?P<listed>\d+) others decides"
+)
+def step_impl(context, own, reached, listed):
+    context.claims = should_claim(context.sight, int(own), int(reached), int(listed))
+
+
+@then(r"it (?P<verdict>claims|does not claim) the group")
+def step_impl(context, verdict):
+    assert context.claims == (verdict == "claims")
+
+
+@given(r'candidates "d1" to "d5" of 1 core and "big" of 2 cores')
+def step_impl(context):
+    context.candidates = [Candidate(f"d{number}", 1.0) for number in range(1, 6)]
+    context.candidates.append(Candidate("big", 2.0))
+
+
+@then(r'each candidate has a rank of its own, and "big" the first')
+def step_impl(context):
+    ranks = {}
+    for own in context.candidates:
+        others = [other for other in context.candidates if other != own]
+        ranks[own.daemon_id] = rank(GROUP, own, others)
+    assert sorted(ranks.values()) == list(range(6)), ranks
+    assert ranks["big"] == 0
+
+
+@given(r"the known fence is (?P<known>\d+)")
+def step_impl(context, known):
+    context.known_fence = int(known)
+
+
+@when(r"a daemon of rank (?P<own>\d+) needs a provisional fence")
+def step_impl(context, own):
+    context.fence = provisional_fence(context.known_fence, int(own))
+
+
+@then(r"the fence is (?P<fence>\d+)")
+def step_impl(context, fence):
+    assert context.fence == int(fence), context.fence
+
+
+@given(r"daemons are listed as (?P<listed>[\w ]+) and reached as (?P<reached>[\w ]+)")
+def step_impl(context, listed, reached):
+    context.listed, context.reached = (
+        Counter({word[0]: int(word[1:]) for word in text.split()}) for text in (listed, reached)
+    )
+
+
+@then(r'a daemon in domain "a" (?P<verdict>may|may not) hold provisionally')
+def step_impl(context, verdict):
+    may = may_hold_provisionally(context.reached, context.listed, "a")
+    assert may == (verdict == "may")
+
+
+@given(
+    r"an endpoint's clock showed (?P<shown>\d+) ms, asked at (?P<sent>[\d.]+) s and answered at "
+    r"(?P<received>[\d.]+) s"
+)
+def step_impl(context, shown, sent, received):
+    context.lease_clock = LeaseClock()
+    context.lease_clock.read(int(shown), float(sent), float(received))
+
+
+@when(
+    r"the endpoint's clock showed (?P<shown>\d+) ms, asked at (?P<sent>[\d.]+) s and answered at "
+    r"(?P<received>[\d.]+) s"
+)
+def step_impl(context, shown, sent, received):
+    context.lease_clock.read(int(shown), float(sent), float(received))
+
+
+@when(r"a lease of 1 s is sent at (?P<sent>[\d.]+) s")
+def step_impl(context, sent):
+    context.lease_end_ms = context.lease_clock.end_of_lease_ms(float(sent), 1.0)
+
+
+@then(r"it ends at (?P<end>\d+) ms on the endpoint's clock")
+def step_impl(context, end):
+    assert context.lease_end_ms == int(end), context.lease_end_ms
+
+
+@then(r"it has certainly lapsed after (?P<lapsed>[\d.]+) s")
+def step_impl(context, lapsed):
+    assert abs(context.lease_clock.lapsed_at_s() - float(lapsed)) < 0.002
+
+
+@given(r'40 tasks of queue "q" with an estimate of 0.1 s took 0.2 s at "fast" and 0.4 s at "slow"')
+def step_impl(context):
+    context.model = RunTimeModel()
+    for _ in range(40):
+        context.model.learn("q", 0.1, "fast", 0.2)
+        context.model.learn("q", 0.1, "slow", 0.4)
+
+
+@then(r'"fast" is about twice as fast as "slow"')
+def step_impl(context):
+    ratio = context.model.speed("fast") / context.model.speed("slow")
+    assert 1.7 < ratio < 2.3, ratio
+
+
+@then(r'a task of queue "q" with an estimate of 0.1 s is expected to take longer than 0.12 s')
+def step_impl(context):
+    assert context.model.expect_s("q", 0.1) > 0.12
+
+
+@given(r"jobs that wait:")
+def step_impl(context):
+    book = JobBook()
+    for row in context.table:
+        open_job(
+            book,
+            row["job"],
+            age_s=float(row["age_s"]),
+            run_time_s=float(row["run_time_s"]),
+            objective_s=float(row["objective_s"]),
+        )
+    context.book = book
+
+
+@then(r'they start in the order "(?P<names>[\w ]+)"')
+def step_impl(context, names):
+    ranked = sorted(context.book.waiting_jobs(), key=lambda job: rank_job(job, 100.0))
+    assert [job.spec.job_id for job in ranked] == names.split()
+
+
+@given(r'endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each')
+def step_impl(context):
+    context.model = RunTimeModel()
+    context.states = [make_state("a"), make_state("b")]
+    for _ in range(40):
+        context.model.learn("q", 0.2, "a", 0.2)
+        context.model.learn("q", 0.2, "b", 0.1)
+
+
+@when(r'endpoint "b" has 50 cores in use by a run that is being stopped')
+def step_impl(context):
+    context.states[1].occupy(TaskName("x", 0, 0), 1, Needs(50_000))
+
+
+@when(r'a task of 20 cores(?: that failed at "(?P<failed_at>\w+)")? is placed')
+def step_impl(context, failed_at=None):
+    book = JobBook()
+    job = open_job(book, "j")
+    if failed_at:
+        job.tasks[0, 0].failed_at.add(failed_at)
+    context.placed = []
+
+    def order(task, endpoint):
+        job.waiting.remove(task)
+        context.placed.append(endpoint.facts.life.endpoint_id)
+
+    place_waiting(book, context.states, context.model, 100.0, order)
+
+
+@then(r'it runs at "(?P<name>\w+)"')
+def step_impl(context, name):
+    assert context.placed == [name], context.placed
+
+
+@given(r"an endpoint that failed (?P<count>\d+) tasks that had not failed elsewhere")
+def step_impl(context, count):
+    context.state = make_state("a")
+    for _ in range(int(count)):
+        context.state.note_failure(100.0)
+
+
+@then(r"it takes (?P<verdict>new|no) tasks after 0.1 s")
+def step_impl(context, verdict):
+    assert context.state.may_start(100.1) == (verdict == "new")
+
+
+@given(r"an endpoint that listed the ends 1, 2 and 3")
+def step_impl(context):
+    context.state = make_state("a")
+    for number in (1, 2, 3):
+        name = TaskName(f"j{number}", 0, 0)
+        context.state.take_end(EndedRun(number, name, 1, EndKind.DONE, ""))
+
+
+@when(r"the ends? (?P<numbers>[\d and]+) may be forgotten")
+def step_impl(context, numbers):
+    for number in numbers.split(" and "):
+        context.state.release(int(number))
+
+
+@then(r"the ends up to (?P<number>\d+) are acknowledged")
+def step_impl(context, number):
+    assert context.state.next_acknowledgement() == int(number)
+
+
+@given(r"2 endpoints of 64 cores with (?P<busy_s>[\d.]+) s of work for each")
+def step_impl(context, busy_s):
+    context.states = [make_state("a"), make_state("b")]
+    context.book = JobBook()
+    context.model = RunTimeModel()
+    if float(busy_s):
+        open_job(context.book, "busy", tasks=2, cores=54, run_time_s=float(busy_s))
+
+
+@when(r"a job of (?P<tasks>\d+) tasks of 20 cores and 0.2 s with an objective of 0.4 s comes")
+def step_impl(context, tasks):
+    draft = open_job(JobBook(), "new", tasks=int(tasks))
+    context.retry_after_s = judge(
+        draft, context.book.jobs.values(), context.states, context.model, 100.0
+    )
+
+
+@then(r"it is (?P<verdict>taken|refused)")
+def step_impl(context, verdict):
+    assert (context.retry_after_s is None) == (verdict == "taken"), context.retry_after_s
+
+
+use_step_matcher("parse")
--- /dev/null
+++ b/tests/steps/durable_holder_steps.py
@@ -0,0 +1,268 @@
+"""Steps for the holder, which runs in a thread with an event loop of its own."""
+
+from itertools import pairwise
+from time import monotonic, sleep
+
+from anyio.from_thread import start_blocking_portal
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.clock import MonotonicClock
+from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.holder import Holder
+from berylproxy.durable.messages import HandIn
+from berylproxy.durable.models import EndKind, JobSpec, Needs, QueueTerms, StepSpec
+from berylproxy.durable.records import claim_key, final_key, open_key
+from berylproxy.store.port import Entry
+from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
+
+GROUP = "ledger"
+ENTRY = "entry-1"
+TASK_CPU_MILLICORES = 20_000
+MAX_ATTEMPTS = 3
+ANSWER_TIMEOUT_S = 10.0
+FENCES_PER_REVISION = 16
+
+
+class HolderWorld:
+    """Holders over the same endpoints and store."""
+
+    def __init__(self, count: int, run_time_s: float) -> None:
+        self.endpoints = [make_endpoint(f"e{number + 1}") for number in range(count)]
+        for endpoint in self.endpoints:
+            endpoint.run_time_s = run_time_s
+        self.store = FakeJobStore()
+        self.directory = FakeDirectory(self.endpoints)
+        self.holders: dict[int, Holder] = {}
+        self.newest = 0
+        self.entry_is_alive = True
+        self.replies: dict[str, list] = {}
+        self.portal_context = start_blocking_portal()
+        self.portal = self.portal_context.__enter__()
+
+    def take_over(self, fence: int) -> None:
+        """Starts a holder with a claim of its own."""
+        revision = fence // FENCES_PER_REVISION + 10
+        self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
+        self.holders[fence] = Holder(
+            GROUP,
+            fence,
+            self.store,
+            self.directory,
+            MonotonicClock(),
+            lambda incarnation, message: None,
+            lambda: [],
+            lambda: True,
+            frozenset(endpoint.facts.life.endpoint_id for endpoint in self.endpoints),
+            RunTimeModel(),
+            lambda incarnation: self.entry_is_alive,
+            revision if fence % FENCES_PER_REVISION == 0 else 0,
+        )
+        self.newest = max(self.newest, fence)
+        self.portal.start_task_soon(self.holders[fence].run)
+        sleep(0.05)
+
+    def hand_in(self, name: str, tasks: int, *, attempt=0, fence=0, is_kept=False) -> None:
+        """Hands a job in without waiting for the answer."""
+        needs = Needs(TASK_CPU_MILLICORES)
+        terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
+        spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, 0.1),), is_kept)
+        holder = self.holders[fence or self.newest]
+        message = HandIn(spec, attempt, ANSWER_TIMEOUT_S)
+        future = self.portal.start_task_soon(holder.hand_in, message, ENTRY)
+        self.replies.setdefault(name, []).append(future)
+        sleep(0.02)
+
+    def runs(self, name: str, kind: str) -> list:
+        """Lists what happened to a job's tasks."""
+        return [
+            (at_s, task, run)
+            for endpoint in self.endpoints
+            for at_s, what, task, run in endpoint.history
+            if what == kind and task.job_id == name
+        ]
+
+    def close(self) -> None:
+        """Ends all holders."""
+        for holder in self.holders.values():
+            self.portal.call(holder.end, "the scenario is over")
+        self.portal_context.__exit__(None, None, None)
+
+
+use_step_matcher("re")
+
+
+@given(r"a group of (?P<count>\d+) endpoints? whose runs take (?P<run_time_s>[\d.]+) s")
+def step_impl(context, count, run_time_s):
+    context.holder_world = HolderWorld(int(count), float(run_time_s))
+    context.add_cleanup(context.holder_world.close)
+
+
+@given(r'every run of job "(?P<name>\w+)" fails')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.kinds[name] = EndKind.FAILED
+
+
+@given(r"the answers of the next (?P<count>\d+) starts are lost")
+def step_impl(context, count):
+    context.holder_world.endpoints[0].lost_starts = int(count)
+
+
+@given(r"the next (?P<count>\d+) starts? (?:is|are) carried out (?P<late_s>[\d.]+) s late")
+def step_impl(context, count, late_s):
+    context.holder_world.endpoints[0].late_starts = int(count)
+    context.holder_world.endpoints[0].late_by_s = float(late_s)
+
+
+@given(r"the answer to the next commit is lost")
+def step_impl(context):
+    context.holder_world.store.lost_answers = 1
+
+
+@when(r"a holder with fence (?P<fence>\d+) takes over(?: after (?P<delay_s>[\d.]+) s)?")
+def step_impl(context, fence, delay_s=None):
+    sleep(float(delay_s or 0))
+    context.holder_world.take_over(int(fence))
+
+
+@when(r"a holder with fence (?P<fence>\d+) runs beside it")
+def step_impl(context, fence):
+    newest = context.holder_world.newest
+    for endpoint in context.holder_world.endpoints[:1]:
+        endpoint.cut_fences.add(int(fence))
+    context.holder_world.take_over(int(fence))
+    context.holder_world.newest = newest
+
+
+@when(r"(?P<wait_s>[\d.]+) s have passed")
+def step_impl(context, wait_s):
+    sleep(float(wait_s))
+
+
+@when(r'(?P<kept>kept )?job "(?P<name>\w+)" of (?P<tasks>\d+) tasks? is handed in')
+def step_impl(context, kept, name, tasks):
+    context.holder_world.hand_in(name, int(tasks), is_kept=bool(kept))
+
+
+@when(r'job "(?P<name>\w+)" of (?P<tasks>\d+) tasks? is handed in again')
+def step_impl(context, name, tasks):
+    context.holder_world.hand_in(name, int(tasks), attempt=1)
+
+
+@when(
+    r'job "(?P<name>\w+)" of (?P<tasks>\d+) tasks? is handed in to the holder with fence '
+    r"(?P<fence>\d+)"
+)
+def step_impl(context, name, tasks, fence):
+    context.holder_world.hand_in(name, int(tasks), fence=int(fence))
+
+
+@given(r"endpoint (?P<number>\d+) is cut off from holders with fence (?P<fence>\d+)")
+@when(r"endpoint (?P<number>\d+) is cut off from holders with fence (?P<fence>\d+)")
+def step_impl(context, number, fence):
+    context.holder_world.endpoints[int(number) - 1].cut_fences.add(int(fence))
+
+
+@when(r"endpoint (?P<number>\d+) is reached by all holders after (?P<delay_s>[\d.]+) s")
+def step_impl(context, number, delay_s):
+    sleep(float(delay_s))
+    context.holder_world.endpoints[int(number) - 1].cut_fences.clear()
+
+
+@when(r"endpoint (?P<number>\d+) loses its runs")
+def step_impl(context, number):
+    endpoint = context.holder_world.endpoints[int(number) - 1]
+    for key in list(endpoint.running):
+        endpoint.end(key, EndKind.STOPPED, monotonic())
+
+
+@when(r'the caller of job "(?P<name>\w+)" goes away after (?P<delay_s>[\d.]+) s')
+def step_impl(context, name, delay_s):
+    world = context.holder_world
+    sleep(float(delay_s))
+    world.portal.call(world.holders[world.newest].drop, name, "its caller has gone")
+
+
+@when(r"the entry daemon is not heard any more")
+def step_impl(context):
+    sleep(0.1)
+    context.holder_world.entry_is_alive = False
+
+
+@when(r"the job store is out")
+def step_impl(context):
+    context.holder_world.store.is_out = True
+
+
+@when(r'kept job "(?P<name>\w+)" is cancelled after (?P<delay_s>[\d.]+) s')
+def step_impl(context, name, delay_s):
+    world = context.holder_world
+    sleep(float(delay_s))
+    state = world.portal.call(world.holders[world.newest].cancel, name)
+    assert state == "cancelled", state
+
+
+@then(r'job "(?P<name>\w+)" ends as "(?P<state>\w+)"')
+def step_impl(context, name, state):
+    reply = context.holder_world.replies[name][-1].result(ANSWER_TIMEOUT_S)
+    assert (reply.refusal, reply.state) == ("", state), reply
+
+
+@then(r'each task of job "(?P<name>\w+)" was done once')
+def step_impl(context, name):
+    done = [task for _, task, _ in context.holder_world.runs(name, "done")]
+    assert done and len(done) == len(set(done)), done
+
+
+@then(r'(?P<count>\d+) runs of job "(?P<name>\w+)" were started')
+def step_impl(context, count, name):
+    started = context.holder_world.runs(name, "start")
+    assert len(started) == int(count), started
+
+
+@then(r'no task of job "(?P<name>\w+)" ran twice at the same time')
+def step_impl(context, name):
+    world = context.holder_world
+    starts = world.runs(name, "start")
+    ends = {
+        (task, run): at_s for kind in EndKind for at_s, task, run in world.runs(name, kind.value)
+    }
+    for task in {task for _, task, _ in starts}:
+        mine = sorted((at_s, run) for at_s, other, run in starts if other == task)
+        for (_, run), (next_s, _) in pairwise(mine):
+            assert ends.get((task, run), next_s + 1) <= next_s, (task, mine, ends)
+
+
+@then(r"nothing runs at any endpoint within (?P<wait_s>[\d.]+) s")
+def step_impl(context, wait_s):
+    sleep(float(wait_s))
+    running = [endpoint.running for endpoint in context.holder_world.endpoints]
+    assert not any(running), running
+
+
+@then(r'kept job "(?P<name>\w+)" is shown as "(?P<state>\w+)" within (?P<wait_s>[\d.]+) s')
+def step_impl(context, name, state, wait_s):
+    world = context.holder_world
+    until_s = monotonic() + float(wait_s)
+    shown = ""
+    while shown != state and monotonic() < until_s:
+        shown = world.portal.call(world.holders[world.newest].find_state, name)
+        sleep(0.02)
+    assert shown == state, shown
+
+
+@then(r'the store holds the end of job "(?P<name>\w+)" and not the job')
+def step_impl(context, name):
+    sleep(0.1)
+    entries = context.holder_world.store.entries
+    assert final_key(name) in entries and open_key(GROUP, name) not in entries, list(entries)
+
+
+@then(r'kept job "(?P<name>\w+)" is refused')
+def step_impl(context, name):
+    context.holder_world.hand_in(name, 1, is_kept=True)
+    reply = context.holder_world.replies[name][-1].result(ANSWER_TIMEOUT_S)
+    assert reply.refusal and reply.retry_after_s, reply
+
+
+use_step_matcher("parse")
