Keep a list of endpoints at every daemon; tell certainly unstarted jobs apart; test with stand-ins

Cause: a new holder had no list of endpoints until the store answered, so that it refused jobs ('no endpoint'), and a provisional holder, which has no store, never got one. A handover read the claim before replacing it. A job whose holder went away before it began was answered 504 as if it might have run. Change: every daemon reads the list each 2 s while it holds nothing; a claim that its holder wants replaced is replaced without a read; claims are read at the start; jobs wait while endpoints are being met; a tenure that ends says which jobs have not begun.

New: stand-ins of the platform's store and runner, features with real daemons. Logs never wait for their reader.

--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -32,6 +32,7 @@
 ASK_TIMEOUT_S = 0.5  # a holder answers in a few ms unless it has just gone silent
 HAND_IN_TIMEOUT_S = 1.0  # a slow store takes some 0.3 s
 RETRY_PAUSE_S = 0.03
+LAST_REPLY_S = 0.02  # in which a former holder that lives tells what became of a job
 NO_HOLDER_WAIT_S = 1.0  # a new holder is found in that time unless the store is away
 
 
@@ -204,6 +205,7 @@
         async with create_task_group() as task_group:
             task_group.start_soon(ask)
             await changed.wait()
+            await sleep(LAST_REPLY_S)
             task_group.cancel_scope.cancel()
         if replies:
             return replies[0]
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -11,6 +11,21 @@
 NO_ROOM_PAUSE_S = 0.05  # the longest stop of a run, whose room the holder counted as free
 
 
+@dataclass(slots=True)
+class EndpointList:
+    """The platform's list as it was last read.
+
+    :ivar read_s: monotonic time of that; 0 before the first.
+    """
+
+    facts: tuple[EndpointFacts, ...] = ()
+    read_s: float = 0.0
+
+    def update(self, facts: tuple[EndpointFacts, ...], now_s: float) -> None:
+        """Takes a list that was just read."""
+        self.facts, self.read_s = facts, now_s
+
+
 @dataclass(slots=True, eq=False)
 class PresentRun:
     """A run that an endpoint may have.
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -13,7 +13,7 @@
 from berylproxy.durable.acceptance import MAX_OPEN_JOBS, SHORTEST_RETRY_AFTER_S, judge
 from berylproxy.durable.book import ACTIVE_STATUSES, Job, JobBook, Task, TaskStatus
 from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState, PresentRun
+from berylproxy.durable.fleet import EndpointList, EndpointState, PresentRun
 from berylproxy.durable.ledger import (
     AlreadyThereError,
     Change,
@@ -25,6 +25,7 @@
 from berylproxy.durable.models import (
     EndedRun,
     EndKind,
+    EndpointFacts,
     EndpointLife,
     EndpointReport,
     JobSpec,
@@ -55,6 +56,7 @@
     open_key,
     open_prefix,
 )
+from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
     StoreError,
     StoreOutcomeUnknownError,
@@ -67,6 +69,7 @@
 RENEWAL_WAIT_S = 0.3  # leaves two more tries within a lease of 1 s
 END_POLL_S = 0.025  # while an endpoint keeps ends whose jobs are open, it answers at once
 RETRY_PAUSE_S = 0.05
+MEETING_S = 0.4  # endpoints answer in some 4 ms, those that are cut off never
 ORPHAN_GRACE_S = 0.8  # in which entry daemons hand unfinished jobs in again
 TOO_LATE = "its answer would come too late"
 LEASE_LENGTH_S = 1.0  # the longest that endpoints grant
@@ -147,6 +150,7 @@
         fence: int,
         store: JobStore,
         directory: EndpointDirectory,
+        known_list: EndpointList,
         clock: Clock,
         notify: Callable[[str, object], None],
         members: Callable[[], list[str]],
@@ -166,6 +170,7 @@
         self.counters: dict[str, int] = {}
         self._store = store
         self._directory = directory
+        self._known_list = known_list
         self._clock = clock
         self._notify = notify
         self._members = members
@@ -189,6 +194,7 @@
         self._uncertain: set[str] = set()
         self._storing_progress: set[str] = set()
         self._dispatch = Event()
+        self._pauses = PauseDetector(clock)
         self._ledger = Ledger(store, (claim_key(group), claim_revision), self._note_confirmed)
         self._task_group: TaskGroup | None = None
 
@@ -304,14 +310,17 @@
         elif outcome is not None and not message.attempt:
             return HandInReply(state=outcome.value)
         else:
-            refusal = self._open_unkept(message, entry)
-            if refusal is not None:
-                return refusal
+            reply = self._open_unkept(message, entry)
+            if reply is not None:
+                return reply
         wait = self._waits.setdefault(job_id, Wait())
         await wait.ended.wait()
-        if wait.reply is None:
-            raise TenureLostError("the tenure ended before the job")
-        return wait.reply
+        if wait.reply is not None:
+            return wait.reply
+        job = self.book.jobs.get(job_id)
+        if job is not None and not job.started and not message.attempt:
+            raise NotHolderError("the tenure ended before the job began")
+        raise TenureLostError("the tenure ended before the job")
 
     def _open_unkept(self, message: HandIn, entry: str) -> HandInReply | None:
         spec, now_s = message.job, self._clock.now_s()
@@ -328,6 +337,8 @@
         job.expected_s, job.deadline_s = draft.expected_s, draft.deadline_s
         self._count("accepted")
         self._adopt_orphans(job, now_s)
+        if job.is_final:
+            return HandInReply(state=job.state.value)
         if message.attempt:
             self._unresolved.append(UnresolvedJob(job, now_s))
         self._dispatch.set()
@@ -423,8 +434,16 @@
             return SHORTEST_RETRY_AFTER_S
         if draft.spec.is_kept and now_s - self._confirmed_s > LONE_TENURE_S:
             return SHORTEST_RETRY_AFTER_S
+        if not self._has_met_endpoints(now_s):
+            return None
         return judge(draft, self.book.jobs.values(), self.endpoints.values(), self.model, now_s)
 
+    def _has_met_endpoints(self, now_s: float) -> bool:
+        """Whether the endpoints of a new tenure have had the time to answer."""
+        if now_s - self._began_s > MEETING_S:
+            return True
+        return self._has_list and all(e.is_contacted for e in self.endpoints.values())
+
     async def find_state(self, job_id: str) -> str:
         """Returns a job's state; empty if there is no such job.
 
@@ -479,20 +498,23 @@
     # Endpoints
 
     async def _follow_directory(self) -> None:
+        if self._known_list.read_s:
+            self._take_directory(self._known_list.facts)
         while True:
             try:
-                listed = await self._directory.fetch()
-                self._take_directory([facts for facts in listed if facts.service == self.group])
+                facts = await self._directory.fetch()
+                self._known_list.update(facts, self._clock.now_s())
+                self._take_directory(facts)
             except StoreUnavailableError as error:
                 logger.debug("the list of endpoints is not available: {}", error.message)
             with move_on_after(DIRECTORY_INTERVAL_S):
                 await sleep(DIRECTORY_INTERVAL_S if self._has_list else RETRY_PAUSE_S)
 
-    def _take_directory(self, listed: list) -> None:
+    def _take_directory(self, listed: tuple[EndpointFacts, ...]) -> None:
         now_s = self._clock.now_s()
         was_away = now_s - self._listed_s > 2 * DIRECTORY_INTERVAL_S + 1
         self._listed_s = now_s
-        lives = {facts.life: facts for facts in listed}
+        lives = {facts.life: facts for facts in listed if facts.service == self.group}
         for life, facts in lives.items():
             self._missing_since_s.pop(life, None)
             endpoint = self.endpoints.get(life)
@@ -512,7 +534,7 @@
         self._has_list = True
         self._dispatch.set()
 
-    def _meet(self, facts) -> None:
+    def _meet(self, facts: EndpointFacts) -> None:
         endpoint = EndpointState(facts)
         self.endpoints[facts.life] = endpoint
         self._calls[facts.life] = self._directory.connect(facts)
@@ -936,9 +958,11 @@
         while True:
             await sleep(TICK_S)
             now_s = self._clock.now_s()
+            self._pauses.note_run()
             self._store_old_progress(now_s)
-            self._move_stalled(now_s)
-            self._give_up_unkept(now_s)
+            if not self._pauses.is_refreshing:
+                self._move_stalled(now_s)
+                self._give_up_unkept(now_s)
             self._release_orphan_ends(now_s)
             if (
                 any(endpoint.closed_until_s for endpoint in self.endpoints.values())
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -22,6 +22,7 @@
     should_claim,
 )
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
@@ -50,7 +51,8 @@
 
 WATCH_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
-STORE_CONTACT_S = 1.0  # a daemon whose last answer is older may be cut off from the store
+CLAIM_PAUSE_S = 0.15  # after a claim that the store did not answer
+LIST_INTERVAL_S = 2.0  # so old may the list be that a new holder begins with
 ENTRY_SILENCE_S = 1.0  # two heartbeats between daemons and their delays
 HOLDER_SILENCE_S = 2.0  # a holder that is silent for longer is not asked any more
 
@@ -86,7 +88,7 @@
 
     :param cores: processor share of this VM.
     :param list_members: failure domains of the daemons that the store lists, by name.
-    :param store_heard_s: monotonic time of the store's last answer to this daemon.
+    :param has_store: tells whether the store answers this daemon.
     """
 
     def __init__(
@@ -97,7 +99,7 @@
         clock: Clock,
         cores: float,
         list_members: Callable[[], dict[str, str]],
-        store_heard_s: Callable[[], float],
+        has_store: Callable[[], bool],
         on_ended: Callable[[dict[str, str]], None],
     ) -> None:
         self.known: dict[str, KnownHolder] = {}
@@ -109,7 +111,9 @@
         self._clock = clock
         self._cores = cores
         self._list_members = list_members
-        self._store_heard_s = store_heard_s
+        self._has_store = has_store
+        self._list = EndpointList()
+        self._resting_until_s: dict[str, float] = {}
         self._on_ended = on_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
@@ -128,16 +132,34 @@
         """Watches over all groups until cancelled."""
         async with create_task_group() as task_group:
             self._task_group = task_group
+            task_group.start_soon(self._follow_list)
             while True:
                 await sleep(WATCH_INTERVAL_S)
                 for group in list(self.known):
                     self._watch(group)
 
-    def follow(self, groups: set[str]) -> None:
-        """Takes the names of the groups that the configuration knows."""
-        for group in groups:
-            if group not in self.known:
-                self.known[group] = KnownHolder(heard_s=self._clock.now_s())
+    async def _follow_list(self) -> None:
+        """Keeps a list of endpoints to begin with, for the case that this daemon takes over."""
+        while True:
+            if not self.holders:
+                try:
+                    self._list.update(await self._directory.fetch(), self._clock.now_s())
+                except StoreError as error:
+                    logger.debug("the list of endpoints is not available: {}", error.message)
+            await sleep(LIST_INTERVAL_S)
+
+    async def follow(self, groups: set[str]) -> None:
+        """Takes the names of the groups that the configuration knows, and their present claims."""
+        for group in groups - set(self.known):
+            known = self.known[group] = KnownHolder(heard_s=self._clock.now_s())
+            try:
+                entry = await self._store.get(claim_key(group))
+            except StoreError as error:
+                logger.info("the claim on {} is not known yet: {}", group, error.message)
+                continue
+            if entry is not None and claim_fence(entry.revision) > known.fence:
+                claimant = _read_claimant(entry.value)
+                known.change(claim_fence(entry.revision), claimant, known.heard_s)
 
     def holder_incarnation(self, group: str) -> str:
         """Names the incarnation that is believed to hold a group; empty if none is."""
@@ -179,7 +201,7 @@
         if group in self._claiming or self.is_leaving:
             return
         known = self.known[group]
-        has_store = self._clock.now_s() - self._store_heard_s() <= STORE_CONTACT_S
+        has_store = self._has_store()
         if group in self.holders:
             if has_store and known.fence % FENCES_PER_CLAIM:
                 known.is_leaving = True
@@ -189,7 +211,7 @@
         candidates = [
             Candidate(m.identity.daemon_id, _read_part(m).get("cores", 0.0))
             for m in members
-            if m.ready and (not has_store or _read_part(m).get("store_age_s", 0) < STORE_CONTACT_S)
+            if m.ready and (not has_store or _read_part(m).get("has_store", True))
         ]
         own = Candidate(self._network.identity.daemon_id, self._cores)
         sight = HolderSight(
@@ -201,6 +223,8 @@
         own_rank = rank(group, own, candidates)
         if self._task_group is None:
             return
+        if self._clock.now_s() < self._resting_until_s.get(group, 0.0):
+            return
         if has_store and should_claim(sight, own_rank, len(members), listed):
             self._claiming.add(group)
             self._task_group.start_soon(self._claim, group, sight)
@@ -239,6 +263,7 @@
             revision = await self._try_claim(group)
         except StoreError as error:
             logger.info("claim on {} not made: {}", group, error.message)
+            self._resting_until_s[group] = self._clock.now_s() + CLAIM_PAUSE_S
             return
         finally:
             self._claiming.discard(group)
@@ -261,21 +286,24 @@
         """Replaces the claim unless it is newer than the known one; returns its revision or 0."""
         known = self.known[group]
         key = claim_key(group)
-        entry = await self._store.get(key)
-        revision = entry.revision if entry is not None else 0
-        if claim_fence(revision) > known.fence:
-            claimant = _read_claimant(entry.value)
-            known.change(claim_fence(revision), claimant, self._clock.now_s())
-            known.is_leaving = False
-            if claimant != self.own_incarnation:
-                return 0
-            return revision  # an earlier try whose answer was lost
+        revision = known.fence // FENCES_PER_CLAIM
+        if not known.is_leaving:  # else its own heartbeat has just told the claim
+            entry = await self._store.get(key)
+            revision = entry.revision if entry is not None else 0
+            if entry is not None and claim_fence(revision) > known.fence:
+                claimant = _read_claimant(entry.value)
+                known.change(claim_fence(revision), claimant, self._clock.now_s())
+                known.is_leaving = False
+                if claimant != self.own_incarnation:
+                    return 0
+                return revision  # an earlier try whose answer was lost
         identity = self._network.identity
         value = packb({"daemon_id": identity.daemon_id, "incarnation": identity.incarnation})
         try:
             return await self._store.commit(Transaction(((key, revision),), ((key, value),)))
         except TransactionConflictError:
             known.heard_s = self._clock.now_s()
+            known.is_leaving = False
             return 0
 
     async def _hold(self, group: str, fence: int, claim_revision: int) -> None:
@@ -289,6 +317,7 @@
             fence,
             self._store,
             self._directory,
+            self._list,
             self._clock,
             self._notify,
             lambda: [member.identity.incarnation for member in self.live_members()],
@@ -318,7 +347,7 @@
         fresh = self.live_members()
         if 2 * len(fresh) < len(self._list_members()) - 1:
             return True
-        return any(_read_part(m).get("store_age_s", 0.0) < STORE_CONTACT_S for m in fresh)
+        return any(_read_part(m).get("has_store", True) for m in fresh)
 
     def _notify(self, incarnation: str, message: Any) -> None:
         if incarnation == self.own_incarnation:
@@ -328,8 +357,7 @@
             self._network.notify(incarnation, message)
 
     def _describe(self) -> dict[str, Any]:
-        age_s = self._clock.now_s() - self._store_heard_s()
-        return {"cores": self._cores, "store_age_s": 0.0 if age_s < STORE_CONTACT_S else 10.0}
+        return {"cores": self._cores, "has_store": self._has_store()}
 
     def _take_heartbeat(self, sender: DaemonIdentity, message: HolderHeartbeat) -> None:
         known = self.known.setdefault(message.group, KnownHolder())
--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -6,7 +6,7 @@
 
 from berylproxy.environment import Environment
 from berylproxy.exit_status import ExitStatus
-from berylproxy.logs import make_log_handler
+from berylproxy.logs import NonBlockingOutput, make_log_handler
 from berylproxy.platform.daemon import PlatformDaemon
 from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
 from berylproxy.settings import SettingsError
@@ -21,7 +21,8 @@
         for problem in error.problems:
             env.stderr.write(f"berylproxy: {error.code}: {problem}\n")
         return ExitStatus.SETTINGS_INVALID
-    handler = make_log_handler(env.stdout, "info", daemon_id=settings.daemon_id)
+    output = NonBlockingOutput(env.stdout.fileno())
+    handler = make_log_handler(output, "info", daemon_id=settings.daemon_id)
     with handler.applicationbound():
         run(PlatformDaemon(settings).run)
     return ExitStatus.SUCCESS
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -63,6 +63,7 @@
         self._is_stopping = False
         self._is_ready = True
         self._stopped = Event()
+        self._follow_groups = Event()
 
     async def run(self) -> None:
         """Runs until SIGTERM, then stops without cutting a request in flight."""
@@ -87,7 +88,7 @@
             self._clock,
             settings.cores,
             lambda: self._listed,
-            lambda: self._store.heard_s,
+            lambda: self._store.has_contact,
             lambda states: self._desk.take_ended(states),
         )
         self._desk = EntryDesk(self._network, self._member, self._store, self._clock)
@@ -101,6 +102,7 @@
             await task_group.start(self._network.run)
             task_group.start_soon(self._follow_configuration)
             task_group.start_soon(self._follow_members)
+            task_group.start_soon(self._keep_groups)
             task_group.start_soon(self._member.run)
             task_group.start_soon(self._wait_for_stop)
             logger.info("serving on {}", settings.callers_address)
@@ -167,6 +169,13 @@
                 revision = 0
                 await sleep(RETRY_PAUSE_S)
 
+    async def _keep_groups(self) -> None:
+        """Tells the member of new groups without delaying the configuration."""
+        while True:
+            await self._follow_groups.wait()
+            self._follow_groups = Event()
+            await self._member.follow(set(self._configuration.services))
+
     async def _read_configuration(self) -> int:
         page = await self._store.read_page(CONFIGURATION_KEY)
         for entry in page.entries:
@@ -191,7 +200,7 @@
             },
         )
         self._configuration = configuration
-        self._member.follow(set(configuration.services))
+        self._follow_groups.set()
 
     async def _follow_members(self) -> None:
         """Keeps this daemon in the store's list of members, and dials the others."""
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -2,7 +2,6 @@
 
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
-from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
@@ -21,6 +20,8 @@
 )
 
 CALL_TIMEOUT_S = 1.0  # a slow store answers in some 0.3 s
+READ_TIMEOUT_S = 0.7  # so is a silent connection noticed, and others are tried
+CONTACT_SILENCE_S = 0.8  # of a store that failed the last call
 CONNECT_TIMEOUT_S = 0.3  # many round trips within a region
 WATCH_MARGIN_S = 0.4  # on top of the wait, before a watch counts as silent
 REFUSING_STATUSES = (429, 503)  # nothing was done
@@ -39,17 +40,25 @@
 class PlatformStore:
     """Implements :class:`berylproxy.durable.ports.JobStore` and the reads that a daemon needs.
 
-    :param on_contact: called whenever the service has answered a call.
+    :ivar calls: number of calls made.
+    :ivar heard_s: monotonic time of the last answer that was no refusal.
     """
 
     max_entries = MAX_TRANSACTION_ENTRIES
 
-    def __init__(self, address: str, on_contact: Callable[[], None] = lambda: None) -> None:
+    def __init__(self, address: str) -> None:
         self._http = HttpExchange(address, CONNECT_TIMEOUT_S)
         self._watches = HttpExchange(address, CONNECT_TIMEOUT_S)
-        self._on_contact = on_contact
         self.calls = 0
         self.heard_s = monotonic()
+        self._failures_in_row = 0
+
+    @property
+    def has_contact(self) -> bool:
+        """Whether the service answers this daemon, as far as the last calls show."""
+        if self._failures_in_row > 1:
+            return False
+        return not self._failures_in_row or monotonic() - self.heard_s < CONTACT_SILENCE_S
 
     async def commit(self, transaction: Transaction) -> int:
         """Makes the changes and returns their revision; see the protocol type for errors."""
@@ -137,6 +146,7 @@
             self.calls += 1
             answer = await self._watches.call("GET", target, timeout_s=wait_s + WATCH_MARGIN_S)
         except (NotSentError, AnswerLostError) as error:
+            self._failures_in_row += 1
             raise StoreUnavailableError(f"watch: {error.message}") from error
         self._note_contact(answer)
         if answer.status == 410:
@@ -159,8 +169,10 @@
         try:
             answer = await self._http.call("POST", target, content, timeout_s=CALL_TIMEOUT_S)
         except NotSentError as error:
+            self._failures_in_row += 1
             raise StoreUnavailableError(error.message) from error
         except AnswerLostError as error:
+            self._failures_in_row += 1
             raise StoreOutcomeUnknownError(error.message) from error
         self._note_contact(answer)
         return answer
@@ -168,16 +180,19 @@
     async def _read(self, target: str) -> HttpAnswer:
         self.calls += 1
         try:
-            answer = await self._http.call("GET", target, timeout_s=CALL_TIMEOUT_S)
+            answer = await self._http.call("GET", target, timeout_s=READ_TIMEOUT_S)
         except (NotSentError, AnswerLostError) as error:
+            self._failures_in_row += 1
             raise StoreUnavailableError(error.message) from error
         self._note_contact(answer)
         return answer
 
     def _note_contact(self, answer: HttpAnswer) -> None:
-        if answer.status not in REFUSING_STATUSES:
+        if answer.status in REFUSING_STATUSES:
+            self._failures_in_row += 1
+        else:
+            self._failures_in_row = 0
             self.heard_s = answer.received_s
-            self._on_contact()
 
     def _require_done(self, answer: HttpAnswer) -> HttpAnswer:
         if answer.status in REFUSING_STATUSES:
--- /dev/null
+++ b/tests/platform/system.feature
@@ -0,0 +1,64 @@
+Feature: The daemon on the users' platform, as processes
+
+  Scenario: jobs are answered by every daemon, and by the configuration in force
+    Given a platform of 3 daemons and 3 runners whose tasks take 0.05 s
+    When platform jobs of 4 tasks are handed to each daemon
+    Then each platform job is answered 200 as "completed"
+    And platform job "00000000000000ff" was never heard of at any daemon
+    When the platform's configuration gets the prefix "/visits/" in place of the old one
+    Then each daemon takes jobs under "/visits/" within 2 s and answers 404 under the old prefix
+
+  Scenario: a kept job is accepted, shown by every daemon and cancelled once
+    Given a platform of 2 daemons and 2 runners whose tasks take 0.3 s
+    When a kept platform job of 3 tasks is handed to daemon 0 twice
+    Then every daemon shows it as "completed" within 5 s
+    When a kept platform job of 8 tasks is handed to daemon 1 and cancelled at daemon 0
+    Then every daemon shows it as "cancelled" within 1 s
+
+  Scenario: the holder is killed with jobs in flight
+    Given a platform of 3 daemons and 3 runners whose tasks take 0.6 s
+    When platform jobs of 4 tasks are handed to the daemons that are not the holder, which is killed
+    Then each platform job is answered 200 as "completed"
+    And no platform task ran twice at the same time
+
+  Scenario: the holder is frozen for a while with jobs in flight
+    Given a platform of 3 daemons and 3 runners whose tasks take 0.6 s
+    When platform jobs of 4 tasks are handed to the daemons that are not the holder, which is frozen
+    Then each platform job is answered 200 as "completed"
+    And no platform task ran twice at the same time
+
+  Scenario: a planned stop answers what is in flight
+    Given a platform of 3 daemons and 3 runners whose tasks take 1.0 s
+    When platform jobs of 4 tasks are handed to each daemon and the holder is told to stop
+    Then each platform job is answered 200 as "completed"
+    And the stopped daemon ends with status 0
+
+  Scenario: a planned stop answers what can't be finished in time, and ends cleanly
+    Given a platform of 1 daemon and 1 runner whose tasks take 8 s
+    When platform jobs of 1 task are handed to each daemon and the holder is told to stop
+    Then each platform job is answered 504
+    And the stopped daemon ends with status 0
+
+  Scenario: jobs that nobody keeps need no store
+    Given a platform of 2 daemons and 2 runners whose tasks take 0.05 s
+    When the platform's store refuses all calls
+    And platform jobs of 4 tasks are handed to each daemon
+    Then each platform job is answered 200 as "completed"
+    And a kept platform job is refused with 503 and Retry-After
+
+  Scenario: while the store is away and the holder dies, another daemon takes its place
+    Given a platform of 2 daemons and 2 runners whose tasks take 0.05 s
+    When the platform's store refuses all calls
+    And the holder is killed
+    Then a platform job at the other daemon is answered 200 as "completed" within 5 s
+
+  Scenario: bodies that are no job get one clear answer
+    Given a platform of 1 daemon and 1 runner whose tasks take 0.05 s
+    Then the platform answers 400 to these bodies, naming what is wrong:
+      | body                                                  | names    |
+      | [                                                     | JSON     |
+      | {"spec": 3, "steps": []}                              | spec     |
+      | {"spec": "", "steps": []}                             | steps    |
+      | {"spec": "", "steps": [{"count": 0}]}                 | count    |
+      | {"spec": "", "steps": [{"count": 1, "cpu": -1}]}      | resource |
+      | {"spec": "", "steps": [{"count": 1, "after": [0]}]}   | after    |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -8,6 +8,7 @@
 
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder
 from berylproxy.durable.messages import HandIn
 from berylproxy.durable.models import EndKind, JobSpec, Needs, QueueTerms, StepSpec
@@ -48,6 +49,7 @@
             fence,
             self.store,
             self.directory,
+            EndpointList(),
             MonotonicClock(),
             lambda incarnation, message: None,
             lambda: [],
--- /dev/null
+++ b/tests/steps/platform_system_steps.py
@@ -0,0 +1,202 @@
+"""Steps that run the daemon for the users' platform with its stand-ins."""
+
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+from time import monotonic, sleep
+
+from behave import given, then, use_step_matcher, when
+
+from tests.support.platform_cluster import HOST, PREFIX, PlatformCluster, make_configuration
+
+STOP_TIMEOUT_S = 10.0
+job_numbers = count(1)
+
+
+def new_job_id():
+    """Makes a job's identifier as callers do."""
+    return f"{next(job_numbers):016x}"
+
+
+def hand_in(context, daemons, tasks):
+    """Hands one job to each of some daemons, without waiting for the answers."""
+    cluster = context.platform_cluster
+    context.answers = [
+        context.pool.submit(cluster.submit, number, new_job_id(), tasks, **{"best-effort": True})
+        for number in daemons
+    ]
+
+
+def wait_for_states(context, state, wait_s):
+    """Waits until every daemon shows a state of the last kept job."""
+    cluster = context.platform_cluster
+    until_s = monotonic() + wait_s
+    shown = []
+    while monotonic() < until_s:
+        shown = [
+            cluster.request(number, "GET", PREFIX + context.kept_id).json().get("state")
+            for number in range(len(cluster.daemons))
+        ]
+        if set(shown) == {state}:
+            return
+        sleep(0.05)
+    raise AssertionError(shown)
+
+
+use_step_matcher("re")
+
+
+@given(
+    r"a platform of (?P<daemons>\d+) daemons? and (?P<runners>\d+) runners? "
+    r"whose tasks take (?P<run_time_s>[\d.]+) s"
+)
+def step_impl(context, daemons, runners, run_time_s):
+    cluster = PlatformCluster(context.folder, int(daemons), int(runners), float(run_time_s))
+    context.add_cleanup(cluster.close)
+    context.pool = ThreadPoolExecutor()
+    context.add_cleanup(context.pool.shutdown)
+    context.platform_cluster = cluster
+    cluster.start()
+
+
+@when(r"platform jobs of (?P<tasks>\d+) tasks? are handed to each daemon")
+def step_impl(context, tasks):
+    hand_in(context, range(len(context.platform_cluster.daemons)), int(tasks))
+
+
+@when(
+    r"platform jobs of (?P<tasks>\d+) tasks? are handed to the daemons that are not the holder, "
+    r"which is (?P<fate>killed|frozen)"
+)
+def step_impl(context, tasks, fate):
+    cluster = context.platform_cluster
+    holder = cluster.find_holder()
+    hand_in(context, [n for n in range(len(cluster.daemons)) if n != holder], int(tasks))
+    sleep(0.2)
+    if fate == "killed":
+        cluster.daemons[holder].kill()
+        return
+    cluster.daemons[holder].freeze()
+    sleep(1.5)
+    cluster.daemons[holder].resume()
+
+
+@when(
+    r"platform jobs of (?P<tasks>\d+) tasks? are handed to each daemon and the holder is told to "
+    r"stop"
+)
+def step_impl(context, tasks):
+    cluster = context.platform_cluster
+    holder = cluster.find_holder()
+    hand_in(context, range(len(cluster.daemons)), int(tasks))
+    sleep(0.2)
+    context.stop_status = cluster.daemons[holder].terminate(STOP_TIMEOUT_S)
+
+
+@when(r"the holder is killed")
+def step_impl(context):
+    cluster = context.platform_cluster
+    context.killed = cluster.find_holder()
+    cluster.daemons[context.killed].kill()
+
+
+@when(r"the platform's store refuses all calls")
+def step_impl(context):
+    context.platform_cluster.switch_store(busy=True)
+
+
+@when(r'the platform\'s configuration gets the prefix "(?P<prefix>[/\w]+)" in place of the old one')
+def step_impl(context, prefix):
+    context.platform_cluster.configure(make_configuration(9, [prefix]))
+
+
+@when(r"a kept platform job of (?P<tasks>\d+) tasks is handed to daemon 0 twice")
+def step_impl(context, tasks):
+    context.kept_id = new_job_id()
+    for _ in range(2):
+        answer = context.platform_cluster.submit(0, context.kept_id, int(tasks))
+        assert answer.status_code == 200, answer.text
+
+
+@when(
+    r"a kept platform job of (?P<tasks>\d+) tasks is handed to daemon 1 and cancelled at daemon 0"
+)
+def step_impl(context, tasks):
+    context.kept_id = new_job_id()
+    answer = context.platform_cluster.submit(1, context.kept_id, int(tasks))
+    assert answer.status_code == 200, answer.text
+    answer = context.platform_cluster.request(0, "DELETE", PREFIX + context.kept_id)
+    assert answer.status_code == 200, answer.text
+
+
+@then(r'each platform job is answered (?P<status>\d+)(?: as "(?P<state>\w+)")?')
+def step_impl(context, status, state=None):
+    for future in context.answers:
+        answer = future.result()
+        assert answer.status_code == int(status), (answer.status_code, answer.text)
+        assert state is None or answer.json() == {"state": state}, answer.text
+
+
+@then(r"no platform task ran twice at the same time")
+def step_impl(context):
+    overlaps = context.platform_cluster.find_overlaps()
+    assert not overlaps, overlaps
+
+
+@then(r"the stopped daemon ends with status (?P<status>\d+)")
+def step_impl(context, status):
+    assert context.stop_status == int(status), context.stop_status
+
+
+@then(r'platform job "(?P<job_id>\w+)" was never heard of at any daemon')
+def step_impl(context, job_id):
+    cluster = context.platform_cluster
+    for number in range(len(cluster.daemons)):
+        assert cluster.request(number, "GET", PREFIX + job_id).status_code == 410
+
+
+@then(
+    r'each daemon takes jobs under "(?P<prefix>[/\w]+)" within (?P<wait_s>\d+) s and answers 404 '
+    r"under the old prefix"
+)
+def step_impl(context, prefix, wait_s):
+    cluster = context.platform_cluster
+    sleep(float(wait_s))
+    for number in range(len(cluster.daemons)):
+        assert cluster.request(number, "GET", prefix).status_code == 200
+        assert cluster.request(number, "GET", PREFIX).status_code == 404
+
+
+@then(r'every daemon shows it as "(?P<state>\w+)" within (?P<wait_s>\d+) s')
+def step_impl(context, state, wait_s):
+    wait_for_states(context, state, float(wait_s))
+
+
+@then(r"a kept platform job is refused with 503 and Retry-After")
+def step_impl(context):
+    answer = context.platform_cluster.submit(0, new_job_id(), 1)
+    assert answer.status_code == 503 and int(answer.headers["retry-after"]) > 0, answer.text
+
+
+@then(r'a platform job at the other daemon is answered 200 as "completed" within (?P<wait_s>\d+) s')
+def step_impl(context, wait_s):
+    other = 1 - context.killed
+    until_s = monotonic() + float(wait_s)
+    answer = None
+    while monotonic() < until_s and (answer is None or answer.status_code != 200):
+        answer = context.platform_cluster.submit(other, new_job_id(), 2, **{"best-effort": True})
+    assert answer.json() == {"state": "completed"}, answer.text
+
+
+@then(r"the platform answers 400 to these bodies, naming what is wrong:")
+def step_impl(context):
+    cluster = context.platform_cluster
+    url = f"http://127.0.0.1:{cluster.ports[0][2]}{PREFIX}"
+    for row in context.table:
+        answer = cluster.client.post(
+            url + new_job_id(), content=row["body"].encode(), headers={"Host": HOST}
+        )
+        assert answer.status_code == 400, (row["body"], answer.status_code, answer.text)
+        assert row["names"] in answer.json()["error"], (row["body"], answer.text)
+
+
+use_step_matcher("parse")
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -1,13 +1,10 @@
 """Endpoints and a transactional store in memory, for tests of the holder."""
 
-from dataclasses import dataclass, field
 from time import monotonic
 
-from anyio import Event, move_on_after, sleep
+from anyio import move_on_after, sleep
 
 from berylproxy.durable.models import (
-    EndedRun,
-    EndKind,
     EndpointFacts,
     EndpointLife,
     EndpointReport,
@@ -24,89 +21,15 @@
     TransactionConflictError,
 )
 from berylproxy.store.port import Entry, StoreUnavailableError
+from standins.runner_model import RunnerModel
 
 LEASE_S = 1.0
 
 
-@dataclass
-class FakeRun:
-    """A run at a fake endpoint."""
-
-    name: TaskName
-    run: int
-    ends_s: float
-
-
-@dataclass
-class FakeEndpoint:
-    """An endpoint's state, shared by all holders that call it.
-
-    :ivar cut_fences: calls under these fences get no answer and have no effect.
-    :ivar lost_starts: how many of the next starts take effect without an answer.
-    :ivar late_starts: how many of the next starts take effect later, without an answer.
-    :ivar kinds: how the runs of a job end, by its identifier; done unless named.
-    """
-
-    facts: EndpointFacts
-    run_time_s: float = 0.05
-    cut_fences: set = field(default_factory=set)
-    lost_starts: int = 0
-    late_starts: int = 0
-    late_by_s: float = 0.3
-    fence: int = 0
-    lease_s: float = 0.0
-    running: dict = field(default_factory=dict)
-    ended: list = field(default_factory=list)
-    refused: dict = field(default_factory=dict)
-    ends: int = 0
-    history: list = field(default_factory=list)
-    kinds: dict = field(default_factory=dict)
-    changed: Event = field(default_factory=Event)
-
-    def settle(self) -> None:
-        """Ends what is over by now."""
-        now_s = monotonic()
-        for key, run in list(self.running.items()):
-            if now_s >= self.lease_s and run.ends_s > self.lease_s:
-                self.end(key, EndKind.LAPSED, self.lease_s)
-            elif now_s >= run.ends_s:
-                kind = self.kinds.get(run.name.job_id, EndKind.DONE)
-                self.end(key, kind, run.ends_s)
-
-    def end(self, key: tuple, kind: EndKind, at_s: float) -> None:
-        """Ends one run."""
-        run = self.running.pop(key)
-        self.ends += 1
-        self.ended.append(EndedRun(self.ends, run.name, run.run, kind, ""))
-        self.refused[run.name] = max(self.refused.get(run.name, 0), run.run)
-        self.history.append((at_s, kind.value, run.name, run.run))
-        self.changed.set()
-        self.changed = Event()
-
-    def start(self, order: StartOrder, until_s: float) -> StartOutcome:
-        """Starts a task, or says why not."""
-        self.settle()
-        if order.fence < self.fence:
-            return StartOutcome.FENCED_OFF
-        self.fence = order.fence
-        if (order.name, order.run) in self.running:
-            return StartOutcome.STARTED
-        if order.run <= self.refused.get(order.name, 0):
-            return StartOutcome.RUN_TOO_OLD
-        if monotonic() > until_s:
-            return StartOutcome.TOO_LATE
-        self.lease_s = max(self.lease_s, until_s)
-        self.refused[order.name] = order.run
-        run = FakeRun(order.name, order.run, monotonic() + self.run_time_s)
-        self.running[order.name, order.run] = run
-        self.history.append((monotonic(), "start", order.name, order.run))
-        return StartOutcome.STARTED
-
-
 class FakeEndpointCalls:
     """Implements the calls of one holder to a fake endpoint."""
 
-    def __init__(self, endpoint: FakeEndpoint) -> None:
+    def __init__(self, endpoint: RunnerModel) -> None:
         self.endpoint = endpoint
         self._granted_s = 0.0
 
@@ -136,9 +59,7 @@
         """Stops a run, also one that has yet to arrive."""
         await sleep(0.001)
         self._check(fence)
-        self.endpoint.refused[name] = max(self.endpoint.refused.get(name, 0), run)
-        if (name, run) in self.endpoint.running:
-            self.endpoint.end((name, run), EndKind.STOPPED, monotonic())
+        self.endpoint.stop(name, run)
 
     async def renew(
         self, fence: int, acknowledged: int, wait_s: float, *, extend: bool
@@ -151,14 +72,14 @@
         if extend:
             self._granted_s = monotonic() + LEASE_S
             endpoint.lease_s = max(endpoint.lease_s, self._granted_s)
-        endpoint.ended = [end for end in endpoint.ended if end.number > acknowledged]
+        endpoint.acknowledge(acknowledged)
         until_s = monotonic() + wait_s
         while not endpoint.ended and monotonic() < until_s:
             with move_on_after(0.005):
                 await endpoint.changed.wait()
             endpoint.settle()
         self._check(fence)
-        running = [RunningTask(r.name, r.run, "", 50) for r in endpoint.running.values()]
+        running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
         return EndpointReport(0, sent_s, tuple(running), tuple(endpoint.ended))
 
     async def close(self) -> None:
@@ -176,7 +97,7 @@
 class FakeDirectory:
     """Implements the list of endpoints."""
 
-    def __init__(self, endpoints: list[FakeEndpoint]) -> None:
+    def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
 
     async def fetch(self) -> tuple[EndpointFacts, ...]:
@@ -242,8 +163,8 @@
         return tuple(self.entries[key] for key in found), False
 
 
-def make_endpoint(name: str, cores: int = 64) -> FakeEndpoint:
+def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Makes an endpoint of some size."""
     life = EndpointLife(name, 0)
     capacity = Needs(cores * 1000, 128_000)
-    return FakeEndpoint(EndpointFacts(life, "ledger", f"{name}:1", "a", capacity))
+    return RunnerModel(EndpointFacts(life, "ledger", f"{name}:1", "a", capacity))
--- /dev/null
+++ b/tests/support/platform_cluster.py
@@ -0,0 +1,212 @@
+"""The users' platform in small: its stand-ins and daemons as processes on the loopback."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from itertools import pairwise
+from pathlib import Path
+from time import monotonic, sleep
+
+from httpx import Client, HTTPError, Response
+
+from berylproxy.platform.settings import SETTINGS_VARIABLE
+from standins.process import ROOT, ManagedProcess
+
+SERVICE = "ledger"
+HOST = "jobs.example"
+PREFIX = "/balance/"
+READY_TIMEOUT_S = 20.0
+REQUEST_TIMEOUT_S = 20.0
+
+SETTINGS = """
+node-name = "{name}"
+ip = "127.0.0.1"
+zone = "a"
+internal-ports = [{ports[0]},{ports[1]}]
+unknown-field = true
+[listen]
+frontend-addr = "127.0.0.1:{ports[2]}"
+ready-addr = "127.0.0.1:{ports[3]}"
+[platform]
+address = "127.0.0.1:{store_port}"
+[bounds]
+grace-s = {grace_s}
+"""
+
+
+def pick_ports(count: int) -> list[int]:
+    """Picks ports that are free at this moment."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def make_configuration(version: int, prefixes: list[str]) -> dict:
+    """Makes a version of the operator's configuration."""
+    routes = [
+        {
+            "name": f"queue{number}",
+            "host": HOST,
+            "prefix": prefix,
+            "service": SERVICE,
+            "timeout-ms": 5000,
+            "target-latency-ms": 3000,
+            "max-attempts": 3,
+            "stretch": 2,
+        }
+        for number, prefix in enumerate(prefixes)
+    ]
+    return {"version": version, "routes": routes, "services": [{"name": SERVICE}]}
+
+
+class LoggedDaemon(ManagedProcess):
+    """A daemon whose standard output goes to ``<folder>/<name>.log``."""
+
+    def start(self) -> None:
+        """Starts the process without waiting for it."""
+        folder = self.stderr_path.parent
+        with self.stderr_path.open("ab") as stderr, (folder / f"{self.name}.log").open("ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                cwd=ROOT,
+                env=os.environ | self.environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=stderr,
+            )
+
+
+@dataclass
+class PlatformCluster:
+    """Starts the processes and ends what it started."""
+
+    folder: Path
+    daemon_count: int
+    runner_count: int
+    run_time_s: float
+    grace_s: float = 6.0
+    stack: ExitStack = field(default_factory=ExitStack)
+    daemons: list[ManagedProcess] = field(default_factory=list)
+    runners: list[ManagedProcess] = field(default_factory=list)
+    ports: list[list[int]] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Starts everything and waits until each daemon is ready."""
+        self.client = self.stack.enter_context(Client(trust_env=False, timeout=REQUEST_TIMEOUT_S))
+        self.store = self._start("store", ["-m", "standins.platform_store"])
+        self.configure(make_configuration(3, [PREFIX]))
+        for number in range(self.runner_count):
+            options = ["--name", f"r{number}", "--store-url", self.store.url]
+            options += ["--run-time-s", str(self.run_time_s), "--service", SERVICE]
+            self.runners.append(self._start(f"r{number}", ["-m", "standins.runner", *options]))
+        for number in range(self.daemon_count):
+            self.ports.append(pick_ports(4))
+            self.daemons.append(self.start_daemon(number))
+        for number in range(self.daemon_count):
+            self.wait_ready(number)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        self.stack.close()
+
+    def start_daemon(self, number: int) -> ManagedProcess:
+        """Starts a daemon with a settings file of its own."""
+        path = self.folder / f"d{number}.toml"
+        store_port = self.store.announced["port"]
+        path.write_text(
+            SETTINGS.format(
+                name=f"d{number}",
+                ports=self.ports[number],
+                store_port=store_port,
+                grace_s=self.grace_s,
+            )
+        )
+        environment = {SETTINGS_VARIABLE: str(path)}
+        arguments = ["-m", "berylproxy.platform"]
+        daemon = LoggedDaemon(f"d{number}", arguments, self.folder, environment=environment)
+        return self.stack.enter_context(daemon)
+
+    def wait_ready(self, number: int) -> None:
+        """Waits until a daemon takes connections."""
+        until_s = monotonic() + READY_TIMEOUT_S
+        url = f"http://127.0.0.1:{self.ports[number][3]}/-/ready"
+        while monotonic() < until_s:
+            try:
+                if self.client.get(url).status_code == 200 and self.count_pending(number) == 200:
+                    return
+            except HTTPError:
+                pass
+            sleep(0.05)
+        raise AssertionError(f"daemon {number} is not ready")
+
+    def count_pending(self, number: int) -> int:
+        """Asks for the waiting jobs, which works once a holder is known; returns the status."""
+        return self.request(number, "GET", PREFIX).status_code
+
+    def request(self, number: int, method: str, path: str, body: dict | None = None) -> Response:
+        """Sends a request to a daemon."""
+        url = f"http://127.0.0.1:{self.ports[number][2]}{path}"
+        return self.client.request(method, url, json=body, headers={"Host": HOST})
+
+    def submit(self, number: int, job_id: str, tasks: int, **fields: object) -> Response:
+        """Hands a job in."""
+        step = {"count": tasks, "cpu": 20000, "mem-mb": 64, "estimate-ms": 100}
+        body = {"spec": "payload", "steps": [step], **fields}
+        return self.request(number, "POST", PREFIX + job_id, body)
+
+    def configure(self, configuration: dict) -> None:
+        """Writes a configuration as the operator does."""
+        body = {"key": "op/config", "value": configuration}
+        self.client.post(f"{self.store.url}/control/put", json=body).raise_for_status()
+
+    def switch_store(self, **switches: object) -> None:
+        """Sets switches of the store."""
+        url = f"{self.store.url}/control/switch"
+        self.client.post(url, json=switches).raise_for_status()
+
+    def find_holder(self) -> int:
+        """Finds the daemon that has become the holder last, by its log."""
+        claims = []
+        for number, daemon in enumerate(self.daemons):
+            for line in self.read_log(daemon):
+                if "claimed" in line.get("message", ""):
+                    claims.append((line["fence"], number))
+        return max(claims)[1]
+
+    def read_log(self, daemon: ManagedProcess) -> list[dict]:
+        """Reads the log lines that a daemon has written so far."""
+        path = self.folder / f"{daemon.name}.log"
+        lines = path.read_text(errors="replace").splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def read_history(self) -> list[tuple[float, str, tuple, int]]:
+        """Reads what all runners have started and ended."""
+        history = []
+        for runner in self.runners:
+            rows = self.client.get(f"{runner.url}/control/history").json()["history"]
+            history += [(at_s, kind, tuple(name), run) for at_s, kind, name, run in rows]
+        return sorted(history)
+
+    def find_overlaps(self) -> list[tuple]:
+        """Finds tasks of which two runs were there at the same time."""
+        history = self.read_history()
+        ends = {(name, run): at_s for at_s, kind, name, run in history if kind != "start"}
+        starts: dict[tuple, list] = {}
+        for at_s, kind, name, run in history:
+            if kind == "start":
+                starts.setdefault(name, []).append((at_s, run))
+        return [
+            (name, run)
+            for name, rows in starts.items()
+            for (_, run), (next_s, _) in pairwise(rows)
+            if ends.get((name, run), next_s + 1) > next_s
+        ]
+
+    def _start(self, name: str, arguments: list[str]) -> ManagedProcess:
+        return self.stack.enter_context(ManagedProcess(name, arguments, self.folder))
