Split the holder; poll endpoints that were lost; order with the payload; metrics and berylctl explain

Cause 1: an endpoint that missed a call while it ran nothing was never asked again, so that it got no task until its entry in the list changed. Test: 'an endpoint that was cut off while it ran nothing'. Cause 2: a caller that went away between the decision to start its task and the sending of the order ended the daemon with a KeyError.

New: metrics on port 9464 (aioprometheus), one line for each job that ends, berylctl explain. The holder's dealings with endpoints, the storing of outcomes and the tenure are modules of their own now.

--- a/berylproxy/cli/core.py
+++ b/berylproxy/cli/core.py
@@ -17,6 +17,7 @@
     DaemonCommand,
     DeleteCommand,
     DiffCommand,
+    ExplainCommand,
     GetCommand,
     RequestCommand,
     StatusCommand,
@@ -25,6 +26,7 @@
     ValidateCommand,
 )
 from berylproxy.cli.errors import CommandError, UsageError, choose_exit_status, format_error
+from berylproxy.cli.explain import run_explain
 from berylproxy.cli.jobs import run_cancel, run_request, run_status, run_submit
 from berylproxy.cli.records import (
     run_apply,
@@ -52,6 +54,7 @@
     ValidateCommand: run_validate,
     DaemonCommand: run_daemon_status,
     UsageCommand: run_usage,
+    ExplainCommand: run_explain,
 }
 
 
--- a/berylproxy/cli/definition.py
+++ b/berylproxy/cli/definition.py
@@ -145,6 +145,21 @@
     """Arguments of ``berylctl usage``."""
 
 
+@command(
+    name="explain",
+    help="Tell a request's story from log lines",
+    description="Needs no daemon: reads the log lines of all daemons that could be collected.",
+)
+@dataclass
+class ExplainCommand:
+    """Arguments of ``berylctl explain``."""
+
+    job: Annotated[str, Arg(help="Identifier of the job or request")]
+    files: Annotated[list[Path], Arg(num_args=-1, help="Log files; by default standard input")] = (
+        field(default_factory=list)
+    )
+
+
 Command = (
     SubmitCommand
     | RequestCommand
@@ -157,6 +172,7 @@
     | ValidateCommand
     | DaemonCommand
     | UsageCommand
+    | ExplainCommand
 )
 
 
--- a/berylproxy/cli/errors.py
+++ b/berylproxy/cli/errors.py
@@ -38,6 +38,12 @@
     code = "file_invalid"
 
 
+class JobNotLoggedError(CommandError):
+    """No log line names the job."""
+
+    code = "job_not_logged"
+
+
 class StillRunningError(CommandError):
     """The wait is over and the job is not finished."""
 
@@ -48,6 +54,7 @@
 EXIT_STATUSES: tuple[tuple[type[BerylproxyError], ExitStatus], ...] = (
     (UsageError, ExitStatus.USAGE_ERROR),
     (FileError, ExitStatus.USAGE_ERROR),
+    (JobNotLoggedError, ExitStatus.USAGE_ERROR),
     (SettingsError, ExitStatus.SETTINGS_INVALID),
     (StillRunningError, ExitStatus.TIMED_OUT),
     (NotRunError, ExitStatus.NOT_RUN),
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -22,7 +22,7 @@
 from berylproxy.constants import MAX_PEER_MESSAGE_BYTES
 from berylproxy.daemon.http_server import describe_listener, open_listener, serve_http
 from berylproxy.daemon.leaving_hosts import LeavingHosts
-from berylproxy.daemon.monitoring import Monitor
+from berylproxy.daemon.monitoring import Monitor, make_metrics_route
 from berylproxy.deduplicate.claims import ClaimBook
 from berylproxy.deduplicate.identifiers import IdentifierMint
 from berylproxy.deduplicate.messages import JOB_MESSAGES, CancelJob, FetchJob, SubmitJob
@@ -203,7 +203,7 @@
             *make_record_routes(self._view, editor, self._gate.authorize),
             *self._monitor.routes(),
             *UsageApi(self._store, self._gate.authorize).routes(),
-            *metrics.routes(),
+            make_metrics_route(metrics),
         ]
         handlers = {HTTPException: answer_http_error, Exception: answer_internal_error}
         return Starlette(routes=routes, exception_handlers=handlers)
--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -10,7 +10,7 @@
 from berylproxy.admit.answers import make_error_response
 from berylproxy.errors import BerylproxyError
 from berylproxy.http_responses import make_json_response
-from berylproxy.metrics import Sample
+from berylproxy.metrics import Metrics, Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.pipeline import Pipeline
@@ -23,6 +23,16 @@
 STATUS_UNAVAILABLE = 503
 
 
+def make_metrics_route(metrics: Metrics) -> Route:
+    """Makes the route of ``/metrics``."""
+
+    async def answer(request: Request) -> Response:
+        content, media_type = metrics.scrape(request.headers.getlist("accept"))
+        return Response(content, media_type=media_type)
+
+    return Route("/metrics", answer, methods=["GET"])
+
+
 class Monitor:
     """Answers ``/healthz``, ``/readyz`` and ``/v1/status``, and gives the gauges.
 
--- a/berylproxy/durable/book.py
+++ b/berylproxy/durable/book.py
@@ -43,6 +43,7 @@
 
     :ivar run: number of the newest run; each start has a higher one.
     :ivar life: where the newest run is, while it is active.
+    :ivar orders: how often its start was ordered by this holder.
     :ivar failed_runs: runs that have ended as failed.
     :ivar failed_at: identifiers of the endpoints where that was.
     :ivar saved: what a run last saved.
@@ -53,6 +54,7 @@
     status: TaskStatus
     run: int = 0
     life: EndpointLife | None = None
+    orders: int = 0
     ordered_s: float = 0.0
     started_s: float = 0.0
     progress_percent: int = 0
@@ -170,6 +172,7 @@
         job.started = True
         job.state = JobState.RUNNING
         task.run += 1
+        task.orders += 1
         task.status = TaskStatus.STARTING
         task.life = life
         task.ordered_s = task.started_s = now_s
@@ -218,12 +221,10 @@
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
-    def cancel(self, job: Job) -> list[Task]:
-        """Cancels a job; returns its tasks that must be stopped."""
-        active = [task for task in job.tasks.values() if task.status in ACTIVE_STATUSES]
+    def cancel(self, job: Job) -> None:
+        """Cancels a job, whose active tasks must be stopped then."""
         job.state = JobState.CANCELLED
         job.waiting.clear()
-        return active
 
     def waiting_jobs(self) -> Iterator[Job]:
         """Lists the jobs with tasks that may be started."""
--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -23,6 +23,7 @@
 from berylproxy.durable.models import JobSpec, JobState
 from berylproxy.durable.ports import JobStore
 from berylproxy.durable.records import decode_final, final_key, open_key
+from berylproxy.durable.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.peers.membership import PeerUnreachableError
 from berylproxy.peers.network import TcpPeerNetwork
@@ -55,12 +56,18 @@
     """Answers callers' requests about durable jobs."""
 
     def __init__(
-        self, network: TcpPeerNetwork, member: DurableMember, store: JobStore, clock: Clock
+        self,
+        network: TcpPeerNetwork,
+        member: DurableMember,
+        store: JobStore,
+        clock: Clock,
+        telemetry: Telemetry,
     ) -> None:
         self._network = network
         self._member = member
         self._store = store
         self._clock = clock
+        self._telemetry = telemetry
         self._states: OrderedDict[str, JobState] = OrderedDict()
         self._pending: dict[str, int] = {}
 
@@ -98,6 +105,7 @@
                         error.message,
                         extra={"job": spec.job_id, "attempt": attempt, "code": error.code},
                     )
+                    self._telemetry.count("jobs_handed_in_again")
                     attempt += 1
                     await sleep(RETRY_PAUSE_S)
                     continue
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -74,6 +74,11 @@
         """Whether it takes orders under this holder's fence only."""
         return self.contacted_s is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether there is nothing to ask it: it answered last time, runs and remembers nothing."""
+        return self.is_contacted and not (self.present or self.ends or self.missed_calls)
+
     @property
     def room(self) -> Needs:
         """What is left of its capacity; stopping runs still count."""
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -23,7 +23,7 @@
 )
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder
+from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder, HolderContext
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
     AskPending,
@@ -44,6 +44,7 @@
     TransactionConflictError,
 )
 from berylproxy.durable.records import claim_key
+from berylproxy.durable.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
 from berylproxy.peers.network import TcpPeerNetwork
@@ -101,6 +102,7 @@
         list_members: Callable[[], dict[str, str]],
         has_store: Callable[[], bool],
         on_ended: Callable[[dict[str, str]], None],
+        telemetry: Telemetry,
     ) -> None:
         self.known: dict[str, KnownHolder] = {}
         self.holders: dict[str, Holder] = {}
@@ -114,6 +116,18 @@
         self._has_store = has_store
         self._list = EndpointList()
         self._resting_until_s: dict[str, float] = {}
+        self._telemetry = telemetry
+        self._context = HolderContext(
+            store,
+            directory,
+            self._list,
+            clock,
+            telemetry,
+            self._notify,
+            lambda: [member.identity.incarnation for member in self.live_members()],
+            self._has_store_elsewhere,
+            self._is_entry_alive,
+        )
         self._on_ended = on_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
@@ -205,7 +219,7 @@
         if group in self.holders:
             if has_store and known.fence % FENCES_PER_CLAIM:
                 known.is_leaving = True
-                self.holders[group].end("the store is back: a claim takes its place")
+                self.holders[group].tenure.end("the store is back: a claim takes its place")
             return
         members = [m for m in self.live_members() if m.identity.incarnation != known.incarnation]
         candidates = [
@@ -312,21 +326,8 @@
         known.change(fence, self.own_incarnation, self._clock.now_s())
         known.is_leaving = False
         self._claiming.discard(group)
-        holder = Holder(
-            group,
-            fence,
-            self._store,
-            self._directory,
-            self._list,
-            self._clock,
-            self._notify,
-            lambda: [member.identity.incarnation for member in self.live_members()],
-            self._has_store_elsewhere,
-            inherited,
-            self._models.setdefault(group, RunTimeModel()),
-            self._is_entry_alive,
-            claim_revision,
-        )
+        model = self._models.setdefault(group, RunTimeModel())
+        holder = Holder(group, fence, claim_revision, inherited, model, self._context)
         self.holders[group] = holder
         try:
             await holder.run()
@@ -335,6 +336,30 @@
             if known.incarnation == self.own_incarnation:
                 known.change(known.fence, "", self._clock.now_s())
 
+    def describe_groups(self) -> list[tuple[str, str, float, str]]:
+        """Lists gauges of the groups: name, help, value and group."""
+        rows = []
+        for group, known in self.known.items():
+            rows.append(
+                (
+                    "holder_silence_seconds",
+                    "Time since the holder was heard",
+                    self._silence_s(known),
+                    group,
+                )
+            )
+            holder = self.holders.get(group)
+            rows.append(
+                ("is_holder", "Whether this daemon is the holder", holder is not None, group)
+            )
+            if holder is not None:
+                usable = sum(
+                    e.may_start(self._clock.now_s()) for e in holder.group.endpoints.values()
+                )
+                rows.append(("open_jobs", "Jobs that have not ended", len(holder.book.jobs), group))
+                rows.append(("usable_endpoints", "Endpoints that get tasks", usable, group))
+        return [(name, text, float(value), group) for name, text, value, group in rows]
+
     def _is_entry_alive(self, incarnation: str) -> bool:
         """Tells whether a daemon was heard lately, or is this one."""
         if incarnation == self.own_incarnation:
@@ -366,7 +391,8 @@
         if message.fence > known.fence:
             holder = self.holders.get(message.group)
             if holder is not None:
-                holder.end("another daemon has a newer claim")
+                holder.tenure.end("another daemon has a newer claim")
+            self._telemetry.count("holder_changes", group=message.group)
             logger.info(
                 "new holder of {}: {}",
                 message.group,
--- /dev/null
+++ b/berylproxy/durable/outcomes.py
@@ -0,0 +1,124 @@
+"""Stores how kept jobs end, and lets endpoints forget the runs of jobs whose end is stored."""
+
+from dataclasses import dataclass
+from time import time
+
+from anyio import Event, sleep
+from logbook import Logger
+
+from berylproxy.durable.book import Job, JobBook
+from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.ledger import AlreadyThereError, Change, Ledger, TenureLostError
+from berylproxy.durable.models import EndedRun, StoredJob
+from berylproxy.durable.records import encode_final, encode_job, final_key, open_key
+from berylproxy.durable.tenure import Tenure
+from berylproxy.store.port import StoreError
+
+PROGRESS_AGE_S = 1.0  # ends that are kept longer are stored with their unfinished job
+RETRY_PAUSE_S = 0.05
+
+logger = Logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class KeptEnd:
+    """An end that its endpoint must remember until the job's end is stored."""
+
+    endpoint: EndpointState
+    number: int
+    seen_s: float
+
+
+class OutcomeStore:
+    """The outcomes of a tenure's kept jobs on their way into the store."""
+
+    def __init__(self, tenure: Tenure, ledger: Ledger, book: JobBook) -> None:
+        self._tenure = tenure
+        self._ledger = ledger
+        self._book = book
+        self._kept_ends: dict[str, list[KeptEnd]] = {}
+        self._waiting: dict[str, Event] = {}
+        self._storing_progress: set[str] = set()
+
+    def keep_end(self, endpoint: EndpointState, end: EndedRun) -> None:
+        """Notes that an endpoint is the memory of an end."""
+        kept = KeptEnd(endpoint, end.number, self._tenure.clock.now_s())
+        self._kept_ends.setdefault(end.name.job_id, []).append(kept)
+
+    def begin(self, job: Job) -> None:
+        """Begins to store a job's outcome."""
+        job_id = job.spec.job_id
+        if job_id not in self._waiting:
+            self._waiting[job_id] = Event()
+            self._tenure.spawn(self.store, job)
+
+    def is_storing(self, job_id: str) -> bool:
+        """Tells whether a job's outcome is on its way."""
+        return job_id in self._waiting
+
+    async def wait(self, job_id: str) -> None:
+        """Waits until a job's outcome is stored, or the tenure ends."""
+        event = self._waiting.get(job_id)
+        if event is not None:
+            await event.wait()
+
+    def abandon(self) -> None:
+        """Ends all waits: the tenure is over."""
+        for event in self._waiting.values():
+            event.set()
+
+    async def store(self, job: Job) -> None:
+        """Stores a job's outcome, however long that takes, and closes it."""
+        job_id = job.spec.job_id
+        change_of_outcome = (
+            ((final_key(job_id), encode_final(job.state, time())),),
+            (open_key(self._tenure.group, job_id),),
+        )
+        while True:
+            try:
+                await self._ledger.make(Change((), *change_of_outcome))
+                break
+            except TenureLostError:
+                self._tenure.end("the claim is another daemon's")
+                return
+            except StoreError as error:
+                logger.debug("outcome of {} not stored yet: {}", job_id, error.message)
+                await sleep(RETRY_PAUSE_S)
+        self._book.close(job)
+        for kept in self._kept_ends.pop(job_id, ()):
+            kept.endpoint.release(kept.number)
+        self._waiting.pop(job_id).set()
+
+    def store_old_progress(self, now_s: float) -> None:
+        """Begins to store what endpoints would otherwise have to remember for long."""
+        for job_id, ends in self._kept_ends.items():
+            job = self._book.jobs.get(job_id)
+            if job is None or job.is_final or job_id in self._storing_progress:
+                continue
+            if ends and now_s - ends[0].seen_s > PROGRESS_AGE_S:
+                self._storing_progress.add(job_id)
+                self._tenure.spawn(self._store_progress, job)
+
+    async def _store_progress(self, job: Job) -> None:
+        job_id = job.spec.job_id
+        kept = list(self._kept_ends.get(job_id, ()))
+        stored = StoredJob(job.spec, job.accepted_unix_s, job.progress())
+        change = Change(
+            absent=(final_key(job_id),),
+            written=((open_key(self._tenure.group, job_id), encode_job(stored)),),
+        )
+        try:
+            await self._ledger.make(change)
+        except TenureLostError:
+            self._tenure.end("the claim is another daemon's")
+            return
+        except (StoreError, AlreadyThereError) as error:
+            logger.debug("progress of {} not stored: {}", job_id, error.message)
+            return
+        finally:
+            self._storing_progress.discard(job_id)
+        left = [end for end in self._kept_ends.get(job_id, ()) if end not in kept]
+        if job_id in self._kept_ends:
+            self._kept_ends[job_id] = left
+        for end in kept:
+            end.endpoint.release(end.number)
--- /dev/null
+++ b/berylproxy/durable/telemetry.py
@@ -0,0 +1,66 @@
+"""Counters and histograms of durable jobs."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from berylproxy.metrics import Metrics, Sample
+
+PREFIX = "berylproxy_"
+JOB_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+REQUEST_BUCKETS_S = (0.005, 0.02, 0.1, 0.3, 1.0, 3.0)
+
+HELP = {
+    "jobs_ended": "Jobs that ended here, by queue and state",
+    "jobs_late": "Jobs that ended after their objective, by queue",
+    "jobs_refused": "Jobs refused, by queue and reason",
+    "jobs_handed_in_again": "Jobs handed to another holder after the first one went away",
+    "task_starts": "Orders to start a task, by outcome",
+    "runs_ended": "Runs of tasks that ended, by kind",
+    "runs_moved": "Runs stopped because they made no progress",
+    "endpoint_closures": "Times that an endpoint got no tasks for a while, by reason",
+    "holder_changes": "Other daemons or tenures that became the holder, by group",
+    "responses": "Answers to callers, by method and status",
+}
+
+
+class Telemetry:
+    """What one daemon counts.
+
+    :ivar metrics: where the series are scraped.
+    """
+
+    def __init__(self) -> None:
+        self.metrics = Metrics()
+        self._counts: Counter[tuple[str, tuple[tuple[str, str], ...]]] = Counter()
+        self._job_seconds = self.metrics.make_histogram(
+            PREFIX + "job_seconds", "Time from acceptance to end, by queue", JOB_BUCKETS_S
+        )
+        self._request_seconds = self.metrics.make_histogram(
+            PREFIX + "request_seconds", "Time of callers' requests, by method", REQUEST_BUCKETS_S
+        )
+        self.metrics.add_source(self._list_counts)
+
+    def count(self, name: str, **labels: str) -> None:
+        """Counts one event; the name is one of :data:`HELP`."""
+        self._counts[name, tuple(sorted(labels.items()))] += 1
+
+    def observe_job(self, queue: str, took_s: float) -> None:
+        """Takes the time that a job took."""
+        self._job_seconds.observe({"queue": queue}, took_s)
+
+    def observe_request(self, method: str, took_s: float) -> None:
+        """Takes the time that a caller's request took."""
+        self._request_seconds.observe({"method": method}, took_s)
+
+    def add_gauges(self, source: Callable[[], Iterable[tuple[str, str, float, str]]]) -> None:
+        """Takes a function that lists name, help, value and group of present states."""
+        self.metrics.add_source(
+            lambda: [
+                Sample(PREFIX + name, text, value, {"group": group})
+                for name, text, value, group in source()
+            ]
+        )
+
+    def _list_counts(self) -> Iterable[Sample]:
+        for (name, labels), value in self._counts.items():
+            yield Sample(f"{PREFIX}{name}_total", HELP[name], value, dict(labels))
--- a/berylproxy/metrics.py
+++ b/berylproxy/metrics.py
@@ -1,13 +1,11 @@
-"""What the daemon counts, for ``/metrics``."""
+"""What a daemon counts, in the format that scrapers read."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from math import inf
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from aioprometheus.collectors import Collector
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
 COUNTER_SUFFIX = "_total"
 
@@ -23,7 +21,7 @@
 
 
 class Metrics:
-    """Series that are read from their sources at each scrape."""
+    """Series that are read from their sources at each scrape, and histograms."""
 
     def __init__(self) -> None:
         self._registry = Registry()
@@ -34,23 +32,26 @@
         """Takes a function that is asked for samples at each scrape."""
         self._sources.append(source)
 
-    def routes(self) -> list[Route]:
-        """Makes the route of ``/metrics``."""
-        return [Route("/metrics", self.scrape, methods=["GET"])]
+    def make_histogram(self, name: str, help_text: str, buckets: Sequence[float]) -> Histogram:
+        """Makes a histogram, which takes each observation as it comes."""
+        return Histogram(name, help_text, registry=self._registry, buckets=[*buckets, inf])
 
-    async def scrape(self, request: Request) -> Response:
-        """Answers with all series in the format that the scraper accepts."""
+    def scrape(self, accepted: Sequence[str]) -> tuple[bytes, str]:
+        """Renders all series.
+
+        :param accepted: the scraper's ``Accept`` headers.
+        :returns: the content and its media type.
+        """
         for source in self._sources:
             for sample in source():
                 self._set(sample)
-        content, headers = render(self._registry, request.headers.getlist("accept"))
-        return Response(content, media_type=headers["Content-Type"])
+        content, headers = render(self._registry, list(accepted))
+        return content, headers["Content-Type"]
 
     def _set(self, sample: Sample) -> None:
         series = self._series.get(sample.name)
         if series is None:
             collector = Counter if sample.name.endswith(COUNTER_SUFFIX) else Gauge
-            series = collector(sample.name, sample.help)
-            self._registry.register(series)
+            series = collector(sample.name, sample.help, registry=self._registry)
             self._series[sample.name] = series
         series.set(sample.labels, sample.value)
--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -3,6 +3,7 @@
 import sys
 
 from anyio import run
+from logbook import Logger
 
 from berylproxy.environment import Environment
 from berylproxy.exit_status import ExitStatus
@@ -11,6 +12,8 @@
 from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
 from berylproxy.settings import SettingsError
 
+logger = Logger(__name__)
+
 
 def main(env: Environment) -> ExitStatus:
     """Runs the daemon until it is told to stop."""
@@ -24,7 +27,11 @@
     output = NonBlockingOutput(env.stdout.fileno())
     handler = make_log_handler(output, "info", daemon_id=settings.daemon_id)
     with handler.applicationbound():
-        run(PlatformDaemon(settings).run)
+        try:
+            run(PlatformDaemon(settings).run)
+        except Exception:  # the platform starts the process anew; the cause must not be lost
+            logger.exception("the daemon ends")
+            return ExitStatus.INTERNAL_ERROR
     return ExitStatus.SUCCESS
 
 
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -1,6 +1,7 @@
 """The platform's HTTP interface for callers and for the balancer, as an ASGI application."""
 
 from collections.abc import Awaitable, Callable
+from time import monotonic
 from typing import Any
 from urllib.parse import unquote
 
@@ -10,11 +11,14 @@
 
 from berylproxy.durable.entry import EntryDesk, NotAcceptedError, NotKnownError
 from berylproxy.durable.models import JobSpec, JobState, StepSpec
+from berylproxy.durable.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.platform.configuration import JobRoute, PlatformConfiguration
 from berylproxy.platform.endpoints import decode_needs
+from berylproxy.platform.settings import METRICS_PORT
 
 READY_PATH = "/-/ready"
+METRICS_PATH = "/metrics"
 WAIT_HEADER = b"berylproxy-deadline-ms"
 LONGEST_WAIT_S = 30.0
 ANSWER_MARGIN_S = 0.05  # for the way back to the caller
@@ -57,11 +61,13 @@
         configuration: Callable[[], PlatformConfiguration],
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
+        telemetry: Telemetry,
     ) -> None:
         self._desk = desk
         self._configuration = configuration
         self._is_ready = is_ready
         self._is_stopping = is_stopping
+        self._telemetry = telemetry
         self._running = 0
         self._idle = Event()
         self._given_up = Event()
@@ -85,15 +91,27 @@
         if scope["path"] == READY_PATH:
             await self._answer(send, 200 if self._is_ready() else 503)
             return
+        if scope["path"] == METRICS_PATH and scope["server"][1] == METRICS_PORT:
+            await self._answer_metrics(scope, send)
+            return
         self._running += 1
+        started_s = monotonic()
         try:
             await self._serve_or_explain(scope, receive, send)
         finally:
+            self._telemetry.observe_request(scope["method"], monotonic() - started_s)
             self._running -= 1
             if not self._running:
                 self._idle.set()
                 self._idle = Event()
 
+    async def _answer_metrics(self, scope: dict[str, Any], send: Send) -> None:
+        accepted = [value.decode() for name, value in scope["headers"] if name == b"accept"]
+        body, media_type = self._telemetry.metrics.scrape(accepted)
+        headers = [(b"content-type", media_type.encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
+
     async def _serve_or_explain(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         try:
             await self._serve(scope, receive, send)
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -17,6 +17,7 @@
 from berylproxy.durable.messages import DURABLE_MESSAGES
 from berylproxy.durable.ports import Transaction, TransactionConflictError
 from berylproxy.durable.records import ROOT
+from berylproxy.durable.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
 from berylproxy.peers.network import TcpPeerNetwork
@@ -74,6 +75,7 @@
             settings.failure_domain,
             settings.peer_address,
         )
+        telemetry = Telemetry()
         key = await self._fetch_peer_key()
         self._network = TcpPeerNetwork(
             self._identity,
@@ -90,13 +92,16 @@
             lambda: self._listed,
             lambda: self._store.has_contact,
             lambda states: self._desk.take_ended(states),
+            telemetry,
         )
-        self._desk = EntryDesk(self._network, self._member, self._store, self._clock)
+        telemetry.add_gauges(self._member.describe_groups)
+        self._desk = EntryDesk(self._network, self._member, self._store, self._clock, telemetry)
         self._callers = PlatformCallers(
             self._desk,
             lambda: self._configuration,
             self._check_ready,
             lambda: self._is_stopping,
+            telemetry,
         )
         async with create_task_group() as task_group:
             await task_group.start(self._network.run)
@@ -112,7 +117,12 @@
 
     async def _serve(self) -> None:
         config = Config()
-        config.bind = [self._settings.callers_address, self._settings.ready_address]
+        settings = self._settings
+        config.bind = [
+            settings.callers_address,
+            settings.ready_address,
+            settings.metrics_address,
+        ]
         config.keep_alive_timeout = 60.0
         config.keep_alive_max_requests = 1_000_000
         config.graceful_timeout = LAST_ANSWERS_S
@@ -123,6 +133,8 @@
         try:
             await serve(self._callers, config, shutdown_trigger=self._stopped.wait)
         except (CancelledError, InvalidStateError):
+            if not self._stopped.is_set():
+                raise
             # hypercorn raises these when requests are left at the end of its graceful timeout
             logger.warning("stopped with requests unanswered")
 
--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -8,6 +8,7 @@
 
 from berylproxy.settings import SettingsError
 
+METRICS_PORT = 9464  # where exporters of OpenTelemetry serve by default; deploy/ names it too
 SETTINGS_VARIABLE = "BERYLPROXY_NODE_FILE"
 
 
@@ -103,14 +104,14 @@
 
 
 def _convert(file: _SettingsFile) -> PlatformSettings:
-    first_port, last_port = file.internal_ports
+    first_port, _ = file.internal_ports
     return PlatformSettings(
         daemon_id=file.node_name,
         failure_domain=file.zone,
         callers_address=file.listen.frontend_addr,
         ready_address=file.listen.ready_addr,
         peer_address=f"{file.ip}:{first_port}",
-        metrics_address=f"{file.ip}:{last_port}",
+        metrics_address=f"{file.ip}:{METRICS_PORT}",
         store_address=file.platform.address,
         cores=file.limits.cpu_share * file.limits.cores,
         stop_grace_s=file.bounds.grace_s,
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -66,6 +66,17 @@
     Then job "a" ends as "completed"
     And no task of job "a" ran twice at the same time
 
+  Scenario: an endpoint that was cut off while it ran nothing gets tasks again
+    Given a group of 1 endpoint whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    And endpoint 1 is cut off from holders with fence 16
+    And 1.6 s have passed
+    And endpoint 1 is reached by all holders after 0.1 s
+    And 0.3 s have passed
+    And job "b" of 1 task is handed in
+    Then job "b" ends as "completed"
+
   Scenario: a caller that goes away takes its job along
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
@@ -73,6 +84,13 @@
     And the caller of job "a" goes away after 0.1 s
     Then nothing runs at any endpoint within 0.3 s
 
+  Scenario: a caller goes away just when its task is ordered
+    Given a group of 1 endpoint whose runs take 5 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is ordered and its caller goes away at that moment
+    Then nothing runs at any endpoint within 0.3 s
+    And the holder with fence 16 is at work
+
   Scenario: jobs whose entry daemon is silent are dropped
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -9,10 +9,11 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import Holder
+from berylproxy.durable.holder import Holder, HolderContext
 from berylproxy.durable.messages import HandIn
-from berylproxy.durable.models import EndKind, JobSpec, Needs, QueueTerms, StepSpec
+from berylproxy.durable.models import EndKind, JobSpec, Needs, QueueTerms, StepSpec, StoredJob
 from berylproxy.durable.records import claim_key, final_key, open_key
+from berylproxy.durable.telemetry import Telemetry
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
@@ -47,17 +48,20 @@
         self.holders[fence] = Holder(
             GROUP,
             fence,
-            self.store,
-            self.directory,
-            EndpointList(),
-            MonotonicClock(),
-            lambda incarnation, message: None,
-            lambda: [],
-            lambda: True,
+            revision if fence % FENCES_PER_REVISION == 0 else 0,
             frozenset(endpoint.facts.life.endpoint_id for endpoint in self.endpoints),
             RunTimeModel(),
-            lambda incarnation: self.entry_is_alive,
-            revision if fence % FENCES_PER_REVISION == 0 else 0,
+            HolderContext(
+                self.store,
+                self.directory,
+                EndpointList(),
+                MonotonicClock(),
+                Telemetry(),
+                lambda incarnation, message: None,
+                lambda: [],
+                lambda: True,
+                lambda incarnation: self.entry_is_alive,
+            ),
         )
         self.newest = max(self.newest, fence)
         self.portal.start_task_soon(self.holders[fence].run)
@@ -86,7 +90,7 @@
     def close(self) -> None:
         """Ends all holders."""
         for holder in self.holders.values():
-            self.portal.call(holder.end, "the scenario is over")
+            self.portal.call(holder.tenure.end, "the scenario is over")
         self.portal_context.__exit__(None, None, None)
 
 
@@ -185,6 +189,26 @@
     world.portal.call(world.holders[world.newest].drop, name, "its caller has gone")
 
 
+@when(r'job "(?P<name>\w+)" of 1 task is ordered and its caller goes away at that moment')
+def step_impl(context, name):
+    world = context.holder_world
+    holder = world.holders[world.newest]
+
+    async def order_and_drop():
+        terms = QueueTerms("q", GROUP, objective_s=ANSWER_TIMEOUT_S)
+        spec = JobSpec(name, terms, "", (StepSpec(1, Needs(TASK_CPU_MILLICORES), 0.1),), False)
+        job = holder.book.open(StoredJob(spec, 0.0), monotonic(), entry=ENTRY)
+        holder.group.order(job.tasks[0, 0], next(iter(holder.group.endpoints.values())))
+        holder.drop(name, "its caller has gone")
+
+    world.portal.call(order_and_drop)
+
+
+@then(r"the holder with fence (?P<fence>\d+) is at work")
+def step_impl(context, fence):
+    assert not context.holder_world.holders[int(fence)].tenure.is_over
+
+
 @when(r"the entry daemon is not heard any more")
 def step_impl(context):
     sleep(0.1)
--- a/tests/steps/platform_system_steps.py
+++ b/tests/steps/platform_system_steps.py
@@ -6,7 +6,13 @@
 
 from behave import given, then, use_step_matcher, when
 
-from tests.support.platform_cluster import HOST, PREFIX, PlatformCluster, make_configuration
+from tests.support.platform_cluster import (
+    HOST,
+    PREFIX,
+    PlatformCluster,
+    host_of,
+    make_configuration,
+)
 
 STOP_TIMEOUT_S = 10.0
 job_numbers = count(1)
@@ -190,7 +196,7 @@
 @then(r"the platform answers 400 to these bodies, naming what is wrong:")
 def step_impl(context):
     cluster = context.platform_cluster
-    url = f"http://127.0.0.1:{cluster.ports[0][2]}{PREFIX}"
+    url = f"http://{host_of(0)}:{cluster.ports[0][2]}{PREFIX}"
     for row in context.table:
         answer = cluster.client.post(
             url + new_job_id(), content=row["body"].encode(), headers={"Host": HOST}
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -24,13 +24,13 @@
 
 SETTINGS = """
 node-name = "{name}"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "a"
 internal-ports = [{ports[0]},{ports[1]}]
 unknown-field = true
 [listen]
-frontend-addr = "127.0.0.1:{ports[2]}"
-ready-addr = "127.0.0.1:{ports[3]}"
+frontend-addr = "{host}:{ports[2]}"
+ready-addr = "{host}:{ports[3]}"
 [platform]
 address = "127.0.0.1:{store_port}"
 [bounds]
@@ -47,6 +47,11 @@
         return [each.getsockname()[1] for each in sockets]
 
 
+def host_of(number: int) -> str:
+    """Gives each daemon a loopback address of its own, as their metrics have a fixed port."""
+    return f"127.0.1.{number + 1}"
+
+
 def make_configuration(version: int, prefixes: list[str]) -> dict:
     """Makes a version of the operator's configuration."""
     routes = [
@@ -122,6 +127,7 @@
         path.write_text(
             SETTINGS.format(
                 name=f"d{number}",
+                host=host_of(number),
                 ports=self.ports[number],
                 store_port=store_port,
                 grace_s=self.grace_s,
@@ -135,7 +141,7 @@
     def wait_ready(self, number: int) -> None:
         """Waits until a daemon takes connections."""
         until_s = monotonic() + READY_TIMEOUT_S
-        url = f"http://127.0.0.1:{self.ports[number][3]}/-/ready"
+        url = f"http://{host_of(number)}:{self.ports[number][3]}/-/ready"
         while monotonic() < until_s:
             try:
                 if self.client.get(url).status_code == 200 and self.count_pending(number) == 200:
@@ -151,7 +157,7 @@
 
     def request(self, number: int, method: str, path: str, body: dict | None = None) -> Response:
         """Sends a request to a daemon."""
-        url = f"http://127.0.0.1:{self.ports[number][2]}{path}"
+        url = f"http://{host_of(number)}:{self.ports[number][2]}{path}"
         return self.client.request(method, url, json=body, headers={"Host": HOST})
 
     def submit(self, number: int, job_id: str, tasks: int, **fields: object) -> Response:
