Take no list or text for granted in what comes from outside; test what decodes it

Cause: random bodies (hypothesis) ended the decoding of a runner's report with a TypeError where a list was null, and that of a job where max-per-server was text. Found by 'bytes from outside never end a daemon', which failed before; 80 examples a run.

The operations page has its new name.

--- a/berylproxy/errors.py
+++ b/berylproxy/errors.py
@@ -8,7 +8,7 @@
 class BerylproxyError(Exception):
     """An error with a stable code.
 
-    :cvar code: stable, machine-readable name; docs/operations.md lists them all.
+    :cvar code: stable, machine-readable name; docs/OPERATIONS.md lists them all.
     :param message: one line that says what is wrong.
     :param hint: one line that says what to do next; may be empty.
     :param retry_after_s: when it is useful to come back; ``None`` when repeating cannot help.
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -262,6 +262,12 @@
     estimate_ms = row.get("estimate-ms", 0)
     if type(estimate_ms) not in (int, float) or estimate_ms < 0:
         raise RequestInvalidError(f"steps.{number}.estimate-ms must be a number of 0 or more")
+    most = row.get("max-per-server", 0)
+    if type(most) is not int or most < 0:
+        raise RequestInvalidError(f"steps.{number}.max-per-server must be 0 or more")
+    for name in ("requires", "affinity"):
+        if not isinstance(row.get(name, ""), str):
+            raise RequestInvalidError(f"steps.{number}.{name} must be text")
     try:
         needs = decode_needs(row)
     except ValueError as error:
@@ -271,10 +277,10 @@
         needs,
         estimate_s=estimate_ms / 1000,
         after=tuple(after),
-        required_label=str(row.get("requires", "")),
-        preferred_rack=str(row.get("affinity", "")),
+        required_label=row.get("requires", ""),
+        preferred_rack=row.get("affinity", ""),
         # "max-per-server" counts tasks of the step on one runner.
-        max_per_endpoint=int(row.get("max-per-server", 0)),
+        max_per_endpoint=most,
         saves_progress=bool(row.get("checkpoint")),
     )
 
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -219,17 +219,18 @@
     """Decodes a runner's lists; rows that can't be read are counted."""
     unreadable = 0
     running, ended = [], []
-    for row in content.get("running", ()):
+    for row in _list_rows(content, "running"):
         try:
             name = _parse_name(row[0])
-            running.append(RunningTask(name, int(row[1]), row[2] or "", int(row[3])))
-        except (ValueError, TypeError, IndexError):
+            running.append(RunningTask(name, int(row[1]), _read_text(row[2]), int(row[3])))
+        except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
-    for row in content.get("ended", ()):
+    for row in _list_rows(content, "ended"):
         try:
             name = _parse_name(row[1])
-            ended.append(EndedRun(int(row[0]), name, int(row[2]), EndKind(row[3]), row[4] or ""))
-        except (ValueError, TypeError, IndexError):
+            kind, saved = EndKind(row[3]), _read_text(row[4])
+            ended.append(EndedRun(int(row[0]), name, int(row[2]), kind, saved))
+        except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     born = content.get("born", 0)
     return EndpointReport(
@@ -237,6 +238,15 @@
     )
 
 
+def _list_rows(content: dict[str, Any], name: str) -> list[Any]:
+    rows = content.get(name)
+    return rows if isinstance(rows, list) else []
+
+
+def _read_text(value: Any) -> str:
+    return value if isinstance(value, str) else ""
+
+
 def _format_name(name: TaskName) -> str:
     return f"{name.job_id}.0.{name.step}.{name.index}"
 
--- a/tests/steps/monitoring_steps.py
+++ b/tests/steps/monitoring_steps.py
@@ -281,6 +281,6 @@
     for module in walk_packages(berylproxy.__path__, "berylproxy."):
         if not module.name.endswith("__main__"):
             import_module(module.name)
-    page = (ROOT / "docs" / "operations.md").read_text()
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     missing = [code for code in sorted(list_codes(BerylproxyError)) if f"`{code}`" not in page]
     assert not missing, missing
--- /dev/null
+++ b/tests/steps/platform_wire_steps.py
@@ -0,0 +1,204 @@
+"""Steps for the decoding of what the platform, its runners and callers send."""
+
+import contextlib
+import json
+import os
+from time import monotonic
+
+from behave import given, then, use_step_matcher, when
+from hypothesis import given as with_examples
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from berylproxy.logs import NonBlockingOutput
+from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
+from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
+from berylproxy.platform.endpoints import decode_entry, decode_report
+from berylproxy.platform.settings import load_platform_settings
+from berylproxy.settings import SettingsError
+from berylproxy.store.port import Entry
+from tests.support.platform_cluster import HOST, make_configuration
+
+GOOD_ENTRY = {
+    "service": "ledger",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "capacity": {"cpu": 64000, "mem-mb": 1000},
+    "labels": ["b", "r1-2"],
+    "born": 5,
+    "seq": 1,
+}
+MAX_WRITE_S = 5.0
+FUZZ_EXAMPLES = 80
+
+json_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=4)
+    | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+def fuzzed(good):
+    """Makes objects with the field names of a good one and any values."""
+    fields = {name: json_values | strategies.just(value) for name, value in good.items()}
+    return strategies.fixed_dictionaries({}, optional=fields)
+
+
+use_step_matcher("re")
+
+
+@given(r"a good list entry")
+def step_impl(context):
+    context.entry_fields = dict(GOOD_ENTRY)
+    context.entry_bytes = json.dumps(GOOD_ENTRY).encode()
+
+
+@when(r'its field "(?P<name>\w+)" becomes (?P<value>.+)')
+def step_impl(context, name, value):
+    context.entry_fields[name] = json.loads(value)
+    context.entry_bytes = json.dumps(context.entry_fields).encode()
+
+
+@when(r"its bytes are (?P<fate>as they were|cut in half)")
+def step_impl(context, fate):
+    if fate == "cut in half":
+        context.entry_bytes = context.entry_bytes[: len(context.entry_bytes) // 2]
+
+
+@then(r"it names (?P<verdict>an endpoint|a leaving one|nothing)")
+def step_impl(context, verdict):
+    facts = decode_entry(Entry("servers/e1", context.entry_bytes, 1))
+    if verdict == "nothing":
+        assert facts is None, facts
+        return
+    assert facts.life.endpoint_id == "e1"
+    assert facts.leaving == (verdict == "a leaving one")
+    assert (facts.kind, facts.rack) == ("b", "r1-2")
+
+
+@when(r"this report of a runner is decoded:")
+def step_impl(context):
+    context.report = decode_report(json.loads(context.text), 0.0)
+
+
+@then(r"1 running task, 1 end and 3 unreadable rows are found")
+def step_impl(context):
+    report = context.report
+    assert (len(report.running), len(report.ended), report.unreadable) == (1, 1, 3), report
+    assert report.born_ms == 7 and report.running[0].name == ("00000000000000aa", 1, 2)
+
+
+@given(r'a configuration with the prefixes "(?P<first>[/\w]+)" and "(?P<second>[/\w]+)"')
+def step_impl(context, first, second):
+    written = json.dumps(make_configuration(4, [first, second])).encode()
+    context.platform_configuration = decode_configuration(written)
+
+
+@then(r'the path "(?P<path>[/\w]+)" belongs to (?:the queue "(?P<queue>\w+)"|no queue)')
+def step_impl(context, path, queue=None):
+    route = context.platform_configuration.find_route(HOST, path)
+    assert (route.terms.queue if route is not None else None) == queue, route
+
+
+@given(r'a settings file without "ip", with the number 7 as "zone" and no "\[platform\]"')
+def step_impl(context):
+    context.settings_path = context.folder / "settings.toml"
+    listen = '[listen]\nfrontend-addr = "127.0.0.1:1"\nready-addr = "127.0.0.1:2"\n'
+    context.settings_path.write_text(
+        f'node-name = "n"\nzone = 7\ninternal-ports = [1, 2]\n{listen}'
+    )
+
+
+@given(r'a settings file with the text "(?P<text>.+)"')
+def step_impl(context, text):
+    context.settings_path = context.folder / "settings.toml"
+    context.settings_path.write_text(text)
+
+
+@then(r"reading it names (?P<names>.+)")
+def step_impl(context, names):
+    try:
+        load_platform_settings(str(context.settings_path))
+    except SettingsError as error:
+        wanted = [name.strip('"') for name in names.replace(" and ", ", ").split(", ")]
+        assert all(any(name in problem for problem in error.problems) for name in wanted), error
+    else:
+        raise AssertionError("the settings were taken")
+
+
+@then(r"random list entries, reports, configurations and jobs are decoded or refused")
+def step_impl(context):
+    configuration = make_configuration(4, ["/a/"])
+    route = decode_configuration(json.dumps(configuration).encode()).routes[0]
+    step = {"count": 1, "cpu": 5, "mem-mb": 1, "estimate-ms": 3, "after": [], "checkpoint": True}
+    step |= {"max-per-server": 2, "requires": "a", "affinity": "r1-1"}
+    job = {"spec": "x", "best-effort": True}
+
+    @hypothesis_settings(max_examples=FUZZ_EXAMPLES, deadline=None, database=None)
+    @with_examples(
+        fuzzed(GOOD_ENTRY),
+        fuzzed({"running": [["a.0.1.2", 1, "", 5]], "ended": [[1, "a.0.1.2", 1, "done", ""]]}),
+        fuzzed(configuration),
+        fuzzed(job),
+        fuzzed(step),
+    )
+    def check(entry, report, config, fields, one_step):
+        decode_entry(Entry("servers/e1", json.dumps(entry).encode(), 1))
+        decode_report(report, 0.0)
+        with contextlib.suppress(ConfigurationInvalidError):
+            decode_configuration(json.dumps(config).encode())
+        with contextlib.suppress(RequestInvalidError, JobUnsupportedError):
+            decode_job("0" * 16, route, json.dumps({**fields, "steps": [one_step]}).encode())
+
+    check()
+
+
+@given(r"a pipe that nobody reads")
+def step_impl(context):
+    context.pipe_reader, writer = os.pipe()
+    context.add_cleanup(os.close, context.pipe_reader)
+    context.add_cleanup(os.close, writer)
+    context.log_output = NonBlockingOutput(writer)
+
+
+@when(r"20000 log lines are written into it")
+def step_impl(context):
+    started_s = monotonic()
+    for number in range(20_000):
+        context.log_output.write(json.dumps({"message": "x" * 60, "number": number}) + "\n")
+    context.write_s = monotonic() - started_s
+
+
+@then(r"the writer was never held up, and dropped lines were counted")
+def step_impl(context):
+    assert context.write_s < MAX_WRITE_S, context.write_s
+    assert context.log_output.dropped > 0
+
+
+@when(r"the pipe is read again and one more line is written")
+def step_impl(context):
+    os.set_blocking(context.pipe_reader, False)
+    context.read_text = b""
+    for _ in range(100):
+        try:
+            context.read_text += os.read(context.pipe_reader, 1 << 20)
+        except BlockingIOError:
+            context.log_output.write('{"message": "the last"}\n')
+
+
+@then(r"the reader is told how many lines are missing")
+def step_impl(context):
+    lines = [json.loads(line) for line in context.read_text.splitlines()]
+    notices = [line for line in lines if line["message"] == "log lines were dropped"]
+    assert notices and sum(line["lines"] for line in notices) == context.log_output.dropped
+
+
+use_step_matcher("parse")
