Store learnt run times for the successor; replace no claim that a newer heartbeat has overtaken

The holder stores what it has learnt each 2 s; others read it each 2 s and at start. Ranks are 50 ms apart in place of 120; a claim and its heartbeat take some 15 ms.

--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -15,7 +15,7 @@
 
 SUSPICION_S = 0.45  # three heartbeats of the holder
 BROKEN_STREAM_SUSPICION_S = 0.1  # its process has ended, or is just about to be dialled again
-RANK_DELAY_S = 0.12  # a claim and its first heartbeat take less
+RANK_DELAY_S = 0.05  # a claim and its first heartbeat take some 15 ms
 LONELY_DELAY_S = 3.0  # until the entries of lost VMs have left the list of members
 FENCES_PER_CLAIM = 16  # one for the claim itself, the others for provisional holders by rank
 
@@ -67,6 +67,16 @@
     return sight.silence_s >= limit_s
 
 
+def may_replace(seen_fence: int, known_fence: int, read_fence: int) -> bool:
+    """Tells whether a claim that was read may still be replaced.
+
+    :param seen_fence: the newest fence known when the decision to claim was made.
+    :param known_fence: the newest fence known now, after the read.
+    :param read_fence: the fence of the claim that was read.
+    """
+    return known_fence == seen_fence and read_fence <= seen_fence
+
+
 def claim_fence(revision: int) -> int:
     """Returns the fence of a claim."""
     return revision * FENCES_PER_CLAIM
--- a/berylproxy/durable/estimates.py
+++ b/berylproxy/durable/estimates.py
@@ -71,6 +71,31 @@
         relative = self._log_speed(endpoint_id)
         history.mean_log_s += rate * (observed + relative - history.mean_log_s)
 
+    def describe(self) -> dict[str, dict]:
+        """Describes what has been learnt, in plain values."""
+        queues = {name: [h.mean_log_s, h.seen] for name, h in self._queues.items()}
+        return {"queues": queues, "speeds": dict(self._speeds)}
+
+    def adopt(self, description: dict[str, dict]) -> None:
+        """Takes over what another daemon has learnt, where it has seen more.
+
+        :raises ValueError: if it is no description.
+        """
+        try:
+            queues = {
+                str(name): QueueHistory(float(mean_log_s), int(seen))
+                for name, (mean_log_s, seen) in description["queues"].items()
+            }
+            speeds = {str(name): float(value) for name, value in description["speeds"].items()}
+        except (TypeError, KeyError, AttributeError) as error:
+            raise ValueError(f"not a description of run times: {error!r}") from error
+        known = sum(history.seen for history in self._queues.values())
+        if sum(history.seen for history in queues.values()) <= known:
+            return
+        self._queues = queues
+        self._speeds = speeds
+        self._total_log_speed = sum(speeds.values())
+
     def forget(self, endpoint_id: str) -> None:
         """Drops an endpoint that is gone."""
         self._total_log_speed -= self._speeds.pop(endpoint_id, 0.0)
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -38,7 +38,9 @@
     decode_final,
     decode_job,
     encode_job,
+    encode_model,
     final_key,
+    model_key,
     open_key,
     open_prefix,
 )
@@ -57,6 +59,7 @@
 TOO_LATE = "its answer would come too late"
 LEASE_LENGTH_S = 1.0  # the longest that endpoints grant
 TENURE_CHECK_S = 0.4
+MODEL_INTERVAL_S = 2.0  # a successor knows all but the last run times
 LONE_TENURE_S = 1.5  # without the store, while some other daemon may have it
 OUTAGE_TENURE_S = 10.0  # without the store, while no other daemon has it
 FOREIGN_TENURE_S = LONE_TENURE_S + LEASE_LENGTH_S + 0.3  # until a former holder's leases lapsed
@@ -182,6 +185,7 @@
                 if self.tenure.claim_revision:
                     task_group.start_soon(self._ledger.run)
                     task_group.start_soon(self._watch_claim)
+                    task_group.start_soon(self._store_model)
                     await self._load_jobs()
         finally:
             self.tenure.task_group = None
@@ -566,6 +570,18 @@
                 return
             self.tenure.confirm(sent_s)
 
+    async def _store_model(self) -> None:
+        """Stores what has been learnt of run times, so that a successor need not begin anew."""
+        while True:
+            await sleep(MODEL_INTERVAL_S)
+            written = ((model_key(self.tenure.group), encode_model(self._model)),)
+            try:
+                await self._ledger.make(Change(written=written))
+            except TenureLostError:
+                self.tenure.end("the claim is another daemon's")
+            except StoreError as error:
+                logger.debug("learnt run times not stored: {}", error.message)
+
     def _suspend_kept(self, age_s: float) -> None:
         """Stops the kept jobs and ends the tenure: another holder may be carrying them out."""
         kept = [job for job in self.book.jobs.values() if job.spec.is_kept and not job.is_final]
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -17,6 +17,7 @@
     HolderSight,
     claim_fence,
     may_hold_provisionally,
+    may_replace,
     provisional_fence,
     rank,
     should_claim,
@@ -43,7 +44,12 @@
     Transaction,
     TransactionConflictError,
 )
-from berylproxy.durable.records import claim_key
+from berylproxy.durable.records import (
+    StoredValueError,
+    adopt_model,
+    claim_key,
+    model_key,
+)
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
@@ -146,22 +152,36 @@
         """Watches over all groups until cancelled."""
         async with create_task_group() as task_group:
             self._task_group = task_group
-            task_group.start_soon(self._follow_list)
+            task_group.start_soon(self._keep_prepared)
             while True:
                 await sleep(WATCH_INTERVAL_S)
                 for group in list(self.known):
                     self._watch(group)
 
-    async def _follow_list(self) -> None:
-        """Keeps a list of endpoints to begin with, for the case that this daemon takes over."""
+    async def _keep_prepared(self) -> None:
+        """Keeps what a new holder begins with: the list of endpoints, and learnt run times."""
         while True:
             if not self.holders:
                 try:
                     self._list.update(await self._directory.fetch(), self._clock.now_s())
                 except StoreError as error:
                     logger.debug("the list of endpoints is not available: {}", error.message)
+            for group in set(self.known) - set(self.holders):
+                await self._adopt_model(group)
             await sleep(LIST_INTERVAL_S)
 
+    async def _adopt_model(self, group: str) -> None:
+        """Takes over the run times that the holder has learnt."""
+        model = self._models.setdefault(group, RunTimeModel())
+        try:
+            entry = await self._store.get(model_key(group))
+            if entry is not None and group not in self.holders:
+                adopt_model(model, entry.value)
+        except StoreError as error:
+            logger.debug("the learnt run times are not available: {}", error.message)
+        except StoredValueError as error:
+            logger.warning("the learnt run times of {} are left alone: {}", group, error.message)
+
     async def follow(self, groups: set[str]) -> None:
         """Takes the names of the groups that the configuration knows, and their present claims."""
         for group in groups - set(self.known):
@@ -174,6 +194,7 @@
             if entry is not None and claim_fence(entry.revision) > known.fence:
                 claimant = _read_claimant(entry.value)
                 known.change(claim_fence(entry.revision), claimant, known.heard_s)
+            await self._adopt_model(group)
 
     def holder_incarnation(self, group: str) -> str:
         """Names the incarnation that is believed to hold a group; empty if none is."""
@@ -299,7 +320,7 @@
     async def _try_claim(self, group: str) -> int:
         """Replaces the claim unless it is newer than the known one; returns its revision or 0."""
         known = self.known[group]
-        key = claim_key(group)
+        key, seen_fence = claim_key(group), known.fence
         revision = known.fence // FENCES_PER_CLAIM
         if not known.is_leaving:  # else its own heartbeat has just told the claim
             entry = await self._store.get(key)
@@ -308,9 +329,10 @@
                 claimant = _read_claimant(entry.value)
                 known.change(claim_fence(revision), claimant, self._clock.now_s())
                 known.is_leaving = False
-                if claimant != self.own_incarnation:
-                    return 0
-                return revision  # an earlier try whose answer was lost
+                if claimant == self.own_incarnation:
+                    return revision  # an earlier try whose answer was lost
+            if not may_replace(seen_fence, known.fence, claim_fence(revision)):
+                return 0
         identity = self._network.identity
         value = packb({"daemon_id": identity.daemon_id, "incarnation": identity.incarnation})
         try:
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -5,6 +5,7 @@
 from msgpack import packb, unpackb
 from pydantic import TypeAdapter, ValidationError
 
+from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.models import JobState, StoredJob
 from berylproxy.errors import BerylproxyError
 
@@ -12,6 +13,7 @@
 OPEN_PREFIX = ROOT + "open/"
 FINAL_PREFIX = ROOT + "final/"
 CLAIM_PREFIX = ROOT + "holders/"
+MODEL_PREFIX = ROOT + "run-times/"
 SCHEMA_VERSION = 1
 
 _stored_job = TypeAdapter(StoredJob)
@@ -60,6 +62,27 @@
         raise StoredValueError(f"not a stored job: {error}") from error
 
 
+def model_key(group: str) -> str:
+    """Key of the run times learnt in a group."""
+    return MODEL_PREFIX + group
+
+
+def encode_model(model: RunTimeModel) -> bytes:
+    """Encodes learnt run times."""
+    return packb({"schema_version": SCHEMA_VERSION, **model.describe()})
+
+
+def adopt_model(model: RunTimeModel, value: bytes) -> None:
+    """Gives a model the learnt run times of a stored one.
+
+    :raises StoredValueError: if the value is not one.
+    """
+    try:
+        model.adopt(unpackb(value))
+    except (ValueError, TypeError) as error:
+        raise StoredValueError(f"not learnt run times: {error}") from error
+
+
 def encode_final(state: JobState, ended_unix_s: float) -> bytes:
     """Encodes a finished job's state."""
     return packb({"schema_version": SCHEMA_VERSION, "state": state.value, "ended": ended_unix_s})
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from behave import given, then, use_step_matcher, when
+from msgpack import packb
 
 from berylproxy.durable.acceptance import judge
 from berylproxy.durable.book import JobBook
@@ -10,6 +11,7 @@
     Candidate,
     HolderSight,
     may_hold_provisionally,
+    may_replace,
     provisional_fence,
     rank,
     should_claim,
@@ -30,6 +32,7 @@
     TaskName,
 )
 from berylproxy.durable.placement import place_waiting, rank_job
+from berylproxy.durable.records import StoredValueError, adopt_model, encode_model
 
 GROUP = "ledger"
 
@@ -75,6 +78,21 @@
     assert context.claims == (verdict == "claims")
 
 
+@given(r"the fence (?P<seen>\d+) was known when the decision to claim was made")
+def step_impl(context, seen):
+    context.seen_fence = int(seen)
+
+
+@when(r"the fence (?P<known>\d+) is known after the read, which found the fence (?P<read>\d+)")
+def step_impl(context, known, read):
+    context.may_replace = may_replace(context.seen_fence, int(known), int(read))
+
+
+@then(r"the claim (?P<verdict>may|may not) be replaced")
+def step_impl(context, verdict):
+    assert context.may_replace == (verdict == "may")
+
+
 @given(r'candidates "d1" to "d5" of 1 core and "big" of 2 cores')
 def step_impl(context):
     context.candidates = [Candidate(f"d{number}", 1.0) for number in range(1, 6)]
@@ -170,6 +188,28 @@
     assert context.model.expect_s("q", 0.1) > 0.12
 
 
+@when(r"the learnt run times are stored and read by a daemon that knows nothing")
+def step_impl(context):
+    context.stored_model = encode_model(context.model)
+    context.model = RunTimeModel()
+    adopt_model(context.model, context.stored_model)
+
+
+@then(r"a daemon that has seen more keeps its own, and damaged ones are refused")
+def step_impl(context):
+    wiser = RunTimeModel()
+    for _ in range(500):
+        wiser.learn("q", 0.1, "fast", 5.0)
+    adopt_model(wiser, context.stored_model)
+    assert wiser.expect_s("q", 0.0) > 4
+    for damaged in (b"", b"\x01", packb({"queues": [], "speeds": {}}), packb({"queues": 5})):
+        try:
+            adopt_model(RunTimeModel(), damaged)
+        except StoredValueError:
+            continue
+        raise AssertionError(damaged)
+
+
 @given(r"jobs that wait:")
 def step_impl(context):
     book = JobBook()
