--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -208,6 +208,7 @@
             "endpoint forgotten: {}", reason, extra=self._tenure.extra(endpoint=life.endpoint_id)
         )
         self._lapse_all(endpoint)
+        self._tenure.spawn(self._calls[life].close)
         self.endpoints.pop(life, None)
         self._model.forget(life.endpoint_id)
         self._missing_since_s.pop(life, None)
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -186,6 +186,7 @@
                     task_group.start_soon(self._ledger.run)
                     task_group.start_soon(self._watch_claim)
                     task_group.start_soon(self._store_model)
+                    task_group.start_soon(self._outcomes.sweep, self._store)
                     await self._load_jobs()
         finally:
             self.tenure.task_group = None
--- a/berylproxy/durable/outcomes.py
+++ b/berylproxy/durable/outcomes.py
@@ -10,12 +10,22 @@
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.ledger import AlreadyThereError, Change, Ledger, TenureLostError
 from berylproxy.durable.models import EndedRun, StoredJob
-from berylproxy.durable.records import encode_final, encode_job, final_key, open_key
+from berylproxy.durable.ports import JobStore
+from berylproxy.durable.records import (
+    FINAL_PREFIX,
+    StoredValueError,
+    encode_final,
+    encode_job,
+    final_key,
+    is_forgettable,
+    open_key,
+)
 from berylproxy.durable.tenure import Tenure
-from berylproxy.store.port import StoreError
+from berylproxy.store.port import Entry, StoreError
 
 PROGRESS_AGE_S = 1.0  # ends that are kept longer are stored with their unfinished job
 RETRY_PAUSE_S = 0.05
+SWEEP_INTERVAL_S = 60.0  # a fifth of the time for which outcomes are kept
 
 logger = Logger(__name__)
 
@@ -67,6 +77,34 @@
         for event in self._waiting.values():
             event.set()
 
+    async def sweep(self, store: JobStore) -> None:
+        """Removes outcomes that nobody may ask for any more, until cancelled."""
+        while True:
+            await sleep(SWEEP_INTERVAL_S)
+            try:
+                await self._sweep_once(store)
+            except TenureLostError:
+                self._tenure.end("the claim is another daemon's")
+            except StoreError as error:
+                logger.debug("old outcomes not removed: {}", error.message)
+
+    async def _sweep_once(self, store: JobStore) -> None:
+        after_key, has_more = "", True
+        while has_more:
+            entries, has_more = await store.list_page(FINAL_PREFIX, after_key)
+            for entry in entries:
+                after_key = entry.key
+                if self._is_forgettable(entry):
+                    await self._ledger.make(Change(removed=(entry.key,)))
+            has_more = has_more and bool(entries)
+
+    def _is_forgettable(self, entry: Entry) -> bool:
+        try:
+            return is_forgettable(entry.value, time())
+        except StoredValueError as error:
+            logger.warning("{} is left alone: {}", entry.key, error.message)
+            return False
+
     async def store(self, job: Job) -> None:
         """Stores a job's outcome, however long that takes, and closes it."""
         job_id = job.spec.job_id
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -15,6 +15,7 @@
 CLAIM_PREFIX = ROOT + "holders/"
 MODEL_PREFIX = ROOT + "run-times/"
 SCHEMA_VERSION = 1
+FINAL_RETENTION_S = 300.0  # states may be asked for up to 120 s after the end
 
 _stored_job = TypeAdapter(StoredJob)
 
@@ -88,6 +89,17 @@
     return packb({"schema_version": SCHEMA_VERSION, "state": state.value, "ended": ended_unix_s})
 
 
+def is_forgettable(value: bytes, now_unix_s: float) -> bool:
+    """Tells whether a finished job's state has been kept for long enough.
+
+    :raises StoredValueError: if the value is not one.
+    """
+    try:
+        return now_unix_s - float(unpackb(value)["ended"]) > FINAL_RETENTION_S
+    except (ValueError, TypeError, KeyError) as error:
+        raise StoredValueError(f"not a finished job: {error!r}") from error
+
+
 def decode_final(value: bytes) -> JobState:
     """Decodes a finished job's state.
 
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -105,6 +105,12 @@
     Then kept job "k" is shown as "completed" within 1 s
     And the store holds the end of job "k" and not the job
 
+  Scenario: outcomes that nobody may ask for any more are removed from the store
+    Given a group of 1 endpoint whose runs take 0.05 s
+    And the store holds the outcomes of jobs that ended 10, 200 and 400 s ago
+    When a holder with fence 16 takes over and sweeps at once
+    Then the store holds the outcomes of jobs that ended 10 and 200 s ago
+
   Scenario: a kept job goes on under a new holder, from what endpoints remember
     Given a group of 2 endpoints whose runs take 0.3 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,18 +1,28 @@
 """Steps for the holder, which runs in a thread with an event loop of its own."""
 
 from itertools import pairwise
-from time import monotonic, sleep
+from time import monotonic, sleep, time
+from unittest.mock import patch
 
 from anyio.from_thread import start_blocking_portal
 from behave import given, then, use_step_matcher, when
 
 from berylproxy.clock import MonotonicClock
+from berylproxy.durable import outcomes
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext
 from berylproxy.durable.messages import HandIn
-from berylproxy.durable.models import EndKind, JobSpec, Needs, QueueTerms, StepSpec, StoredJob
-from berylproxy.durable.records import claim_key, final_key, open_key
+from berylproxy.durable.models import (
+    EndKind,
+    JobSpec,
+    JobState,
+    Needs,
+    QueueTerms,
+    StepSpec,
+    StoredJob,
+)
+from berylproxy.durable.records import FINAL_PREFIX, claim_key, encode_final, final_key, open_key
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
@@ -204,6 +214,27 @@
     world.portal.call(order_and_drop)
 
 
+@given(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
+def step_impl(context, ages):
+    world = context.holder_world
+    for age in ages.replace(" and ", ", ").split(", "):
+        value = encode_final(JobState.COMPLETED, time() - int(age))
+        world.store.entries[final_key(age)] = Entry(final_key(age), value, 5)
+
+
+@when(r"a holder with fence (?P<fence>\d+) takes over and sweeps at once")
+def step_impl(context, fence):
+    with patch.object(outcomes, "SWEEP_INTERVAL_S", 0.05):
+        context.holder_world.take_over(int(fence))
+        sleep(0.3)
+
+
+@then(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
+def step_impl(context, ages):
+    left = {key for key in context.holder_world.store.entries if key.startswith(FINAL_PREFIX)}
+    assert left == {final_key(age) for age in ages.split(" and ")}, left
+
+
 @then(r"the holder with fence (?P<fence>\d+) is at work")
 def step_impl(context, fence):
     assert not context.holder_world.holders[int(fence)].tenure.is_over
