Extend no lease of a run that a former holder may count on; divide large services into groups

Now a holder does not extend, nor order anything at an endpoint with, runs of jobs that it does not know; they are stopped after 0.2 s; and a holder that lost an endpoint waits until it has dropped the jobs of entries on the other side. A job handed in again is not refused: an earlier holder took it.

Groups: a service with more than 48 endpoints is divided, once, by a key in the store; each group has its own holder, and daemons that hold none go first.

--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -71,7 +71,7 @@
         * PACKED_SHARE
         * model.speed(endpoint.facts.life.endpoint_id)
         for endpoint in endpoints
-        if endpoint.may_start(now_s)
+        if endpoint.is_serving(now_s)
     )
     return Backlog(work_core_s, capacity_cores)
 
--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -24,11 +24,13 @@
 class Candidate:
     """A daemon that may become the holder.
 
-    :param cores: processor share of its VM; larger VMs go first.
+    :param cores: processor share of its VM; larger VMs go first ...
+    :param holds: ... among those that hold as few groups.
     """
 
     daemon_id: str
     cores: float
+    holds: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,6 @@
     return set(reached_domains) == {own} and reached_domains[own] >= listed_domains[own]
 
 
-def _preference(group: str, candidate: Candidate) -> tuple[float, bytes]:
+def _preference(group: str, candidate: Candidate) -> tuple[int, float, bytes]:
     name = f"{group}/{candidate.daemon_id}".encode()
-    return -candidate.cores, blake2b(name, digest_size=8).digest()
+    return candidate.holds, -candidate.cores, blake2b(name, digest_size=8).digest()
--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -85,15 +85,15 @@
         :raises NotAcceptedError: if it has not run and never will.
         :raises NotKnownError: if it may have run.
         """
-        group = spec.terms.service
         started_s = self._clock.now_s()
-        attempt = 0
+        attempt, group = 0, ""
         try:
             while True:
                 elapsed_s = self._clock.now_s() - started_s
                 if elapsed_s >= wait_s or (not attempt and elapsed_s > NO_HOLDER_WAIT_S):
                     break
-                message = HandIn(spec, attempt, wait_s - elapsed_s)
+                group = self._member.group_of(spec.terms.service, spec.job_id)
+                message = HandIn(group, spec, attempt, wait_s - elapsed_s)
                 try:
                     reply = await self._ask_while_held(group, message, wait_s - elapsed_s)
                 except PeerUnreachableError:
@@ -130,7 +130,6 @@
         :raises NotAcceptedError: if it is not stored and never will be.
         :raises NotKnownError: if it may be stored.
         """
-        group = spec.terms.service
         started_s = self._clock.now_s()
         may_be_stored = False
         while True:
@@ -138,13 +137,9 @@
             left_s = wait_s - elapsed_s
             if left_s <= 0 or (not may_be_stored and elapsed_s > NO_HOLDER_WAIT_S):
                 break
+            message = HandIn(self._member.group_of(spec.terms.service, spec.job_id), spec)
             try:
-                reply = await self._ask(
-                    group,
-                    HandIn(spec),
-                    lambda holder: holder.hand_in(HandIn(spec), self._member.own_incarnation),
-                    min(left_s, HAND_IN_TIMEOUT_S),
-                )
+                reply = await self._ask_to_store(message, min(left_s, HAND_IN_TIMEOUT_S))
             except (TenureLostError, PeerUnreachableError, StoreUnavailableError):
                 await sleep(RETRY_PAUSE_S)  # certainly not stored by this try
                 continue
@@ -164,8 +159,16 @@
             raise NotKnownError("it is not known whether the job is stored")
         raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
 
+    async def _ask_to_store(self, message: HandIn, timeout_s: float) -> HandInReply:
+        return await self._ask(
+            message.group,
+            message,
+            lambda holder: holder.hand_in(message, self._member.own_incarnation),
+            timeout_s,
+        )
+
     def _log_unanswered(self, spec: JobSpec, started_s: float, may_have_arrived: bool) -> None:
-        group = spec.terms.service
+        group = self._member.group_of(spec.terms.service, spec.job_id)
         logger.info(
             "job given up: no holder answered in time",
             extra={
@@ -221,15 +224,17 @@
             raise PeerUnreachableError("the daemon asked is not the holder") from errors[0]
         raise errors[0] if errors else NotKnownError("another daemon has become the holder")
 
-    async def find_state(self, groups: list[str], job_id: str, wait_s: float) -> JobState | None:
+    async def find_state(self, services: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Finds a job's state; ``None`` if there is no such job.
 
+        :param services: whose groups may have it, the likeliest first.
         :raises NotKnownError: if that can't be found out now.
         """
         remembered = self._states.get(job_id)
         if remembered is not None and remembered in _FINAL:
             return remembered
         message = AskState("", job_id)
+        groups = self._groups_of(services, job_id)
         try:
             return await self._find(groups, message, "find_state", wait_s)
         except NotKnownError:
@@ -237,18 +242,32 @@
                 return remembered
             return await self._read_state(groups, job_id)
 
-    async def cancel(self, groups: list[str], job_id: str, wait_s: float) -> JobState | None:
+    def _groups_of(self, services: list[str], job_id: str) -> list[str]:
+        groups = [self._member.group_of(service, job_id) for service in services]
+        if not all(groups):
+            raise NotKnownError("the groups of a service are not known yet")
+        return groups
+
+    async def cancel(self, services: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Cancels a job and waits until that is stored; ``None`` if there is no such job.
 
+        :param services: whose groups may have it, the likeliest first.
         :raises NotKnownError: if it may not be stored.
         """
+        groups = self._groups_of(services, job_id)
         return await self._find(groups, CancelStored("", job_id), "cancel", wait_s)
 
-    async def count_pending(self, group: str, queue: str, wait_s: float) -> int:
-        """Counts a queue's jobs of which no task has begun.
+    async def count_pending(self, service: str, queue: str, wait_s: float) -> int:
+        """Counts a queue's jobs of which no task has begun, over all groups of its service.
 
         :raises NotKnownError: if that can't be found out now.
         """
+        groups = self._member.groups_of(service)
+        if not groups:
+            raise NotKnownError("the groups of a service are not known yet")
+        return sum([await self._count_in(group, queue, wait_s) for group in groups])
+
+    async def _count_in(self, group: str, queue: str, wait_s: float) -> int:
         started_s = self._clock.now_s()
         while self._clock.now_s() - started_s < min(wait_s, NO_HOLDER_WAIT_S):
             try:
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -33,12 +33,15 @@
     :ivar answered_s: when the endpoint confirmed it; infinite until then.
     :ivar stop_answered_s: when the endpoint confirmed a stop; infinite until then.
     :ivar is_uncertain: whether the order to start it was not answered.
+    :ivar is_orphan: whether a former holder ordered it for a job that is not known here. Its lease
+        must not be extended: the former holder may count on its lapse.
     """
 
     needs: Needs
     answered_s: float = inf
     stop_answered_s: float = inf
     is_uncertain: bool = False
+    is_orphan: bool = False
 
     def is_over(self, report_sent_s: float) -> bool:
         """Tells whether a report that doesn't show the run means that it is not there."""
@@ -52,6 +55,7 @@
     :ivar present: what may run there, by task and run, with the room it takes.
     :ivar contacted_s: when it first answered under this holder's fence; ``None`` until then.
     :ivar missed_calls: calls in a row without an answer.
+    :ivar heard_s: monotonic time of its last answer to a renewal.
     :ivar is_listed: whether the platform's list names it.
     :ivar closed_until_s: monotonic time before which nothing is started there.
     """
@@ -64,11 +68,17 @@
     contacted_s: float | None = None
     is_listed: bool = True
     missed_calls: int = 0
+    heard_s: float = 0.0
     closed_until_s: float = 0.0
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Needs = field(default_factory=Needs)
 
+    @property
+    def has_orphans(self) -> bool:
+        """Whether it runs something whose lease must not be extended, as an order would do."""
+        return any(run.is_orphan for run in self.present.values())
+
     @property
     def is_contacted(self) -> bool:
         """Whether it takes orders under this holder's fence only."""
@@ -86,6 +96,10 @@
 
     def may_start(self, now_s: float) -> bool:
         """Tells whether tasks may be started there now."""
+        return self.is_serving(now_s) and not self.has_orphans
+
+    def is_serving(self, now_s: float) -> bool:
+        """Tells whether its room counts for jobs to come."""
         return (
             self.is_contacted
             and self.is_listed
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -35,7 +35,11 @@
 END_POLL_S = 0.025  # while an endpoint keeps ends whose jobs are open, it answers at once
 RETRY_PAUSE_S = 0.05
 MEETING_S = 0.4  # endpoints answer in some 4 ms, those that are cut off never
-ORPHAN_GRACE_S = 0.8  # in which entry daemons hand unfinished jobs in again
+ORPHAN_GRACE_S = 0.2  # in which entry daemons hand unfinished jobs in again
+# An entry's silence of 1 s, a renewal's wait and a margin: a holder that is cut off from an
+# endpoint has dropped by then the jobs of entries on the other side, which may have handed them in
+# elsewhere.
+SETTLED_SILENCE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 STALL_FACTOR = 0.2  # expected run times without progress, which is told in hundredths
 SHORTEST_STALL_S = 0.6
@@ -46,6 +50,7 @@
 class EndpointGroup:
     """The endpoints of a group under one tenure.
 
+    :param covers: tells whether an endpoint belongs to the group.
     :param on_end: called with each end of a run that is news, before it is applied to its task.
     :param on_final: called with a job whose outcome an end has decided.
     :ivar changed: set whenever room, trust or tasks may have changed; replaced by who waits.
@@ -58,6 +63,7 @@
         known_list: EndpointList,
         book: JobBook,
         model: RunTimeModel,
+        covers: Callable[[EndpointFacts], bool],
         on_end: Callable[[EndpointState, EndedRun], None],
         on_final: Callable[[Job], None],
     ) -> None:
@@ -70,6 +76,7 @@
         self._known_list = known_list
         self._book = book
         self._model = model
+        self._covers = covers
         self._on_end = on_end
         self._on_final = on_final
         self._calls: dict[EndpointLife, EndpointCalls] = {}
@@ -96,7 +103,7 @@
         now_s = self._clock.now_s()
         was_away = now_s - self._listed_s > 2 * DIRECTORY_INTERVAL_S + 1
         self._listed_s = now_s
-        lives = {facts.life: facts for facts in listed if facts.service == self._tenure.group}
+        lives = {facts.life: facts for facts in listed if self._covers(facts)}
         for life, facts in lives.items():
             self._missing_since_s.pop(life, None)
             endpoint = self.endpoints.get(life)
@@ -138,7 +145,8 @@
             wait_s = 0.0 if self._must_look_at_once(endpoint) else RENEWAL_WAIT_S
             acknowledged = endpoint.next_acknowledgement()
             # A lease that each unanswered call may have extended would never be known to lapse.
-            extend = bool(endpoint.present) and not endpoint.missed_calls
+            is_doubtful = endpoint.missed_calls or endpoint.has_orphans
+            extend = bool(endpoint.present) and not is_doubtful
             try:
                 report = await calls.renew(self._tenure.fence, acknowledged, wait_s, extend=extend)
             except FencedOffError:
@@ -178,7 +186,8 @@
                 extra=self._tenure.extra(endpoint=endpoint.facts.life.endpoint_id),
             )
         endpoint.missed_calls += 1
-        if endpoint.present and now_s > calls.lease_end_s():
+        lapsed_s = max(calls.lease_end_s(), endpoint.heard_s + SETTLED_SILENCE_S)
+        if endpoint.present and now_s > lapsed_s:
             self._lapse_all(endpoint)
 
     def _lapse_all(self, endpoint: EndpointState) -> None:
@@ -221,6 +230,7 @@
                 extra=self._tenure.extra(endpoint=endpoint.facts.life.endpoint_id),
             )
         endpoint.missed_calls = 0
+        endpoint.heard_s = now_s
         for end in report.ended:
             if endpoint.take_end(end):
                 self._take_end(endpoint, end, now_s)
@@ -244,11 +254,8 @@
             present = endpoint.occupy(running.name, running.run, needs)
         present.answered_s = min(present.answered_s, now_s)
         present.is_uncertain = False
-        if (
-            task is None
-            and running.name.job_id not in self._book.jobs
-            and self._may_have_orphans(endpoint, now_s)
-        ):
+        present.is_orphan = task is None and running.name.job_id not in self._book.jobs
+        if present.is_orphan and self._may_have_orphans(endpoint, now_s):
             return  # its job may be handed in again
         if task is None or not self._may_adopt(task, life, running.run):
             self.stop_soon(endpoint, running.name, running.run)
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -110,6 +110,7 @@
     """What every tenure of a daemon shares.
 
     :param known_list: the list of endpoints as this daemon has last read it.
+    :param group_of: names the group of an endpoint, by its service and its identifier.
     :param notify: sends a message without reply to an incarnation.
     :param members: lists the incarnations of the other live daemons.
     :param has_store_elsewhere: tells whether any other daemon may reach the store; ``True`` also
@@ -120,6 +121,7 @@
     store: JobStore
     directory: EndpointDirectory
     known_list: EndpointList
+    group_of: Callable[[str, str], str]
     clock: Clock
     telemetry: Telemetry
     notify: Callable[[str, object], None]
@@ -162,6 +164,7 @@
             context.known_list,
             self.book,
             model,
+            lambda facts: context.group_of(facts.service, facts.life.endpoint_id) == group,
             lambda endpoint, end: self._outcomes.keep_end(endpoint, end),
             self._finish,
         )
@@ -287,7 +290,8 @@
         draft = JobBook().open(stored, now_s)
         draft.expected_s = self._expect(spec)
         draft.deadline_s = now_s + message.wait_s
-        retry_after_s = self._judge(draft, now_s)
+        # A job that an earlier holder took is not refused for a change of holder.
+        retry_after_s = None if message.attempt else self._judge(draft, now_s)
         if retry_after_s is not None:
             self._note_refused(spec, retry_after_s)
             return HandInReply(TOO_LATE, retry_after_s)
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -24,6 +24,7 @@
 )
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
+from berylproxy.durable.groups import choose_group, count_groups, is_settled, list_groups
 from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder, HolderContext
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
@@ -48,6 +49,9 @@
     StoredValueError,
     adopt_model,
     claim_key,
+    decode_division,
+    division_key,
+    encode_division,
     model_key,
 )
 from berylproxy.durable.telemetry import Telemetry
@@ -59,6 +63,7 @@
 WATCH_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
 CLAIM_PAUSE_S = 0.15  # after a claim that the store did not answer
+DIVISION_PAUSE_S = 0.5  # between two looks at the list, at the very first start
 LIST_INTERVAL_S = 2.0  # so old may the list be that a new holder begins with
 ENTRY_SILENCE_S = 1.0  # two heartbeats between daemons and their delays
 HOLDER_SILENCE_S = 2.0  # a holder that is silent for longer is not asked any more
@@ -127,6 +132,7 @@
             store,
             directory,
             self._list,
+            self.group_of,
             clock,
             telemetry,
             self._notify,
@@ -137,6 +143,7 @@
         self._on_ended = on_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
+        self._divisions: dict[str, int] = {}
         self._fenced_off: dict[str, int] = {}
         self._task_group: TaskGroup | None = None
         network.handle_request(HandIn, self._answer_hand_in)
@@ -182,19 +189,61 @@
         except StoredValueError as error:
             logger.warning("the learnt run times of {} are left alone: {}", group, error.message)
 
-    async def follow(self, groups: set[str]) -> None:
-        """Takes the names of the groups that the configuration knows, and their present claims."""
-        for group in groups - set(self.known):
-            known = self.known[group] = KnownHolder(heard_s=self._clock.now_s())
-            try:
-                entry = await self._store.get(claim_key(group))
-            except StoreError as error:
-                logger.info("the claim on {} is not known yet: {}", group, error.message)
-                continue
-            if entry is not None and claim_fence(entry.revision) > known.fence:
-                claimant = _read_claimant(entry.value)
-                known.change(claim_fence(entry.revision), claimant, known.heard_s)
-            await self._adopt_model(group)
+    async def follow(self, services: set[str]) -> bool:
+        """Takes the services of the configuration; returns whether all their groups are known.
+
+        :raises StoreError: if the store does not answer.
+        """
+        for service in services - set(self._divisions):
+            count = await self._find_division(service)
+            if count:
+                for group in list_groups(service, count):
+                    await self._follow_group(group)
+                self._divisions[service] = count
+        return services <= set(self._divisions)
+
+    def groups_of(self, service: str) -> list[str]:
+        """Lists the groups of a service; empty while they are not known."""
+        count = self._divisions.get(service)
+        return list_groups(service, count) if count else []
+
+    def group_of(self, service: str, name: str) -> str:
+        """Names the group of an endpoint or a job; empty while that is not known."""
+        count = self._divisions.get(service)
+        return choose_group(service, count, name) if count else ""
+
+    async def _find_division(self, service: str) -> int:
+        """Reads into how many groups a service is divided, or divides it; 0 if it is too early."""
+        key = division_key(service)
+        try:
+            entry = await self._store.get(key)
+            if entry is not None:
+                return decode_division(entry.value)
+            counts = []
+            for _ in range(2):
+                listed = await self._directory.fetch()
+                counts.append(sum(facts.service == service for facts in listed))
+                await sleep(DIVISION_PAUSE_S)
+            if not is_settled(counts):
+                return 0
+            count = count_groups(counts[0])
+            value = encode_division(count)
+            await self._store.commit(Transaction(((key, 0),), ((key, value),)))
+            logger.info("{} is divided into {} groups", service, count)
+            return count
+        except TransactionConflictError:
+            return 0  # another daemon was first; its value is read next
+        except StoredValueError as error:
+            logger.error("the division of {} can't be read: {}", service, error.message)
+            return 0
+
+    async def _follow_group(self, group: str) -> None:
+        known = self.known.setdefault(group, KnownHolder(heard_s=self._clock.now_s()))
+        entry = await self._store.get(claim_key(group))
+        if entry is not None and claim_fence(entry.revision) > known.fence:
+            claimant = _read_claimant(entry.value)
+            known.change(claim_fence(entry.revision), claimant, known.heard_s)
+        await self._adopt_model(group)
 
     def holder_incarnation(self, group: str) -> str:
         """Names the incarnation that is believed to hold a group; empty if none is."""
@@ -244,11 +293,15 @@
             return
         members = [m for m in self.live_members() if m.identity.incarnation != known.incarnation]
         candidates = [
-            Candidate(m.identity.daemon_id, _read_part(m).get("cores", 0.0))
+            Candidate(
+                m.identity.daemon_id,
+                _read_part(m).get("cores", 0.0),
+                _read_part(m).get("holds", 0),
+            )
             for m in members
             if m.ready and (not has_store or _read_part(m).get("has_store", True))
         ]
-        own = Candidate(self._network.identity.daemon_id, self._cores)
+        own = Candidate(self._network.identity.daemon_id, self._cores, self._count_held())
         sight = HolderSight(
             self._silence_s(known),
             bool(known.incarnation) and bool(self._network.links(known.incarnation)),
@@ -404,7 +457,14 @@
             self._network.notify(incarnation, message)
 
     def _describe(self) -> dict[str, Any]:
-        return {"cores": self._cores, "has_store": self._has_store()}
+        return {
+            "cores": self._cores,
+            "holds": self._count_held(),
+            "has_store": self._has_store(),
+        }
+
+    def _count_held(self) -> int:
+        return len(self.holders.keys() | self._claiming)
 
     def _take_heartbeat(self, sender: DaemonIdentity, message: HolderHeartbeat) -> None:
         known = self.known.setdefault(message.group, KnownHolder())
@@ -438,7 +498,7 @@
         return holder
 
     async def _answer_hand_in(self, sender: DaemonIdentity, message: HandIn) -> HandInReply:
-        holder = self.require_holder(message.job.terms.service)
+        holder = self.require_holder(message.group)
         return await holder.hand_in(message, sender.incarnation)
 
     async def _answer_state(self, _: DaemonIdentity, message: AskState) -> StateReply:
--- a/berylproxy/durable/messages.py
+++ b/berylproxy/durable/messages.py
@@ -9,10 +9,12 @@
 class HandIn:
     """Asks the holder to carry out a job: to store it first, or to answer when it has ended.
 
+    :param group: the endpoint group that the job belongs to.
     :param attempt: how many holders it may have reached before.
     :param wait_s: how long the caller waits for the answer.
     """
 
+    group: str
     job: JobSpec
     attempt: int = 0
     wait_s: float = 0.0
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -6,6 +6,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.groups import MAX_GROUPS
 from berylproxy.durable.models import JobState, StoredJob
 from berylproxy.errors import BerylproxyError
 
@@ -14,6 +15,7 @@
 FINAL_PREFIX = ROOT + "final/"
 CLAIM_PREFIX = ROOT + "holders/"
 MODEL_PREFIX = ROOT + "run-times/"
+DIVISION_PREFIX = ROOT + "divisions/"
 SCHEMA_VERSION = 1
 FINAL_RETENTION_S = 300.0  # states may be asked for up to 120 s after the end
 
@@ -63,6 +65,30 @@
         raise StoredValueError(f"not a stored job: {error}") from error
 
 
+def division_key(service: str) -> str:
+    """Key that tells into how many groups a service is divided."""
+    return DIVISION_PREFIX + service
+
+
+def encode_division(count: int) -> bytes:
+    """Encodes the number of groups."""
+    return packb({"schema_version": SCHEMA_VERSION, "groups": count})
+
+
+def decode_division(value: bytes) -> int:
+    """Decodes the number of groups.
+
+    :raises StoredValueError: if the value is none.
+    """
+    try:
+        count = unpackb(value)["groups"]
+    except (ValueError, TypeError, KeyError) as error:
+        raise StoredValueError(f"not a number of groups: {error!r}") from error
+    if type(count) is not int or not 0 < count <= MAX_GROUPS:
+        raise StoredValueError(f"{count!r} is no number of groups")
+    return count
+
+
 def model_key(group: str) -> str:
     """Key of the run times learnt in a group."""
     return MODEL_PREFIX + group
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -164,15 +164,15 @@
                 if state is not None:
                     await self._answer(send, 200, {"state": state.value})
         elif method == "GET":
-            groups = _order_groups(configuration, route)
-            state = await self._desk.find_state(groups, job_id, wait_s)
+            services = _order_services(configuration, route)
+            state = await self._desk.find_state(services, job_id, wait_s)
             if state is None:
                 await self._answer(send, 410, {"error": "no such job"})
             else:
                 await self._answer(send, 200, {"state": state.value})
         elif method == "DELETE":
-            groups = _order_groups(configuration, route)
-            state = await self._desk.cancel(groups, job_id, wait_s)
+            services = _order_services(configuration, route)
+            state = await self._desk.cancel(services, job_id, wait_s)
             await self._answer(send, 410 if state is None else 200, {})
         else:
             await self._answer(send, 405, {"error": "POST, GET and DELETE are served"})
@@ -292,8 +292,8 @@
     return min(int(text) / 1000, LONGEST_WAIT_S)
 
 
-def _order_groups(configuration: PlatformConfiguration, route: JobRoute) -> list[str]:
-    """Lists all groups, the route's own first: its service may have changed meanwhile."""
+def _order_services(configuration: PlatformConfiguration, route: JobRoute) -> list[str]:
+    """Lists all services, the route's own first: its service may have changed meanwhile."""
     own = route.terms.service
     return [own, *(service for service in configuration.services if service != own)]
 
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -142,7 +142,7 @@
         if self._is_stopping or not self._configuration.version:
             return False
         store_silence_s = monotonic() - self._store.heard_s
-        has_holder = any(self._member.holder_incarnation(s) for s in self._configuration.services)
+        has_holder = any(self._member.holder_incarnation(group) for group in self._member.known)
         return has_holder or store_silence_s < STORE_SILENCE_S
 
     async def _fetch_peer_key(self) -> bytes:
@@ -186,7 +186,14 @@
         while True:
             await self._follow_groups.wait()
             self._follow_groups = Event()
-            await self._member.follow(set(self._configuration.services))
+            try:
+                is_complete = await self._member.follow(set(self._configuration.services))
+            except StoreError as error:
+                logger.info("the groups are not known yet: {}", error.message)
+                is_complete = False
+            if not is_complete:
+                self._follow_groups.set()
+                await sleep(RETRY_PAUSE_S)
 
     async def _read_configuration(self) -> int:
         page = await self._store.read_page(CONFIGURATION_KEY)
--- a/tests/durable/contention.feature
+++ b/tests/durable/contention.feature
@@ -34,6 +34,11 @@
     Given candidates "d1" to "d5" of 1 core and "big" of 2 cores
     Then each candidate has a rank of its own, and "big" the first
 
+  Scenario: daemons that hold few groups go first, the larger ones before the others
+    Given candidates "d1" to "d5" of 1 core and "big" of 2 cores
+    When "big" holds 1 group and "d1" holds 1 group
+    Then the first 4 ranks are those of "d2 d3 d4 d5", and "big" goes before "d1"
+
   Scenario Outline: a provisional fence lies between those of two claims
     Given the known fence is <known>
     When a daemon of rank <rank> needs a provisional fence
--- a/tests/durable/decisions.feature
+++ b/tests/durable/decisions.feature
@@ -17,6 +17,32 @@
     And a lease of 1 s is sent at 10.2 s
     Then it ends at 6000 ms on the endpoint's clock
 
+  Scenario Outline: a service with many endpoints is divided into groups
+    Given a service of <endpoints> endpoints
+    Then it has <groups> groups, every endpoint and job belongs to one, and none is twice the mean
+
+    Examples:
+      | endpoints | groups |
+      | 1         | 1      |
+      | 24        | 1      |
+      | 48        | 1      |
+      | 49        | 2      |
+      | 176       | 4      |
+      | 1600      | 34     |
+
+  Scenario: a stored division is read back, and a damaged one is refused
+    Then 4 groups are stored and read, and damaged divisions are refused
+
+  Scenario Outline: a service is divided only when its list has settled
+    Given looks at the list that saw <first> and <second> endpoints
+    Then the list <state> settled
+
+    Examples:
+      | first | second | state  |
+      | 24    | 24     | has    |
+      | 20    | 24     | has not |
+      | 0     | 0      | has not |
+
   Scenario: run times are learnt for queues and endpoints
     Given 40 tasks of queue "q" with an estimate of 0.1 s took 0.2 s at "fast" and 0.4 s at "slow"
     Then "fast" is about twice as fast as "slow"
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -1,6 +1,7 @@
 """Steps for the pure decisions about durable jobs."""
 
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, use_step_matcher, when
 from msgpack import packb
@@ -18,6 +19,7 @@
 )
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.groups import choose_group, count_groups, is_settled, list_groups
 from berylproxy.durable.leases import LeaseClock
 from berylproxy.durable.models import (
     EndedRun,
@@ -32,7 +34,13 @@
     TaskName,
 )
 from berylproxy.durable.placement import place_waiting, rank_job
-from berylproxy.durable.records import StoredValueError, adopt_model, encode_model
+from berylproxy.durable.records import (
+    StoredValueError,
+    adopt_model,
+    decode_division,
+    encode_division,
+    encode_model,
+)
 
 GROUP = "ledger"
 
@@ -109,6 +117,64 @@
     assert ranks["big"] == 0
 
 
+@when(r'"big" holds 1 group and "d1" holds 1 group')
+def step_impl(context):
+    context.candidates = [
+        replace(each, holds=int(each.daemon_id in ("big", "d1"))) for each in context.candidates
+    ]
+
+
+@then(r'the first 4 ranks are those of "d2 d3 d4 d5", and "big" goes before "d1"')
+def step_impl(context):
+    ranks = {}
+    for own in context.candidates:
+        others = [other for other in context.candidates if other != own]
+        ranks[own.daemon_id] = rank(GROUP, own, others)
+    assert {ranks[name] for name in ("d2", "d3", "d4", "d5")} == {0, 1, 2, 3}, ranks
+    assert (ranks["big"], ranks["d1"]) == (4, 5), ranks
+
+
+@given(r"a service of (?P<endpoints>\d+) endpoints")
+def step_impl(context, endpoints):
+    context.endpoint_count = int(endpoints)
+
+
+@then(
+    r"it has (?P<groups>\d+) groups, every endpoint and job belongs to one, and none is twice the "
+    r"mean"
+)
+def step_impl(context, groups):
+    count = count_groups(context.endpoint_count)
+    assert count == int(groups), count
+    names = list_groups("ledger", count)
+    assert len(set(names)) == count and (count > 1 or names == ["ledger"])
+    for kind, number in (("i-", context.endpoint_count), ("j", 2000)):
+        members = Counter(choose_group("ledger", count, f"{kind}{n:x}") for n in range(number))
+        assert set(members) <= set(names)
+        assert max(members.values()) <= max(2 * number / count, 1), members
+
+
+@then(r"4 groups are stored and read, and damaged divisions are refused")
+def step_impl(context):
+    assert decode_division(encode_division(4)) == 4
+    for damaged in (b"", packb({"groups": 0}), packb({"groups": "4"}), packb({"groups": 1000})):
+        try:
+            decode_division(damaged)
+        except StoredValueError:
+            continue
+        raise AssertionError(damaged)
+
+
+@given(r"looks at the list that saw (?P<first>\d+) and (?P<second>\d+) endpoints")
+def step_impl(context, first, second):
+    context.is_settled = is_settled([int(first), int(second)])
+
+
+@then(r"the list (?P<state>has|has not) settled")
+def step_impl(context, state):
+    assert context.is_settled == (state == "has")
+
+
 @given(r"the known fence is (?P<known>\d+)")
 def step_impl(context, known):
     context.known_fence = int(known)
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -65,6 +65,7 @@
                 self.store,
                 self.directory,
                 EndpointList(),
+                lambda service, name: service,
                 MonotonicClock(),
                 Telemetry(),
                 lambda incarnation, message: None,
@@ -83,7 +84,7 @@
         terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, 0.1),), is_kept)
         holder = self.holders[fence or self.newest]
-        message = HandIn(spec, attempt, ANSWER_TIMEOUT_S)
+        message = HandIn(GROUP, spec, attempt, ANSWER_TIMEOUT_S)
         future = self.portal.start_task_soon(holder.hand_in, message, ENTRY)
         self.replies.setdefault(name, []).append(future)
         sleep(0.02)
@@ -266,6 +267,12 @@
     assert (reply.refusal, reply.state) == ("", state), reply
 
 
+@then(r'job "(?P<name>\w+)" ends as "(?P<state>\w+)" at the holder with fence 17')
+def step_impl(context, name, state):
+    reply = context.holder_world.replies[name][0].result(ANSWER_TIMEOUT_S)
+    assert reply.state == state, reply
+
+
 @then(r'each task of job "(?P<name>\w+)" was done once')
 def step_impl(context, name):
     done = [task for _, task, _ in context.holder_world.runs(name, "done")]
