--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -166,8 +166,3 @@
             self.released.discard(first)
             self.acknowledged = first
         return self.acknowledged
-
-    @property
-    def has_unreleased_ends(self) -> bool:
-        """Whether the endpoint is the only memory of some end."""
-        return len(self.released) < len(self.ends)
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -23,7 +23,7 @@
 LONGEST_WAIT_S = 30.0
 ANSWER_MARGIN_S = 0.05  # for the way back to the caller
 JOB_ID_CHARACTERS = 16
-MAX_PAYLOAD_CHARACTERS = 4_000
+MAX_PAYLOAD_BYTES = 4_000  # runners refuse longer ones
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
 UNSUPPORTED_STEP_FIELDS = ("gang", "persistent", "image", "fills", "may-miss", "speculative")
@@ -237,8 +237,8 @@
         if content.get(name):
             raise JobUnsupportedError(f"{name} is not supported")
     payload, rows = content.get("spec", ""), content.get("steps")
-    if not isinstance(payload, str) or len(payload) > MAX_PAYLOAD_CHARACTERS:
-        raise RequestInvalidError(f"spec must be text of up to {MAX_PAYLOAD_CHARACTERS} characters")
+    if not isinstance(payload, str) or _count_bytes(payload) > MAX_PAYLOAD_BYTES:
+        raise RequestInvalidError(f"spec must be text of up to {MAX_PAYLOAD_BYTES} bytes")
     if not isinstance(rows, list) or not 0 < len(rows) <= MAX_STEPS:
         raise RequestInvalidError(f"steps must be a list of 1 to {MAX_STEPS}")
     steps = tuple(_decode_step(number, row) for number, row in enumerate(rows))
@@ -246,6 +246,11 @@
     return JobSpec(job_id, route.terms, payload, steps, is_kept=not content.get("best-effort"))
 
 
+def _count_bytes(text: str) -> int:
+    """Counts the bytes of a text in UTF-8, in which a lone surrogate of JSON takes three."""
+    return len(text.encode("utf-8", "surrogatepass"))
+
+
 def _decode_step(number: int, row: Any) -> StepSpec:
     if not isinstance(row, dict):
         raise RequestInvalidError(f"steps.{number} is not an object")
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -42,6 +42,9 @@
     Given a settings file with the text "= 5"
     Then reading it names "TOML"
 
+  Scenario: a job's text is bounded in bytes, as runners count it
+    Then a job with 4000 letters "a" is taken, and with 4001 or 2001 letters "č" it is refused
+
   Scenario: bytes from outside never end a daemon
     Then random list entries, reports, configurations and jobs are decoded or refused
 
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -134,6 +134,20 @@
         raise AssertionError("the settings were taken")
 
 
+@then(r'a job with 4000 letters "a" is taken, and with 4001 or 2001 letters "č" it is refused')
+def step_impl(context):
+    written = json.dumps(make_configuration(4, ["/a/"])).encode()
+    route = decode_configuration(written).routes[0]
+    for payload, taken in (("a" * 4000, True), ("a" * 4001, False), ("č" * 2001, False)):
+        body = json.dumps({"spec": payload, "steps": [{"count": 1}]}).encode()
+        try:
+            decode_job("0" * 16, route, body)
+        except RequestInvalidError:
+            assert not taken, len(payload)
+        else:
+            assert taken, len(payload)
+
+
 @then(r"random list entries, reports, configurations and jobs are decoded or refused")
 def step_impl(context):
     configuration = make_configuration(4, ["/a/"])
