--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESULT_FOLDER = ROOT / "build"
 PROVING_FOLDERS = ("admit", "collect", "daemon", "deduplicate", "place", "send")
+DURABLE_FOLDERS = ("durable", "platform")
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 CHECKED_FOLDERS = ("berylproxy", "standins", "tests", "tools")
 PASSED = "passed"
@@ -26,13 +27,17 @@
 
 
 def list_shards(paths: list[str]) -> list[list[str]]:
-    """Divides the features: those with clusters of daemons run beside all others."""
+    """Divides the features: clusters of daemons, durable jobs and all others run side by side."""
     if paths:
         return [paths]
     folders = sorted(path.parent for path in (ROOT / "tests").glob("*/*.feature"))
     names = dict.fromkeys(folder.name for folder in folders)
-    others = [name for name in names if name not in PROVING_FOLDERS]
-    shards = [[name for name in names if name in PROVING_FOLDERS], others]
+    chosen = {*PROVING_FOLDERS, *DURABLE_FOLDERS}
+    shards = [
+        [name for name in names if name in PROVING_FOLDERS],
+        [name for name in names if name in DURABLE_FOLDERS],
+        [name for name in names if name not in chosen],
+    ]
     return [[f"tests/{name}" for name in shard] for shard in shards]
 
 
