Tell homes when nothing waits at a holder any more, also without a free slot

Of a group whose endpoints leave or are ejected, the last summary had waiting tasks and no free slot; the tasks went elsewhere, nothing was told, and homes went on counting them for up to 30 s.

Change: a summary also goes to all homes when its waiting tasks cease or begin and when its usable slots change.

Ruled out: run times learnt from large answers; endpoints on probation alone (their turnover counts all their slots, so the wait comes out shorter).

--- a/berylproxy/place/holder.py
+++ b/berylproxy/place/holder.py
@@ -182,7 +182,7 @@
         idle_homes, held.idle_homes = held.idle_homes, set()
         stalled_homes, held.stalled_homes = held.stalled_homes, set()
         last = held.last_summary
-        changed = last is None or bool(last.free) != bool(summary.free)
+        changed = last is None or _differ_for_homes(last, summary)
         if changed and now_s - held.last_summary_s >= SUMMARY_INTERVAL_S:
             held.last_summary = summary
             held.last_summary_s = now_s
@@ -196,3 +196,16 @@
         for incarnation in (idle_homes | stalled_homes) - {own}:
             held.told_s[incarnation] = now_s
             self._send(incarnation, summary)
+
+
+def _differ_for_homes(last: HolderSummary, summary: HolderSummary) -> bool:
+    """Tells whether homes would place or refuse otherwise by the newer summary.
+
+    The count of waiting tasks matters without a free slot too: of a group whose endpoints leave,
+    homes would count tasks that have long gone elsewhere, and refuse new jobs for them.
+    """
+    return (
+        bool(last.free) != bool(summary.free)
+        or bool(last.waiting) != bool(summary.waiting)
+        or last.slots != summary.slots
+    )
--- a/tests/place/spread.feature
+++ b/tests/place/spread.feature
@@ -32,3 +32,11 @@
     Given a holder of endpoints with 2 slots that take 0.1 s and 1 slot that takes 0.4 s
     When a home asks for 1 slot
     Then the grant tells costs of "0.1, 0.4"
+
+  Scenario: A holder whose endpoint leaves tells idle homes that nothing waits there any more
+    Given a holder of endpoints with 2 slots that take 0.1 s and 1 slot that takes 0.4 s
+    And the holder in "fd-b" told costs of "0.1, 0.1"
+    When a home asks for 60 slots
+    And every endpoint says that it is leaving
+    And the home's tasks have gone elsewhere
+    Then the home expects no wait for 2 tasks
--- a/tests/steps/place_spread_steps.py
+++ b/tests/steps/place_spread_steps.py
@@ -7,7 +7,7 @@
 from berylproxy.collect.job import DemandKey
 from berylproxy.models import DaemonIdentity
 from berylproxy.place.assignment import SlotGroup
-from berylproxy.place.holder import Holder
+from berylproxy.place.holder import SUMMARY_INTERVAL_S, Holder
 from berylproxy.place.messages import (
     DemandEntry,
     GrantSlots,
@@ -66,8 +66,16 @@
     context.sent = []
     identity = DaemonIdentity("d0", "i0", "fd-a", "127.0.0.1:1")
     home = DaemonIdentity("d1", HOME, "fd-b", "127.0.0.1:2")
-    clock = SimpleNamespace(now_s=lambda: 100.0)
-    holder = Holder(identity, clock, lambda _, message: context.sent.append(message))
+    context.now_s = 100.0
+    context.sent_to_home = []
+    clock = SimpleNamespace(now_s=lambda: context.now_s)
+
+    def send(incarnation, message):
+        context.sent.append(message)
+        if incarnation == HOME:
+            context.sent_to_home.append(message)
+
+    holder = Holder(identity, clock, send)
     holder.update_members([identity, home])
     holder.configure(make_configuration({"fast": fast_slots, "slow": slow_slots}))
     releases = [
@@ -80,6 +88,7 @@
 
 
 @when("a home asks for {count:d} slot")
+@when("a home asks for {count:d} slots")
 def step_ask(context, count):
     entry = DemandEntry(SERVICE, "team", (), count, 0.0)
     context.holder.receive_demand(HOME, UpdateDemand(POOL, "fd-a", (entry,), 0, ()))
@@ -91,3 +100,37 @@
     [grant] = [message for message in context.sent if isinstance(message, GrantSlots)]
     expected_s = parse_costs(costs)
     assert grant.summary.costs_s[: len(expected_s)] == expected_s, grant
+
+
+@when("every endpoint says that it is leaving")
+def step_leaving(context):
+    pass_time(context)
+    releases = [
+        SlotRelease("i0", number, name, SERVICE, "leaving", 0.0)
+        for number, name in enumerate(("fast", "slow"), start=1)
+    ]
+    context.holder.receive_releases(ReleaseSlots(POOL, "fd-a", tuple(releases)))
+    context.holder.flush()
+
+
+@when("the home's tasks have gone elsewhere")
+def step_gone(context):
+    pass_time(context)
+    context.holder.receive_demand(HOME, UpdateDemand(POOL, "fd-a", (), 0))
+    context.holder.flush()
+    pass_time(context)
+    context.holder.flush()
+
+
+def pass_time(context):
+    """Lets the holder's next summary be due."""
+    context.now_s += 2 * SUMMARY_INTERVAL_S
+
+
+@then("the home expects no wait for {count:d} tasks")
+def step_expects(context, count):
+    for message in context.sent_to_home:
+        summary = message.summary if isinstance(message, GrantSlots) else message
+        context.spread.update_summary(summary)
+    wait_s = context.spread.estimate_wait_s(SERVICE, count)
+    assert wait_s == 0, wait_s
