Count an order that endpoints reject as a failed run of its task

Cause: an endpoint's 400 to a start closed the endpoint for half a second and more, and the task went to the next one, for ever: one malformed job could close a whole group. Statuses that the platform does not name were taken for the same.

Change: a rejected order is a failed run of the task, bounded by the queue's attempts; endpoints stay open. Other statuses leave the outcome open, so that a stop settles it before the task starts elsewhere.

--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -43,6 +43,7 @@
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 STALL_FACTOR = 0.2  # expected run times without progress, which is told in hundredths
 SHORTEST_STALL_S = 0.6
+UNLISTED_END = 0  # endpoints count the ends that they list from 1
 
 logger = Logger(__name__)
 
@@ -416,6 +417,9 @@
         if outcome is StartOutcome.OTHER_LIFE:
             self._forget(endpoint, "another life answers at its address")
             return
+        if outcome is StartOutcome.INVALID:
+            self._take_rejected(task, endpoint, run, now_s)
+            return
         if outcome is StartOutcome.NO_ROOM:
             endpoint.note_no_room(now_s)
         elif outcome is not StartOutcome.RUN_TOO_OLD:
@@ -423,6 +427,22 @@
         self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
         self.changed.set()
 
+    def _take_rejected(self, task: Task, endpoint: EndpointState, run: int, now_s: float) -> None:
+        """Counts an order that an endpoint can't make sense of as a failed run.
+
+        The job's own content is the likely cause: elsewhere it would be rejected too, for ever.
+        """
+        endpoint.vacate(task.name, run)
+        if self._book.find_task(task.name) is None:
+            return
+        end = EndedRun(UNLISTED_END, task.name, run, EndKind.FAILED, "")
+        self._note_failed(endpoint, task, end, now_s)
+        self._book.note_end(task, end, endpoint.facts.life)
+        job = self._book.jobs[task.name.job_id]
+        if job.is_final:
+            self._on_final(job)
+        self.changed.set()
+
     def _may_have_orphans(self, endpoint: EndpointState, now_s: float) -> bool:
         """Tells whether a former holder's jobs there may still be handed in again."""
         return endpoint.contacted_s is None or now_s - endpoint.contacted_s < ORPHAN_GRACE_S
--- a/berylproxy/durable/ports.py
+++ b/berylproxy/durable/ports.py
@@ -36,7 +36,7 @@
     TOO_LATE = "too_late"  # it came after the lease that it was sent with
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
-    INVALID = "invalid"
+    INVALID = "invalid"  # the endpoint can't carry the order out as it is
     OTHER_LIFE = "other_life"
     NOT_SENT = "not_sent"
     UNKNOWN = "unknown"  # no answer: it may start still
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -34,6 +34,7 @@
 LIFE_HEADER = "Berylproxy-Expect-Instance"
 OTHER_LIFE_STATUS = 421
 STATES = ("ready", "draining")
+UNHEALTHY_STATUSES = (429, 503)  # nothing was done
 RACK_LABEL_START = "r"  # labels name the kind, and the rack as r<room>-<rack>
 
 REFUSALS = {
@@ -108,15 +109,7 @@
             return StartOutcome.NOT_SENT
         except AnswerLostError:
             return StartOutcome.UNKNOWN
-        if answer.status == 200:
-            return StartOutcome.STARTED
-        if answer.status == OTHER_LIFE_STATUS:
-            return StartOutcome.OTHER_LIFE
-        if answer.status in (429, 503):
-            return StartOutcome.UNHEALTHY
-        if answer.status == 409:
-            return REFUSALS.get(str(_read_object(answer).get("reason")), StartOutcome.INVALID)
-        return StartOutcome.INVALID
+        return decode_start(answer)
 
     async def stop(self, name: TaskName, run: int, fence: int) -> None:
         """Stops a run, also one that has yet to arrive."""
@@ -215,6 +208,22 @@
     return Needs(*values)
 
 
+def decode_start(answer: HttpAnswer) -> StartOutcome:
+    """Decodes a runner's answer to an order; one that the pages don't name leaves it open."""
+    if answer.status == 200:
+        return StartOutcome.STARTED
+    if answer.status == OTHER_LIFE_STATUS:
+        return StartOutcome.OTHER_LIFE
+    if answer.status in UNHEALTHY_STATUSES:
+        return StartOutcome.UNHEALTHY
+    if answer.status == 409:
+        return REFUSALS.get(str(_read_object(answer).get("reason")), StartOutcome.INVALID)
+    if answer.status == 400:
+        return StartOutcome.INVALID
+    logger.warning("a start was answered {}, taken as unknown", answer.status)
+    return StartOutcome.UNKNOWN
+
+
 def decode_report(content: dict[str, Any], sent_s: float) -> EndpointReport:
     """Decodes a runner's lists; rows that can't be read are counted."""
     unreadable = 0
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -58,6 +58,8 @@
         outcome = self.model.start(order, self.read_until_s(body["until-ms"]))
         if outcome is StartOutcome.STARTED:
             return self.answer({})
+        if outcome is StartOutcome.INVALID:
+            return self.answer({}, 400)
         return self.answer({"reason": REASONS[outcome]}, 409)
 
     async def stop(self, request: Request) -> Response:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -30,6 +30,7 @@
     :ivar cut_fences: calls under these fences get no answer and have no effect.
     :ivar lost_starts: how many of the next starts take effect without an answer.
     :ivar late_starts: how many of the next starts take effect later, without an answer.
+    :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
     :ivar kinds: how the runs of a job end, by its identifier; done unless named.
     """
 
@@ -47,6 +48,7 @@
     ends: int = 0
     history: list = field(default_factory=list)
     kinds: dict = field(default_factory=dict)
+    rejected_jobs: set = field(default_factory=set)
     changed: Event = field(default_factory=Event)
 
     def stop(self, name: TaskName, run: int) -> None:
@@ -86,6 +88,8 @@
         if order.fence < self.fence:
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
+        if order.name.job_id in self.rejected_jobs:
+            return StartOutcome.INVALID
         if (order.name, order.run) in self.running:
             return StartOutcome.STARTED
         if order.run <= self.refused.get(order.name, 0):
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -15,6 +15,15 @@
     Then job "a" ends as "failed"
     And 3 runs of job "a" were started
 
+  Scenario: endpoints reject the orders of one job, and other jobs go on
+    Given a group of 4 endpoints whose runs take 0.02 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is handed in
+    Then job "a" ends as "failed"
+    And 0 runs of job "a" were started
+    And no endpoint is closed
+
   Scenario: an order takes effect and its answer is lost
     Given a group of 1 endpoint whose runs take 0.3 s
     And the answers of the next 2 starts are lost
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -28,6 +28,22 @@
       """
     Then 1 running task, 1 end and 3 unreadable rows are found
 
+  Scenario Outline: a runner's answer to an order
+    Then a runner's <status> with reason "<reason>" means "<outcome>"
+
+    Examples:
+      | status | reason | outcome     |
+      | 200    |        | started     |
+      | 400    |        | invalid     |
+      | 409    | room   | no_room     |
+      | 409    | old    | run_too_old |
+      | 409    | fence  | fenced_off  |
+      | 409    | ticket | invalid     |
+      | 421    |        | other_life  |
+      | 429    |        | unhealthy   |
+      | 503    |        | unhealthy   |
+      | 500    |        | unknown     |
+
   Scenario: routes are found by host and longest prefix
     Given a configuration with the prefixes "/a/" and "/a/b/"
     Then the path "/a/b/0000000000000001" belongs to the queue "queue1"
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -120,6 +120,20 @@
         endpoint.kinds[name] = EndKind.FAILED
 
 
+@given(r'every order of job "(?P<name>\w+)" is rejected')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.rejected_jobs.add(name)
+
+
+@then(r"no endpoint is closed")
+def step_impl(context):
+    world = context.holder_world
+    endpoints = world.holders[world.newest].group.endpoints.values()
+    closed = [endpoint for endpoint in endpoints if endpoint.closed_until_s > monotonic()]
+    assert not closed, closed
+
+
 @given(r"the answers of the next (?P<count>\d+) starts are lost")
 def step_impl(context, count):
     context.holder_world.endpoints[0].lost_starts = int(count)
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -10,10 +10,11 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
+from berylproxy.http_exchange import HttpAnswer
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
-from berylproxy.platform.endpoints import decode_entry, decode_report
+from berylproxy.platform.endpoints import decode_entry, decode_report, decode_start
 from berylproxy.platform.settings import load_platform_settings
 from berylproxy.settings import SettingsError
 from berylproxy.store.port import Entry
@@ -216,3 +217,10 @@
 
 
 use_step_matcher("parse")
+
+
+@then('a runner\'s {status:d} with reason "{reason}" means "{outcome}"')
+@then('a runner\'s {status:d} with reason "" means "{outcome}"')
+def step_start_answer(context, status, outcome, reason=""):
+    answer = HttpAnswer(status, json.dumps({"reason": reason}).encode(), 0.0, 0.0)
+    assert decode_start(answer) == outcome, decode_start(answer)
