Let an entry hand a dropped job in again in place of answering its caller cancelled

Two entries were heard again in the same moment; the holder's reply 'cancelled' reached them, and they gave it to callers who had cancelled nothing.

Change: the dropped job's request ends with an error of its own; the entry hands the job in again. The new scenario got a state as reply before, now the error, and the job completes.

--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -46,6 +46,7 @@
 )
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.durable.tenure import Tenure
+from berylproxy.errors import BerylproxyError
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
     StoreError,
@@ -68,6 +69,12 @@
 logger = Logger(__name__)
 
 
+class JobInterruptedError(BerylproxyError):
+    """The job was dropped although its caller may still wait: it may be handed in again."""
+
+    code = "job_interrupted"
+
+
 @dataclass(frozen=True, slots=True)
 class UnresolvedJob:
     """A job that a former holder may be carrying out at endpoints that are not contacted yet."""
@@ -94,6 +101,7 @@
 
     ended: Event = field(default_factory=Event)
     reply: HandInReply | None = None
+    is_interrupted: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -277,6 +285,8 @@
                 return reply
         wait = self._waits.setdefault(job_id, Wait())
         await wait.ended.wait()
+        if wait.is_interrupted:
+            raise JobInterruptedError("the job was dropped, as its entry daemon was not heard")
         if wait.reply is not None:
             return wait.reply
         job = self.book.jobs.get(job_id)
@@ -307,7 +317,10 @@
         return None
 
     def drop(self, job_id: str, reason: str) -> None:
-        """Gives a job up that isn't kept: nobody waits for it."""
+        """Gives a job up that isn't kept: nobody waits for it, as far as this daemon knows.
+
+        An entry that is heard again must not take it for its caller's own cancellation.
+        """
         job = self.book.jobs.get(job_id)
         if job is None or job.is_final or job.spec.is_kept:
             return
@@ -315,6 +328,9 @@
             "job dropped: {}", reason, extra=self.tenure.extra(job=job_id, started=job.started)
         )
         self.book.cancel(job)
+        wait = self._waits.get(job_id)
+        if wait is not None:
+            wait.is_interrupted = True
         self._finish(job)
 
     def _note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -119,6 +119,18 @@
     Then nothing runs at any endpoint within 0.3 s
     And the holder with fence 16 is at work
 
+  Scenario: an entry daemon that is heard again hands its dropped job in again
+    Given a group of 2 endpoints whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And job "a" of 2 tasks is handed in
+    And the entry daemon is not heard any more
+    Then job "a" was interrupted
+    When the entry daemon is heard again
+    And job "a" of 2 tasks is handed in again
+    Then job "a" ends as "completed"
+    And each task of job "a" was done once
+    And no task of job "a" ran twice at the same time
+
   Scenario: jobs whose entry daemon is silent are dropped
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -11,7 +11,7 @@
 from berylproxy.durable import outcomes
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import Holder, HolderContext
+from berylproxy.durable.holder import Holder, HolderContext, JobInterruptedError
 from berylproxy.durable.messages import HandIn
 from berylproxy.durable.models import (
     EndKind,
@@ -261,6 +261,17 @@
     context.holder_world.entry_is_alive = False
 
 
+@when(r"the entry daemon is heard again")
+def step_impl(context):
+    context.holder_world.entry_is_alive = True
+
+
+@then(r'job "(?P<name>\w+)" was interrupted')
+def step_impl(context, name):
+    error = context.holder_world.replies[name][-1].exception(ANSWER_TIMEOUT_S)
+    assert isinstance(error, JobInterruptedError), error
+
+
 @when(r"the job store is out")
 def step_impl(context):
     context.holder_world.store.is_out = True
