Hear the entries of open jobs in each round of heartbeats, however many daemons there are

Cause: a holder drops the jobs of an entry that it has not heard for a second. Daemons send heartbeats to 8 others every 0.4 s; with 35 daemons each pair exchanges one about every 0.85 s and often later, so an entry that has nothing else to say was taken for silent.

Change: members that something depends on get a heartbeat in each round that finds them silent for half an interval.

--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -155,6 +155,7 @@
         network.handle_notice(HolderHeartbeat, self._take_heartbeat)
         network.handle_notice(JobsEnded, lambda _, message: self._on_ended(message.states))
         network.provide_heartbeat(HEARTBEAT_PART, self._describe)
+        network.depend_on(self._list_entries)
 
     async def run(self) -> None:
         """Watches over all groups until cancelled."""
@@ -442,8 +443,16 @@
         """Tells whether a daemon was heard lately, or is this one."""
         if incarnation == self.own_incarnation:
             return True
-        oldest_s = self._clock.now_s() - ENTRY_SILENCE_S
-        return any(link.last_received_s > oldest_s for link in self._network.links(incarnation))
+        return self._network.silence_s(incarnation) < ENTRY_SILENCE_S
+
+    def _list_entries(self) -> set[str]:
+        """Lists the daemons whose jobs are dropped here unless the daemons are heard."""
+        return {
+            job.entry
+            for holder in self.holders.values()
+            for job in holder.book.jobs.values()
+            if job.entry and not job.spec.is_kept
+        }
 
     def _has_store_elsewhere(self) -> bool:
         """Tells whether another daemon may reach the store, as far as is known."""
--- a/berylproxy/peers/control.py
+++ b/berylproxy/peers/control.py
@@ -1,6 +1,6 @@
 """What daemons tell each other about themselves: heartbeats, lists of members, leaving."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import choice
 from typing import Any, Protocol
 
@@ -82,6 +82,10 @@
         """Adds a concern's state to the heartbeats."""
         self._providers[name] = provide
 
+    def depend_on(self, list_incarnations: Callable[[], Iterable[str]]) -> None:
+        """Names members whose silence matters now."""
+        self._prober.list_needed = list_incarnations
+
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
         self._refresh_state()
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -1,7 +1,8 @@
 """The streams to the other daemons and the membership learnt from them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
+from math import inf
 from typing import Any
 
 from anyio import (
@@ -133,6 +134,15 @@
         links = (self._dialled.get(incarnation), self._accepted.get(incarnation))
         return [link for link in links if link is not None and not link.closed]
 
+    def silence_s(self, incarnation: str) -> float:
+        """Tells how long ago anything came from a member; infinite without an open stream."""
+        heard_s = max((link.last_received_s for link in self.links(incarnation)), default=-inf)
+        return current_time() - heard_s
+
+    def depend_on(self, list_incarnations: Callable[[], Iterable[str]]) -> None:
+        """Names members whose silence matters now: they are heard at least once a round."""
+        self._control.depend_on(list_incarnations)
+
     async def wait_for_link(self, incarnation: str, timeout_s: float) -> PeerLink | None:
         """Waits until there is an open stream to a member."""
         with move_on_after(timeout_s):
--- a/berylproxy/peers/prober.py
+++ b/berylproxy/peers/prober.py
@@ -5,7 +5,7 @@
 for through other members before it becomes suspect (SWIM, section 3.1).
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from itertools import zip_longest
 from random import sample, shuffle, uniform
 from typing import Any, Protocol
@@ -21,6 +21,7 @@
 
 PAUSE_LIMIT_S = 0.5
 ROUND_JITTER = 0.1
+NEEDED_SILENCE_ROUNDS = 0.5  # so that a member is heard again within two rounds
 
 
 class ProbeTransport(Protocol):
@@ -40,6 +41,8 @@
     """Sends the heartbeats and judges the silence.
 
     :param on_round: called at the start of each round.
+    :ivar list_needed: lists the members that get a heartbeat in each round that finds them silent,
+        as something here is given up unless they are heard.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self._table = table
         self._transport = transport
         self._on_round = on_round
+        self.list_needed: Callable[[], Iterable[str]] = tuple
         self._order: list[str] = []
         self._checked: set[str] = set()
         self._resumed_s = 0.0
@@ -90,6 +94,7 @@
 
     def _pick(self) -> list[MemberEntry]:
         picked = [entry for entry in self._table.entries() if self._has_stalled(entry)]
+        picked += self._list_silent_needed()
         for _ in range(self._settings.heartbeats_per_interval):
             entry = self._next()
             if entry is None:
@@ -97,6 +102,19 @@
             picked.append(entry)
         return picked
 
+    def _list_silent_needed(self) -> list[MemberEntry]:
+        limit_s = current_time() - NEEDED_SILENCE_ROUNDS * self._settings.heartbeat_interval_s
+        found = (self._table.get(incarnation) for incarnation in self.list_needed())
+        return [
+            entry
+            for entry in found
+            if entry is not None
+            and all(
+                link.last_received_s < limit_s
+                for link in self._transport.links(entry.identity.incarnation)
+            )
+        ]
+
     def _has_stalled(self, entry: MemberEntry) -> bool:
         limit_s = current_time() - self._settings.heartbeat_timeout_s
         links = self._transport.links(entry.identity.incarnation)
--- a/tests/peers/membership.feature
+++ b/tests/peers/membership.feature
@@ -85,3 +85,8 @@
   Scenario: Members are asked about others across failure domains
     Then of 3 helpers among 5 members in each of 4 domains none is of the own domain nor of one twice
     And of 3 helpers among 5 members in the own domain alone all are of it
+
+  Scenario: A member that matters now is heard often, however many members there are
+    Given 8 peers that each send a heartbeat to one member every 0.2 s
+    When the first one depends on the last one
+    Then for 3 s the first one hears the last one every 0.5 s
--- a/tests/steps/peers_membership_steps.py
+++ b/tests/steps/peers_membership_steps.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from time import sleep
 
 from behave import given, then, when
 
@@ -24,6 +25,7 @@
     wait,
 )
 
+SAMPLE_INTERVAL_S = 0.02
 ROOT = Path(__file__).resolve().parents[2]
 
 
@@ -209,3 +211,32 @@
     lines = [json.loads(line) for line in context.peer_process.stdout]
     seen = [line["status"] for line in lines if line["incarnation"]]
     assert seen and set(seen) == {"alive"}, seen
+
+
+@given("{count:d} peers that each send a heartbeat to one member every {interval:g} s")
+def step_many(context, count, interval):
+    settings = {"heartbeat_interval_s": interval, "heartbeats_per_interval": 1}
+    first = start_node(context, "peer-0", **settings)
+    for number in range(1, count):
+        start_node(context, f"peer-{number}", addresses=(first.address,), **settings)
+    last = context.peers[f"peer-{count - 1}"]
+    wait(context, first, lambda: len(first.network.members()) == count - 1)
+    wait(context, first, lambda: first.knows(last))
+    context.pair = first, last
+
+
+@when("the first one depends on the last one")
+def step_depend(context):
+    first, last = context.pair
+    call(context, first.network.depend_on, lambda: [last.incarnation])
+    sleep(2 * first.settings.heartbeat_interval_s)
+
+
+@then("for {duration:g} s the first one hears the last one every {bound:g} s")
+def step_heard(context, duration, bound):
+    first, last = context.pair
+    longest_s = 0.0
+    for _ in range(int(duration / SAMPLE_INTERVAL_S)):
+        sleep(SAMPLE_INTERVAL_S)
+        longest_s = max(longest_s, call(context, first.network.silence_s, last.incarnation))
+    assert longest_s <= bound, longest_s
