--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -99,7 +99,7 @@
 class DurableMember:
     """Follows holders, and serves the groups that this daemon holds.
 
-    :param cores: processor share of this VM.
+    :ivar cores: processor share of this VM.
     :param list_members: failure domains of the daemons that the store lists, by name.
     :param has_store: tells whether the store answers this daemon.
     """
@@ -123,7 +123,7 @@
         self._store = store
         self._directory = directory
         self._clock = clock
-        self._cores = cores
+        self.cores = cores
         self._list_members = list_members
         self._has_store = has_store
         self._list = EndpointList()
@@ -310,7 +310,7 @@
             for m in members
             if m.ready and (not has_store or _read_part(m).get("has_store", True))
         ]
-        own = Candidate(self._network.identity.daemon_id, self._cores, self._count_held())
+        own = Candidate(self._network.identity.daemon_id, self.cores, self._count_held())
         listed = len(set(self._list_members()) - {own.daemon_id, self._holder_name(known)})
         own_rank = rank(group, own, candidates)
         if self._task_group is None:
@@ -470,7 +470,7 @@
 
     def _describe(self) -> dict[str, Any]:
         return {
-            "cores": self._cores,
+            "cores": self.cores,
             "holds": self._count_held(),
             "has_store": self._has_store(),
         }
--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -28,7 +28,7 @@
     handler = make_log_handler(output, "info", daemon_id=settings.daemon_id)
     with handler.applicationbound():
         try:
-            run(PlatformDaemon(settings).run)
+            run(PlatformDaemon(settings, path).run)
         except Exception:  # the platform starts the process anew; the cause must not be lost
             logger.exception("the daemon ends")
             return ExitStatus.INTERNAL_ERROR
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -30,6 +30,7 @@
     decode_configuration,
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.reload import SettingsReader
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
 from berylproxy.store.errors import StoreCompactedError, StoreLeaseLapsedError
@@ -55,8 +56,9 @@
 class PlatformDaemon:
     """One daemon on the users' platform."""
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(self, settings: PlatformSettings, settings_path: str) -> None:
         self._settings = settings
+        self._settings_reader = SettingsReader(settings_path, settings, self._take_settings)
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
         self._configuration = PlatformConfiguration()
@@ -75,6 +77,7 @@
             settings.failure_domain,
             settings.peer_address,
         )
+        self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
         telemetry = Telemetry()
         key = await self._fetch_peer_key()
         self._network = TcpPeerNetwork(
@@ -86,7 +89,7 @@
         self._member = DurableMember(
             self._network,
             self._store,
-            PlatformEndpoints(self._store, settings.longest_lease_s),
+            self._endpoints,
             self._clock,
             settings.cores,
             lambda: self._listed,
@@ -109,6 +112,7 @@
             task_group.start_soon(self._follow_members)
             task_group.start_soon(self._keep_groups)
             task_group.start_soon(self._member.run)
+            task_group.start_soon(self._settings_reader.run)
             task_group.start_soon(self._wait_for_stop)
             logger.info("serving on {}", settings.callers_address)
             await self._serve()
@@ -138,6 +142,14 @@
             # hypercorn raises these when requests are left at the end of its graceful timeout
             logger.warning("stopped with requests unanswered")
 
+    def _take_settings(self, settings: PlatformSettings) -> None:
+        """Takes over what needs no other connections of callers, daemons or the balancer."""
+        if settings.store_address != self._settings.store_address:
+            self._store.move(settings.store_address)
+        self._endpoints.longest_lease_s = settings.longest_lease_s
+        self._member.cores = settings.cores
+        self._settings = settings
+
     def _check_ready(self) -> bool:
         if self._is_stopping or not self._configuration.version:
             return False
@@ -266,7 +278,7 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                logger.info("the settings file may have changed; its addresses hold until a start")
+                self._settings_reader.ask()
         logger.info("stopping")
         self._is_stopping = True
         self._member.leave()
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -50,12 +50,12 @@
 class PlatformEndpoints:
     """Implements :class:`berylproxy.durable.ports.EndpointDirectory`.
 
-    :param longest_lease_s: the longest lease that runners grant.
+    :ivar longest_lease_s: the longest lease that runners grant; holds for later connections.
     """
 
     def __init__(self, store: PlatformStore, longest_lease_s: float) -> None:
         self._store = store
-        self._longest_lease_s = longest_lease_s
+        self.longest_lease_s = longest_lease_s
         self._reported: set[str] = set()
 
     async def fetch(self) -> tuple[EndpointFacts, ...]:
@@ -76,7 +76,7 @@
 
     def connect(self, facts: EndpointFacts) -> "PlatformEndpoint":
         """Makes the calls to a runner."""
-        return PlatformEndpoint(facts, self._longest_lease_s)
+        return PlatformEndpoint(facts, self.longest_lease_s)
 
 
 class PlatformEndpoint:
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -53,6 +53,14 @@
         self.heard_s = monotonic()
         self._failures_in_row = 0
 
+    def move(self, address: str) -> None:
+        """Goes on at another address; calls under way end at the former one."""
+        former = (self._http, self._watches)
+        self._http = HttpExchange(address, CONNECT_TIMEOUT_S)
+        self._watches = HttpExchange(address, CONNECT_TIMEOUT_S)
+        for http in former:
+            http.close_idle()
+
     @property
     def has_contact(self) -> bool:
         """Whether the service answers this daemon, as far as the last calls show."""
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -120,20 +120,34 @@
         """Ends all processes."""
         self.stack.close()
 
+    def settings_path(self, number: int) -> Path:
+        """Names a daemon's settings file."""
+        return self.folder / f"d{number}.toml"
+
+    def write_settings(self, number: int, *, store_port: int = 0, more: str = "") -> None:
+        """Writes a daemon's settings file.
+
+        :param store_port: of what stands for the store; 0 for the store itself.
+        :param more: lines at the end of the file.
+        """
+        content = SETTINGS.format(
+            name=f"d{number}",
+            host=host_of(number),
+            ports=self.ports[number],
+            store_port=store_port or self.store.announced["port"],
+            grace_s=self.grace_s,
+        )
+        self.settings_path(number).write_text(content + more)
+
+    def start_relay(self) -> ManagedProcess:
+        """Starts a relay to the store."""
+        target = f"127.0.0.1:{self.store.announced['port']}"
+        return self._start("relay", ["-m", "standins.relay", "--target", target])
+
     def start_daemon(self, number: int) -> ManagedProcess:
         """Starts a daemon with a settings file of its own."""
-        path = self.folder / f"d{number}.toml"
-        store_port = self.store.announced["port"]
-        path.write_text(
-            SETTINGS.format(
-                name=f"d{number}",
-                host=host_of(number),
-                ports=self.ports[number],
-                store_port=store_port,
-                grace_s=self.grace_s,
-            )
-        )
-        environment = {SETTINGS_VARIABLE: str(path)}
+        self.write_settings(number)
+        environment = {SETTINGS_VARIABLE: str(self.settings_path(number))}
         arguments = ["-m", "berylproxy.platform"]
         daemon = LoggedDaemon(f"d{number}", arguments, self.folder, environment=environment)
         return self.stack.enter_context(daemon)
