Give a job up at once that has begun and can't be of use any more

Only jobs that had not begun were given up.

Change: a job of which tasks wait for room when its last useful moment can't be met any more ends with an answer that says that it is unknown whether it has run; its runs are stopped. A late job whose tasks all run goes on.

--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -9,6 +9,7 @@
 
 from berylproxy.clock import Clock
 from berylproxy.durable.acceptance import TOO_LATE
+from berylproxy.durable.holder import JobGivenUpError
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.member import DurableMember
 from berylproxy.durable.messages import (
@@ -107,6 +108,8 @@
                     await sleep(RETRY_PAUSE_S)
                     continue
                 except BerylproxyError as error:
+                    if error.code == JobGivenUpError.code:
+                        raise NotKnownError(error.message) from error
                     logger.info(
                         "job handed in again: {}",
                         error.message,
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -32,7 +32,7 @@
     StoredJob,
 )
 from berylproxy.durable.outcomes import OutcomeStore
-from berylproxy.durable.placement import last_useful_s, objective_s, place_waiting
+from berylproxy.durable.placement import is_hopeless, objective_s, place_waiting
 from berylproxy.durable.ports import (
     EndpointDirectory,
     JobStore,
@@ -73,6 +73,12 @@
 logger = Logger(__name__)
 
 
+class JobGivenUpError(BerylproxyError):
+    """The job has begun and will not be completed."""
+
+    code = "job_given_up"
+
+
 class JobInterruptedError(BerylproxyError):
     """The job was dropped although its caller may still wait: it may be handed in again."""
 
@@ -105,7 +111,7 @@
 
     ended: Event = field(default_factory=Event)
     reply: HandInReply | None = None
-    is_interrupted: bool = False
+    error: BerylproxyError | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -289,8 +295,8 @@
                 return reply
         wait = self._waits.setdefault(job_id, Wait())
         await wait.ended.wait()
-        if wait.is_interrupted:
-            raise JobInterruptedError("the job was dropped, as its entry daemon was not heard")
+        if wait.error is not None:
+            raise wait.error
         if wait.reply is not None:
             return wait.reply
         job = self.book.jobs.get(job_id)
@@ -332,10 +338,7 @@
             "job dropped: {}", reason, extra=self.tenure.extra(job=job_id, started=job.started)
         )
         self.book.cancel(job)
-        wait = self._waits.get(job_id)
-        if wait is not None:
-            wait.is_interrupted = True
-        self._finish(job)
+        self._finish(job, error=JobInterruptedError("its entry daemon was not heard"))
 
     def _note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
         self._telemetry.count("jobs_refused", queue=spec.terms.queue, reason="late")
@@ -484,10 +487,16 @@
                 self.book.resolve(unresolved.job)
         self._unresolved = left
 
-    def _finish(self, job: Job, reply: HandInReply | None = None) -> None:
+    def _finish(
+        self,
+        job: Job,
+        reply: HandInReply | None = None,
+        error: BerylproxyError | None = None,
+    ) -> None:
         """Tells a job's outcome to who waits for it, and has it stored if the job is kept.
 
         :param reply: for a job that isn't kept, if its state is not the whole answer.
+        :param error: for a job that isn't kept, if there is no answer.
         """
         self.group.stop_active(job)
         job_id = job.spec.job_id
@@ -503,6 +512,7 @@
         wait = self._waits.pop(job_id, None)
         if wait is not None:
             wait.reply = reply or HandInReply(state=job.state.value)
+            wait.error = error
             wait.ended.set()
 
     def _note_ended(self, job: Job) -> None:
@@ -553,11 +563,32 @@
                 continue
             if not self._context.is_entry_alive(job.entry):
                 self.drop(job.spec.job_id, "its entry daemon is not heard")
-            elif not job.started and now_s + job.expected_s > last_useful_s(job):
-                retry_after_s = SHORTEST_RETRY_AFTER_S
-                self._note_refused(job.spec, retry_after_s)
-                self.book.cancel(job)
-                self._finish(job, HandInReply(TOO_LATE, retry_after_s))
+            elif is_hopeless(job, now_s):
+                self._give_up(job, now_s)
+
+    def _give_up(self, job: Job, now_s: float) -> None:
+        """Answers a job at once that can't be of use any more, as refused if it has not begun."""
+        waiting = len(job.waiting)
+        self.book.cancel(job)
+        if not job.started:
+            self._note_refused(job.spec, SHORTEST_RETRY_AFTER_S)
+            self._finish(job, HandInReply(TOO_LATE, SHORTEST_RETRY_AFTER_S))
+            return
+        self._telemetry.count("jobs_given_up", queue=job.spec.terms.queue)
+        logger.info(
+            "job given up: it has begun and its answer would come too late",
+            extra=self.tenure.extra(
+                job=job.spec.job_id,
+                queue=job.spec.terms.queue,
+                age_s=round(now_s - job.accepted_s, 3),
+                objective_s=round(objective_s(job), 3),
+                expected_s=round(job.expected_s, 3),
+                tasks=len(job.tasks),
+                waiting=waiting,
+                open_jobs=len(self.book.jobs),
+            ),
+        )
+        self._finish(job, error=JobGivenUpError("it has begun and its answer would come too late"))
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -33,6 +33,15 @@
     return min(job.accepted_s + LATE_FACTOR * objective_s(job), job.deadline_s)
 
 
+def is_hopeless(job: Job, now_s: float) -> bool:
+    """Tells whether a job that waits for room can't be of use to its caller any more.
+
+    A job whose tasks all run is let go on: it takes no room from others that it does not have.
+    """
+    lacks_room = bool(job.waiting) or not job.started
+    return lacks_room and now_s + job.expected_s > last_useful_s(job)
+
+
 def rank_job(job: Job, now_s: float, endpoint_cores: float) -> tuple[int, float, float]:
     """Orders jobs: on time before late before hopeless; by slack and size, late ones by size.
 
--- a/berylproxy/durable/telemetry.py
+++ b/berylproxy/durable/telemetry.py
@@ -13,6 +13,7 @@
     "jobs_ended": "Jobs that ended here, by queue and state",
     "jobs_late": "Jobs that ended after their objective, by queue",
     "jobs_refused": "Jobs refused, by queue and reason",
+    "jobs_given_up": "Jobs that had begun and could not be completed in time, by queue",
     "jobs_handed_in_again": "Jobs handed to another holder after the first one went away",
     "task_starts": "Orders to start a task, by outcome",
     "runs_ended": "Runs of tasks that ended, by kind",
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -119,6 +119,19 @@
     Then nothing runs at any endpoint within 0.3 s
     And the holder with fence 16 is at work
 
+  Scenario: a job that began and can't be of use any more is given up at once
+    Given a group of 1 endpoint whose runs take 1.5 s
+    When a holder with fence 16 takes over
+    And urgent job "a" of 5 tasks is handed in
+    Then job "a" was given up within 1 s
+    And nothing runs at any endpoint within 0.3 s
+
+  Scenario: a late job whose tasks all run is left to end
+    Given a group of 2 endpoints whose runs take 1.0 s
+    When a holder with fence 16 takes over
+    And urgent job "a" of 5 tasks is handed in
+    Then job "a" ends as "completed"
+
   Scenario: an entry daemon that is heard again hands its dropped job in again
     Given a group of 2 endpoints whose runs take 0.5 s
     When a holder with fence 16 takes over
--- a/tests/durable/load.feature
+++ b/tests/durable/load.feature
@@ -17,3 +17,14 @@
     When the usual load is played with the decisions of the holder and with the baseline
     Then 99 of 100 jobs end in time and none is refused
     And each kind of job earns 95 of 100 of its worth
+
+  Scenario Outline: nobody waits for an answer that can't be of use any more
+    When <load> is played with the decisions of the holder and with the baseline
+    Then no job ends after three times its objective
+    And as many jobs are served as with the policy that lets them go on
+
+    Examples:
+      | load                                         |
+      | a burst of 1.5 times the load for 4 s        |
+      | a burst of 2 times the load for 3 s          |
+      | the return of 110 callers after an outage    |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -11,7 +11,12 @@
 from berylproxy.durable import outcomes
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import Holder, HolderContext, JobInterruptedError
+from berylproxy.durable.holder import (
+    Holder,
+    HolderContext,
+    JobGivenUpError,
+    JobInterruptedError,
+)
 from berylproxy.durable.messages import HandIn
 from berylproxy.durable.models import (
     EndKind,
@@ -32,6 +37,7 @@
 TASK_CPU_MILLICORES = 20_000
 MAX_ATTEMPTS = 3
 ANSWER_TIMEOUT_S = 10.0
+URGENT_OBJECTIVE_S = 0.1
 FENCES_PER_REVISION = 16
 
 
@@ -78,10 +84,19 @@
         self.portal.start_task_soon(self.holders[fence].run)
         sleep(0.05)
 
-    def hand_in(self, name: str, tasks: int, *, attempt=0, fence=0, is_kept=False) -> None:
+    def hand_in(
+        self,
+        name: str,
+        tasks: int,
+        *,
+        attempt=0,
+        fence=0,
+        is_kept=False,
+        objective_s=ANSWER_TIMEOUT_S,
+    ) -> None:
         """Hands a job in without waiting for the answer."""
         needs = Needs(TASK_CPU_MILLICORES)
-        terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
+        terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=objective_s)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, 0.1),), is_kept)
         holder = self.holders[fence or self.newest]
         message = HandIn(GROUP, spec, attempt, ANSWER_TIMEOUT_S)
@@ -261,6 +276,17 @@
     context.holder_world.entry_is_alive = False
 
 
+@when(r'urgent job "(?P<name>\w+)" of (?P<tasks>\d+) tasks is handed in')
+def step_impl(context, name, tasks):
+    context.holder_world.hand_in(name, int(tasks), objective_s=URGENT_OBJECTIVE_S)
+
+
+@then(r'job "(?P<name>\w+)" was given up within (?P<wait_s>[\d.]+) s')
+def step_impl(context, name, wait_s):
+    error = context.holder_world.replies[name][-1].exception(float(wait_s))
+    assert isinstance(error, JobGivenUpError), error
+
+
 @when(r"the entry daemon is heard again")
 def step_impl(context):
     context.holder_world.entry_is_alive = True
--- a/tests/steps/durable_load_steps.py
+++ b/tests/steps/durable_load_steps.py
@@ -29,6 +29,11 @@
     return max(fitting, key=lambda endpoint: speed[id(endpoint)], default=None)
 
 
+def hopeless_before_start(job, now_s):
+    """Lets jobs go on that have begun, whatever becomes of them."""
+    return not job.started and now_s + job.expected_s > placement.last_useful_s(job)
+
+
 def play(load):
     """Plays a load with several seeds."""
     factors, backlog_jobs = LOADS[load]
@@ -40,6 +45,7 @@
 
 @when(r"(?P<load>.+) is played with the decisions of the holder and with the baseline")
 def step_impl(context, load):
+    context.load = load
     context.shares = play(load)
     with (
         patch.object(placement, "rank_job", first_come_first_served),
@@ -55,6 +61,18 @@
         assert context.shares[name] > context.baseline[name], (context.shares, context.baseline)
 
 
+@then(r"no job ends after three times its objective")
+def step_impl(context):
+    assert context.shares["useless"] == 0.0, context.shares
+
+
+@then(r"as many jobs are served as with the policy that lets them go on")
+def step_impl(context):
+    with patch.object(placement, "is_hopeless", hopeless_before_start):
+        patient = play(context.load)
+    assert context.shares["served"] >= patient["served"], (context.shares, patient)
+
+
 @then(r"99 of 100 jobs end in time and none is refused")
 def step_impl(context):
     assert context.shares["in time"] >= 0.99, context.shares
--- a/tests/support/load_play.py
+++ b/tests/support/load_play.py
@@ -6,6 +6,7 @@
 from itertools import count
 from random import Random
 
+from berylproxy.durable import placement
 from berylproxy.durable.acceptance import judge
 from berylproxy.durable.book import Job, JobBook, Task
 from berylproxy.durable.estimates import RunTimeModel
@@ -21,7 +22,7 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.placement import LATE_FACTOR, last_useful_s, place_waiting
+from berylproxy.durable.placement import LATE_FACTOR, place_waiting
 
 GROUP = "ledger"
 MESSAGE_S = 0.004  # one way between holder and endpoint, with their work
@@ -182,9 +183,13 @@
 
     def _give_up(self) -> None:
         for job in list(self.book.jobs.values()):
-            if not job.started and self.now_s + job.expected_s > last_useful_s(job):
+            if placement.is_hopeless(job, self.now_s):
+                for endpoint in self.endpoints:
+                    for name, run in list(endpoint.present):
+                        if name.job_id == job.spec.job_id:
+                            endpoint.vacate(name, run)
                 self.book.cancel(job)
-                self._conclude(job, "given up")
+                self._conclude(job, "broken off" if job.started else "given up")
 
     def _conclude(self, job: Job, outcome: str) -> None:
         offer = self.offers.pop(job.spec.job_id)
@@ -214,4 +219,5 @@
         "all": earned.total() / owed.total(),
         "served": served / outcomes.total(),
         "in time": outcomes["in time"] / outcomes.total(),
+        "useless": outcomes["useless"] / outcomes.total(),
     }
