--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -94,6 +94,18 @@
     Then no task of job "a" ran twice at the same time
     And job "a" ends as "completed" at the holder with fence 17
 
+  Scenario: a holder that is lost at once has extended no lease that another counts as lapsed
+    Given a group of 2 endpoints whose runs take 2.5 s
+    When a holder with fence 17 takes over
+    And job "a" of 4 tasks is handed in
+    And endpoint 1 is cut off from holders with fence 17
+    And endpoint 2 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.6 s
+    And endpoint 1 is cut off from holders with fence 32
+    And 6 s have passed
+    Then no task of job "a" ran twice at the same time
+    And job "a" ends as "completed" at the holder with fence 17
+
   Scenario: an endpoint that was cut off while it ran nothing gets tasks again
     Given a group of 1 endpoint whose runs take 0.3 s
     When a holder with fence 16 takes over
