Add a fault soak of the platform's daemons

Found in the first runs: two faults of the soak itself (it counted a daemon that it had killed while it stopped, and a stop before the daemon served, as wrong exits).

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 BIN := $(VENV)/bin
 
 .DEFAULT_GOAL := help
-.PHONY: help setup demo test prove bench report throughput slopes format clean
+.PHONY: help setup demo test prove soak bench report throughput slopes format clean
 
 SEED ?= 1
+SEEDS ?= 1
 SCENARIO ?= steady-70
 
 help:  ## Lists the targets
@@ -27,6 +28,9 @@
 prove: setup  ## Runs a random schedule of faults and checks all histories (SEED=n)
 	$(BIN)/python -m tools.prove --seed $(SEED)
 
+soak: setup  ## Plays random faults on the platform's daemons and judges what was seen (SEED=n SEEDS=n)
+	$(BIN)/python -m tools.soak --seed $(SEED) --seeds $(SEEDS)
+
 bench: setup  ## Compares placement with simple policies and a bound (SCENARIO=s SEED=n)
 	$(BIN)/python -m tools.bench --scenario $(SCENARIO) --seed $(SEED)
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,6 +1,8 @@
 """Stand-in for a runner of the users' platform: takes orders, writes its entry in the list."""
 
+import json
 from argparse import ArgumentParser, Namespace
+from pathlib import Path
 from time import monotonic, time
 
 import anyio
@@ -39,6 +41,15 @@
         capacity = Needs(arguments.cores * 1000, 128_000)
         facts = EndpointFacts(life, arguments.service, "", "a", capacity)
         self.model = RunnerModel(facts, run_time_s=arguments.run_time_s)
+        self.advertised = arguments.advertise
+        if arguments.history_path:
+            self.history_path = Path(arguments.history_path)
+            self.model.on_event = self.write_event
+
+    def write_event(self, event: tuple) -> None:
+        """Writes what was started or ended to the file, which outlives this process."""
+        with self.history_path.open("a") as file:
+            file.write(json.dumps(event) + "\n")
 
     def clock_ms(self) -> int:
         """The runner's own steady clock."""
@@ -111,7 +122,7 @@
                 sequence += 1
                 entry = {
                     "service": self.service,
-                    "address": f"127.0.0.1:{port}",
+                    "address": self.advertised or f"127.0.0.1:{port}",
                     "zone": "a",
                     "version": "v1",
                     "slots": 8,
@@ -154,7 +165,7 @@
         Route("/-/hold", runner.hold, methods=["POST"]),
         Route("/control/history", runner.describe, methods=["GET"]),
     ]
-    listener = open_listener("127.0.0.1", 0)
+    listener = open_listener("127.0.0.1", arguments.port)
     port = port_of(listener)
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(runner.write_entries, port)
@@ -170,6 +181,9 @@
     parser.add_argument("--store-url", required=True)
     parser.add_argument("--cores", type=int, default=64)
     parser.add_argument("--run-time-s", type=float, default=0.05)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--advertise", default="", help="host:port for the list, if not its own")
+    parser.add_argument("--history-path", default="", help="file for what it starts and ends")
     anyio.run(run, parser.parse_args())
 
 
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -1,5 +1,6 @@
 """What an endpoint of the users' platform does with orders, without a network."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -31,6 +32,7 @@
     :ivar lost_starts: how many of the next starts take effect without an answer.
     :ivar late_starts: how many of the next starts take effect later, without an answer.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
+    :ivar on_event: called with each entry of the history.
     :ivar kinds: how the runs of a job end, by its identifier; done unless named.
     """
 
@@ -50,6 +52,7 @@
     kinds: dict = field(default_factory=dict)
     rejected_jobs: set = field(default_factory=set)
     changed: Event = field(default_factory=Event)
+    on_event: Callable[[tuple], None] | None = None
 
     def stop(self, name: TaskName, run: int) -> None:
         """Stops a run, also one that has yet to arrive."""
@@ -78,7 +81,7 @@
         self.ends += 1
         self.ended.append(EndedRun(self.ends, run.name, run.run, kind, ""))
         self.refused[run.name] = max(self.refused.get(run.name, 0), run.run)
-        self.history.append((at_s, kind.value, run.name, run.run))
+        self._note(at_s, kind.value, run.name, run.run)
         self.changed.set()
         self.changed = Event()
 
@@ -100,5 +103,10 @@
         self.refused[order.name] = order.run
         run = ModelRun(order.name, order.run, monotonic(), monotonic() + self.run_time_s)
         self.running[order.name, order.run] = run
-        self.history.append((monotonic(), "start", order.name, order.run))
+        self._note(monotonic(), "start", order.name, order.run)
         return StartOutcome.STARTED
+
+    def _note(self, *event: object) -> None:
+        self.history.append(event)
+        if self.on_event is not None:
+            self.on_event(event)
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -47,9 +47,9 @@
         return [each.getsockname()[1] for each in sockets]
 
 
-def host_of(number: int) -> str:
+def host_of(number: int, subnet: int = 1) -> str:
     """Gives each daemon a loopback address of its own, as their metrics have a fixed port."""
-    return f"127.0.1.{number + 1}"
+    return f"127.0.{subnet}.{number + 1}"
 
 
 def make_configuration(version: int, prefixes: list[str]) -> dict:
@@ -96,6 +96,7 @@
     runner_count: int
     run_time_s: float
     grace_s: float = 6.0
+    subnet: int = 1
     stack: ExitStack = field(default_factory=ExitStack)
     daemons: list[ManagedProcess] = field(default_factory=list)
     runners: list[ManagedProcess] = field(default_factory=list)
@@ -107,9 +108,7 @@
         self.store = self._start("store", ["-m", "standins.platform_store"])
         self.configure(make_configuration(3, [PREFIX]))
         for number in range(self.runner_count):
-            options = ["--name", f"r{number}", "--store-url", self.store.url]
-            options += ["--run-time-s", str(self.run_time_s), "--service", SERVICE]
-            self.runners.append(self._start(f"r{number}", ["-m", "standins.runner", *options]))
+            self.runners.append(self.start_runner(number))
         for number in range(self.daemon_count):
             self.ports.append(pick_ports(4))
             self.daemons.append(self.start_daemon(number))
@@ -120,6 +119,20 @@
         """Ends all processes."""
         self.stack.close()
 
+    def host(self, number: int) -> str:
+        """Gives a daemon's loopback address."""
+        return host_of(number, self.subnet)
+
+    def start_runner(self, number: int) -> ManagedProcess:
+        """Starts a runner."""
+        options = ["--name", f"r{number}", "--store-url", self.store.url]
+        options += ["--run-time-s", str(self.run_time_s), "--service", SERVICE]
+        return self._start(f"r{number}", ["-m", "standins.runner", *options])
+
+    def url_of(self, number: int) -> str:
+        """Gives the URL where callers reach a daemon."""
+        return f"http://{self.host(number)}:{self.ports[number][2]}"
+
     def settings_path(self, number: int) -> Path:
         """Names a daemon's settings file."""
         return self.folder / f"d{number}.toml"
@@ -132,7 +145,7 @@
         """
         content = SETTINGS.format(
             name=f"d{number}",
-            host=host_of(number),
+            host=self.host(number),
             ports=self.ports[number],
             store_port=store_port or self.store.announced["port"],
             grace_s=self.grace_s,
@@ -155,7 +168,7 @@
     def wait_ready(self, number: int) -> None:
         """Waits until a daemon takes connections."""
         until_s = monotonic() + READY_TIMEOUT_S
-        url = f"http://{host_of(number)}:{self.ports[number][3]}/-/ready"
+        url = f"http://{self.host(number)}:{self.ports[number][3]}/-/ready"
         while monotonic() < until_s:
             try:
                 if self.client.get(url).status_code == 200 and self.count_pending(number) == 200:
@@ -171,7 +184,7 @@
 
     def request(self, number: int, method: str, path: str, body: dict | None = None) -> Response:
         """Sends a request to a daemon."""
-        url = f"http://{host_of(number)}:{self.ports[number][2]}{path}"
+        url = f"{self.url_of(number)}{path}"
         return self.client.request(method, url, json=body, headers={"Host": HOST})
 
     def submit(self, number: int, job_id: str, tasks: int, **fields: object) -> Response:
