Read learnt run times of all groups with one cheap call

Change: one page for each service, marked as allowed to be stale, which costs a tenth and does not count towards the rate. A damaged value costs its own group's knowledge only.

--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -175,19 +175,29 @@
                     self._list.update(await self._directory.fetch(), self._clock.now_s())
                 except StoreError as error:
                     logger.debug("the list of endpoints is not available: {}", error.message)
-            for group in set(self.known) - set(self.holders):
-                await self._adopt_model(group)
+            for service in list(self._divisions):
+                await self._adopt_models(service)
             await sleep(LIST_INTERVAL_S)
 
-    async def _adopt_model(self, group: str) -> None:
-        """Takes over the run times that the holder has learnt."""
-        model = self._models.setdefault(group, RunTimeModel())
+    async def _adopt_models(self, service: str) -> None:
+        """Takes over the run times that the holders of a service have learnt.
+
+        One cheap read serves for all groups; what a service of a longer name has is passed by.
+        """
+        groups = {model_key(group): group for group in self.groups_of(service)}
         try:
-            entry = await self._store.get(model_key(group))
-            if entry is not None and group not in self.holders:
-                adopt_model(model, entry.value)
+            entries, _ = await self._store.list_page(model_key(service), "", may_be_stale=True)
         except StoreError as error:
             logger.debug("the learnt run times are not available: {}", error.message)
+            return
+        for entry in entries:
+            group = groups.get(entry.key, "")
+            if group and group not in self.holders:
+                self._adopt_model(group, entry.value)
+
+    def _adopt_model(self, group: str, value: bytes) -> None:
+        try:
+            adopt_model(self._models.setdefault(group, RunTimeModel()), value)
         except StoredValueError as error:
             logger.warning("the learnt run times of {} are left alone: {}", group, error.message)
 
@@ -202,6 +212,7 @@
                 for group in list_groups(service, count):
                     await self._follow_group(group)
                 self._divisions[service] = count
+                await self._adopt_models(service)
         return services <= set(self._divisions)
 
     def groups_of(self, service: str) -> list[str]:
@@ -245,7 +256,6 @@
         if entry is not None and claim_fence(entry.revision) > known.fence:
             claimant = _read_claimant(entry.value)
             known.change(claim_fence(entry.revision), claimant, known.heard_s)
-        await self._adopt_model(group)
 
     def holder_incarnation(self, group: str) -> str:
         """Names the incarnation that is believed to hold a group; empty if none is."""
--- a/berylproxy/durable/ports.py
+++ b/berylproxy/durable/ports.py
@@ -150,5 +150,10 @@
     async def get(self, key: str) -> Entry | None:
         """Reads one key; ``None`` if it does not exist."""
 
-    async def list_page(self, prefix: str, after_key: str) -> tuple[tuple[Entry, ...], bool]:
-        """Reads entries below a prefix, and tells whether more follow."""
+    async def list_page(
+        self, prefix: str, after_key: str, *, may_be_stale: bool = False
+    ) -> tuple[tuple[Entry, ...], bool]:
+        """Reads entries below a prefix, and tells whether more follow.
+
+        :param may_be_stale: whether entries may be seconds old, which costs the store less.
+        """
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -117,9 +117,11 @@
             return None
         return _read_entry(_read_object(self._require_done(answer)))
 
-    async def list_page(self, prefix: str, after_key: str) -> tuple[tuple[Entry, ...], bool]:
+    async def list_page(
+        self, prefix: str, after_key: str, *, may_be_stale: bool = False
+    ) -> tuple[tuple[Entry, ...], bool]:
         """Reads entries below a prefix, and tells whether more follow."""
-        page = await self.read_page(prefix, after_key)
+        page = await self.read_page(prefix, after_key, may_be_stale=may_be_stale)
         return page.entries, page.has_more
 
     async def read_page(
--- /dev/null
+++ b/tests/steps/durable_member_steps.py
@@ -0,0 +1,100 @@
+"""Steps for a member whose network is a stub."""
+
+from types import SimpleNamespace
+
+from anyio import move_on_after, run
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.clock import MonotonicClock
+from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.groups import list_groups
+from berylproxy.durable.member import DurableMember
+from berylproxy.durable.records import division_key, encode_division, encode_model, model_key
+from berylproxy.durable.telemetry import Telemetry
+from berylproxy.models import DaemonIdentity
+from berylproxy.store.port import Entry
+from tests.support.endpoint_world import FakeDirectory, FakeJobStore
+
+SERVICE, QUEUE = "ledger", "q"
+GROUPS = 4
+LEARNT_S = 2.5
+LEARNT_FROM = 50
+
+use_step_matcher("re")
+
+
+def make_network():
+    """Makes a network without other daemons."""
+    return SimpleNamespace(
+        identity=DaemonIdentity("d0", "i0", "a", "127.0.0.1:1"),
+        handle_request=lambda *_: None,
+        handle_notice=lambda *_: None,
+        provide_heartbeat=lambda *_: None,
+        depend_on=lambda *_: None,
+        members=list,
+        links=lambda _: [],
+    )
+
+
+def write(store, key, value):
+    """Writes a key as another daemon."""
+    store.revision += 1
+    store.entries[key] = Entry(key, value, store.revision)
+
+
+@given(r"a member of a service of 170 endpoints whose 4 groups are held elsewhere")
+def step_impl(context):
+    context.store = FakeJobStore()
+    write(context.store, division_key(SERVICE), encode_division(GROUPS))
+    model = RunTimeModel()
+    for _ in range(LEARNT_FROM):
+        model.learn(QUEUE, 0.0, "e1", LEARNT_S)
+    for group in list_groups(SERVICE, GROUPS):
+        write(context.store, model_key(group), encode_model(model))
+    context.member = DurableMember(
+        make_network(),
+        context.store,
+        FakeDirectory([]),
+        MonotonicClock(),
+        1.0,
+        dict,
+        lambda: True,
+        lambda states: None,
+        Telemetry(),
+    )
+
+
+@given(r"the run times of the first group are damaged in the store")
+def step_impl(context):
+    write(context.store, model_key(list_groups(SERVICE, GROUPS)[0]), b"\xc1")
+
+
+@when(r"it has kept itself ready for (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    async def keep_ready():
+        assert await context.member.follow({SERVICE})
+        context.followed = context.store.reads["key"]
+        with move_on_after(float(time_s)):
+            await context.member._keep_prepared()
+
+    run(keep_ready)
+
+
+@then(
+    r"it has made (?P<pages>\d+) cheap reads of pages and none of single keys since it followed "
+    r"the service"
+)
+def step_impl(context, pages):
+    assert context.store.reads["stale page"] == int(pages), context.store.reads
+    assert context.store.reads["key"] == context.followed, context.store.reads
+
+
+@then(
+    r"it expects (?P<expected_s>[\d.]+) s for a task of each group(?P<rest> but the first)?, as "
+    r"their holders have learnt"
+)
+def step_impl(context, expected_s, rest):
+    groups = list_groups(SERVICE, GROUPS)[1 if rest else 0 :]
+    for group in groups:
+        found_s = context.member._models[group].expect_s(QUEUE, 0.0)
+        assert abs(found_s - float(expected_s)) < 0.05, (group, found_s)
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -1,5 +1,6 @@
 """Endpoints and a transactional store in memory, for tests of the holder."""
 
+from collections import Counter
 from time import monotonic
 
 from anyio import move_on_after, sleep
@@ -115,6 +116,7 @@
 
     :ivar is_out: every call fails and nothing is done.
     :ivar lost_answers: how many of the next commits take effect without an answer.
+    :ivar reads: how many calls read what.
     """
 
     max_entries = 32
@@ -125,6 +127,7 @@
         self.revision = 10
         self.entries: dict[str, Entry] = {}
         self.commits = 0
+        self.reads: Counter[str] = Counter()
 
     async def commit(self, transaction: Transaction) -> int:
         """Makes the changes and returns their revision."""
@@ -151,13 +154,17 @@
     async def get(self, key: str) -> Entry | None:
         """Reads one key."""
         await sleep(0.001)
+        self.reads["key"] += 1
         if self.is_out:
             raise StoreUnavailableError("out")
         return self.entries.get(key)
 
-    async def list_page(self, prefix: str, after_key: str) -> tuple[tuple[Entry, ...], bool]:
+    async def list_page(
+        self, prefix: str, after_key: str, *, may_be_stale: bool = False
+    ) -> tuple[tuple[Entry, ...], bool]:
         """Reads all entries below a prefix."""
         await sleep(0.001)
+        self.reads["stale page" if may_be_stale else "page"] += 1
         if self.is_out:
             raise StoreUnavailableError("out")
         found = sorted(key for key in self.entries if key.startswith(prefix) and key > after_key)
