--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -86,7 +86,7 @@
 )
 def step_impl(context, pages):
     assert context.store.reads["stale page"] == int(pages), context.store.reads
-    assert context.store.reads["key"] == context.followed, context.store.reads
+    assert context.store.reads["key"] == context.followed == 1 + GROUPS, context.store.reads
 
 
 @then(
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,5 +1,6 @@
 """Runs ``python -m tools.soak --seed N``."""
 
+import signal
 import sys
 from argparse import ArgumentParser, Namespace
 from itertools import count
@@ -144,6 +145,7 @@
 def main() -> int:
     """Plays the seeds; 1 if something was not kept."""
     arguments = parse_arguments()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # ends what was started, too
     failed = []
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         folder = Path(mkdtemp(prefix=f"berylproxy-soak-{seed}-"))
