Take jobs that only allow copies or name an image, refuse those that need advice

Queues with advice were taken, and their orders would have gone to runners that nobody allowed: they are answered 503 with a log line now.

--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -32,7 +32,9 @@
 MAX_PAYLOAD_BYTES = 4_000  # runners refuse longer ones
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
-UNSUPPORTED_STEP_FIELDS = ("gang", "persistent", "image", "fills", "may-miss", "speculative")
+# "speculative" allows copies and "image" groups tasks; neither asks for anything. "may-miss" bounds
+# what is done to lasting tasks, which are refused.
+UNSUPPORTED_STEP_FIELDS = ("persistent", "target-ms", "fills")
 UNSUPPORTED_JOB_FIELDS = ("repeats",)
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -173,6 +175,8 @@
             await self._answer(send, 404, {"error": "no such job"})
         elif method == "POST":
             body = await _read_body(receive, configuration.max_body_bytes)
+            if route.needs_advice:
+                raise JobUnsupportedError(f"queue {route.terms.queue}: advice is not supported")
             job = decode_job(job_id, route, body)
             if job.is_kept:
                 await self._desk.hand_in(job, wait_s)
@@ -278,6 +282,8 @@
     count, after = row.get("count", 0), row.get("after", [])
     if type(count) is not int or not 0 < count <= MAX_TASKS_PER_STEP:
         raise RequestInvalidError(f"steps.{number}.count must be 1 to {MAX_TASKS_PER_STEP}")
+    if row.get("gang") and count > 1:
+        raise JobUnsupportedError(f"steps.{number}: gang of {count} tasks is not supported")
     if not isinstance(after, list) or not all(
         type(step) is int and 0 <= step < number for step in after
     ):
--- a/berylproxy/platform/configuration.py
+++ b/berylproxy/platform/configuration.py
@@ -1,6 +1,7 @@
 """The operator's configuration, as the platform's store holds it."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
@@ -33,6 +34,7 @@
     priority: int = 0
     max_attempts: int = 1
     stretch: float = 1.0
+    advice: Any = None
 
 
 class _Service(_Table):
@@ -56,12 +58,14 @@
 
     :param prefix: what the path begins with; the job's identifier follows.
     :param timeout_s: how long a caller waits for an answer that doesn't tell itself.
+    :param needs_advice: whether only an outside service knows which endpoints may run the tasks.
     """
 
     host: str
     prefix: str
     terms: QueueTerms
     timeout_s: float
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,4 +118,6 @@
         objective_factor=route.stretch,
         objective_s=route.target_latency_ms / 1000,
     )
-    return JobRoute(route.host, route.prefix, terms, route.timeout_ms / 1000)
+    return JobRoute(
+        route.host, route.prefix, terms, route.timeout_ms / 1000, needs_advice=bool(route.advice)
+    )
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -44,6 +44,24 @@
       | 503    |        | unhealthy   |
       | 500    |        | unknown     |
 
+  Scenario Outline: a step that asks for what can't be done is told apart from one that allows things
+    Then a step of <count> tasks with <fields> is <verdict>
+
+    Examples:
+      | count | fields                             | verdict      |
+      | 3     | {"speculative": true}              | taken        |
+      | 3     | {"image": "ledger-v2"}             | taken        |
+      | 3     | {"may-miss": 1}                    | taken        |
+      | 1     | {"gang": true}                     | taken        |
+      | 2     | {"gang": true}                     | not possible |
+      | 3     | {"persistent": true}               | not possible |
+      | 3     | {"image": "a", "target-ms": 20}    | not possible |
+      | 3     | {"fills": true}                    | not possible |
+
+  Scenario: a queue whose endpoints an outside service names is known
+    Given a configuration whose queue has advice of 20 ms
+    Then its route needs advice, and that of a queue without does not
+
   Scenario: routes are found by host and longest prefix
     Given a configuration with the prefixes "/a/" and "/a/b/"
     Then the path "/a/b/0000000000000001" belongs to the queue "queue1"
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -224,3 +224,27 @@
 def step_start_answer(context, status, outcome, reason=""):
     answer = HttpAnswer(status, json.dumps({"reason": reason}).encode(), 0.0, 0.0)
     assert decode_start(answer) == outcome, decode_start(answer)
+
+
+@then("a step of {count:d} tasks with {fields} is {verdict}")
+def step_supported(context, count, fields, verdict):
+    route = decode_configuration(json.dumps(make_configuration(4, ["/a/"])).encode()).routes[0]
+    body = json.dumps({"spec": "x", "steps": [{"count": count, **json.loads(fields)}]}).encode()
+    try:
+        job = decode_job("0" * 16, route, body)
+    except JobUnsupportedError:
+        assert verdict == "not possible"
+    else:
+        assert verdict == "taken" and job.steps[0].count == count
+
+
+@given("a configuration whose queue has advice of {decide_ms:d} ms")
+def step_advice(context, decide_ms):
+    configuration = make_configuration(4, ["/a/", "/b/"])
+    configuration["routes"][0]["advice"] = {"decide-ms": decide_ms, "each-ms": 1, "valid-ms": 900}
+    context.routes = decode_configuration(json.dumps(configuration).encode()).routes
+
+
+@then("its route needs advice, and that of a queue without does not")
+def step_needs_advice(context):
+    assert [route.needs_advice for route in context.routes] == [True, False]
