Keep steps within a rack, let impossible jobs keep nobody waiting, take the rack's cost from the settings

Causes: a round of placement ended after 24 jobs without a place, also if no endpoint could ever take them: 40 jobs that ask for a label of nobody, or for more memory than any endpoint has, kept all others waiting. 'rack-local' was not read, so a step of 5 tasks was spread over two racks where one had room for all. The cost of a rack away from the data was a constant, while the settings name it.

Change: a task that no usable endpoint could take empty takes no part in the round; a step that should stay within a rack goes to the one where most of its tasks fit, later tasks to where the others are; the factor comes from the settings.

--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -134,6 +134,7 @@
     :param has_store_elsewhere: tells whether any other daemon may reach the store; ``True`` also
         while too few are heard of.
     :param is_entry_alive: tells whether the daemon that handed a job in was heard just now.
+    :param remote_factor: run time of a task away from its data, against near it.
     """
 
     store: JobStore
@@ -146,6 +147,7 @@
     members: Callable[[], list[str]]
     has_store_elsewhere: Callable[[], bool]
     is_entry_alive: Callable[[str], bool]
+    remote_factor: Callable[[], float]
 
 
 class Holder:
@@ -468,6 +470,7 @@
                 self._model,
                 self._clock.now_s(),
                 self.group.order,
+                self._context.remote_factor(),
             )
 
     def _resolve_jobs(self) -> None:
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -40,6 +40,7 @@
     PendingReply,
     StateReply,
 )
+from berylproxy.durable.placement import DEFAULT_REMOTE_FACTOR
 from berylproxy.durable.ports import (
     EndpointDirectory,
     JobStore,
@@ -100,6 +101,7 @@
     """Follows holders, and serves the groups that this daemon holds.
 
     :ivar cores: processor share of this VM.
+    :ivar remote_factor: run time of a task away from its data, against near it.
     :param list_members: failure domains of the daemons that the store lists, by name.
     :param has_store: tells whether the store answers this daemon.
     """
@@ -124,6 +126,7 @@
         self._directory = directory
         self._clock = clock
         self.cores = cores
+        self.remote_factor = DEFAULT_REMOTE_FACTOR
         self._list_members = list_members
         self._has_store = has_store
         self._list = EndpointList()
@@ -140,6 +143,7 @@
             lambda: [member.identity.incarnation for member in self.live_members()],
             self._has_store_elsewhere,
             self._is_entry_alive,
+            lambda: self.remote_factor,
         )
         self._on_ended = on_ended
         self._models: dict[str, RunTimeModel] = {}
--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -71,6 +71,7 @@
     :param after: numbers of the steps whose tasks must all be done first.
     :param required_label: label that the endpoint must have; empty for none.
     :param preferred_rack: rack where the data is; empty for none.
+    :param stays_in_rack: whether its tasks take longer when they run in more than one rack.
     :param max_per_endpoint: most tasks of the step on one endpoint; 0 for no bound.
     :param saves_progress: whether a run can be taken up where an earlier one was saved.
     """
@@ -81,6 +82,7 @@
     after: tuple[int, ...] = ()
     required_label: str = ""
     preferred_rack: str = ""
+    stays_in_rack: bool = False
     max_per_endpoint: int = 0
     saves_progress: bool = False
 
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -7,14 +7,16 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from math import inf
 
 from berylproxy.durable.book import ACTIVE_STATUSES, Job, JobBook, Task
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.models import StepSpec
 
 LATE_FACTOR = 3.0  # up to that many objectives an answer is late; after that it is worth nothing
-RACK_MISS_FACTOR = 2.0  # run time away from the data, unless the settings say otherwise
+DEFAULT_REMOTE_FACTOR = 2.0  # the larger one of the installations known
 FIT_WEIGHT_S = 0.02  # a third of a short task's time for a placement that leaves no splinter
 FAILED_HERE_FACTOR = 10.0  # run times that a task counts at an endpoint where it failed before
 WORK_WEIGHT = 0.3  # seconds of slack for a second of a mean endpoint: small jobs let more in
@@ -56,16 +58,30 @@
     return 2, job.accepted_s, job.accepted_s
 
 
+@dataclass(frozen=True, slots=True)
+class NearRack:
+    """Where a task runs fastest.
+
+    :param rack: empty if all racks are the same to it.
+    :param remote_factor: its run time elsewhere, against that near.
+    """
+
+    rack: str
+    remote_factor: float
+
+
 def place_waiting(
     book: JobBook,
     endpoints: Iterable[EndpointState],
     model: RunTimeModel,
     now_s: float,
     order: Callable[[Task, EndpointState], None],
+    remote_factor: float = DEFAULT_REMOTE_FACTOR,
 ) -> None:
     """Gives the waiting tasks to endpoints with room.
 
     :param order: called for each placement; it must count the room as taken.
+    :param remote_factor: run time of a task away from its data or its step's rack, against near.
     """
     waiting = list(book.waiting_jobs())
     usable = [endpoint for endpoint in endpoints if endpoint.may_start(now_s)] if waiting else []
@@ -79,10 +95,13 @@
         if widest <= 0 or passed >= MAX_PASSED_JOBS:
             return
         for task in list(job.waiting):
+            if not any(_could_take(endpoint, task.step) for endpoint in usable):
+                break  # it takes no part in the round, whose passed jobs wait for room
             if task.step.needs.cpu_millicores > widest:
                 passed += 1
                 break
-            endpoint = choose_endpoint(job, task, usable, model, now_s)
+            near = NearRack(choose_rack(job, task, usable, model), remote_factor)
+            endpoint = choose_endpoint(job, task, usable, model, now_s, near)
             if endpoint is None:
                 passed += 1
                 break
@@ -92,8 +111,35 @@
                 widest = max(endpoint.free_millicores for endpoint in usable)
 
 
+def choose_rack(job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimeModel) -> str:
+    """Chooses the rack where a task should run; empty if all are the same to it.
+
+    Tasks that belong together go where the others are, the first one to where most of them fit, of
+    such racks to the one with the faster endpoints.
+    """
+    step = task.step
+    if step.preferred_rack or not step.stays_in_rack:
+        return step.preferred_rack
+    present = _count_step(job, task.name.step)
+    tasks, speeds, running = Counter[str](), Counter[str](), Counter[str]()
+    for endpoint in usable:
+        rack = endpoint.facts.rack
+        running[rack] += present[endpoint.facts.life]
+        fitting = _count_fitting(endpoint, step)
+        tasks[rack] += fitting
+        speeds[rack] += fitting * model.speed(endpoint.facts.life.endpoint_id)
+    if running.total():
+        return max(running, key=running.__getitem__)
+    return max(tasks, key=lambda rack: (min(tasks[rack], step.count), speeds[rack]))
+
+
 def choose_endpoint(
-    job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimeModel, now_s: float
+    job: Job,
+    task: Task,
+    usable: Iterable[EndpointState],
+    model: RunTimeModel,
+    now_s: float,
+    near: NearRack,
 ) -> EndpointState | None:
     """Chooses the endpoint where the task is expected to end soonest; ``None`` to wait.
 
@@ -111,8 +157,8 @@
         if on_endpoints is not None and on_endpoints[facts.life] >= step.max_per_endpoint:
             continue
         run_time_s = expected_s / model.speed(facts.life.endpoint_id)
-        if step.preferred_rack and step.preferred_rack != facts.rack:
-            run_time_s *= RACK_MISS_FACTOR
+        if near.rack and near.rack != facts.rack:
+            run_time_s *= near.remote_factor
         if facts.life.endpoint_id in task.failed_at:
             run_time_s += FAILED_HERE_FACTOR * expected_s
         fastest_s = min(fastest_s, run_time_s)
@@ -141,3 +187,23 @@
         for (number, _), task in job.tasks.items()
         if number == step and task.status in ACTIVE_STATUSES
     )
+
+
+def _could_take(endpoint: EndpointState, step: StepSpec) -> bool:
+    """Tells whether an endpoint could take a task of a step if it had nothing else to do."""
+    has_label = not step.required_label or step.required_label in endpoint.facts.labels
+    return has_label and step.needs.fits(endpoint.facts.capacity)
+
+
+def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
+    """Counts the tasks of a step that an endpoint has room for."""
+    if not _could_take(endpoint, step):
+        return 0
+    room, needs = endpoint.room, step.needs
+    counts = [
+        (room.cpu_millicores, needs.cpu_millicores),
+        (room.memory_mb, needs.memory_mb),
+        (room.accelerators, needs.accelerators),
+    ]
+    fitting = min((left // each for left, each in counts if each), default=step.count)
+    return min(fitting, step.max_per_endpoint or fitting)
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -308,6 +308,7 @@
         after=tuple(after),
         required_label=row.get("requires", ""),
         preferred_rack=row.get("affinity", ""),
+        stays_in_rack=bool(row.get("rack-local")),
         # "max-per-server" counts tasks of the step on one runner.
         max_per_endpoint=most,
         saves_progress=bool(row.get("checkpoint")),
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -100,6 +100,7 @@
             lambda states: self._desk.take_ended(states),
             telemetry,
         )
+        self._member.remote_factor = settings.remote_factor
         telemetry.add_gauges(self._member.describe_groups)
         self._desk = EntryDesk(self._network, self._member, self._store, self._clock, telemetry)
         self._callers = PlatformCallers(
@@ -165,6 +166,7 @@
             self._store.move(settings.store_address)
         self._endpoints.longest_lease_s = settings.longest_lease_s
         self._member.cores = settings.cores
+        self._member.remote_factor = settings.remote_factor
         self._settings = settings
 
     def _check_ready(self) -> bool:
--- a/tests/durable/decisions.feature
+++ b/tests/durable/decisions.feature
@@ -104,3 +104,32 @@
       | 0.5  | 4     | taken   |
       | 3    | 4     | refused |
       | 0    | 60    | refused |
+
+  Scenario Outline: jobs that no endpoint can take keep nobody waiting
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    And 40 jobs that came first and ask for <what>
+    When a task of 20 cores is placed
+    Then it runs at "b"
+
+    Examples:
+      | what               |
+      | 200 cores          |
+      | a label of nobody  |
+      | 300 GB of memory   |
+
+  Scenario: the tasks of a step that should stay within a rack go where all of them fit
+    Given racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each
+    When a step of 5 tasks of 20 cores that should stay within a rack is placed
+    Then all 5 of its tasks run in rack "r2"
+
+  Scenario: a step that fits in no rack is spread rather than kept waiting
+    Given racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each
+    When a step of 8 tasks of 20 cores that should stay within a rack is placed
+    Then all 8 of its tasks run
+
+  Scenario: data in a rack counts as much as the settings say
+    Given racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each
+    When a task whose data is in rack "r2" is placed, with a cost of 1.2 elsewhere
+    Then all 1 of its tasks run in rack "r1"
+    When a task whose data is in rack "r2" is placed, with a cost of 4 elsewhere
+    Then all 1 of its tasks run in rack "r2"
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -57,6 +57,7 @@
       | 3     | {"persistent": true}               | not possible |
       | 3     | {"image": "a", "target-ms": 20}    | not possible |
       | 3     | {"fills": true}                    | not possible |
+      | 3     | {"rack-local": true}               | taken        |
 
   Scenario: a queue whose endpoints an outside service names is known
     Given a configuration whose queue has advice of 20 ms
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -48,18 +48,20 @@
 GROUP = "ledger"
 
 
-def make_state(name, cores=64):
+def make_state(name, cores=64, rack=""):
     """Makes an endpoint that takes tasks."""
-    facts = EndpointFacts(
-        EndpointLife(name, 0), GROUP, f"{name}:1", "a", Needs(int(cores) * 1000, 128_000)
-    )
+    capacity = Needs(int(cores) * 1000, 128_000)
+    facts = EndpointFacts(EndpointLife(name, 0), GROUP, f"{name}:1", "a", capacity, rack=rack)
     return EndpointState(facts, contacted_s=0.0)
 
 
-def open_job(book, name, *, tasks=1, cores=20, run_time_s=0.2, objective_s=0.4, age_s=0.0):
+def open_job(
+    book, name, *, tasks=1, cores=20, run_time_s=0.2, objective_s=0.4, age_s=0.0, **step_fields
+):
     """Opens a job that came some time ago; the time is now 100 s."""
     terms = QueueTerms("q", GROUP, max_attempts=3, objective_s=objective_s, objective_factor=0.0)
-    step = StepSpec(tasks, Needs(cores * 1000), run_time_s)
+    fields = {"needs": Needs(cores * 1000), **step_fields}
+    step = StepSpec(tasks, estimate_s=run_time_s, **fields)
     spec = JobSpec(name, terms, "", (step,), is_kept=False)
     job = book.open(StoredJob(spec, 0.0), 100.0 - age_s)
     job.expected_s = run_time_s
@@ -336,21 +338,77 @@
 @when(r'a task of 20 cores(?: that failed at "(?P<failed_at>\w+)")? is placed')
 def step_impl(context, failed_at=None):
     book = JobBook()
+    for number, fields in enumerate(getattr(context, "impossible", [])):
+        open_job(book, f"first-{number}", age_s=0.1, **fields)
     job = open_job(book, "j")
     if failed_at:
         job.tasks[0, 0].failed_at.add(failed_at)
+    place_all(context, book)
+
+
+def place_all(context, book, remote_factor=2.0):
+    """Places what waits, and notes where."""
     context.placed = []
 
     def order(task, endpoint):
-        job.waiting.remove(task)
-        context.placed.append(endpoint.facts.life.endpoint_id)
+        book.note_ordered(task, endpoint.facts.life, 100.0)
+        endpoint.occupy(task.name, task.run, task.step.needs)
+        context.placed.append(endpoint)
+
+    place_waiting(book, context.states, context.model, 100.0, order, remote_factor)
+    for endpoint in context.placed:
+        for name, run in list(endpoint.present):
+            endpoint.vacate(name, run)
+
+
+@given(r"40 jobs that came first and ask for (?P<what>.+)")
+def step_impl(context, what):
+    fields = {
+        "200 cores": {"cores": 200},
+        "a label of nobody": {"required_label": "nobody"},
+        "300 GB of memory": {"needs": Needs(1000, 300_000)},
+    }[what]
+    context.impossible = [fields] * 40
+
+
+@given(r'racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each')
+def step_impl(context):
+    context.model = RunTimeModel()
+    context.states = [make_state("a", rack="r1"), make_state("b", rack="r2")]
+    context.states.append(make_state("c", rack="r2"))
+    for _ in range(60):
+        for name, run_time_s in (("a", 0.1), ("b", 0.2), ("c", 0.2)):
+            context.model.learn("q", 0.2, name, run_time_s)
+
+
+@when(r"a step of (?P<tasks>\d+) tasks of 20 cores that should stay within a rack is placed")
+def step_impl(context, tasks):
+    book = JobBook()
+    open_job(book, "j", tasks=int(tasks), objective_s=3.0, stays_in_rack=True)
+    place_all(context, book)
+
+
+@when(
+    r'a task whose data is in rack "(?P<rack>\w+)" is placed, with a cost of (?P<cost>[\d.]+) '
+    r"elsewhere"
+)
+def step_impl(context, rack, cost):
+    book = JobBook()
+    open_job(book, "j", objective_s=3.0, preferred_rack=rack)
+    place_all(context, book, float(cost))
+
 
-    place_waiting(book, context.states, context.model, 100.0, order)
+@then(r'all (?P<count>\d+) of its tasks run(?: in rack "(?P<rack>\w+)")?')
+def step_impl(context, count, rack=None):
+    racks = [endpoint.facts.rack for endpoint in context.placed]
+    assert len(racks) == int(count), racks
+    assert rack is None or set(racks) == {rack}, racks
 
 
 @then(r'it runs at "(?P<name>\w+)"')
 def step_impl(context, name):
-    assert context.placed == [name], context.placed
+    names = [endpoint.facts.life.endpoint_id for endpoint in context.placed]
+    assert names == [name], names
 
 
 @given(r"an endpoint that failed (?P<count>\d+) tasks that had not failed elsewhere")
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -78,6 +78,7 @@
                 lambda: [],
                 lambda: True,
                 lambda incarnation: self.entry_is_alive,
+                lambda: 2.0,
             ),
         )
         self.newest = max(self.newest, fence)
