--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -4,7 +4,9 @@
     # SIGHUP or a second SIGTERM during a planned stop ended the daemon with requests in flight.
     5: 12.0,
     6: 12.0,
+    8: 12.0,
     9: 12.0,
+    104: 12.0,
     108: 12.0,
 }
 """Lengths of the schedules in seconds, by seed."""
