--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -9,7 +9,6 @@
 
 from berylproxy.clock import Clock
 from berylproxy.durable.acceptance import TOO_LATE
-from berylproxy.durable.holder import JobGivenUpError
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.member import DurableMember
 from berylproxy.durable.messages import (
@@ -26,6 +25,7 @@
 from berylproxy.durable.ports import JobStore
 from berylproxy.durable.records import decode_final, final_key, open_key
 from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.unkept import JobGivenUpError
 from berylproxy.errors import BerylproxyError
 from berylproxy.peers.membership import PeerUnreachableError
 from berylproxy.peers.network import TcpPeerNetwork
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -18,6 +18,7 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.group import EndpointGroup
+from berylproxy.durable.job_log import JobLog
 from berylproxy.durable.ledger import (
     AlreadyThereError,
     Change,
@@ -32,7 +33,7 @@
     StoredJob,
 )
 from berylproxy.durable.outcomes import OutcomeStore
-from berylproxy.durable.placement import is_hopeless, objective_s, place_waiting
+from berylproxy.durable.placement import place_waiting
 from berylproxy.durable.ports import (
     EndpointDirectory,
     JobStore,
@@ -51,7 +52,7 @@
 )
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.durable.tenure import Tenure
-from berylproxy.errors import BerylproxyError
+from berylproxy.durable.unkept import RUN_NUMBERS_PER_TENURE, UnkeptJobs
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
     StoreError,
@@ -68,23 +69,10 @@
 LONE_TENURE_S = 1.5  # without the store, while some other daemon may have it
 OUTAGE_TENURE_S = 10.0  # without the store, while no other daemon has it
 FOREIGN_TENURE_S = LONE_TENURE_S + LEASE_LENGTH_S + 0.3  # until a former holder's leases lapsed
-RUN_NUMBERS_PER_TENURE = 64  # run numbers of a tenure lie above those of all earlier ones
 
 logger = Logger(__name__)
 
 
-class JobGivenUpError(BerylproxyError):
-    """The job has begun and will not be completed."""
-
-    code = "job_given_up"
-
-
-class JobInterruptedError(BerylproxyError):
-    """The job was dropped although its caller may still wait: it may be handed in again."""
-
-    code = "job_interrupted"
-
-
 @dataclass(frozen=True, slots=True)
 class UnresolvedJob:
     """A job that a former holder may be carrying out at endpoints that are not contacted yet."""
@@ -105,15 +93,6 @@
     return is_complete or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
 
 
-@dataclass(slots=True, eq=False)
-class Wait:
-    """Callers that wait for the end of a job that isn't kept."""
-
-    ended: Event = field(default_factory=Event)
-    reply: HandInReply | None = None
-    error: BerylproxyError | None = None
-
-
 @dataclass(slots=True, eq=False)
 class Acceptance:
     """A job that is being stored; its caller may give up meanwhile."""
@@ -190,7 +169,16 @@
         )
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.book)
-        self._waits: dict[str, Wait] = {}
+        self._log = JobLog(tenure, self.book)
+        self._unkept = UnkeptJobs(
+            tenure,
+            self.book,
+            self.group,
+            self._log,
+            self._judge,
+            self._expect,
+            lambda job, now_s: self._unresolved.append(UnresolvedJob(job, now_s)),
+        )
         self._unresolved: list[UnresolvedJob] = []
         self._handing_in: dict[str, Acceptance] = {}
         self._uncertain: set[str] = set()
@@ -214,8 +202,7 @@
         finally:
             self.tenure.task_group = None
             self._outcomes.abandon()
-            for wait in self._waits.values():
-                wait.ended.set()
+            self._unkept.abandon()
             await self.group.close()
 
     async def _load_jobs(self) -> None:
@@ -263,7 +250,7 @@
         if self.tenure.is_over:
             raise NotHolderError("not the holder")
         if not spec.is_kept:
-            return await self._carry_out(message, entry)
+            return await self._unkept.carry_out(message, entry)
         if not self.tenure.claim_revision:
             return HandInReply("the store is not available", SHORTEST_RETRY_AFTER_S)
         if not self.is_loaded:
@@ -283,78 +270,7 @@
             raise acceptance.error or StoreOutcomeUnknownError("the tenure ended meanwhile")
         return acceptance.reply
 
-    async def _carry_out(self, message: HandIn, entry: str) -> HandInReply:
-        """Carries out a job that isn't kept and waits for its end."""
-        job_id = message.job.job_id
-        job, outcome = self.book.jobs.get(job_id), self.book.state(job_id)
-        if job is not None:
-            job.entry = entry
-        elif outcome is not None and not message.attempt:
-            return HandInReply(state=outcome.value)
-        else:
-            reply = self._open_unkept(message, entry)
-            if reply is not None:
-                return reply
-        wait = self._waits.setdefault(job_id, Wait())
-        await wait.ended.wait()
-        if wait.error is not None:
-            raise wait.error
-        if wait.reply is not None:
-            return wait.reply
-        job = self.book.jobs.get(job_id)
-        if job is not None and not job.started and not message.attempt:
-            raise NotHolderError("the tenure ended before the job began")
-        raise TenureLostError("the tenure ended before the job")
-
-    def _open_unkept(self, message: HandIn, entry: str) -> HandInReply | None:
-        spec, now_s = message.job, self._clock.now_s()
-        stored = StoredJob(spec, time())
-        draft = JobBook().open(stored, now_s)
-        draft.expected_s = self._expect(spec)
-        draft.deadline_s = now_s + message.wait_s
-        # A job that an earlier holder took is not refused for a change of holder.
-        retry_after_s = None if message.attempt else self._judge(draft, now_s)
-        if retry_after_s is not None:
-            self._note_refused(spec, retry_after_s)
-            return HandInReply(TOO_LATE, retry_after_s)
-        first_run = message.attempt * RUN_NUMBERS_PER_TENURE
-        job = self.book.open(stored, now_s, entry=entry, first_run=first_run)
-        job.expected_s, job.deadline_s = draft.expected_s, draft.deadline_s
-        self.group.adopt_orphans(job, now_s)
-        if job.is_final:
-            return HandInReply(state=job.state.value)
-        if message.attempt:
-            self._unresolved.append(UnresolvedJob(job, now_s))
-        self.group.changed.set()
-        return None
-
-    def drop(self, job_id: str, reason: str) -> None:
-        """Gives a job up that isn't kept: nobody waits for it, as far as this daemon knows.
-
-        An entry that is heard again must not take it for its caller's own cancellation.
-        """
-        job = self.book.jobs.get(job_id)
-        if job is None or job.is_final or job.spec.is_kept:
-            return
-        logger.info(
-            "job dropped: {}", reason, extra=self.tenure.extra(job=job_id, started=job.started)
-        )
-        self.book.cancel(job)
-        self._finish(job, error=JobInterruptedError("its entry daemon was not heard"))
-
-    def _note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
-        self._telemetry.count("jobs_refused", queue=spec.terms.queue, reason="late")
-        logger.info(
-            "job refused: its answer would come too late",
-            extra=self.tenure.extra(
-                job=spec.job_id,
-                queue=spec.terms.queue,
-                open_jobs=len(self.book.jobs),
-                retry_after_s=retry_after_s,
-            ),
-        )
-
-    async def _conclude(self, acceptance: "Acceptance", spec: JobSpec, entry: str) -> None:
+    async def _conclude(self, acceptance: Acceptance, spec: JobSpec, entry: str) -> None:
         try:
             acceptance.reply = await self._accept(spec, entry)
         except (StoreError, TenureLostError) as error:
@@ -373,7 +289,7 @@
         is_uncertain = spec.job_id in self._uncertain
         retry_after_s = None if is_uncertain else self._judge(draft, now_s)
         if retry_after_s is not None:
-            self._note_refused(spec, retry_after_s)
+            self._log.note_refused(spec, retry_after_s)
             return HandInReply(TOO_LATE, retry_after_s)
         change = Change(
             absent=(final_key(spec.job_id),),
@@ -386,12 +302,7 @@
         except StoreUnavailableError as error:
             if is_uncertain:
                 raise
-            self._telemetry.count("jobs_refused", queue=spec.terms.queue, reason="store")
-            logger.info(
-                "job refused: not stored: {}",
-                error.message,
-                extra=self.tenure.extra(job=spec.job_id),
-            )
+            self._log.note_not_stored(spec, error.message)
             return HandInReply("the store is not available", SHORTEST_RETRY_AFTER_S)
         self._uncertain.discard(spec.job_id)
         job = self.book.open(stored, now_s, entry=entry)
@@ -490,61 +401,23 @@
                 self.book.resolve(unresolved.job)
         self._unresolved = left
 
-    def _finish(
-        self,
-        job: Job,
-        reply: HandInReply | None = None,
-        error: BerylproxyError | None = None,
-    ) -> None:
-        """Tells a job's outcome to who waits for it, and has it stored if the job is kept.
-
-        :param reply: for a job that isn't kept, if its state is not the whole answer.
-        :param error: for a job that isn't kept, if there is no answer.
-        """
+    def _finish(self, job: Job) -> None:
+        """Tells a job's outcome to who waits for it, or has it stored."""
+        if not job.spec.is_kept:
+            self._unkept.finish(job)
+            return
         self.group.stop_active(job)
         job_id = job.spec.job_id
         if job_id not in self.book.jobs or self._outcomes.is_storing(job_id):
             return
-        self._note_ended(job)
-        if job.spec.is_kept:
-            if job.entry and job.state is not JobState.CANCELLED:
-                self._context.notify(job.entry, JobsEnded({job_id: job.state.value}))
-            self._outcomes.begin(job)
-            return
-        self.book.close(job)
-        wait = self._waits.pop(job_id, None)
-        if wait is not None:
-            wait.reply = reply or HandInReply(state=job.state.value)
-            wait.error = error
-            wait.ended.set()
-
-    def _note_ended(self, job: Job) -> None:
-        queue, took_s = job.spec.terms.queue, self._clock.now_s() - job.accepted_s
-        is_late = took_s > objective_s(job)
-        self._telemetry.count("jobs_ended", queue=queue, state=job.state.value)
-        self._telemetry.observe_job(queue, took_s)
-        if is_late:
-            self._telemetry.count("jobs_late", queue=queue)
-        starts_s = [
-            task.ordered_s - job.accepted_s for task in job.tasks.values() if task.ordered_s
-        ]
-        logger.info(
-            "job {}",
-            job.state.value,
-            extra=self.tenure.extra(
-                job=job.spec.job_id,
-                queue=queue,
-                entry=job.entry,
-                took_s=round(took_s, 3),
-                objective_s=round(objective_s(job), 3),
-                expected_s=round(job.expected_s, 3),
-                late=is_late,
-                tasks=len(job.tasks),
-                runs=sum(task.orders for task in job.tasks.values()),
-                first_start_s=round(min(starts_s), 3) if starts_s else None,
-                last_start_s=round(max(starts_s), 3) if starts_s else None,
-            ),
-        )
+        self._log.note_ended(job)
+        if job.entry and job.state is not JobState.CANCELLED:
+            self._context.notify(job.entry, JobsEnded({job_id: job.state.value}))
+        self._outcomes.begin(job)
+
+    def drop(self, job_id: str, reason: str) -> None:
+        """Gives a job up that isn't kept: nobody waits for it."""
+        self._unkept.drop(job_id, reason)
 
     async def _tick(self) -> None:
         while True:
@@ -554,45 +427,11 @@
             self._outcomes.store_old_progress(now_s)
             if not self._pauses.is_refreshing:
                 self.group.move_stalled(now_s)
-                self._give_up_unkept(now_s)
+                self._unkept.give_up_useless(now_s, self._context.is_entry_alive)
             self.group.release_orphan_ends(now_s)
             if self._unresolved or any(True for _ in self.book.waiting_jobs()):
                 self.group.changed.set()
 
-    def _give_up_unkept(self, now_s: float) -> None:
-        """Ends the jobs that nobody waits for, or that would end too late if they began now."""
-        for job in list(self.book.jobs.values()):
-            if job.spec.is_kept or job.is_final:
-                continue
-            if not self._context.is_entry_alive(job.entry):
-                self.drop(job.spec.job_id, "its entry daemon is not heard")
-            elif is_hopeless(job, now_s):
-                self._give_up(job, now_s)
-
-    def _give_up(self, job: Job, now_s: float) -> None:
-        """Answers a job at once that can't be of use any more, as refused if it has not begun."""
-        waiting = len(job.waiting)
-        self.book.cancel(job)
-        if not job.started:
-            self._note_refused(job.spec, SHORTEST_RETRY_AFTER_S)
-            self._finish(job, HandInReply(TOO_LATE, SHORTEST_RETRY_AFTER_S))
-            return
-        self._telemetry.count("jobs_given_up", queue=job.spec.terms.queue)
-        logger.info(
-            "job given up: it has begun and its answer would come too late",
-            extra=self.tenure.extra(
-                job=job.spec.job_id,
-                queue=job.spec.terms.queue,
-                age_s=round(now_s - job.accepted_s, 3),
-                objective_s=round(objective_s(job), 3),
-                expected_s=round(job.expected_s, 3),
-                tasks=len(job.tasks),
-                waiting=waiting,
-                open_jobs=len(self.book.jobs),
-            ),
-        )
-        self._finish(job, error=JobGivenUpError("it has begun and its answer would come too late"))
-
     async def _send_heartbeats(self) -> None:
         while True:
             self.send_heartbeat()
--- /dev/null
+++ b/berylproxy/durable/job_log.py
@@ -0,0 +1,95 @@
+"""The log lines and counts of what becomes of jobs, one line for each decision."""
+
+from dataclasses import dataclass
+
+from logbook import Logger
+
+from berylproxy.durable.book import Job, JobBook
+from berylproxy.durable.models import JobSpec
+from berylproxy.durable.placement import objective_s
+from berylproxy.durable.tenure import Tenure
+
+logger = Logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class JobLog:
+    """Tells of the jobs of one tenure."""
+
+    tenure: Tenure
+    book: JobBook
+
+    def note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
+        """A job is refused: more work than the endpoints can do in time."""
+        self.tenure.telemetry.count("jobs_refused", queue=spec.terms.queue, reason="late")
+        logger.info(
+            "job refused: its answer would come too late",
+            extra=self.tenure.extra(
+                job=spec.job_id,
+                queue=spec.terms.queue,
+                open_jobs=len(self.book.jobs),
+                retry_after_s=retry_after_s,
+            ),
+        )
+
+    def note_not_stored(self, spec: JobSpec, reason: str) -> None:
+        """A job is refused: the store does not take it."""
+        self.tenure.telemetry.count("jobs_refused", queue=spec.terms.queue, reason="store")
+        logger.info("job refused: not stored: {}", reason, extra=self.tenure.extra(job=spec.job_id))
+
+    def note_given_up(self, job: Job, waiting: int, now_s: float) -> None:
+        """A job that has begun is given up.
+
+        :param waiting: its tasks that had no room.
+        """
+        self.tenure.telemetry.count("jobs_given_up", queue=job.spec.terms.queue)
+        logger.info(
+            "job given up: it has begun and its answer would come too late",
+            extra=self.tenure.extra(
+                job=job.spec.job_id,
+                queue=job.spec.terms.queue,
+                age_s=round(now_s - job.accepted_s, 3),
+                objective_s=round(objective_s(job), 3),
+                expected_s=round(job.expected_s, 3),
+                tasks=len(job.tasks),
+                waiting=waiting,
+                open_jobs=len(self.book.jobs),
+            ),
+        )
+
+    def note_dropped(self, job: Job, reason: str) -> None:
+        """A job is dropped, as nobody is taken to wait for it."""
+        logger.info(
+            "job dropped: {}",
+            reason,
+            extra=self.tenure.extra(job=job.spec.job_id, started=job.started),
+        )
+
+    def note_ended(self, job: Job) -> None:
+        """A job's state is final."""
+        queue, took_s = job.spec.terms.queue, self.tenure.clock.now_s() - job.accepted_s
+        is_late = took_s > objective_s(job)
+        self.tenure.telemetry.count("jobs_ended", queue=queue, state=job.state.value)
+        self.tenure.telemetry.observe_job(queue, took_s)
+        if is_late:
+            self.tenure.telemetry.count("jobs_late", queue=queue)
+        starts_s = [
+            task.ordered_s - job.accepted_s for task in job.tasks.values() if task.ordered_s
+        ]
+        logger.info(
+            "job {}",
+            job.state.value,
+            extra=self.tenure.extra(
+                job=job.spec.job_id,
+                queue=queue,
+                entry=job.entry,
+                took_s=round(took_s, 3),
+                objective_s=round(objective_s(job), 3),
+                expected_s=round(job.expected_s, 3),
+                late=is_late,
+                tasks=len(job.tasks),
+                runs=sum(task.orders for task in job.tasks.values()),
+                first_start_s=round(min(starts_s), 3) if starts_s else None,
+                last_start_s=round(max(starts_s), 3) if starts_s else None,
+            ),
+        )
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -11,12 +11,7 @@
 from berylproxy.durable import outcomes
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import (
-    Holder,
-    HolderContext,
-    JobGivenUpError,
-    JobInterruptedError,
-)
+from berylproxy.durable.holder import Holder, HolderContext
 from berylproxy.durable.messages import HandIn
 from berylproxy.durable.models import (
     EndKind,
@@ -29,6 +24,7 @@
 )
 from berylproxy.durable.records import FINAL_PREFIX, claim_key, encode_final, final_key, open_key
 from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.unkept import JobGivenUpError, JobInterruptedError
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
