--- a/standins/runner.py
+++ b/standins/runner.py
@@ -165,7 +165,7 @@
         Route("/-/hold", runner.hold, methods=["POST"]),
         Route("/control/history", runner.describe, methods=["GET"]),
     ]
-    listener = open_listener("127.0.0.1", arguments.port)
+    listener = open_listener("127.0.0.1", 0)
     port = port_of(listener)
     async with anyio.create_task_group() as task_group:
         task_group.start_soon(runner.write_entries, port)
@@ -181,7 +181,6 @@
     parser.add_argument("--store-url", required=True)
     parser.add_argument("--cores", type=int, default=64)
     parser.add_argument("--run-time-s", type=float, default=0.05)
-    parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--advertise", default="", help="host:port for the list, if not its own")
     parser.add_argument("--history-path", default="", help="file for what it starts and ends")
     anyio.run(run, parser.parse_args())
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,5 +1,6 @@
 """Runs ``python -m tools.soak --seed N``."""
 
+import os
 import signal
 import sys
 from argparse import ArgumentParser, Namespace
@@ -25,14 +26,14 @@
 DEFAULT_LENGTH_S = 20.0
 HEALED_WITHIN_S = 15.0  # all daemons serve, and each accepted kept job has ended everywhere
 SHOWN_PROBLEMS = 8
-FIRST_SUBNET, SUBNETS = 2, 200  # of 127.0.x.0, so that seeds can be played side by side
+FIRST_SUBNET, SUBNETS = 2, 250  # of 127.0.x.0, so that soaks can run side by side
 LAST_VERSION = 99  # of the configuration, above that of the start
 FINAL_IDS = count(1)
 
 
 def play(seed: int, length_s: float, folder: Path) -> list[str]:
     """Plays one seed and returns what was not kept."""
-    subnet = FIRST_SUBNET + seed % SUBNETS
+    subnet = FIRST_SUBNET + os.getpid() % SUBNETS
     world = SoakWorld(folder, DAEMONS, RUNNERS, RUN_TIME_S, subnet=subnet)
     try:
         world.start()
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -9,12 +9,13 @@
 from httpx import HTTPError
 
 from standins.process import ManagedProcess
-from tests.support.platform_cluster import SERVICE, PlatformCluster, pick_ports
+from tests.support.platform_cluster import SERVICE, PlatformCluster
 from tools.soak.schedule import Fault
 
 DELAY_S = 0.15
 LOSE_SHARE = 0.05
 LOST_ANSWERS = 3
+DISCARD_PORT = 9  # until the runner has told its own
 STOP_TIMEOUT_S = 10.0
 
 
@@ -24,7 +25,6 @@
 
     :ivar down: when each daemon was not running as it should, by number: pairs of times.
     :ivar stopped: when each daemon was told to stop and when it had ended, by number.
-    :ivar ports_of_runners: what each runner listens on, over all its lives.
     :ivar runner_ends: when each runner was killed, by the path of that life's history.
     :ivar statuses: exit statuses of daemons that were told to stop while they served.
     :ivar starts: how often each daemon was started.
@@ -36,7 +36,6 @@
     runner_ends: dict[str, float] = field(default_factory=dict)
     statuses: list[tuple[int, int]] = field(default_factory=list)
     starts: dict[int, int] = field(default_factory=dict)
-    ports_of_runners: dict[int, int] = field(default_factory=dict)
     _lives: dict[int, int] = field(default_factory=dict)
 
     def start_relay_to(self, name: str, port: int) -> ManagedProcess:
@@ -56,17 +55,17 @@
         """Starts a runner behind a relay; its history goes to a file that outlives it."""
         name = f"runner-{number}"
         if name not in self.relays:
-            self.ports_of_runners[number] = pick_ports(1)[0]
-            self.start_relay_to(name, self.ports_of_runners[number])
+            self.start_relay_to(name, DISCARD_PORT)
         self._lives[number] = self._lives.get(number, 0) + 1
         # A new life comes back under the old identifier or beside the entry of the former life.
         life = f"-{self._lives[number]}" if number % 2 else ""
         options = ["--name", f"r{number}{life}", "--store-url", self.store.url]
         options += ["--run-time-s", str(self.run_time_s), "--service", SERVICE]
-        options += ["--port", str(self.ports_of_runners[number])]
         options += ["--advertise", f"127.0.0.1:{self.relays[name].announced['port']}"]
         options += ["--history-path", str(self.history_path(number))]
-        return self._start(f"r{number}", ["-m", "standins.runner", *options])
+        runner = self._start(f"r{number}", ["-m", "standins.runner", *options])
+        self.switch_relay(name, target=f"127.0.0.1:{runner.announced['port']}")
+        return runner
 
     def history_path(self, number: int):
         """Names the file of a runner's present life."""
