--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -6,7 +6,7 @@
 from urllib.parse import unquote
 
 import orjson
-from anyio import Event, create_task_group
+from anyio import Event, create_task_group, fail_after
 from logbook import Logger
 
 from berylproxy.durable.entry import (
@@ -27,6 +27,7 @@
 STATUS_PATH = "/v1/status"  # as on the product's own daemons, so that berylctl reads both
 WAIT_HEADER = b"berylproxy-deadline-ms"
 LONGEST_WAIT_S = 30.0
+LONGEST_BODY_S = 5.0  # 256 KB at 0.4 Mbit/s, below the slowest links known
 ANSWER_MARGIN_S = 0.05  # for the way back to the caller
 JOB_ID_CHARACTERS = 16
 MAX_PAYLOAD_BYTES = 4_000  # runners refuse longer ones
@@ -174,7 +175,14 @@
         elif len(job_id) != JOB_ID_CHARACTERS:
             await self._answer(send, 404, {"error": "no such job"})
         elif method == "POST":
-            body = await _read_body(receive, configuration.max_body_bytes)
+            try:
+                with fail_after(LONGEST_BODY_S):
+                    body = await _read_body(receive, configuration.max_body_bytes)
+            except TimeoutError:
+                logger.info("body not received in {} s", LONGEST_BODY_S, extra={"job": job_id})
+                error = f"the body did not come within {LONGEST_BODY_S:g} s"
+                await self._answer(send, 408, {"error": error}, closes=True)
+                return
             if route.needs_advice:
                 raise JobUnsupportedError(f"queue {route.terms.queue}: advice is not supported")
             job = decode_job(job_id, route, body)
@@ -228,7 +236,13 @@
         return None
 
     async def _answer(
-        self, send: Send, status: int, content: Any = None, retry_after_s: float | None = None
+        self,
+        send: Send,
+        status: int,
+        content: Any = None,
+        retry_after_s: float | None = None,
+        *,
+        closes: bool = False,
     ) -> None:
         body = orjson.dumps(content) if content is not None else b""
         headers = [
@@ -237,7 +251,7 @@
         ]
         if retry_after_s:
             headers.append((b"retry-after", str(max(round(retry_after_s), 1)).encode()))
-        if self._is_stopping():
+        if closes or self._is_stopping():
             headers.append((b"connection", b"close"))
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": body})
--- a/tests/platform/system.feature
+++ b/tests/platform/system.feature
@@ -74,6 +74,12 @@
       | {"spec": "", "steps": [{"count": 1, "cpu": -1}]}      | resource |
       | {"spec": "", "steps": [{"count": 1, "after": [0]}]}   | after    |
 
+  Scenario: a caller that sends its body too slowly is answered and let go
+    Given a platform of 1 daemon and 1 runner whose tasks take 0.05 s
+    When a caller sends half a job to daemon 0 and no more
+    Then it is answered 408 within 6 s and its connection is closed
+    And the platform's daemon 0 logs no error
+
   Scenario: operators see jobs, holders and endpoints as on the product's own daemons
     Given a platform of 2 daemons and 2 runners whose tasks take 1.0 s
     When platform jobs of 4 tasks are handed to each daemon
--- a/tests/steps/platform_status_steps.py
+++ b/tests/steps/platform_status_steps.py
@@ -1,6 +1,7 @@
 """Steps that look at the platform's daemons with berylctl."""
 
 import json
+import socket
 import subprocess
 import sys
 
@@ -9,7 +10,7 @@
 from berylproxy.platform.settings import METRICS_PORT
 from standins.process import ROOT
 from tests.steps.platform_system_steps import hand_in
-from tests.support.platform_cluster import host_of
+from tests.support.platform_cluster import HOST, PREFIX, host_of
 
 BERYLCTL_TIMEOUT_S = 20.0
 CALLERS_TIMEOUT_S = 5.0  # the route's
@@ -68,3 +69,28 @@
     for answer in refused:
         assert int(answer.headers["retry-after"]) >= 1
         assert answer.elapsed.total_seconds() < CALLERS_TIMEOUT_S
+
+
+@when(r"a caller sends half a job to daemon 0 and no more")
+def step_impl(context):
+    cluster = context.platform_cluster
+    context.slow_caller = socket.create_connection((cluster.host(0), cluster.ports[0][2]))
+    context.add_cleanup(context.slow_caller.close)
+    head = f"POST {PREFIX}00000000000000bb HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 500\r\n\r\n"
+    context.slow_caller.sendall(head.encode() + b'{"spec": "x"')
+
+
+@then(r"it is answered 408 within (?P<wait_s>\d+) s and its connection is closed")
+def step_impl(context, wait_s):
+    context.slow_caller.settimeout(float(wait_s))
+    received = b""
+    while chunk := context.slow_caller.recv(4096):
+        received += chunk
+    assert received.startswith(b"HTTP/1.1 408"), received
+
+
+@then(r"the platform's daemon 0 logs no error")
+def step_impl(context):
+    cluster = context.platform_cluster
+    lines = cluster.read_log(cluster.daemons[0])
+    assert not [line for line in lines if line["level"] in ("error", "critical")], lines
