Outlive a connection from a daemon that is reset before it is looked at

Change: such a connection is lost like any other in its handshake. The new scenario ended the peer's network before.

--- a/berylproxy/peers/acceptor.py
+++ b/berylproxy/peers/acceptor.py
@@ -73,7 +73,10 @@
         self._handshakes += 1
         remote_host = "unknown host"
         try:
-            remote_host = stream.extra(SocketAttribute.remote_address)[0]
+            address = stream.extra(SocketAttribute.remote_address, None)
+            if address is None:
+                raise ConnectionResetError("its other end has reset it")
+            remote_host = address[0]
             if not self._settings.keys and not is_loopback(remote_host):
                 raise PeerHandshakeError("not a loopback address, and there is no key")
             return await self._make_handshake(stream).accept()
--- a/tests/peers/handshake.feature
+++ b/tests/peers/handshake.feature
@@ -49,6 +49,11 @@
     And peer "brief" has logged one refusal saying "no handshake in time"
     And a genuine peer gets its stream to "brief"
 
+  Scenario: A connection that is reset before it is looked at ends nothing else
+    Given a listening peer "busy"
+    When an alien connects to "busy" and resets the connection while "busy" is paused
+    Then a genuine peer gets its stream to "busy"
+
   Scenario: A flood of connections is held off and costs one log line
     When 40 silent aliens connect to "a", which allows 4 handshakes
     Then 36 aliens are closed at once
--- a/tests/steps/peers_handshake_steps.py
+++ b/tests/steps/peers_handshake_steps.py
@@ -1,5 +1,9 @@
 """Steps for the handshake of the streams between daemons."""
 
+import socket
+import struct
+import time
+
 import anyio
 from anyio import connect_tcp, create_task_group
 from behave import given, then, when
@@ -21,11 +25,14 @@
 )
 from tests.support.peer_scenario import (
     call,
+    portal_of,
     start,
     start_node,
     wait,
 )
 
+PAUSE_S = 0.3
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: close sends RST
 OTHER_KEY = b"a second key of the cluster"
 
 
@@ -235,3 +242,14 @@
         assert error.code == code, error.code
         return
     raise AssertionError("the settings were accepted")
+
+
+@when('an alien connects to "{name}" and resets the connection while "{paused}" is paused')
+def step_reset_unseen(context, name, paused):
+    host, port = split_address(context.peers[paused].address)
+    pause = portal_of(context).start_task_soon(time.sleep, PAUSE_S)
+    time.sleep(PAUSE_S / 2)
+    alien = socket.create_connection((host, port))
+    alien.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    alien.close()
+    pause.result()
