Wait for the leases of a provisional holder's runs before its jobs start anew

Change: an entry tells the fence of the holder that it reached last. Only if the heartbeats known are of that holder, and it had a claim, may the job go on without waiting for its leases (1.15 s). A daemon forgets what an earlier holder used once it has held the group itself. The new scenario ran a task twice before.

--- a/berylproxy/durable/entry.py
+++ b/berylproxy/durable/entry.py
@@ -94,14 +94,15 @@
         :raises NotKnownError: if it may have run.
         """
         started_s = self._clock.now_s()
-        attempt, group = 0, ""
+        attempt, group, former_fence = 0, "", 0
         try:
             while True:
                 elapsed_s = self._clock.now_s() - started_s
                 if elapsed_s >= wait_s or (not attempt and elapsed_s > NO_HOLDER_WAIT_S):
                     break
                 group = self._member.group_of(spec.terms.service, spec.job_id)
-                message = HandIn(group, spec, attempt, wait_s - elapsed_s)
+                message = HandIn(group, spec, attempt, wait_s - elapsed_s, former_fence)
+                fence = self._member.known_fence(group)
                 try:
                     reply = await self._ask_while_held(group, message, wait_s - elapsed_s)
                 except PeerUnreachableError:
@@ -117,6 +118,7 @@
                     )
                     self._telemetry.count("jobs_handed_in_again")
                     attempt += 1
+                    former_fence = max(former_fence, fence)
                     await sleep(RETRY_PAUSE_S)
                     continue
                 if not reply.refusal:
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -1,6 +1,6 @@
 """Carries out a group's jobs while this daemon holds the claim on its endpoints."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from dataclasses import dataclass, field
 from time import time
 
@@ -15,6 +15,7 @@
     judge,
 )
 from berylproxy.durable.book import Job, JobBook
+from berylproxy.durable.contention import FENCES_PER_CLAIM
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.group import EndpointGroup
@@ -73,12 +74,27 @@
 logger = Logger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedEndpoints:
+    """Endpoints that a former holder used, by its last heartbeat.
+
+    :param fence: of that holder.
+    """
+
+    fence: int
+    endpoint_ids: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class UnresolvedJob:
-    """A job that a former holder may be carrying out at endpoints that are not contacted yet."""
+    """A job that a former holder may be carrying out at endpoints that are not contacted yet.
+
+    :param former_fence: of that holder; 0 if it is the one before this.
+    """
 
     job: Job
     since_s: float
+    former_fence: int
 
 
 def can_resolve(age_s: float, are_contacted: bool, is_complete: bool) -> bool:
@@ -93,6 +109,21 @@
     return is_complete or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
 
 
+def covers_former(
+    inherited: InheritedEndpoints | None, former_fence: int, listed: Set[str]
+) -> bool:
+    """Tells whether all endpoints that a former holder used are listed.
+
+    A provisional holder uses endpoints whose entries may have lapsed while its failure domain was
+    cut off, more of them than its last heartbeat told.
+
+    :param former_fence: of the holder that may have begun the job; 0 for the one before.
+    """
+    if inherited is None or former_fence % FENCES_PER_CLAIM:
+        return False
+    return former_fence in (0, inherited.fence) and inherited.endpoint_ids <= listed
+
+
 @dataclass(slots=True, eq=False)
 class Acceptance:
     """A job that is being stored; its caller may give up meanwhile."""
@@ -134,7 +165,7 @@
 
     :param fence: under which endpoints take orders.
     :param claim_revision: revision of the claim; 0 for a provisional holder, which has none.
-    :param inherited: identifiers of endpoints that the former holder used; ``None`` if unknown.
+    :param inherited: ``None`` if nothing is known of the former holder.
     """
 
     def __init__(
@@ -142,7 +173,7 @@
         group: str,
         fence: int,
         claim_revision: int,
-        inherited: frozenset[str] | None,
+        inherited: InheritedEndpoints | None,
         model: RunTimeModel,
         context: HolderContext,
     ) -> None:
@@ -177,7 +208,7 @@
             self._log,
             self._judge,
             self._expect,
-            lambda job, now_s: self._unresolved.append(UnresolvedJob(job, now_s)),
+            lambda job, now_s, former: self._unresolved.append(UnresolvedJob(job, now_s, former)),
         )
         self._unresolved: list[UnresolvedJob] = []
         self._handing_in: dict[str, Acceptance] = {}
@@ -238,7 +269,7 @@
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
         job = self.book.open(stored, now_s - age_s, first_run=first_run)
         job.expected_s = self._expect(stored.spec)
-        self._unresolved.append(UnresolvedJob(job, now_s))
+        self._unresolved.append(UnresolvedJob(job, now_s, 0))
 
     async def hand_in(self, message: HandIn, entry: str) -> HandInReply:
         """Stores a job and begins to carry it out, or refuses it; waits for one that isn't kept.
@@ -391,10 +422,10 @@
         now_s = self._clock.now_s()
         are_contacted = all(endpoint.is_contacted for endpoint in self.group.endpoints.values())
         listed = {life.endpoint_id for life in self.group.endpoints}
-        is_complete = self._inherited is not None and self._inherited <= listed
         left = []
         for unresolved in self._unresolved:
             age_s = now_s - unresolved.since_s
+            is_complete = covers_former(self._inherited, unresolved.former_fence, listed)
             if not unresolved.job.is_final and not can_resolve(age_s, are_contacted, is_complete):
                 left.append(unresolved)
             elif not unresolved.job.is_final:
--- a/berylproxy/durable/member.py
+++ b/berylproxy/durable/member.py
@@ -26,7 +26,12 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.groups import choose_group, count_groups, is_settled, list_groups
-from berylproxy.durable.holder import HEARTBEAT_INTERVAL_S, Holder, HolderContext
+from berylproxy.durable.holder import (
+    HEARTBEAT_INTERVAL_S,
+    Holder,
+    HolderContext,
+    InheritedEndpoints,
+)
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
     AskPending,
@@ -85,7 +90,7 @@
     incarnation: str = ""
     heard_s: float = 0.0
     is_leaving: bool = False
-    endpoints: frozenset[str] | None = None
+    endpoints: InheritedEndpoints | None = None
     changed: Event = field(default_factory=Event)
 
     def change(self, fence: int, incarnation: str, now_s: float) -> None:
@@ -271,6 +276,11 @@
             return ""
         return known.incarnation
 
+    def known_fence(self, group: str) -> int:
+        """Returns the fence of the newest holder that is known; 0 if none is."""
+        known = self.known.get(group)
+        return known.fence if known is not None else 0
+
     @property
     def own_incarnation(self) -> str:
         """This daemon's incarnation."""
@@ -426,6 +436,8 @@
             await holder.run()
         finally:
             del self.holders[group]
+            if known.endpoints is not None and known.endpoints.fence < fence:
+                known.endpoints = None
             if known.incarnation == self.own_incarnation:
                 known.change(known.fence, "", self._clock.now_s())
 
@@ -509,7 +521,7 @@
             )
         known.change(message.fence, sender.incarnation, self._clock.now_s())
         known.is_leaving = message.leaving
-        known.endpoints = frozenset(message.endpoints)
+        known.endpoints = InheritedEndpoints(message.fence, frozenset(message.endpoints))
 
     # Serving
 
--- a/berylproxy/durable/messages.py
+++ b/berylproxy/durable/messages.py
@@ -12,12 +12,14 @@
     :param group: the endpoint group that the job belongs to.
     :param attempt: how many holders it may have reached before.
     :param wait_s: how long the caller waits for the answer.
+    :param former_fence: of the holder that it reached last; 0 for none.
     """
 
     group: str
     job: JobSpec
     attempt: int = 0
     wait_s: float = 0.0
+    former_fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/unkept.py
+++ b/berylproxy/durable/unkept.py
@@ -46,7 +46,8 @@
 
     :param judge: returns after how many seconds a refused job may come back; ``None`` to take it.
     :param expect: expects the run time of a job's longest chain of steps.
-    :param on_reopened: called with a job that a former holder may have begun.
+    :param on_reopened: called with a job that a former holder may have begun, the time and that
+        holder's fence.
     """
 
     def __init__(
@@ -57,7 +58,7 @@
         log: JobLog,
         judge: Callable[[Job, float], float | None],
         expect: Callable[[JobSpec], float],
-        on_reopened: Callable[[Job, float], None],
+        on_reopened: Callable[[Job, float, int], None],
     ) -> None:
         self._tenure = tenure
         self._book = book
@@ -115,7 +116,7 @@
         if job.is_final:
             return HandInReply(state=job.state.value)
         if message.attempt:
-            self._on_reopened(job, now_s)
+            self._on_reopened(job, now_s, message.former_fence)
         self._group.changed.set()
         return None
 
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -75,6 +75,16 @@
     Then job "a" ends as "completed"
     And no task of job "a" ran twice at the same time
 
+  Scenario: what a provisional holder began at endpoints that are not listed is waited for
+    Given a group of 2 endpoints whose runs take 0.9 s
+    When a holder with fence 17 takes over
+    And job "a" of 2 tasks is handed in
+    And the holder with fence 17 ends, after which endpoint 1 is missing in the list
+    And a holder with fence 32 takes over that knows what the holder with fence 16 used: nothing
+    And job "a" of 2 tasks is handed in again after the holder with fence 17
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
   Scenario: tasks of an endpoint that is cut off start elsewhere once its leases have lapsed
     Given a group of 2 endpoints whose runs take 0.9 s
     When a holder with fence 16 takes over
