--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -148,6 +148,13 @@
     Then job "a" was given up within 1 s
     And nothing runs at any endpoint within 0.3 s
 
+  Scenario: a long task at a slow endpoint is not taken for one that stands still
+    Given a group of 1 endpoint whose runs take 220 s
+    When a holder with fence 16 takes over
+    And a kept job "a" of 1 task with an estimate of 120 s is handed in
+    And 3 s have passed
+    Then 1 runs of job "a" were started
+
   Scenario: a late job whose tasks all run is left to end
     Given a group of 2 endpoints whose runs take 1.0 s
     When a holder with fence 16 takes over
--- a/tests/steps/platform_status_steps.py
+++ b/tests/steps/platform_status_steps.py
@@ -9,7 +9,7 @@
 
 from berylproxy.platform.settings import METRICS_PORT
 from standins.process import ROOT
-from tests.steps.platform_system_steps import hand_in
+from tests.steps.platform_system_steps import hand_in, new_job_id
 from tests.support.platform_cluster import HOST, PREFIX, host_of
 
 BERYLCTL_TIMEOUT_S = 20.0
@@ -34,6 +34,14 @@
     return json.loads(done.stdout)
 
 
+@when(r"a kept platform job of (?P<tasks>\d+) tasks is handed to each daemon")
+def step_impl(context, tasks):
+    cluster = context.platform_cluster
+    for number in range(len(cluster.daemons)):
+        answer = cluster.submit(number, new_job_id(), int(tasks))
+        assert answer.status_code == 200, answer.text
+
+
 @then(r"berylctl shows for each daemon 1 peer, 1 group and the same holder")
 def step_impl(context):
     daemons = range(len(context.platform_cluster.daemons))
