--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -302,8 +302,8 @@
 
 
 @when(
-    r'a kept job "(?P<name>\w+)" of (?P<tasks>\d+) task with an estimate of (?P<estimate_s>\d+) s is '
-    r"handed in"
+    r'a kept job "(?P<name>\w+)" of (?P<tasks>\d+) task with an estimate of '
+    r"(?P<estimate_s>\d+) s is handed in"
 )
 def step_impl(context, name, tasks, estimate_s):
     world = context.holder_world
