--- a/tests/steps/proving_steps.py
+++ b/tests/steps/proving_steps.py
@@ -156,7 +156,12 @@
 def step_wait_running(context, count, name):
     job_id = context.named_jobs[name].job_id
     cluster = context.cluster
-    cluster.wait_until(lambda: cluster.count_running(job_id) >= count, f"{count} tasks run")
+    try:
+        cluster.wait_until(lambda: cluster.count_running(job_id) >= count, f"{count} tasks run")
+    except AssertionError as error:
+        calls = context.calls[name]
+        answers = [call.result(0) if call.done() else "none yet" for call in calls]
+        raise AssertionError(f"{error}; answers so far: {answers}") from error
 
 
 @when('all calls of proving job "{name}" have ended')
