--- a/tools/soak/regressions.py
+++ b/tools/soak/regressions.py
@@ -8,5 +8,7 @@
     9: 12.0,
     104: 12.0,
     108: 12.0,
+    # The soak itself started a daemon twice at one address when two stops ended together.
+    409: 12.0,
 }
 """Lengths of the schedules in seconds, by seed."""
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from threading import Lock
 from time import monotonic
 
 from httpx import HTTPError
@@ -37,6 +38,7 @@
     statuses: list[tuple[int, int]] = field(default_factory=list)
     starts: dict[int, int] = field(default_factory=dict)
     _lives: dict[int, int] = field(default_factory=dict)
+    _restarting: Lock = field(default_factory=Lock)
 
     def start_relay_to(self, name: str, port: int) -> ManagedProcess:
         """Starts a relay to a loopback port."""
@@ -95,8 +97,9 @@
 
     def restart_daemon(self, number: int) -> None:
         """Starts a daemon that is not running."""
-        if not self.daemons[number].is_running():
-            self.daemons[number] = self.start_daemon(number)
+        with self._restarting:  # faults that overlap end at the same time
+            if not self.daemons[number].is_running():
+                self.daemons[number] = self.start_daemon(number)
         self._note_up(number)
 
     def freeze_daemon(self, number: int) -> None:
@@ -149,8 +152,9 @@
 
     def restart_runner(self, number: int) -> None:
         """Starts a new life of a runner that is not running."""
-        if not self.runners[number].is_running():
-            self.runners[number] = self.start_runner(number)
+        with self._restarting:
+            if not self.runners[number].is_running():
+                self.runners[number] = self.start_runner(number)
 
     def heal(self) -> None:
         """Undoes everything."""
