Wait in the tests' cluster until each daemon has the service, not the endpoints alone

The set-up waits until each daemon knows all endpoints. Records reach a daemon one by one, by its watch (which rests 2 s after a batch) and by its peers; a daemon that missed one message had the endpoints and not yet their service. Within the bound of configuration (10 s); the set-up was wrong. Ruled out: lost demand, ejected endpoints, a refusal for the load.

Change: the set-up also asks each daemon for the service's record. No step or bound changes.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -174,13 +174,16 @@
         raise AssertionError(f"not in time: {what}")
 
     def _is_settled(self, daemon: ManagedProcess) -> bool:
+        url = f"http://{daemon.announced['http_address']}/v1"
         try:
-            url = f"http://{daemon.announced['http_address']}/v1/status"
-            status = self.client.get(url).json()
+            status = self.client.get(f"{url}/status").json()
+            # Records reach a daemon one by one: endpoints may be there before their service.
+            service = self.client.get(f"{url}/records/services/{SERVICE}")
         except HTTPError:
             return False
         alive = [peer for peer in status["peers"] if peer["status"] == "alive"]
-        complete = len(status["endpoints"]) == len(self.endpoint_plans)
+        has_endpoints = len(status["endpoints"]) == len(self.endpoint_plans)
+        complete = has_endpoints and service.status_code == 200
         return status["daemon"]["ready"] and complete and len(alive) == len(self.daemons) - 1
 
     def _start_endpoint(self, number: int, plan: EndpointPlan) -> ManagedProcess:
