Allow a task several hundredths of its expected time without progress

Change: five hundredths, which covers an endpoint of half the speed and an estimate that is off by two.

--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -41,7 +41,7 @@
 # elsewhere.
 SETTLED_SILENCE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
-STALL_FACTOR = 0.2  # expected run times without progress, which is told in hundredths
+STALL_HUNDREDTHS = 5  # of the expected run time; progress is told in hundredths of the real one
 SHORTEST_STALL_S = 0.6
 UNLISTED_END = 0  # endpoints count the ends that they list from 1
 
@@ -485,7 +485,7 @@
                     continue
                 queue = self._book.jobs[name.job_id].spec.terms.queue
                 expected_s = self._model.expect_s(queue, task.step.estimate_s)
-                limit_s = max(SHORTEST_STALL_S, STALL_FACTOR * expected_s / 20)
+                limit_s = max(SHORTEST_STALL_S, STALL_HUNDREDTHS * expected_s / 100)
                 if now_s - task.progressed_s > limit_s:
                     logger.info(
                         "task makes no progress and is moved",
