Serve twins by one piece: members shown, names of groups, labels, requests that end early

The rows of peers in berylctl's view were written twice (daemon/monitoring.py, durable/view.py); naming one group of a service built the names of all, for each job and each entry of the list; the label of a step was compared in two places; the 408 for a slow body was answered in the middle of the serving code, beside the mapping of all other errors. No answer changes but the log line of the slow body, which now has the path in place of the job.

--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -12,6 +12,7 @@
 from berylproxy.http_responses import make_json_response
 from berylproxy.metrics import Metrics, Sample
 from berylproxy.models import DaemonIdentity
+from berylproxy.peers.membership import describe_member
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.pipeline import Pipeline
 from berylproxy.place.endpoint_state import EndpointState
@@ -88,7 +89,7 @@
             return make_error_response(error)
         content = {
             "daemon": self._describe_daemon(),
-            "peers": self._describe_peers(),
+            "peers": [describe_member(member) for member in self._network.members()],
             "endpoints": list(self._describe_endpoints()),
         }
         return make_json_response(content)
@@ -178,19 +179,6 @@
             "kept_jobs": self._pipeline.kept_jobs,
         }
 
-    def _describe_peers(self) -> list[dict[str, object]]:
-        return [
-            {
-                "daemon_id": member.identity.daemon_id,
-                "incarnation": member.identity.incarnation,
-                "failure_domain": member.identity.failure_domain,
-                "address": member.identity.peer_address,
-                "status": member.status.value,
-                "ready": member.ready,
-            }
-            for member in self._network.members()
-        ]
-
     def _describe_endpoints(self) -> Iterable[dict[str, object]]:
         held = {
             state.endpoint.name: state
--- a/berylproxy/durable/groups.py
+++ b/berylproxy/durable/groups.py
@@ -19,18 +19,20 @@
 
 def list_groups(service: str, count: int) -> list[str]:
     """Names all groups of a service; one that isn't divided is named as the service."""
-    if count == 1:
-        return [service]
-    return [f"{service}{MARK}{number}" for number in range(count)]
+    return [_name_group(service, count, number) for number in range(count)]
 
 
 def choose_group(service: str, count: int, name: str) -> str:
     """Chooses the group of an endpoint or a job by its name."""
     digest = blake2b(name.encode(), digest_size=8).digest()
-    return list_groups(service, count)[int.from_bytes(digest) % count]
+    return _name_group(service, count, int.from_bytes(digest) % count)
 
 
 def is_settled(counts: Iterable[int]) -> bool:
     """Tells whether two looks at the list saw the same endpoints, so that it may be divided."""
     first, second = counts
     return first == second > 0
+
+
+def _name_group(service: str, count: int, number: int) -> str:
+    return service if count == 1 else f"{service}{MARK}{number}"
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -152,7 +152,7 @@
     best, best_cost_s, best_run_time_s, fastest_s = None, inf, inf, inf
     for endpoint in usable:
         facts = endpoint.facts
-        if step.required_label and step.required_label not in facts.labels:
+        if not _has_label(endpoint, step):
             continue
         if on_endpoints is not None and on_endpoints[facts.life] >= step.max_per_endpoint:
             continue
@@ -191,8 +191,11 @@
 
 def _could_take(endpoint: EndpointState, step: StepSpec) -> bool:
     """Tells whether an endpoint could take a task of a step if it had nothing else to do."""
-    has_label = not step.required_label or step.required_label in endpoint.facts.labels
-    return has_label and step.needs.fits(endpoint.facts.capacity)
+    return _has_label(endpoint, step) and step.needs.fits(endpoint.facts.capacity)
+
+
+def _has_label(endpoint: EndpointState, step: StepSpec) -> bool:
+    return not step.required_label or step.required_label in endpoint.facts.labels
 
 
 def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
--- a/berylproxy/durable/view.py
+++ b/berylproxy/durable/view.py
@@ -7,6 +7,7 @@
 from berylproxy.clock import Clock
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.member import DurableMember
+from berylproxy.peers.membership import describe_member
 from berylproxy.peers.network import TcpPeerNetwork
 
 
@@ -44,12 +45,7 @@
     def _describe_peers(self) -> list[dict[str, Any]]:
         return [
             {
-                "daemon_id": member.identity.daemon_id,
-                "incarnation": member.identity.incarnation,
-                "failure_domain": member.identity.failure_domain,
-                "address": member.identity.peer_address,
-                "status": member.status.value,
-                "ready": member.ready,
+                **describe_member(member),
                 "has_stream": bool(self.network.links(member.identity.incarnation)),
             }
             for member in self.network.members()
--- a/berylproxy/peers/membership.py
+++ b/berylproxy/peers/membership.py
@@ -53,6 +53,19 @@
     changed_s: float = 0.0
 
 
+def describe_member(member: Member) -> dict[str, Any]:
+    """Describes a member for operators."""
+    identity = member.identity
+    return {
+        "daemon_id": identity.daemon_id,
+        "incarnation": identity.incarnation,
+        "failure_domain": identity.failure_domain,
+        "address": identity.peer_address,
+        "status": member.status.value,
+        "ready": member.ready,
+    }
+
+
 class PeerNetwork(Protocol):
     """Streams to the other daemons."""
 
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -6,7 +6,7 @@
 from urllib.parse import unquote
 
 import orjson
-from anyio import Event, create_task_group, fail_after
+from anyio import Event, create_task_group, move_on_after
 from logbook import Logger
 
 from berylproxy.durable.entry import (
@@ -50,6 +50,12 @@
     code = "request_invalid"
 
 
+class BodyTooSlowError(BerylproxyError):
+    """The caller has not sent the whole body in time."""
+
+    code = "body_too_slow"
+
+
 class JobUnsupportedError(BerylproxyError):
     """The job asks for what this version can't do."""
 
@@ -138,6 +144,9 @@
             await self._serve(scope, receive, send)
         except RequestInvalidError as error:
             await self._answer(send, 400, {"error": error.message})
+        except BodyTooSlowError as error:
+            logger.info("request ended: {}", error.message, extra={"path": scope["path"]})
+            await self._answer(send, 408, {"error": error.message}, closes=True)
         except JobUnsupportedError as error:
             logger.warning("job not taken: {}", error.message, extra={"path": scope["path"]})
             await self._answer(send, 503, {"error": error.message})
@@ -175,14 +184,7 @@
         elif len(job_id) != JOB_ID_CHARACTERS:
             await self._answer(send, 404, {"error": "no such job"})
         elif method == "POST":
-            try:
-                with fail_after(LONGEST_BODY_S):
-                    body = await _read_body(receive, configuration.max_body_bytes)
-            except TimeoutError:
-                logger.info("body not received in {} s", LONGEST_BODY_S, extra={"job": job_id})
-                error = f"the body did not come within {LONGEST_BODY_S:g} s"
-                await self._answer(send, 408, {"error": error}, closes=True)
-                return
+            body = await _read_body(receive, configuration.max_body_bytes)
             if route.needs_advice:
                 raise JobUnsupportedError(f"queue {route.terms.queue}: advice is not supported")
             job = decode_job(job_id, route, body)
@@ -344,14 +346,17 @@
 
 async def _read_body(receive: Receive, max_bytes: int) -> bytes:
     body, has_more = bytearray(), True
-    while has_more:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise RequestInvalidError("the caller went away before the end of the body")
-        body += message.get("body", b"")
-        if len(body) > max_bytes:
-            raise RequestInvalidError(f"the body is larger than {max_bytes} bytes")
-        has_more = message.get("more_body", False)
+    with move_on_after(LONGEST_BODY_S):
+        while has_more:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise RequestInvalidError("the caller went away before the end of the body")
+            body += message.get("body", b"")
+            if len(body) > max_bytes:
+                raise RequestInvalidError(f"the body is larger than {max_bytes} bytes")
+            has_more = message.get("more_body", False)
+    if has_more:
+        raise BodyTooSlowError(f"the body did not come within {LONGEST_BODY_S:g} s")
     return bytes(body)
 
 
