Judge kept and other jobs by one admission, and let one kind of wait serve both

holder.py and unkept.py drafted a job, judged it and logged its refusal in the same six lines, and had two classes for callers that wait for a reply.

--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -1,7 +1,8 @@
 """Carries out a group's jobs while this daemon holds the claim on its endpoints."""
 
 from collections.abc import Callable, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from math import inf
 from time import time
 
 from anyio import Event, create_task_group, sleep
@@ -53,7 +54,7 @@
 )
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.durable.tenure import Tenure
-from berylproxy.durable.unkept import RUN_NUMBERS_PER_TENURE, UnkeptJobs
+from berylproxy.durable.unkept import RUN_NUMBERS_PER_TENURE, Admission, UnkeptJobs, Wait
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
     StoreError,
@@ -124,15 +125,6 @@
     return former_fence in (0, inherited.fence) and inherited.endpoint_ids <= listed
 
 
-@dataclass(slots=True, eq=False)
-class Acceptance:
-    """A job that is being stored; its caller may give up meanwhile."""
-
-    ended: Event = field(default_factory=Event)
-    reply: HandInReply | None = None
-    error: StoreError | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class HolderContext:
     """What every tenure of a daemon shares.
@@ -206,12 +198,11 @@
             self.book,
             self.group,
             self._log,
-            self._judge,
-            self._expect,
+            self._admit,
             lambda job, now_s, former: self._unresolved.append(UnresolvedJob(job, now_s, former)),
         )
         self._unresolved: list[UnresolvedJob] = []
-        self._handing_in: dict[str, Acceptance] = {}
+        self._handing_in: dict[str, Wait] = {}
         self._uncertain: set[str] = set()
         self._pauses = PauseDetector(context.clock)
 
@@ -294,14 +285,14 @@
                 job.entry = entry
             return HandInReply()
         else:
-            acceptance = self._handing_in[spec.job_id] = Acceptance()
+            acceptance = self._handing_in[spec.job_id] = Wait()
             self.tenure.spawn(self._conclude, acceptance, spec, entry)
         await acceptance.ended.wait()
         if acceptance.reply is None:
             raise acceptance.error or StoreOutcomeUnknownError("the tenure ended meanwhile")
         return acceptance.reply
 
-    async def _conclude(self, acceptance: Acceptance, spec: JobSpec, entry: str) -> None:
+    async def _conclude(self, acceptance: Wait, spec: JobSpec, entry: str) -> None:
         try:
             acceptance.reply = await self._accept(spec, entry)
         except (StoreError, TenureLostError) as error:
@@ -314,14 +305,11 @@
 
     async def _accept(self, spec: JobSpec, entry: str) -> HandInReply:
         now_s = self._clock.now_s()
-        stored = StoredJob(spec, time())
-        draft = JobBook().open(stored, now_s)
-        draft.expected_s = self._expect(spec)
         is_uncertain = spec.job_id in self._uncertain
-        retry_after_s = None if is_uncertain else self._judge(draft, now_s)
-        if retry_after_s is not None:
-            self._log.note_refused(spec, retry_after_s)
-            return HandInReply(TOO_LATE, retry_after_s)
+        admission = self._admit(spec, inf, is_uncertain)
+        if admission.refusal is not None:
+            return admission.refusal
+        stored = admission.stored
         change = Change(
             absent=(final_key(spec.job_id),),
             written=((open_key(self.tenure.group, spec.job_id), encode_job(stored)),),
@@ -337,10 +325,22 @@
             return HandInReply("the store is not available", SHORTEST_RETRY_AFTER_S)
         self._uncertain.discard(spec.job_id)
         job = self.book.open(stored, now_s, entry=entry)
-        job.expected_s = draft.expected_s
+        job.expected_s = admission.draft.expected_s
         self.group.changed.set()
         return HandInReply()
 
+    def _admit(self, spec: JobSpec, deadline_s: float, must_take: bool) -> Admission:
+        """Judges a job by the load of the moment, unless it must be taken."""
+        now_s = self._clock.now_s()
+        stored = StoredJob(spec, time())
+        draft = JobBook().open(stored, now_s)
+        draft.expected_s, draft.deadline_s = self._expect(spec), deadline_s
+        retry_after_s = None if must_take else self._judge(draft, now_s)
+        if retry_after_s is None:
+            return Admission(stored, draft, None)
+        self._log.note_refused(spec, retry_after_s)
+        return Admission(stored, draft, HandInReply(TOO_LATE, retry_after_s))
+
     def _judge(self, draft: Job, now_s: float) -> float | None:
         if len(self.book.jobs) >= MAX_OPEN_JOBS:
             return SHORTEST_RETRY_AFTER_S
--- a/berylproxy/durable/unkept.py
+++ b/berylproxy/durable/unkept.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from time import time
 
 from anyio import Event
 
@@ -32,9 +31,22 @@
     code = "job_interrupted"
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """A job that was judged by the load, and has not been opened.
+
+    :param draft: with what is expected of it.
+    :param refusal: ``None`` if it may be taken.
+    """
+
+    stored: StoredJob
+    draft: Job
+    refusal: HandInReply | None
+
+
 @dataclass(slots=True, eq=False)
 class Wait:
-    """Callers that wait for the end of a job."""
+    """Callers that wait for the holder's reply; they may give up meanwhile."""
 
     ended: Event = field(default_factory=Event)
     reply: HandInReply | None = None
@@ -44,8 +56,7 @@
 class UnkeptJobs:
     """Takes, ends and gives up a tenure's jobs that aren't kept.
 
-    :param judge: returns after how many seconds a refused job may come back; ``None`` to take it.
-    :param expect: expects the run time of a job's longest chain of steps.
+    :param admit: judges a job by its time limit, and whether it must be taken.
     :param on_reopened: called with a job that a former holder may have begun, the time and that
         holder's fence.
     """
@@ -56,16 +67,14 @@
         book: JobBook,
         group: EndpointGroup,
         log: JobLog,
-        judge: Callable[[Job, float], float | None],
-        expect: Callable[[JobSpec], float],
+        admit: Callable[[JobSpec, float, bool], Admission],
         on_reopened: Callable[[Job, float, int], None],
     ) -> None:
         self._tenure = tenure
         self._book = book
         self._group = group
         self._log = log
-        self._judge = judge
-        self._expect = expect
+        self._admit = admit
         self._on_reopened = on_reopened
         self._waits: dict[str, Wait] = {}
 
@@ -100,18 +109,13 @@
     def _open(self, message: HandIn, entry: str) -> HandInReply | None:
         """Takes a job in; returns the answer if there is one already."""
         spec, now_s = message.job, self._tenure.clock.now_s()
-        stored = StoredJob(spec, time())
-        draft = JobBook().open(stored, now_s)
-        draft.expected_s = self._expect(spec)
-        draft.deadline_s = now_s + message.wait_s
         # A job that an earlier holder took is not refused for a change of holder.
-        retry_after_s = None if message.attempt else self._judge(draft, now_s)
-        if retry_after_s is not None:
-            self._log.note_refused(spec, retry_after_s)
-            return HandInReply(TOO_LATE, retry_after_s)
+        admission = self._admit(spec, now_s + message.wait_s, message.attempt > 0)
+        if admission.refusal is not None:
+            return admission.refusal
         first_run = message.attempt * RUN_NUMBERS_PER_TENURE
-        job = self._book.open(stored, now_s, entry=entry, first_run=first_run)
-        job.expected_s, job.deadline_s = draft.expected_s, draft.deadline_s
+        job = self._book.open(admission.stored, now_s, entry=entry, first_run=first_run)
+        job.expected_s, job.deadline_s = admission.draft.expected_s, admission.draft.deadline_s
         self._group.adopt_orphans(job, now_s)
         if job.is_final:
             return HandInReply(state=job.state.value)
