Adopt runs of durable jobs that endpoints report before the job is loaded

Their runs counted as orphans and their ends were released after 0.2 s; the loaded job started all tasks again. While jobs are being loaded, runs and ends of unknown jobs now stay, and a loaded job adopts them. The two scenarios failed before with 6 runs of 3 tasks.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -64,6 +64,7 @@
 
     :param admit: decides whether to accept a job, given its deadline and whether it must be
         accepted.
+    :param expected_run_time_s: returns the expected run time of a job's longest chain of steps.
     :param on_reopened: called with a job that a former holder may have begun, the monotonic time
         and that holder's fence.
     """
@@ -75,6 +76,7 @@
         group: EndpointGroup,
         log: JobLog,
         admit: Callable[[JobSpec, float, bool], Admission],
+        expected_run_time_s: Callable[[JobSpec], float],
         on_reopened: Callable[[Job, float, int], None],
     ) -> None:
         self._tenure = tenure
@@ -82,6 +84,7 @@
         self._group = group
         self._log = log
         self._admit = admit
+        self._expected_run_time_s = expected_run_time_s
         self._on_reopened = on_reopened
         self._shared_replies: dict[str, SharedReply] = {}
 
@@ -159,7 +162,11 @@
                 continue
             if not is_entry_alive(job.entry):
                 self.drop(job.spec.job_id, "no message received from its entry daemon")
-            elif is_too_late(job, now_s):
+                continue
+            if job.waiting:
+                # Run times that were learned since its acceptance.
+                job.expected_s = self._expected_run_time_s(job.spec)
+            if is_too_late(job, now_s):
                 self._abandon_late(job, now_s)
 
     def _abandon_late(self, job: Job, now_s: float) -> None:
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -60,6 +60,8 @@
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
+    :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
+        ends of unknown jobs may belong to them.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
         that waits for it replaces it by a new event.
     """
@@ -77,6 +79,7 @@
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
+        self.is_loading_jobs = False
         self.has_read_list = False
         self._tenure = tenure
         self._clock = tenure.clock
@@ -477,11 +480,18 @@
         self.changed.set()
 
     def _may_have_orphans(self, endpoint: EndpointState, now_s: float) -> bool:
-        """Returns whether jobs that a former holder ran on an endpoint may be submitted again."""
+        """Returns whether jobs that a former holder ran on an endpoint may become known yet.
+
+        Best-effort jobs may be submitted again, and durable ones may not be loaded yet.
+        """
+        if self.is_loading_jobs:
+            return True
         return endpoint.contacted_s is None or now_s - endpoint.contacted_s < ORPHAN_GRACE_S
 
     def adopt_orphans(self, job: Job, now_s: float) -> None:
         """Applies the runs and ends of a former holder that endpoints have reported for a job."""
+        if job.spec.is_durable:
+            self._retain_orphan_ends(job)
         for endpoint in self.endpoints.values():
             for end in list(endpoint.ends.values()):
                 if end.name.job_id == job.spec.job_id and not job.is_final:
@@ -497,6 +507,17 @@
         if job.is_final:
             self._on_final(job)
 
+    def _retain_orphan_ends(self, job: Job) -> None:
+        """Makes endpoints retain the ends of a durable job until the store holds their effect."""
+        remaining = []
+        for endpoint, number in self._orphan_ends:
+            end = endpoint.ends.get(number)
+            if end is not None and end.name.job_id == job.spec.job_id:
+                self._on_end(endpoint, end)
+            else:
+                remaining.append((endpoint, number))
+        self._orphan_ends = remaining
+
     def release_orphan_ends(self, now_s: float) -> None:
         """Lets endpoints forget the ends of jobs that were not submitted again in time."""
         remaining = []
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -209,6 +209,7 @@
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
         )
+        self.group.is_loading_jobs = claim_revision > 0
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
         self._log = JobLog(tenure, self.job_table)
@@ -218,6 +219,7 @@
             self.group,
             self._log,
             self._admit,
+            self._expected_run_time_s,
             lambda job, now_s, former: self._unresolved.append(UnresolvedJob(job, now_s, former)),
         )
         self._unresolved: list[UnresolvedJob] = []
@@ -262,6 +264,8 @@
                 after_key = entry.key
                 self._load_job(entry.key, entry.value)
         self.is_loaded = True
+        self.group.is_loading_jobs = False
+        self.group.changed.set()
         logger.info(
             "holder of {}: {} open jobs loaded",
             self.tenure.group,
@@ -283,7 +287,9 @@
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
         job = self.job_table.open(stored, now_s - age_s, first_run=first_run)
         job.expected_s = self._expected_run_time_s(stored.spec)
-        self._unresolved.append(UnresolvedJob(job, now_s, 0))
+        self.group.adopt_orphans(job, now_s)
+        if not job.is_final:
+            self._unresolved.append(UnresolvedJob(job, now_s, 0))
 
     async def submit(self, message: JobSubmission, entry: str) -> JobSubmissionReply:
         """Accepts or refuses a job.
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -155,6 +155,12 @@
     And 3 s have passed
     Then 1 runs of job "a" were started
 
+  Scenario: a waiting job is refused by the run times that were learned while it waited
+    Given a group of 1 endpoint whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And 4 jobs of 3 tasks without an estimate are submitted, whose callers wait for 3 s
+    Then the last of these jobs is refused within 2.6 s
+
   Scenario: a late job whose tasks all run is not abandoned
     Given a group of 2 endpoints whose runs take 1.0 s
     When a holder with fence 16 takes over
@@ -201,6 +207,26 @@
     Then durable job "k" is shown as "completed" within 3 s
     And each task of job "k" was done once
 
+  Scenario: endpoints report the runs of a durable job before a new holder has loaded it
+    Given a group of 3 endpoints whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 3 tasks is submitted
+    And the store answers reads of several keys 0.4 s late
+    And a holder with fence 32 takes over after 0.1 s
+    Then durable job "k" is shown as "completed" within 3 s
+    And 3 runs of job "k" were started
+    And each task of job "k" was done once
+
+  Scenario: endpoints report the ends of a durable job's runs before a new holder has loaded it
+    Given a group of 3 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 3 tasks is submitted
+    And the store answers reads of several keys 0.8 s late
+    And a holder with fence 32 takes over after 0.1 s
+    Then durable job "k" is shown as "completed" within 3 s
+    And 3 runs of job "k" were started
+    And the store holds the outcome of job "k" and not the job
+
   Scenario: the reply to the commit of a job is lost, and the commit is repeated
     Given a group of 1 endpoint whose runs take 0.05 s
     And the answer to the next commit is lost
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -12,6 +12,7 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
+from berylproxy.durable.ledger import NotHolderError
 from berylproxy.durable.messages import JobSubmission
 from berylproxy.durable.models import (
     EndKind,
@@ -96,13 +97,14 @@
         objective_s=ANSWER_TIMEOUT_S,
         former_fence=0,
         estimate_s=0.1,
+        wait_s=ANSWER_TIMEOUT_S,
     ) -> None:
         """Submits a job without waiting for the reply."""
         needs = Resources(TASK_CPU_MILLICORES)
         terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=objective_s)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, estimate_s),), is_kept)
         holder = self.holders[fence or self.newest_fence]
-        message = JobSubmission(GROUP, spec, attempt, ANSWER_TIMEOUT_S, former_fence)
+        message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence)
         future = self.portal.start_task_soon(holder.submit, message, ENTRY)
         self.replies.setdefault(name, []).append(future)
         sleep(0.02)
@@ -315,6 +317,23 @@
     context.holder_world.submit(name, int(tasks), objective_s=URGENT_OBJECTIVE_S)
 
 
+@when(
+    r"(?P<count>\d+) jobs of (?P<tasks>\d+) tasks without an estimate are submitted, "
+    r"whose callers wait for (?P<wait_s>\d+) s"
+)
+def step_impl(context, count, tasks, wait_s):
+    context.submitted_s = monotonic()
+    for number in range(int(count)):
+        context.holder_world.submit(f"w{number}", int(tasks), estimate_s=0.0, wait_s=float(wait_s))
+
+
+@then(r"the last of these jobs is refused within (?P<wait_s>[\d.]+) s")
+def step_impl(context, wait_s):
+    reply = list(context.holder_world.replies.values())[-1][-1]
+    remaining_s = context.submitted_s + float(wait_s) - monotonic()
+    assert reply.result(remaining_s).refusal, reply.result()
+
+
 @then(r'job "(?P<name>\w+)" was abandoned within (?P<wait_s>[\d.]+) s')
 def step_impl(context, name, wait_s):
     error = context.holder_world.replies[name][-1].exception(float(wait_s))
@@ -332,6 +351,11 @@
     assert isinstance(error, JobInterruptedError), error
 
 
+@when(r"the store answers reads of several keys (?P<late_s>[\d.]+) s late")
+def step_impl(context, late_s):
+    context.holder_world.store.page_delay_s = float(late_s)
+
+
 @when(r"the job store is unavailable")
 def step_impl(context):
     context.holder_world.store.is_out = True
@@ -394,7 +418,10 @@
     until_s = monotonic() + float(wait_s)
     shown = ""
     while shown != state and monotonic() < until_s:
-        shown = world.portal.call(world.holders[world.newest_fence].find_state, name)
+        try:
+            shown = world.portal.call(world.holders[world.newest_fence].find_state, name)
+        except NotHolderError:
+            shown = "not loaded yet"
         sleep(0.02)
     assert shown == state, shown
 
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -118,6 +118,7 @@
 
     :ivar is_out: whether every call fails without an effect.
     :ivar lost_answers: how many of the next commits take effect without an answer.
+    :ivar page_delay_s: time that a read of several keys takes longer than usual.
     :ivar commits: number of commits that took effect.
     :ivar reads: number of reads by kind: single keys, pages and stale pages.
     """
@@ -127,6 +128,7 @@
     def __init__(self) -> None:
         self.is_out = False
         self.lost_answers = 0
+        self.page_delay_s = 0.0
         self.revision = 10
         self.entries: dict[str, Entry] = {}
         self.commits = 0
@@ -166,7 +168,7 @@
         self, prefix: str, after_key: str, *, may_be_stale: bool = False
     ) -> tuple[tuple[Entry, ...], bool]:
         """Reads all entries below a prefix."""
-        await sleep(0.001)
+        await sleep(0.001 + self.page_delay_s)
         self.reads["stale page" if may_be_stale else "page"] += 1
         if self.is_out:
             raise StoreUnavailableError("out")
