Divide services by what the VMs can carry, and assign endpoints evenly to groups

Cause: on the small twin of the large site one daemon of 0.12 core and 2 Mbit/s ordered all 45 endpoints, as a group had up to 48 endpoints whatever its holder can carry. It drowned, and so did its successors, while 17 daemons stood idle. By a hash of their identifiers, endpoints of many small groups would also be spread unevenly, so that some groups had one endpoint.

The number of groups follows from the cores and links of the VMs now. The stored division names the group of each endpoint; endpoints that are added go to the group with least capacity, and none ever changes its group. One read of the endpoint list serves all groups of a daemon, and standby daemons read it every 10 s instead of 2 s.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -7,9 +7,10 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
-from anyio import Event, create_task_group, sleep
+from anyio import Event, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
 from logbook import Logger
 from msgpack import packb, unpackb
@@ -29,7 +30,16 @@
 )
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.groups import choose_group, count_groups, is_list_stable, list_groups
+from berylproxy.durable.groups import (
+    Division,
+    assign_endpoints,
+    choose_group,
+    count_carried_endpoints,
+    count_groups,
+    group_of_endpoint,
+    is_list_stable,
+    list_groups,
+)
 from berylproxy.durable.holder import (
     HEARTBEAT_INTERVAL_S,
     Holder,
@@ -49,6 +59,7 @@
     PendingReply,
     StateReply,
 )
+from berylproxy.durable.models import EndpointInfo
 from berylproxy.durable.placement import DEFAULT_REMOTE_FACTOR
 from berylproxy.durable.ports import (
     EndpointDirectory,
@@ -74,8 +85,17 @@
 HOLDER_CHECK_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
 CLAIM_RETRY_DELAY_S = 0.15  # after a claim that the store did not answer
+ASSIGNMENT_DELAY_S = 1.5  # per group; a lost holder is replaced within this time
 DIVISION_CHECK_INTERVAL_S = 0.5  # between two reads of the endpoint list, when a service is new
-STANDBY_REFRESH_INTERVAL_S = 2.0  # maximum age of the endpoint list that a new holder starts with
+# Fits the limit of 2 s within which an endpoint that the list shows as leaving must get no more
+# tasks.
+HOLDER_LIST_INTERVAL_S = 0.7
+# Each runner's heartbeat changes its entry, so that the list costs its whole size each time. A
+# standby daemon reads it anew when it becomes a holder.
+STANDBY_LIST_INTERVAL_S = 10.0
+EMPTY_LIST_INTERVAL_S = 0.5
+LIST_RETRY_DELAY_S = 0.05
+MODEL_REFRESH_INTERVAL_S = 2.0  # maximum age of the run times that a new holder starts with
 ENTRY_DAEMON_TIMEOUT_S = 1.0  # two heartbeats between daemons, and their delays
 HOLDER_TIMEOUT_S = 2.0  # no requests are sent to a holder that has been silent for longer
 
@@ -117,6 +137,7 @@
     :ivar known_holders: the newest known holder by group.
     :ivar holders: this daemon's own tenures by group.
     :ivar cores: processor share of this VM.
+    :ivar link_mbps: bandwidth of this VM's link; infinite if it is not known.
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
     :param list_members: returns the failure domains of the daemons that the store lists, by
         daemon identifier.
@@ -145,6 +166,7 @@
         self._directory = directory
         self._clock = clock
         self.cores = cores
+        self.link_mbps = inf
         self.remote_factor = DEFAULT_REMOTE_FACTOR
         self._list_members = list_members
         self._has_store = has_store
@@ -155,7 +177,7 @@
             store,
             directory,
             self._endpoint_list,
-            self.group_of,
+            self.group_of_endpoint,
             clock,
             telemetry,
             self._notify,
@@ -167,9 +189,11 @@
         self._on_jobs_ended = on_jobs_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
-        self._group_counts: dict[str, int] = {}
+        self._divisions: dict[str, Division] = {}
+        self._unassigned_since_s: dict[str, float] = {}
         self._last_provisional_fences: dict[str, int] = {}
         self._task_group: TaskGroup | None = None
+        self._tenure_began = Event()
         network.handle_request(JobSubmission, self._answer_submission)
         network.handle_request(AskState, self._answer_state)
         network.handle_request(CancelStored, self._answer_cancel)
@@ -184,26 +208,43 @@
         """Checks the holders of all groups periodically until cancelled."""
         async with create_task_group() as task_group:
             self._task_group = task_group
-            task_group.start_soon(self._refresh_standby_data)
+            task_group.start_soon(self._refresh_models)
+            task_group.start_soon(self._follow_endpoint_list)
             while True:
                 await sleep(HOLDER_CHECK_INTERVAL_S)
                 for group in list(self.known_holders):
                     self._check_holder(group)
 
-    async def _refresh_standby_data(self) -> None:
-        """Refreshes the data that a new holder starts with, until cancelled.
+    async def _refresh_models(self) -> None:
+        """Refreshes the learned run times that a new holder starts with, until cancelled."""
+        while True:
+            for service in list(self._divisions):
+                await self._load_run_time_models(service)
+            await sleep(MODEL_REFRESH_INTERVAL_S)
+
+    async def _follow_endpoint_list(self) -> None:
+        """Reads the endpoint list regularly until cancelled, and at the beginning of each tenure.
 
-        These are the endpoint list, which holders refresh themselves, and the learned run times.
+        One read serves all groups that this daemon holds.
         """
         while True:
-            if not self.holders:
-                try:
-                    self._endpoint_list.update(await self._directory.fetch(), self._clock.now_s())
-                except StoreError as error:
-                    logger.debug("the endpoint list is unavailable: {}", error.message)
-            for service in list(self._group_counts):
-                await self._load_run_time_models(service)
-            await sleep(STANDBY_REFRESH_INTERVAL_S)
+            tenure_began = self._tenure_began
+            try:
+                endpoints = await self._directory.fetch()
+                if self.holders:
+                    await self._assign_new_endpoints(endpoints)
+            except StoreError as error:
+                logger.debug("the endpoint list is unavailable: {}", error.message)
+                await sleep(LIST_RETRY_DELAY_S if self.holders else EMPTY_LIST_INTERVAL_S)
+                continue
+            self._endpoint_list.update(endpoints, self._clock.now_s())
+            with move_on_after(self._endpoint_list_interval_s()):
+                await tenure_began.wait()
+
+    def _endpoint_list_interval_s(self) -> float:
+        if self.holders:
+            return HOLDER_LIST_INTERVAL_S
+        return STANDBY_LIST_INTERVAL_S if self._endpoint_list.endpoints else EMPTY_LIST_INTERVAL_S
 
     async def _load_run_time_models(self, service: str) -> None:
         """Loads the run times that the holders of a service's groups have learned and stored.
@@ -234,56 +275,116 @@
         :return: whether the groups of all given services are known; if not, call again later.
         :raises StoreError: if the store does not answer.
         """
-        for service in services - set(self._group_counts):
-            count = await self._read_or_create_division(service)
-            if count:
-                for group in list_groups(service, count):
+        for service in services - set(self._divisions):
+            division = await self._read_or_create_division(service)
+            if division is not None:
+                for group in list_groups(service, division.count):
                     await self._follow_group(group)
-                self._group_counts[service] = count
+                self._divisions[service] = division
                 await self._load_run_time_models(service)
-        return services <= set(self._group_counts)
+        return services <= set(self._divisions)
 
     def groups_of(self, service: str) -> list[str]:
-        """Lists the groups of a service; empty until their number is known."""
-        count = self._group_counts.get(service)
-        return list_groups(service, count) if count else []
-
-    def group_of(self, service: str, name: str) -> str:
-        """Returns the group of an endpoint or a job of a service; empty until it is known.
-
-        :param name: the endpoint's or the job's identifier.
-        """
-        count = self._group_counts.get(service)
-        return choose_group(service, count, name) if count else ""
-
-    async def _read_or_create_division(self, service: str) -> int:
-        """Returns the number of groups of a service; stores it if the service is new.
-
-        :return: 0 if the number can't be determined yet: the endpoint list still changes, another
-            daemon has just stored the number, or the stored value is unreadable.
+        """Lists the groups of a service; empty until its division is known."""
+        division = self._divisions.get(service)
+        return list_groups(service, division.count) if division is not None else []
+
+    def group_of(self, service: str, job_id: str) -> str:
+        """Returns the group of a service's job; empty until the division is known."""
+        division = self._divisions.get(service)
+        return choose_group(service, division.count, job_id) if division is not None else ""
+
+    def group_of_endpoint(self, service: str, endpoint_id: str) -> str:
+        """Returns the group of a service's endpoint; empty until it is known."""
+        division = self._divisions.get(service)
+        return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
+
+    async def _read_or_create_division(self, service: str) -> Division | None:
+        """Returns the division of a service; stores it if the service is new.
+
+        :return: ``None`` if it can't be determined yet: the endpoint list still changes, streams
+            to other daemons are still missing, another daemon has just stored the division, or the
+            stored value is unreadable.
         """
         key = division_key(service)
         try:
             entry = await self._store.get(key)
             if entry is not None:
-                return decode_division(entry.value)
-            counts = []
+                return decode_division(entry.value, entry.revision)
+            counts, listed = [], {}
             for _ in range(2):
-                endpoints = await self._directory.fetch()
-                counts.append(sum(info.service == service for info in endpoints))
+                listed = _list_capacities(await self._directory.fetch(), service)
+                counts.append(len(listed))
                 await sleep(DIVISION_CHECK_INTERVAL_S)
-            if not is_list_stable(counts):
-                return 0
-            count = count_groups(counts[0])
-            value = encode_division(count)
-            await self._store.commit(Transaction(((key, 0),), ((key, value),)))
-            logger.info("divided service {} into {} groups", service, count)
-            return count
+            members = self.live_members()
+            if not is_list_stable(counts) or len(members) + 1 < len(self._list_members()):
+                return None
+            division = self._divide(listed, members)
+            await self._store.commit(Transaction(((key, 0),), ((key, encode_division(division)),)))
+            logger.info(
+                "divided service {} into {} groups",
+                service,
+                division.count,
+                extra={"endpoints": len(listed), "daemons": len(members) + 1},
+            )
+            return None  # the next call reads it with its revision
         except TransactionConflictError:
-            return 0  # another daemon has stored the number first; the next call reads it
+            return None  # another daemon has stored the division first; the next call reads it
         except StoredValueError as error:
-            logger.error("cannot read the number of groups of {}: {}", service, error.message)
-            return 0
+            logger.error("cannot read the division of {}: {}", service, error.message)
+            return None
+
+    def _divide(self, listed: dict[str, int], members: list[Member]) -> Division:
+        carried = [count_carried_endpoints(self.cores, self.link_mbps)]
+        carried += [_read_heartbeat_part(member).get("carries", 1) for member in members]
+        count = count_groups(len(listed), carried)
+        return Division(count, assign_endpoints({}, listed, count) if count > 1 else None)
+
+    async def _assign_new_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
+        """Learns, or decides, the groups of listed endpoints that have none yet.
+
+        The holder of a service's first group assigns them. Those of the other groups do so in the
+        order of the groups, if it does not.
+
+        :raises StoreError: if the store does not answer.
+        """
+        now_s, unassigned = self._clock.now_s(), {}
+        for service, division in self._divisions.items():
+            if division.assigned is not None:
+                for info in endpoints:
+                    endpoint_id = info.instance.endpoint_id
+                    if info.service == service and endpoint_id not in division.assigned:
+                        since_s = self._unassigned_since_s.get(endpoint_id, now_s)
+                        unassigned[endpoint_id] = since_s
+        services = {info.service for info in endpoints if info.instance.endpoint_id in unassigned}
+        self._unassigned_since_s = unassigned
+        for service in services:
+            held = [n for n, group in enumerate(self.groups_of(service)) if group in self.holders]
+            longest_s = now_s - min(unassigned.values())
+            if held and longest_s >= held[0] * ASSIGNMENT_DELAY_S:
+                await self._store_assignments(service, _list_capacities(endpoints, service))
+            await self._reload_division(service)
+
+    async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
+        division = self._divisions[service]
+        assigned = assign_endpoints(division.assigned or {}, listed, division.count)
+        key, value = division_key(service), encode_division(Division(division.count, assigned))
+        try:
+            await self._store.commit(Transaction(((key, division.revision),), ((key, value),)))
+        except TransactionConflictError:
+            logger.debug("another daemon has assigned endpoints of {}", service)
+
+    async def _reload_division(self, service: str) -> None:
+        entry = await self._store.get(division_key(service))
+        if entry is None:
+            return
+        try:
+            division = decode_division(entry.value, entry.revision)
+        except StoredValueError as error:
+            logger.error("cannot read the division of {}: {}", service, error.message)
+            return
+        if division.count == self._divisions[service].count:
+            self._divisions[service] = division
 
     async def _follow_group(self, group: str) -> None:
         """Starts to track the holder of a group, at first by its claim in the store."""
@@ -492,6 +593,8 @@
         model = self._models.setdefault(group, RunTimeModel())
         holder = Holder(group, fence, claim_revision, inherited, model, self._context)
         self.holders[group] = holder
+        tenure_began, self._tenure_began = self._tenure_began, Event()
+        tenure_began.set()
         try:
             await holder.run()
         finally:
@@ -567,6 +670,7 @@
     def _describe_for_heartbeat(self) -> dict[str, Any]:
         return {
             "cores": self.cores,
+            "carries": count_carried_endpoints(self.cores, self.link_mbps),
             "holds": self._count_held(),
             "has_store": self._has_store(),
         }
@@ -633,6 +737,15 @@
         return PendingReply(holder.count_pending(message.queue))
 
 
+def _list_capacities(endpoints: tuple[EndpointInfo, ...], service: str) -> dict[str, int]:
+    """Returns the processor capacity of a service's endpoints, in thousandths of a core."""
+    return {
+        info.instance.endpoint_id: info.capacity.cpu_millicores
+        for info in endpoints
+        if info.service == service
+    }
+
+
 def _read_heartbeat_part(member: Member) -> dict[str, Any]:
     """Returns the part of a member's heartbeats that its coordinator provides."""
     return member.heartbeat.get(HEARTBEAT_PART, {})
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from anyio import Event
+
 from berylproxy.durable.models import EndedRun, EndpointInfo, Resources, TaskName
 
 # After the first quarantine, one task of a second or less may show whether the endpoint works.
@@ -15,17 +17,21 @@
 
 @dataclass(slots=True)
 class EndpointList:
-    """The platform's list of endpoints as it was last read.
+    """The platform's list of endpoints as this daemon knows it.
 
-    :ivar read_s: monotonic time of the last read; 0 before the first one.
+    :ivar read_s: monotonic time of the last answer that confirmed the list; 0 before the first one.
+    :ivar confirmed: set at the next answer; a new event then takes its place.
     """
 
     endpoints: tuple[EndpointInfo, ...] = ()
     read_s: float = 0.0
+    confirmed: Event = field(default_factory=Event)
 
     def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
-        """Replaces the list by one that was just read."""
+        """Replaces the list by the one of a new answer."""
         self.endpoints, self.read_s = endpoints, now_s
+        confirmed, self.confirmed = self.confirmed, Event()
+        confirmed.set()
 
 
 @dataclass(slots=True, eq=False)
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -28,11 +28,9 @@
     StartOutcome,
 )
 from berylproxy.durable.tenure import Tenure
-from berylproxy.store.port import StoreUnavailableError
 
-# Fits the limit of 2 s within which an endpoint that the list shows as leaving must get no more
-# tasks.
-DIRECTORY_POLL_INTERVAL_S = 0.7
+# Without an answer about the list for longer, its entries may have lapsed meanwhile.
+MAX_LIST_SILENCE_S = 2.4
 RENEWAL_WAIT_S = 0.3  # leaves time for two more attempts within a lease of 1 s
 # While an endpoint remembers ends of runs whose jobs are open, it answers renewals at once.
 END_POLL_INTERVAL_S = 0.025
@@ -55,7 +53,7 @@
 class EndpointGroup:
     """The endpoints of a group under one tenure.
 
-    :param endpoint_list: this daemon's copy of the platform's list, which the group refreshes.
+    :param endpoint_list: this daemon's copy of the platform's list.
     :param is_in_group: returns whether an endpoint belongs to the group.
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
@@ -97,23 +95,17 @@
         self._list_read_s = tenure.began_s
 
     async def follow_directory(self) -> None:
-        """Reads the list of endpoints periodically until cancelled."""
+        """Applies each answer about the list of endpoints until cancelled."""
         if self._endpoint_list.read_s:
             self._apply_directory(self._endpoint_list.endpoints)
         while True:
-            try:
-                endpoints = await self._directory.fetch()
-                self._endpoint_list.update(endpoints, self._clock.now_s())
-                self._apply_directory(endpoints)
-            except StoreUnavailableError as error:
-                logger.debug("the endpoint list is unavailable: {}", error.message)
-            with move_on_after(DIRECTORY_POLL_INTERVAL_S):
-                await sleep(DIRECTORY_POLL_INTERVAL_S if self.has_read_list else RETRY_PAUSE_S)
+            await self._endpoint_list.confirmed.wait()
+            self._apply_directory(self._endpoint_list.endpoints)
 
     def _apply_directory(self, listed: tuple[EndpointInfo, ...]) -> None:
         """Adds new endpoints, and marks those that have been missing in the list for too long."""
         now_s = self._clock.now_s()
-        was_unavailable = now_s - self._list_read_s > 2 * DIRECTORY_POLL_INTERVAL_S + 1
+        was_unavailable = now_s - self._list_read_s > MAX_LIST_SILENCE_S
         self._list_read_s = now_s
         info_by_instance = {info.instance: info for info in listed if self._is_in_group(info)}
         for instance, info in info_by_instance.items():
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -146,7 +146,8 @@
     """Dependencies that all tenures of a daemon share.
 
     :param endpoint_list: the list of endpoints that this daemon read last.
-    :param group_of: returns the group of an endpoint, given its service and its identifier.
+    :param group_of_endpoint: returns the group of an endpoint, given its service and identifier;
+        empty if it is in none yet.
     :param notify: sends a message without a reply to an incarnation.
     :param members: returns the incarnations of the other live daemons.
     :param may_others_reach_store: returns whether any other daemon may reach the store; ``True``
@@ -160,7 +161,7 @@
     store: JobStore
     directory: EndpointDirectory
     endpoint_list: EndpointList
-    group_of: Callable[[str, str], str]
+    group_of_endpoint: Callable[[str, str], str]
     clock: Clock
     telemetry: Telemetry
     notify: Callable[[str, object], None]
@@ -205,7 +206,8 @@
             context.endpoint_list,
             self.job_table,
             model,
-            lambda info: context.group_of(info.service, info.instance.endpoint_id) == group,
+            lambda info: context.group_of_endpoint(info.service, info.instance.endpoint_id)
+            == group,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
         )
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -6,7 +6,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.groups import MAX_GROUPS
+from berylproxy.durable.groups import MAX_GROUPS, Division
 from berylproxy.durable.models import JobState, StoredJob
 from berylproxy.errors import BerylproxyError
 
@@ -69,27 +69,45 @@
 
 
 def division_key(service: str) -> str:
-    """Returns the key of the number of groups that a service is divided into."""
+    """Returns the key of a service's division into groups."""
     return DIVISION_PREFIX + service
 
 
-def encode_division(count: int) -> bytes:
-    """Encodes a service's number of groups."""
-    return packb({"schema_version": SCHEMA_VERSION, "groups": count})
+def encode_division(division: Division) -> bytes:
+    """Encodes a service's division into groups.
 
-
-def decode_division(value: bytes) -> int:
-    """Decodes a service's number of groups.
-
-    :raises StoredValueError: if the value is not an encoded number of groups within its bounds.
+    One with assigned endpoints lacks "groups", so that daemons of earlier versions, which would
+    assign endpoints by their hash, reject it.
+    """
+    if division.assigned is None:
+        return packb({"schema_version": SCHEMA_VERSION, "groups": division.count})
+    return packb(
+        {
+            "schema_version": SCHEMA_VERSION,
+            "group_count": division.count,
+            "assigned": dict(division.assigned),
+        }
+    )
+
+
+def decode_division(value: bytes, revision: int = 0) -> Division:
+    """Decodes a service's division into groups.
+
+    :param revision: store revision of the record.
+    :raises StoredValueError: if the value is not an encoded division within its bounds.
     """
     try:
-        count = unpackb(value)["groups"]
-    except (ValueError, TypeError, KeyError) as error:
-        raise StoredValueError(f"not a number of groups: {error!r}") from error
+        fields = unpackb(value)
+        assigned = fields.get("assigned")
+        count = fields["groups"] if assigned is None else fields["group_count"]
+        numbers = [] if assigned is None else list(assigned.values())
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise StoredValueError(f"not a division: {error!r}") from error
     if type(count) is not int or not 0 < count <= MAX_GROUPS:
         raise StoredValueError(f"not a valid number of groups: {count!r}")
-    return count
+    if not all(type(number) is int and 0 <= number < count for number in numbers):
+        raise StoredValueError(f"an endpoint is assigned to none of the {count} groups")
+    return Division(count, assigned, revision)
 
 
 def model_key(group: str) -> str:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -102,6 +102,7 @@
             lambda states: self._frontend.record_ended_jobs(states),
             telemetry,
         )
+        self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
         telemetry.add_gauges(self._coordinator.list_group_gauges)
         self._frontend = JobFrontend(
@@ -170,6 +171,7 @@
             self._store.change_address(settings.store_address)
         self._endpoints.longest_lease_s = settings.longest_lease_s
         self._coordinator.cores = settings.cores
+        self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
         self._settings = settings
 
--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -30,6 +30,7 @@
     cpu_share: float = Field(1.0, gt=0)
     cores: float = Field(1.0, gt=0)
     memory_mb: int = Field(256, gt=0)
+    link_mbps: float = Field(1000.0, gt=0)
 
 
 class _Bounds(_Table):
@@ -64,6 +65,7 @@
     :param metrics_address: listen address for metrics and status.
     :param store_address: address of the platform's key-value service.
     :param cores: processor capacity of the VM, in cores of standard speed.
+    :param link_mbps: bandwidth of the VM's link.
     :param stop_grace_s: time from SIGTERM to SIGKILL.
     :param longest_lease_s: longest lease that endpoints grant; "hold-max-ms" in the file.
     :param remote_factor: run time of a task away from its data, relative to its run time near it.
@@ -77,6 +79,7 @@
     metrics_address: str
     store_address: str
     cores: float
+    link_mbps: float
     stop_grace_s: float
     longest_lease_s: float
     remote_factor: float
@@ -115,6 +118,7 @@
         metrics_address=f"{file.ip}:{METRICS_PORT}",
         store_address=file.platform.address,
         cores=file.limits.cpu_share * file.limits.cores,
+        link_mbps=file.limits.link_mbps,
         stop_grace_s=file.bounds.grace_s,
         longest_lease_s=file.bounds.hold_max_ms / 1000,
         remote_factor=file.bounds.remote_factor,
--- a/tests/durable/decisions.feature
+++ b/tests/durable/decisions.feature
@@ -30,6 +30,26 @@
       | 176       | 4      |
       | 1600      | 34     |
 
+  Scenario Outline: the number of groups follows from what the VMs can carry
+    Given a service of <endpoints> endpoints and VMs of <vms>
+    Then it is divided into <groups> groups
+
+    Examples:
+      | endpoints | vms                                                              | groups |
+      | 24        | 6 x 1.07 cores 1000 Mbit/s                                       | 1      |
+      | 45        | 18 x 0.12 cores 2 Mbit/s                                         | 12     |
+      | 270       | 15 x 2.15 cores 200 Mbit/s, 59 x 0.387 cores 20 Mbit/s           | 6      |
+      | 270       | 2 x 2.15 cores 200 Mbit/s, 95 x 0.387 cores 20 Mbit/s            | 21     |
+      | 270       | 97 x 2.15 cores 5 Mbit/s                                         | 16     |
+      | 270       | 3 x 0.12 cores 2 Mbit/s                                          | 68     |
+
+  Scenario: endpoints that are added go to the groups with least capacity
+    Given 45 endpoints of 64 and 96 cores that are assigned to 12 groups
+    Then no group has over 25% more capacity than the mean
+    When 9 of them are removed and 15 endpoints are added
+    Then no group has over 25% more capacity than the mean
+    And no endpoint has changed its group
+
   Scenario: a stored division is read back, and a damaged one is refused
     Then 4 groups are stored and read, and damaged divisions are refused
 
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -1,7 +1,9 @@
 """Steps for the decisions about durable jobs, which need no clock and no network."""
 
+import re
 from collections import Counter
 from dataclasses import replace
+from random import Random
 
 from behave import given, then, use_step_matcher, when
 from hypothesis import given as with_examples
@@ -21,7 +23,15 @@
 )
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.groups import choose_group, count_groups, is_list_stable, list_groups
+from berylproxy.durable.groups import (
+    Division,
+    assign_endpoints,
+    choose_group,
+    count_carried_endpoints,
+    count_groups,
+    is_list_stable,
+    list_groups,
+)
 from berylproxy.durable.job_table import JobTable
 from berylproxy.durable.leases import LeaseClock
 from berylproxy.durable.models import (
@@ -170,7 +180,7 @@
     r"mean"
 )
 def step_impl(context, groups):
-    count = count_groups(context.endpoint_count)
+    count = count_groups(context.endpoint_count, [count_carried_endpoints(2.15, 200)] * 40)
     assert count == int(groups), count
     names = list_groups("ledger", count)
     assert len(set(names)) == count and (count > 1 or names == ["ledger"])
@@ -182,8 +192,17 @@
 
 @then(r"4 groups are stored and read, and damaged divisions are refused")
 def step_impl(context):
-    assert decode_division(encode_division(4)) == 4
-    for damaged in (b"", packb({"groups": 0}), packb({"groups": "4"}), packb({"groups": 1000})):
+    for division in (Division(4), Division(4, {"e1": 0, "e2": 3})):
+        assert decode_division(encode_division(division)) == division
+    assert decode_division(packb({"schema_version": 1, "groups": 4}), 7) == Division(4, None, 7)
+    for damaged in (
+        b"",
+        packb({"groups": 0}),
+        packb({"groups": "4"}),
+        packb({"groups": 1000}),
+        packb({"group_count": 4, "assigned": {"e1": 4}}),
+        packb({"group_count": 4, "assigned": [1]}),
+    ):
         try:
             decode_division(damaged)
         except StoredValueError:
@@ -191,6 +210,52 @@
         raise AssertionError(damaged)
 
 
+@given(r"a service of (?P<endpoints>\d+) endpoints and VMs of (?P<vms>.+)")
+def step_impl(context, endpoints, vms):
+    context.endpoint_count = int(endpoints)
+    context.carried = []
+    for part in vms.split(", "):
+        count, cores, link_mbps = re.fullmatch(
+            r"(\d+) x ([\d.]+) cores ([\d.]+) Mbit/s", part
+        ).groups()
+        context.carried += [count_carried_endpoints(float(cores), float(link_mbps))] * int(count)
+
+
+@then(r"it is divided into (?P<groups>\d+) groups")
+def step_impl(context, groups):
+    assert count_groups(context.endpoint_count, context.carried) == int(groups)
+
+
+@given(r"(?P<count>\d+) endpoints of 64 and 96 cores that are assigned to (?P<groups>\d+) groups")
+def step_impl(context, count, groups):
+    context.listed = {f"e{n}": (64, 64, 96)[n % 3] for n in range(int(count))}
+    context.group_count = int(groups)
+    context.assigned = assign_endpoints({}, context.listed, context.group_count)
+
+
+@when(r"(?P<removed>\d+) of them are removed and (?P<added>\d+) endpoints are added")
+def step_impl(context, removed, added):
+    context.former = dict(context.assigned)
+    for endpoint_id in Random(1).sample(sorted(context.listed), int(removed)):
+        del context.listed[endpoint_id]
+    context.listed |= {f"n{n}": 64 for n in range(int(added))}
+    context.assigned = assign_endpoints(context.assigned, context.listed, context.group_count)
+
+
+@then(r"no group has over (?P<percent>\d+)% more capacity than the mean")
+def step_impl(context, percent):
+    capacities = Counter()
+    for endpoint_id, capacity in context.listed.items():
+        capacities[context.assigned[endpoint_id]] += capacity
+    mean = capacities.total() / context.group_count
+    assert max(capacities.values()) <= mean * (1 + int(percent) / 100), capacities
+
+
+@then(r"no endpoint has changed its group")
+def step_impl(context):
+    assert context.former.items() <= context.assigned.items()
+
+
 @given(r"reads of the endpoint list that found (?P<first>\d+) and (?P<second>\d+) endpoints")
 def step_impl(context, first, second):
     context.is_settled = is_list_stable([int(first), int(second)])
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -3,6 +3,7 @@
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
+from anyio import sleep as anyio_sleep
 from anyio.from_thread import start_blocking_portal
 from behave import given, then, use_step_matcher, when
 
@@ -26,7 +27,11 @@
 from berylproxy.durable.records import FINAL_PREFIX, claim_key, encode_final, final_key, open_key
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.store.port import Entry
-from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
+from tests.support.endpoint_world import (
+    FakeDirectory,
+    FakeJobStore,
+    make_endpoint,
+)
 from tests.support.runs import find_overlaps
 
 GROUP = "ledger"
@@ -36,6 +41,7 @@
 ANSWER_TIMEOUT_S = 10.0
 URGENT_OBJECTIVE_S = 0.1
 FENCES_PER_REVISION = 16
+LIST_INTERVAL_S = 0.1
 
 
 class HolderWorld:
@@ -47,6 +53,7 @@
             endpoint.run_time_s = run_time_s
         self.store = FakeJobStore()
         self.directory = FakeDirectory(self.endpoints)
+        self.endpoint_list = EndpointList()
         self.holders: dict[int, Holder] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
@@ -54,6 +61,13 @@
         self.endpoint_ids = frozenset(e.info.instance.endpoint_id for e in self.endpoints)
         self.portal_context = start_blocking_portal()
         self.portal = self.portal_context.__enter__()
+        self.following = self.portal.start_task_soon(self.follow_endpoint_list)
+
+    async def follow_endpoint_list(self) -> None:
+        """Keeps the list that all holders share up to date."""
+        while True:
+            self.endpoint_list.update(await self.directory.fetch(), monotonic())
+            await anyio_sleep(LIST_INTERVAL_S)
 
     def take_over(self, fence: int, inherited: InheritedEndpoints | None = None) -> None:
         """Starts a holder, under a claim of its own unless the fence is a provisional one.
@@ -71,7 +85,7 @@
             HolderContext(
                 self.store,
                 self.directory,
-                EndpointList(),
+                self.endpoint_list,
                 lambda service, name: service,
                 MonotonicClock(),
                 Telemetry(),
@@ -120,6 +134,7 @@
 
     def close(self) -> None:
         """Ends all holders."""
+        self.following.cancel()
         for holder in self.holders.values():
             self.portal.call(holder.tenure.end, "the scenario is over")
         self.portal_context.__exit__(None, None, None)
@@ -201,6 +216,7 @@
     sleep(0.2)
     world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
     world.directory.endpoints = world.endpoints[1:]
+    sleep(2 * LIST_INTERVAL_S)
 
 
 @when(
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -8,7 +8,7 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.coordinator import GroupCoordinator
 from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.groups import list_groups
+from berylproxy.durable.groups import Division, list_groups
 from berylproxy.durable.records import division_key, encode_division, encode_model, model_key
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
@@ -45,7 +45,7 @@
 @given(r"a standby daemon of a service with 170 endpoints whose 4 groups are held by other daemons")
 def step_impl(context):
     context.store = FakeJobStore()
-    write(context.store, division_key(SERVICE), encode_division(GROUPS))
+    write(context.store, division_key(SERVICE), encode_division(Division(GROUPS)))
     model = RunTimeModel()
     for _ in range(LEARNED_TASKS):
         model.learn(QUEUE, 0.0, "e1", LEARNED_RUN_TIME_S)
@@ -75,7 +75,7 @@
         assert await context.coordinator.follow_services({SERVICE})
         context.reads_at_start = context.store.reads["key"]
         with move_on_after(float(time_s)):
-            await context.coordinator._refresh_standby_data()
+            await context.coordinator._refresh_models()
 
     run(refresh)
 
