Deliver the last replies of a stopping daemon whole

A socket that is closed with unread data, such as heartbeats of the other daemon, is reset, and what the other has not read is lost. A drain now ends this side's sending and waits, within its timeout, until the other side has read everything and ended the stream.

--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -102,6 +102,7 @@
         self._wakeup = Event()
         self._scope = CancelScope()
         self._closed = False
+        self._is_finishing = False
         self._ended = Event()
 
     @property
@@ -145,6 +146,21 @@
         for pending_request in pending_requests.values():
             pending_request.event.set()
 
+    async def finish(self) -> None:
+        """Ends this side's sending, and waits until the other side has read everything.
+
+        The other side then ends the stream. A socket that is closed with unread data is reset, and
+        what the other side has not read yet is lost.
+        """
+        if self._closed:
+            return
+        self._is_finishing = True
+        try:
+            await self._stream.send_eof()
+        except STREAM_ENDED_ERRORS:
+            self.close()
+        await self._ended.wait()
+
     async def wait_closed(self) -> None:
         """Waits until the stream has ended and its socket is closed."""
         await self._ended.wait()
@@ -183,7 +199,8 @@
             self._enqueue(frame)
         except PeerUnreachableError:
             self._counters.dropped_replies += 1
-            if not self._closed and isinstance(frame, ReplyFrame):
+            is_open = not (self._closed or self._is_finishing)
+            if is_open and isinstance(frame, ReplyFrame):
                 self._send_undeliverable_refusal(frame.request_id)
 
     def _send_undeliverable_refusal(self, request_id: int) -> None:
@@ -212,7 +229,7 @@
 
     def _enqueue(self, frame: Frame, pending_request: _PendingRequest | None = None) -> None:
         name = self.identity.daemon_id
-        if self._closed:
+        if self._closed or self._is_finishing:
             raise PeerUnreachableError(f"the stream to daemon {name!r} has ended")
         data = self._codec.encode(frame)
         if len(data) > self._settings.max_message_bytes:
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -191,13 +191,16 @@
             self.notify(incarnation, LeaveNotice())
 
     async def drain(self, timeout_s: float) -> bool:
-        """Waits until all received requests are answered and all queues are written.
+        """Waits until all received requests are answered and the others have read the replies.
 
         :returns: whether that was the case within the timeout.
         """
         with move_on_after(timeout_s):
             while self._is_busy():  # noqa: ASYNC110 - polls many streams, only at shutdown
                 await sleep(DRAIN_INTERVAL_S)
+            async with create_task_group() as task_group:
+                for link in list(self._accepted.values()):
+                    task_group.start_soon(link.finish)
         return not self._is_busy()
 
     async def run(self, *, task_status: TaskStatus[str] = TASK_STATUS_IGNORED) -> None:
--- a/tests/peers/streams.feature
+++ b/tests/peers/streams.feature
@@ -63,6 +63,11 @@
     When "a" has asked "b" for "later" and "b" drains its streams
     Then "b" is drained only when "a" has received its peer answer
 
+  Scenario: A daemon that stops delivers a large reply to one that reads slowly and goes on sending
+    Given two peers "a" and "b" that know each other and never time out
+    When "a" reads slowly, asks "b" for 7000000 letters in reply, sends on, and "b" drains and stops
+    Then "a" has received the whole reply
+
   Scenario: A message of the greatest size passes among others
     Given two peers "a" and "b" that know each other
     When "a" sends "b" the largest notice among 100 small ones and a request
--- a/tests/steps/peers_streams_steps.py
+++ b/tests/steps/peers_streams_steps.py
@@ -1,5 +1,7 @@
 """Steps for requests and notices between daemons."""
 
+from unittest.mock import patch
+
 import anyio
 from anyio import create_task_group, fail_after
 from behave import given, then, when
@@ -27,6 +29,9 @@
     wait,
 )
 
+SLOW_READ_S = 0.005
+DRAIN_TIMEOUT_S = 5.0
+
 
 @given('two peers "{first}" and "{second}" that know each other')
 def step_two_peers(context, first, second):
@@ -252,6 +257,54 @@
     assert sorted(map(str, context.drain_events[1:])) == ["True", "answered"], context.drain_events
 
 
+@when(
+    '"{first}" reads slowly, asks "{second}" for {count:d} letters in reply, sends on, and '
+    '"{draining}" drains and stops'
+)
+def step_drain_large(context, first, second, count, draining):
+    asking, asked = context.peers[first], context.peers[second]
+    link = asking.network._dialled[asked.incarnation]
+    receive = link._stream.receive
+
+    async def receive_slowly(max_bytes):
+        await anyio.sleep(SLOW_READ_S)
+        return await receive(max_bytes)
+
+    async def request():
+        reply = await asking.network.request(
+            asked.incarnation, Question(str(count)), STEP_TIMEOUT_S
+        )
+        context.reply_letters = len(reply.text)
+        task_group.cancel_scope.cancel()
+
+    async def send_on():
+        while True:
+            asking.network.notify(asked.incarnation, News("still here"))
+            await anyio.sleep(0.001)
+
+    async def stop():
+        await asked.question_received.wait()
+        await asked.network.drain(DRAIN_TIMEOUT_S)
+        await asked.stop()
+
+    async def do_all():
+        nonlocal task_group
+        with fail_after(STEP_TIMEOUT_S), patch.object(link._stream, "receive", receive_slowly):
+            async with create_task_group() as task_group:
+                task_group.start_soon(request)
+                task_group.start_soon(send_on)
+                task_group.start_soon(stop)
+
+    task_group = None
+    context.reply_letters, context.asked_letters = 0, count
+    call(context, do_all)
+
+
+@then('"{name}" has received the whole reply')
+def step_whole_reply(context, name):
+    assert context.reply_letters == context.asked_letters, context.reply_letters
+
+
 @when('"{first}" sends "{second}" the largest notice among {count:d} small ones and a request')
 def step_send_greatest(context, first, second, count):
     sender, receiver = context.peers[first], context.peers[second]
--- a/tests/support/peer_networks.py
+++ b/tests/support/peer_networks.py
@@ -140,6 +140,9 @@
         if question.text == "later":
             self.question_received.set()
             await self.answer_allowed.wait()
+        if question.text.isdigit():
+            self.question_received.set()
+            return Answer("x" * int(question.text))
         return Answer(question.text)
 
 
