--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -32,18 +32,10 @@
     should_claim,
     yields_to_equal,
 )
+from berylproxy.durable.divisions import ServiceDivisions
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.groups import (
-    Division,
-    assign_endpoints,
-    choose_group,
-    count_carried_endpoints,
-    count_groups,
-    group_of_endpoint,
-    is_list_stable,
-    list_groups,
-)
+from berylproxy.durable.groups import count_carried_endpoints
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import (
@@ -58,7 +50,7 @@
     PendingReply,
     StateReply,
 )
-from berylproxy.durable.models import EndpointInfo, JobSpec
+from berylproxy.durable.models import JobSpec
 from berylproxy.durable.placement import DEFAULT_REMOTE_FACTOR
 from berylproxy.durable.ports import (
     EndpointDirectory,
@@ -70,9 +62,6 @@
     StoredValueError,
     adopt_model,
     claim_key,
-    decode_division,
-    division_key,
-    encode_division,
     model_key,
 )
 from berylproxy.durable.routing import (
@@ -90,8 +79,6 @@
 HOLDER_CHECK_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
 CLAIM_RETRY_DELAY_S = 0.15  # after a claim that the store did not answer
-ASSIGNMENT_DELAY_S = 1.5  # per group; a lost holder is replaced within this time
-DIVISION_CHECK_INTERVAL_S = 0.5  # between two reads of the endpoint list, when a service is new
 # Fits the limit of 2 s within which an endpoint that the list shows as leaving must get no more
 # tasks.
 HOLDER_LIST_INTERVAL_S = 0.7
@@ -146,6 +133,7 @@
 
     :ivar known_holders: the newest known holder by group.
     :ivar holders: this daemon's own tenures by group.
+    :ivar divisions: the divisions of the services into groups.
     :ivar cores: processor share of this VM.
     :ivar link_mbps: bandwidth of this VM's link; infinite if it is not known.
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
@@ -183,11 +171,14 @@
         self._endpoint_list = EndpointList()
         self._claim_paused_until_s: dict[str, float] = {}
         self._telemetry = telemetry
+        self.divisions = ServiceDivisions(
+            store, directory, clock, self._list_carried, self._reaches_all_members
+        )
         self._context = HolderContext(
             store,
             directory,
             self._endpoint_list,
-            self.group_of_endpoint,
+            self.divisions.group_of_endpoint,
             clock,
             telemetry,
             self._notify,
@@ -200,9 +191,8 @@
         self._on_jobs_ended = on_jobs_ended
         self._models: dict[str, RunTimeModel] = {}
         self._claiming: set[str] = set()
-        self._divisions: dict[str, Division] = {}
+        self._followed_services: set[str] = set()
         self._random = Random()
-        self._unassigned_since_s: dict[str, float] = {}
         self._last_provisional_fences: dict[str, int] = {}
         self._task_group: TaskGroup | None = None
         self._tenure_began = Event()
@@ -230,7 +220,7 @@
     async def _refresh_models(self) -> None:
         """Refreshes the learned run times that a new holder starts with, until cancelled."""
         while True:
-            for service in list(self._divisions):
+            for service in list(self._followed_services):
                 await self._load_run_time_models(service)
             await sleep(MODEL_REFRESH_INTERVAL_S)
 
@@ -244,7 +234,7 @@
             try:
                 endpoints = await self._directory.fetch()
                 if self.holders:
-                    await self._assign_new_endpoints(endpoints)
+                    await self.divisions.assign_new_endpoints(endpoints, self.holders.keys())
             except StoreError as error:
                 logger.debug("the endpoint list is unavailable: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S if self.holders else EMPTY_LIST_INTERVAL_S)
@@ -264,7 +254,7 @@
         One read of a key prefix, which may be stale and so is cheap, covers all groups. The prefix
         also matches services whose names begin with this service's name; these are skipped.
         """
-        groups = {model_key(group): group for group in self.groups_of(service)}
+        groups = {model_key(group): group for group in self.divisions.groups_of(service)}
         try:
             entries, _ = await self._store.list_page(model_key(service), "", may_be_stale=True)
         except StoreError as error:
@@ -287,33 +277,22 @@
         :return: whether the groups of all given services are known; if not, call again later.
         :raises StoreError: if the store does not answer.
         """
-        for service in services - set(self._divisions):
-            division = await self._read_or_create_division(service)
-            if division is not None:
-                for group in list_groups(service, division.count):
+        for service in services - self._followed_services:
+            if await self.divisions.load(service):
+                for group in self.divisions.groups_of(service):
                     await self._follow_group(group)
-                self._divisions[service] = division
+                self._followed_services.add(service)
                 await self._load_run_time_models(service)
-        return services <= set(self._divisions)
-
-    def groups_of(self, service: str) -> list[str]:
-        """Lists the groups of a service; empty until its division is known."""
-        division = self._divisions.get(service)
-        return list_groups(service, division.count) if division is not None else []
-
-    def group_of(self, service: str, job_id: str) -> str:
-        """Returns the group of a service's job; empty until the division is known."""
-        division = self._divisions.get(service)
-        return choose_group(service, division.count, job_id) if division is not None else ""
+        return services <= self._followed_services
 
     def route_job(self, spec: JobSpec, refused_by: Set[str]) -> GroupChoice:
         """Returns the group to submit a best-effort job to; an empty one if none is known yet.
 
         :param refused_by: groups that have refused the job.
         """
-        own_group = self.group_of(spec.terms.service, spec.job_id)
+        own_group = self.divisions.group_of_job(spec.terms.service, spec.job_id)
         rooms = {}
-        for group in self.groups_of(spec.terms.service):
+        for group in self.divisions.groups_of(spec.terms.service):
             room_millicores = self._room_millicores(group)
             if room_millicores is not None:
                 rooms[group] = room_millicores
@@ -335,7 +314,7 @@
         needed_millicores = count_needed_millicores(spec)
         return any(
             (self._room_millicores(group) or 0) >= needed_millicores
-            for group in self.groups_of(spec.terms.service)
+            for group in self.divisions.groups_of(spec.terms.service)
             if group not in refused_by
         )
 
@@ -349,98 +328,6 @@
             return None
         return known.room_millicores
 
-    def group_of_endpoint(self, service: str, endpoint_id: str) -> str:
-        """Returns the group of a service's endpoint; empty until it is known."""
-        division = self._divisions.get(service)
-        return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
-
-    async def _read_or_create_division(self, service: str) -> Division | None:
-        """Returns the division of a service; stores it if the service is new.
-
-        :return: ``None`` if it can't be determined yet: the endpoint list still changes, streams
-            to other daemons are still missing, another daemon has just stored the division, or the
-            stored value is unreadable.
-        """
-        key = division_key(service)
-        try:
-            entry = await self._store.get(key)
-            if entry is not None:
-                return decode_division(entry.value, entry.revision)
-            counts, listed = [], {}
-            for _ in range(2):
-                listed = _list_capacities(await self._directory.fetch(), service)
-                counts.append(len(listed))
-                await sleep(DIVISION_CHECK_INTERVAL_S)
-            members = self.live_members()
-            if not is_list_stable(counts) or len(members) + 1 < len(self._list_members()):
-                return None
-            division = self._divide(listed, members)
-            await self._store.commit(Transaction(((key, 0),), ((key, encode_division(division)),)))
-            logger.info(
-                "divided service {} into {} groups",
-                service,
-                division.count,
-                extra={"endpoints": len(listed), "daemons": len(members) + 1},
-            )
-            return None  # the next call reads it with its revision
-        except TransactionConflictError:
-            return None  # another daemon has stored the division first; the next call reads it
-        except StoredValueError as error:
-            logger.error("cannot read the division of {}: {}", service, error.message)
-            return None
-
-    def _divide(self, listed: dict[str, int], members: list[Member]) -> Division:
-        carried = [count_carried_endpoints(self.cores, self.link_mbps)]
-        carried += [_read_heartbeat_part(member).get("carries", 1) for member in members]
-        count = count_groups(len(listed), carried)
-        return Division(count, assign_endpoints({}, listed, count) if count > 1 else None)
-
-    async def _assign_new_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
-        """Learns, or decides, the groups of listed endpoints that have none yet.
-
-        The holder of a service's first group assigns them. Those of the other groups do so in the
-        order of the groups, if it does not.
-
-        :raises StoreError: if the store does not answer.
-        """
-        now_s, unassigned = self._clock.now_s(), {}
-        for service, division in self._divisions.items():
-            if division.assigned is not None:
-                for info in endpoints:
-                    endpoint_id = info.instance.endpoint_id
-                    if info.service == service and endpoint_id not in division.assigned:
-                        since_s = self._unassigned_since_s.get(endpoint_id, now_s)
-                        unassigned[endpoint_id] = since_s
-        services = {info.service for info in endpoints if info.instance.endpoint_id in unassigned}
-        self._unassigned_since_s = unassigned
-        for service in services:
-            held = [n for n, group in enumerate(self.groups_of(service)) if group in self.holders]
-            longest_s = now_s - min(unassigned.values())
-            if held and longest_s >= held[0] * ASSIGNMENT_DELAY_S:
-                await self._store_assignments(service, _list_capacities(endpoints, service))
-            await self._reload_division(service)
-
-    async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
-        division = self._divisions[service]
-        assigned = assign_endpoints(division.assigned or {}, listed, division.count)
-        key, value = division_key(service), encode_division(Division(division.count, assigned))
-        try:
-            await self._store.commit(Transaction(((key, division.revision),), ((key, value),)))
-        except TransactionConflictError:
-            logger.debug("another daemon has assigned endpoints of {}", service)
-
-    async def _reload_division(self, service: str) -> None:
-        entry = await self._store.get(division_key(service))
-        if entry is None:
-            return
-        try:
-            division = decode_division(entry.value, entry.revision)
-        except StoredValueError as error:
-            logger.error("cannot read the division of {}: {}", service, error.message)
-            return
-        if division.count == self._divisions[service].count:
-            self._divisions[service] = division
-
     async def _follow_group(self, group: str) -> None:
         """Starts to track the holder of a group, at first by its claim in the store."""
         known = self.known_holders.setdefault(group, KnownHolder(last_seen_s=self._clock.now_s()))
@@ -688,6 +575,15 @@
             return True
         return self._network.time_since_message_s(incarnation) < ENTRY_DAEMON_TIMEOUT_S
 
+    def _list_carried(self) -> list[int]:
+        """Lists how many endpoints this VM and those of the live members can carry."""
+        own = count_carried_endpoints(self.cores, self.link_mbps)
+        return [own, *(_read_heartbeat_part(m).get("carries", 1) for m in self.live_members())]
+
+    def _reaches_all_members(self) -> bool:
+        """Returns whether there are streams to all other daemons that the store lists."""
+        return len(self.live_members()) + 1 >= len(self._list_members())
+
     def _list_watchers(self, group: str) -> list[str]:
         """Lists the incarnations of the daemons that would hold a group next."""
         members = {
@@ -805,15 +701,6 @@
         return PendingReply(holder.count_pending(message.queue))
 
 
-def _list_capacities(endpoints: tuple[EndpointInfo, ...], service: str) -> dict[str, int]:
-    """Returns the processor capacity of a service's endpoints, in thousandths of a core."""
-    return {
-        info.instance.endpoint_id: info.capacity.cpu_millicores
-        for info in endpoints
-        if info.service == service
-    }
-
-
 def _read_heartbeat_part(member: Member) -> dict[str, Any]:
     """Returns the part of a member's heartbeats that its coordinator provides."""
     return member.heartbeat.get(HEARTBEAT_PART, {})
--- /dev/null
+++ b/berylproxy/durable/divisions.py
@@ -0,0 +1,180 @@
+"""Reads, creates and extends the stored divisions of services into groups."""
+
+from collections.abc import Callable, Set
+
+from anyio import sleep
+from logbook import Logger
+
+from berylproxy.clock import Clock
+from berylproxy.durable.groups import (
+    Division,
+    assign_endpoints,
+    choose_group,
+    count_groups,
+    group_of_endpoint,
+    is_list_stable,
+    list_groups,
+)
+from berylproxy.durable.models import EndpointInfo
+from berylproxy.durable.ports import (
+    EndpointDirectory,
+    JobStore,
+    Transaction,
+    TransactionConflictError,
+)
+from berylproxy.durable.records import (
+    StoredValueError,
+    decode_division,
+    division_key,
+    encode_division,
+)
+
+ASSIGNMENT_DELAY_S = 1.5  # per group; a lost holder is replaced within this time
+LIST_CHECK_INTERVAL_S = 0.5  # between two reads of the endpoint list, when a service is new
+
+logger = Logger(__name__)
+
+
+class ServiceDivisions:
+    """The divisions that this daemon knows.
+
+    What it knows may be old: then some endpoints have no group yet, but none has another one.
+
+    :param list_carried: returns how many endpoints each known VM can carry.
+    :param reaches_all_members: returns whether the other daemons are known well enough for that.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        directory: EndpointDirectory,
+        clock: Clock,
+        list_carried: Callable[[], list[int]],
+        reaches_all_members: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._clock = clock
+        self._list_carried = list_carried
+        self._reaches_all_members = reaches_all_members
+        self._divisions: dict[str, Division] = {}
+        self._unassigned_since_s: dict[str, float] = {}
+
+    def groups_of(self, service: str) -> list[str]:
+        """Lists the groups of a service; empty until its division is known."""
+        division = self._divisions.get(service)
+        return list_groups(service, division.count) if division is not None else []
+
+    def group_of_job(self, service: str, job_id: str) -> str:
+        """Returns the group of a service's job; empty until the division is known."""
+        division = self._divisions.get(service)
+        return choose_group(service, division.count, job_id) if division is not None else ""
+
+    def group_of_endpoint(self, service: str, endpoint_id: str) -> str:
+        """Returns the group of a service's endpoint; empty until it is known."""
+        division = self._divisions.get(service)
+        return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
+
+    async def load(self, service: str) -> bool:
+        """Reads the division of a service; creates it if the service is new.
+
+        :return: whether it is known now. It can't be yet if the endpoint list still changes,
+            streams to other daemons are missing, a division has just been stored, or the stored
+            value is unreadable.
+        :raises StoreError: if the store does not answer.
+        """
+        try:
+            entry = await self._store.get(division_key(service))
+            if entry is not None:
+                self._divisions[service] = decode_division(entry.value, entry.revision)
+                return True
+            await self._create(service)
+        except TransactionConflictError:
+            logger.debug("another daemon has divided service {}", service)
+        except StoredValueError as error:
+            logger.error("cannot read the division of {}: {}", service, error.message)
+        return False
+
+    async def _create(self, service: str) -> None:
+        counts, listed = [], {}
+        for _ in range(2):
+            listed = _list_capacities(await self._directory.fetch(), service)
+            counts.append(len(listed))
+            await sleep(LIST_CHECK_INTERVAL_S)
+        if not is_list_stable(counts) or not self._reaches_all_members():
+            return
+        carried = self._list_carried()
+        count = count_groups(len(listed), carried)
+        division = Division(count, assign_endpoints({}, listed, count) if count > 1 else None)
+        key = division_key(service)
+        await self._store.commit(Transaction(((key, 0),), ((key, encode_division(division)),)))
+        logger.info(
+            "divided service {} into {} groups",
+            service,
+            count,
+            extra={"endpoints": len(listed), "daemons": len(carried)},
+        )
+
+    async def assign_new_endpoints(
+        self, endpoints: tuple[EndpointInfo, ...], held_groups: Set[str]
+    ) -> None:
+        """Learns, or decides, the groups of listed endpoints that have none yet.
+
+        The holder of a service's first group assigns them. Those of the other groups do so in the
+        order of the groups, if it does not.
+
+        :param held_groups: groups that this daemon holds.
+        :raises StoreError: if the store does not answer.
+        """
+        now_s, since_s = self._clock.now_s(), {}
+        services = set()
+        for info in endpoints:
+            division, endpoint_id = self._divisions.get(info.service), info.instance.endpoint_id
+            if division is None or division.assigned is None or endpoint_id in division.assigned:
+                continue
+            since_s[endpoint_id] = self._unassigned_since_s.get(endpoint_id, now_s)
+            services.add(info.service)
+        self._unassigned_since_s = since_s
+        for service in services:
+            groups = self.groups_of(service)
+            held = [number for number, group in enumerate(groups) if group in held_groups]
+            waited_s = now_s - min(since_s.values())
+            if held and waited_s >= held[0] * ASSIGNMENT_DELAY_S:
+                await self._store_assignments(service, _list_capacities(endpoints, service))
+            await self._reload(service)
+
+    async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
+        division = self._divisions[service]
+        assigned = assign_endpoints(division.assigned or {}, listed, division.count)
+        key, value = division_key(service), encode_division(Division(division.count, assigned))
+        try:
+            await self._store.commit(Transaction(((key, division.revision),), ((key, value),)))
+        except TransactionConflictError:
+            logger.debug("another daemon has assigned endpoints of {}", service)
+            return
+        logger.info(
+            "assigned {} endpoints of service {} to groups",
+            len(assigned) - len(division.assigned or {}),
+            service,
+        )
+
+    async def _reload(self, service: str) -> None:
+        entry = await self._store.get(division_key(service))
+        if entry is None:
+            return
+        try:
+            division = decode_division(entry.value, entry.revision)
+        except StoredValueError as error:
+            logger.error("cannot read the division of {}: {}", service, error.message)
+            return
+        if division.count == self._divisions[service].count:
+            self._divisions[service] = division
+
+
+def _list_capacities(endpoints: tuple[EndpointInfo, ...], service: str) -> dict[str, int]:
+    """Returns the processor capacity of a service's endpoints, in thousandths of a core."""
+    return {
+        info.instance.endpoint_id: info.capacity.cpu_millicores
+        for info in endpoints
+        if info.service == service
+    }
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -167,7 +167,7 @@
             if remaining_s <= 0 or (not may_be_stored and elapsed_s > NO_HOLDER_WAIT_S):
                 break
             message = JobSubmission(
-                self._coordinator.group_of(spec.terms.service, spec.job_id), spec
+                self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id), spec
             )
             try:
                 reply = await self._send_submission(message, min(remaining_s, SUBMIT_TIMEOUT_S))
@@ -202,7 +202,7 @@
 
     def _log_unanswered(self, spec: JobSpec, started_s: float, may_have_arrived: bool) -> None:
         """Logs that a submission is abandoned because no holder replied in time."""
-        group = self._coordinator.group_of(spec.terms.service, spec.job_id)
+        group = self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id)
         logger.info(
             "job abandoned: no holder answered in time",
             extra={
@@ -281,7 +281,7 @@
 
     def _groups_of(self, services: list[str], job_id: str) -> list[str]:
         """Lists the group that the job would belong to in each service."""
-        groups = [self._coordinator.group_of(service, job_id) for service in services]
+        groups = [self._coordinator.divisions.group_of_job(service, job_id) for service in services]
         if not all(groups):
             raise ResultUnknownError("the groups of a service are not known yet")
         return groups
@@ -300,7 +300,7 @@
 
         :raises ResultUnknownError: if the number can't be determined at present.
         """
-        groups = self._coordinator.groups_of(service)
+        groups = self._coordinator.divisions.groups_of(service)
         if not groups:
             raise ResultUnknownError("the groups of a service are not known yet")
         return sum([await self._count_pending_in(group, queue, wait_s) for group in groups])
