--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -35,6 +35,7 @@
 # While an endpoint remembers ends of runs whose jobs are open, it answers renewals at once.
 END_POLL_INTERVAL_S = 0.025
 RETRY_PAUSE_S = 0.05
+FIRST_LIST_TIMEOUT_S = 0.3  # the store answers within some 10 ms unless it is slow or down
 FIRST_CONTACT_TIMEOUT_S = 0.4  # endpoints answer within some 4 ms; those that are cut off never do
 ORPHAN_GRACE_S = 0.2  # time in which entry daemons submit unfinished jobs again
 # 1 s without a message from an entry daemon, a renewal's wait and a margin. A holder that is cut
@@ -60,6 +61,7 @@
     :param on_final: called with a job whose outcome has been decided by the end of a run.
     :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
         ends of unknown jobs may belong to them.
+    :ivar has_read_list: whether the list was read in this tenure, or the store is silent.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
         that waits for it replaces it by a new event.
     """
@@ -95,12 +97,22 @@
         self._list_read_s = tenure.began_s
 
     async def follow_directory(self) -> None:
-        """Applies each answer about the list of endpoints until cancelled."""
+        """Applies each answer about the list of endpoints until cancelled.
+
+        The list that a standby daemon has read may be old: its endpoints are contacted at once, but
+        an endpoint may have begun to leave since. Unless the store is silent, nothing is started
+        before the list has been read again.
+        """
         if self._endpoint_list.read_s:
             self._apply_directory(self._endpoint_list.endpoints)
+        if self._tenure.claim_revision:
+            with move_on_after(FIRST_LIST_TIMEOUT_S):
+                await self._endpoint_list.confirmed.wait()
         while True:
-            await self._endpoint_list.confirmed.wait()
             self._apply_directory(self._endpoint_list.endpoints)
+            self.has_read_list = self.has_read_list or self._endpoint_list.read_s > 0
+            self.changed.set()
+            await self._endpoint_list.confirmed.wait()
 
     def _apply_directory(self, listed: tuple[EndpointInfo, ...]) -> None:
         """Adds new endpoints, and marks those that have been missing in the list for too long."""
@@ -126,7 +138,6 @@
                 unlisted_from_s = self._unlisted_from_s.setdefault(instance, now_s + grace_s)
                 if now_s >= unlisted_from_s:
                     endpoint.is_listed = False
-        self.has_read_list = True
         self.changed.set()
 
     def _add_endpoint(self, info: EndpointInfo) -> None:
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -482,6 +482,8 @@
             await self.group.changed.wait()
             self.group.changed = Event()
             self._resolve_jobs()
+            if not self.group.has_read_list:
+                continue
             place_waiting_tasks(
                 self.job_table,
                 self.group.endpoints.values(),
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -116,6 +116,21 @@
     Then no task of job "a" ran twice at the same time
     And job "a" ends as "completed" at the holder with fence 17
 
+  Scenario: a new holder starts nothing on an endpoint that left since it read the list on standby
+    Given a group of 2 endpoints whose runs take 0.3 s
+    And endpoint 1 begins to leave while the next read of the list takes 0.2 s
+    When a holder with fence 16 takes over
+    And job "a" of 4 tasks is submitted
+    Then job "a" ends as "completed"
+    And endpoint 1 has started no runs
+
+  Scenario: a new holder uses the list that it has read on standby while the store is silent
+    Given a group of 2 endpoints whose runs take 0.3 s
+    And the list of endpoints can't be read any more
+    When a holder with fence 16 takes over
+    And job "a" of 4 tasks is submitted
+    Then job "a" ends as "completed"
+
   Scenario: an endpoint that was cut off while it ran nothing gets tasks again
     Given a group of 1 endpoint whose runs take 0.3 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,5 +1,6 @@
 """Steps for the holder, which runs in an event loop in a thread of its own."""
 
+from dataclasses import replace
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
@@ -314,6 +315,28 @@
     assert not context.holder_world.holders[int(fence)].tenure.is_over
 
 
+@given(r"endpoint 1 begins to leave while the next read of the list takes (?P<delay_s>[\d.]+) s")
+def step_impl(context, delay_s):
+    world = context.holder_world
+    sleep(2 * LIST_INTERVAL_S)
+    world.directory.delay_s = float(delay_s)
+    sleep(2 * LIST_INTERVAL_S)
+    leaving = world.endpoints[0]
+    leaving.info = replace(leaving.info, leaving=True)
+
+
+@given(r"the list of endpoints can't be read any more")
+def step_impl(context):
+    sleep(2 * LIST_INTERVAL_S)
+    context.holder_world.directory.delay_s = ANSWER_TIMEOUT_S
+
+
+@then(r"endpoint 1 has started no runs")
+def step_impl(context):
+    history = context.holder_world.endpoints[0].history
+    assert not [event for event in history if event[1] == "start"], history
+
+
 @when(r"no more messages arrive from the entry daemon")
 def step_impl(context):
     sleep(0.1)
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -101,9 +101,11 @@
 
     def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
+        self.delay_s = 0.0
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list."""
+        await sleep(self.delay_s)
         return tuple(endpoint.info for endpoint in self.endpoints)
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
