Leave a group with its holder when only connections are reset

A broken stream to a daemon that is still seen as alive is now no sign of its end: a process that has ended refuses the redial, which makes it suspect, and redials begin after 0.02 to 0.04 s. The scenario failed before.

A tenure logs its end once.

--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -20,7 +20,7 @@
 # with the square of the fleet.
 HEARTBEATS_PER_BROADCAST = 3
 SUSPICION_TIMEOUT_S = 0.45  # three heartbeats of the holder
-BROKEN_STREAM_TIMEOUT_S = 0.1  # the holder's process has ended, or a redial is about to reach it
+BROKEN_STREAM_TIMEOUT_S = 0.1  # without a stream to a holder that refuses connections
 RANK_DELAY_S = 0.05  # per rank; a claim and its first heartbeat take some 15 ms
 MINORITY_DELAY_S = 3.0  # until the entries of lost VMs have left the list of members
 FENCES_PER_CLAIM = 16  # one for the claim itself, the others for provisional holders by rank
@@ -45,7 +45,7 @@
     """What a daemon knows of the current holder.
 
     :param silence_s: time since its last heartbeat, or since this daemon began to wait for one.
-    :param has_stream: whether there is an open stream to it.
+    :param has_stream: whether there is an open stream to it, or one may be opened again.
     :param is_leaving: whether it has asked to be replaced.
     :param heartbeat_interval_s: time between its heartbeats to this daemon.
     """
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -402,7 +402,7 @@
             return
         observation = HolderObservation(
             self._silence_s(known),
-            bool(known.incarnation) and bool(self._network.links(known.incarnation)),
+            self._may_be_connected(known.incarnation),
             known.is_leaving,
             known.heartbeat_interval_s,
         )
@@ -429,6 +429,22 @@
         elif not has_store and should_claim(observation, own_rank, listed_count, listed_count):
             self._hold_provisionally(group, known, own_rank)
 
+    def _may_be_connected(self, incarnation: str) -> bool:
+        """Returns whether there is a stream to a daemon, or a redial may be about to open one.
+
+        Streams also break while both daemons run. Of a daemon whose process has ended the port
+        refuses the redial, so that it becomes suspect.
+        """
+        if not incarnation:
+            return False
+        if self._network.links(incarnation):
+            return True
+        return any(
+            member.status is MemberStatus.ALIVE
+            for member in self._network.members()
+            if member.identity.incarnation == incarnation
+        )
+
     def _hold_provisionally(self, group: str, known: KnownHolder, own_rank: int) -> None:
         """Becomes the provisional holder of a group if this daemon reaches enough others.
 
--- a/berylproxy/durable/tenure.py
+++ b/berylproxy/durable/tenure.py
@@ -48,7 +48,7 @@
 
     def end(self, reason: str) -> None:
         """Ends the tenure and cancels its background work: endpoints get no more orders."""
-        if self.task_group is not None:
+        if self.task_group is not None and not self.task_group.cancel_scope.cancel_called:
             logger.warning("tenure of group {} ends: {}", self.group, reason, extra=self.extra())
             self.task_group.cancel_scope.cancel()
 
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -344,6 +344,7 @@
         indirect_timeout_s=0.4,
         dead_after_s=1.0,
         forget_after_s=30.0,
+        redial_min_delay_s=0.04,  # a killed daemon refuses the redial, so its groups are claimed
         redial_max_delay_s=0.5,
         handshake_timeout_s=0.5,
     )
--- a/tests/durable/contention.feature
+++ b/tests/durable/contention.feature
@@ -16,6 +16,17 @@
       | 3.5     | with an |                 | 0    | 2       | 5      | claims         |
       | 0.0     | with an | , and is leaving | 0   | 5       | 5      | claims         |
 
+  Scenario Outline: connections are reset while a holder runs on
+    Given a standby daemon whose stream to a holder broke 0.2 s ago
+    When it sees the holder as <status>
+    Then it <claims> the holder's group
+
+    Examples:
+      | status  | claims         |
+      | alive   | does not claim |
+      | suspect | claims         |
+      | dead    | claims         |
+
   Scenario Outline: a daemon that gets fewer heartbeats allows a holder the longer silence
     Given a holder that is silent for <silence> s, with <stream> open stream
     And it sends this daemon a heartbeat each 0.45 s
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -10,9 +10,16 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.groups import Division, list_groups
 from berylproxy.durable.messages import HolderHeartbeat
-from berylproxy.durable.records import division_key, encode_division, encode_model, model_key
+from berylproxy.durable.records import (
+    claim_key,
+    division_key,
+    encode_division,
+    encode_model,
+    model_key,
+)
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
+from berylproxy.peers.membership import Member, MemberStatus
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore
 
@@ -21,6 +28,7 @@
 LEARNED_RUN_TIME_S = 2.5
 LEARNED_TASKS = 50
 PROVISIONAL_FENCE = 17
+CLAIM_FENCE = 16
 
 use_step_matcher("re")
 
@@ -152,3 +160,35 @@
 def step_impl(context):
     assert len(context.holding) == 1, context.holding
     assert context.known == {make_identity(context.holding[0]).incarnation}, context.known
+
+
+@given(r"a standby daemon whose stream to a holder broke (?P<silence_s>[\d.]+) s ago")
+def step_impl(context, silence_s):
+    context.silence_s = float(silence_s)
+
+
+@when(r"it sees the holder as (?P<status>alive|suspect|dead)")
+def step_impl(context, status):
+    holder, network = make_identity("holder"), make_network()
+    network.members = lambda: [Member(holder, MemberStatus(status))]
+    store, clock = FakeJobStore(), MonotonicClock()
+
+    async def check():
+        coordinator = GroupCoordinator(
+            network, store, FakeDirectory([]), clock, 1.0, dict, lambda: True, print, Telemetry()
+        )
+        async with create_task_group() as coordinator._task_group:
+            last_seen_s = clock.now_s() - context.silence_s
+            known = KnownHolder(CLAIM_FENCE, holder.incarnation, last_seen_s)
+            coordinator.known_holders[SERVICE] = known
+            coordinator._check_holder(SERVICE)
+            await sleep(0.05)
+            context.has_claimed = claim_key(SERVICE) in store.entries
+            coordinator._task_group.cancel_scope.cancel()
+
+    run(check)
+
+
+@then(r"it (?P<verdict>claims|does not claim) the holder's group")
+def step_impl(context, verdict):
+    assert context.has_claimed == (verdict == "claims")
