Apply the endpoint list also while the store refuses to assign new endpoints

Read from the code: a list was applied only once its new endpoints had a group, so a store that took reads and no writes kept holders from seeing which endpoints leave. The scenario failed before. Services of one group are not concerned.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -233,13 +233,15 @@
             tenure_began = self._tenure_began
             try:
                 endpoints = await self._directory.fetch()
-                if self.holders:
-                    await self.divisions.assign_new_endpoints(endpoints, self.holders.keys())
+                self._endpoint_list.update(endpoints, self._clock.now_s())
+                if self.holders and await self.divisions.assign_new_endpoints(
+                    endpoints, self.holders.keys()
+                ):
+                    self._endpoint_list.update(endpoints, self._clock.now_s())
             except StoreError as error:
                 logger.debug("the endpoint list is unavailable: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S if self.holders else EMPTY_LIST_INTERVAL_S)
                 continue
-            self._endpoint_list.update(endpoints, self._clock.now_s())
             with move_on_after(self._endpoint_list_interval_s()):
                 await tenure_began.wait()
 
--- a/berylproxy/durable/divisions.py
+++ b/berylproxy/durable/divisions.py
@@ -117,13 +117,14 @@
 
     async def assign_new_endpoints(
         self, endpoints: tuple[EndpointInfo, ...], held_groups: Set[str]
-    ) -> None:
+    ) -> bool:
         """Learns, or decides, the groups of listed endpoints that have none yet.
 
         The holder of a service's first group assigns them. Those of the other groups do so in the
         order of the groups, if it does not.
 
         :param held_groups: groups that this daemon holds.
+        :return: whether there were any.
         :raises StoreError: if the store does not answer.
         """
         now_s, since_s = self._clock.now_s(), {}
@@ -142,6 +143,7 @@
             if held and waited_s >= held[0] * ASSIGNMENT_DELAY_S:
                 await self._store_assignments(service, _list_capacities(endpoints, service))
             await self._reload(service)
+        return bool(services)
 
     async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
         division = self._divisions[service]
--- a/tests/durable/member.feature
+++ b/tests/durable/member.feature
@@ -11,3 +11,8 @@
     And the stored run times of the first group are damaged
     When it has refreshed its standby data for 0.3 s
     Then it expects a run time of 2.5 s in each group but the first, as learned by the holders
+
+  Scenario: the endpoint list is applied while the store doesn't let added endpoints be assigned
+    Given a daemon that holds the first of 2 groups, none of whose 3 listed endpoints is assigned
+    When the job store is out for all calls, and the list is followed for 0.2 s
+    Then its copy of the list has 3 endpoints
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -21,7 +21,7 @@
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
 from berylproxy.store.port import Entry
-from tests.support.endpoint_world import FakeDirectory, FakeJobStore
+from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
 SERVICE, QUEUE = "ledger", "q"
 GROUPS = 4
@@ -192,3 +192,42 @@
 @then(r"it (?P<verdict>claims|does not claim) the holder's group")
 def step_impl(context, verdict):
     assert context.has_claimed == (verdict == "claims")
+
+
+@given(
+    r"a daemon that holds the first of (?P<groups>\d+) groups, none of whose (?P<count>\d+) listed "
+    r"endpoints is assigned"
+)
+def step_impl(context, groups, count):
+    directory = FakeDirectory([make_endpoint(f"e{number}") for number in range(int(count))])
+    context.store = FakeJobStore()
+    context.coordinator = GroupCoordinator(
+        make_network(),
+        context.store,
+        directory,
+        MonotonicClock(),
+        1.0,
+        dict,
+        lambda: True,
+        print,
+        Telemetry(),
+    )
+    division = Division(int(groups), {}, revision=1)
+    context.coordinator.divisions._divisions[SERVICE] = division
+    context.coordinator.holders[list_groups(SERVICE, int(groups))[0]] = SimpleNamespace()
+
+
+@when(r"the job store is out for all calls, and the list is followed for (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    context.store.is_out = True
+
+    async def follow():
+        with move_on_after(float(time_s)):
+            await context.coordinator._follow_endpoint_list()
+
+    run(follow)
+
+
+@then(r"its copy of the list has (?P<count>\d+) endpoints")
+def step_impl(context, count):
+    assert len(context.coordinator._endpoint_list.endpoints) == int(count)
