Keep what arrives together with the last message of a handshake

Cause: the accepting side sends its proof and then at once the first messages of the stream. The dialling side now takes just the proof from its decoder and puts the rest back in front of the stream. Any other message of a handshake must still come alone.

--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -161,10 +161,11 @@
         self, codec: MessageCodec, max_frame_bytes: int, max_items: int, max_feed_bytes: int
     ) -> None:
         self._parse = codec.parse
+        self._max_buffer_bytes = max_frame_bytes + max_feed_bytes
         self._unpacker = Unpacker(
             raw=False,
             read_size=min(READ_BYTES, max_frame_bytes),  # allocated when the stream opens
-            max_buffer_size=max_frame_bytes + max_feed_bytes,
+            max_buffer_size=self._max_buffer_bytes,
             max_str_len=max_frame_bytes,
             max_bin_len=max_frame_bytes,
             max_array_len=max_items,
@@ -181,6 +182,10 @@
         for value in self._unpack(data):
             yield self._parse(value)
 
+    def take_rest(self) -> bytes:
+        """Removes and returns the bytes after the last frame that :meth:`feed` has yielded."""
+        return self._unpacker.read_bytes(self._max_buffer_bytes)
+
     def _unpack(self, data: bytes) -> Iterator[Any]:
         try:
             self._unpacker.feed(data)
--- a/berylproxy/peers/handshake.py
+++ b/berylproxy/peers/handshake.py
@@ -14,6 +14,7 @@
 
 from anyio import BrokenResourceError, ClosedResourceError, EndOfStream, fail_after
 from anyio.abc import ByteStream
+from anyio.streams.buffered import BufferedByteStream
 from msgpack import packb
 
 from berylproxy.models import DaemonIdentity
@@ -77,6 +78,8 @@
     """One side of the handshake on a new stream.
 
     :param check_identity: raises :class:`PeerHandshakeError` for an identity to be refused.
+    :ivar stream: the stream to use after the handshake. It begins with what the other side has sent
+        right after its last message, which may have arrived together with that.
     """
 
     def __init__(
@@ -86,13 +89,12 @@
         settings: PeerSettings,
         check_identity: CheckIdentity,
     ) -> None:
-        self._stream = stream
+        self.stream = BufferedByteStream(stream)
         self._settings = settings
         self._check_identity = check_identity
         self._decoder: FrameDecoder = HANDSHAKE_CODEC.make_decoder(
             MAX_HANDSHAKE_BYTES, MAX_HANDSHAKE_ITEMS, MAX_HANDSHAKE_BYTES
         )
-        self._received: list[object] = []
         self._received_bytes = b""
         hello = Hello(
             PROTOCOL_VERSION,
@@ -119,12 +121,12 @@
         return await self._run_with_timeout(self._accept)
 
     async def _dial(self) -> DaemonIdentity:
-        await self._stream.send(self._hello_bytes)
+        await self.stream.send(self._hello_bytes)
         peer_hello = await self._receive(Hello)
         hellos = (self._hello_bytes, self._received_bytes)
         await self._check_hello(peer_hello)
         await self._send(self._make_proof(DIALLER, hellos))
-        await self._check_proof(await self._receive(Proof), ACCEPTOR, hellos)
+        await self._check_proof(await self._receive(Proof, is_last=True), ACCEPTOR, hellos)
         await self._verify_identity(peer_hello)
         return peer_hello.identity
 
@@ -132,7 +134,7 @@
         peer_hello = await self._receive(Hello)
         hellos = (self._received_bytes, self._hello_bytes)
         await self._check_hello(peer_hello)
-        await self._stream.send(self._hello_bytes)
+        await self.stream.send(self._hello_bytes)
         await self._check_proof(await self._receive(Proof), DIALLER, hellos)
         await self._verify_identity(peer_hello)
         await self._send(self._make_proof(ACCEPTOR, hellos))
@@ -191,20 +193,27 @@
         raise error
 
     async def _send(self, message: object) -> None:
-        await self._stream.send(HANDSHAKE_CODEC.encode(NoticeFrame(message)))
+        await self.stream.send(HANDSHAKE_CODEC.encode(NoticeFrame(message)))
 
-    async def _receive(self, message_type: type[Message]) -> Message:
+    async def _receive(self, message_type: type[Message], *, is_last: bool = False) -> Message:
+        """Returns the next message.
+
+        :param is_last: whether the other side may send messages of the open stream right after it;
+            in any other case it has to wait for an answer first.
+        """
         self._received_bytes = b""
-        while not self._received:
-            data = await self._stream.receive(MAX_HANDSHAKE_BYTES)
+        frame = None
+        while frame is None:
+            data = await self.stream.receive(MAX_HANDSHAKE_BYTES)
             self._received_bytes += data
-            for frame in self._decoder.feed(data):
-                self._received.append(getattr(frame, "message", None))
-        message = self._received.pop(0)
+            frame = next(self._decoder.feed(data), None)
+        message = getattr(frame, "message", None)
         if isinstance(message, HandshakeRefusal):
             raise _make_error(message)
-        if not isinstance(message, message_type) or self._received:
+        rest = self._decoder.take_rest()
+        if not isinstance(message, message_type) or (rest and not is_last):
             raise PeerProtocolError(f"expected one {message_type.__name__}")
+        self.stream.feed_data(rest)
         return message
 
 
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -245,8 +245,9 @@
         await self._run_link(stream, identity, self._accepted)
 
     async def _serve_dialled(self, address: str, stream: ByteStream) -> bool:
+        handshake = self._make_handshake(stream)
         try:
-            identity = await self._make_handshake(stream).dial()
+            identity = await handshake.dial()
         except BaseException:
             await aclose_forcefully(stream)
             raise
@@ -257,7 +258,7 @@
                 return False
             await older.wait_closed()
             return True
-        await self._run_link(stream, identity, self._dialled)
+        await self._run_link(handshake.stream, identity, self._dialled)
         return True
 
     def _make_handshake(self, stream: ByteStream) -> Handshake:
--- a/tests/peers/handshake.feature
+++ b/tests/peers/handshake.feature
@@ -23,6 +23,11 @@
     When a peer dials a listener that reflects its proof
     Then the peer handshake fails with "peer_handshake_failed" saying "no shared key"
 
+  Scenario: The first messages of a stream may arrive together with the end of the handshake
+    When a peer dials a listener whose proof arrives together with a notice
+    Then the peer handshake succeeds
+    And the notice is the first message of the dialled stream
+
   Scenario: A daemon of an older version is sent both version ranges
     When a foreign program sends "a" a hello of versions 0 to 0
     Then the foreign program is refused with "peer_version_unsupported" and the versions 1 to 1
--- a/tests/steps/peers_handshake_steps.py
+++ b/tests/steps/peers_handshake_steps.py
@@ -8,14 +8,16 @@
 from anyio import connect_tcp, create_task_group
 from behave import given, then, when
 
-from berylproxy.peers.codec import NoticeFrame
+from berylproxy.peers.codec import MessageCodec, NoticeFrame
 from berylproxy.peers.errors import PeerSettingsError
 from berylproxy.peers.handshake import (
     HANDSHAKE_CODEC,
+    Handshake,
     HandshakeRefusal,
     Hello,
 )
 from berylproxy.peers.membership import PeerError
+from berylproxy.peers.messages import CONTROL_MESSAGES, LeaveNotice
 from berylproxy.peers.settings import PeerSettings, split_address
 from tests.support.peer_networks import (
     KEY,
@@ -99,6 +101,64 @@
     try_to_dial(context, start(context, run))
 
 
+class CoalescingStream:
+    """Sends its second message, the proof, together with further bytes.
+
+    Stands for a network that delivers them late and so in one piece.
+    """
+
+    def __init__(self, stream, following):
+        self._stream = stream
+        self._following = following
+        self._sent = 0
+        self.receive = stream.receive
+
+    async def send(self, data):
+        self._sent += 1
+        await self._stream.send(data + self._following if self._sent == 2 else data)
+
+
+@when("a peer dials a listener whose proof arrives together with a notice")
+def step_dial_coalescing(context):
+    settings = PeerSettings(listen_address="127.0.0.1:0", keys=(KEY,))
+    codec = MessageCodec(CONTROL_MESSAGES)
+    context.sent_frame = NoticeFrame(LeaveNotice())
+    following = codec.encode(context.sent_frame)
+    context.peer_error, context.received_frames = None, []
+
+    async def accept(stream):
+        async with stream:
+            coalescing = CoalescingStream(stream, following)
+            identity = make_identity("acceptor")
+            await Handshake(coalescing, identity, settings, lambda _: None).accept()
+            await read_to_end(stream)
+
+    async def run(*, task_status):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started(f"127.0.0.1:{port}")
+        async with listener:
+            await listener.serve(accept)
+
+    async def dial(address):
+        async with await connect_tcp(*split_address(address)) as stream:
+            handshake = Handshake(stream, make_identity("dialler"), settings, lambda _: None)
+            await handshake.dial()
+            with anyio.fail_after(5):
+                data = await handshake.stream.receive()
+            context.received_frames = list(codec.make_decoder(2048).feed(data))
+
+    try:
+        call(context, dial, start(context, run))
+    except PeerError as error:
+        context.peer_error = error
+
+
+@then("the notice is the first message of the dialled stream")
+def step_first_message(context):
+    assert context.received_frames == [context.sent_frame], context.received_frames
+
+
 @then('the peer handshake fails with "{code}" saying "{words}"')
 def step_handshake_fails(context, code, words):
     assert context.peer_error is not None, "the handshake succeeded"
