Let each daemon claim groups in its turn after an outage of all

The delay by rank now counts from when a daemon reaches half of the others, so that one that holds a group waits for those that hold none.

--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
+from math import inf
 
 HEARTBEAT_INTERVAL_S = 0.15  # between heartbeats of a holder to its likely successors
 WATCHERS = 5  # likely successors that a holder sends each heartbeat to
@@ -72,22 +73,35 @@
     return [candidate.daemon_id for candidate in ranked[:WATCHERS]]
 
 
+def is_minority(reached_count: int, listed_count: int) -> bool:
+    """Returns whether a daemon reaches less than half of the listed others."""
+    return 2 * reached_count < listed_count
+
+
 def should_claim(
-    observation: HolderObservation, own_rank: int, reached_count: int, listed_count: int
+    observation: HolderObservation,
+    own_rank: int,
+    reached_count: int,
+    listed_count: int,
+    settled_s: float = inf,
 ) -> bool:
     """Returns whether this daemon should claim the group now.
 
     A daemon that reaches less than half of the listed others waits longer: it may be the one that
-    is cut off.
+    is cut off. Once it reaches enough of them, those that precede it get their time first, however
+    long the holder has been silent. After an outage of all daemons one of them would claim all
+    groups otherwise.
 
     :param own_rank: number of candidates that precede this daemon.
     :param reached_count: number of other daemons that it has streams to, without the holder.
     :param listed_count: number of other daemons that the store lists, without the holder.
+    :param settled_s: time for which this daemon has reached at least half of them.
     """
-    limit_s = _suspicion_timeout_s(observation) + own_rank * RANK_DELAY_S
-    if 2 * reached_count < listed_count:
-        limit_s += MINORITY_DELAY_S
-    return observation.silence_s >= limit_s
+    suspected_s = observation.silence_s - _suspicion_timeout_s(observation)
+    delay_s = own_rank * RANK_DELAY_S
+    if is_minority(reached_count, listed_count):
+        return suspected_s >= delay_s + MINORITY_DELAY_S
+    return suspected_s >= 0 and min(suspected_s, settled_s) >= delay_s
 
 
 def is_suspect(observation: HolderObservation) -> bool:
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -24,6 +24,7 @@
     HolderObservation,
     choose_watchers,
     claim_fence,
+    is_minority,
     is_suspect,
     may_hold_provisionally,
     may_replace_claim,
@@ -170,6 +171,7 @@
         self._has_store = has_store
         self._endpoint_list = EndpointList()
         self._claim_paused_until_s: dict[str, float] = {}
+        self._settled_from_s = inf
         self._telemetry = telemetry
         self.divisions = ServiceDivisions(
             store, directory, clock, self._list_carried, self._reaches_all_members
@@ -425,12 +427,22 @@
             return
         if self._clock.now_s() < self._claim_paused_until_s.get(group, 0.0):
             return
-        if has_store and should_claim(observation, own_rank, len(members), listed_count):
+        settled_s = self._update_settled_s(len(members), listed_count)
+        if has_store and should_claim(observation, own_rank, len(members), listed_count, settled_s):
             self._claiming.add(group)
             self._task_group.start_soon(self._claim_group, group, observation)
         elif not has_store and should_claim(observation, own_rank, listed_count, listed_count):
             self._hold_provisionally(group, known, own_rank)
 
+    def _update_settled_s(self, reached_count: int, listed_count: int) -> float:
+        """Returns for how long this daemon has reached at least half of the others."""
+        now_s = self._clock.now_s()
+        if is_minority(reached_count, listed_count):
+            self._settled_from_s = inf
+            return 0.0
+        self._settled_from_s = min(self._settled_from_s, now_s)
+        return now_s - self._settled_from_s
+
     def _may_be_connected(self, incarnation: str) -> bool:
         """Returns whether there is a stream to a daemon, or a redial may be about to open one.
 
--- a/tests/durable/contention.feature
+++ b/tests/durable/contention.feature
@@ -16,6 +16,18 @@
       | 3.5     | with an |                 | 0    | 2       | 5      | claims         |
       | 0.0     | with an | , and is leaving | 0   | 5       | 5      | claims         |
 
+  Scenario Outline: after an outage of all daemons each one claims in its turn
+    Given a holder that is silent for 5 s, with no open stream
+    When a daemon of rank <rank> decides that has reached 15 of 30 others for <settled> s
+    Then it <claims> the group
+
+    Examples:
+      | rank | settled | claims         |
+      | 0    | 0       | claims         |
+      | 1    | 0       | does not claim |
+      | 12   | 0.5     | does not claim |
+      | 12   | 0.65    | claims         |
+
   Scenario Outline: connections are reset while a holder runs on
     Given a standby daemon whose stream to a holder broke 0.2 s ago
     When it sees the holder as <status>
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -120,6 +120,16 @@
     context.claims = should_claim(context.observation, int(own), int(reached), int(listed))
 
 
+@when(
+    r"a daemon of rank (?P<own>\d+) decides that has reached (?P<reached>\d+) of (?P<listed>\d+)"
+    r" others for (?P<settled>[\d.]+) s"
+)
+def step_impl(context, own, reached, listed, settled):
+    context.claims = should_claim(
+        context.observation, int(own), int(reached), int(listed), float(settled)
+    )
+
+
 @then(r"it (?P<verdict>claims|does not claim) the group")
 def step_impl(context, verdict):
     assert context.claims == (verdict == "claims")
