Let a restarted daemon claim the groups that it held, without waiting for the others

After the loss of all power small VMs start a second later than strong ones, so nobody claimed a group in that second. A stored claim that names this daemon, but an earlier process of it, is of a holder that has certainly ended; that daemon now claims the group at once.

The new scenario failed before: no claim while the 30 others were down.

--- a/berylproxy/durable/contention.py
+++ b/berylproxy/durable/contention.py
@@ -49,12 +49,14 @@
     :param has_stream: whether there is an open stream to it, or one may be opened again.
     :param is_leaving: whether it has asked to be replaced.
     :param heartbeat_interval_s: time between its heartbeats to this daemon.
+    :param has_ended: whether its process has certainly ended, since this daemon runs in its place.
     """
 
     silence_s: float
     has_stream: bool
     is_leaving: bool
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
+    has_ended: bool = False
 
 
 def rank(group: str, own: Candidate, others: Sequence[Candidate]) -> int:
@@ -97,6 +99,8 @@
     :param listed_count: number of other daemons that the store lists, without the holder.
     :param settled_s: time for which this daemon has reached at least half of them.
     """
+    if observation.has_ended:
+        return True
     suspected_s = observation.silence_s - _suspicion_timeout_s(observation)
     delay_s = own_rank * RANK_DELAY_S
     if is_minority(reached_count, listed_count):
@@ -113,7 +117,7 @@
 
 
 def _suspicion_timeout_s(observation: HolderObservation) -> float:
-    if observation.is_leaving:
+    if observation.is_leaving or observation.has_ended:
         return 0.0
     # The holder has been silent for up to one interval when it fails.
     extra_s = max(observation.heartbeat_interval_s - HEARTBEAT_INTERVAL_S, 0.0)
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from anyio import Event, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
@@ -104,6 +104,8 @@
     :ivar last_seen_s: monotonic time of its last heartbeat or claim; before the first, the time
         at which this daemon began to wait for one.
     :ivar is_leaving: whether it has asked to be replaced.
+    :ivar has_ended: whether its process has certainly ended: the claim names this daemon, but an
+        earlier process of it.
     :ivar endpoints: the endpoints that had runs, by its last heartbeat.
     :ivar heartbeat_interval_s: time between its heartbeats to this daemon.
     :ivar room_millicores: processor share that its last heartbeat said to be free, less what this
@@ -115,6 +117,7 @@
     incarnation: str = ""
     last_seen_s: float = 0.0
     is_leaving: bool = False
+    has_ended: bool = False
     endpoints: InheritedEndpoints | None = None
     room_millicores: int | None = None
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
@@ -124,6 +127,7 @@
         """Records the holder and that it is alive; wakes those that wait for a change of holder."""
         is_different = (fence, incarnation) != (self.fence, self.incarnation)
         self.fence, self.incarnation, self.last_seen_s = fence, incarnation, now_s
+        self.has_ended = False
         if is_different:
             changed, self.changed = self.changed, Event()
             changed.set()
@@ -338,7 +342,9 @@
         entry = await self._store.get(claim_key(group))
         if entry is not None and claim_fence(entry.revision) > known.fence:
             claimant = _read_claimant(entry.value)
-            known.set_holder(claim_fence(entry.revision), claimant, known.last_seen_s)
+            known.set_holder(claim_fence(entry.revision), claimant.incarnation, known.last_seen_s)
+            is_own = claimant.daemon_id == self._network.identity.daemon_id
+            known.has_ended = is_own and claimant.incarnation != self.own_incarnation
 
     def holder_incarnation(self, group: str) -> str:
         """Returns the incarnation of a group's presumed holder.
@@ -409,6 +415,7 @@
             self._may_be_connected(known.incarnation),
             known.is_leaving,
             known.heartbeat_interval_s,
+            known.has_ended,
         )
         if not is_suspect(observation):
             return
@@ -517,6 +524,7 @@
                     "holder_silence_s": round(observation.silence_s, 3),
                     "holder_stream": observation.has_stream,
                     "holder_leaving": observation.is_leaving,
+                    "holder_ended": observation.has_ended,
                 },
             )
             await self._hold_group(group, fence, revision)
@@ -534,9 +542,9 @@
             revision = entry.revision if entry is not None else 0
             if entry is not None and claim_fence(revision) > known.fence:
                 claimant = _read_claimant(entry.value)
-                known.set_holder(claim_fence(revision), claimant, self._clock.now_s())
+                known.set_holder(claim_fence(revision), claimant.incarnation, self._clock.now_s())
                 known.is_leaving = False
-                if claimant == self.own_incarnation:
+                if claimant.incarnation == self.own_incarnation:
                     return revision  # an earlier attempt succeeded, but its answer was lost
             if not may_replace_claim(fence_at_decision, known.fence, claim_fence(revision)):
                 return 0
@@ -741,10 +749,17 @@
     return Candidate(member.identity.daemon_id, part.get("cores", 0.0), part.get("holds", 0))
 
 
-def _read_claimant(value: bytes) -> str:
-    """Returns the incarnation that a stored claim names; empty if the claim is unreadable."""
+class Claimant(NamedTuple):
+    """The daemon that a stored claim names; empty fields if the claim is unreadable."""
+
+    daemon_id: str
+    incarnation: str
+
+
+def _read_claimant(value: bytes) -> Claimant:
     try:
-        return str(unpackb(value)["incarnation"])
+        claim = unpackb(value)
+        return Claimant(str(claim["daemon_id"]), str(claim["incarnation"]))
     except (ValueError, TypeError, KeyError) as error:
         logger.warning("cannot read a stored claim: {!r}", error)
-        return ""
+        return Claimant("", "")
--- a/tests/durable/member.feature
+++ b/tests/durable/member.feature
@@ -16,3 +16,15 @@
     Given a daemon that holds the first of 2 groups, none of whose 3 listed endpoints is assigned
     When the job store is out for all calls, and the list is followed for 0.2 s
     Then its copy of the list has 3 endpoints
+
+  Scenario Outline: after an outage of all daemons a group is claimed by the one that held it
+    Given a daemon "d0" that starts while all 30 others that the store lists are down
+    And the stored claim on a group names <claimant>
+    When it has tracked the group for 0.2 s
+    Then it <claims> that group
+
+    Examples:
+      | claimant                       | claims         |
+      | an earlier process of "d0"     | claims         |
+      | a process of "d1"              | does not claim |
+      | nobody, as it can't be decoded | does not claim |
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -4,6 +4,7 @@
 
 from anyio import create_task_group, move_on_after, run, sleep
 from behave import given, then, use_step_matcher, when
+from msgpack import packb
 
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.coordinator import GroupCoordinator, KnownHolder
@@ -189,6 +190,52 @@
     run(check)
 
 
+@given(r'a daemon "d0" that starts while all (?P<count>\d+) others that the store lists are down')
+def step_impl(context, count):
+    context.store = FakeJobStore()
+    domains = {f"d{number}": "a" for number in range(int(count) + 1)}
+    context.coordinator = GroupCoordinator(
+        make_network("d0"),
+        context.store,
+        FakeDirectory([]),
+        MonotonicClock(),
+        1.0,
+        lambda: domains,
+        lambda: True,
+        print,
+        Telemetry(),
+    )
+
+
+CLAIMS = {
+    'an earlier process of "d0"': packb({"daemon_id": "d0", "incarnation": "earlier"}),
+    'a process of "d1"': packb({"daemon_id": "d1", "incarnation": "other"}),
+    "nobody, as it can't be decoded": b"\xc1",
+}
+
+
+@given(r"the stored claim on a group names (?P<claimant>.+)")
+def step_impl(context, claimant):
+    write(context.store, claim_key(SERVICE), CLAIMS[claimant])
+    context.claim_revision = context.store.revision
+
+
+@when(r"it has tracked the group for (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    async def track():
+        await context.coordinator._follow_group(SERVICE)
+        with move_on_after(float(time_s)):
+            await context.coordinator.run()
+
+    run(track)
+
+
+@then(r"it (?P<verdict>claims|does not claim) that group")
+def step_impl(context, verdict):
+    revision = context.store.entries[claim_key(SERVICE)].revision
+    assert (revision > context.claim_revision) == (verdict == "claims")
+
+
 @then(r"it (?P<verdict>claims|does not claim) the holder's group")
 def step_impl(context, verdict):
     assert context.has_claimed == (verdict == "claims")
