--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -24,7 +24,7 @@
     """The work that will be placed before a new job.
 
     :param work_core_s: that work in core seconds.
-    :param capacity_cores: cores of the available endpoints, weighted by their speed.
+    :param capacity_cores: usable cores of the available endpoints, weighted by their speed.
     """
 
     work_core_s: float
@@ -36,6 +36,12 @@
         return self.work_core_s / self.capacity_cores if self.capacity_cores > 0 else float("inf")
 
 
+# Factor by which the expected end is overestimated: jobs of the backlog that are abandoned or
+# overtaken count in full.
+WAIT_OVERESTIMATE = 4 / 3
+USABLE_CORES_SHARE = 0.85  # tasks of 27 cores leave a sixth of endpoints of 64 and 96 cores unused
+
+
 def measure_backlog(
     jobs: Iterable[Job],
     endpoints: Iterable[EndpointState],
@@ -66,6 +72,7 @@
     capacity_cores = sum(
         endpoint.info.capacity.cpu_millicores
         / 1000
+        * USABLE_CORES_SHARE
         * model.speed(endpoint.info.instance.endpoint_id)
         for endpoint in endpoints
         if endpoint.is_serving(now_s)
@@ -93,7 +100,7 @@
     )
     parallel_s = own_core_s / backlog.capacity_cores
     end_s = backlog.wait_s + max(job.expected_s, parallel_s)
-    if end_s <= latest_useful_end_s(job) - now_s:
+    if end_s <= WAIT_OVERESTIMATE * (latest_useful_end_s(job) - now_s):
         return None
     excess_s = end_s - objective_s(job)
     return float(ceil(min(max(excess_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)))
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -18,8 +18,14 @@
 # An answer is late up to this multiple of the job's objective, and worthless after it.
 LATE_FACTOR = 3.0
 DEFAULT_REMOTE_FACTOR = 2.0  # the larger one of the known installations
+# Cost of the processor share that stays unused beside the task; for a whole endpoint a third of a
+# short task's run time. It favours placements that leave no remainder too small for another task.
+FIT_WEIGHT_S = 0.02
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
+# Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
+# since more of them fit.
+WORK_WEIGHT = 0.3
 RUN_TIME_MARGIN = 1.2  # expected run times deviate by about this factor
 # A round ends after this many jobs without a fitting endpoint; more would delay the start orders.
 MAX_SKIPPED_JOBS = 24
@@ -48,7 +54,7 @@
 def rank_job(job: Job, now_s: float, endpoint_cores: float) -> tuple[int, float, float]:
     """Returns a sort key for waiting jobs; the smallest goes first.
 
-    Jobs that can meet their objective go first, by slack; then jobs that will be late, by
+    Jobs that can meet their objective go first, by slack and size; then jobs that will be late, by
     size; then jobs that can't end in time, by age.
 
     :param endpoint_cores: cores of a mean endpoint.
@@ -56,7 +62,7 @@
     age_s = now_s - job.accepted_s
     slack_s = objective_s(job) - age_s - job.expected_s
     if slack_s >= 0:
-        return 0, slack_s, job.accepted_s
+        return 0, slack_s + WORK_WEIGHT * _waiting_work_s(job, endpoint_cores), job.accepted_s
     if latest_useful_end_s(job) - now_s >= job.expected_s:
         return 1, _waiting_work_s(job, endpoint_cores), job.accepted_s
     return 2, job.accepted_s, job.accepted_s
@@ -154,14 +160,14 @@
 ) -> EndpointState | None:
     """Returns the endpoint where a task is expected to end soonest; ``None`` if it should wait.
 
-    Among equally fast endpoints, the one with the least remaining capacity is chosen. A task of a
+    Among about equal endpoints, the one with the least remaining capacity is chosen. A task of a
     job that can still meet its objective waits for a faster endpoint if it would be late on every
     endpoint with enough free resources.
     """
     step = task.step
     expected_s = model.expected_run_time_s(job.spec.terms.queue, step.estimate_s)
     active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
-    best, best_cost, fastest_s = None, (inf, inf), inf
+    best, best_cost_s, best_run_time_s, fastest_s = None, inf, inf, inf
     for endpoint in usable:
         info = endpoint.info
         if not _has_label(endpoint, step):
@@ -180,11 +186,13 @@
         remaining_millicores = endpoint.free_millicores - step.needs.cpu_millicores
         if remaining_millicores < 0 or not step.needs.fits(endpoint.free_resources):
             continue
-        cost = run_time_s, remaining_millicores
-        if cost < best_cost:
-            best, best_cost = endpoint, cost
+        cost_s = run_time_s + FIT_WEIGHT_S * remaining_millicores / max(
+            info.capacity.cpu_millicores, 1
+        )
+        if cost_s < best_cost_s:
+            best, best_cost_s, best_run_time_s = endpoint, cost_s, run_time_s
     remaining_s = job.accepted_s + objective_s(job) - now_s
-    would_be_late = RUN_TIME_MARGIN * best_cost[0] > remaining_s
+    would_be_late = RUN_TIME_MARGIN * best_run_time_s > remaining_s
     if would_be_late and RUN_TIME_MARGIN * fastest_s <= remaining_s:
         return None
     return best
