Keep one invalid record or unexpected error from ending a daemon

Two ways were found in which one malformed value took whole processes down. An entry of the list of endpoints whose host can't be encoded ("a..b:80") passed the checks and raised UnicodeError at each call; the error ended the tenure's task group, with it the daemon, and then each successor in turn. A member's record with an address of another type raised outside the errors that the membership handles.

Hosts of endpoints must now be IP addresses, as the platform promises; members' records are decoded as a whole and skipped if they are not valid. An unexpected error within a tenure ends that tenure, with a log line, and not the daemon.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -574,6 +574,12 @@
         tenure_began.set()
         try:
             await holder.run()
+        except Exception:  # the daemon also serves callers and may hold other groups
+            logger.exception(
+                "tenure of group {} ended by an unexpected error",
+                group,
+                extra=holder.tenure.extra(),
+            )
         finally:
             del self.holders[group]
             if known.endpoints is not None and known.endpoints.fence < fence:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -4,7 +4,7 @@
 from asyncio import CancelledError, InvalidStateError
 from secrets import token_hex
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
@@ -23,8 +23,9 @@
 from berylproxy.durable.view import DaemonView
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
+from berylproxy.peers.errors import PeerSettingsError
 from berylproxy.peers.network import TcpPeerNetwork
-from berylproxy.peers.settings import PeerSettings
+from berylproxy.peers.settings import PeerSettings, split_address
 from berylproxy.platform.callers import CallerApplication
 from berylproxy.platform.configuration import (
     CONFIGURATION_KEY,
@@ -37,7 +38,7 @@
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
 from berylproxy.store.errors import StoreCompactedError, StoreLeaseLapsedError
-from berylproxy.store.port import StoreError
+from berylproxy.store.port import Entry, StoreError
 
 PEER_KEY_RECORD = ROOT + "peer-key"
 MEMBER_PREFIX = ROOT + "members/"
@@ -295,15 +296,13 @@
         )
         member_domains = {}
         for entry in page.entries:
-            try:
-                member = orjson.loads(entry.value)
-                address, domain = member["peer_address"], member["failure_domain"]
-            except (ValueError, TypeError, KeyError) as error:
-                logger.warning("member {} can't be read: {!r}", entry.key, error)
+            member = decode_member(entry)
+            if member is None:
+                logger.warning("skipped member {}: its record is not valid", entry.key)
                 continue
-            member_domains[entry.key.removeprefix(MEMBER_PREFIX)] = domain
-            if address != self._identity.peer_address:
-                self._network.add_address(address)
+            member_domains[entry.key.removeprefix(MEMBER_PREFIX)] = member.failure_domain
+            if member.peer_address != self._identity.peer_address:
+                self._network.add_address(member.peer_address)
         self._member_domains = member_domains
 
     async def _handle_signals(self) -> None:
@@ -334,6 +333,24 @@
         self._stopped.set()
 
 
+class MemberRecord(NamedTuple):
+    """A daemon's entry in the list of members."""
+
+    peer_address: str
+    failure_domain: str
+
+
+def decode_member(entry: Entry) -> MemberRecord | None:
+    """Decodes an entry of the list of members; returns ``None`` if it is not valid."""
+    try:
+        content = orjson.loads(entry.value)
+        member = MemberRecord(content["peer_address"], content["failure_domain"])
+        split_address(member.peer_address)
+    except (ValueError, TypeError, KeyError, AttributeError, PeerSettingsError):
+        return None
+    return member if isinstance(member.failure_domain, str) else None
+
+
 def _make_peer_settings(settings: PlatformSettings, key: bytes) -> PeerSettings:
     return PeerSettings(
         listen_address=settings.peer_address,
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -1,5 +1,6 @@
 """Lists the platform's runners (endpoints) from the store and calls them."""
 
+from ipaddress import ip_address
 from time import monotonic
 from typing import Any
 
@@ -219,9 +220,10 @@
         labels = content.get("labels", [])
         capacity = decode_resources(content["capacity"])
         host, _, port = address.rpartition(":")
+        ip_address(host.strip("[]"))  # a name that can't be encoded would raise at each call
         is_valid = (
             state in STATES
-            and all(isinstance(text, str) and text for text in (service, host, zone))
+            and all(isinstance(text, str) and text for text in (service, zone))
             and 0 < int(port) < 65_536
             and all(isinstance(label, str) for label in labels)
         )
--- a/tests/durable/member.feature
+++ b/tests/durable/member.feature
@@ -28,3 +28,8 @@
       | an earlier process of "d0"     | claims         |
       | a process of "d1"              | does not claim |
       | nobody, as it can't be decoded | does not claim |
+
+  Scenario: an unexpected error ends the tenure in which it occurs, and not the daemon
+    Given a daemon that holds a group with an endpoint whose address can't be used
+    When it has served for 0.2 s
+    Then its tenure has ended, and it still runs
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -13,6 +13,8 @@
       | field "service" becomes 5          | rejected              |
       | field "address" becomes "nowhere"  | rejected              |
       | field "address" becomes "h:99999"  | rejected              |
+      | field "address" becomes "a..b:80"  | rejected              |
+      | field "address" becomes "[::1]:80" | an endpoint           |
       | field "capacity" becomes []        | rejected              |
       | field "capacity" becomes {"cpu":-1} | rejected             |
       | field "labels" becomes [1]         | rejected              |
@@ -20,6 +22,19 @@
       | field "extra" becomes true         | an endpoint           |
       | bytes are cut in half              | rejected              |
 
+  Scenario Outline: a daemon's record is used only if it is valid
+    Then a member's record <record> is <verdict>
+
+    Examples:
+      | record                                                      | verdict  |
+      | {"peer_address": "10.0.0.1:80", "failure_domain": "a"}      | accepted |
+      | {"peer_address": "a..b:80", "failure_domain": "a"}          | rejected |
+      | {"peer_address": 5, "failure_domain": "a"}                  | rejected |
+      | {"peer_address": "10.0.0.1:80", "failure_domain": ["a"]}    | rejected |
+      | {"peer_address": "10.0.0.1:80"}                             | rejected |
+      | [1]                                                         | rejected |
+      | {                                                           | rejected |
+
   Scenario: a runner's report with rows that can't be read keeps the others
     When this report of a runner is decoded:
       """
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -214,6 +214,49 @@
 }
 
 
+class UnusableDirectory(FakeDirectory):
+    """A list of endpoints that can't be connected to."""
+
+    def connect(self, info):
+        raise UnicodeError(f"encoding of {info.address} with 'idna' codec failed")
+
+
+@given(r"a daemon that holds a group with an endpoint whose address can't be used")
+def step_impl(context):
+    context.coordinator = GroupCoordinator(
+        make_network("d0"),
+        FakeJobStore(),
+        UnusableDirectory([make_endpoint("e1")]),
+        MonotonicClock(),
+        1.0,
+        dict,
+        lambda: True,
+        print,
+        Telemetry(),
+    )
+    context.coordinator.divisions._divisions[SERVICE] = Division(1)
+
+
+@when(r"it has served for (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    async def serve():
+        coordinator = context.coordinator
+        coordinator.known_holders[SERVICE] = KnownHolder()
+        with move_on_after(float(time_s)) as scope:
+            async with create_task_group() as task_group:
+                task_group.start_soon(coordinator._follow_endpoint_list)
+                task_group.start_soon(coordinator._hold_group, SERVICE, PROVISIONAL_FENCE, 0)
+        context.ran_to_the_end = scope.cancelled_caught
+
+    run(serve)
+
+
+@then(r"its tenure has ended, and it still runs")
+def step_impl(context):
+    assert context.ran_to_the_end
+    assert not context.coordinator.holders
+
+
 @given(r"the stored claim on a group names (?P<claimant>.+)")
 def step_impl(context, claimant):
     write(context.store, claim_key(SERVICE), CLAIMS[claimant])
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -14,6 +14,7 @@
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
+from berylproxy.platform.daemon import decode_member
 from berylproxy.platform.endpoints import decode_entry, decode_report, decode_start
 from berylproxy.platform.settings import load_platform_settings
 from berylproxy.settings import SettingsError
@@ -85,6 +86,12 @@
     assert (info.kind, info.rack) == ("b", "r1-2")
 
 
+@then(r"a member's record (?P<record>.+) is (?P<verdict>accepted|rejected)")
+def step_impl(context, record, verdict):
+    member = decode_member(Entry("members/d1", record.encode(), 1))
+    assert (member is not None) == (verdict == "accepted"), member
+
+
 @when(r"this report of a runner is decoded:")
 def step_impl(context):
     context.report = decode_report(json.loads(context.text), 0.0)
