--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -51,6 +51,23 @@
     )
 
 
+def make_coordinator(
+    directory, *, name="d0", store=None, list_members=dict, has_store=True, network=None
+):
+    """Makes a coordinator without other daemons."""
+    return GroupCoordinator(
+        network or make_network(name),
+        store or FakeJobStore(),
+        directory,
+        MonotonicClock(),
+        1.0,
+        list_members,
+        lambda: has_store,
+        lambda states: None,
+        Telemetry(),
+    )
+
+
 def write(store, key, value):
     """Writes a key to the store as another daemon would."""
     store.revision += 1
@@ -66,17 +83,7 @@
         model.learn(QUEUE, 0.0, "e1", LEARNED_RUN_TIME_S)
     for group in list_groups(SERVICE, GROUPS):
         write(context.store, model_key(group), encode_model(model))
-    context.coordinator = GroupCoordinator(
-        make_network(),
-        context.store,
-        FakeDirectory([]),
-        MonotonicClock(),
-        1.0,
-        dict,
-        lambda: True,
-        lambda states: None,
-        Telemetry(),
-    )
+    context.coordinator = make_coordinator(FakeDirectory([]), store=context.store)
 
 
 @given(r"the stored run times of the first group are damaged")
@@ -117,17 +124,7 @@
 
 def hold_provisionally(context, name, fence):
     """Makes a coordinator that is the provisional holder of a group."""
-    coordinator = GroupCoordinator(
-        make_network(name),
-        FakeJobStore(),
-        FakeDirectory([]),
-        MonotonicClock(),
-        1.0,
-        dict,
-        lambda: False,
-        lambda states: None,
-        Telemetry(),
-    )
+    coordinator = make_coordinator(FakeDirectory([]), name=name, has_store=False)
     context.task_group.start_soon(coordinator._hold_group, SERVICE, fence, 0)
     return coordinator
 
@@ -175,9 +172,7 @@
     store, clock = FakeJobStore(), MonotonicClock()
 
     async def check():
-        coordinator = GroupCoordinator(
-            network, store, FakeDirectory([]), clock, 1.0, dict, lambda: True, print, Telemetry()
-        )
+        coordinator = make_coordinator(FakeDirectory([]), store=store, network=network)
         async with create_task_group() as coordinator._task_group:
             last_seen_s = clock.now_s() - context.silence_s
             known = KnownHolder(CLAIM_FENCE, holder.incarnation, last_seen_s)
@@ -194,16 +189,8 @@
 def step_impl(context, count):
     context.store = FakeJobStore()
     domains = {f"d{number}": "a" for number in range(int(count) + 1)}
-    context.coordinator = GroupCoordinator(
-        make_network("d0"),
-        context.store,
-        FakeDirectory([]),
-        MonotonicClock(),
-        1.0,
-        lambda: domains,
-        lambda: True,
-        print,
-        Telemetry(),
+    context.coordinator = make_coordinator(
+        FakeDirectory([]), store=context.store, list_members=lambda: domains
     )
 
 
@@ -223,17 +210,7 @@
 
 @given(r"a daemon that holds a group with an endpoint whose address can't be used")
 def step_impl(context):
-    context.coordinator = GroupCoordinator(
-        make_network("d0"),
-        FakeJobStore(),
-        UnusableDirectory([make_endpoint("e1")]),
-        MonotonicClock(),
-        1.0,
-        dict,
-        lambda: True,
-        print,
-        Telemetry(),
-    )
+    context.coordinator = make_coordinator(UnusableDirectory([make_endpoint("e1")]))
     context.coordinator.divisions._divisions[SERVICE] = Division(1)
 
 
@@ -291,17 +268,7 @@
 def step_impl(context, groups, count):
     directory = FakeDirectory([make_endpoint(f"e{number}") for number in range(int(count))])
     context.store = FakeJobStore()
-    context.coordinator = GroupCoordinator(
-        make_network(),
-        context.store,
-        directory,
-        MonotonicClock(),
-        1.0,
-        dict,
-        lambda: True,
-        print,
-        Telemetry(),
-    )
+    context.coordinator = make_coordinator(directory, store=context.store)
     division = Division(int(groups), {}, revision=1)
     context.coordinator.divisions._divisions[SERVICE] = division
     context.coordinator.holders[list_groups(SERVICE, int(groups))[0]] = SimpleNamespace()
--- a/tests/steps/peers_handshake_steps.py
+++ b/tests/steps/peers_handshake_steps.py
@@ -81,6 +81,19 @@
     try_to_dial(context, context.peers[name].address, cluster=cluster)
 
 
+def start_listener(context, serve):
+    """Listens on the loopback, serves each connection, and returns the address."""
+
+    async def run(*, task_status):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started(f"127.0.0.1:{port}")
+        async with listener:
+            await listener.serve(serve)
+
+    return start(context, run)
+
+
 @when("a peer dials a listener that reflects its proof")
 def step_dial_reflector(context):
     async def reflect(stream):
@@ -91,14 +104,7 @@
             await stream.send(await stream.receive())
             await read_to_end(stream)
 
-    async def run(*, task_status):
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        task_status.started(f"127.0.0.1:{port}")
-        async with listener:
-            await listener.serve(reflect)
-
-    try_to_dial(context, start(context, run))
+    try_to_dial(context, start_listener(context, reflect))
 
 
 class CoalescingStream:
@@ -133,13 +139,6 @@
             await Handshake(coalescing, identity, settings, lambda _: None).accept()
             await read_to_end(stream)
 
-    async def run(*, task_status):
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        task_status.started(f"127.0.0.1:{port}")
-        async with listener:
-            await listener.serve(accept)
-
     async def dial(address):
         async with await connect_tcp(*split_address(address)) as stream:
             handshake = Handshake(stream, make_identity("dialler"), settings, lambda _: None)
@@ -149,7 +148,7 @@
             context.received_frames = list(codec.make_decoder(2048).feed(data))
 
     try:
-        call(context, dial, start(context, run))
+        call(context, dial, start_listener(context, accept))
     except PeerError as error:
         context.peer_error = error
 
