Let the order of jobs and the effect of neighbours vary in placement

Several parts are built side by side that change how placement decides: the order in which jobs share scarce room, and tasks that slow each other down. They plug into Protocols, so that each can be tested and switched on by itself. The defaults decide as before. The baseline that a load test puts in place of choose_endpoint takes the new argument; its assertions are as they were. tests/durable: 137 passed.

--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import inf
+from typing import Protocol
 
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
@@ -68,6 +69,61 @@
     return 2, job.accepted_s, job.accepted_s
 
 
+class JobOrder(Protocol):
+    """Decides which waiting jobs are placed first."""
+
+    def arrange(self, jobs: list[Job], now_s: float, endpoint_cores: float) -> list[Job]:
+        """Returns the jobs in the order in which their tasks are placed.
+
+        :param endpoint_cores: cores of a mean endpoint.
+        """
+
+
+class ObjectiveOrder:
+    """Places the jobs that can meet their objective first; see :func:`rank_job`."""
+
+    def arrange(self, jobs: list[Job], now_s: float, endpoint_cores: float) -> list[Job]:
+        """Returns the jobs sorted by :func:`rank_job`."""
+        return sorted(jobs, key=lambda job: rank_job(job, now_s, endpoint_cores))
+
+
+class NeighbourEffect(Protocol):
+    """Tells how tasks on one endpoint slow each other down."""
+
+    def slowdown(self, queue: str, endpoint: EndpointState) -> float:
+        """Returns the factor on the run time of a queue's task beside the runs of an endpoint.
+
+        :return: 1 if the neighbours have no effect; what the task does to them is included.
+        """
+
+
+class NoNeighbourEffect:
+    """Assumes that tasks on one endpoint don't slow each other down."""
+
+    def slowdown(self, queue: str, endpoint: EndpointState) -> float:
+        """Returns 1."""
+        return 1.0
+
+
+OBJECTIVE_ORDER = ObjectiveOrder()
+NO_NEIGHBOUR_EFFECT = NoNeighbourEffect()
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPolicies:
+    """The exchangeable parts of placement.
+
+    :param order: decides which jobs go first.
+    :param neighbours: tells how tasks on one endpoint slow each other down.
+    """
+
+    order: JobOrder = OBJECTIVE_ORDER
+    neighbours: NeighbourEffect = NO_NEIGHBOUR_EFFECT
+
+
+DEFAULT_POLICIES = PlacementPolicies()
+
+
 @dataclass(frozen=True, slots=True)
 class NearRack:
     """The rack where a task runs fastest.
@@ -87,6 +143,7 @@
     now_s: float,
     order_start: Callable[[Task, EndpointState], None],
     remote_factor: float = DEFAULT_REMOTE_FACTOR,
+    policies: PlacementPolicies = DEFAULT_POLICIES,
 ) -> None:
     """Assigns the waiting tasks to endpoints with enough free resources.
 
@@ -101,7 +158,7 @@
     if not usable:
         return
     cores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable) / len(usable) / 1000
-    jobs = sorted(waiting_jobs, key=lambda job: rank_job(job, now_s, cores))
+    jobs = policies.order.arrange(waiting_jobs, now_s, cores)
     max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
     skipped = 0
     for job in jobs:
@@ -115,7 +172,7 @@
                 skipped += 1
                 break
             near = NearRack(choose_rack(job, task, usable, model), remote_factor)
-            endpoint = choose_endpoint(job, task, usable, model, now_s, near)
+            endpoint = choose_endpoint(job, task, usable, model, now_s, near, policies.neighbours)
             if endpoint is None:
                 skipped += 1
                 break
@@ -157,6 +214,7 @@
     model: RunTimeModel,
     now_s: float,
     near: NearRack,
+    neighbours: NeighbourEffect = NO_NEIGHBOUR_EFFECT,
 ) -> EndpointState | None:
     """Returns the endpoint where a task is expected to end soonest; ``None`` if it should wait.
 
@@ -165,7 +223,8 @@
     endpoint with enough free resources.
     """
     step = task.step
-    expected_s = model.expected_run_time_s(job.spec.terms.queue, step.estimate_s)
+    queue = job.spec.terms.queue
+    expected_s = model.expected_run_time_s(queue, step.estimate_s)
     active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
     best, best_cost_s, best_run_time_s, fastest_s = None, inf, inf, inf
     for endpoint in usable:
@@ -186,6 +245,7 @@
         remaining_millicores = endpoint.free_millicores - step.needs.cpu_millicores
         if remaining_millicores < 0 or not step.needs.fits(endpoint.free_resources):
             continue
+        run_time_s *= neighbours.slowdown(queue, endpoint)
         cost_s = run_time_s + FIT_WEIGHT_S * remaining_millicores / max(
             info.capacity.cpu_millicores, 1
         )
--- a/tests/steps/durable_load_steps.py
+++ b/tests/steps/durable_load_steps.py
@@ -24,7 +24,7 @@
     return 0, job.accepted_s, 0.0
 
 
-def choose_fastest_endpoint(job, task, usable, model, now_s, near):
+def choose_fastest_endpoint(job, task, usable, model, now_s, near, neighbours):
     """Returns the fastest endpoint with free resources, in place of ``choose_endpoint``."""
     fitting = [endpoint for endpoint in usable if task.step.needs.fits(endpoint.free_resources)]
     speed = {id(e): model.speed(e.info.instance.endpoint_id) for e in fitting}
