--- /dev/null
+++ b/tools/daemon_cost/__init__.py
@@ -0,0 +1,1 @@
+"""Measures where the processor time of the platform's daemons goes."""
--- /dev/null
+++ b/tools/daemon_cost/sampler.py
@@ -0,0 +1,106 @@
+"""Attributes the processor time of a process to the parts of a daemon, by sampling its stack."""
+
+import signal
+import time
+from collections import Counter
+from types import FrameType
+
+SAMPLE_INTERVAL_S = 0.002
+START_UP = "start-up"
+EVENT_LOOP = "event loop"
+WHOLE_MODULE = ""
+
+# The innermost frame that matches decides: its module's path ends with the first text, and its
+# function is the second one, if that is not empty.
+RULES = (
+    ("durable/placement.py", WHOLE_MODULE, "decisions"),
+    ("durable/acceptance.py", WHOLE_MODULE, "decisions"),
+    ("durable/estimates.py", WHOLE_MODULE, "decisions"),
+    ("durable/routing.py", WHOLE_MODULE, "decisions"),
+    ("durable/contention.py", WHOLE_MODULE, "decisions"),
+    ("durable/job_table.py", WHOLE_MODULE, "decisions"),
+    ("berylproxy/logs.py", WHOLE_MODULE, "logs"),
+    ("logbook/base.py", WHOLE_MODULE, "logs"),
+    ("durable/holder.py", "_send_heartbeat_to", "heartbeats of holders"),
+    ("durable/coordinator.py", "_handle_holder_heartbeat", "heartbeats of holders"),
+    ("durable/coordinator.py", "_check_holder", "checks of holders"),
+    ("peers/prober.py", WHOLE_MODULE, "heartbeats of members"),
+    ("peers/control.py", WHOLE_MODULE, "heartbeats of members"),
+    ("peers/table.py", WHOLE_MODULE, "heartbeats of members"),
+    ("durable/holder.py", "_run_periodic_checks", "periodic checks"),
+    ("durable/group.py", "_poll_endpoint", "polls"),
+    ("durable/group.py", "_start", "start orders"),
+    ("durable/group.py", "_stop", "start orders"),
+    ("durable/group.py", WHOLE_MODULE, "polls"),
+    ("platform/store.py", WHOLE_MODULE, "store and watches"),
+    ("berylproxy/http_exchange.py", WHOLE_MODULE, "answers of endpoints and store"),
+    ("durable/best_effort.py", WHOLE_MODULE, "jobs at the holder"),
+    ("durable/holder.py", "submit", "jobs at the holder"),
+    ("platform/callers.py", WHOLE_MODULE, "callers"),
+    ("durable/frontend.py", WHOLE_MODULE, "callers"),
+    ("hypercorn/", WHOLE_MODULE, "HTTP server"),
+    ("berylproxy/http_server.py", WHOLE_MODULE, "HTTP server"),
+    ("peers/", WHOLE_MODULE, "streams between daemons"),
+    ("platform/__main__.py", WHOLE_MODULE, EVENT_LOOP),
+    ("berylproxy/", WHOLE_MODULE, "rest of the daemon"),
+)
+
+
+def classify(frame: FrameType | None) -> str:
+    """Returns the part that a stack belongs to, given its innermost frame."""
+    while frame is not None:
+        path, function = frame.f_code.co_filename, frame.f_code.co_name
+        if function == "_find_and_load":
+            return START_UP
+        for suffix, name, part in RULES:
+            if (path.endswith(suffix) or (suffix.endswith("/") and f"/{suffix}" in path)) and (
+                not name or name == function
+            ):
+                return part
+        frame = frame.f_back
+    return EVENT_LOOP
+
+
+def list_functions(frame: FrameType | None) -> set[str]:
+    """Returns the names of all functions of a stack, given its innermost frame."""
+    functions = set()
+    while frame is not None:
+        path = "/".join(frame.f_code.co_filename.rsplit("/", 2)[-2:])
+        functions.add(f"{path}:{frame.f_code.co_name}")
+        frame = frame.f_back
+    return functions
+
+
+class Sampler:
+    """Samples the main thread in intervals of processor time.
+
+    :ivar samples: number of samples by part.
+    :ivar functions: number of samples by function, each with all functions that it calls.
+    """
+
+    def __init__(self) -> None:
+        self.samples: Counter[str] = Counter()
+        self.functions: Counter[str] = Counter()
+        self._started_s = time.process_time()
+
+    def start(self) -> None:
+        """Starts sampling; what the process has used before counts as its start-up."""
+        signal.signal(signal.SIGPROF, self._sample)
+        signal.setitimer(signal.ITIMER_PROF, SAMPLE_INTERVAL_S, SAMPLE_INTERVAL_S)
+
+    def stop(self) -> dict[str, float]:
+        """Stops sampling.
+
+        :returns: processor time in seconds, by part.
+        """
+        signal.setitimer(signal.ITIMER_PROF, 0.0)
+        used_s = time.process_time()
+        total = self.samples.total() or 1
+        sampled_s = used_s - self._started_s
+        parts = {part: sampled_s * count / total for part, count in self.samples.items()}
+        parts[START_UP] = parts.get(START_UP, 0.0) + self._started_s
+        return parts
+
+    def _sample(self, _: int, frame: FrameType | None) -> None:
+        self.samples[classify(frame)] += 1
+        self.functions.update(list_functions(frame))
