Run the platform's daemons on uvloop

Cause: the event loop takes about a third of a daemon's processor time; a daemon without a group spends most of its time between the loop and the streams. Weighed: httptools and msgpack are in use already; rloop is younger and lacks the record of uvloop.

--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -35,7 +35,7 @@
     handler = make_log_handler(output, "info", daemon_id=settings.daemon_id)
     with handler.applicationbound():
         try:
-            run(PlatformDaemon(settings, path).run)
+            run(PlatformDaemon(settings, path).run, backend_options={"use_uvloop": True})
         except Exception:  # the platform restarts the process; the cause must be in the log
             logger.exception("the daemon failed")
             return ExitStatus.INTERNAL_ERROR
