Start nothing in a failure domain that the operator evacuates

Each daemon now keeps a view of the evacuated domains at one revision of the store, read by the watch that serves the configuration, and read anew after each failure and every 4 s. Endpoints of such a domain don't serve until it is taken back, so that placement, admission and room follow. A holder has a recent view before its first start; without the store it goes on with the last one.

Weighed: a second watch (twice the calls), no starts at all with an old view (an outage would stop best-effort jobs), stopping what runs there (not asked for).

Without is_evacuated in is_serving, tests/platform/evacuation.feature fails with starts in the evacuated domain; with it, it passes. tests/durable: 137 passed.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -35,6 +35,7 @@
 )
 from berylproxy.durable.divisions import ServiceDivisions
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.groups import count_carried_endpoints
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
@@ -147,6 +148,7 @@
     :param has_store: returns whether the store answers this daemon.
     :param on_jobs_ended: called with the final states, by job, of durable jobs that were submitted
         through this daemon.
+    :param evacuations: the evacuated failure domains as this daemon knows them.
     """
 
     def __init__(
@@ -160,6 +162,7 @@
         has_store: Callable[[], bool],
         on_jobs_ended: Callable[[dict[str, str]], None],
         telemetry: Telemetry,
+        evacuations: EvacuatedDomains,
     ) -> None:
         self.known_holders: dict[str, KnownHolder] = {}
         self.holders: dict[str, Holder] = {}
@@ -184,6 +187,7 @@
             store,
             directory,
             self._endpoint_list,
+            evacuations,
             self.divisions.group_of_endpoint,
             clock,
             telemetry,
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -76,6 +76,7 @@
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
+    :ivar is_evacuated: whether its failure domain is evacuated, so that no task is started there.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
     :ivar used: resources taken by all ``runs``.
     """
@@ -88,6 +89,7 @@
     sent_acknowledgement: int = 0
     contacted_s: float | None = None
     is_listed: bool = True
+    is_evacuated: bool = False
     missed_calls: int = 0
     last_answer_s: float = 0.0
     quarantined_until_s: float = 0.0
@@ -142,6 +144,7 @@
             self.is_contacted
             and self.is_listed
             and not self.info.leaving
+            and not self.is_evacuated
             and not self.missed_calls
             and now_s >= self.quarantined_until_s
         )
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -7,6 +7,7 @@
 from logbook import Logger
 
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
 from berylproxy.durable.models import (
@@ -55,13 +56,15 @@
     """The endpoints of a group under one tenure.
 
     :param endpoint_list: this daemon's copy of the platform's list.
+    :param evacuations: this daemon's view of the evacuated failure domains.
     :param is_in_group: returns whether an endpoint belongs to the group.
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
     :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
         ends of unknown jobs may belong to them.
-    :ivar has_read_list: whether the list was read in this tenure, or the store is silent.
+    :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
+        is silent.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
         that waits for it replaces it by a new event.
     """
@@ -71,6 +74,7 @@
         tenure: Tenure,
         directory: EndpointDirectory,
         endpoint_list: EndpointList,
+        evacuations: EvacuatedDomains,
         job_table: JobTable,
         model: RunTimeModel,
         is_in_group: Callable[[EndpointInfo], bool],
@@ -85,6 +89,7 @@
         self._clock = tenure.clock
         self._directory = directory
         self._endpoint_list = endpoint_list
+        self._evacuations = evacuations
         self._job_table = job_table
         self._model = model
         self._is_in_group = is_in_group
@@ -101,19 +106,33 @@
 
         The list that a standby daemon has read may be old: its endpoints are contacted at once, but
         an endpoint may have begun to leave since. Unless the store is silent, nothing is started
-        before the list has been read again.
+        before the list has been read again, and the evacuations unless their view is recent. A
+        daemon that has never known the evacuations starts nothing at all.
         """
         if self._endpoint_list.read_s:
             self._apply_directory(self._endpoint_list.endpoints)
         if self._tenure.claim_revision:
             with move_on_after(FIRST_LIST_TIMEOUT_S):
                 await self._endpoint_list.confirmed.wait()
+                while not self._evacuations.is_recent(self._clock.now_s()):
+                    await self._evacuations.confirmed.wait()
+        while not self._evacuations.is_known:
+            await self._evacuations.confirmed.wait()
         while True:
             self._apply_directory(self._endpoint_list.endpoints)
             self.has_read_list = self.has_read_list or self._endpoint_list.read_s > 0
             self.changed.set()
             await self._endpoint_list.confirmed.wait()
 
+    async def follow_evacuations(self) -> None:
+        """Applies each change of the evacuated failure domains until cancelled."""
+        while True:
+            for endpoint in self.endpoints.values():
+                domain = endpoint.info.failure_domain
+                endpoint.is_evacuated = domain in self._evacuations.names
+            self.changed.set()
+            await self._evacuations.changed.wait()
+
     def _apply_directory(self, listed: tuple[EndpointInfo, ...]) -> None:
         """Adds new endpoints, and marks those that have been missing in the list for too long."""
         now_s = self._clock.now_s()
@@ -132,6 +151,7 @@
                 )
             endpoint.info = info
             endpoint.is_listed = True
+            endpoint.is_evacuated = info.failure_domain in self._evacuations.names
         grace_s = UNLISTED_GRACE_S if was_unavailable else 0.0
         for instance, endpoint in self.endpoints.items():
             if instance not in info_by_instance:
@@ -142,6 +162,7 @@
 
     def _add_endpoint(self, info: EndpointInfo) -> None:
         endpoint = EndpointState(info)
+        endpoint.is_evacuated = info.failure_domain in self._evacuations.names
         self.endpoints[info.instance] = endpoint
         self._clients[info.instance] = self._directory.connect(info)
         self._wakeups[info.instance] = Event()
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -27,6 +27,7 @@
     HEARTBEATS_PER_BROADCAST,
 )
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.group import EndpointGroup
 from berylproxy.durable.job_log import JobLog
@@ -150,6 +151,7 @@
     """Dependencies that all tenures of a daemon share.
 
     :param endpoint_list: the list of endpoints that this daemon read last.
+    :param evacuations: the evacuated failure domains as this daemon knows them.
     :param group_of_endpoint: returns the group of an endpoint, given its service and identifier;
         empty if it is in none yet.
     :param notify: sends a message without a reply to an incarnation.
@@ -166,6 +168,7 @@
     store: JobStore
     directory: EndpointDirectory
     endpoint_list: EndpointList
+    evacuations: EvacuatedDomains
     group_of_endpoint: Callable[[str, str], str]
     clock: Clock
     telemetry: Telemetry
@@ -210,6 +213,7 @@
             tenure,
             context.directory,
             context.endpoint_list,
+            context.evacuations,
             self.job_table,
             model,
             lambda info: context.group_of_endpoint(info.service, info.instance.endpoint_id)
@@ -245,6 +249,7 @@
                 self.tenure.task_group = task_group
                 task_group.start_soon(self._send_heartbeats)
                 task_group.start_soon(self.group.follow_directory)
+                task_group.start_soon(self.group.follow_evacuations)
                 task_group.start_soon(self._place_tasks)
                 task_group.start_soon(self._run_periodic_checks)
                 if self.tenure.claim_revision:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -15,6 +15,7 @@
 from berylproxy import __version__
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.coordinator import GroupCoordinator
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.frontend import JobFrontend
 from berylproxy.durable.messages import DURABLE_MESSAGES
 from berylproxy.durable.ports import Transaction, TransactionConflictError
@@ -28,16 +29,16 @@
 from berylproxy.peers.settings import PeerSettings, split_address
 from berylproxy.platform.callers import CallerApplication
 from berylproxy.platform.configuration import (
-    CONFIGURATION_KEY,
     ConfigurationInvalidError,
     PlatformConfiguration,
     decode_configuration,
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.operator_watch import OperatorWatch
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
-from berylproxy.store.errors import StoreCompactedError, StoreLeaseLapsedError
+from berylproxy.store.errors import StoreLeaseLapsedError
 from berylproxy.store.port import Entry, StoreError
 
 PEER_KEY_RECORD = ROOT + "peer-key"
@@ -46,8 +47,6 @@
 MEMBER_LEASE_S = 6.0  # a lost VM is removed from the list within this time
 MEMBER_RENEWAL_INTERVAL_S = 2.0
 MEMBER_LIST_INTERVAL_S = 1.0
-# A hung watch is detected within the 2 s in which a version must take effect.
-CONFIGURATION_WATCH_S = 0.9
 RETRY_DELAY_S = 0.1
 INCARNATION_BYTES = 6
 # Without the store and a holder for longer, the daemon is not ready: new callers go to others.
@@ -68,6 +67,10 @@
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
         self._configuration = PlatformConfiguration()
+        self._evacuations = EvacuatedDomains()
+        self._operator_watch = OperatorWatch(
+            self._store, self._apply_configuration, self._evacuations
+        )
         self._member_domains: dict[str, str] = {}
         self._is_stopping = False
         self._is_ready = True
@@ -102,6 +105,7 @@
             lambda: self._store.is_reachable,
             lambda states: self._frontend.record_ended_jobs(states),
             telemetry,
+            self._evacuations,
         )
         self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
@@ -119,7 +123,7 @@
         )
         async with create_task_group() as task_group:
             await task_group.start(self._network.run)
-            task_group.start_soon(self._watch_configuration)
+            task_group.start_soon(self._operator_watch.run)
             task_group.start_soon(self._maintain_membership)
             task_group.start_soon(self._track_groups)
             task_group.start_soon(self._coordinator.run)
@@ -202,25 +206,6 @@
                 logger.info("the store is not available yet: {}", error.message)
                 await sleep(RETRY_DELAY_S)
 
-    async def _watch_configuration(self) -> None:
-        revision = 0
-        while True:
-            try:
-                if not revision:
-                    revision = await self._read_configuration()
-                batch = await self._store.wait_for_changes(
-                    CONFIGURATION_KEY, revision, CONFIGURATION_WATCH_S
-                )
-                for entry in batch.updates:
-                    self._apply_configuration(entry.value)
-                revision = max(revision, batch.revision)
-            except StoreCompactedError:
-                revision = 0
-            except StoreError as error:
-                logger.debug("the configuration can't be read: {}", error.message)
-                revision = 0
-                await sleep(RETRY_DELAY_S)
-
     async def _track_groups(self) -> None:
         """Passes new groups to the coordinator without delaying the watch of the configuration."""
         while True:
@@ -237,13 +222,6 @@
                 self._groups_changed.set()
                 await sleep(RETRY_DELAY_S)
 
-    async def _read_configuration(self) -> int:
-        page = await self._store.read_page(CONFIGURATION_KEY)
-        for entry in page.entries:
-            if entry.key == CONFIGURATION_KEY:
-                self._apply_configuration(entry.value)
-        return page.revision
-
     def _apply_configuration(self, value: bytes) -> None:
         try:
             configuration = decode_configuration(value)
--- /dev/null
+++ b/berylproxy/platform/operator_watch.py
@@ -0,0 +1,134 @@
+"""Follows what the operator writes in the platform's store: the configuration and evacuations.
+
+One watch serves both, since the store counts and prices each call.
+"""
+
+from collections.abc import Callable
+from time import monotonic
+
+from anyio import sleep
+from logbook import Logger
+
+from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.platform.configuration import CONFIGURATION_KEY
+from berylproxy.platform.store import PlatformStore
+from berylproxy.store.errors import StoreCompactedError
+from berylproxy.store.port import ChangeBatch, StoreError
+
+OPERATOR_PREFIX = "op/"
+EVACUATION_PREFIX = "op/evacuate/"
+# A hung watch is detected within the 2 s in which a version must take effect.
+WATCH_S = 0.9
+# A change that a watch fails to report is found within this time and that of a watch, before an
+# evacuation has to be in effect.
+REREAD_INTERVAL_S = 4.0
+RETRY_DELAY_S = 0.1
+
+logger = Logger(__name__)
+
+
+class OperatorWatch:
+    """Applies the operator's configuration and evacuations as they change.
+
+    :param apply_configuration: called with each value of the configuration that is read.
+    :param evacuations: the view that is kept up to date.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        apply_configuration: Callable[[bytes], None],
+        evacuations: EvacuatedDomains,
+    ) -> None:
+        self._store = store
+        self._apply_configuration = apply_configuration
+        self._evacuations = evacuations
+        self._requested: dict[str, int] = {}
+        self._skipped_keys: set[str] = set()
+
+    async def run(self) -> None:
+        """Follows the operator's keys until cancelled; reads them anew after each failure."""
+        revision, read_s = 0, 0.0
+        while True:
+            try:
+                if not revision or monotonic() - read_s >= REREAD_INTERVAL_S:
+                    read_s = monotonic()
+                    revision = max(revision, await self._read())
+                batch = await self._store.wait_for_changes(OPERATOR_PREFIX, revision, WATCH_S)
+                revision = max(revision, batch.revision)
+                self._apply(batch, revision)
+            except StoreCompactedError:
+                revision = 0
+            except StoreError as error:
+                logger.debug("the operator's keys can't be read: {}", error.message)
+                revision = 0
+                await sleep(RETRY_DELAY_S)
+
+    async def _read(self) -> int:
+        """Reads all keys of the operator.
+
+        :return: the revision after which changes are to be watched. Pages are no snapshot, so that
+            is the first one's.
+        """
+        revision, after_key, has_more = 0, "", True
+        requested: dict[str, int] = {}
+        while has_more:
+            page = await self._store.read_page(OPERATOR_PREFIX, after_key)
+            revision = revision or page.revision
+            for entry in page.entries:
+                after_key = entry.key
+                if entry.key == CONFIGURATION_KEY:
+                    self._apply_configuration(entry.value)
+                elif entry.key.startswith(EVACUATION_PREFIX):
+                    requested[entry.key] = entry.revision
+            has_more = page.has_more and bool(page.entries)
+        self._requested = requested
+        self._confirm(revision)
+        return revision
+
+    def _apply(self, batch: ChangeBatch, revision: int) -> None:
+        """Applies the changes that a watch has returned."""
+        for entry in batch.updates:
+            if entry.key == CONFIGURATION_KEY:
+                self._apply_configuration(entry.value)
+            elif entry.key.startswith(EVACUATION_PREFIX):
+                self._requested[entry.key] = max(entry.revision, self._requested.get(entry.key, 0))
+        for entry in batch.deletions:
+            if self._requested.get(entry.key, 0) < entry.revision:
+                self._requested.pop(entry.key, None)
+        self._confirm(revision)
+
+    def _confirm(self, revision: int) -> None:
+        """Applies the requested evacuations, which were read at a revision of the store."""
+        now_s = monotonic()
+        domains = {name for key in self._requested if (name := self._decode_domain(key))}
+        former = self._evacuations.names
+        if not self._evacuations.confirm(frozenset(domains), revision, now_s):
+            return
+        for domain in sorted(domains - former):
+            logger.info(
+                "failure domain evacuated",
+                extra={
+                    "failure_domain": domain,
+                    "revision": self._requested[EVACUATION_PREFIX + domain],
+                },
+            )
+        for domain in sorted(former - domains):
+            logger.info(
+                "failure domain taken back", extra={"failure_domain": domain, "revision": revision}
+            )
+
+    def _decode_domain(self, key: str) -> str:
+        """Returns the failure domain that a key names; empty if it names none."""
+        domain = decode_evacuated_domain(key)
+        if not domain and key not in self._skipped_keys:
+            self._skipped_keys.add(key)
+            logger.warning("skipped the request to evacuate {!r}: no name of a failure domain", key)
+        return domain
+
+
+def decode_evacuated_domain(key: str) -> str:
+    """Returns the failure domain that a request to evacuate names; empty if it names none."""
+    domain = key.removeprefix(EVACUATION_PREFIX)
+    is_name = domain.isprintable() and not any(c.isspace() or c == "/" for c in domain)
+    return domain if is_name else ""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -117,6 +117,11 @@
         self.values.put(body["key"].encode(), json.dumps(body["value"]).encode(), 0)
         return self.answer({})
 
+    async def control_remove(self, request: Request) -> Response:
+        """Removes a key on behalf of an operator or a runner."""
+        self.values.delete_keys([(await request.json())["key"].encode()])
+        return self.answer({})
+
     async def control_switch(self, request: Request) -> Response:
         """Sets the fault switches given in the request."""
         for name, value in (await request.json()).items():
@@ -158,6 +163,7 @@
         Route("/-/kv-lease", store.create_lease, methods=["POST"]),
         Route("/-/kv-keep/{lease}", store.extend_lease, methods=["POST"]),
         Route("/control/put", store.control_put, methods=["POST"]),
+        Route("/control/remove", store.control_remove, methods=["POST"]),
         Route("/control/switch", store.control_switch, methods=["POST"]),
     ]
     listener = open_listener("127.0.0.1", port)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -42,12 +42,13 @@
     def __init__(self, arguments: Namespace) -> None:
         self.name = arguments.name
         self.service = arguments.service
+        self.failure_domain = arguments.failure_domain
         self.store_url = arguments.store_url
         self.started_s = monotonic()
         self.born_ms = int(time() * 1000)
         instance = EndpointInstance(arguments.name, self.born_ms)
         capacity = Resources(arguments.cores * 1000, 128_000)
-        info = EndpointInfo(instance, arguments.service, "", "a", capacity)
+        info = EndpointInfo(instance, self.service, "", self.failure_domain, capacity)
         self.model = RunnerModel(info, run_time_s=arguments.run_time_s)
         self.unanswered_calls: Counter[str] = Counter()
         self.carried_out_after_s = 0.0
@@ -164,7 +165,7 @@
                 entry = {
                     "service": self.service,
                     "address": self.advertised_address or f"127.0.0.1:{port}",
-                    "zone": "a",
+                    "zone": self.failure_domain,
                     "version": "v1",
                     "slots": 8,
                     "state": "ready",
@@ -226,6 +227,7 @@
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--name", required=True)
     parser.add_argument("--service", default="ledger")
+    parser.add_argument("--failure-domain", default="a")
     parser.add_argument("--store-url", required=True)
     parser.add_argument("--cores", type=int, default=64)
     parser.add_argument("--run-time-s", type=float, default=0.05)
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,6 +1,7 @@
 """Steps for the holder, which runs in an event loop in a thread of its own."""
 
 from dataclasses import replace
+from math import inf
 from time import monotonic, sleep, time
 from unittest.mock import patch
 
@@ -12,6 +13,7 @@
 from berylproxy.durable import outcomes
 from berylproxy.durable.best_effort import JobAbandonedError, JobInterruptedError
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
 from berylproxy.durable.ledger import NotHolderError
@@ -55,6 +57,7 @@
         self.store = FakeJobStore()
         self.directory = FakeDirectory(self.endpoints)
         self.endpoint_list = EndpointList()
+        self.evacuations = EvacuatedDomains(revision=1, confirmed_s=inf)
         self.holders: dict[int, Holder] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
@@ -87,6 +90,7 @@
                 self.store,
                 self.directory,
                 self.endpoint_list,
+                self.evacuations,
                 lambda service, name: service,
                 MonotonicClock(),
                 Telemetry(),
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -1,5 +1,6 @@
 """Steps for a group coordinator whose peer network is a stub."""
 
+from math import inf
 from types import SimpleNamespace
 
 from anyio import create_task_group, move_on_after, run, sleep
@@ -9,6 +10,7 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.coordinator import GroupCoordinator, KnownHolder
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.groups import Division, list_groups
 from berylproxy.durable.messages import HolderHeartbeat
 from berylproxy.durable.records import (
@@ -65,6 +67,7 @@
         lambda: has_store,
         lambda states: None,
         Telemetry(),
+        EvacuatedDomains(revision=1, confirmed_s=inf),
     )
 
 
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -205,8 +205,17 @@
 
     def configure(self, configuration: dict) -> None:
         """Writes a configuration as the operator does."""
-        body = {"key": "op/config", "value": configuration}
-        self.client.post(f"{self.store.url}/control/put", json=body).raise_for_status()
+        self.write_key("op/config", configuration)
+
+    def write_key(self, key: str, value: object) -> None:
+        """Writes a key of the operator."""
+        url = f"{self.store.url}/control/put"
+        self.client.post(url, json={"key": key, "value": value}).raise_for_status()
+
+    def remove_key(self, key: str) -> None:
+        """Removes a key of the operator."""
+        url = f"{self.store.url}/control/remove"
+        self.client.post(url, json={"key": key}).raise_for_status()
 
     def switch_store(self, **switches: object) -> None:
         """Sets switches of the store."""
