Tell other daemons which failure domains are evacuated

A holder that the store turns away, while it serves the operator and other daemons, went on starting tasks in an evacuated failure domain. Heartbeats between daemons now carry the evacuated domains and the revision from which on they are these; the higher revision wins. Status, metrics and logs show them, with the runs that are left there.

Weighed: a message to all daemons at each change, which those miss that are cut off just then.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -36,6 +36,7 @@
 from berylproxy.durable.divisions import ServiceDivisions
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.durable.evacuation_spread import EvacuationSpread
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.groups import count_carried_endpoints
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
@@ -143,12 +144,12 @@
     :ivar cores: processor share of this VM.
     :ivar link_mbps: bandwidth of this VM's link; infinite if it is not known.
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
+    :ivar evacuations: the evacuated failure domains as this daemon knows them.
     :param list_members: returns the failure domains of the daemons that the store lists, by
         daemon identifier.
     :param has_store: returns whether the store answers this daemon.
     :param on_jobs_ended: called with the final states, by job, of durable jobs that were submitted
         through this daemon.
-    :param evacuations: the evacuated failure domains as this daemon knows them.
     """
 
     def __init__(
@@ -174,6 +175,7 @@
         self.cores = cores
         self.link_mbps = inf
         self.remote_factor = DEFAULT_REMOTE_FACTOR
+        self.evacuations = evacuations
         self._list_members = list_members
         self._has_store = has_store
         self._endpoint_list = EndpointList()
@@ -215,6 +217,7 @@
         network.handle_notice(JobsEnded, lambda _, message: self._on_jobs_ended(message.states))
         network.add_heartbeat_part(HEARTBEAT_PART, self._describe_for_heartbeat)
         network.prioritize_members(self._list_entry_daemons)
+        EvacuationSpread(network, evacuations, clock)
 
     async def run(self) -> None:
         """Checks the holders of all groups periodically until cancelled."""
@@ -615,6 +618,9 @@
                     ("open_jobs", "Jobs that have not ended", len(holder.job_table.jobs), group)
                 )
                 rows.append(("usable_endpoints", "Endpoints that get tasks", usable, group))
+                left = sum(len(e.runs) for e in holder.group.endpoints.values() if e.is_evacuated)
+                text = "Runs left in evacuated failure domains"
+                rows.append(("evacuated_endpoint_runs", text, left, group))
         return [(name, text, float(value), group) for name, text, value, group in rows]
 
     def _is_entry_alive(self, incarnation: str) -> bool:
--- /dev/null
+++ b/berylproxy/durable/evacuation_spread.py
@@ -0,0 +1,54 @@
+"""Tells other daemons which failure domains are evacuated, and hears it from them.
+
+Made for a store that turns some daemons away while it serves the operator and the others: a daemon
+that is turned away learns an evacuation from any other one. The state changes only with the
+evacuations, and a heartbeat carries it only then.
+"""
+
+from typing import Any
+
+from logbook import Logger
+
+from berylproxy.clock import Clock
+from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.peers.membership import Member
+from berylproxy.peers.network import TcpPeerNetwork
+
+HEARTBEAT_PART = "evacuation"
+
+logger = Logger(__name__)
+
+
+class EvacuationSpread:
+    """Adds this daemon's view to its heartbeats, and applies newer views of others."""
+
+    def __init__(
+        self, network: TcpPeerNetwork, evacuations: EvacuatedDomains, clock: Clock
+    ) -> None:
+        self._evacuations = evacuations
+        self._clock = clock
+        network.add_heartbeat_part(HEARTBEAT_PART, self.describe)
+        network.on_change(self.apply)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns this daemon's view for its heartbeats."""
+        return {
+            "revision": self._evacuations.changed_revision,
+            "failure_domains": sorted(self._evacuations.names),
+        }
+
+    def apply(self, member: Member) -> None:
+        """Applies the view in a member's last heartbeat; one that can't be read is skipped."""
+        part = member.heartbeat.get(HEARTBEAT_PART)
+        if part is None:  # a daemon of an earlier version
+            return
+        try:
+            revision, names = int(part["revision"]), [str(name) for name in part["failure_domains"]]
+        except (ValueError, TypeError, KeyError) as error:
+            logger.warning(
+                "skipped the evacuations that {} told: {!r}", member.identity.daemon_id, error
+            )
+            return
+        self._evacuations.hear(
+            frozenset(names), revision, member.identity.daemon_id, self._clock.now_s()
+        )
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -115,9 +115,9 @@
             with move_on_after(FIRST_LIST_TIMEOUT_S):
                 await self._endpoint_list.confirmed.wait()
                 while not self._evacuations.is_recent(self._clock.now_s()):
-                    await self._evacuations.confirmed.wait()
+                    await self._evacuations.learned.wait()
         while not self._evacuations.is_known:
-            await self._evacuations.confirmed.wait()
+            await self._evacuations.learned.wait()
         while True:
             self._apply_directory(self._endpoint_list.endpoints)
             self.has_read_list = self.has_read_list or self._endpoint_list.read_s > 0
--- a/berylproxy/durable/view.py
+++ b/berylproxy/durable/view.py
@@ -40,6 +40,7 @@
             "peer_address": identity.peer_address,
             "cores": self.coordinator.cores,
             "stopping": self.coordinator.is_leaving,
+            "evacuated_failure_domains": sorted(self.coordinator.evacuations.names),
         }
 
     def _describe_peers(self) -> list[dict[str, Any]]:
@@ -89,6 +90,7 @@
         "takes_tasks": endpoint.may_start(now_s),
         "listed": endpoint.is_listed,
         "leaving": endpoint.info.leaving,
+        "evacuated": endpoint.is_evacuated,
         "missed_calls": endpoint.missed_calls,
         "closed_for_s": round(max(endpoint.quarantined_until_s - now_s, 0.0), 3),
         "failures_in_row": endpoint.failures_in_row,
--- a/berylproxy/platform/operator_watch.py
+++ b/berylproxy/platform/operator_watch.py
@@ -100,23 +100,8 @@
 
     def _confirm(self, revision: int) -> None:
         """Applies the requested evacuations, which were read at a revision of the store."""
-        now_s = monotonic()
         domains = {name for key in self._requested if (name := self._decode_domain(key))}
-        former = self._evacuations.names
-        if not self._evacuations.confirm(frozenset(domains), revision, now_s):
-            return
-        for domain in sorted(domains - former):
-            logger.info(
-                "failure domain evacuated",
-                extra={
-                    "failure_domain": domain,
-                    "revision": self._requested[EVACUATION_PREFIX + domain],
-                },
-            )
-        for domain in sorted(former - domains):
-            logger.info(
-                "failure domain taken back", extra={"failure_domain": domain, "revision": revision}
-            )
+        self._evacuations.confirm(frozenset(domains), revision, monotonic())
 
     def _decode_domain(self, key: str) -> str:
         """Returns the failure domain that a key names; empty if it names none."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -24,12 +24,14 @@
     """The handlers of the service's HTTP calls.
 
     :ivar busy: whether every call is refused with 503.
+    :ivar hides_changes: whether watches report no changes.
     :ivar lost_answers: number of the next writes that take effect but get no response.
     """
 
     def __init__(self) -> None:
         self.values = KeyValues()
         self.busy = False
+        self.hides_changes = False
         self.lost_answers = 0
 
     async def get_key(self, request: Request) -> Response:
@@ -65,7 +67,8 @@
                     changes = self.values.changes_from(after + 1, b"", b"\0")
                 except CompactedError:
                     return self.answer({}, 410)
-                events = [change for change in changes if change.key.startswith(prefix)]
+                if not self.hides_changes:
+                    events = [change for change in changes if change.key.startswith(prefix)]
                 if not events:
                     await changed.wait()
         return self.answer({"events": [encode_entry(event) for event in events]})
@@ -122,6 +125,11 @@
         self.values.delete_keys([(await request.json())["key"].encode()])
         return self.answer({})
 
+    async def control_compact(self, _: Request) -> Response:
+        """Forgets the history up to the current revision."""
+        self.values.compact(self.values.state.revision)
+        return self.answer({})
+
     async def control_switch(self, request: Request) -> Response:
         """Sets the fault switches given in the request."""
         for name, value in (await request.json()).items():
@@ -164,6 +172,7 @@
         Route("/-/kv-keep/{lease}", store.extend_lease, methods=["POST"]),
         Route("/control/put", store.control_put, methods=["POST"]),
         Route("/control/remove", store.control_remove, methods=["POST"]),
+        Route("/control/compact", store.control_compact, methods=["POST"]),
         Route("/control/switch", store.control_switch, methods=["POST"]),
     ]
     listener = open_listener("127.0.0.1", port)
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -47,6 +47,7 @@
         handle_request=lambda *_: None,
         handle_notice=lambda *_: None,
         add_heartbeat_part=lambda *_: None,
+        on_change=lambda _: None,
         prioritize_members=lambda *_: None,
         members=list,
         links=lambda _: [],
--- a/tests/steps/platform_evacuation_steps.py
+++ b/tests/steps/platform_evacuation_steps.py
@@ -1,15 +1,19 @@
 """Steps that evacuate failure domains of a platform and look at what starts there."""
 
+import signal
 from time import monotonic, sleep
 
 from behave import given, then, use_step_matcher, when
 
+from berylproxy.platform.settings import METRICS_PORT
 from tests.steps.platform_system_steps import new_job_id
 
 EVACUATION_PREFIX = "op/evacuate/"
 RUN_TIMEOUT_S = 8.0
 OBSERVED_S = 3.0
 JOBS_AT_ONCE = 6
+RELOAD_S = 1.0  # a daemon applies its settings within this time after SIGHUP
+LONGEST_WATCH_S = 1.0
 
 
 def submit_jobs(context):
@@ -43,6 +47,16 @@
     return sorted(events)
 
 
+def list_domain_lines(context, daemon, domain):
+    """Lists the lines that a daemon has logged about the evacuation of a failure domain."""
+    lines = context.platform_cluster.read_log(daemon)
+    return [
+        line
+        for line in lines
+        if line["message"].startswith("failure domain") and line["failure_domain"] == domain
+    ]
+
+
 def evacuate(context, domain):
     """Requests an evacuation; notes when the store has acknowledged it."""
     context.platform_cluster.write_key(EVACUATION_PREFIX + domain, {"zone": domain})
@@ -85,6 +99,50 @@
     context.statuses += [future.result().status_code for future in futures]
 
 
+@when(r"platform jobs are submitted for (?P<duration_s>\d+) s")
+def step_impl(context, duration_s):
+    context.statuses = submit_for(context, float(duration_s))
+
+
+@when(r"the killed daemon starts again and the other one is killed")
+def step_impl(context):
+    cluster, number = context.platform_cluster, context.killed_daemon
+    cluster.daemons[number].start()
+    cluster.wait_ready(number)
+    cluster.daemons[1 - number].kill()
+
+
+@when(r"the platform's store forgets its history and serves all calls again")
+def step_impl(context):
+    cluster = context.platform_cluster
+    cluster.client.post(f"{cluster.store.url}/control/compact").raise_for_status()
+    cluster.switch_store(busy=False)
+
+
+@when(r"the platform's store reports no changes")
+def step_impl(context):
+    context.platform_cluster.switch_store(hides_changes=True)
+    sleep(LONGEST_WATCH_S)
+
+
+@when(r"the holder is cut off from the platform's store")
+def step_impl(context):
+    cluster = context.platform_cluster
+    context.cut_off_daemon = number = cluster.find_holder()
+    relay = cluster.start_relay("store", cluster.store.announced["port"])
+    cluster.write_settings(number, store_port=relay.announced["port"])
+    cluster.daemons[number].send_signal(signal.SIGHUP)
+    sleep(RELOAD_S)
+    url = f"http://127.0.0.1:{relay.announced['control_port']}/control"
+    cluster.client.put(url, json={"cut": True}).raise_for_status()
+
+
+@when(r"the platform's operator writes these keys:")
+def step_impl(context):
+    for row in context.table:
+        context.platform_cluster.write_key(row["key"], {})
+
+
 @when(r'failure domain "(?P<domain>\w+)" is (?P<change>evacuated|taken back)')
 def step_impl(context, domain, change):
     if change == "evacuated":
@@ -113,4 +171,50 @@
     assert 2 * len(starts) == len(events), events
 
 
+@then(r'the holder shows failure domain "(?P<domain>\w+)" as evacuated, without tasks')
+def step_impl(context, domain):
+    cluster = context.platform_cluster
+    number = cluster.find_holder()
+    status = cluster.client.get(f"http://{cluster.host(number)}:{METRICS_PORT}/v1/status").json()
+    assert status["daemon"]["evacuated_failure_domains"] == [domain], status["daemon"]
+    [row] = [e for e in status["endpoints"] if e["failure_domain"] == domain]
+    assert row["evacuated"] and not row["takes_tasks"] and not row["runs"], row
+    metrics = cluster.client.get(f"http://{cluster.host(number)}:{METRICS_PORT}/metrics").text
+    assert "berylproxy_evacuated_failure_domains 1" in metrics, metrics
+    assert 'berylproxy_evacuated_endpoint_runs{group="' in metrics, metrics
+
+
+@then(
+    r'each live daemon has logged that failure domain "(?P<domain>\w+)" was evacuated'
+    r"(?P<is_taken_back> and taken back)?"
+)
+def step_impl(context, domain, is_taken_back):
+    expected = {"failure domain evacuated"}
+    expected |= {"failure domain taken back"} if is_taken_back else set()
+    for daemon in context.platform_cluster.daemons:
+        lines = list_domain_lines(context, daemon, domain)
+        assert {line["message"] for line in lines} == expected, lines
+        assert all(line["revision"] > 0 for line in lines), lines
+
+
+@then(
+    r"the holder that is cut off has learned of failure domain "
+    r'"(?P<domain>\w+)" from another daemon'
+)
+def step_impl(context, domain):
+    cluster = context.platform_cluster
+    number = context.cut_off_daemon
+    assert cluster.find_holder() == number, "another daemon became the holder"
+    [line] = list_domain_lines(context, cluster.daemons[number], domain)
+    assert line["source"] in {d.name for d in cluster.daemons} - {f"d{number}"}, line
+
+
+@then(r"daemon 0 has logged (?P<count>\d+) requests to evacuate that it skipped, once each")
+def step_impl(context, count):
+    cluster = context.platform_cluster
+    texts = [line["message"] for line in cluster.read_log(cluster.daemons[0])]
+    skipped = [text for text in texts if text.startswith("skipped the request to evacuate")]
+    assert len(skipped) == len(set(skipped)) == int(count), skipped
+
+
 use_step_matcher("parse")
