--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -35,6 +35,8 @@
 )
 from berylproxy.durable.divisions import ServiceDivisions
 from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.durable.evacuation_spread import EvacuationSpread
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.groups import count_carried_endpoints
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
@@ -142,6 +144,7 @@
     :ivar cores: processor share of this VM.
     :ivar link_mbps: bandwidth of this VM's link; infinite if it is not known.
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
+    :ivar evacuations: the evacuated failure domains as this daemon knows them.
     :param list_members: returns the failure domains of the daemons that the store lists, by
         daemon identifier.
     :param has_store: returns whether the store answers this daemon.
@@ -160,6 +163,7 @@
         has_store: Callable[[], bool],
         on_jobs_ended: Callable[[dict[str, str]], None],
         telemetry: Telemetry,
+        evacuations: EvacuatedDomains,
     ) -> None:
         self.known_holders: dict[str, KnownHolder] = {}
         self.holders: dict[str, Holder] = {}
@@ -171,6 +175,7 @@
         self.cores = cores
         self.link_mbps = inf
         self.remote_factor = DEFAULT_REMOTE_FACTOR
+        self.evacuations = evacuations
         self._list_members = list_members
         self._has_store = has_store
         self._endpoint_list = EndpointList()
@@ -184,6 +189,7 @@
             store,
             directory,
             self._endpoint_list,
+            evacuations,
             self.divisions.group_of_endpoint,
             clock,
             telemetry,
@@ -211,6 +217,7 @@
         network.handle_notice(JobsEnded, lambda _, message: self._on_jobs_ended(message.states))
         network.add_heartbeat_part(HEARTBEAT_PART, self._describe_for_heartbeat)
         network.prioritize_members(self._list_entry_daemons)
+        EvacuationSpread(network, evacuations, clock)
 
     async def run(self) -> None:
         """Checks the holders of all groups periodically until cancelled."""
@@ -611,6 +618,9 @@
                     ("open_jobs", "Jobs that have not ended", len(holder.job_table.jobs), group)
                 )
                 rows.append(("usable_endpoints", "Endpoints that get tasks", usable, group))
+                left = sum(len(e.runs) for e in holder.group.endpoints.values() if e.is_evacuated)
+                text = "Runs left in evacuated failure domains"
+                rows.append(("evacuated_endpoint_runs", text, left, group))
         return [(name, text, float(value), group) for name, text, value, group in rows]
 
     def _is_entry_alive(self, incarnation: str) -> bool:
