Mend what the review of neighbours found

Cause: runs alone were not learned from, since an empty set of neighbours was taken for an unknown one; lost runs stayed as neighbours; adopted runs were none; the regression mixed up rows when it replaced a regressor; a damaged record could end a tenure; observing changed learned run times; off was not off; an image that is no text refused a job; reports never aged. New scenarios for each.

The check on the kind that slows others has no tolerance any more.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -282,17 +282,29 @@
             return
         for entry in entries:
             group = groups.get(entry.key, "")
-            if group and group not in self.holders:
+            if not group:
+                continue
+            if group not in self.holders:
                 self._load_run_time_model(group, entry.value)
+            self._load_pairs(group, {group, *self.holders} & set(groups.values()), entry.value)
 
     def _load_run_time_model(self, group: str, value: bytes) -> None:
         try:
             adopt_model(self._models.setdefault(group, RunTimeModel()), value)
-            pairs = decode_pairs(value)
-            for name in {group, *self.holders}:
-                self._find_neighbours(name).adopt(group, pairs, self._clock.now_s())
         except StoredValueError as error:
             logger.warning("ignoring the stored run times of {}: {}", group, error.message)
+
+    def _load_pairs(self, group: str, adopting: Set[str], value: bytes) -> None:
+        """Lets groups adopt the pairs of kinds that the holder of another group has found."""
+        if self.neighbour_mode is NeighbourMode.OFF:
+            return
+        try:
+            pairs = decode_pairs(value)
+            for name in adopting:
+                if name != group or group not in self.holders:
+                    self._find_neighbours(name).adopt(group, pairs, self._clock.now_s())
+        except StoredValueError as error:
+            logger.warning("ignoring the stored pairs of kinds of {}: {}", group, error.message)
         except ValueError as error:
             logger.warning("ignoring the stored pairs of kinds of {}: {}", group, error)
 
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -1,12 +1,12 @@
 """A holder's view of its endpoints: free resources, quarantine, run ends to acknowledge."""
 
-from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
 
 from anyio import Event
 
 from berylproxy.durable.models import EndedRun, EndpointInfo, Resources, TaskName
+from berylproxy.durable.occupancy import Occupancy, OccupancyAtStart
 
 # After the first quarantine, one task of a second or less may show whether the endpoint works.
 FIRST_QUARANTINE_S = 0.5
@@ -47,8 +47,7 @@
         know. The lease of such a run must not be extended, because the former holder may rely on
         its lapse.
     :ivar kind: kind of the task; empty if its job is not known.
-    :ivar started_beside: monotonic time of the start, and the run seconds by kind that the endpoint
-        had seen until then; ``None`` if this holder did not order the run.
+    :ivar occupancy_at_start: ``None`` if this holder did not order the run.
     """
 
     needs: Resources
@@ -57,7 +56,7 @@
     stop_confirmed_s: float = inf
     is_uncertain: bool = False
     is_orphan: bool = False
-    started_beside: tuple[float, Counter[str]] | None = None
+    occupancy_at_start: OccupancyAtStart | None = None
 
     def is_gone(self, report_sent_s: float) -> bool:
         """Returns whether the run is certainly not active if a report doesn't list it.
@@ -85,6 +84,7 @@
     :ivar is_evacuated: whether its failure domain is evacuated, so that no task is started there.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
     :ivar used: resources taken by all ``runs``.
+    :ivar occupancy: kinds of the ``runs`` over time.
     """
 
     info: EndpointInfo
@@ -102,6 +102,7 @@
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Resources = field(default_factory=Resources)
+    occupancy: Occupancy = field(default_factory=Occupancy)
 
     @property
     def has_orphans(self) -> bool:
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -257,6 +257,7 @@
     def _drop_run(self, endpoint: EndpointState, name: TaskName, run: int, reason: str) -> None:
         """Removes a run that is not active, and requeues its task if the run is the current one."""
         endpoint.remove_run(name, run)
+        self._neighbours.note_runs(endpoint, self._clock.now_s())
         task = self._job_table.find_task(name)
         if task is None or task.instance != endpoint.info.instance or task.run != run:
             return
@@ -284,7 +285,6 @@
         self._tenure.spawn(self._clients[instance].close)
         self.endpoints.pop(instance, None)
         self._model.forget(instance.endpoint_id)
-        self._neighbours.forget_endpoint(instance)
         self._unlisted_from_s.pop(instance, None)
 
     def _apply_report(self, endpoint: EndpointState, report: EndpointReport) -> None:
@@ -321,6 +321,9 @@
         if endpoint_run is None:
             needs = task.step.needs if task is not None else endpoint.info.capacity
             endpoint_run = endpoint.add_run(running.name, running.run, needs)
+        if task is not None and not endpoint_run.kind:
+            endpoint_run.kind = self._kind_of(task)
+            self._neighbours.note_runs(endpoint, now_s)
         endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
         endpoint_run.is_uncertain = False
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
@@ -365,7 +368,7 @@
         elif end.kind is EndKind.DONE:
             endpoint.note_success()
             if is_current_run and task.status in ACTIVE_STATUSES:
-                self._learn_run_time(job, task, endpoint, now_s, beside or {})
+                self._learn_run_time(task, endpoint, now_s, beside)
         elif end.kind is not EndKind.STOPPED:
             logger.info(
                 "run ended with {}",
@@ -378,34 +381,33 @@
 
     def _learn_run_time(
         self,
-        job: Job,
         task: Task,
         endpoint: EndpointState,
         now_s: float,
-        beside: Mapping[str, float],
+        beside: Mapping[str, float] | None,
     ) -> None:
         """Learns from the run time of a task that was done.
 
         The effect of its neighbours is not taken for the speed of the endpoint.
 
-        :param beside: mean number of neighbours by kind.
+        :param beside: mean number of neighbours by kind; ``None`` if this holder did not order the
+            run.
         """
-        queue, step, endpoint_id = (
-            job.spec.terms.queue,
-            task.step,
-            endpoint.info.instance.endpoint_id,
-        )
-        run_time_s, kind = max(now_s - task.started_s, SHORTEST_RUN_TIME_S), kind_of_task(
-            queue, step
-        )
+        queue = self._job_table.jobs[task.name.job_id].spec.terms.queue
+        step, endpoint_id = task.step, endpoint.info.instance.endpoint_id
+        kind = kind_of_task(queue, step)
+        run_time_s = max(now_s - task.started_s, SHORTEST_RUN_TIME_S)
         is_near = not step.preferred_rack or step.preferred_rack == endpoint.info.rack
-        if beside and is_near and not step.stays_in_rack:
+        if beside is not None and is_near and not step.stays_in_rack:
             expected_s = self._model.expected_run_time_s(queue, step.estimate_s)
             deviation = log(run_time_s * self._model.speed(endpoint_id) / expected_s)
             self._neighbours.learn(task.name, kind, beside, deviation, now_s)
-        factor = self._neighbours.expected_factor(kind, beside)
+        factor = self._neighbours.expected_factor(kind, beside or {})
         self._model.learn(queue, step.estimate_s, endpoint_id, run_time_s / factor)
 
+    def _kind_of(self, task: Task) -> str:
+        return kind_of_task(self._job_table.jobs[task.name.job_id].spec.terms.queue, task.step)
+
     def _record_failed_run(
         self, endpoint: EndpointState, task: Task, end: EndedRun, now_s: float
     ) -> None:
@@ -462,11 +464,9 @@
         """Assigns a task to an endpoint and sends the order to start it in the background."""
         now_s = self._clock.now_s()
         self._job_table.note_ordered(task, endpoint.info.instance, now_s)
-        spec = self._job_table.jobs[task.name.job_id].spec
-        kind = kind_of_task(spec.terms.queue, task.step)
-        endpoint_run = endpoint.add_run(task.name, task.run, task.step.needs, kind)
+        endpoint_run = endpoint.add_run(task.name, task.run, task.step.needs, self._kind_of(task))
         self._neighbours.note_start(endpoint, endpoint_run, now_s)
-        payload = spec.payload
+        payload = self._job_table.jobs[task.name.job_id].spec.payload
         order = StartOrder(task.name, task.run, payload, self._tenure.fence, task.saved)
         self._tenure.spawn(self._start, task, endpoint, order)
 
@@ -542,6 +542,7 @@
         without the count the order would be repeated endlessly.
         """
         endpoint.remove_run(task.name, run)
+        self._neighbours.note_runs(endpoint, now_s)
         if self._job_table.find_task(task.name) is None:
             return
         end = EndedRun(UNLISTED_END_NUMBER, task.name, run, EndKind.FAILED, "")
@@ -575,7 +576,9 @@
                 task = self._job_table.find_task(name) if name.job_id == job.spec.job_id else None
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
-                    endpoint.add_run(name, run, task.step.needs).confirmed_s = now_s
+                    adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
+                    adopted.confirmed_s = now_s
+                    self._neighbours.note_runs(endpoint, now_s)
                     self._job_table.note_running(task, endpoint.info.instance, run, now_s)
         if job.is_final:
             self._on_final(job)
--- a/berylproxy/durable/neighbours.py
+++ b/berylproxy/durable/neighbours.py
@@ -7,35 +7,36 @@
 estimator), since they share the errors of the caller's estimate. Deviations are clipped (Huber),
 since a few tasks take many times as long without any neighbour.
 
-An end takes time in proportion to the square of the kinds beside it; a refresh is bounded by
-:data:`MAX_KINDS` and the limit of regressors.
+An end takes time in proportion to the square of the kinds beside it. A refresh solves one small
+system for each kind that was observed since the last one.
 """
 
-from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from enum import StrEnum
 from math import exp, log, sqrt
 
 from berylproxy.durable.fleet import EndpointRun, EndpointState
-from berylproxy.durable.models import EndpointInstance, TaskName
+from berylproxy.durable.models import TaskName
+from berylproxy.durable.occupancy import MAX_KINDS
+from berylproxy.durable.pair_effects import (
+    HALF_LIFE_S,
+    Pair,
+    PairChange,
+    PairEffect,
+    PairReport,
+    describe_effects,
+    parse_effects,
+)
 from berylproxy.durable.regression import Coefficient, DecayingRegression
 
-MAX_KINDS = 64
-MAX_JOBS = 2_000  # whose siblings are compared; the oldest ones go first
-HALF_LIFE_S = 20.0  # effects change within seconds, and a pair is found within some hundred ends
-# A smaller effect is within the spread of a kind's run times, and callers would not notice it.
-SMALLEST_EFFECT = log(1.1)
+MAX_STEPS = 2_000  # whose siblings are compared; the oldest ones go first
 LARGEST_SLOWDOWN = 8.0
-# One-sided false findings of a normal deviate beyond these: 1 in 30,000; 1 in 40.
-FOUND_CERTAINTY = 4.0
-CLEARED_CERTAINTY = 2.0
 CLIPPED_DEVIATIONS = 2.5
 NOISE_LEARNING_RATE = 0.02
 INITIAL_DEVIATION = 0.4
 SMALLEST_DEVIATION = 0.05
-# What other holders report is some seconds old, and their endpoints are others.
-REPORTED_DEVIATION_FACTOR = 2.0
 _LEVEL = ""  # regressor of a kind's general deviation from its expected run times
 
 
@@ -43,56 +44,13 @@
     """What is done about tasks that slow each other down."""
 
     OFF = "off"
-    OBSERVE = "observe"  # pairs are found and shown to operators, and placement ignores them
+    OBSERVE = "observe"  # pairs are found and shown to operators, and decisions ignore them
     APART = "apart"  # placement keeps the kinds of a found pair apart where there is room
 
 
-@dataclass(frozen=True, slots=True)
-class Pair:
-    """Two kinds of task on one endpoint.
-
-    :param kind: the kind that is slowed down.
-    :param neighbour: the kind that slows it down.
-    """
-
-    kind: str
-    neighbour: str
-
-
-@dataclass(frozen=True, slots=True)
-class PairEffect:
-    """What one neighbour does to the run time of a kind of task.
-
-    :param log_factor: logarithm of the factor on the run time.
-    :param deviation: standard deviation of that logarithm.
-    """
-
-    pair: Pair
-    log_factor: float
-    deviation: float
-
-    @property
-    def factor(self) -> float:
-        """The factor on the run time."""
-        return exp(self.log_factor)
-
-    @property
-    def certainty(self) -> float:
-        """The distance of the effect from none, in standard deviations."""
-        return self.log_factor / self.deviation
-
-
-@dataclass(frozen=True, slots=True)
-class PairChange:
-    """A pair that was found, or that no longer has an effect."""
-
-    effect: PairEffect
-    is_found: bool
-
-
 @dataclass(slots=True)
 class _Noise:
-    """Spread of one kind of observation around the fitted model."""
+    """Spread of one sort of observation around the fitted model."""
 
     variance: float = INITIAL_DEVIATION**2
 
@@ -110,16 +68,25 @@
 
 @dataclass(slots=True)
 class _KindEvidence:
-    """What is known of the effects on one kind of task."""
+    """What is known of the effects on one kind of task.
 
-    regression: DecayingRegression = field(default_factory=lambda: DecayingRegression(HALF_LIFE_S))
+    :ivar first_of_step: spread of the first task of a step around the expected run time.
+    :ivar beside_siblings: spread of the other tasks of a step around the earlier ones.
+    :ivar has_news: whether there were observations since the coefficients were estimated.
+    """
+
+    regression: DecayingRegression = field(
+        default_factory=lambda: DecayingRegression(HALF_LIFE_S, kept=frozenset({_LEVEL}))
+    )
     coefficients: dict[str, Coefficient] = field(default_factory=dict)
-    alone: _Noise = field(default_factory=_Noise)
+    first_of_step: _Noise = field(default_factory=_Noise)
     beside_siblings: _Noise = field(default_factory=_Noise)
+    has_news: bool = False
 
     def observe(
         self, regressors: Mapping[str, float], value: float, noise: _Noise, now_s: float
-    ) -> None:
+    ) -> float:
+        """Adds an observation and returns how far its value was clipped."""
         fitted = sum(
             amount * self.coefficients[name].mean
             for name, amount in regressors.items()
@@ -127,11 +94,17 @@
         )
         clipped = noise.clip(fitted, value)
         self.regression.observe(regressors, clipped, noise.deviation, now_s)
+        self.has_news = True
+        return clipped - value
 
 
 @dataclass(slots=True)
 class _Siblings:
-    """Means over the ended tasks of one step of a job."""
+    """Means over the ended tasks of one step of a job.
+
+    :ivar value: mean logarithm of the run times relative to the expected ones.
+    :ivar beside: mean number of neighbours by kind.
+    """
 
     count: int = 0
     value: float = 0.0
@@ -145,41 +118,16 @@
             self.beside[name] = mean + (beside.get(name, 0.0) - mean) / self.count
 
 
-@dataclass(slots=True)
-class _Occupancy:
-    """The kinds of the runs of an endpoint, and how long runs of each have been there.
-
-    :ivar run_s: run seconds by kind, up to ``updated_s``.
-    """
-
-    counts: Counter[str] = field(default_factory=Counter)
-    run_s: Counter[str] = field(default_factory=Counter)
-    updated_s: float = 0.0
-
-    def update(self, runs: Iterable[EndpointRun], now_s: float) -> None:
-        elapsed_s = now_s - self.updated_s
-        for kind, count in self.counts.items():
-            self.run_s[kind] += count * elapsed_s
-        self.counts = Counter(run.kind for run in runs if run.kind)
-        self.updated_s = now_s
-        if len(self.run_s) > MAX_KINDS:
-            self.run_s = Counter({kind: self.run_s[kind] for kind in self.counts})
-
-
 @dataclass(frozen=True, slots=True)
-class _Report:
-    """Pairs that another group's holder, or a former holder of this group, has found."""
+class _Mutual:
+    """What a kind and one neighbour do to each other.
 
-    effects: tuple[PairEffect, ...]
-    received_s: float
+    :param log_factor: logarithm of the factor on the kind's own run time.
+    :param harm: run time that the neighbour loses, relative to the time beside the kind.
+    """
 
-    def list_effects(self, now_s: float) -> Iterable[PairEffect]:
-        """Returns the effects that still count, less certain the older the report is."""
-        widening = 2.0 ** min((now_s - self.received_s) / (2 * HALF_LIFE_S), 100.0)
-        for effect in self.effects:
-            aged = replace(effect, deviation=effect.deviation * widening)
-            if aged.certainty >= CLEARED_CERTAINTY and aged.log_factor >= SMALLEST_EFFECT:
-                yield aged
+    log_factor: float = 0.0
+    harm: float = 0.0
 
 
 class NeighbourModel:
@@ -188,46 +136,39 @@
     :param mode: returns what is done about tasks that slow each other down.
     """
 
-    def __init__(self, mode: Callable[[], NeighbourMode] = lambda: NeighbourMode.APART) -> None:
+    def __init__(self, mode: Callable[[], NeighbourMode]) -> None:
         self._mode = mode
-        self._occupancies: dict[EndpointInstance, _Occupancy] = {}
         self._evidence: OrderedDict[str, _KindEvidence] = OrderedDict()
         self._siblings: OrderedDict[tuple[str, int], _Siblings] = OrderedDict()
-        self._reported: dict[str, _Report] = {}
+        self._reports: dict[str, PairReport] = {}
         self._found: dict[Pair, PairEffect] = {}
+        self._mutual: dict[str, dict[str, _Mutual]] = {}
 
-    def note_start(self, endpoint: EndpointState, run: EndpointRun, now_s: float) -> None:
-        """Records that a run has been added to an endpoint."""
+    def note_runs(self, endpoint: EndpointState, now_s: float) -> None:
+        """Records that runs have been added to an endpoint, or removed from it."""
         if self._mode() is NeighbourMode.OFF:
+            endpoint.occupancy.clear()
             return
-        occupancy = self._update_occupancy(endpoint, now_s)
-        run.started_beside = (now_s, Counter(occupancy.run_s))
+        endpoint.occupancy.update((run.kind for run in endpoint.runs.values()), now_s)
+
+    def note_start(self, endpoint: EndpointState, run: EndpointRun, now_s: float) -> None:
+        """Records that a run which this holder ordered has been added to an endpoint."""
+        self.note_runs(endpoint, now_s)
+        if self._mode() is not NeighbourMode.OFF:
+            run.occupancy_at_start = endpoint.occupancy.mark(now_s)
 
     def note_end(
         self, endpoint: EndpointState, run: EndpointRun | None, now_s: float
     ) -> dict[str, float] | None:
         """Records that a run has been removed from an endpoint.
 
+        :param run: the run; ``None`` if the endpoint was not known to have it.
         :return: mean number of its neighbours by kind; ``None`` if its start was not recorded.
         """
-        if self._mode() is NeighbourMode.OFF:
-            return None
-        occupancy = self._update_occupancy(endpoint, now_s)
-        if run is None or run.started_beside is None:
-            return None
-        started_s, run_s_before = run.started_beside
-        elapsed_s = now_s - started_s
-        if elapsed_s <= 0:
+        self.note_runs(endpoint, now_s)
+        if run is None or run.occupancy_at_start is None:
             return None
-        beside = {
-            kind: (run_s - run_s_before[kind]) / elapsed_s - (kind == run.kind)
-            for kind, run_s in occupancy.run_s.items()
-        }
-        return {kind: amount for kind, amount in beside.items() if amount > 1e-6}
-
-    def forget_endpoint(self, instance: EndpointInstance) -> None:
-        """Drops what is known of the runs of an endpoint that no longer exists."""
-        self._occupancies.pop(instance, None)
+        return endpoint.occupancy.mean_neighbours(run.kind, run.occupancy_at_start, now_s)
 
     def learn(
         self,
@@ -243,8 +184,7 @@
         :param log_deviation: logarithm of the run time relative to the time expected there.
         """
         evidence = self._find_evidence(kind)
-        key = (name.job_id, name.step)
-        siblings = self._siblings.setdefault(key, _Siblings())
+        siblings = self._siblings.setdefault((name.job_id, name.step), _Siblings())
         if siblings.count:
             scale = sqrt(siblings.count / (siblings.count + 1))
             contrasts = {
@@ -252,31 +192,29 @@
                 for other in {*beside, *siblings.beside}
             }
             value = scale * (log_deviation - siblings.value)
-            evidence.observe(contrasts, value, evidence.beside_siblings, now_s)
+            clipped = evidence.observe(contrasts, value, evidence.beside_siblings, now_s) / scale
         else:
-            evidence.observe({_LEVEL: 1.0, **beside}, log_deviation, evidence.alone, now_s)
-        siblings.add(log_deviation, beside)
-        while len(self._siblings) > MAX_JOBS:
+            regressors = {_LEVEL: 1.0, **beside}
+            clipped = evidence.observe(regressors, log_deviation, evidence.first_of_step, now_s)
+        siblings.add(log_deviation + clipped, beside)
+        while len(self._siblings) > MAX_STEPS:
             self._siblings.popitem(last=False)
 
     def refresh(self, now_s: float) -> list[PairChange]:
-        """Estimates all effects anew and returns the pairs that were found or cleared."""
+        """Estimates the effects anew and returns the pairs that were found or cleared."""
         found: dict[Pair, PairEffect] = {}
-        for kind, evidence in self._evidence.items():
-            evidence.coefficients = evidence.regression.solve(now_s)
-            for neighbour, coefficient in evidence.coefficients.items():
-                if neighbour != _LEVEL:
-                    pair = Pair(kind, neighbour)
-                    effect = PairEffect(pair, coefficient.mean, coefficient.deviation)
-                    if self._has_effect(effect):
-                        found[pair] = effect
-        for report in self._reported.values():
-            for effect in report.list_effects(now_s):
-                if effect.pair not in found and not self._contradicts(effect):
-                    found[effect.pair] = effect
+        if self._mode() is NeighbourMode.OFF:
+            self._reports.clear()
+        else:
+            self._estimate(found, now_s)
+            for report in self._reports.values():
+                for effect in report.list_effects(now_s):
+                    if effect.pair not in found and not self._contradicts(effect):
+                        found[effect.pair] = effect
         changes = [PairChange(e, True) for pair, e in found.items() if pair not in self._found]
         changes += [PairChange(e, False) for pair, e in self._found.items() if pair not in found]
         self._found = found
+        self._index_mutual_effects()
         return changes
 
     def list_found(self) -> list[PairEffect]:
@@ -286,37 +224,37 @@
     def slowdown(self, kind: str, endpoint: EndpointState) -> float:
         """Returns the factor on the run time of a new task beside the runs of an endpoint.
 
-        The run time that its neighbours would lose is added to its own.
+        The time that its neighbours would lose while it runs is added to its own.
         """
-        if not self._found or self._mode() is not NeighbourMode.APART:
+        effects = self._mutual.get(kind)
+        if effects is None or self._mode() is not NeighbourMode.APART:
             return 1.0
-        occupancy = self._occupancies.get(endpoint.info.instance)
-        if occupancy is None or not occupancy.counts:
-            return 1.0
-        own_log, harm = 0.0, 0.0
-        for neighbour, count in occupancy.counts.items():
-            on_task = self._found.get(Pair(kind, neighbour))
-            on_neighbour = self._found.get(Pair(neighbour, kind))
-            own_log += count * on_task.log_factor if on_task is not None else 0.0
-            harm += count * (on_neighbour.factor - 1) if on_neighbour is not None else 0.0
-        own = exp(min(own_log, log(LARGEST_SLOWDOWN)))
-        return min(own + harm, LARGEST_SLOWDOWN)
+        log_factor, harm = 0.0, 0.0
+        for neighbour, count in endpoint.occupancy.counts.items():
+            effect = effects.get(neighbour)
+            if effect is not None:
+                log_factor += count * effect.log_factor
+                harm += count * effect.harm
+        return min(exp(min(log_factor, log(LARGEST_SLOWDOWN))) + harm, LARGEST_SLOWDOWN)
 
     def expected_factor(self, kind: str, beside: Mapping[str, float]) -> float:
-        """Returns the factor by which found neighbours have made a run longer."""
+        """Returns the factor by which found neighbours have made a run longer.
+
+        :param beside: mean number of its neighbours by kind.
+        """
+        effects = self._mutual.get(kind)
+        if effects is None or self._mode() is not NeighbourMode.APART:
+            return 1.0
         log_factor = sum(
-            amount * self._found[pair].log_factor
+            amount * effects[neighbour].log_factor
             for neighbour, amount in beside.items()
-            if (pair := Pair(kind, neighbour)) in self._found
+            if neighbour in effects
         )
         return exp(min(log_factor, log(LARGEST_SLOWDOWN)))
 
     def describe(self) -> list[list[str | float]]:
         """Returns the found pairs as plain values, for :meth:`adopt`."""
-        return [
-            [effect.pair.kind, effect.pair.neighbour, effect.log_factor, effect.deviation]
-            for effect in self.list_found()
-        ][:MAX_KINDS]
+        return describe_effects(self.list_found())
 
     def adopt(self, source: str, rows: object, now_s: float) -> None:
         """Takes over the pairs that another group's holder, or a former one, has found.
@@ -324,27 +262,35 @@
         :param source: the group; its earlier report is replaced.
         :raises ValueError: if the rows are malformed.
         """
-        try:
-            effects = tuple(
-                PairEffect(
-                    Pair(str(kind), str(neighbour)),
-                    float(log_factor),
-                    REPORTED_DEVIATION_FACTOR * float(deviation),
+        effects = parse_effects(rows)
+        former = self._reports.get(source)
+        if former is None or former.effects != effects:
+            self._reports[source] = PairReport(effects, now_s)
+
+    def _estimate(self, found: dict[Pair, PairEffect], now_s: float) -> None:
+        """Adds the pairs that the own evidence shows."""
+        for kind, evidence in self._evidence.items():
+            if evidence.has_news or kind in self._mutual:
+                evidence.coefficients = evidence.regression.solve(now_s)
+                evidence.has_news = False
+            for neighbour, coefficient in evidence.coefficients.items():
+                if neighbour != _LEVEL:
+                    pair = Pair(kind, neighbour)
+                    effect = PairEffect(pair, coefficient.mean, coefficient.deviation)
+                    if effect.is_in_force(was_found=pair in self._found):
+                        found[pair] = effect
+
+    def _index_mutual_effects(self) -> None:
+        """Prepares the effects for :meth:`slowdown`, which placement calls for each endpoint."""
+        self._mutual = {}
+        for pair in self._found:
+            for kind, neighbour in ((pair.kind, pair.neighbour), (pair.neighbour, pair.kind)):
+                on_kind = self._found.get(Pair(kind, neighbour))
+                on_neighbour = self._found.get(Pair(neighbour, kind))
+                self._mutual.setdefault(kind, {})[neighbour] = _Mutual(
+                    on_kind.log_factor if on_kind is not None else 0.0,
+                    on_neighbour.factor - 1 if on_neighbour is not None else 0.0,
                 )
-                for kind, neighbour, log_factor, deviation in rows
-            )
-        except (TypeError, ValueError) as error:
-            raise ValueError(f"not a list of pairs: {error!r}") from error
-        if not all(0 < e.deviation < 1e3 and abs(e.log_factor) < 1e3 for e in effects):
-            raise ValueError("a pair's effect is out of range")
-        self._reported[source] = _Report(effects[:MAX_KINDS], now_s)
-
-    def _update_occupancy(self, endpoint: EndpointState, now_s: float) -> _Occupancy:
-        occupancy = self._occupancies.get(endpoint.info.instance)
-        if occupancy is None:
-            occupancy = self._occupancies[endpoint.info.instance] = _Occupancy(updated_s=now_s)
-        occupancy.update(endpoint.runs.values(), now_s)
-        return occupancy
 
     def _find_evidence(self, kind: str) -> _KindEvidence:
         evidence = self._evidence.get(kind)
@@ -356,13 +302,6 @@
             self._evidence.move_to_end(kind)
         return evidence
 
-    def _has_effect(self, effect: PairEffect) -> bool:
-        if effect.pair in self._found:
-            return (
-                effect.certainty >= CLEARED_CERTAINTY and effect.log_factor >= SMALLEST_EFFECT / 2
-            )
-        return effect.certainty >= FOUND_CERTAINTY and effect.log_factor >= SMALLEST_EFFECT
-
     def _contradicts(self, reported: PairEffect) -> bool:
         """Returns whether this group's own evidence excludes an effect of the reported size."""
         evidence = self._evidence.get(reported.pair.kind)
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -122,10 +122,11 @@
     :param pairs: the kinds of task that slow each other down, as
         :meth:`~berylproxy.durable.neighbours.NeighbourModel.describe` lists them.
     """
-    return packb({"schema_version": SCHEMA_VERSION, **model.describe(), "pairs": list(pairs)})
+    fields = {"schema_version": SCHEMA_VERSION, **model.describe()}
+    return packb(fields | {"pairs": list(pairs)} if pairs else fields)
 
 
-def decode_pairs(value: bytes) -> list:
+def decode_pairs(value: bytes) -> list[object]:
     """Returns the pairs stored with learned run times; daemons of earlier versions store none.
 
     :raises StoredValueError: if the value is not an encoded model.
--- a/berylproxy/durable/regression.py
+++ b/berylproxy/durable/regression.py
@@ -6,7 +6,7 @@
 its non-zero regressors, a solution to the cube of all regressors, of which there are few.
 """
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 from math import sqrt
 
@@ -26,20 +26,17 @@
     mean: float
     deviation: float
 
-    @property
-    def certainty(self) -> float:
-        """The mean's distance from 0 in standard deviations."""
-        return self.mean / self.deviation
-
 
 @dataclass(slots=True)
 class DecayingRegression:
     """Estimates the coefficients of a linear model from observations of decreasing weight.
 
     :param half_life_s: time after which an observation counts half.
+    :param kept: regressors that are never replaced by others.
     """
 
     half_life_s: float
+    kept: frozenset[str] = frozenset()
     _names: list[str] = field(default_factory=list)
     _information: list[list[float]] = field(default_factory=list)
     _response: list[float] = field(default_factory=list)
@@ -53,7 +50,10 @@
         :param deviation: standard deviation of the observation's noise.
         """
         weight = self._growth(now_s) / deviation**2
-        columns = [(self._find(name), amount) for name, amount in regressors.items() if amount]
+        amounts = {name: amount for name, amount in regressors.items() if amount}
+        for name in amounts:
+            self._add(name, amounts)
+        columns = [(row, amounts[name]) for row, name in enumerate(self._names) if name in amounts]
         for row, amount in columns:
             weighted = weight * amount
             self._response[row] += weighted * value
@@ -84,18 +84,28 @@
             for row, name in enumerate(self._names)
         }
 
-    def _find(self, name: str) -> int:
-        """Returns the row of a regressor, which is added if it is new."""
+    def _add(self, name: str, present: Container[str]) -> None:
+        """Adds a regressor, if needed in place of the one with least evidence.
+
+        :param present: regressors of the same observation, which are not replaced; if none is left
+            to replace, the new one is ignored.
+        """
         if name in self._names:
-            return self._names.index(name)
+            return
         if len(self._names) >= MAX_REGRESSORS:
-            self._remove(min(range(len(self._names)), key=lambda row: self._information[row][row]))
+            replaceable = [
+                row
+                for row, known in enumerate(self._names)
+                if known not in present and known not in self.kept
+            ]
+            if not replaceable:
+                return
+            self._remove(min(replaceable, key=lambda row: self._information[row][row]))
         self._names.append(name)
         for line in self._information:
             line.append(0.0)
         self._information.append([0.0] * len(self._names))
         self._response.append(0.0)
-        return len(self._names) - 1
 
     def _remove(self, row: int) -> None:
         del self._names[row], self._response[row], self._information[row]
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -39,6 +39,7 @@
 # "speculative" permits duplicate runs and "image" groups tasks: neither requires anything, so both
 # are ignored. "may-miss" only limits what is done to persistent tasks, which are rejected anyway.
 UNSUPPORTED_STEP_FIELDS = ("persistent", "target-ms", "fills")
+MAX_IMAGE_CHARACTERS = 200  # names are kept, logged and stored
 UNSUPPORTED_JOB_FIELDS = ("repeats",)
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -347,7 +348,7 @@
     max_per_server = row.get("max-per-server", 0)
     if type(max_per_server) is not int or max_per_server < 0:
         raise RequestInvalidError(f"steps.{number}.max-per-server must be 0 or more")
-    for name in ("requires", "affinity", "image"):
+    for name in ("requires", "affinity"):
         if not isinstance(row.get(name, ""), str):
             raise RequestInvalidError(f"steps.{number}.{name} must be text")
     try:
@@ -365,10 +366,15 @@
         # The platform's "max-per-server" limits the tasks of this step on one runner (endpoint).
         max_per_endpoint=max_per_server,
         saves_progress=bool(row.get("checkpoint")),
-        image=row.get("image", ""),
+        image=_decode_image(row.get("image")),
     )
 
 
+def _decode_image(value: Any) -> str:
+    """Returns the image that a step names, which only helps placement; empty if it is no text."""
+    return value if isinstance(value, str) and len(value) <= MAX_IMAGE_CHARACTERS else ""
+
+
 def _parse_wait_s(headers: dict[bytes, bytes], route: JobRoute) -> float:
     text = headers.get(WAIT_TIME_HEADER, b"")
     if not text.isdigit():
--- a/tests/durable/neighbours.feature
+++ b/tests/durable/neighbours.feature
@@ -36,7 +36,7 @@
   Scenario: a slow endpoint is not blamed on its neighbours, nor its neighbours on its speed
     Given tasks of which long ones slow the others down on the same endpoint
     When the usual load is simulated with and without keeping neighbours apart
-    Then the learned speeds of slowed endpoints deviate by at most 20 in 100 in the mean
+    Then no other pair is found, and the learned speeds deviate by at most 20 in 100 in the mean
 
   Scenario: a new holder starts from what the former one found
     Given a group's holder that found a pair of kinds
@@ -54,8 +54,34 @@
       | a row too short       |
       | text for a number     |
       | a deviation of 0      |
+      | a deviation that is no number |
+      | a factor too large    |
       | no list               |
 
+  Scenario: runs that are lost or taken back no longer count as neighbours
+    Given a group's holder that found a pair of kinds
+    And 2 endpoints, each with a run of the kind long
+    Then a task of the kind short avoids these endpoints
+    When the runs are removed from their endpoints without having ended
+    Then a task of the kind short doesn't avoid these endpoints
+
+  Scenario Outline: what is done about a pair depends on the mode
+    Given a group's holder in the mode <mode> that is told of a pair of kinds
+    And 2 endpoints, each with a run of the kind long
+    Then the pair is <shown> to operators
+    And a task of the kind short <avoids> these endpoints
+    And run times beside the pair's neighbour are learned <learned>
+
+    Examples:
+      | mode    | shown     | avoids        | learned     |
+      | off     | not shown | doesn't avoid | as they are |
+      | observe | shown     | doesn't avoid | as they are |
+      | apart   | shown     | avoids        | corrected   |
+
+  Scenario: the regression keeps the most evident of many regressors, and estimates them rightly
+    When 16 regressors are observed, more than are kept, with known coefficients
+    Then the coefficients of the last regressors are estimated within 3 in 100
+
   Scenario Outline: the deployment's settings say what is done about neighbours
     Given platform settings with the contracts <contracts> and the variable <variable>
     Then the neighbour mode is <mode>
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -27,7 +27,7 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.neighbours import NeighbourModel
+from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
 from berylproxy.durable.records import FINAL_PREFIX, claim_key, encode_final, final_key, open_key
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.store.port import Entry
@@ -87,7 +87,7 @@
             revision if fence % FENCES_PER_REVISION == 0 else 0,
             inherited or InheritedEndpoints(self.newest_fence, self.endpoint_ids),
             RunTimeModel(),
-            NeighbourModel(),
+            NeighbourModel(lambda: NeighbourMode.APART),
             HolderContext(
                 self.store,
                 self.directory,
--- a/tests/steps/durable_neighbours_steps.py
+++ b/tests/steps/durable_neighbours_steps.py
@@ -4,6 +4,9 @@
 from collections import Counter
 from functools import cache
 from math import exp, log
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
 from behave import given, then, use_step_matcher, when
@@ -11,9 +14,11 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.models import EndpointInfo, EndpointInstance, Resources, TaskName
-from berylproxy.durable.neighbours import FOUND_CERTAINTY, NeighbourModel, Pair
+from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.pair_effects import FOUND_CERTAINTY, HALF_LIFE_S, Pair
 from berylproxy.durable.records import StoredValueError, decode_pairs, encode_model
-from berylproxy.platform.settings import _choose_neighbour_mode
+from berylproxy.durable.regression import MAX_REGRESSORS, DecayingRegression
+from berylproxy.platform.settings import load_platform_settings
 from berylproxy.settings import SettingsError
 from tests.support.load_play import summarize
 from tests.support.neighbour_load_play import NeighbourLoadSimulation
@@ -33,9 +38,23 @@
     "a row too short": [["short", "long", 1.0]],
     "text for a number": [["short", "long", "much", 0.1]],
     "a deviation of 0": [["short", "long", 1.0, 0.0]],
+    "a deviation that is no number": [["short", "long", 1.0, float("nan")]],
+    "a factor too large": [["short", "long", 999.0, 0.1]],
     "no list": 7,
 }
 
+SETTINGS = """node-name = "n"
+ip = "127.0.0.1"
+zone = "a"
+internal-ports = [1, 2]
+contracts = {}
+[listen]
+frontend-addr = "127.0.0.1:1"
+ready-addr = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+"""
+
 use_step_matcher("re")
 
 
@@ -70,7 +89,7 @@
 def step_impl(context):
     for pair in context.factors:
         apart, ignoring = (context.shares[mode][pair.neighbour] for mode in (True, False))
-        assert apart >= ignoring - 0.01, (pair, context.shares)
+        assert apart >= ignoring, (pair, context.shares)
 
 
 @then(r"keeping neighbours apart serves at least as many jobs, and more of them in time")
@@ -120,9 +139,10 @@
     assert max(play.cleared_s.values()) <= 48.0, play.cleared_s
 
 
-@then(r"the learned speeds of slowed endpoints deviate by at most 20 in 100 in the mean")
+@then(r"no other pair is found, and the learned speeds deviate by at most 20 in 100 in the mean")
 def step_impl(context):
     for play in context.plays[True]:
+        assert set(play.found_s) <= set(context.factors), play.found_s
         real = {name.endpoint_id: speed for name, speed in play.speeds.items()}
         learned = {name: play.model.speed(name) for name in real}
         scale = sum(log(learned[name] / real[name]) for name in real) / len(real)
@@ -132,7 +152,7 @@
 
 @given(r"a group's holder that found a pair of kinds")
 def step_impl(context):
-    context.neighbours = NeighbourModel()
+    context.neighbours = NeighbourModel(lambda: NeighbourMode.APART)
     deviation = log(3.0) / (2 * FOUND_CERTAINTY)
     context.neighbours.adopt(GROUP, [[PAIR.kind, PAIR.neighbour, log(3.0), deviation / 2]], 0.0)
     context.neighbours.refresh(0.0)
@@ -142,7 +162,7 @@
 @when(r"the pair is stored and adopted by a new holder")
 def step_impl(context):
     value = encode_model(RunTimeModel(), context.neighbours.describe())
-    context.successor = NeighbourModel()
+    context.successor = NeighbourModel(lambda: NeighbourMode.APART)
     context.successor.adopt(GROUP, decode_pairs(value), 100.0)
     context.successor.refresh(100.0)
 
@@ -166,6 +186,74 @@
     assert [(change.effect.pair, change.is_found) for change in changes] == [(PAIR, False)], changes
 
 
+@given(r"(?P<count>\d+) endpoints, each with a run of the kind (?P<kind>\w+)")
+def step_impl(context, count, kind):
+    context.endpoints, context.runs = [], []
+    for number in range(int(count)):
+        instance = EndpointInstance(f"e{number}", 0)
+        info = EndpointInfo(instance, GROUP, "h:1", "a", Resources(16_000, 64_000))
+        endpoint = EndpointState(info)
+        run = endpoint.add_run(TaskName(f"j{number}", 0, 0), 1, Resources(8_000, 64), kind)
+        context.neighbours.note_start(endpoint, run, 0.0)
+        context.endpoints.append(endpoint)
+
+
+@when(r"the runs are removed from their endpoints without having ended")
+def step_impl(context):
+    for endpoint in context.endpoints:
+        for name, run in list(endpoint.runs):
+            endpoint.remove_run(name, run)
+        context.neighbours.note_runs(endpoint, 1.0)
+
+
+@then(r"a task of the kind (?P<kind>\w+) (?P<verdict>avoids|doesn't avoid) these endpoints")
+def step_impl(context, kind, verdict):
+    slowdowns = [context.neighbours.slowdown(kind, endpoint) for endpoint in context.endpoints]
+    assert all((slowdown > 1) is (verdict == "avoids") for slowdown in slowdowns), slowdowns
+
+
+@given(r"a group's holder in the mode (?P<mode>\w+) that is told of a pair of kinds")
+def step_impl(context, mode):
+    context.neighbours = NeighbourModel(lambda: NeighbourMode(mode))
+    context.neighbours.adopt(GROUP, [[PAIR.kind, PAIR.neighbour, log(3.0), 0.05]], 0.0)
+    context.neighbours.refresh(0.0)
+
+
+@then(r"the pair is (?P<verdict>shown|not shown) to operators")
+def step_impl(context, verdict):
+    found = [effect.pair for effect in context.neighbours.list_found()]
+    assert found == ([PAIR] if verdict == "shown" else []), found
+
+
+@then(r"run times beside the pair's neighbour are learned (?P<verdict>as they are|corrected)")
+def step_impl(context, verdict):
+    factor = context.neighbours.expected_factor(PAIR.kind, {PAIR.neighbour: 1.0})
+    assert (factor > 2) is (verdict == "corrected"), factor
+
+
+@when(r"(?P<count>\d+) regressors are observed, more than are kept, with known coefficients")
+def step_impl(context, count):
+    random, names = Random(1), [f"k{number}" for number in range(int(count))]
+    context.coefficients = {name: random.uniform(-0.5, 0.5) for name in names}
+    context.regression = DecayingRegression(HALF_LIFE_S)
+    kept = names[-MAX_REGRESSORS:]
+    observed = [names[:2], names] + [random.sample(kept, 3) for _ in range(600)]
+    for regressors in observed:
+        amounts = {name: random.uniform(0.5, 2.0) for name in regressors}
+        value = sum(amounts[name] * context.coefficients[name] for name in regressors)
+        context.regression.observe(amounts, value, 0.1, 0.0)
+
+
+@then(r"the coefficients of the last regressors are estimated within 3 in 100")
+def step_impl(context):
+    estimated = context.regression.solve(0.0)
+    assert len(estimated) == MAX_REGRESSORS, estimated
+    recent = set(list(context.coefficients)[-MAX_REGRESSORS:])
+    assert set(estimated) == recent, estimated
+    for name, coefficient in estimated.items():
+        assert abs(coefficient.mean - context.coefficients[name]) < 0.03, (name, coefficient)
+
+
 @when(r"a record of pairs with (?P<damage>.+) is adopted")
 def step_impl(context, damage):
     context.error = None
@@ -184,9 +272,14 @@
 @given(r"platform settings with the contracts (?P<contracts>.+) and the variable ?(?P<name>\w*)")
 def step_impl(context, contracts, name):
     context.mode = context.error = None
-    with patch.dict(os.environ, {"BERYLPROXY_NEIGHBOURS": name}):
+    with (
+        TemporaryDirectory() as folder,
+        patch.dict(os.environ, {"BERYLPROXY_NEIGHBOURS": name}),
+    ):
+        path = Path(folder, "settings.toml")
+        path.write_text(SETTINGS.format(contracts.split(", ")), encoding="utf-8")
         try:
-            context.mode = _choose_neighbour_mode(tuple(contracts.split(", ")))
+            context.mode = load_platform_settings(str(path)).neighbour_mode
         except SettingsError as error:
             context.error = error
 
--- a/tests/support/load_play.py
+++ b/tests/support/load_play.py
@@ -202,13 +202,15 @@
         took_s += self.answer_loss.news_delay_s(expected_s, took_s)
         self._schedule(self.now_s + took_s, self._handle_end, task, task.run, endpoint)
 
-    def _handle_end(self, task: Task, run: int, endpoint: EndpointState) -> None:
+    def _handle_end(
+        self, task: Task, run: int, endpoint: EndpointState, neighbour_factor: float = 1.0
+    ) -> None:
         endpoint.remove_run(task.name, run)
         known_task = self.job_table.find_task(task.name)
         if known_task is None:
             return
         job, instance = self.job_table.jobs[task.name.job_id], endpoint.info.instance
-        took_s = self.now_s - task.started_s
+        took_s = (self.now_s - task.started_s) / neighbour_factor
         queue = job.spec.terms.queue
         self.model.learn(queue, task.step.estimate_s, instance.endpoint_id, took_s)
         self.job_table.note_end(task, EndedRun(1, task.name, run, EndKind.DONE, ""), instance)
--- a/tests/support/neighbour_load_play.py
+++ b/tests/support/neighbour_load_play.py
@@ -8,7 +8,8 @@
 
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.job_table import Task
-from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel, Pair
+from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.pair_effects import Pair
 from berylproxy.durable.placement import PlacementPolicies
 from tests.support.answer_loss import MESSAGE_DELAY_S
 from tests.support.load_play import LoadSimulation
@@ -122,12 +123,15 @@
         endpoint_run = endpoint.runs.get((task.name, run.run))
         is_known = self.job_table.find_task(task.name) is task
         log_deviation = self._log_deviation(endpoint, task)
-        self._handle_end(task, run.run, endpoint)
+        endpoint.remove_run(task.name, run.run)
         beside = self.neighbours.note_end(endpoint, endpoint_run, self.now_s)
+        factor = 1.0
         if is_known and beside is not None:
             kind = endpoint_run.kind
             self.neighbours.learn(task.name, kind, beside, log_deviation, self.now_s)
             self._shared_runs.update(Pair(kind, neighbour) for neighbour in beside)
+            factor = self.neighbours.expected_factor(kind, beside)
+        self._handle_end(task, run.run, endpoint, factor)
         self._update_rates(endpoint)
 
     def _log_deviation(self, endpoint: EndpointState, task: Task) -> float:
