Spend less on each call to an endpoint

Cause (cProfile of a holder, trial): 8,600 calls in 9 s take 15% of its time; of that, asyncio.wait() for a single answer takes a third, and each answer is decoded twice. Change: one answer is awaited without asyncio.wait(), and each answer is decoded once. Weighed: one call for several orders (the platform has no such call).

--- a/berylproxy/http_exchange.py
+++ b/berylproxy/http_exchange.py
@@ -300,8 +300,10 @@
 
     :return: ``None`` if there is none within the wait, or all exchanges have failed.
     """
-    pending = {exchange.response: exchange for exchange in exchanges}
     wait_end_s = min(monotonic() + wait_s, end_s)
+    if len(exchanges) == 1:
+        return await _wait_for(exchanges[0], wait_end_s)
+    pending = {exchange.response: exchange for exchange in exchanges}
     while pending:
         done, _ = await asyncio.wait(
             pending,
@@ -317,6 +319,30 @@
     return None
 
 
+async def _wait_for(exchange: _Exchange, wait_end_s: float) -> _Exchange | None:
+    """Returns the exchange once it has a complete response; the common case of one request.
+
+    :return: ``None`` if it has none within the wait, or has failed.
+    """
+    response = exchange.response
+    if not response.done():
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+
+        def wake(_: object = None) -> None:
+            if not waiter.done():
+                waiter.set_result(None)
+
+        response.add_done_callback(wake)
+        timer = loop.call_later(max(wait_end_s - monotonic(), 0.0), wake)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            response.remove_done_callback(wake)
+    return exchange if response.done() and response.exception() is None else None
+
+
 def _describe_loss(exchanges: list[_Exchange], timeout_s: float) -> str:
     """Returns why none of the exchanges has a complete response."""
     errors = [e.response.exception() for e in exchanges if e.response.done()]
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -2,7 +2,7 @@
 
 from ipaddress import ip_address
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 from logbook import Logger
@@ -62,6 +62,13 @@
 logger = Logger(__name__)
 
 
+class _Answer(NamedTuple):
+    """A runner's response with its decoded body, which is empty for an error status."""
+
+    response: HttpResponse
+    content: dict[str, Any]
+
+
 class PlatformEndpoints:
     """Implements :class:`berylproxy.durable.ports.EndpointDirectory`.
 
@@ -132,7 +139,7 @@
         if order.saved:
             body["checkpoint-data"] = order.saved
         try:
-            response = await self._post("/-/run-start", body, CALL_TIMEOUT_S)
+            response, _ = await self._post("/-/run-start", body, CALL_TIMEOUT_S)
         except NotSentError:
             return StartOutcome.NOT_SENT
         except AnswerLostError:
@@ -145,7 +152,7 @@
     async def stop(self, name: TaskName, run: int, fence: int) -> None:
         """Stops a run, even if the order to start it has yet to arrive."""
         body = {"task": _format_task_name(name), "run": run, "fence": fence}
-        self._decode_or_raise(await self._call("/-/run-stop", body, CALL_TIMEOUT_S))
+        self._require_success(await self._call("/-/run-stop", body, CALL_TIMEOUT_S))
 
     async def renew(
         self, fence: int, acknowledged: int, wait_s: float, *, extend: bool
@@ -154,9 +161,8 @@
         body: dict[str, Any] = {"fence": fence, "last-seen": acknowledged}
         if extend and self._clock.is_known:
             body["until-ms"] = self._next_lease_end_ms()
-        response = await self._call("/-/hold", body, CALL_TIMEOUT_S, wait_s)
-        content = self._decode_or_raise(response)
-        return decode_report(content, response.sent_s)
+        answer = await self._call("/-/hold", body, CALL_TIMEOUT_S, wait_s)
+        return decode_report(self._require_success(answer), answer.response.sent_s)
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -167,7 +173,7 @@
 
     async def _post(
         self, target: str, body: dict[str, Any], timeout_s: float, wait_s: float = 0.0
-    ) -> HttpResponse:
+    ) -> _Answer:
         """Sends a call, and copies of it while the answer is overdue.
 
         :param wait_s: how long the runner may wait for an end before it answers; it answers
@@ -186,26 +192,27 @@
         )
         if not wait_s and not response.was_hedged:
             self._response_times.add(response.received_s - response.sent_s)
-        if response.status in (200, 409):
-            clock_ms = _decode_object(response).get("clock-ms")
-            if isinstance(clock_ms, int):
-                self._clock.update(clock_ms, response.sent_s, response.received_s)
-        return response
+        content = _decode_object(response) if response.status in (200, 409) else {}
+        clock_ms = content.get("clock-ms")
+        if isinstance(clock_ms, int):
+            self._clock.update(clock_ms, response.sent_s, response.received_s)
+        return _Answer(response, content)
 
     async def _call(
         self, target: str, body: dict[str, Any], timeout_s: float, wait_s: float = 0.0
-    ) -> HttpResponse:
+    ) -> _Answer:
         try:
             return await self._post(target, body, timeout_s, wait_s)
         except (NotSentError, AnswerLostError) as error:
             raise EndpointCallError(f"{target}: {error.message}") from error
 
-    def _decode_or_raise(self, response: HttpResponse) -> dict[str, Any]:
+    def _require_success(self, answer: _Answer) -> dict[str, Any]:
+        """Returns the content of an answer, or raises the error that it reports."""
+        response, content = answer
         if response.status == OTHER_INSTANCE_STATUS:
             raise OtherInstanceError("another instance of the runner answered")
         if response.status not in (200, 409):
             raise EndpointCallError(f"the runner answered {response.status}")
-        content = _decode_object(response)
         if response.status == 409 and content.get("reason") == "fence":
             raise FencedOffError("the runner has accepted a higher fence")
         return content
