--- a/berylproxy/peers/control.py
+++ b/berylproxy/peers/control.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable, Iterable
 from random import choice
+from time import monotonic
 from typing import Any, Protocol
 
-from anyio import current_time
 from logbook import Logger
 from msgpack import packb
 
@@ -97,7 +97,7 @@
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
         self._refresh_state()
-        self._list_due_s = current_time() + LIST_INTERVAL_S
+        self._list_due_s = monotonic() + LIST_INTERVAL_S
         await self._prober.run()
 
     async def handle_new_stream(self, entry: MemberEntry) -> None:
@@ -106,8 +106,8 @@
         The list is requested at most once in ``NEW_STREAM_LIST_INTERVAL_S`` over all streams.
         """
         await self.exchange_heartbeat(entry, self._settings.heartbeat_timeout_s)
-        if current_time() >= self._new_stream_list_due_s:
-            self._new_stream_list_due_s = current_time() + NEW_STREAM_LIST_INTERVAL_S
+        if monotonic() >= self._new_stream_list_due_s:
+            self._new_stream_list_due_s = monotonic() + NEW_STREAM_LIST_INTERVAL_S
             await self._fetch_list(entry)
 
     def links(self, incarnation: str) -> list[PeerLink]:
@@ -123,11 +123,11 @@
 
         :returns: whether a reply arrived within the timeout.
         """
-        started_s = current_time()
+        started_s = monotonic()
         link = await self._network.wait_for_link(entry.identity.incarnation, timeout_s)
         if link is None:
             return False
-        remaining_s = timeout_s - (current_time() - started_s)
+        remaining_s = timeout_s - (monotonic() - started_s)
         try:
             reply = await link.request(self._make_heartbeat(entry), remaining_s)
         except PeerError:
@@ -141,9 +141,9 @@
         self._refresh_state()
         for entry in self._table.expire():
             self._network.forget_address(entry.identity.peer_address)
-        if current_time() < self._list_due_s:
+        if monotonic() < self._list_due_s:
             return
-        self._list_due_s = current_time() + LIST_INTERVAL_S
+        self._list_due_s = monotonic() + LIST_INTERVAL_S
         alive = self._alive_entries()
         if alive:
             await self._fetch_list(choice(alive))
--- a/berylproxy/peers/dialler.py
+++ b/berylproxy/peers/dialler.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 from random import uniform
+from time import monotonic
 
-from anyio import Event, current_time, move_on_after
+from anyio import Event, move_on_after
 from anyio.abc import TaskGroup
 from logbook import Logger
 
@@ -101,10 +102,10 @@
         last_problem = ""
         while address in self._wakeups:
             self._wakeups[address] = wakeup = Event()
-            started_s = current_time()
+            started_s = monotonic()
             problem = await self._dial(address)
             # If streams break right after each handshake, redialling must not become a tight loop.
-            was_stable = not problem and current_time() - started_s >= STABLE_STREAM_S
+            was_stable = not problem and monotonic() - started_s >= STABLE_STREAM_S
             if was_stable:
                 delay_s = self._settings.redial_min_delay_s
             if problem and problem != last_problem:
--- a/berylproxy/peers/link.py
+++ b/berylproxy/peers/link.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
+from time import monotonic
 from typing import Any
 
 from anyio import (
     CancelScope,
     ClosedResourceError,
     Event,
-    current_time,
     move_on_after,
     sleep_forever,
 )
@@ -85,7 +85,7 @@
     ) -> None:
         self.identity = identity
         self.running_requests = 0
-        self.opened_s = current_time()
+        self.opened_s = monotonic()
         self.last_received_s = self.opened_s
         self._stream = stream
         self._first_bytes = first_bytes
@@ -285,7 +285,7 @@
         """Handles the frames that received data completes; an error ends the stream."""
         if self._closed or not data:
             return
-        self.last_received_s = current_time()
+        self.last_received_s = monotonic()
         self._counters.received_bytes += len(data)
         try:
             for start in range(0, len(data), MAX_FEED_BYTES):
--- a/berylproxy/peers/network.py
+++ b/berylproxy/peers/network.py
@@ -4,13 +4,13 @@
 from contextlib import closing
 from dataclasses import replace
 from math import inf
+from time import monotonic
 from typing import Any
 
 from anyio import (
     TASK_STATUS_IGNORED,
     Event,
     create_task_group,
-    current_time,
     move_on_after,
     sleep,
 )
@@ -66,7 +66,7 @@
         self.identity = identity
         self.counters = LinkCounters()
         self.table = MemberTable(
-            settings.dead_after_s, settings.forget_after_s, current_time, self._on_discovered
+            settings.dead_after_s, settings.forget_after_s, monotonic, self._on_discovered
         )
         self._settings = settings
         self._codec = codec.extend(CONTROL_MESSAGES)
@@ -146,7 +146,7 @@
         last_received_s = max(
             (link.last_received_s for link in self.links(incarnation)), default=-inf
         )
-        return current_time() - last_received_s
+        return monotonic() - last_received_s
 
     def prioritize_members(self, list_incarnations: Callable[[], Iterable[str]]) -> None:
         """Sets the function that lists the incarnations to probe with priority.
--- a/berylproxy/peers/prober.py
+++ b/berylproxy/peers/prober.py
@@ -8,9 +8,10 @@
 from collections.abc import Awaitable, Callable, Iterable
 from itertools import zip_longest
 from random import sample, shuffle, uniform
+from time import monotonic
 from typing import Any, Protocol
 
-from anyio import create_task_group, current_time, sleep
+from anyio import create_task_group, sleep
 from anyio.abc import TaskGroup
 
 from berylproxy.peers.link import PeerLink
@@ -76,11 +77,11 @@
         planned_s = self._settings.heartbeat_interval_s * uniform(
             1 - ROUND_JITTER, 1 + ROUND_JITTER
         )
-        started_s = current_time()
+        started_s = monotonic()
         await sleep(planned_s)
-        pause_s = current_time() - started_s - planned_s
+        pause_s = monotonic() - started_s - planned_s
         if pause_s > PAUSE_LIMIT_S:
-            self._resumed_s = current_time()
+            self._resumed_s = monotonic()
             self._table.extend_deadlines(pause_s)
 
     def start_check(self, task_group: TaskGroup, entry: MemberEntry) -> None:
@@ -105,7 +106,7 @@
         return picked
 
     def _list_silent_prioritized(self) -> list[MemberEntry]:
-        limit_s = current_time() - PRIORITIZED_SILENCE_ROUNDS * self._settings.heartbeat_interval_s
+        limit_s = monotonic() - PRIORITIZED_SILENCE_ROUNDS * self._settings.heartbeat_interval_s
         prioritized = (self._table.get(incarnation) for incarnation in self.list_prioritized())
         return [
             entry
@@ -119,7 +120,7 @@
 
     def _has_stalled(self, entry: MemberEntry) -> bool:
         """Returns whether requests are pending on a stream on which nothing was received lately."""
-        limit_s = current_time() - self._settings.heartbeat_timeout_s
+        limit_s = monotonic() - self._settings.heartbeat_timeout_s
         links = self._transport.links(entry.identity.incarnation)
         return any(link.has_pending_requests and link.last_received_s < limit_s for link in links)
 
@@ -149,7 +150,7 @@
         The result is ignored if this daemon was paused meanwhile. Streams on which nothing was
         received since the start of the check are closed, unless they were opened since then.
         """
-        started_s = current_time()
+        started_s = monotonic()
         if await self._transport.exchange_heartbeat(entry, self._settings.heartbeat_timeout_s):
             return
         if self._was_paused(started_s, self._settings.heartbeat_timeout_s):
@@ -167,7 +168,7 @@
             self._table.mark_suspect(entry)
 
     def _was_paused(self, started_s: float, expected_s: float) -> bool:
-        elapsed_s = current_time() - started_s
+        elapsed_s = monotonic() - started_s
         return self._resumed_s > started_s or elapsed_s > expected_s + PAUSE_LIMIT_S
 
     async def _reach_indirectly(self, entry: MemberEntry) -> bool:
