Call an endpoint without runs only once in a while to let it forget ends

Cause: after the last run on an endpoint has ended, a call of its own tells it to forget the end: 21 calls for 10 jobs of one task in the new scenario, which failed before. Change: the next poll does so, or a call after 1 s. 11 calls for the 10 jobs, and one within 2 s after them. A holder that follows sees ends for up to a second longer. It handles them as before: they belong to jobs that it does not know, or tell it what has been done already. Weighed: never (an endpoint returns at most 500 ends at a time, and so may hide new ones).

--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -122,6 +122,13 @@
             return False
         return self.is_contacted and not (self.runs or self.ends or self.missed_calls)
 
+    @property
+    def only_remembers_ends(self) -> bool:
+        """Whether the endpoint needs a call for no more than to forget released ends."""
+        if self.runs or self.missed_calls or not (self.is_contacted and self.is_listed):
+            return False
+        return self.released.issuperset(self.ends)
+
     @property
     def free_resources(self) -> Resources:
         """The unused part of the endpoint's capacity; runs that are being stopped count as used."""
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -34,6 +34,9 @@
 MAX_LIST_SILENCE_S = 2.4
 # While an endpoint remembers ends of runs whose jobs are open, it answers renewals at once.
 END_POLL_INTERVAL_S = 0.025
+# An endpoint without runs may remember released ends for this long: its next poll, which most often
+# comes sooner, lets it forget them.
+ACKNOWLEDGEMENT_DELAY_S = 1.0
 RETRY_PAUSE_S = 0.05
 FIRST_LIST_TIMEOUT_S = 0.3  # the store answers within some 10 ms unless it is slow or down
 FIRST_CONTACT_TIMEOUT_S = 0.4  # endpoints answer within some 4 ms; those that are cut off never do
@@ -157,7 +160,12 @@
                     self._remove_endpoint(endpoint, "it is not listed and has no runs")
                     break
                 await self._wakeups[instance].wait()
-            self._wakeups[instance] = Event()
+            elif endpoint.only_remembers_ends:
+                self._wakeups[instance] = Event()  # it may be set by a run that has ended since
+                with move_on_after(ACKNOWLEDGEMENT_DELAY_S):
+                    await self._wakeups[instance].wait()
+            if self._wakeups[instance].is_set():
+                self._wakeups[instance] = Event()
             acknowledged = endpoint.next_acknowledgement()
             wait_s = 0.0 if self._should_poll_at_once(endpoint) else self._renewal_wait_s(endpoint)
             # If unanswered calls could extend the lease, this holder could never tell when it has
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -263,3 +263,11 @@
     And durable job "k" is cancelled after 0.1 s
     Then durable job "k" is shown as "cancelled" within 1 s
     And nothing runs at any endpoint within 0.3 s
+
+  Scenario: an endpoint whose last run has ended is not called only to let it forget the end
+    Given a group of 1 endpoint whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And 10 jobs of 1 task are run one after the other
+    Then the endpoint was polled at most 15 times
+    And within 2 s the endpoint has forgotten all ends
+    And the endpoint was polled at most 16 times
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -481,3 +481,25 @@
 
 
 use_step_matcher("parse")
+
+
+@when("{count:d} jobs of 1 task are run one after the other")
+def step_run_in_turn(context, count):
+    for number in range(count):
+        name = f"in-turn-{number}"
+        context.holder_world.submit(name, 1)
+        context.holder_world.replies[name][-1].result(ANSWER_TIMEOUT_S)
+
+
+@then("the endpoint was polled at most {count:d} times")
+def step_polled(context, count):
+    polls = sum(client.renewals for client in context.holder_world.directory.clients)
+    assert polls <= count, polls
+
+
+@then("within {limit_s:d} s the endpoint has forgotten all ends")
+def step_ends_forgotten(context, limit_s):
+    end_s = monotonic() + limit_s
+    while context.holder_world.endpoints[0].ended and monotonic() < end_s:
+        sleep(0.02)
+    assert not context.holder_world.endpoints[0].ended, context.holder_world.endpoints[0].ended
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -32,6 +32,7 @@
 
     def __init__(self, endpoint: RunnerModel) -> None:
         self.endpoint = endpoint
+        self.renewals = 0
         self._lease_end_s = 0.0
 
     def lease_end_s(self) -> float:
@@ -67,6 +68,7 @@
     ) -> EndpointReport:
         """Requests a report of active and ended runs."""
         sent_s = monotonic()
+        self.renewals += 1
         if extend:
             self._lease_end_s = sent_s + LEASE_S  # the request may arrive even if no answer does
         await sleep(0.001)
@@ -102,6 +104,7 @@
     def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
         self.delay_s = 0.0
+        self.clients: list[FakeEndpointClient] = []
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list."""
@@ -110,9 +113,9 @@
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
-        return FakeEndpointClient(
-            next(e for e in self.endpoints if e.info.instance == info.instance)
-        )
+        endpoint = next(e for e in self.endpoints if e.info.instance == info.instance)
+        self.clients.append(FakeEndpointClient(endpoint))
+        return self.clients[-1]
 
 
 class FakeJobStore:
