--- a/berylproxy/peers/control.py
+++ b/berylproxy/peers/control.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable, Iterable
 from random import choice
+from time import monotonic
 from typing import Any, Protocol
 
-from anyio import current_time
 from logbook import Logger
 from msgpack import packb
 
@@ -39,6 +39,9 @@
     def handle_request(self, message_type: type, handler: Callable[..., Any]) -> None:
         """Registers the handler for requests of a type."""
 
+    def answer_at_once(self, message_type: type, handler: Callable[..., Any]) -> None:
+        """Registers the handler for requests of a type that are answered without waiting."""
+
     def handle_notice(self, message_type: type, handler: Callable[..., Any]) -> None:
         """Registers the handler for notices of a type."""
 
@@ -75,9 +78,9 @@
         self._list_due_s = 0.0
         self._new_stream_list_due_s = 0.0
         self._prober = Prober(settings, self._table, self, self._begin_round)
-        network.handle_request(Heartbeat, self._answer_heartbeat)
+        network.answer_at_once(Heartbeat, self._answer_heartbeat)
         network.handle_request(IndirectProbe, self._answer_indirect_probe)
-        network.handle_request(MemberListRequest, self._answer_list_request)
+        network.answer_at_once(MemberListRequest, self._answer_list_request)
         network.handle_notice(LeaveNotice, self._handle_leave)
 
     def add_heartbeat_part(self, name: str, make_part: Callable[[], dict[str, Any]]) -> None:
@@ -94,7 +97,7 @@
     async def run(self) -> None:
         """Sends heartbeats until cancelled."""
         self._refresh_state()
-        self._list_due_s = current_time() + LIST_INTERVAL_S
+        self._list_due_s = monotonic() + LIST_INTERVAL_S
         await self._prober.run()
 
     async def handle_new_stream(self, entry: MemberEntry) -> None:
@@ -103,8 +106,8 @@
         The list is requested at most once in ``NEW_STREAM_LIST_INTERVAL_S`` over all streams.
         """
         await self.exchange_heartbeat(entry, self._settings.heartbeat_timeout_s)
-        if current_time() >= self._new_stream_list_due_s:
-            self._new_stream_list_due_s = current_time() + NEW_STREAM_LIST_INTERVAL_S
+        if monotonic() >= self._new_stream_list_due_s:
+            self._new_stream_list_due_s = monotonic() + NEW_STREAM_LIST_INTERVAL_S
             await self._fetch_list(entry)
 
     def links(self, incarnation: str) -> list[PeerLink]:
@@ -120,11 +123,11 @@
 
         :returns: whether a reply arrived within the timeout.
         """
-        started_s = current_time()
+        started_s = monotonic()
         link = await self._network.wait_for_link(entry.identity.incarnation, timeout_s)
         if link is None:
             return False
-        remaining_s = timeout_s - (current_time() - started_s)
+        remaining_s = timeout_s - (monotonic() - started_s)
         try:
             reply = await link.request(self._make_heartbeat(entry), remaining_s)
         except PeerError:
@@ -138,9 +141,9 @@
         self._refresh_state()
         for entry in self._table.expire():
             self._network.forget_address(entry.identity.peer_address)
-        if current_time() < self._list_due_s:
+        if monotonic() < self._list_due_s:
             return
-        self._list_due_s = current_time() + LIST_INTERVAL_S
+        self._list_due_s = monotonic() + LIST_INTERVAL_S
         alive = self._alive_entries()
         if alive:
             await self._fetch_list(choice(alive))
@@ -186,7 +189,7 @@
             updates=self._table.pick_updates(entry),
         )
 
-    async def _answer_heartbeat(self, identity: DaemonIdentity, heartbeat: Heartbeat) -> Heartbeat:
+    def _answer_heartbeat(self, identity: DaemonIdentity, heartbeat: Heartbeat) -> Heartbeat:
         entry = self._table.note_contact(identity)
         self._table.apply_heartbeat(entry, heartbeat)
         return self._make_heartbeat(entry)
@@ -197,7 +200,7 @@
         timeout_s = min(probe.timeout_s, MAX_INDIRECT_TIMEOUT_S)
         return IndirectProbeResult(await self._prober.probe_on_behalf(probe.incarnation, timeout_s))
 
-    async def _answer_list_request(self, _: DaemonIdentity, __: MemberListRequest) -> MemberList:
+    def _answer_list_request(self, _: DaemonIdentity, __: MemberListRequest) -> MemberList:
         entries = self._alive_entries()[:MAX_LISTED_MEMBERS]
         return MemberList(tuple(entry.make_update() for entry in entries))
 
