Let a group that is evacuated as a whole pass jobs on to other groups

A group without any serving capacity had room for every job, by the rule for jobs that need most of a group, and then refused them as too late. If all its endpoints are evacuated it now says that it has no room, so that the entry daemon asks another group.

--- a/berylproxy/durable/routing.py
+++ b/berylproxy/durable/routing.py
@@ -61,8 +61,11 @@
     """Returns whether a group should take a job at once.
 
     One that needs most of a group runs in several waves anyway, and all groups of this size would
-    refuse it.
+    refuse it. A group all of whose endpoints are evacuated takes none.
     """
+    endpoints = list(endpoints)
+    if endpoints and all(endpoint.is_evacuated for endpoint in endpoints):
+        return False
     capacity = sum(e.info.capacity.cpu_millicores for e in endpoints if e.is_serving(now_s))
     return room_millicores >= min(needed_millicores, capacity // 2)
 
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -80,12 +80,13 @@
         """
         revision = fence // FENCES_PER_REVISION + 10
         self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
+        self.newest_model = RunTimeModel()
         self.holders[fence] = Holder(
             GROUP,
             fence,
             revision if fence % FENCES_PER_REVISION == 0 else 0,
             inherited or InheritedEndpoints(self.newest_fence, self.endpoint_ids),
-            RunTimeModel(),
+            self.newest_model,
             HolderContext(
                 self.store,
                 self.directory,
