Place tasks on cold endpoints last, and learn no speed from them

The list says for how long an endpoint stays slow after its start; nothing used it. Placement counts a run there as up to twice as long, less as the endpoint warms, and runs that began there while it was cold leave the learnt speed as it is.

tests/durable/evacuation.feature: 29 scenarios passed; tests/platform/wire.feature passed.

--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -77,6 +77,8 @@
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
     :ivar is_evacuated: whether its failure domain is evacuated, so that no task is started there.
+    :ivar cold_until_s: monotonic time until which the endpoint is slow after its start.
+    :ivar cold_s: how long it was to stay slow when that was known first.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
     :ivar used: resources taken by all ``runs``.
     """
@@ -90,6 +92,8 @@
     contacted_s: float | None = None
     is_listed: bool = True
     is_evacuated: bool = False
+    cold_until_s: float = 0.0
+    cold_s: float = 0.0
     missed_calls: int = 0
     last_answer_s: float = 0.0
     quarantined_until_s: float = 0.0
@@ -149,6 +153,19 @@
             and now_s >= self.quarantined_until_s
         )
 
+    def note_cold(self, left_s: float, now_s: float) -> None:
+        """Applies how much longer the endpoint says to stay slow."""
+        if now_s >= self.cold_until_s:
+            self.cold_s = 0.0
+        self.cold_until_s = now_s + left_s if left_s > 0 else min(self.cold_until_s, now_s)
+        self.cold_s = max(self.cold_s, left_s)
+
+    def coldness(self, now_s: float) -> float:
+        """Returns how cold the endpoint is, from 1 at first to 0 once it is warm."""
+        if now_s >= self.cold_until_s:
+            return 0.0
+        return min((self.cold_until_s - now_s) / self.cold_s, 1.0)
+
     def add_run(self, name: TaskName, run: int, needs: Resources) -> EndpointRun:
         """Adds a run and counts its resources as used; returns the known one if there is one."""
         endpoint_run = self.runs.get((name, run))
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -149,6 +149,8 @@
                 logger.info(
                     "endpoint is leaving", extra=self._tenure.extra(endpoint=instance.endpoint_id)
                 )
+            if info.cold_left_s != endpoint.info.cold_left_s:
+                endpoint.note_cold(info.cold_left_s, now_s)
             endpoint.info = info
             endpoint.is_listed = True
             endpoint.is_evacuated = info.failure_domain in self._evacuations.names
@@ -163,6 +165,7 @@
     def _add_endpoint(self, info: EndpointInfo) -> None:
         endpoint = EndpointState(info)
         endpoint.is_evacuated = info.failure_domain in self._evacuations.names
+        endpoint.note_cold(info.cold_left_s, self._clock.now_s())
         self.endpoints[info.instance] = endpoint
         self._clients[info.instance] = self._directory.connect(info)
         self._wakeups[info.instance] = Event()
@@ -356,7 +359,8 @@
             self._record_failed_run(endpoint, task, end, now_s)
         elif end.kind is EndKind.DONE:
             endpoint.note_success()
-            if is_current_run and task.status in ACTIVE_STATUSES:
+            was_warm = task.started_s >= endpoint.cold_until_s
+            if is_current_run and was_warm and task.status in ACTIVE_STATUSES:
                 self._model.learn(
                     job.spec.terms.queue,
                     task.step.estimate_s,
--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -159,6 +159,7 @@
     :param leaving: whether the endpoint is about to be removed and must get no new tasks.
     :param rack: the rack of the endpoint's VM; empty if unknown.
     :param kind: the VM's hardware kind; empty if unknown.
+    :param cold_left_s: how much longer the endpoint stays slow after its start.
     """
 
     instance: EndpointInstance
@@ -170,6 +171,7 @@
     labels: frozenset[str] = frozenset()
     rack: str = ""
     kind: str = ""
+    cold_left_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -22,6 +22,8 @@
 # Cost of the processor share that stays unused beside the task; for a whole endpoint a third of a
 # short task's run time. It favours placements that leave no remainder too small for another task.
 FIT_WEIGHT_S = 0.02
+# Time that a task takes longer on an endpoint that has just started, as a share of its run time.
+COLD_SHARE = 1.0
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
@@ -237,6 +239,7 @@
         ):
             continue
         run_time_s = expected_s / model.speed(info.instance.endpoint_id)
+        run_time_s *= 1 + COLD_SHARE * endpoint.coldness(now_s)
         if near.rack and near.rack != info.rack:
             run_time_s *= near.remote_factor
         if info.instance.endpoint_id in task.failed_endpoint_ids:
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -1,6 +1,7 @@
 """Lists the platform's runners (endpoints) from the store and calls them."""
 
 from ipaddress import ip_address
+from math import isfinite
 from time import monotonic
 from typing import Any
 
@@ -244,9 +245,15 @@
         labels=frozenset(labels),
         rack=next((label for label in labels if _is_rack_label(label)), ""),
         kind=next((label for label in labels if not _is_rack_label(label)), ""),
+        cold_left_s=_decode_cold_left_s(content.get("cold-left-ms")),
     )
 
 
+def _decode_cold_left_s(value: Any) -> float:
+    """Returns for how long a runner stays slow; 0 if its entry doesn't say it in a valid way."""
+    return max(value, 0) / 1000 if type(value) in (int, float) and isfinite(value) else 0.0
+
+
 def decode_resources(content: dict[str, Any]) -> Resources:
     """Decodes resource amounts; a missing one is 0.
 
--- a/tests/durable/evacuation.feature
+++ b/tests/durable/evacuation.feature
@@ -62,6 +62,26 @@
     When all their failure domains are evacuated
     Then their room is 0 cores, and a job is refused at once
 
+  Scenario: an endpoint that is cold gets tasks last, and again as others as it warms
+    Given 2 endpoints of 64 cores, of which the first stays cold for 4 s
+    Then a task goes to the second one
+    And the coldness of the first one is 1.0 at first, 0.5 after 2 s and 0.0 after 4 s
+    When the first one says after 2 s that it stays cold for 6 s
+    Then the coldness of the first one is 1.0 after 2 s, 0.5 after 5 s and 0.0 after 8 s
+
+  Scenario Outline: the speed of an endpoint is learnt from runs that began once it was warm
+    Given a group of 1 endpoint whose runs take 0.05 s
+    And endpoint 1 stays cold for <left_s> s
+    When a holder with fence 16 takes over
+    And job "a" of 4 tasks is submitted
+    Then job "a" ends as "completed"
+    And the holder has <verdict>
+
+    Examples:
+      | left_s | verdict                        |
+      | 0      | learnt the speed of endpoint 1 |
+      | 30     | learnt no speed                |
+
   Scenario: a holder that has never known the evacuations starts nothing before it does
     Given a group of 1 endpoint whose runs take 0.05 s
     And the holders have never known the evacuations
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -20,6 +20,8 @@
       | field "labels" becomes [1]         | rejected              |
       | field "born" becomes "today"       | an endpoint           |
       | field "extra" becomes true         | an endpoint           |
+      | field "cold-left-ms" becomes 2500  | an endpoint           |
+      | field "cold-left-ms" becomes "x"   | an endpoint           |
       | bytes are cut in half              | rejected              |
 
   Scenario Outline: a daemon's record is used only if it is valid
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -63,7 +63,7 @@
     context.entry_bytes = json.dumps(VALID_ENTRY).encode()
 
 
-@when(r'its field "(?P<name>\w+)" becomes (?P<value>.+)')
+@when(r'its field "(?P<name>[\w-]+)" becomes (?P<value>.+)')
 def step_impl(context, name, value):
     context.entry_fields[name] = json.loads(value)
     context.entry_bytes = json.dumps(context.entry_fields).encode()
