Evacuate failure domains by a record of their own

Operators of the product could mark endpoints as leaving one by one, but not empty a failure domain. The kind failure-domains, schema version 1, has one field, evacuated. Endpoints of such a domain are marked in each daemon's configuration, get nothing new, and are shown as evacuated; berylctl validates, applies, compares and shows the kind. A domain without a record is not evacuated.

Weighed: a field of the pools' records (a pool spans failure domains), and leaving on each endpoint's record (belongs to the endpoint, and is lost when it is taken back).

--- a/berylproxy/cli/definition.py
+++ b/berylproxy/cli/definition.py
@@ -102,7 +102,7 @@
 class GetCommand:
     """Arguments of ``berylctl get``."""
 
-    kind: Annotated[str, Arg(help="services, pools, endpoints or teams")]
+    kind: Annotated[str, Arg(help="services, pools, endpoints, teams or failure-domains")]
     name: Annotated[str, Arg(help="Name of the record", default="")]
 
 
@@ -119,7 +119,7 @@
 class DeleteCommand:
     """Arguments of ``berylctl delete``."""
 
-    kind: Annotated[str, Arg(help="services, pools, endpoints or teams")]
+    kind: Annotated[str, Arg(help="services, pools, endpoints, teams or failure-domains")]
     name: Annotated[str, Arg(help="Name of the record")]
     expect_revision: Annotated[
         int | None, Arg(long=True, help="Revision that the record must have")
--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -39,6 +39,11 @@
 from berylproxy.place.messages import PLACE_MESSAGES
 from berylproxy.records.api import make_record_routes
 from berylproxy.records.editor import RecordEditor
+from berylproxy.records.evacuation import (
+    list_evacuated_domains,
+    log_evacuations,
+    mark_evacuated_endpoints,
+)
 from berylproxy.records.leaving import mark_leaving_endpoints
 from berylproxy.records.messages import FetchRecords, Records, RecordsAccepted
 from berylproxy.records.spread import CONFIG_PART, RecordReplicator
@@ -123,6 +128,7 @@
             self._pipeline,
             self._operator_authorizer.authorize,
         )
+        self._evacuated_domains: frozenset[str] = frozenset()
         self._leaving_host_watcher = LeavingHostWatcher(
             settings.vm_list_url, self._apply_configuration
         )
@@ -249,8 +255,13 @@
         self._pipeline.update_members(ready_identities)
 
     def _apply_configuration(self) -> None:
+        configuration = self._view.configuration
+        evacuated = list_evacuated_domains(configuration)
+        log_evacuations(self._evacuated_domains, evacuated, configuration.revision)
+        self._evacuated_domains = evacuated
+        configuration = mark_evacuated_endpoints(configuration, evacuated)
         self._pipeline.configure(
-            mark_leaving_endpoints(self._view.configuration, self._leaving_host_watcher.hosts)
+            mark_leaving_endpoints(configuration, self._leaving_host_watcher.hosts)
         )
 
     async def _run_housekeeping(self) -> None:
--- a/berylproxy/daemon/monitoring.py
+++ b/berylproxy/daemon/monitoring.py
@@ -195,6 +195,7 @@
                 "owner": endpoint.owner,
                 "slots": endpoint.slots,
                 "leaving": endpoint.leaving,
+                "evacuated": endpoint.evacuated,
                 "held_here": name in held_states,
                 **_describe_state(held_states.get(name)),
             }
--- a/berylproxy/place/endpoint_state.py
+++ b/berylproxy/place/endpoint_state.py
@@ -90,7 +90,8 @@
 
     def count_free(self, now_s: float) -> int:
         """Returns the number of slots that may be granted now."""
-        if self.endpoint.leaving or not self.health.may_receive_task(now_s, len(self.uses)):
+        may_receive_task = self.health.may_receive_task(now_s, len(self.uses))
+        if not self.endpoint.accepts_tasks or not may_receive_task:
             return 0
         if now_s < self.full_until_s:
             return 0
@@ -111,7 +112,7 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Returns whether the endpoint may be sent tasks as soon as it has a free slot."""
-        return not self.endpoint.leaving and now_s >= self.health.ejected_until_s
+        return self.endpoint.accepts_tasks and now_s >= self.health.ejected_until_s
 
     def forecast(self, now_s: float) -> EndpointForecast:
         """Predicts when the endpoint's slots will be free."""
--- a/berylproxy/records/models.py
+++ b/berylproxy/records/models.py
@@ -42,7 +42,8 @@
         ``accelerators``).
     :param owner: name of the owner of the endpoint.
     :param cost_bearer: name of the party that is billed for the tasks of the endpoint.
-    :param leaving: whether the endpoint must not receive new tasks.
+    :param leaving: whether the endpoint is about to be removed.
+    :param evacuated: whether its failure domain is evacuated.
     """
 
     name: str
@@ -55,6 +56,23 @@
     cost_bearer: str
     failure_domain: str
     leaving: bool
+    evacuated: bool = False
+
+    @property
+    def accepts_tasks(self) -> bool:
+        """Whether the endpoint may receive new tasks."""
+        return not (self.leaving or self.evacuated)
+
+
+@dataclass(frozen=True, slots=True)
+class FailureDomain:
+    """A failure domain; one without a record is not evacuated.
+
+    :param evacuated: whether its endpoints must not receive new tasks.
+    """
+
+    name: str
+    evacuated: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,3 +104,4 @@
     pools: dict[str, Pool] = field(default_factory=dict)
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
     teams: dict[str, Team] = field(default_factory=dict)
+    failure_domains: dict[str, FailureDomain] = field(default_factory=dict)
--- a/berylproxy/records/schemas.py
+++ b/berylproxy/records/schemas.py
@@ -31,11 +31,11 @@
     TokenDigests,
     Weight,
 )
-from berylproxy.records.models import Endpoint, Pool, Service, Team
+from berylproxy.records.models import Endpoint, FailureDomain, Pool, Service, Team
 
 MAX_REPORTED_PROBLEMS = 8
 
-Record = Service | Pool | Endpoint | Team
+Record = Service | Pool | Endpoint | Team | FailureDomain
 
 
 class RecordKind(StrEnum):
@@ -45,6 +45,7 @@
     POOLS = "pools"
     ENDPOINTS = "endpoints"
     TEAMS = "teams"
+    FAILURE_DOMAINS = "failure-domains"
 
 
 class RecordSchema(Protocol):
@@ -190,11 +191,23 @@
         )
 
 
+class FailureDomainV1(StrictModel):
+    """A failure domain, schema version 1."""
+
+    schema_version: Literal[1]
+    evacuated: bool
+
+    def to_model(self, name: str) -> FailureDomain:
+        """Converts to the data class that the daemon uses."""
+        return FailureDomain(name=name, evacuated=self.evacuated)
+
+
 SCHEMAS: dict[RecordKind, dict[int, type[StrictModel]]] = {
     RecordKind.SERVICES: {1: ServiceV1},
     RecordKind.POOLS: {1: PoolV1},
     RecordKind.ENDPOINTS: {1: EndpointV1, 2: EndpointV2},
     RecordKind.TEAMS: {1: TeamV1},
+    RecordKind.FAILURE_DOMAINS: {1: FailureDomainV1},
 }
 
 
--- a/berylproxy/records/view.py
+++ b/berylproxy/records/view.py
@@ -291,6 +291,7 @@
             pools=records_in_force[RecordKind.POOLS],
             endpoints=records_in_force[RecordKind.ENDPOINTS],
             teams=records_in_force[RecordKind.TEAMS],
+            failure_domains=records_in_force[RecordKind.FAILURE_DOMAINS],
         )
         for callback in self._subscribers:
             callback(self._configuration)
--- a/berylproxy/send/dispatcher.py
+++ b/berylproxy/send/dispatcher.py
@@ -70,7 +70,7 @@
     def start(self, run: TaskRun, slot: HeldSlot) -> None:
         """Starts a task in a granted slot; releases the slot if it can't be used."""
         endpoint = self._configuration.endpoints.get(slot.endpoint)
-        is_unusable = endpoint is None or endpoint.leaving or run.job.is_finished
+        is_unusable = endpoint is None or not endpoint.accepts_tasks or run.job.is_finished
         if is_unusable or self._clock.now_s() >= run.job.deadline_s:
             self._release(slot, SlotResult.UNUSED, 0.0)
             if not run.job.is_finished:
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -108,6 +108,23 @@
     When the user runs "get pools oak"
     Then berylctl exits with RECORD_INVALID and the error "record_not_found"
 
+  Scenario: A failure domain is evacuated and taken back
+    Given a file of the record failure-domains/north that says it is evacuated
+    When the user runs "diff FILE"
+    Then berylctl exits with DIFFERENCES_FOUND and prints "failure-domains/north (file)"
+    When the user runs "apply FILE"
+    Then berylctl exits with SUCCESS and prints "applied"
+    When the user runs "get failure-domains north"
+    Then berylctl exits with SUCCESS and prints ""evacuated": true"
+    When the user runs "delete failure-domains north"
+    Then berylctl exits with SUCCESS and prints "deleted"
+
+  Scenario: A failure domain's record with a wrong field is refused with the field's name
+    Given a file of the record failure-domains/north that says it is emptied
+    When the user runs "apply FILE"
+    Then berylctl exits with RECORD_INVALID and the error "record_invalid"
+    And the error contains "emptied"
+
   Scenario: A record that another operator changed first is not overwritten
     Given a file of the record pools/oak
     When the user runs "apply FILE"
--- a/tests/place/refusals.feature
+++ b/tests/place/refusals.feature
@@ -22,6 +22,19 @@
     And answer 1 of proving job "B" is "done"
     And the history meets all conditions
 
+  Scenario: an operator's record says that a failure domain is evacuated, and taken back
+    Given the proving cluster has just been started
+    When the record of failure domain "b" says at daemon 0 that it is evacuated
+    And proving job "A" of 48 tasks of 0.5 s with home 0 is submitted to daemon 0
+    And proving job "B" of 48 tasks of 0.5 s with home 1 is submitted to daemon 1
+    Then answer 1 of proving job "A" is "done"
+    And answer 1 of proving job "B" is "done"
+    And each daemon's status shows the endpoints of failure domain "b" as evacuated
+    When the record of failure domain "b" says at daemon 1 that it is taken back
+    Then endpoint 1 gets tasks of proving jobs again
+    And each daemon's status shows the endpoints of failure domain "" as evacuated
+    And the history meets all conditions
+
   Scenario: the platform's list says that an endpoint is leaving, then the store is out
     When the list of VMs says that all endpoints are leaving, then the store refuses all calls
     And proving job "A" of 3 tasks of 0.1 s with home 0 and a timeout of 4 s is submitted to daemon 0
--- a/tests/records/schemas.feature
+++ b/tests/records/schemas.feature
@@ -14,6 +14,9 @@
     Examples:
       | template    | field              | value                        |
       | endpoint    | url                | "http://example.org:80"      |
+      | failure domain | evacuated       | "yes"                        |
+      | failure domain | evacuated       | 1                            |
+      | failure domain | cold            | true                         |
       | endpoint    | url                | "http://10.0.0.1"            |
       | endpoint    | url                | "http://10.0.0.1:0"          |
       | endpoint    | url                | "http://10.0.0.1:99999"      |
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -93,6 +93,12 @@
     write_records(context, POOL, ENDPOINT)
 
 
+@given("a file of the record failure-domains/north that says it is {state}")
+def step_failure_domain_file(context, state):
+    record = {"schema_version": 1, state: True}
+    write_records(context, {"kind": "failure-domains", "name": "north", "record": record})
+
+
 @given("a file of the record pools/oak and a misspelt endpoint")
 def step_invalid_record_file(context):
     write_records(context, POOL, MISSPELT_ENDPOINT)
--- a/tests/steps/proving_steps.py
+++ b/tests/steps/proving_steps.py
@@ -1,5 +1,6 @@
 """Steps that cause failures of real processes and check the history of the run."""
 
+from dataclasses import replace
 from pathlib import Path
 from signal import SIGTERM
 from tempfile import mkdtemp
@@ -252,6 +253,53 @@
     context.history.leaving.append(LeavingPeriod(f"e{number}", monotonic() + LEAVING_BOUND_S))
 
 
+@when('the record of failure domain "{domain}" says at daemon {daemon:d} that it is {change}')
+def step_record_evacuated(context, domain, daemon, change):
+    cluster, endpoint = context.cluster, f"e{DOMAINS.index(domain)}"
+    if change == "evacuated":
+        record = {"schema_version": 1, "evacuated": True}
+        cluster.apply("failure-domains", domain, record, daemon)
+        context.history.leaving.append(LeavingPeriod(endpoint, monotonic() + LEAVING_BOUND_S))
+    else:
+        [period] = context.history.leaving
+        context.history.leaving = [replace(period, until_s=monotonic())]
+        cluster.change_record("failure-domains", domain, daemon, evacuated=False)
+
+
+@then('each daemon\'s status shows the endpoints of failure domain "{domain:w}" as evacuated')
+@then('each daemon\'s status shows the endpoints of failure domain "" as evacuated')
+def step_evacuated_states(context, domain=""):
+    cluster = context.cluster
+
+    def read(daemon: int) -> set[str]:
+        rows = cluster.read_status(daemon)["endpoints"]
+        return {row["failure_domain"] for row in rows if row["evacuated"]}
+
+    daemons = range(len(cluster.daemons))
+    cluster.wait_until(
+        lambda: all(read(daemon) == set(domain) for daemon in daemons),
+        f"failure domain {domain!r} is shown as evacuated",
+    )
+
+
+@then("endpoint {number:d} gets tasks of proving jobs again")
+def step_gets_tasks_again(context, number):
+    known = len(list_starts(context, f"e{number}"))
+    step_submit(context, "again", 24, 0.2, number, number)
+    cluster = context.cluster
+    cluster.wait_until(
+        lambda: len(list_starts(context, f"e{number}")) > known, f"e{number} gets tasks"
+    )
+
+
+def list_starts(context, endpoint: str) -> list[str]:
+    """Lists the tasks that an endpoint has started so far."""
+    history = History()
+    context.cluster.collect_events(history)
+    events = [e for e in history.events if e.endpoint == endpoint and e.event == "start"]
+    return [event.task for event in events]
+
+
 @when("the list of VMs says that all endpoints are leaving, then the store refuses all calls")
 def step_list_leaving(context):
     cluster = context.cluster
--- a/tests/support/records_world.py
+++ b/tests/support/records_world.py
@@ -55,6 +55,7 @@
     "endpoint v2": ("endpoints", ENDPOINT_V2),
     "service": ("services", SERVICE),
     "team": ("teams", TEAM),
+    "failure domain": ("failure-domains", {"schema_version": 1, "evacuated": True}),
 }
 
 
