Divide scarce room among claimants, and admit jobs by sums kept up to date

Each submission also summed up all open jobs, tasks and endpoints.

Change: while more work arrives than the endpoints do (observed, with hysteresis), claimants (queue and the failure domain of the entry daemon) have weighted max-min shares of it; weights are what each usually sends, a tenth less for each lower priority. What exceeds a share goes after all other jobs and is refused at once unless it can be expected to end in time. Ways weighed: equal weights and shares of the cores in use at the moment (punish wide short jobs and whoever is large), refusing all jobs earlier (fewer in time), the learned capacity for all admissions (fewer served when 110 callers return).

The backlog ahead of a job counts what the order in force places before it. Sums are kept by claimant and place in the order. A refused caller is told a time at which there is room, spread by claimant, and is ordered as if it had waited when it returns at that time.

The step that made endpoints busy now starts the tasks there: a waiting job that can't meet its objective isn't ahead of a new one, so it no longer stood for busy endpoints. Its bounds are as before. tests/durable/load.feature, decisions.feature and holder.feature pass.

--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -1,106 +1,115 @@
 """Decides whether to accept a new job, or to refuse it with a time to retry after.
 
 Uses no clock and no sockets. Made for bursts above the capacity: a job whose answer would come too
-late to be worth anything takes resources from jobs that could still end in time.
+late to be worth anything takes resources from jobs that could still end in time. A decision takes
+time in proportion to the claimants and the slots of the order of jobs, not to the open jobs.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import ceil
 
+from berylproxy.durable.capacity import CapacityMeter
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import ACTIVE_STATUSES, Job, TaskStatus
-from berylproxy.durable.placement import latest_useful_end_s, objective_s
+from berylproxy.durable.job_table import Job, JobTable
+from berylproxy.durable.placement import RUN_TIME_MARGIN, latest_useful_end_s, objective_s
+from berylproxy.durable.returns import SHORTEST_RETRY_AFTER_S, ReturnPlaces
+from berylproxy.durable.shares import RoomShares
 
-SHORTEST_RETRY_AFTER_S = 1.0  # Retry-After counts whole seconds
-LONGEST_RETRY_AFTER_S = 10.0
 TOO_LATE = "its answer would come too late"  # the only reason for a refusal under load
 MAX_OPEN_JOBS = 5_000  # bounds a holder's memory, of which a job takes some 4 KB
+# Factor by which the expected end is overestimated: jobs of the backlog that are abandoned or
+# overtaken count in full.
+WAIT_OVERESTIMATE = 4 / 3
 
 
 @dataclass(frozen=True, slots=True)
-class Backlog:
-    """The work that will be placed before a new job.
-
-    :param work_core_s: that work in core seconds.
-    :param capacity_cores: usable cores of the available endpoints, weighted by their speed.
+class Refusal:
+    """A refusal under load, with what it is based on.
+
+    :param reason: ``late``, ``share``, ``waited``, ``no_endpoint``, ``full`` or ``unconfirmed``.
+    :param backlog_core_s: work that would be placed before the job.
+    :param capacity_cores: work in core seconds that the endpoints do in a second.
+    :param expected_end_s: time until the job's expected end.
+    :param limit_s: the longest such time with which the job would be accepted.
     """
 
-    work_core_s: float
-    capacity_cores: float
+    reason: str
+    retry_after_s: float = SHORTEST_RETRY_AFTER_S
+    backlog_core_s: float = 0.0
+    capacity_cores: float = 0.0
+    expected_end_s: float = 0.0
+    limit_s: float = 0.0
 
-    @property
-    def wait_s(self) -> float:
-        """Time until the backlog is processed; infinite without capacity."""
-        return self.work_core_s / self.capacity_cores if self.capacity_cores > 0 else float("inf")
 
+class Admission:
+    """Decides on the jobs that are submitted to one holder.
 
-# Factor by which the expected end is overestimated: jobs of the backlog that are abandoned or
-# overtaken count in full.
-WAIT_OVERESTIMATE = 4 / 3
-USABLE_CORES_SHARE = 0.85  # tasks of 27 cores leave a sixth of endpoints of 64 and 96 cores unused
-
-
-def measure_backlog(
-    jobs: Iterable[Job],
-    endpoints: Iterable[EndpointState],
-    model: RunTimeModel,
-    now_s: float,
-    deadline_s: float,
-) -> Backlog:
-    """Sums up the work that will be placed before a job with a given deadline.
-
-    :param deadline_s: monotonic time; of open jobs that are due later, only the tasks that have
-        been started count.
+    :ivar shares: who sends more than its share of the room.
+    :ivar places: the callers that were told to return.
+    :ivar meter: measures the capacity.
     """
-    work_core_s = 0.0
-    for job in jobs:
-        if job.is_final:
-            continue
-        is_ahead = job.accepted_s + objective_s(job) <= deadline_s
-        for task in job.tasks.values():
-            if task.status is TaskStatus.DONE:
-                continue
-            is_active = task.status in ACTIVE_STATUSES
-            if not is_active and not is_ahead:
-                continue
-            remaining_s = model.expected_run_time_s(job.spec.terms.queue, task.step.estimate_s)
-            if is_active:
-                remaining_s = max(remaining_s - (now_s - task.started_s), remaining_s / 10)
-            work_core_s += remaining_s * task.step.needs.cpu_millicores / 1000
-    capacity_cores = sum(
-        endpoint.info.capacity.cpu_millicores
-        / 1000
-        * USABLE_CORES_SHARE
-        * model.speed(endpoint.info.instance.endpoint_id)
-        for endpoint in endpoints
-        if endpoint.is_serving(now_s)
-    )
-    return Backlog(work_core_s, capacity_cores)
-
-
-def decide_admission(
-    job: Job,
-    jobs: Iterable[Job],
-    endpoints: Iterable[EndpointState],
-    model: RunTimeModel,
-    now_s: float,
-) -> float | None:
-    """Returns ``None`` to accept a job, or the number of seconds after which to retry it."""
-    deadline_s = now_s + objective_s(job)
-    backlog = measure_backlog(jobs, endpoints, model, now_s, deadline_s)
-    if backlog.capacity_cores <= 0:
-        return SHORTEST_RETRY_AFTER_S
-    own_core_s = sum(
-        model.expected_run_time_s(job.spec.terms.queue, task.step.estimate_s)
-        * task.step.needs.cpu_millicores
-        / 1000
-        for task in job.tasks.values()
-    )
-    parallel_s = own_core_s / backlog.capacity_cores
-    end_s = backlog.wait_s + max(job.expected_s, parallel_s)
-    if end_s <= WAIT_OVERESTIMATE * (latest_useful_end_s(job) - now_s):
-        return None
-    excess_s = end_s - objective_s(job)
-    return float(ceil(min(max(excess_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)))
+
+    def __init__(self, job_table: JobTable, model: RunTimeModel) -> None:
+        self.shares = RoomShares()
+        self.places = ReturnPlaces()
+        self.meter = CapacityMeter()
+        self._job_table = job_table
+        self._model = model
+
+    def decide(self, job: Job, endpoints: Iterable[EndpointState], now_s: float) -> Refusal | None:
+        """Returns ``None`` to accept a job, which is not in the job table yet.
+
+        Marks the job if it exceeds its claimant's share, or its caller came back as told.
+        """
+        job.place_s = now_s - self.places.waited_s(job.spec.job_id, now_s)
+        self.meter.measure(endpoints, self._model, now_s)
+        if self.meter.raw_cores <= 0:
+            return Refusal("no_endpoint")
+        self._job_table.mean_endpoint_cores = self.meter.mean_endpoint_cores
+        own_core_s = sum(
+            step.count
+            * step.needs.cpu_millicores
+            / 1000
+            * self._model.expected_run_time_s(job.spec.terms.queue, step.estimate_s)
+            for step in job.spec.steps
+        )
+        is_excess = self.shares.note_offered(job, own_core_s, self.meter.observed_cores, now_s)
+        job.is_excess = is_excess and job.place_s == now_s
+        if job.is_excess:
+            # It takes what others leave, so only if it can be expected to end in time.
+            capacity_cores = self.meter.observed_cores
+            limit_s = RUN_TIME_MARGIN * objective_s(job)
+        else:
+            capacity_cores = self.meter.nominal_cores
+            limit_s = WAIT_OVERESTIMATE * (latest_useful_end_s(job) - now_s)
+        backlog_core_s = self._measure_backlog(self._job_table.order_s(job), now_s)
+        parallel_s = own_core_s / capacity_cores
+        end_s = backlog_core_s / capacity_cores + max(job.expected_s, parallel_s)
+        if end_s <= limit_s:
+            self.places.forget(job.spec.job_id)
+            return None
+        retry_after_s = self.places.promise(
+            job.spec.job_id, job.claimant, end_s - objective_s(job), parallel_s, now_s
+        )
+        reason = "share" if job.is_excess else "late"
+        return Refusal(reason, retry_after_s, backlog_core_s, capacity_cores, end_s, limit_s)
+
+    def note_placed(self, now_s: float) -> None:
+        """Learns the capacity after each round of placement."""
+        workload = self._job_table.workload
+        has_waiting = any(True for _ in self._job_table.waiting_jobs())
+        active = sum(sums.active_millicores for sums in workload.by_claimant.values())
+        self.meter.note_placed(has_waiting, active, workload.done_core_s, now_s)
+
+    def _measure_backlog(self, order_s: float, now_s: float) -> float:
+        """Sums up the work that will be placed before a job.
+
+        Jobs that can no longer meet their objective are placed after all that can.
+        """
+        workload = self._job_table.workload
+        workload.advance(now_s)
+        return sum(
+            sums.active_core_s(now_s) + sums.pending_core_s_between(now_s, order_s)
+            for sums in workload.by_claimant.values()
+        )
--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -5,7 +5,7 @@
 
 from anyio import Event
 
-from berylproxy.durable.acceptance import SHORTEST_RETRY_AFTER_S, TOO_LATE
+from berylproxy.durable.acceptance import TOO_LATE, Refusal
 from berylproxy.durable.group import EndpointGroup
 from berylproxy.durable.job_log import JobLog
 from berylproxy.durable.job_table import Job, JobTable
@@ -33,16 +33,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Admission:
+class AdmissionDecision:
     """The decision whether to accept a job, which is not in the job table yet.
 
     :param stored: the job as it would be stored.
     :param tentative_job: the job with its deadline and expected run time.
+    :param waited_s: time since a refusal of the job, if its caller came back as told.
     :param refusal: reply to the caller; ``None`` if the job is accepted.
     """
 
     stored: StoredJob
     tentative_job: Job
+    waited_s: float
     refusal: JobSubmissionReply | None
 
 
@@ -63,8 +65,8 @@
 class BestEffortJobs:
     """Accepts, finishes and drops the best-effort jobs of a tenure.
 
-    :param admit: decides whether to accept a job, given its deadline and whether it must be
-        accepted.
+    :param admit: decides whether to accept a job, given the incarnation of its entry daemon, its
+        deadline and whether it must be accepted.
     :param expected_run_time_s: returns the expected run time of a job's longest chain of steps.
     :param measure_room_millicores: returns the processor share that is free for further tasks.
     :param on_reopened: called with a job that a former holder may have begun, the monotonic time
@@ -77,7 +79,7 @@
         job_table: JobTable,
         group: EndpointGroup,
         log: JobLog,
-        admit: Callable[[JobSpec, float, bool], Admission],
+        admit: Callable[[JobSpec, str, float, bool], AdmissionDecision],
         expected_run_time_s: Callable[[JobSpec], float],
         measure_room_millicores: Callable[[], int],
         on_reopened: Callable[[Job, float, int], None],
@@ -131,15 +133,19 @@
             if not has_room(room_millicores, count_needed_millicores(spec), endpoints, now_s):
                 return JobSubmissionReply(NO_ROOM, room_millicores=room_millicores)
         # An earlier holder may have accepted the job, which is not refused for a change of holder.
-        admission = self._admit(spec, now_s + message.wait_s, message.attempt > 0)
-        if admission.refusal is not None:
-            return admission.refusal
-        first_run = message.attempt * RUN_NUMBERS_PER_TENURE
-        job = self._job_table.open(admission.stored, now_s, entry=entry, first_run=first_run)
-        job.expected_s, job.deadline_s = (
-            admission.tentative_job.expected_s,
-            admission.tentative_job.deadline_s,
+        decision = self._admit(spec, entry, now_s + message.wait_s, message.attempt > 0)
+        if decision.refusal is not None:
+            return decision.refusal
+        job = self._job_table.open(
+            decision.stored,
+            now_s,
+            entry=entry,
+            first_run=message.attempt * RUN_NUMBERS_PER_TENURE,
+            failure_domain=decision.tentative_job.failure_domain,
+            waited_s=decision.waited_s,
+            is_excess=decision.tentative_job.is_excess,
         )
+        job.deadline_s = decision.tentative_job.deadline_s
         self._group.adopt_orphans(job, now_s)
         if job.is_final:
             return JobSubmissionReply(state=job.state.value)
@@ -186,8 +192,9 @@
         waiting = len(job.waiting)
         self._job_table.cancel(job)
         if not job.started:
-            self._log.note_refused(job.spec, SHORTEST_RETRY_AFTER_S)
-            self.finish(job, JobSubmissionReply(TOO_LATE, SHORTEST_RETRY_AFTER_S))
+            refusal = Refusal("waited")
+            self._log.note_refused(job, refusal, now_s - job.accepted_s)
+            self.finish(job, JobSubmissionReply(TOO_LATE, refusal.retry_after_s))
             return
         self._log.note_abandoned(job, waiting, now_s)
         self.finish(job, error=JobAbandonedError("the job has begun and cannot end in time"))
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -71,7 +71,8 @@
     count_needed_millicores,
     route_job,
 )
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.telemetry import Telemetry, make_share_samples
+from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
 from berylproxy.peers.network import TcpPeerNetwork
@@ -193,6 +194,7 @@
             self._may_others_reach_store,
             self._is_entry_alive,
             lambda: self.remote_factor,
+            self._failure_domain,
         )
         self._on_jobs_ended = on_jobs_ended
         self._models: dict[str, RunTimeModel] = {}
@@ -611,14 +613,31 @@
                     ("open_jobs", "Jobs that have not ended", len(holder.job_table.jobs), group)
                 )
                 rows.append(("usable_endpoints", "Endpoints that get tasks", usable, group))
+                is_scarce = holder.admission.shares.scarcity.is_scarce
+                rows.append(("room_scarce", "Whether room is divided by shares", is_scarce, group))
         return [(name, text, float(value), group) for name, text, value, group in rows]
 
+    def list_share_samples(self) -> list[Sample]:
+        """Lists the metrics of the claimants of the groups that this daemon holds."""
+        return [
+            sample
+            for group, holder in self.holders.items()
+            for sample in make_share_samples(group, holder.list_shares())
+        ]
+
     def _is_entry_alive(self, incarnation: str) -> bool:
         """Returns whether a daemon has sent a message recently, or is this one."""
         if incarnation == self.own_incarnation:
             return True
         return self._network.time_since_message_s(incarnation) < ENTRY_DAEMON_TIMEOUT_S
 
+    def _failure_domain(self, incarnation: str) -> str:
+        """Returns the failure domain of a daemon; empty if the daemon is unknown."""
+        if incarnation == self.own_incarnation:
+            return self._network.identity.failure_domain
+        member = self._network.table.get(incarnation)
+        return member.identity.failure_domain if member is not None else ""
+
     def _list_carried(self) -> list[int]:
         """Lists how many endpoints this VM and those of the live members can carry."""
         own = count_carried_endpoints(self.cores, self.link_mbps)
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -9,15 +9,10 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.acceptance import (
-    MAX_OPEN_JOBS,
-    SHORTEST_RETRY_AFTER_S,
-    TOO_LATE,
-    decide_admission,
-)
+from berylproxy.durable.acceptance import MAX_OPEN_JOBS, TOO_LATE, Admission, Refusal
 from berylproxy.durable.best_effort import (
     RUN_NUMBERS_PER_TENURE,
-    Admission,
+    AdmissionDecision,
     BestEffortJobs,
     SharedReply,
 )
@@ -30,7 +25,7 @@
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.group import EndpointGroup
 from berylproxy.durable.job_log import JobLog
-from berylproxy.durable.job_table import Job, JobTable
+from berylproxy.durable.job_table import Job, JobTable, expect_chain_s
 from berylproxy.durable.ledger import (
     Change,
     KeyExistsError,
@@ -50,7 +45,7 @@
     StoredJob,
 )
 from berylproxy.durable.outcomes import OutcomeStore
-from berylproxy.durable.placement import place_waiting_tasks
+from berylproxy.durable.placement import PlacementPolicies, place_waiting_tasks
 from berylproxy.durable.ports import (
     EndpointDirectory,
     JobStore,
@@ -67,7 +62,9 @@
     open_key,
     open_prefix,
 )
+from berylproxy.durable.returns import SHORTEST_RETRY_AFTER_S
 from berylproxy.durable.routing import TypicalNeed, measure_room_millicores
+from berylproxy.durable.shares import ClaimantShare, SharedOrder
 from berylproxy.durable.telemetry import Telemetry
 from berylproxy.durable.tenure import Tenure
 from berylproxy.pause import PauseDetector
@@ -161,6 +158,8 @@
         incarnation, has arrived recently.
     :param remote_factor: returns the run time of a task away from its data, relative to its run
         time near the data.
+    :param failure_domain: returns the failure domain of a daemon, given its incarnation; empty if
+        it is unknown.
     """
 
     store: JobStore
@@ -175,6 +174,7 @@
     may_others_reach_store: Callable[[], bool]
     is_entry_alive: Callable[[str], bool]
     remote_factor: Callable[[], float]
+    failure_domain: Callable[[str], str]
 
 
 class Holder:
@@ -197,9 +197,11 @@
     ) -> None:
         tenure = Tenure(group, fence, claim_revision, context.clock, context.telemetry)
         self.tenure = tenure
-        self.job_table = JobTable()
+        self.job_table = JobTable(model)
         self.is_loaded = False
         self.is_leaving = False
+        self.admission = Admission(self.job_table, model)
+        self._policies = PlacementPolicies(order=SharedOrder())
         self._model = model
         self._inherited = inherited
         self._context = context
@@ -227,7 +229,7 @@
             self.group,
             self._log,
             self._admit,
-            self._expected_run_time_s,
+            lambda spec: expect_chain_s(spec, model),
             self.measure_room_millicores,
             lambda job, now_s, former: self._unresolved.append(UnresolvedJob(job, now_s, former)),
         )
@@ -297,7 +299,6 @@
         age_s = max(time() - stored.accepted_unix_s, 0.0)
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
         job = self.job_table.open(stored, now_s - age_s, first_run=first_run)
-        job.expected_s = self._expected_run_time_s(stored.spec)
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
             self._unresolved.append(UnresolvedJob(job, now_s, 0))
@@ -359,10 +360,10 @@
         """Stores a durable job and adds it to the job table, or refuses it."""
         now_s = self._clock.now_s()
         may_be_stored = spec.job_id in self._possibly_stored
-        admission = self._admit(spec, inf, may_be_stored)
-        if admission.refusal is not None:
-            return admission.refusal
-        stored = admission.stored
+        decision = self._admit(spec, entry, inf, may_be_stored)
+        if decision.refusal is not None:
+            return decision.refusal
+        stored = decision.stored
         change = Change(
             absent=(final_key(spec.job_id),),
             written=((open_key(self.tenure.group, spec.job_id), encode_job(stored)),),
@@ -377,47 +378,61 @@
             self._log.note_not_stored(spec, error.message)
             return JobSubmissionReply("the store is not available", SHORTEST_RETRY_AFTER_S)
         self._possibly_stored.discard(spec.job_id)
-        job = self.job_table.open(stored, now_s, entry=entry)
-        job.expected_s = admission.tentative_job.expected_s
+        self.job_table.open(
+            stored,
+            now_s,
+            entry=entry,
+            failure_domain=decision.tentative_job.failure_domain,
+            waited_s=decision.waited_s,
+            is_excess=decision.tentative_job.is_excess,
+        )
         self.group.changed.set()
         return JobSubmissionReply()
 
-    def _admit(self, spec: JobSpec, deadline_s: float, must_accept: bool) -> Admission:
+    def _admit(
+        self, spec: JobSpec, entry: str, deadline_s: float, must_accept: bool
+    ) -> AdmissionDecision:
         """Decides by the present load whether to accept a job.
 
+        :param entry: incarnation of its entry daemon.
         :param deadline_s: monotonic time after which the caller no longer waits for the end.
         :param must_accept: whether the job is accepted whatever the load.
         """
         now_s = self._clock.now_s()
         self._typical_need.learn(spec)
         stored = StoredJob(spec, time())
-        tentative_job = JobTable().open(stored, now_s)
-        tentative_job.expected_s, tentative_job.deadline_s = (
-            self._expected_run_time_s(spec),
-            deadline_s,
+        tentative_job = self.job_table.prepare(
+            stored, now_s, entry=entry, failure_domain=self._context.failure_domain(entry)
         )
-        retry_after_s = (
-            None if must_accept else self._retry_after_s_if_refused(tentative_job, now_s)
-        )
-        if retry_after_s is None:
-            return Admission(stored, tentative_job, None)
-        self._log.note_refused(spec, retry_after_s)
-        return Admission(stored, tentative_job, JobSubmissionReply(TOO_LATE, retry_after_s))
-
-    def _retry_after_s_if_refused(self, tentative_job: Job, now_s: float) -> float | None:
-        """Returns after how many seconds to retry a refused job; ``None`` if it is accepted."""
+        tentative_job.deadline_s = deadline_s
+        refusal = None if must_accept else self._decide_refusal(tentative_job, now_s)
+        if refusal is None:
+            waited_s = now_s - tentative_job.place_s
+            if waited_s:
+                self._log.note_place_kept(spec, waited_s)
+            return AdmissionDecision(stored, tentative_job, waited_s, None)
+        self._log.note_refused(tentative_job, refusal)
+        reply = JobSubmissionReply(TOO_LATE, refusal.retry_after_s)
+        return AdmissionDecision(stored, tentative_job, 0.0, reply)
+
+    def _decide_refusal(self, tentative_job: Job, now_s: float) -> Refusal | None:
+        """Returns why a job is refused; ``None`` if it is accepted."""
         if len(self.job_table.jobs) >= MAX_OPEN_JOBS:
-            return SHORTEST_RETRY_AFTER_S
+            return Refusal("full")
         if tentative_job.spec.is_durable and now_s - self.tenure.confirmed_s > UNCONFIRMED_TENURE_S:
-            return SHORTEST_RETRY_AFTER_S
+            return Refusal("unconfirmed")
         if not self.group.has_contacted_endpoints(now_s):
             return None
-        return decide_admission(
-            tentative_job,
-            self.job_table.jobs.values(),
-            self.group.endpoints.values(),
-            self._model,
-            now_s,
+        was_scarce = self.admission.shares.scarcity.is_scarce
+        refusal = self.admission.decide(tentative_job, self.group.endpoints.values(), now_s)
+        if self.admission.shares.scarcity.is_scarce is not was_scarce:
+            self._log.note_scarcity(not was_scarce, self.admission.meter, self.list_shares())
+        return refusal
+
+    def list_shares(self) -> list[ClaimantShare]:
+        """Lists the shares of the claimants that have recently submitted jobs."""
+        return self.admission.shares.list_shares(
+            self.admission.meter.observed_cores, self._clock.now_s()
         )
 
     async def find_state(self, job_id: str) -> str:
@@ -466,16 +481,6 @@
         """Returns the number of a queue's open jobs of which no task has begun."""
         return self.job_table.count_pending(queue)
 
-    def _expected_run_time_s(self, spec: JobSpec) -> float:
-        """Returns the expected run time of a job's longest chain of steps."""
-        ends: list[float] = []
-        for step in spec.steps:
-            begin_s = max((ends[number] for number in step.after if number < len(ends)), default=0)
-            ends.append(
-                begin_s + self._model.expected_run_time_s(spec.terms.queue, step.estimate_s)
-            )
-        return max(ends, default=0.0)
-
     async def _place_tasks(self) -> None:
         """Places waiting tasks after each change in the group, until cancelled."""
         while True:
@@ -491,7 +496,9 @@
                 self._clock.now_s(),
                 self.group.order_start,
                 self._context.remote_factor(),
+                self._policies,
             )
+            self.admission.note_placed(self._clock.now_s())
 
     def _resolve_jobs(self) -> None:
         """Makes unresolved tasks ready to start once no endpoint can be running them."""
--- a/berylproxy/durable/job_log.py
+++ b/berylproxy/durable/job_log.py
@@ -4,11 +4,24 @@
 
 from logbook import Logger
 
+from berylproxy.durable.acceptance import Refusal
+from berylproxy.durable.capacity import CapacityMeter
 from berylproxy.durable.job_table import Job, JobTable
 from berylproxy.durable.models import JobSpec
 from berylproxy.durable.placement import objective_s
+from berylproxy.durable.shares import ClaimantShare
 from berylproxy.durable.tenure import Tenure
 
+# After "job refused: ", by the reason of the refusal.
+REFUSAL_TEXTS = {
+    "late": "it cannot end in time under the present load",
+    "share": "its queue and failure domain exceed their share, and it would be late",
+    "waited": "it cannot end in time any more, and no task has begun",
+    "no_endpoint": "no endpoint takes tasks",
+    "full": "too many open jobs",
+    "unconfirmed": "the claim is not confirmed",
+}
+
 logger = Logger(__name__)
 
 
@@ -19,19 +32,56 @@
     tenure: Tenure
     job_table: JobTable
 
-    def note_refused(self, spec: JobSpec, retry_after_s: float) -> None:
-        """Records that a job is refused under load, usually as it could not end in time.
+    def note_refused(self, job: Job, refusal: Refusal, waited_s: float = 0.0) -> None:
+        """Records that a job is refused, with what the decision is based on.
 
-        Refusals for too many open jobs or for a claim that is unconfirmed are counted alike.
+        :param waited_s: time since its acceptance, if it is refused after that.
         """
-        self.tenure.telemetry.count("jobs_refused", queue=spec.terms.queue, reason="late")
+        queue = job.spec.terms.queue
+        self.tenure.telemetry.count("jobs_refused", queue=queue, reason=refusal.reason)
         logger.info(
-            "job refused: it cannot end in time under the present load",
+            "job refused: {}",
+            REFUSAL_TEXTS[refusal.reason],
             extra=self.tenure.extra(
-                job=spec.job_id,
-                queue=spec.terms.queue,
+                job=job.spec.job_id,
+                queue=queue,
+                reason=refusal.reason,
+                failure_domain=job.failure_domain,
                 open_jobs=len(self.job_table.jobs),
-                retry_after_s=retry_after_s,
+                retry_after_s=refusal.retry_after_s,
+                waited_s=round(waited_s, 3),
+                backlog_core_s=round(refusal.backlog_core_s, 1),
+                capacity_cores=round(refusal.capacity_cores, 1),
+                expected_end_s=round(refusal.expected_end_s, 3),
+                limit_s=round(refusal.limit_s, 3),
+            ),
+        )
+
+    def note_place_kept(self, spec: JobSpec, waited_s: float) -> None:
+        """Records that a refused caller came back at the time told and is accepted."""
+        queue = spec.terms.queue
+        self.tenure.telemetry.count("returned_jobs_accepted", queue=queue)
+        logger.debug(
+            "job accepted in the place of its earlier refusal",
+            extra=self.tenure.extra(job=spec.job_id, queue=queue, waited_s=round(waited_s, 3)),
+        )
+
+    def note_scarcity(
+        self, is_scarce: bool, meter: CapacityMeter, shares: list[ClaimantShare]
+    ) -> None:
+        """Records that room became scarce or ample, and who sends more than its share."""
+        over = [
+            f"{share.claimant.queue}@{share.claimant.failure_domain or '?'}"
+            for share in shares
+            if share.is_over
+        ]
+        logger.info(
+            "room is scarce: it is divided by shares" if is_scarce else "room is ample again",
+            extra=self.tenure.extra(
+                demand_cores=round(sum(share.demand for share in shares), 1),
+                capacity_cores=round(meter.observed_cores, 1),
+                usable_share=round(meter.usable_share, 3),
+                over_share=over,
             ),
         )
 
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -6,6 +6,7 @@
 from enum import Enum, auto
 from math import inf
 
+from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.models import (
     FINAL_STATES,
     EndedRun,
@@ -18,10 +19,16 @@
     StoredJob,
     TaskName,
 )
+from berylproxy.durable.workload import Claimant, Workload
 
 REMEMBERED_FINAL_JOBS = 20_000  # their states are answered without a read of the store
 
 
+# Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
+# since more of them fit.
+WORK_WEIGHT = 0.3
+
+
 class TaskStatus(Enum):
     """Status of a task within an open job."""
 
@@ -78,6 +85,10 @@
     :ivar waiting: its tasks that may be started now.
     :ivar unfinished_tasks: number of tasks that are not done.
     :ivar started: whether the start of any task has ever been ordered.
+    :ivar failure_domain: failure domain of its first entry daemon; empty if unknown.
+    :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
+        acceptance, or of an earlier refusal after which its caller came back as told.
+    :ivar is_excess: whether it exceeds its claimant's share of scarce room.
     """
 
     spec: JobSpec
@@ -91,6 +102,20 @@
     waiting: list[Task] = field(default_factory=list)
     unfinished_tasks: int = 0
     started: bool = False
+    failure_domain: str = ""
+    place_s: float = 0.0
+    is_excess: bool = False
+
+    @property
+    def claimant(self) -> Claimant:
+        """Whose share of the room the job takes."""
+        return Claimant(self.spec.terms.queue, self.failure_domain)
+
+    @property
+    def objective_s(self) -> float:
+        """Time within which the job should be completed, from its acceptance."""
+        terms = self.spec.terms
+        return terms.objective_factor * self.expected_s + terms.objective_s
 
     @property
     def is_final(self) -> bool:
@@ -108,21 +133,67 @@
         )
 
 
+def expect_chain_s(spec: JobSpec, model: RunTimeModel) -> float:
+    """Returns the expected run time of a job's longest chain of steps."""
+    ends: list[float] = []
+    for step in spec.steps:
+        begin_s = max((ends[number] for number in step.after if number < len(ends)), default=0)
+        ends.append(begin_s + model.expected_run_time_s(spec.terms.queue, step.estimate_s))
+    return max(ends, default=0.0)
+
+
 class JobTable:
-    """All open jobs of a group and the outcomes of those that ended."""
+    """All open jobs of a group and the outcomes of those that ended.
 
-    def __init__(self) -> None:
+    :param model: expected run times.
+    :ivar workload: the work of the open jobs, as expected when they were opened.
+    :ivar mean_endpoint_cores: cores of a mean endpoint; infinite until they are known.
+    """
+
+    def __init__(self, model: RunTimeModel | None = None) -> None:
         self.jobs: dict[str, Job] = {}
+        self.workload = Workload()
+        self.mean_endpoint_cores = inf
+        self._model = model or RunTimeModel()
         self._outcomes: OrderedDict[str, JobState] = OrderedDict()
 
-    def open(self, stored: StoredJob, now_s: float, *, entry: str = "", first_run: int = 0) -> Job:
+    def prepare(
+        self, stored: StoredJob, now_s: float, *, entry: str = "", failure_domain: str = ""
+    ) -> Job:
+        """Returns a job without its tasks, which isn't in the table; for parameters, see `open`."""
+        job = Job(
+            stored.spec,
+            stored.accepted_unix_s,
+            now_s,
+            entry=entry,
+            failure_domain=failure_domain,
+            place_s=now_s,
+        )
+        job.expected_s = expect_chain_s(stored.spec, self._model)
+        return job
+
+    def open(
+        self,
+        stored: StoredJob,
+        now_s: float,
+        *,
+        entry: str = "",
+        first_run: int = 0,
+        failure_domain: str = "",
+        waited_s: float = 0.0,
+        is_excess: bool = False,
+    ) -> Job:
         """Adds a job to the table.
 
         :param entry: incarnation of its entry daemon.
+        :param failure_domain: failure domain of its entry daemon; empty if unknown.
+        :param waited_s: time since it was refused, if its caller has come back as told.
+        :param is_excess: whether it exceeds its claimant's share of scarce room.
         :param first_run: lower bound of the run numbers to use; above 0 for a job that another
             holder may have begun.
         """
-        job = Job(stored.spec, stored.accepted_unix_s, now_s, entry=entry)
+        job = self.prepare(stored, now_s, entry=entry, failure_domain=failure_domain)
+        job.place_s, job.is_excess = now_s - waited_s, is_excess
         may_have_begun = first_run > 0
         status = TaskStatus.UNRESOLVED if may_have_begun else TaskStatus.WAITING
         for step_number, step in enumerate(stored.spec.steps):
@@ -141,10 +212,35 @@
         )
         job.started = may_have_begun and bool(stored.progress.done or stored.progress.failures)
         self.jobs[stored.spec.job_id] = job
+        self._add_work(job)
         if not may_have_begun:
             self._update_waiting_tasks(job)
         return job
 
+    def order_s(self, job: Job) -> float:
+        """Returns where a job stands among those that can meet their objective.
+
+        The smallest goes first: it is the latest time for its start, and more the larger it is.
+        """
+        millicores = sum(step.count * step.needs.cpu_millicores for step in job.spec.steps)
+        work_s = job.expected_s * millicores / 1000 / self.mean_endpoint_cores
+        return job.place_s + job.objective_s - job.expected_s + WORK_WEIGHT * work_s
+
+    def _add_work(self, job: Job) -> None:
+        order_s = self.order_s(job)
+        for task in job.tasks.values():
+            if task.status is not TaskStatus.DONE:
+                millicores = task.step.needs.cpu_millicores
+                expected_s = self._expected_run_time_s(job.spec, task.step)
+                self.workload.add(task, job.claimant, millicores, expected_s, order_s)
+
+    def _expected_run_time_s(self, spec: JobSpec, step: StepSpec) -> float:
+        return self._model.expected_run_time_s(spec.terms.queue, step.estimate_s)
+
+    def _remove_work(self, job: Job) -> None:
+        for task in job.tasks.values():
+            self.workload.remove(task)
+
     def find_task(self, name: TaskName) -> Task | None:
         """Returns a task of an open job; ``None`` if the job is unknown or its state is final."""
         job = self.jobs.get(name.job_id)
@@ -166,6 +262,7 @@
     def close(self, job: Job) -> None:
         """Removes a job from the open ones, and remembers its outcome."""
         self.jobs.pop(job.spec.job_id, None)
+        self._remove_work(job)
         self.remember_outcome(job.spec.job_id, job.state)
 
     def resolve(self, job: Job) -> None:
@@ -186,6 +283,7 @@
         task.status = TaskStatus.STARTING
         task.instance = instance
         task.ordered_s = task.started_s = now_s
+        self.workload.note_started(task, now_s)
         task.progress_percent = 0
         task.progressed_s = now_s
 
@@ -199,11 +297,13 @@
         job.started = True
         job.state = JobState.RUNNING
         task.status, task.instance, task.run = TaskStatus.RUNNING, instance, run
+        self.workload.note_started(task, task.started_s)
 
     def note_not_running(self, task: Task) -> None:
         """Returns an active task to the waiting ones: its newest run is certainly over."""
         task.instance = None
         task.status = TaskStatus.WAITING
+        self.workload.note_stopped(task)
         self.jobs[task.name.job_id].waiting.append(task)
 
     def note_end(self, task: Task, end: EndedRun, instance: EndpointInstance) -> None:
@@ -228,6 +328,7 @@
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
                 job.state = JobState.FAILED
                 job.waiting.clear()
+                self._remove_work(job)
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
@@ -237,6 +338,7 @@
         """Marks a job as cancelled; the caller must stop its active tasks."""
         job.state = JobState.CANCELLED
         job.waiting.clear()
+        self._remove_work(job)
 
     def waiting_jobs(self) -> Iterator[Job]:
         """Returns the jobs with tasks that may be started."""
@@ -253,6 +355,7 @@
         if task.status is TaskStatus.WAITING:
             job.waiting.remove(task)
         task.status = TaskStatus.DONE
+        self.workload.note_done(task)
         task.instance = None
         job.started = True
         job.unfinished_tasks -= 1
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -13,7 +13,7 @@
 
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import ACTIVE_STATUSES, Job, JobTable, Task
+from berylproxy.durable.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
 from berylproxy.durable.models import StepSpec
 
 # An answer is late up to this multiple of the job's objective, and worthless after it.
@@ -24,9 +24,6 @@
 FIT_WEIGHT_S = 0.02
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
-# Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
-# since more of them fit.
-WORK_WEIGHT = 0.3
 RUN_TIME_MARGIN = 1.2  # expected run times deviate by about this factor
 # A round ends after this many jobs without a fitting endpoint; more would delay the start orders.
 MAX_SKIPPED_JOBS = 24
@@ -34,8 +31,7 @@
 
 def objective_s(job: Job) -> float:
     """Returns the time within which a job should be completed, from its acceptance."""
-    terms = job.spec.terms
-    return terms.objective_factor * job.expected_s + terms.objective_s
+    return job.objective_s
 
 
 def latest_useful_end_s(job: Job) -> float:
@@ -56,13 +52,15 @@
     """Returns a sort key for waiting jobs; the smallest goes first.
 
     Jobs that can meet their objective go first, by slack and size; then jobs that will be late, by
-    size; then jobs that can't end in time, by age.
+    size; then jobs that can't end in time, by age. Callers who came back as told count as if they
+    had waited here.
 
     :param endpoint_cores: cores of a mean endpoint.
     """
     age_s = now_s - job.accepted_s
     slack_s = objective_s(job) - age_s - job.expected_s
     if slack_s >= 0:
+        slack_s -= job.accepted_s - job.place_s
         return 0, slack_s + WORK_WEIGHT * _waiting_work_s(job, endpoint_cores), job.accepted_s
     if latest_useful_end_s(job) - now_s >= job.expected_s:
         return 1, _waiting_work_s(job, endpoint_cores), job.accepted_s
--- a/berylproxy/durable/telemetry.py
+++ b/berylproxy/durable/telemetry.py
@@ -3,16 +3,22 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from berylproxy.durable.shares import ClaimantShare
 from berylproxy.metrics import Metrics, Sample
 
 PREFIX = "berylproxy_"
 JOB_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 REQUEST_BUCKETS_S = (0.005, 0.02, 0.1, 0.3, 1.0, 3.0)
 
+MAX_SHARE_LABELS = 48  # claimants of a group that have metrics of their own
+DEMAND_HELP = "Work submitted per second, by claimant"
+SHARE_HELP = "Work per second that a claimant is entitled to; its demand while room is ample"
+
 HELP = {
     "jobs_ended": "Jobs that ended here, by queue and state",
     "jobs_late": "Jobs that ended after their objective, by queue",
     "jobs_refused": "Jobs refused, by queue and reason",
+    "returned_jobs_accepted": "Refused jobs accepted when sent again at the time told, by queue",
     "jobs_given_up": "Jobs that had begun and could not be completed in time, by queue",
     "jobs_handed_in_again": "Jobs handed to another holder after the first one went away",
     "task_starts": "Orders to start a task, by outcome",
@@ -65,3 +71,16 @@
     def _list_counts(self) -> Iterable[Sample]:
         for (name, labels), value in self._counts.items():
             yield Sample(f"{PREFIX}{name}_total", HELP[name], value, dict(labels))
+
+
+def make_share_samples(group: str, shares: Iterable[ClaimantShare]) -> Iterable[Sample]:
+    """Returns the gauges of the claimants of a group, of those that send most."""
+    largest = sorted(shares, key=lambda share: -share.demand)[:MAX_SHARE_LABELS]
+    for share in largest:
+        labels = {
+            "group": group,
+            "queue": share.claimant.queue,
+            "failure_domain": share.claimant.failure_domain,
+        }
+        yield Sample(PREFIX + "demand_cores", DEMAND_HELP, share.demand, labels)
+        yield Sample(PREFIX + "share_cores", SHARE_HELP, share.share, labels)
--- a/berylproxy/durable/view.py
+++ b/berylproxy/durable/view.py
@@ -7,6 +7,7 @@
 from berylproxy.clock import Clock
 from berylproxy.durable.coordinator import GroupCoordinator
 from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.shares import ClaimantShare
 from berylproxy.peers.membership import describe_member
 from berylproxy.peers.network import TcpPeerNetwork
 
@@ -69,6 +70,8 @@
                 queues = Counter(job.spec.terms.queue for job in jobs)
                 row["open_jobs"] = dict(queues)
                 row["waiting_tasks"] = sum(len(job.waiting) for job in jobs)
+                row["room_scarce"] = holder.admission.shares.scarcity.is_scarce
+                row["shares"] = [_describe_share(share) for share in holder.list_shares()]
             rows.append(row)
         return rows
 
@@ -82,6 +85,16 @@
         ]
 
 
+def _describe_share(share: ClaimantShare) -> dict[str, Any]:
+    return {
+        "queue": share.claimant.queue,
+        "failure_domain": share.claimant.failure_domain,
+        "demand_cores": round(share.demand, 1),
+        "share_cores": round(share.share, 1),
+        "over": share.is_over,
+    }
+
+
 def _describe_endpoint(endpoint: EndpointState, now_s: float) -> dict[str, Any]:
     return {
         "name": endpoint.info.instance.endpoint_id,
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -106,6 +106,7 @@
         self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
         telemetry.add_gauges(self._coordinator.list_group_gauges)
+        telemetry.metrics.add_source(self._coordinator.list_share_samples)
         self._frontend = JobFrontend(
             self._network, self._coordinator, self._store, self._clock, telemetry
         )
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import settings, strategies
 from msgpack import packb
 
-from berylproxy.durable.acceptance import decide_admission
+from berylproxy.durable.acceptance import Admission
 from berylproxy.durable.contention import (
     Candidate,
     HolderObservation,
@@ -549,20 +549,21 @@
     context.job_table = JobTable()
     context.model = RunTimeModel()
     if float(busy_s):
-        open_job(context.job_table, "busy", tasks=2, cores=54, run_time_s=float(busy_s))
+        job = open_job(context.job_table, "busy", tasks=2, cores=54, run_time_s=float(busy_s))
+        for task, state in zip(list(job.waiting), context.states, strict=True):
+            context.job_table.note_ordered(task, state.info.instance, 100.0)
 
 
 @when(r"a job of (?P<tasks>\d+) tasks of 20 cores and 0.2 s and an objective of 0.4 s is submitted")
 def step_impl(context, tasks):
     tentative_job = open_job(JobTable(), "new", tasks=int(tasks))
-    context.retry_after_s = decide_admission(
-        tentative_job, context.job_table.jobs.values(), context.states, context.model, 100.0
-    )
+    admission = Admission(context.job_table, context.model)
+    context.refusal = admission.decide(tentative_job, context.states, 100.0)
 
 
 @then(r"the job is (?P<verdict>accepted|refused)")
 def step_impl(context, verdict):
-    assert (context.retry_after_s is None) == (verdict == "accepted"), context.retry_after_s
+    assert (context.refusal is None) == (verdict == "accepted"), context.refusal
 
 
 use_step_matcher("parse")
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -96,6 +96,7 @@
                 lambda: True,
                 lambda incarnation: self.is_entry_alive,
                 lambda: 2.0,
+                lambda incarnation: "a",
             ),
         )
         self.newest_fence = max(self.newest_fence, fence)
--- a/tests/support/group_load_play.py
+++ b/tests/support/group_load_play.py
@@ -5,7 +5,6 @@
 from random import Random
 
 from berylproxy.durable.models import JobSpec
-from berylproxy.durable.placement import place_waiting_tasks
 from berylproxy.durable.routing import (
     GroupChoice,
     TypicalNeed,
@@ -37,18 +36,12 @@
             self.endpoints, self.job_table.waiting_jobs(), self.need, self.now_s
         )
 
-    def place(self) -> None:
-        """Places the waiting tasks."""
-        place_waiting_tasks(
-            self.job_table, self.endpoints, self.model, self.now_s, self._order_start
-        )
-
     def _schedule_arrivals(self, backlog_jobs: int) -> None:
         """Schedules nothing: the jobs of all groups are scheduled together."""
 
-    def _open_job(self, job_table, spec: JobSpec):
+    def _open_job(self, job_table, spec: JobSpec, **fields):
         self.need.learn(spec)
-        return super()._open_job(job_table, spec)
+        return super()._open_job(job_table, spec, **fields)
 
 
 class GroupedLoadSimulation:
--- a/tests/support/load_play.py
+++ b/tests/support/load_play.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from berylproxy.durable import placement
-from berylproxy.durable.acceptance import decide_admission
+from berylproxy.durable.acceptance import Admission, Refusal
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.job_table import Job, JobTable, Task
@@ -22,7 +22,8 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.placement import LATE_FACTOR, place_waiting_tasks
+from berylproxy.durable.placement import LATE_FACTOR, PlacementPolicies, place_waiting_tasks
+from berylproxy.durable.shares import SharedOrder
 from tests.support.answer_loss import MESSAGE_DELAY_S, AnswerLoss
 
 GROUP = "ledger"
@@ -82,6 +83,13 @@
     limit_s: float
 
 
+def decide_admission(
+    admission: Admission, job: Job, endpoints: list[EndpointState], now_s: float
+) -> Refusal | None:
+    """Decides as a holder does; replaced by baselines."""
+    return admission.decide(job, endpoints, now_s)
+
+
 class LoadSimulation:
     """Simulates one load.
 
@@ -102,8 +110,9 @@
         self.random = Random(seed)
         self.load_factors = load_factors
         self.answer_loss = AnswerLoss(unanswered_share, sends_copies, Random(seed))
-        self.job_table = JobTable()
         self.model = RunTimeModel()
+        self.job_table = JobTable(self.model)
+        self.admission = Admission(self.job_table, self.model)
         self.tallies = {kind.queue: Tally() for kind in JOB_KINDS}
         self.offered_jobs: dict[str, OfferedJob] = {}
         self.now_s = 0.0
@@ -118,11 +127,21 @@
         while self._events:
             self.now_s, _, action, arguments = heappop(self._events)
             action(*arguments)
-            place_waiting_tasks(
-                self.job_table, self.endpoints, self.model, self.now_s, self._order_start
-            )
+            self.place()
         return self.tallies
 
+    def place(self) -> None:
+        """Places the waiting tasks."""
+        place_waiting_tasks(
+            self.job_table,
+            self.endpoints,
+            self.model,
+            self.now_s,
+            self._order_start,
+            policies=PlacementPolicies(order=SharedOrder()),
+        )
+        self.admission.note_placed(self.now_s)
+
     def _make_endpoint(self, number: int) -> EndpointState:
         cores = (64, 64, 96)[number % 3]
         instance = EndpointInstance(f"e{number}", 0)
@@ -167,22 +186,15 @@
         )
         spec = JobSpec(f"j{next(self._numbers)}", terms, "", (step,), is_kept=False)
         self.tallies[kind.queue].offered_worth += worth
-        tentative_job = self._open_job(JobTable(), spec)
-        if (
-            decide_admission(
-                tentative_job, self.job_table.jobs.values(), self.endpoints, self.model, self.now_s
-            )
-            is not None
-        ):
+        tentative_job = self.job_table.prepare(StoredJob(spec, 0.0), self.now_s)
+        if decide_admission(self.admission, tentative_job, self.endpoints, self.now_s) is not None:
             self.tallies[kind.queue].outcomes["refused"] += 1
             return
         self.offered_jobs[spec.job_id] = offered_job
-        self._open_job(self.job_table, spec)
+        self._open_job(self.job_table, spec, is_excess=tentative_job.is_excess)
 
-    def _open_job(self, job_table: JobTable, spec: JobSpec) -> Job:
-        job = job_table.open(StoredJob(spec, 0.0), self.now_s)
-        job.expected_s = self.model.expected_run_time_s(spec.terms.queue, spec.steps[0].estimate_s)
-        return job
+    def _open_job(self, job_table: JobTable, spec: JobSpec, **fields) -> Job:
+        return job_table.open(StoredJob(spec, 0.0), self.now_s, **fields)
 
     def _order_start(self, task: Task, endpoint: EndpointState) -> None:
         instance = endpoint.info.instance
