--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -95,8 +95,8 @@
     the run time of its longest chain of steps, plus ``objective_s``.
 
     :param service: the service whose endpoints run the tasks.
-    :param priority: the configured priority, 0 being the highest; it is stored with the job, but
-        jobs are ordered without it.
+    :param priority: the configured priority, 0 being the highest; the weight of the queue while
+        room is scarce.
     :param max_attempts: number of failed runs of one task after which the job fails.
     """
 
--- a/berylproxy/durable/shares.py
+++ b/berylproxy/durable/shares.py
@@ -23,6 +23,7 @@
 SHORTEST_OBSERVED_S = 0.5
 LEAST_WEIGHT_SHARE = 0.02  # of all weights, for claimants that have hardly sent anything so far
 PRIORITY_FACTOR = 0.9  # the weight of each lower priority relative to the one above
+LOWEST_PRIORITY = 20  # lower ones weigh the same
 # Arrivals are random: up to this multiple of its share, a claimant doesn't exceed it.
 TOLERATED_FACTOR = 1.15
 SAVED_SHARE_S = 0.5  # a claimant may catch up on the share that it left unused for this time
@@ -184,7 +185,7 @@
         least = max(LEAST_WEIGHT_SHARE * sum(usual.values()), 1e-9)
         return {
             claimant: max(usual.get(claimant, 0.0), least)
-            * PRIORITY_FACTOR ** self._priorities.get(claimant.queue, 0)
+            * PRIORITY_FACTOR ** min(self._priorities.get(claimant.queue, 0), LOWEST_PRIORITY)
             for claimant in claimants
         }
 
--- a/berylproxy/platform/configuration.py
+++ b/berylproxy/platform/configuration.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, NonNegativeInt, ValidationError
 
 from berylproxy.durable.models import QueueTerms
 from berylproxy.errors import BerylproxyError
@@ -32,7 +32,7 @@
     # Despite its name only the constant part of a job's latency objective; "stretch" is the factor
     # of the part that grows with the job.
     target_latency_ms: float = 0.0
-    priority: int = 0
+    priority: NonNegativeInt = 0
     max_attempts: int = 1
     stretch: float = 1.0
     advice: Any = None
