--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -112,6 +112,7 @@
         self._coordinator.neighbour_mode = settings.neighbour_mode
         telemetry.add_gauges(self._coordinator.list_group_gauges)
         telemetry.metrics.add_source(self._evacuations.list_gauges)
+        telemetry.metrics.add_source(self._coordinator.list_share_samples)
         self._frontend = JobFrontend(
             self._network, self._coordinator, self._store, self._clock, telemetry
         )
--- a/tests/steps/durable_evacuation_steps.py
+++ b/tests/steps/durable_evacuation_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.acceptance import decide_admission
+from berylproxy.durable.acceptance import Admission
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.evacuation_spread import EvacuationSpread
@@ -132,7 +132,8 @@
     job_table = JobTable()
     if effect == "a job is refused at once":
         job = open_job(job_table, "j")
-        assert decide_admission(job, [], context.states, context.model, NOW_S) is not None
+        admission = Admission(JobTable(), context.model)
+        assert admission.decide(job, context.states, NOW_S) is not None
         return
     open_job(job_table, "j", tasks=5)
     place_all(context, job_table)
--- a/tests/support/neighbour_load_play.py
+++ b/tests/support/neighbour_load_play.py
@@ -2,15 +2,15 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from math import log
 
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.job_table import Task
+from berylproxy.durable.models import EndpointInstance
 from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
 from berylproxy.durable.pair_effects import Pair
-from berylproxy.durable.placement import PlacementPolicies
 from tests.support.answer_loss import MESSAGE_DELAY_S
 from tests.support.load_play import LoadSimulation
 
@@ -61,10 +61,15 @@
         self._versions = count(1)
         self._tail_share = tail_share
         super().__init__(seed, load_factors)
-        self.policies = PlacementPolicies(neighbours=self.neighbours)
+        self.policies = replace(self.policies, neighbours=self.neighbours)
         for tick in range(int((len(load_factors) + 5) / REFRESH_INTERVAL_S)):
             self._schedule(tick * REFRESH_INTERVAL_S, self._refresh)
 
+    @property
+    def speeds(self) -> Mapping[EndpointInstance, float]:
+        """The real speed of each endpoint."""
+        return self._speeds
+
     def change_factors(self, at_s: float, factors: Mapping[Pair, float]) -> None:
         """Schedules other factors."""
         self._schedule(at_s, self.factors.update, factors)
@@ -91,7 +96,7 @@
             task,
             task.run,
             endpoint,
-            work_s / self.speeds[instance] + 2 * MESSAGE_DELAY_S,
+            work_s / self._speeds[instance] + 2 * MESSAGE_DELAY_S,
             self.now_s,
         )
         self._active.setdefault(endpoint, []).append(active)
