--- a/tools/daemon_cost/sampler.py
+++ b/tools/daemon_cost/sampler.py
@@ -13,6 +13,8 @@
 # The innermost frame that matches decides: its module's path ends with the first text, and its
 # function is the second one, if that is not empty.
 RULES = (
+    ("pydantic/type_adapter.py", "__init__", START_UP),
+    ("platform/settings.py", "load_platform_settings", START_UP),
     ("durable/placement.py", WHOLE_MODULE, "decisions"),
     ("durable/acceptance.py", WHOLE_MODULE, "decisions"),
     ("durable/estimates.py", WHOLE_MODULE, "decisions"),
