--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -5,7 +5,10 @@
 
 from anyio import Event
 
+from berylproxy.durable.estimates import TaskEstimate
 from berylproxy.durable.models import EndedRun, EndpointInfo, Resources, TaskName
+from berylproxy.durable.run_times import RunPace
+from berylproxy.durable.trust import EndpointTrust, FailureTrust
 
 # After the first quarantine, one task of a second or less may show whether the endpoint works.
 FIRST_QUARANTINE_S = 0.5
@@ -45,6 +48,10 @@
     :ivar is_orphan: whether a former holder ordered the run for a job that this holder doesn't
         know. The lease of such a run must not be extended, because the former holder may rely on
         its lapse.
+    :ivar estimate: what its run time is compared with; ``None`` if it was not ordered by this
+        holder, so that its start is unknown.
+    :ivar pace: its progress; ``None`` if the start is unknown, or it began from a checkpoint.
+    :ivar move_ordered_s: monotonic time at which it was last to be stopped for a start elsewhere.
     """
 
     needs: Resources
@@ -52,6 +59,9 @@
     stop_confirmed_s: float = inf
     is_uncertain: bool = False
     is_orphan: bool = False
+    estimate: TaskEstimate | None = None
+    pace: RunPace | None = None
+    move_ordered_s: float = -inf
 
     def is_gone(self, report_sent_s: float) -> bool:
         """Returns whether the run is certainly not active if a report doesn't list it.
@@ -78,6 +88,7 @@
     :ivar is_listed: whether the platform's list names the endpoint.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
     :ivar used: resources taken by all ``runs``.
+    :ivar trust: how likely the endpoint is to fail its runs now.
     """
 
     info: EndpointInfo
@@ -94,6 +105,7 @@
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Resources = field(default_factory=Resources)
+    trust: EndpointTrust = field(default_factory=FailureTrust)
 
     @property
     def has_orphans(self) -> bool:
@@ -132,9 +144,21 @@
         """The unused part of the endpoint's processor capacity, in thousandths of a core."""
         return self.info.capacity.cpu_millicores - self.used.cpu_millicores
 
+    def has_room(self, needs: Resources) -> bool:
+        """Returns whether a task fits into the unused part of the endpoint's capacity."""
+        # Placement asks this of each endpoint for each task; a new object would cost more.
+        capacity, used = self.info.capacity, self.used
+        return (
+            needs.cpu_millicores <= capacity.cpu_millicores - used.cpu_millicores
+            and needs.memory_mb <= capacity.memory_mb - used.memory_mb
+            and needs.accelerators <= capacity.accelerators - used.accelerators
+        )
+
     def may_start(self, now_s: float) -> bool:
         """Returns whether tasks may be started on the endpoint now."""
-        return self.is_serving(now_s) and not self.has_orphans
+        if not self.is_serving(now_s) or self.has_orphans:
+            return False
+        return not (self.runs and self.trust.is_on_probation(now_s))
 
     def is_serving(self, now_s: float) -> bool:
         """Returns whether the endpoint's capacity is available to future jobs."""
@@ -165,6 +189,7 @@
 
         :return: whether the endpoint is in quarantine now.
         """
+        self.trust.note_failed(now_s)
         self.failures_in_row += 1
         if self.failures_in_row < FAILURES_BEFORE_QUARANTINE:
             return False
@@ -176,8 +201,9 @@
         self.quarantined_until_s = now_s + self.quarantine_s
         self.quarantine_s = min(2 * self.quarantine_s, LONGEST_QUARANTINE_S)
 
-    def note_success(self) -> None:
+    def note_success(self, now_s: float) -> None:
         """Resets the failure count and the length of the next quarantine."""
+        self.trust.note_done(now_s)
         self.failures_in_row = 0
         self.quarantine_s = FIRST_QUARANTINE_S
 
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -6,7 +6,7 @@
 from anyio import Event, move_on_after, sleep
 from logbook import Logger
 
-from berylproxy.durable.estimates import RunTimeModel
+from berylproxy.durable.estimates import RunTimeModel, TaskEstimate
 from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
 from berylproxy.durable.models import (
@@ -18,6 +18,7 @@
     RunningTask,
     TaskName,
 )
+from berylproxy.durable.moves import Move, MoveReason, plan_moves
 from berylproxy.durable.ports import (
     EndpointCallError,
     EndpointClient,
@@ -28,7 +29,9 @@
     StartOutcome,
 )
 from berylproxy.durable.response_times import renewal_wait_s
+from berylproxy.durable.run_times import RunPace
 from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
 MAX_LIST_SILENCE_S = 2.4
@@ -43,9 +46,6 @@
 # partition, which may have submitted them to another holder.
 UNREACHABLE_GRACE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
-# Share of the expected run time; endpoints report progress in hundredths of the real run time.
-STALL_LIMIT_PERCENT = 5
-MIN_STALL_LIMIT_S = 0.6
 UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 logger = Logger(__name__)
@@ -90,6 +90,9 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
+        self._failures = FailureStatistics()
+        # An endpoint that comes back as another instance is trusted as it was before.
+        self._trusts: dict[str, FailureTrust] = {}
         self._clients: dict[EndpointInstance, EndpointClient] = {}
         self._wakeups: dict[EndpointInstance, Event] = {}
         self._unlisted_from_s: dict[EndpointInstance, float] = {}
@@ -141,7 +144,10 @@
         self.changed.set()
 
     def _add_endpoint(self, info: EndpointInfo) -> None:
-        endpoint = EndpointState(info)
+        endpoint_id = info.instance.endpoint_id
+        if endpoint_id not in self._trusts:
+            self._trusts[endpoint_id] = FailureTrust(self._failures)
+        endpoint = EndpointState(info, trust=self._trusts[endpoint_id])
         self.endpoints[info.instance] = endpoint
         self._clients[info.instance] = self._directory.connect(info)
         self._wakeups[info.instance] = Event()
@@ -217,6 +223,7 @@
                 error.message,
                 extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
             )
+            endpoint.trust.note_silence(now_s)
         endpoint.missed_calls += 1
         lapsed_s = max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S)
         if endpoint.runs and now_s > lapsed_s:
@@ -270,6 +277,7 @@
             )
         endpoint.missed_calls = 0
         endpoint.last_answer_s = now_s
+        self._model.advance(now_s)
         for end in report.ended:
             if endpoint.add_end(end):
                 self._handle_end(endpoint, end, now_s)
@@ -280,6 +288,7 @@
         for (name, run), endpoint_run in list(endpoint.runs.items()):
             if (name, run) not in reported and endpoint_run.is_gone(report.sent_s):
                 self._drop_run(endpoint, name, run, "its endpoint does not report the run")
+        self._log_findings()
         if endpoint.contacted_s is None:
             endpoint.contacted_s = now_s
         self.changed.set()
@@ -307,6 +316,13 @@
         if running.progress_percent != task.progress_percent:
             task.progress_percent = running.progress_percent
             task.progressed_s = now_s
+        if endpoint_run.pace is not None and endpoint_run.estimate is not None:
+            self._model.note_progress(
+                endpoint_run.estimate,
+                instance.endpoint_id,
+                endpoint_run.pace,
+                running.progress_percent,
+            )
 
     def _may_adopt(self, task: Task, instance: EndpointInstance, run: int) -> bool:
         """Returns whether a reported run may continue as the task's current run."""
@@ -318,6 +334,7 @@
 
     def _handle_end(self, endpoint: EndpointState, end: EndedRun, now_s: float) -> None:
         """Applies a newly reported end of a run to its endpoint, its task and its job."""
+        endpoint_run = endpoint.runs.get((end.name, end.run))
         endpoint.remove_run(end.name, end.run)
         self._tenure.telemetry.count("runs_ended", kind=end.kind.value)
         task = self._job_table.find_task(end.name)
@@ -334,14 +351,9 @@
         if end.kind is EndKind.FAILED:
             self._record_failed_run(endpoint, task, end, now_s)
         elif end.kind is EndKind.DONE:
-            endpoint.note_success()
-            if is_current_run and task.status in ACTIVE_STATUSES:
-                self._model.learn(
-                    job.spec.terms.queue,
-                    task.step.estimate_s,
-                    endpoint.info.instance.endpoint_id,
-                    now_s - task.started_s,
-                )
+            endpoint.note_success(now_s)
+            if is_current_run and task.status in ACTIVE_STATUSES and endpoint_run is not None:
+                self._learn_run_time(endpoint, endpoint_run, now_s)
         elif end.kind is not EndKind.STOPPED:
             logger.info(
                 "run ended with {}",
@@ -352,11 +364,45 @@
         if job.is_final:
             self._on_final(job)
 
+    def _learn_run_time(
+        self, endpoint: EndpointState, endpoint_run: EndpointRun, now_s: float
+    ) -> None:
+        """Learns from the end of a run whose start is known."""
+        estimate, pace = endpoint_run.estimate, endpoint_run.pace
+        if estimate is not None and pace is not None:
+            endpoint_id = endpoint.info.instance.endpoint_id
+            self._model.learn_task(estimate, endpoint_id, now_s - pace.started_s, pace)
+
+    def _log_findings(self) -> None:
+        """Logs the endpoints that were found to be slowed or sound again."""
+        for finding in self._model.update_findings():
+            self._tenure.telemetry.count(
+                "endpoint_speed_changes", to="slow" if finding.is_slowed else "usual"
+            )
+            logger.info(
+                "endpoint has turned slow" if finding.is_slowed else "endpoint is no longer slow",
+                extra=self._tenure.extra(
+                    endpoint=finding.endpoint_id,
+                    probability=round(finding.probability, 3),
+                    slowdown=round(finding.slowdown, 2),
+                    usual_speed=round(self._model.usual_speed(finding.endpoint_id), 2),
+                ),
+            )
+
+    def _is_fault_of_endpoint(self, task: Task) -> bool:
+        """Returns whether a task that fails has failed only at endpoints that fail others, too."""
+        now_s = self._clock.now_s()
+        for endpoint_id in task.failed_endpoint_ids:
+            trust = self._trusts.get(endpoint_id)
+            if trust is None or trust.failure_probability(now_s) < SUSPECTED_PROBABILITY:
+                return False
+        return True
+
     def _record_failed_run(
         self, endpoint: EndpointState, task: Task, end: EndedRun, now_s: float
     ) -> None:
         instance = endpoint.info.instance
-        is_quarantined = not task.failed_endpoint_ids and endpoint.note_failure(now_s)
+        is_quarantined = self._is_fault_of_endpoint(task) and endpoint.note_failure(now_s)
         if is_quarantined:
             self._tenure.telemetry.count("endpoint_closures", reason="failures")
         logger.info(
@@ -368,6 +414,7 @@
                 endpoint=instance.endpoint_id,
                 failures_of_task=len(task.failed_runs) + 1,
                 failures_of_endpoint=endpoint.failures_in_row,
+                failure_probability=round(endpoint.trust.failure_probability(now_s), 3),
                 endpoint_closed=is_quarantined,
             ),
         )
@@ -408,11 +455,34 @@
         """Assigns a task to an endpoint and sends the order to start it in the background."""
         now_s = self._clock.now_s()
         self._job_table.note_ordered(task, endpoint.info.instance, now_s)
-        endpoint.add_run(task.name, task.run, task.step.needs)
-        payload = self._job_table.jobs[task.name.job_id].spec.payload
+        endpoint_run = endpoint.add_run(task.name, task.run, task.step.needs)
+        job = self._job_table.jobs[task.name.job_id]
+        if not task.saved:
+            self._expect_run_time(job, task, endpoint, endpoint_run, now_s)
+        payload = job.spec.payload
         order = StartOrder(task.name, task.run, payload, self._tenure.fence, task.saved)
         self._tenure.spawn(self._start, task, endpoint, order)
 
+    def _expect_run_time(
+        self,
+        job: Job,
+        task: Task,
+        endpoint: EndpointState,
+        endpoint_run: EndpointRun,
+        now_s: float,
+    ) -> None:
+        """Records what the run time will be compared with."""
+        step, endpoint_id = task.step, endpoint.info.instance.endpoint_id
+        estimate = TaskEstimate(
+            job.spec.terms.queue,
+            step.estimate_s,
+            task.distance_factor,
+            job.siblings,
+            task.name[1:],
+        )
+        endpoint_run.estimate = estimate
+        endpoint_run.pace = RunPace(self._model.expected_at_s(estimate, endpoint_id), now_s)
+
     async def _start(self, task: Task, endpoint: EndpointState, order: StartOrder) -> None:
         """Sends a start order and applies its result."""
         instance, run = endpoint.info.instance, order.run
@@ -459,6 +529,7 @@
         if outcome is StartOutcome.UNKNOWN:
             if endpoint_run is not None and endpoint_run.confirmed_s == inf:
                 endpoint_run.is_uncertain = True
+                endpoint_run.pace = None  # it may start at any time, or never
                 if task.instance == endpoint.info.instance and task.run == run:
                     task.status = TaskStatus.UNCERTAIN
             self._wakeups[endpoint.info.instance].set()
@@ -545,34 +616,39 @@
         self._orphan_ends = remaining
 
     def move_stalled_runs(self, now_s: float) -> None:
-        """Stops runs that make no progress, so that their tasks start on other endpoints."""
-        for endpoint in self.endpoints.values():
-            if endpoint.missed_calls:
-                continue
-            for name, run in list(endpoint.runs):
-                task = self._job_table.find_task(name)
-                if task is None or task.run != run or task.status is not TaskStatus.RUNNING:
-                    continue
-                queue = self._job_table.jobs[name.job_id].spec.terms.queue
-                expected_s = self._model.expected_run_time_s(queue, task.step.estimate_s)
-                limit_s = max(MIN_STALL_LIMIT_S, STALL_LIMIT_PERCENT * expected_s / 100)
-                if now_s - task.progressed_s > limit_s:
-                    logger.info(
-                        "run stopped: no progress within the stall limit",
-                        extra=self._tenure.extra(
-                            job=name.job_id,
-                            task=list(name[1:]),
-                            run=run,
-                            endpoint=endpoint.info.instance.endpoint_id,
-                            progress_percent=task.progress_percent,
-                            silent_s=round(now_s - task.progressed_s, 3),
-                        ),
-                    )
-                    task.progressed_s = now_s
-                    self._tenure.telemetry.count("runs_moved")
-                    self._tenure.telemetry.count("endpoint_closures", reason="stalled")
-                    endpoint.quarantine(now_s)
-                    self.stop_soon(endpoint, name, run)
+        """Stops runs without progress or on slowed endpoints, so that they start on others."""
+        for move in plan_moves(self.endpoints.values(), self._job_table, self._model, now_s):
+            self._move_run(move, now_s)
+
+    def _move_run(self, move: Move, now_s: float) -> None:
+        """Stops a run; its task waits again once the endpoint has reported the end."""
+        task, endpoint = move.task, move.endpoint
+        details = {"progress_percent": task.progress_percent}
+        if move.reason is MoveReason.STALLED:
+            message = "run stopped: no progress within the stall limit"
+            details["silent_s"] = round(now_s - task.progressed_s, 3)
+            task.progressed_s = now_s
+            self._tenure.telemetry.count("endpoint_closures", reason="stalled")
+            endpoint.quarantine(now_s)
+        else:
+            message = "run stopped: its endpoint has turned slow and another one ends it sooner"
+            details["remaining_s"] = round(move.remaining_s, 3)
+            details["elsewhere_s"] = round(move.elsewhere_s, 3)
+            task.moves += 1
+            endpoint.runs[task.name, task.run].move_ordered_s = now_s
+        endpoint_id = endpoint.info.instance.endpoint_id
+        logger.info(
+            message,
+            extra=self._tenure.extra(
+                job=task.name.job_id,
+                task=list(task.name[1:]),
+                run=task.run,
+                endpoint=endpoint_id,
+                **details,
+            ),
+        )
+        self._tenure.telemetry.count("runs_moved", reason=move.reason.value)
+        self.stop_soon(endpoint, task.name, task.run)
 
     def has_contacted_endpoints(self, now_s: float) -> bool:
         """Returns whether all endpoints have answered, or have had the time to, in this tenure."""
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -18,6 +18,7 @@
     StoredJob,
     TaskName,
 )
+from berylproxy.durable.run_times import SiblingRunTimes
 
 REMEMBERED_FINAL_JOBS = 20_000  # their states are answered without a read of the store
 
@@ -50,6 +51,8 @@
     :ivar failed_runs: numbers of the runs that have failed.
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
     :ivar saved: checkpoint that a run saved last.
+    :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
+    :ivar moves: how often a run was stopped because its endpoint had turned slow.
     """
 
     name: TaskName
@@ -65,6 +68,8 @@
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
     saved: str = ""
+    distance_factor: float = 1.0
+    moves: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -78,6 +83,7 @@
     :ivar waiting: its tasks that may be started now.
     :ivar unfinished_tasks: number of tasks that are not done.
     :ivar started: whether the start of any task has ever been ordered.
+    :ivar siblings: run times of its tasks, relative to the expected ones.
     """
 
     spec: JobSpec
@@ -91,6 +97,7 @@
     waiting: list[Task] = field(default_factory=list)
     unfinished_tasks: int = 0
     started: bool = False
+    siblings: SiblingRunTimes = field(default_factory=SiblingRunTimes)
 
     @property
     def is_final(self) -> bool:
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -24,6 +24,12 @@
 FIT_WEIGHT_S = 0.02
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
+# Cost of a failure in expected run times: the next run, or the job at the last attempt.
+RETRY_FACTOR = 2.0
+LAST_ATTEMPT_FACTOR = 10.0
+# An endpoint that fails its runs with a higher probability gets no last attempt.
+LAST_ATTEMPT_RISK = 0.5
+NEGLIGIBLE_RISK = 0.02
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
@@ -136,6 +142,45 @@
     remote_factor: float
 
 
+class RunTimes(Protocol):
+    """Tells what run times to reckon with."""
+
+    def expected_run_time_s(self, queue: str, estimate_s: float) -> float:
+        """Returns a task's expected run time at speed 1."""
+
+    def speed(self, endpoint_id: str) -> float:
+        """Returns an endpoint's speed."""
+
+
+class RoundView:
+    """What is known about the usable endpoints, which doesn't change within a round.
+
+    :ivar speed: returns an endpoint's speed.
+    :ivar risks: probabilities that endpoints fail their runs, by identifier; none that are
+        negligible.
+    :ivar on_probation: endpoints that get one run at a time.
+    :ivar has_sound: whether any endpoint may get last attempts.
+    """
+
+    def __init__(self, model: RunTimes, usable: list[EndpointState], now_s: float) -> None:
+        speeds, risks = {}, {}
+        for endpoint in usable:
+            endpoint_id = endpoint.info.instance.endpoint_id
+            speeds[endpoint_id] = model.speed(endpoint_id)
+            risk = endpoint.trust.failure_probability(now_s)
+            if risk > NEGLIGIBLE_RISK:
+                risks[endpoint_id] = risk
+        self.speed = speeds.__getitem__
+        self.expected_run_time_s = model.expected_run_time_s
+        self.risks = risks
+        self.on_probation = {
+            endpoint.info.instance.endpoint_id
+            for endpoint in usable
+            if endpoint.info.instance.endpoint_id in risks and endpoint.trust.is_on_probation(now_s)
+        }
+        self.has_sound = len(risks) < len(usable) or min(risks.values()) < LAST_ATTEMPT_RISK
+
+
 def place_waiting_tasks(
     job_table: JobTable,
     endpoints: Iterable[EndpointState],
@@ -152,6 +197,7 @@
         the run time inside.
     """
     waiting_jobs = list(job_table.waiting_jobs())
+    model.advance(now_s)
     usable = (
         [endpoint for endpoint in endpoints if endpoint.may_start(now_s)] if waiting_jobs else []
     )
@@ -159,6 +205,7 @@
         return
     cores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable) / len(usable) / 1000
     jobs = policies.order.arrange(waiting_jobs, now_s, cores)
+    view = RoundView(model, usable, now_s)
     max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
     skipped = 0
     for job in jobs:
@@ -171,18 +218,20 @@
             if task.step.needs.cpu_millicores > max_free_millicores:
                 skipped += 1
                 break
-            near = NearRack(choose_rack(job, task, usable, model), remote_factor)
-            endpoint = choose_endpoint(job, task, usable, model, now_s, near, policies.neighbours)
+            near = NearRack(choose_rack(job, task, usable, view), remote_factor)
+            endpoint = choose_endpoint(job, task, usable, view, now_s, near, policies.neighbours)
             if endpoint is None:
                 skipped += 1
                 break
+            is_far = near.rack and near.rack != endpoint.info.rack
+            task.distance_factor = remote_factor if is_far else 1.0
             had_max_free = endpoint.free_millicores == max_free_millicores
             order_start(task, endpoint)
             if had_max_free:
                 max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
 
 
-def choose_rack(job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimeModel) -> str:
+def choose_rack(job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimes) -> str:
     """Returns the rack where a task should run; empty if it runs equally fast in all racks.
 
     A task of a step that should stay in one rack goes to the rack with most running tasks of the
@@ -211,7 +260,7 @@
     job: Job,
     task: Task,
     usable: Iterable[EndpointState],
-    model: RunTimeModel,
+    view: RoundView,
     now_s: float,
     near: NearRack,
     neighbours: NeighbourEffect = NO_NEIGHBOUR_EFFECT,
@@ -220,35 +269,49 @@
 
     Among about equal endpoints, the one with the least remaining capacity is chosen. A task of a
     job that can still meet its objective waits for a faster endpoint if it would be late on every
-    endpoint with enough free resources.
+    endpoint with enough free resources. What a failure would cost counts by its probability.
     """
-    step = task.step
+    step, needs = task.step, task.step.needs
     queue = job.spec.terms.queue
-    expected_s = model.expected_run_time_s(queue, step.estimate_s)
+    expected_s = view.expected_run_time_s(queue, step.estimate_s)
     active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
+    is_last_attempt = len(task.failed_runs) + 1 >= job.spec.terms.max_attempts
+    failure_cost_s = (LAST_ATTEMPT_FACTOR if is_last_attempt else RETRY_FACTOR) * expected_s
+    speed, risks = view.speed, view.risks
     best, best_cost_s, best_run_time_s, fastest_s = None, inf, inf, inf
+    # This loop runs for each task over all endpoints.
     for endpoint in usable:
         info = endpoint.info
-        if not _has_label(endpoint, step):
+        if step.required_label and step.required_label not in info.labels:
             continue
         if (
             active_by_endpoint is not None
             and active_by_endpoint[info.instance] >= step.max_per_endpoint
         ):
             continue
-        run_time_s = expected_s / model.speed(info.instance.endpoint_id)
+        endpoint_id = info.instance.endpoint_id
+        run_time_s = expected_s / speed(endpoint_id)
         if near.rack and near.rack != info.rack:
             run_time_s *= near.remote_factor
-        if info.instance.endpoint_id in task.failed_endpoint_ids:
+        if task.failed_endpoint_ids and endpoint_id in task.failed_endpoint_ids:
             run_time_s += FAILED_HERE_FACTOR * expected_s
-        fastest_s = min(fastest_s, run_time_s)
-        remaining_millicores = endpoint.free_millicores - step.needs.cpu_millicores
-        if remaining_millicores < 0 or not step.needs.fits(endpoint.free_resources):
+        if run_time_s < fastest_s:
+            fastest_s = run_time_s
+        remaining_millicores = endpoint.free_millicores - needs.cpu_millicores
+        if remaining_millicores < 0 or not endpoint.has_room(needs):
             continue
-        run_time_s *= neighbours.slowdown(queue, endpoint)
+        if neighbours is not NO_NEIGHBOUR_EFFECT:
+            run_time_s *= neighbours.slowdown(queue, endpoint)
         cost_s = run_time_s + FIT_WEIGHT_S * remaining_millicores / max(
             info.capacity.cpu_millicores, 1
         )
+        if risks and endpoint_id in risks:
+            risk = risks[endpoint_id]
+            if endpoint.runs and endpoint_id in view.on_probation:
+                continue
+            if is_last_attempt and risk >= LAST_ATTEMPT_RISK and view.has_sound:
+                continue
+            cost_s += risk * failure_cost_s
         if cost_s < best_cost_s:
             best, best_cost_s, best_run_time_s = endpoint, cost_s, run_time_s
     remaining_s = job.accepted_s + objective_s(job) - now_s
@@ -258,6 +321,30 @@
     return best
 
 
+def find_free_endpoint(
+    job: Job, task: Task, endpoints: Iterable[EndpointState], model: RunTimes, now_s: float
+) -> EndpointState | None:
+    """Returns the fastest endpoint with room for a task that it was not slow or failed on.
+
+    Racks aren't considered beside that of the task's data.
+    """
+    best, best_speed = None, 0.0
+    for endpoint in endpoints:
+        endpoint_id = endpoint.info.instance.endpoint_id
+        if not endpoint.may_start(now_s) or not endpoint.has_room(task.step.needs):
+            continue
+        if endpoint_id in task.failed_endpoint_ids or not _could_ever_fit(endpoint, task.step):
+            continue
+        if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
+            continue
+        speed = model.speed(endpoint_id)
+        if task.step.preferred_rack and endpoint.info.rack != task.step.preferred_rack:
+            speed /= DEFAULT_REMOTE_FACTOR
+        if speed > best_speed:
+            best, best_speed = endpoint, speed
+    return best
+
+
 def _waiting_work_s(job: Job, endpoint_cores: float) -> float:
     """Returns the time that one mean endpoint would need for a job's waiting tasks."""
     cores = sum(task.step.needs.cpu_millicores for task in job.waiting) / 1000
--- a/tests/support/load_play.py
+++ b/tests/support/load_play.py
@@ -85,12 +85,20 @@
 class LoadSimulation:
     """Simulates one load.
 
+    :cvar kinds: kinds of the jobs.
+    :cvar endpoint_count: number of endpoints.
+    :cvar task_cores: cores of a task: the mean and the largest.
+
     :param load_factors: load relative to the usual load, for each second.
     :param backlog_jobs: jobs that arrive at once, 2 s after the start.
     :param unanswered_share: share of the calls to endpoints that stay unanswered.
     :param sends_copies: whether overdue calls are sent again.
     """
 
+    kinds: tuple[JobKind, ...] = JOB_KINDS
+    endpoint_count = 24
+    task_cores = (27.0, 41.0)
+
     def __init__(
         self,
         seed: int,
@@ -104,13 +112,13 @@
         self.answer_loss = AnswerLoss(unanswered_share, sends_copies, Random(seed))
         self.job_table = JobTable()
         self.model = RunTimeModel()
-        self.tallies = {kind.queue: Tally() for kind in JOB_KINDS}
+        self.tallies = {kind.queue: Tally() for kind in self.kinds}
         self.offered_jobs: dict[str, OfferedJob] = {}
         self.now_s = 0.0
         self._events: list = []
         self._numbers = count()
         self._speeds: dict[EndpointInstance, float] = {}
-        self.endpoints = [self._make_endpoint(number) for number in range(24)]
+        self.endpoints = [self._make_endpoint(number) for number in range(self.endpoint_count)]
         self._schedule_arrivals(backlog_jobs)
 
     def run(self) -> dict[str, Tally]:
@@ -131,11 +139,11 @@
         return EndpointState(info, contacted_s=0.0)
 
     def _schedule_arrivals(self, backlog_jobs: int) -> None:
-        rates = [kind.arrivals_per_s for kind in JOB_KINDS]
+        rates = [kind.arrivals_per_s for kind in self.kinds]
         for _ in range(backlog_jobs):
-            kind = self.random.choices(JOB_KINDS, rates)[0]
+            kind = self.random.choices(self.kinds, rates)[0]
             self._schedule(self.random.uniform(2.0, 2.02), self._handle_arrival, kind)
-        for kind in JOB_KINDS:
+        for kind in self.kinds:
             arrival_s = 0.0
             while True:
                 load_factor = self.load_factors[int(arrival_s)]
@@ -155,9 +163,10 @@
     def _handle_arrival(self, kind: JobKind) -> None:
         tasks = max(1, round(self._draw_lognormal(kind.tasks, 0.4)))
         work_s = self._draw_lognormal(kind.work_s, 0.4)
-        work_times_s = [self._draw_lognormal(work_s, 0.15) for _ in range(tasks)]
-        cores = min(self._draw_lognormal(27, 0.2), 41)
-        size = sum(work_times_s) * cores / (kind.tasks * kind.work_s * 27)
+        work_times_s = self._draw_work_times(work_s, tasks)
+        mean_cores, max_cores = self.task_cores
+        cores = min(self._draw_lognormal(mean_cores, 0.2), max_cores)
+        size = sum(work_times_s) * cores / (kind.tasks * kind.work_s * mean_cores)
         worth = kind.worth * min(0.3 + 0.7 * size, 4)
         limit_s = OBJECTIVE_FACTOR * max(work_times_s) + OBJECTIVE_S
         offered_job = OfferedJob(kind, self.now_s, work_times_s, worth, limit_s)
@@ -179,6 +188,10 @@
         self.offered_jobs[spec.job_id] = offered_job
         self._open_job(self.job_table, spec)
 
+    def _draw_work_times(self, work_s: float, tasks: int) -> list[float]:
+        """Returns the real run times of a job's tasks at speed 1."""
+        return [self._draw_lognormal(work_s, 0.15) for _ in range(tasks)]
+
     def _open_job(self, job_table: JobTable, spec: JobSpec) -> Job:
         job = job_table.open(StoredJob(spec, 0.0), self.now_s)
         job.expected_s = self.model.expected_run_time_s(spec.terms.queue, spec.steps[0].estimate_s)
