--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -389,9 +389,8 @@
                 ),
             )
 
-    def _is_fault_of_endpoint(self, task: Task) -> bool:
-        """Returns whether a task that fails has failed only at endpoints that fail others, too."""
-        now_s = self._clock.now_s()
+    def _has_failed_at_suspected(self, task: Task, now_s: float) -> bool:
+        """Returns whether a task has failed only at endpoints that fail other tasks, too."""
         for endpoint_id in task.failed_endpoint_ids:
             trust = self._trusts.get(endpoint_id)
             if trust is None or trust.failure_probability(now_s) < SUSPECTED_PROBABILITY:
@@ -402,7 +401,11 @@
         self, endpoint: EndpointState, task: Task, end: EndedRun, now_s: float
     ) -> None:
         instance = endpoint.info.instance
-        is_quarantined = self._is_fault_of_endpoint(task) and endpoint.note_failure(now_s)
+        is_quarantined = False
+        if not task.failed_endpoint_ids:
+            is_quarantined = endpoint.note_failure(now_s)
+        elif self._has_failed_at_suspected(task, now_s):
+            endpoint.trust.note_failed(now_s)
         if is_quarantined:
             self._tenure.telemetry.count("endpoint_closures", reason="failures")
         logger.info(
--- a/berylproxy/durable/hidden_state.py
+++ b/berylproxy/durable/hidden_state.py
@@ -9,7 +9,7 @@
 
 # Bounds of a probability, so that a few contrary observations change it.
 LEAST_PROBABILITY = 0.001
-GREATEST_PROBABILITY = 0.995
+GREATEST_PROBABILITY = 0.98
 
 
 @dataclass(slots=True)
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -25,11 +25,11 @@
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
 # Cost of a failure in expected run times: the next run, or the job at the last attempt.
-RETRY_FACTOR = 2.0
+RETRY_FACTOR = 1.0
 LAST_ATTEMPT_FACTOR = 10.0
 # An endpoint that fails its runs with a higher probability gets no last attempt.
 LAST_ATTEMPT_RISK = 0.5
-NEGLIGIBLE_RISK = 0.02
+NEGLIGIBLE_RISK = 0.1  # a lower one would only spread tasks that fit well together
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
@@ -151,6 +151,9 @@
     def speed(self, endpoint_id: str) -> float:
         """Returns an endpoint's speed."""
 
+    def is_slowed(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint was found to be slower than usual now."""
+
 
 class RoundView:
     """What is known about the usable endpoints, which doesn't change within a round.
@@ -176,7 +179,11 @@
         self.on_probation = {
             endpoint.info.instance.endpoint_id
             for endpoint in usable
-            if endpoint.info.instance.endpoint_id in risks and endpoint.trust.is_on_probation(now_s)
+            if model.is_slowed(endpoint.info.instance.endpoint_id)
+            or (
+                endpoint.info.instance.endpoint_id in risks
+                and endpoint.trust.is_on_probation(now_s)
+            )
         }
         self.has_sound = len(risks) < len(usable) or min(risks.values()) < LAST_ATTEMPT_RISK
 
@@ -277,7 +284,7 @@
     active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
     is_last_attempt = len(task.failed_runs) + 1 >= job.spec.terms.max_attempts
     failure_cost_s = (LAST_ATTEMPT_FACTOR if is_last_attempt else RETRY_FACTOR) * expected_s
-    speed, risks = view.speed, view.risks
+    speed, risks, on_probation = view.speed, view.risks, view.on_probation
     best, best_cost_s, best_run_time_s, fastest_s = None, inf, inf, inf
     # This loop runs for each task over all endpoints.
     for endpoint in usable:
@@ -305,10 +312,10 @@
         cost_s = run_time_s + FIT_WEIGHT_S * remaining_millicores / max(
             info.capacity.cpu_millicores, 1
         )
-        if risks and endpoint_id in risks:
+        if endpoint.runs and endpoint_id in on_probation:
+            continue
+        if endpoint_id in risks:
             risk = risks[endpoint_id]
-            if endpoint.runs and endpoint_id in view.on_probation:
-                continue
             if is_last_attempt and risk >= LAST_ATTEMPT_RISK and view.has_sound:
                 continue
             cost_s += risk * failure_cost_s
--- a/berylproxy/durable/run_times.py
+++ b/berylproxy/durable/run_times.py
@@ -25,6 +25,7 @@
 LONG_VARIANCE = 0.1  # added to the variance of the usual tasks
 # Progress that a measurement of the pace needs; percents are rounded.
 MEASURED_GAIN_PERCENT = 10
+SHORTEST_INTERVAL_S = 0.1  # between measurements, whose times deviate by the latency of reports
 STANDARD_NORMAL = NormalDist()
 
 
@@ -244,7 +245,7 @@
         reference_s = self.duration_s or self.expected_s
         elapsed_s = now_s - self.measured_s
         gain = percent - self.percent
-        if reference_s <= 0 or elapsed_s <= 0:
+        if reference_s <= 0 or elapsed_s < (SHORTEST_INTERVAL_S if self.duration_s else 0.001):
             return 0.0
         if max(gain, 100 * elapsed_s / reference_s) < MEASURED_GAIN_PERCENT:
             return 0.0
--- a/berylproxy/durable/speeds.py
+++ b/berylproxy/durable/speeds.py
@@ -12,12 +12,12 @@
 from berylproxy.durable.hidden_state import HiddenState
 from berylproxy.durable.run_times import Prediction, normal_density
 
-INITIAL_SPEED_VARIANCE = 0.25  # generations differ by a factor of about 1.6
+INITIAL_SPEED_VARIANCE = 0.2  # generations differ by a factor of about 1.6
 ADOPTED_SPEED_VARIANCE = 0.05
 DRIFT_VARIANCE_PER_S = 0.001  # after a minute a speed is known to a factor of about 1.3
 MAX_LOG_SPEED = log(20.0)
-SLOWED_ONSET_PER_S = 1 / 200
-SLOWED_END_PER_S = 1 / 6
+SLOWED_ONSET_PER_S = 1 / 600
+SLOWED_END_PER_S = 1 / 4
 USUAL_SLOWDOWN_LOG = log(4.5)  # before more is known about the endpoint
 SLOWDOWN_VARIANCE = 0.25
 LEAST_SLOWDOWN_LOG, GREATEST_SLOWDOWN_LOG = log(2.0), log(10.0)
@@ -25,12 +25,12 @@
 # Time that orders, reports and a busy holder add to a run time; it makes short runs prove little.
 LATENCY_S = 0.03
 LEAST_DENSITY = 1e-4  # of run times that nothing explains
-STRONGEST_EVIDENCE = 100.0
+STRONGEST_EVIDENCE = 30.0
 # A run keeps its pace on a sound endpoint, whether it is long or not.
 CHANGED_PACE_LOG = log(1.7)
-CHANGED_PACE_EVIDENCE = 300.0
+CHANGED_PACE_EVIDENCE = 1000.0
 COMMON_RATE = 0.02  # of the moving average of the deviations at all endpoints
-FOUND_PROBABILITY = 0.8
+FOUND_PROBABILITY = 0.85
 CLEARED_PROBABILITY = 0.3
 NEGLIGIBLE_PROBABILITY = 0.04
 
@@ -163,6 +163,9 @@
         variance = state.variance + latency_variance + further_variance
         usual = prediction.usual_density(shifted, variance) + LEAST_DENSITY
         is_long = prediction.long_density(shifted, variance)
+        # A run can't tell a long task from a slowed endpoint alone, so the queue learns from it by
+        # what was known about the endpoint before.
+        probability = state.slowed.probability_at(now_s)
         evidence = former_evidence
         if former_evidence:
             slowed = normal_density(
@@ -173,7 +176,8 @@
             ratio = slowed / (usual + is_long)
             evidence = min(max(ratio, 1 / STRONGEST_EVIDENCE), strongest_evidence)
             self._apply_evidence(endpoint_id, state, evidence / former_evidence, now_s)
-        probability = state.slowed.probability_at(now_s)
+            if probability > FOUND_PROBABILITY:
+                probability = state.slowed.probability
         usual_weight = (1 - probability) * usual / (usual + is_long)
         is_long_weight = 1 - probability - usual_weight
         return Explanation(usual_weight, is_long_weight, probability, shifted, evidence)
--- a/berylproxy/durable/trust.py
+++ b/berylproxy/durable/trust.py
@@ -16,8 +16,8 @@
 FAILING_SHARE = 0.7  # of the runs at an endpoint that fails all or a part of them
 STRONGEST_EVIDENCE = 100.0
 SILENCE_EVIDENCE = 4.0
-# With a higher probability an endpoint gets one run at a time.
-PROBING_PROBABILITY = 0.3
+# With a higher probability an endpoint gets one run at a time until one is done.
+PROBING_PROBABILITY = 0.6
 SUSPECTED_PROBABILITY = 0.5
 INITIAL_FAILURE_SHARE = 0.005  # of the runs at sound endpoints
 LEAST_FAILURE_SHARE = 0.0005
@@ -91,6 +91,7 @@
     _failing: HiddenState = field(
         default_factory=lambda: HiddenState(FAILING_ONSET_PER_S, FAILING_END_PER_S)
     )
+    _is_unproven: bool = False
 
     def __post_init__(self) -> None:
         """Counts the endpoint among those of its group."""
@@ -102,17 +103,19 @@
 
     def is_on_probation(self, now_s: float) -> bool:
         """Returns whether the endpoint should get only one run at a time."""
-        if self._failing.probability < PROBING_PROBABILITY:
-            return False  # what others do makes an endpoint less attractive, but doesn't limit it
+        if not self._is_unproven:
+            return False
         return self._failing.probability_at(now_s) >= PROBING_PROBABILITY
 
     def note_done(self, now_s: float) -> None:
         """Applies a run that was done."""
+        self._is_unproven = False
         self._observe((1 - FAILING_SHARE) / (1 - self.group.failure_share), now_s)
         self.group.note_end(False, 1 - self._failing.probability)
 
     def note_failed(self, now_s: float) -> None:
         """Applies a run that failed, and not for a fault of its task as far as is known."""
+        self._is_unproven = True
         before = self._failing.probability
         evidence = min(FAILING_SHARE / self.group.failure_share, STRONGEST_EVIDENCE)
         self._observe(evidence, now_s)
@@ -122,6 +125,7 @@
 
     def note_silence(self, now_s: float) -> None:
         """Applies the first of a row of calls that were not answered."""
+        self._is_unproven = True
         self._observe(SILENCE_EVIDENCE, now_s)
 
     def _observe(self, likelihood_ratio: float, now_s: float) -> None:
--- a/tests/support/uneven_load_play.py
+++ b/tests/support/uneven_load_play.py
@@ -104,19 +104,14 @@
 
 @dataclass(frozen=True)
 class Decisions:
-    """The decisions that are compared.
-
-    :param attributes_failures: whether a failure counts against an endpoint if its task has failed
-        at one that is suspected, too.
-    """
+    """The decisions that are compared."""
 
     make_model: Callable[[], RunTimeModel | FormerRunTimeModel]
     make_trust: Callable[[FailureStatistics], EndpointTrust]
-    attributes_failures: bool
 
 
-NEW_DECISIONS = Decisions(RunTimeModel, FailureTrust, True)
-FORMER_DECISIONS = Decisions(FormerRunTimeModel, lambda group: FormerTrust(), False)
+NEW_DECISIONS = Decisions(RunTimeModel, FailureTrust)
+FORMER_DECISIONS = Decisions(FormerRunTimeModel, lambda group: FormerTrust())
 
 
 @dataclass(frozen=True)
@@ -330,8 +325,10 @@
         job = self.job_table.jobs.get(task.name.job_id)
         kind = EndKind.FAILED if run.fails else EndKind.DONE
         if run.fails:
-            if self._is_fault_of_endpoint(task):
+            if not task.failed_endpoint_ids:
                 endpoint.note_failure(self.now_s)
+            elif self._has_failed_at_suspected(task):
+                endpoint.trust.note_failed(self.now_s)
         else:
             endpoint.note_success(self.now_s)
         if self.job_table.find_task(task.name) is not None and job is not None:
@@ -345,9 +342,7 @@
                 self._finish_job(job, "failed" if run.fails else "done")
         self._report(endpoint)
 
-    def _is_fault_of_endpoint(self, task: Task) -> bool:
-        if not self._decisions.attributes_failures:
-            return not task.failed_endpoint_ids
+    def _has_failed_at_suspected(self, task: Task) -> bool:
         return all(
             self._trusts[endpoint_id].failure_probability(self.now_s) >= SUSPECTED_PROBABILITY
             for endpoint_id in task.failed_endpoint_ids
