--- a/berylproxy/durable/estimates.py
+++ b/berylproxy/durable/estimates.py
@@ -211,7 +211,7 @@
         if not duration_s or not former_s:
             return duration_s > 0
         change_log = log(duration_s / former_s)
-        if self._speeds.observe_change(endpoint_id, change_log, self.now_s):
+        if self._speeds.observe_change(endpoint_id, change_log, pace.interval_s, self.now_s):
             pace.has_changed = True
         return True
 
--- a/berylproxy/durable/run_times.py
+++ b/berylproxy/durable/run_times.py
@@ -217,6 +217,7 @@
     :ivar measured_s: monotonic time of the last measurement; the start of the run at first.
     :ivar percent: progress at that time.
     :ivar duration_s: the whole run time at the pace since the measurement before; 0 at first.
+    :ivar interval_s: time over which that pace was measured.
     :ivar has_changed: whether the pace has changed on the way.
     :ivar evidence: likelihood ratio by which the run has counted for a slowed endpoint.
     :ivar siblings_version: state of the job's run times with which it was compared.
@@ -227,6 +228,7 @@
     measured_s: float = 0.0
     percent: int = 0
     duration_s: float = 0.0
+    interval_s: float = 0.0
     has_changed: bool = False
     evidence: float = 1.0
     siblings_version: int = -1
@@ -250,7 +252,7 @@
         if max(gain, 100 * elapsed_s / reference_s) < MEASURED_GAIN_PERCENT:
             return 0.0
         self._gain = max(gain, 1)
-        self.duration_s = 100 * elapsed_s / self._gain
+        self.duration_s, self.interval_s = 100 * elapsed_s / self._gain, elapsed_s
         self.percent, self.measured_s = max(percent, self.percent), now_s
         return self.duration_s
 
--- a/berylproxy/durable/speeds.py
+++ b/berylproxy/durable/speeds.py
@@ -28,7 +28,7 @@
 STRONGEST_EVIDENCE = 30.0
 # A run keeps its pace on a sound endpoint, whether it is long or not.
 CHANGED_PACE_LOG = log(1.7)
-CHANGED_PACE_EVIDENCE = 1000.0
+CHANGED_PACE_EVIDENCE = 10_000.0
 COMMON_RATE = 0.02  # of the moving average of the deviations at all endpoints
 FOUND_PROBABILITY = 0.85
 CLEARED_PROBABILITY = 0.3
@@ -207,13 +207,16 @@
         clipped = min(max(deviation, -1.0), 1.0)
         self._common_log += COMMON_RATE * clipped
 
-    def observe_change(self, endpoint_id: str, change_log: float, now_s: float) -> bool:
+    def observe_change(
+        self, endpoint_id: str, change_log: float, interval_s: float, now_s: float
+    ) -> bool:
         """Applies a change of pace within a run, which only a change of the endpoint explains.
 
         :param change_log: logarithm of the ratio of the promised run time to the one before.
+        :param interval_s: time over which the new pace was measured.
         :return: whether the change is more than the pace of a run varies at a sound endpoint.
         """
-        if abs(change_log) < CHANGED_PACE_LOG:
+        if abs(change_log) < CHANGED_PACE_LOG + 2 * LATENCY_S / interval_s:
             return False
         ratio = CHANGED_PACE_EVIDENCE if change_log > 0 else 1 / CHANGED_PACE_EVIDENCE
         state = self._state(endpoint_id)
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -63,6 +63,15 @@
     changed: Event = field(default_factory=Event)
     on_event: Callable[[tuple], None] | None = None
 
+    def slow_down(self, factor: float) -> None:
+        """Multiplies the remaining time of all runs, and the time of later ones."""
+        now_s = monotonic()
+        self.run_time_s *= factor
+        for run in self.running.values():
+            done = (now_s - run.started_s) / (run.ends_s - run.started_s)
+            run.ends_s = now_s + (run.ends_s - now_s) * factor
+            run.started_s = now_s - done / (1 - done) * (run.ends_s - now_s)
+
     def stop(self, name: TaskName, run: int) -> None:
         """Stops a run; an order to start it that arrives later is refused."""
         self.end_due_runs()
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -170,6 +170,25 @@
     And 3 s have passed
     Then 1 runs of job "a" were started
 
+  Scenario: a run on an endpoint that turns slow is stopped, and its task is done elsewhere
+    Given a group of 3 endpoints whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
+    And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
+    And the endpoint that runs job "a" turns 10 times slower after 0.2 s
+    Then job "a" ends as "completed" within 2.5 s
+    And 2 runs of job "a" were started
+    And no task of job "a" ran twice at the same time
+
+  Scenario: a run on an endpoint that turns slow stays there while no other one has room
+    Given a group of 1 endpoint whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
+    And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
+    And the endpoint that runs job "a" turns 4 times slower after 0.2 s
+    Then job "a" ends as "completed" within 3.5 s
+    And 1 runs of job "a" were started
+
   Scenario: a waiting job is refused by the run times that were learned while it waited
     Given a group of 1 endpoint whose runs take 0.9 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -352,6 +352,41 @@
     world.submit(name, int(tasks), is_kept=True, estimate_s=float(estimate_s))
 
 
+@when(
+    r"(?P<count>\d+) jobs of (?P<tasks>\d+) tasks with an estimate of (?P<estimate_s>[\d.]+) s are "
+    r"completed one after the other"
+)
+def step_impl(context, count, tasks, estimate_s):
+    world = context.holder_world
+    for number in range(int(count)):
+        name = f"before-{number}"
+        world.submit(name, int(tasks), estimate_s=float(estimate_s))
+        assert world.replies[name][-1].result(ANSWER_TIMEOUT_S).state == "completed"
+
+
+@when(
+    r'job "(?P<name>\w+)" of 1 task with an estimate of (?P<estimate_s>[\d.]+) s is submitted, '
+    r"due (?P<slack_s>[\d.]+) s after that"
+)
+def step_impl(context, name, estimate_s, slack_s):
+    world = context.holder_world
+    world.submit(name, 1, estimate_s=float(estimate_s), objective_s=float(slack_s))
+
+
+@when(
+    r'the endpoint that runs job "(?P<name>\w+)" turns (?P<factor>\d+) times slower after '
+    r"(?P<delay_s>[\d.]+) s"
+)
+def step_impl(context, name, factor, delay_s):
+    sleep(float(delay_s))
+    (endpoint,) = [
+        endpoint
+        for endpoint in context.holder_world.endpoints
+        if any(task.job_id == name for task, _ in endpoint.running)
+    ]
+    endpoint.slow_down(int(factor))
+
+
 @when(r'urgent job "(?P<name>\w+)" of (?P<tasks>\d+) tasks is submitted')
 def step_impl(context, name, tasks):
     context.holder_world.submit(name, int(tasks), objective_s=URGENT_OBJECTIVE_S)
--- a/tests/support/uneven_load_play.py
+++ b/tests/support/uneven_load_play.py
@@ -25,7 +25,7 @@
     FailureTrust,
 )
 from tests.support.answer_loss import MESSAGE_DELAY_S
-from tests.support.load_play import GROUP, TICK_S, JobKind, LoadSimulation
+from tests.support.load_play import GROUP, JobKind, LoadSimulation
 
 FAILURE_AFTER_S = 0.01  # a run at a failing endpoint ends soon
 STOP_S = 0.03
