--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -611,6 +611,16 @@
                     ("open_jobs", "Jobs that have not ended", len(holder.job_table.jobs), group)
                 )
                 rows.append(("usable_endpoints", "Endpoints that get tasks", usable, group))
+                slowed, suspected, slowest = holder.group.count_uneven_endpoints()
+                rows.append(
+                    ("slow_endpoints", "Endpoints that are slower than usual", slowed, group)
+                )
+                rows.append(
+                    ("suspected_endpoints", "Endpoints that likely fail runs", suspected, group)
+                )
+                rows.append(
+                    ("slowest_endpoint_speed", "Lowest speed, the mean being 1", slowest, group)
+                )
         return [(name, text, float(value), group) for name, text, value, group in rows]
 
     def _is_entry_alive(self, incarnation: str) -> bool:
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -46,6 +46,7 @@
 # partition, which may have submitted them to another holder.
 UNREACHABLE_GRACE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
+MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
 UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 logger = Logger(__name__)
@@ -145,6 +146,10 @@
 
     def _add_endpoint(self, info: EndpointInfo) -> None:
         endpoint_id = info.instance.endpoint_id
+        if len(self._trusts) > MAX_REMEMBERED_TRUSTS + len(self.endpoints):
+            known = {instance.endpoint_id for instance in self.endpoints}
+            self._trusts = {name: t for name, t in self._trusts.items() if name in known}
+            self._failures.endpoint_count = len(self._trusts)
         if endpoint_id not in self._trusts:
             self._trusts[endpoint_id] = FailureTrust(self._failures)
         endpoint = EndpointState(info, trust=self._trusts[endpoint_id])
@@ -618,6 +623,20 @@
                 endpoint.release_end(number)
         self._orphan_ends = remaining
 
+    def count_uneven_endpoints(self) -> tuple[int, int, float]:
+        """Returns how many endpoints are slowed and suspected to fail, and the lowest speed."""
+        now_s = self._clock.now_s()
+        suspected = sum(
+            endpoint.trust.failure_probability(now_s) >= SUSPECTED_PROBABILITY
+            for endpoint in self.endpoints.values()
+        )
+        speeds = [self._model.speed(instance.endpoint_id) for instance in self.endpoints]
+        return len(self._model.list_slowed()), suspected, min(speeds, default=1.0)
+
+    def speed(self, endpoint: EndpointState) -> float:
+        """Returns the speed to reckon with at an endpoint, the mean being 1."""
+        return self._model.speed(endpoint.info.instance.endpoint_id)
+
     def move_stalled_runs(self, now_s: float) -> None:
         """Stops runs without progress or on slowed endpoints, so that they start on others."""
         for move in plan_moves(self.endpoints.values(), self._job_table, self._model, now_s):
--- a/berylproxy/durable/view.py
+++ b/berylproxy/durable/view.py
@@ -76,7 +76,11 @@
         """Describes the endpoints of the groups that this daemon holds."""
         now_s = self.clock.now_s()
         return [
-            {"group": group, **_describe_endpoint(endpoint, now_s)}
+            {
+                "group": group,
+                **_describe_endpoint(endpoint, now_s),
+                "speed": round(holder.group.speed(endpoint), 2),
+            }
             for group, holder in sorted(self.coordinator.holders.items())
             for endpoint in holder.group.endpoints.values()
         ]
@@ -92,6 +96,7 @@
         "missed_calls": endpoint.missed_calls,
         "closed_for_s": round(max(endpoint.quarantined_until_s - now_s, 0.0), 3),
         "failures_in_row": endpoint.failures_in_row,
+        "failure_probability": round(endpoint.trust.failure_probability(now_s), 3),
         "runs": len(endpoint.runs),
         "free_cores": endpoint.free_millicores / 1000,
     }
