--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -666,6 +666,16 @@
                 rows.append(("evacuated_endpoint_runs", text, left, group))
                 is_scarce = holder.admission.shares.scarcity.is_scarce
                 rows.append(("room_scarce", "Whether room is divided by shares", is_scarce, group))
+                slowed, suspected, slowest = holder.group.count_uneven_endpoints()
+                rows.append(
+                    ("slow_endpoints", "Endpoints that are slower than usual", slowed, group)
+                )
+                rows.append(
+                    ("suspected_endpoints", "Endpoints that likely fail runs", suspected, group)
+                )
+                rows.append(
+                    ("slowest_endpoint_speed", "Lowest speed, the mean being 1", slowest, group)
+                )
         return [(name, text, float(value), group) for name, text, value, group in rows]
 
     def list_share_samples(self) -> list[Sample]:
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -19,6 +19,7 @@
     StoredJob,
     TaskName,
 )
+from berylproxy.durable.run_times import SiblingRunTimes
 from berylproxy.durable.workload import Claimant, Workload
 
 REMEMBERED_FINAL_JOBS = 20_000  # their states are answered without a read of the store
@@ -57,6 +58,8 @@
     :ivar failed_runs: numbers of the runs that have failed.
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
     :ivar saved: checkpoint that a run saved last.
+    :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
+    :ivar moves: how often a run was stopped because its endpoint had turned slow.
     """
 
     name: TaskName
@@ -72,6 +75,8 @@
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
     saved: str = ""
+    distance_factor: float = 1.0
+    moves: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -89,6 +94,7 @@
     :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
         acceptance, or of an earlier refusal after which its caller came back as told.
     :ivar is_excess: whether it exceeds its claimant's share of scarce room.
+    :ivar siblings: run times of its tasks, relative to the expected ones.
     """
 
     spec: JobSpec
@@ -102,6 +108,7 @@
     waiting: list[Task] = field(default_factory=list)
     unfinished_tasks: int = 0
     started: bool = False
+    siblings: SiblingRunTimes = field(default_factory=SiblingRunTimes)
     failure_domain: str = ""
     place_s: float = 0.0
     is_excess: bool = False
