--- a/tests/steps/durable_uneven_steps.py
+++ b/tests/steps/durable_uneven_steps.py
@@ -14,7 +14,7 @@
     UnevenLoadSimulation,
 )
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 LENGTH_S = 10
 LOAD_FACTORS = {"the mean load": 1.0, "1.4 times the load": 1.4}
 DISTURBANCES = {
