--- a/tools/daemon_cost/sampler.py
+++ b/tools/daemon_cost/sampler.py
@@ -9,6 +9,7 @@
 START_UP = "start-up"
 EVENT_LOOP = "event loop"
 WHOLE_MODULE = ""
+CALLER_DECIDES = ""
 
 # The innermost frame that matches decides: its module's path ends with the first text, and its
 # function is the second one, if that is not empty.
@@ -30,12 +31,19 @@
     ("peers/control.py", WHOLE_MODULE, "heartbeats of members"),
     ("peers/table.py", WHOLE_MODULE, "heartbeats of members"),
     ("durable/holder.py", "_run_periodic_checks", "periodic checks"),
+    ("platform/endpoints.py", "fetch", "list of endpoints"),
+    ("platform/endpoints.py", "decode_entry", "list of endpoints"),
+    ("platform/endpoints.py", WHOLE_MODULE, CALLER_DECIDES),
     ("durable/group.py", "_poll_endpoint", "polls"),
     ("durable/group.py", "_start", "start orders"),
     ("durable/group.py", "_stop", "start orders"),
     ("durable/group.py", WHOLE_MODULE, "polls"),
+    ("durable/holder.py", "_place_tasks", "decisions"),
+    ("durable/holder.py", "_admit", "decisions"),
+    ("durable/coordinator.py", "run", "checks of holders"),
+    ("platform/reload.py", WHOLE_MODULE, "store and watches"),
     ("platform/store.py", WHOLE_MODULE, "store and watches"),
-    ("berylproxy/http_exchange.py", WHOLE_MODULE, "answers of endpoints and store"),
+    ("berylproxy/http_exchange.py", WHOLE_MODULE, "HTTP client of endpoints and store"),
     ("durable/best_effort.py", WHOLE_MODULE, "jobs at the holder"),
     ("durable/holder.py", "submit", "jobs at the holder"),
     ("platform/callers.py", WHOLE_MODULE, "callers"),
@@ -50,17 +58,23 @@
 
 def classify(frame: FrameType | None) -> str:
     """Returns the part that a stack belongs to, given its innermost frame."""
+    decided = ""
     while frame is not None:
         path, function = frame.f_code.co_filename, frame.f_code.co_name
-        if function == "_find_and_load":
+        if function == "_find_and_load":  # of the module that is being imported
             return START_UP
-        for suffix, name, part in RULES:
-            if (path.endswith(suffix) or (suffix.endswith("/") and f"/{suffix}" in path)) and (
-                not name or name == function
-            ):
-                return part
+        decided = decided or find_part(path, function)
         frame = frame.f_back
-    return EVENT_LOOP
+    return decided or EVENT_LOOP
+
+
+def find_part(path: str, function: str) -> str:
+    """Returns the part that a frame decides for; empty if its caller decides."""
+    for suffix, name, part in RULES:
+        is_in_module = path.endswith(suffix) or (suffix.endswith("/") and f"/{suffix}" in path)
+        if is_in_module and name in (WHOLE_MODULE, function):
+            return part
+    return ""
 
 
 def list_functions(frame: FrameType | None) -> set[str]:
