--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/records.py
@@ -69,7 +69,7 @@
 
 @cache
 def _stored_job_adapter() -> TypeAdapter[StoredJob]:
-    """Returns the validator of stored jobs, which takes some 50 ms to build at its first use."""
+    """Returns the validator of stored jobs, which is built at its first use."""
     return TypeAdapter(StoredJob)
 
 
