--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -95,6 +95,10 @@
         reason = "share" if job.is_excess else "late"
         return Refusal(reason, retry_after_s, backlog_core_s, capacity_cores, end_s, limit_s)
 
+    def update_scarcity(self, now_s: float) -> bool:
+        """Returns whether room is scarce, also when no jobs are submitted."""
+        return self.shares.update_scarcity(self.meter.observed_cores, now_s)
+
     def note_placed(self, now_s: float) -> None:
         """Learns the capacity after each round of placement."""
         workload = self._job_table.workload
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -201,6 +201,7 @@
         self.is_loaded = False
         self.is_leaving = False
         self.admission = Admission(self.job_table, model)
+        self._was_scarce = False
         self._policies = PlacementPolicies(order=SharedOrder())
         self._model = model
         self._inherited = inherited
@@ -423,11 +424,14 @@
             return Refusal("unconfirmed")
         if not self.group.has_contacted_endpoints(now_s):
             return None
-        was_scarce = self.admission.shares.scarcity.is_scarce
-        refusal = self.admission.decide(tentative_job, self.group.endpoints.values(), now_s)
-        if self.admission.shares.scarcity.is_scarce is not was_scarce:
-            self._log.note_scarcity(not was_scarce, self.admission.meter, self.list_shares())
-        return refusal
+        return self.admission.decide(tentative_job, self.group.endpoints.values(), now_s)
+
+    def _note_scarcity(self, now_s: float) -> None:
+        """Logs when room has become scarce or ample."""
+        is_scarce = self.admission.update_scarcity(now_s)
+        if is_scarce is not self._was_scarce:
+            self._was_scarce = is_scarce
+            self._log.note_scarcity(is_scarce, self.admission.meter, self.list_shares())
 
     def list_shares(self) -> list[ClaimantShare]:
         """Lists the shares of the claimants that have recently submitted jobs."""
@@ -549,6 +553,7 @@
                 self.group.move_stalled_runs(now_s)
                 self._best_effort_jobs.drop_unneeded(now_s, self._context.is_entry_alive)
             self.group.release_orphan_ends(now_s)
+            self._note_scarcity(now_s)
             if self._unresolved or any(True for _ in self.job_table.waiting_jobs()):
                 self.group.changed.set()
 
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -155,9 +155,11 @@
     )
     if not usable:
         return
+    max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
+    if all(job.waiting[0].step.needs.cpu_millicores > max_free_millicores for job in waiting_jobs):
+        return  # without ordering the jobs, which would take longer
     cores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable) / len(usable) / 1000
     jobs = policies.order.arrange(waiting_jobs, now_s, cores)
-    max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
     skipped = 0
     for job in jobs:
         if max_free_millicores <= 0 or skipped >= MAX_SKIPPED_JOBS:
--- a/berylproxy/durable/shares.py
+++ b/berylproxy/durable/shares.py
@@ -166,6 +166,11 @@
         self._saved[claimant] = (saved if is_excess else saved - core_s, now_s)
         return is_excess
 
+    def update_scarcity(self, capacity: float, now_s: float) -> bool:
+        """Returns whether room is scarce by what has been sent until now."""
+        demand = sum(self._recent.rates(now_s).values())
+        return self.scarcity.update(demand, capacity, now_s)
+
     def list_shares(self, capacity: float, now_s: float) -> list[ClaimantShare]:
         """Lists the claimants that have sent anything recently."""
         demands = self._recent.rates(now_s)
