--- a/tests/durable/scarce_room.feature
+++ b/tests/durable/scarce_room.feature
@@ -44,6 +44,10 @@
     When each of these queues submits a job of scarce room
     Then the job of "big" is refused for its share, and that of "calm" is accepted
 
+  Scenario: operators see who is over its share
+    Given a group in which queue "big" sends far more than usual and queue "calm" as usual
+    Then the metrics of room show a demand above the share for "big" and not for "calm"
+
   Scenario: a decision about a job looks at no open job
     Given 300 open jobs that must not be listed
     When a job is submitted for the room beside them
--- a/tests/steps/durable_shares_steps.py
+++ b/tests/steps/durable_shares_steps.py
@@ -26,6 +26,7 @@
 )
 from berylproxy.durable.returns import ReturnPlaces
 from berylproxy.durable.shares import Scarcity, SharedOrder, divide_room
+from berylproxy.durable.telemetry import make_share_samples
 from berylproxy.durable.workload import Claimant
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
 from tests.support import load_play
@@ -230,6 +231,20 @@
     assert context.refusals["calm"] is None, context.refusals
 
 
+@then(r'the metrics of room show a demand above the share for "big" and not for "calm"')
+def step_impl(context):
+    meter, room = context.admission.meter, context.admission.shares
+    listed = room.list_shares(meter.observed_cores, context.now_s)
+    values = {
+        (sample.name, sample.labels["queue"]): sample.value
+        for sample in make_share_samples("g", listed)
+    }
+    for queue, is_over in (("big", True), ("calm", False)):
+        demand = values["berylproxy_demand_cores", queue]
+        assert (demand > 1.2 * values["berylproxy_share_cores", queue]) is is_over, values
+    assert [share.claimant.queue for share in listed if share.is_over] == ["big"], listed
+
+
 class UnlistedJobs(dict):
     """Open jobs that fail the test when they are listed."""
 
