Don't answer a job that comes again as cancelled

Change: a best-effort job that was cancelled before it began is forgotten, so that it is decided anew; one that had begun is answered as unknown. An entry that would go back to a group that has refused passes the refusal on.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -11,7 +11,7 @@
 from berylproxy.durable.job_table import Job, JobTable
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import NO_ROOM, JobSubmission, JobSubmissionReply
-from berylproxy.durable.models import JobSpec, StoredJob
+from berylproxy.durable.models import JobSpec, JobState, StoredJob
 from berylproxy.durable.placement import is_too_late
 from berylproxy.durable.routing import count_needed_millicores, has_room
 from berylproxy.durable.tenure import Tenure
@@ -98,7 +98,7 @@
         """Runs a job and returns once it has ended; a repeated submission joins the running job.
 
         :param entry: incarnation of the entry daemon.
-        :raises JobAbandonedError: if the job has begun and cannot end in time.
+        :raises JobAbandonedError: if the job has begun and cannot end in time, or was dropped.
         :raises JobInterruptedError: if the job was dropped meanwhile.
         :raises NotHolderError: if the tenure ended before the job began.
         :raises TenureLostError: if the tenure ended before the job did.
@@ -107,6 +107,8 @@
         job, outcome = self._job_table.jobs.get(job_id), self._job_table.state(job_id)
         if job is not None:
             job.entry = entry
+        elif outcome is JobState.CANCELLED and not message.attempt:
+            raise JobAbandonedError("the job had begun and was dropped")
         elif outcome is not None and not message.attempt:
             return JobSubmissionReply(state=outcome.value)
         else:
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -101,6 +101,7 @@
         started_s = self._clock.now_s()
         attempt, group, former_fence = 0, "", 0
         refused_by: set[str] = set()
+        refusals: dict[str, JobSubmissionReply] = {}
         try:
             while True:
                 elapsed_s = self._clock.now_s() - started_s
@@ -110,6 +111,8 @@
                 if not attempt:  # a job that may have begun stays in its group
                     choice = self._coordinator.route_job(spec, refused_by)
                     group, only_if_room = choice.group, choice.only_if_room
+                    if group in refusals:
+                        raise _make_refusal_error(refusals[group])
                 message = JobSubmission(
                     group, spec, attempt, wait_s - elapsed_s, former_fence, only_if_room
                 )
@@ -143,6 +146,8 @@
                     self._coordinator.note_refused(group, reply.room_millicores)
                 elif not self._coordinator.has_room_elsewhere(spec, refused_by):
                     raise _make_refusal_error(reply)
+                else:
+                    refusals[group] = reply
         except get_cancelled_exc_class():
             self._drop_job(group, spec.job_id)
             raise
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -124,6 +124,11 @@
         terms = self.spec.terms
         return terms.objective_factor * self.expected_s + terms.objective_s
 
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether a run of any task may have been ordered, by this holder or by a former one."""
+        return self.started or any(task.run for task in self.tasks.values())
+
     @property
     def is_final(self) -> bool:
         """Whether its outcome is known."""
@@ -267,10 +272,15 @@
             self._outcomes.popitem(last=False)
 
     def close(self, job: Job) -> None:
-        """Removes a job from the open ones, and remembers its outcome."""
+        """Removes a job from the open ones, and remembers its outcome.
+
+        A best-effort job that was cancelled before it began is forgotten: it may be submitted
+        again as if it had not been before.
+        """
         self.jobs.pop(job.spec.job_id, None)
         self._remove_work(job)
-        self.remember_outcome(job.spec.job_id, job.state)
+        if job.spec.is_durable or job.state is not JobState.CANCELLED or job.may_have_begun:
+            self.remember_outcome(job.spec.job_id, job.state)
 
     def resolve(self, job: Job) -> None:
         """Makes the unresolved tasks of a job, which no endpoint reports, ready to start."""
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -149,6 +149,23 @@
     And the caller of job "a" disconnects after 0.1 s
     Then nothing runs at any endpoint within 0.3 s
 
+  Scenario: a job that was dropped before it began runs when it comes again
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And job "a" of 3 tasks is submitted
+    And job "b" of 1 task is submitted
+    And the caller of job "b" disconnects after 0.1 s
+    And job "b" of 1 task is submitted
+    Then job "b" ends as "completed"
+
+  Scenario: a job that was dropped after it began is never answered as cancelled when it comes again
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And the caller of job "a" disconnects after 0.1 s
+    And job "a" of 1 task is submitted
+    Then job "a" was abandoned within 1 s
+
   Scenario: a caller disconnects just when its task is ordered
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
