Bound values that make no sense before they reach decisions

Cause (two reviews): an absurd estimate made order and sums infinite and ended the tenure of each next holder; a damaged record of run times did the same or stopped placement; the 257th claimant was dropped before it was looked up; one long job counted as demand of one second; a job that no endpoint can run held the turn of starved ones; a run could be moved to an endpoint that may not take it; a durable job was refused after an attempt that may have stored it. Change: each is bounded or checked where it enters. bad_values.feature: 12 of 15 scenarios failed before, all pass.

--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/acceptance.py
@@ -14,7 +14,7 @@
 from berylproxy.durable.job_table import Job, JobTable
 from berylproxy.durable.placement import RUN_TIME_MARGIN, latest_useful_end_s, objective_s
 from berylproxy.durable.returns import SHORTEST_RETRY_AFTER_S, ReturnPlaces
-from berylproxy.durable.shares import RoomShares
+from berylproxy.durable.shares import RECENT_DEMAND_S, RoomShares
 
 TOO_LATE = "its answer would come too late"  # the only reason for a refusal under load
 MAX_OPEN_JOBS = 5_000  # bounds a holder's memory, of which a job takes some 4 KB
@@ -74,7 +74,9 @@
             * self._model.expected_run_time_s(job.spec.terms.queue, step.estimate_s)
             for step in job.spec.steps
         )
-        is_excess = self.shares.note_offered(job, own_core_s, self.meter.observed_cores, now_s)
+        # One long job is no demand beyond what the endpoints can do in that time.
+        offered_core_s = min(self.meter.observed_cores * RECENT_DEMAND_S, own_core_s)
+        is_excess = self.shares.note_offered(job, offered_core_s, self.meter.observed_cores, now_s)
         job.is_excess = is_excess and job.place_s == now_s
         if job.is_excess:
             # It takes what others leave, so only if it can be expected to end in time.
--- a/berylproxy/durable/estimates.py
+++ b/berylproxy/durable/estimates.py
@@ -17,6 +17,7 @@
 )
 from berylproxy.durable.speeds import (
     FOUND_PROBABILITY,
+    MAX_LOG_SPEED,
     STRONGEST_EVIDENCE,
     SpeedFinding,
     SpeedTable,
@@ -24,6 +25,9 @@
 
 SHORTEST_RUN_TIME_S = 0.001
 DEFAULT_RUN_TIME_S = 0.2  # for a queue's first task without an estimate
+LONGEST_RUN_TIME_S = 30 * 86_400.0  # a longer estimate says nothing, and would overflow sums
+MAX_LOG_RUN_TIME = 25.0
+MAX_LOG_RATIO = 3.0  # of a run time to the expected one; a larger one tells of a wrong estimate
 # A second task of a job at one endpoint may be slow for the same reason as the first.
 DEPENDENT_EVIDENCE = 3.0
 
@@ -62,6 +66,7 @@
 
         :param estimate_s: the caller's estimate; 0 if not given.
         """
+        estimate_s = min(LONGEST_RUN_TIME_S, estimate_s)
         history = self._queues.get(queue)
         if history is None or not history.task_count:
             return max(estimate_s, SHORTEST_RUN_TIME_S) if estimate_s else DEFAULT_RUN_TIME_S
@@ -148,7 +153,7 @@
         history = self._queues.setdefault(task.queue, QueueHistory())
         siblings = task.siblings.compare(task.key, endpoint_id)
         prediction = history.predict(siblings)
-        ratio_log = log(run_time_s / self._expected_here_s(task))
+        ratio_log = _bound_log_ratio(run_time_s / self._expected_here_s(task))
         if pace is not None and pace.duration_s:
             self._observe_pace(endpoint_id, pace, 100)
         explanation = self._speeds.observe(
@@ -190,7 +195,7 @@
         prediction = history.predict(siblings)
         explanation = self._speeds.observe(
             endpoint_id,
-            log(pace.duration_s / self._expected_here_s(task)) - prediction.mean_log,
+            _bound_log_ratio(pace.duration_s / self._expected_here_s(task)) - prediction.mean_log,
             prediction,
             pace.measured_s - pace.started_s,
             self.now_s,
@@ -245,8 +250,15 @@
             speeds = {str(name): float(value) for name, value in description["speeds"].items()}
             for name, values in description.get("spreads", {}).items():
                 queues[str(name)].adopt_spread([float(value) for value in values])
-        except (TypeError, KeyError, AttributeError) as error:
+        except (TypeError, KeyError, AttributeError, OverflowError) as error:
             raise ValueError(f"not a description of run times: {error!r}") from error
+        for name, history in queues.items():
+            # A mean that is no number fails the comparison, too.
+            if not abs(history.mean_log_s) <= MAX_LOG_RUN_TIME or history.task_count < 0:
+                raise ValueError(f"the run times of queue {name} are out of range")
+        for name, log_speed in speeds.items():
+            if not abs(log_speed) <= 2 * MAX_LOG_SPEED:
+                raise ValueError(f"the speed of endpoint {name} is out of range: {log_speed}")
         known_count = sum(history.task_count for history in self._queues.values())
         if sum(history.task_count for history in queues.values()) <= known_count:
             return
@@ -258,6 +270,10 @@
         self._speeds.forget(endpoint_id)
 
 
+def _bound_log_ratio(ratio: float) -> float:
+    return min(max(log(ratio), -MAX_LOG_RATIO), MAX_LOG_RATIO)
+
+
 def _strongest_evidence(siblings: Comparison) -> float:
     """Returns the bound of the evidence of a run for a slowed endpoint."""
     if siblings.has_neighbour and not siblings.count:
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -187,6 +187,8 @@
                 await sleep(RETRY_PAUSE_S)
                 continue
             if reply.refusal:
+                if may_be_stored:
+                    raise ResultUnknownError("an earlier attempt may have stored the job")
                 raise _make_refusal_error(reply)
             self._cache_state(spec.job_id, JobState.QUEUED)
             return
--- a/berylproxy/durable/moves.py
+++ b/berylproxy/durable/moves.py
@@ -73,6 +73,8 @@
             task = job_table.find_task(name)
             if task is None or task.run != run or task.status is not TaskStatus.RUNNING:
                 continue
+            if task.instance != endpoint.info.instance:
+                continue
             job = job_table.jobs[name.job_id]
             expected_s = model.expected_run_time_s(job.spec.terms.queue, task.step.estimate_s)
             if is_stalled(task, expected_s, now_s):
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -213,10 +213,17 @@
     )
     if not usable:
         return
+    # A job that no endpoint could ever run doesn't hold the others back.
+    waiting_jobs = [
+        job
+        for job in waiting_jobs
+        if any(_could_ever_fit(endpoint, job.waiting[0].step) for endpoint in usable)
+    ]
     max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
     if all(job.waiting[0].step.needs.cpu_millicores > max_free_millicores for job in waiting_jobs):
         return  # without ordering the jobs, which would take longer
-    cores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable) / len(usable) / 1000
+    millicores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable)
+    cores = max(millicores / len(usable), 1) / 1000
     jobs = policies.order.arrange(waiting_jobs, now_s, cores)
     view = RoundView(model, usable, now_s)
     skipped = 0
@@ -343,9 +350,15 @@
 
     Racks aren't considered beside that of the task's data.
     """
+    limit = task.step.max_per_endpoint
+    active = _count_active_tasks(job, task.name.step) if limit else None
     best, best_speed = None, 0.0
     for endpoint in endpoints:
         endpoint_id = endpoint.info.instance.endpoint_id
+        if active is not None and active[endpoint.info.instance] >= limit:
+            continue
+        if now_s < endpoint.cold_until_s:
+            continue
         if not endpoint.may_start(now_s) or not endpoint.has_room(task.step.needs):
             continue
         if endpoint_id in task.failed_endpoint_ids or not _could_ever_fit(endpoint, task.step):
--- a/berylproxy/durable/run_times.py
+++ b/berylproxy/durable/run_times.py
@@ -16,6 +16,7 @@
 MAX_SIBLINGS = 12  # more tasks of a job add nothing to what is known about it
 INITIAL_JOB_VARIANCE = 0.2  # of the logarithm; estimates deviate by a factor of about 1.5
 INITIAL_TASK_VARIANCE = 0.05
+MAX_STORED_LOG, MAX_STORED_VARIANCE = 25.0, 100.0  # others are damaged
 LEAST_VARIANCE = 0.01
 INITIAL_BIAS_VARIANCE = 1.0  # of a queue without finished tasks
 INITIAL_LONG_SHARE = 0.03
@@ -202,7 +203,11 @@
         :raises ValueError: if there are too few or too many, or some are out of range.
         """
         bias_log, job_variance, task_variance, long_share, long_log = values
-        if min(job_variance, task_variance, long_log) <= 0 or not 0 < long_share < 1:
+        variances = (job_variance, task_variance)
+        is_valid = all(0 < variance <= MAX_STORED_VARIANCE for variance in variances)
+        if not is_valid or not 0 < long_log <= MAX_STORED_LOG or not 0 < long_share < 0.9:
+            raise ValueError(f"not statistics of run times: {values}")
+        if not abs(bias_log) <= MAX_STORED_LOG:
             raise ValueError(f"not statistics of run times: {values}")
         self.bias_log, self.long_share, self.long_log = bias_log, long_share, long_log
         self.job_variance, self.task_variance = job_variance, task_variance
--- a/berylproxy/durable/shares.py
+++ b/berylproxy/durable/shares.py
@@ -74,7 +74,8 @@
         self._noted_s = now_s
         self._sums[claimant] = self._sums.get(claimant, 0.0) + core_s
         if len(self._sums) > MAX_CLAIMANTS:
-            del self._sums[min(self._sums, key=self._sums.__getitem__)]
+            others = (known for known in self._sums if known != claimant)
+            del self._sums[min(others, key=self._sums.__getitem__)]
 
     def rates(self, now_s: float) -> dict[Claimant, float]:
         """Returns the core seconds per second of each claimant."""
--- a/berylproxy/durable/workload.py
+++ b/berylproxy/durable/workload.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 ORDER_SLOT_S = 0.05
+FARTHEST_ORDER_S = 1e12  # objectives from the configuration have no bound
 # Of a run that takes longer than expected, this share of the expected time is assumed to remain.
 LEAST_REMAINING_SHARE = 0.1
 
@@ -109,7 +110,7 @@
         """Adds a task that isn't started.
 
         :param key: names the task in later calls.
-        :param order_s: where its job stands in the order; see :func:`order_time_s`.
+        :param order_s: where its job stands in the order; see :meth:`JobTable.order_s`.
         """
         work = TaskWork(claimant, millicores, expected_s, _slot(order_s))
         self._tasks[key] = work
@@ -209,4 +210,4 @@
 
 
 def _slot(order_s: float) -> int:
-    return floor(order_s / ORDER_SLOT_S)
+    return floor(max(-FARTHEST_ORDER_S, min(FARTHEST_ORDER_S, order_s)) / ORDER_SLOT_S)
