--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -14,6 +14,7 @@
 RESULT_FOLDER = ROOT / "build"
 PROVING_FOLDERS = ("admit", "collect", "daemon", "deduplicate", "place", "send")
 PLATFORM_FOLDERS = ("platform",)
+LOAD_FOLDERS = ("durable",)
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 CHECKED_FOLDERS = ("berylproxy", "standins", "tests", "tools")
 PASSED = "passed"
@@ -29,16 +30,18 @@
 def list_shards(paths: list[str]) -> list[list[str]]:
     """Divides the features into shards that run in parallel.
 
-    There are three: tests with clusters of daemons, the platform, and all others.
+    There are four: tests with clusters of daemons, the platform, jobs with their load plays, and
+    all others.
     """
     if paths:
         return [paths]
     folders = sorted(path.parent for path in (ROOT / "tests").glob("*/*.feature"))
     names = dict.fromkeys(folder.name for folder in folders)
-    chosen = {*PROVING_FOLDERS, *PLATFORM_FOLDERS}
+    chosen = {*PROVING_FOLDERS, *PLATFORM_FOLDERS, *LOAD_FOLDERS}
     shards = [
         [name for name in names if name in PROVING_FOLDERS],
         [name for name in names if name in PLATFORM_FOLDERS],
+        [name for name in names if name in LOAD_FOLDERS],
         [name for name in names if name not in chosen],
     ]
     return [[f"tests/{name}" for name in shard] for shard in shards]
