Run the load plays beside the other tests of jobs

Cause: the shard of tests/durable took over 4 minutes of processor time, most of it in the four load plays. Change: the plays are a shard of their own.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -14,7 +14,8 @@
 RESULT_FOLDER = ROOT / "build"
 PROVING_FOLDERS = ("admit", "collect", "daemon", "deduplicate", "place", "send")
 PLATFORM_FOLDERS = ("platform",)
-LOAD_FOLDERS = ("durable",)
+JOBS_FOLDER = "durable"
+LOAD_PLAYS = ("load", "neighbours", "scarce_room", "uneven")  # features of that folder
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 CHECKED_FOLDERS = ("berylproxy", "standins", "tests", "tools")
 PASSED = "passed"
@@ -30,21 +31,23 @@
 def list_shards(paths: list[str]) -> list[list[str]]:
     """Divides the features into shards that run in parallel.
 
-    There are four: tests with clusters of daemons, the platform, jobs with their load plays, and
-    all others.
+    There are five: tests with clusters of daemons, the platform, load plays, other tests of jobs,
+    and all others.
     """
     if paths:
         return [paths]
     folders = sorted(path.parent for path in (ROOT / "tests").glob("*/*.feature"))
     names = dict.fromkeys(folder.name for folder in folders)
-    chosen = {*PROVING_FOLDERS, *PLATFORM_FOLDERS, *LOAD_FOLDERS}
+    chosen = {*PROVING_FOLDERS, *PLATFORM_FOLDERS, JOBS_FOLDER}
     shards = [
         [name for name in names if name in PROVING_FOLDERS],
         [name for name in names if name in PLATFORM_FOLDERS],
-        [name for name in names if name in LOAD_FOLDERS],
         [name for name in names if name not in chosen],
     ]
-    return [[f"tests/{name}" for name in shard] for shard in shards]
+    jobs = sorted((ROOT / "tests" / JOBS_FOLDER).glob("*.feature"))
+    plays = [str(path.relative_to(ROOT)) for path in jobs if path.stem in LOAD_PLAYS]
+    others = [str(path.relative_to(ROOT)) for path in jobs if path.stem not in LOAD_PLAYS]
+    return [[f"tests/{name}" for name in shard] for shard in shards] + [plays, others]
 
 
 def run_features(shards: list[list[str]]) -> list[bool]:
