Don't start tasks elsewhere that an endpoint's new process has started

Callers saw: a task of a best-effort job runs twice at the same time.

Cause: orders name an endpoint by its identifier, which a restarted process may keep. The holder learned of the restart from the next report, took all runs that it had ordered for ended, and started their tasks elsewhere, also those that the new process had just started. An idle endpoint isn't polled, so the first order after its restart always met this. Orders without an answer were dropped without the stop that makes a late one void.

Evidence: tests/durable/restart.feature, on the code before: 3 of 6 scenarios failed with two runs of a task at once, the first one running for 0.5 s more.

Now only runs that the former process has reported count as ended. The others pass to the new process: those that were answered go on if it reports them, those without an answer are stopped first.

--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -45,6 +45,7 @@
     :ivar confirmed_s: monotonic time at which the endpoint confirmed the run; infinite until then.
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
+    :ivar was_reported: whether a report of the endpoint's present process has listed the run.
     :ivar is_uncertain: whether the order to start the run was not answered.
     :ivar is_orphan: whether a former holder ordered the run for a job that this holder doesn't
         know. The lease of such a run must not be extended, because the former holder may rely on
@@ -61,6 +62,7 @@
     kind: str = ""
     confirmed_s: float = inf
     stop_confirmed_s: float = inf
+    was_reported: bool = False
     is_uncertain: bool = False
     is_orphan: bool = False
     occupancy_at_start: OccupancyAtStart | None = None
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -1,6 +1,7 @@
 """Polls the endpoints of a holder's group, renews their leases, and starts and stops runs there."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from math import inf, log
 
 from anyio import Event, move_on_after, sleep
@@ -225,7 +226,7 @@
                 await sleep(RETRY_PAUSE_S)
                 continue
             if report.born_ms != instance.born_ms and report.born_ms and instance.born_ms:
-                self._remove_endpoint(endpoint, "its process was restarted")
+                self._replace_restarted(endpoint, report.born_ms)
                 return
             endpoint.sent_acknowledgement = acknowledged
             self._apply_report(endpoint, report)
@@ -310,6 +311,62 @@
         self._model.forget(instance.endpoint_id)
         self._unlisted_from_s.pop(instance, None)
 
+    def _replace_restarted(self, endpoint: EndpointState, born_ms: int) -> None:
+        """Replaces an endpoint by the new process that answers under its identifier.
+
+        Runs that the former process reported have ended with it. Any other order may have been
+        carried out by the new process, as orders name the identifier only.
+        """
+        former, now_s = endpoint.info.instance, self._clock.now_s()
+        instance = former._replace(born_ms=born_ms)
+        unreported = [
+            (key, endpoint_run)
+            for key, endpoint_run in endpoint.runs.items()
+            if not endpoint_run.was_reported
+        ]
+        if unreported and instance not in self.endpoints:
+            self._add_endpoint(replace(endpoint.info, instance=instance))
+        successor = self.endpoints.get(instance)
+        for (name, run), endpoint_run in unreported:
+            endpoint.remove_run(name, run)
+            if successor is not None:
+                self._transfer_run(name, run, endpoint_run, former, successor)
+        if successor is not None:
+            # The leases of the transferred runs, which its client doesn't know, began before now.
+            successor.last_answer_s = max(successor.last_answer_s, now_s)
+            self._wakeups[instance].set()
+        self._remove_endpoint(endpoint, "its process was restarted")
+
+    def _transfer_run(
+        self,
+        name: TaskName,
+        run: int,
+        endpoint_run: EndpointRun,
+        former: EndpointInstance,
+        successor: EndpointState,
+    ) -> None:
+        """Counts a run that was ordered from a former process as one of the new process."""
+        transferred = successor.add_run(name, run, endpoint_run.needs, endpoint_run.kind)
+        transferred.confirmed_s = min(transferred.confirmed_s, endpoint_run.confirmed_s)
+        transferred.is_uncertain = transferred.confirmed_s == inf
+        self._neighbours.note_runs(successor, self._clock.now_s())
+        task = self._job_table.find_task(name)
+        if task is None or task.instance != former or task.run != run:
+            return
+        task.instance = successor.info.instance
+        if transferred.is_uncertain:
+            task.status = TaskStatus.UNCERTAIN
+        logger.info(
+            "run ordered from the former process of its endpoint",
+            extra=self._tenure.extra(
+                job=name.job_id,
+                task=list(name[1:]),
+                run=run,
+                endpoint=former.endpoint_id,
+                is_confirmed=not transferred.is_uncertain,
+            ),
+        )
+
     def _apply_report(self, endpoint: EndpointState, report: EndpointReport) -> None:
         """Applies the ends and the active runs that an endpoint reports."""
         now_s = self._clock.now_s()
@@ -350,6 +407,7 @@
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
         endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
+        endpoint_run.was_reported = True
         endpoint_run.is_uncertain = False
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
         if endpoint_run.is_orphan and self._may_have_orphans(endpoint, now_s):
@@ -675,6 +733,7 @@
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
                     adopted.confirmed_s = now_s
+                    adopted.was_reported = True
                     self._neighbours.note_runs(endpoint, now_s)
                     self._job_table.note_running(task, endpoint.info.instance, run, now_s)
         if job.is_final:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -1,7 +1,7 @@
 """A model of an endpoint of the users' platform: how it handles orders, without a network."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from time import monotonic
 
 from anyio import Event
@@ -79,6 +79,16 @@
         if (name, run) in self.running:
             self.end((name, run), EndKind.STOPPED, monotonic())
 
+    def restart(self) -> None:
+        """Replaces the process by another one, which knows nothing and keeps the identifier."""
+        for key in list(self.running):
+            run = self.running.pop(key)
+            self._note(monotonic(), "killed", run.name, run.run)
+        self.fence, self.lease_end_s, self.end_count = 0, 0.0, 0
+        self.ended, self.highest_runs = [], {}
+        instance = self.info.instance
+        self.info = replace(self.info, instance=instance._replace(born_ms=instance.born_ms + 1))
+
     def acknowledge(self, number: int) -> None:
         """Discards the reported ends up to a number."""
         self.ended = [end for end in self.ended if end.number > number]
--- /dev/null
+++ b/tests/durable/restart.feature
@@ -0,0 +1,44 @@
+Feature: An endpoint's process restarts under the same identifier
+
+  Scenario Outline: a task that the new process has started isn't started elsewhere
+    Given a group of 2 endpoints whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And all endpoints restart, and the list shows it after <lag_s> s
+    And job "a" of <tasks> tasks is submitted
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+    And <tasks> runs of job "a" were started
+
+    Examples:
+      | lag_s | tasks |
+      | 0.5   | 2     |
+      | 0.5   | 6     |
+      | 1.2   | 4     |
+
+  Scenario: an order whose answer was lost is carried out by the new process
+    Given a group of 2 endpoints whose runs take 0.6 s
+    And the answers of the next 2 starts are lost
+    When a holder with fence 16 takes over
+    And all endpoints restart, and the list shows it after 0.5 s
+    And job "a" of 2 tasks is submitted
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
+  Scenario: an order is carried out late by the new process
+    Given a group of 2 endpoints whose runs take 0.6 s
+    And the next 2 starts are carried out 0.2 s late
+    When a holder with fence 16 takes over
+    And all endpoints restart, and the list shows it after 0.5 s
+    And job "a" of 2 tasks is submitted
+    Then job "a" ends as "completed"
+    And no task of job "a" ran twice at the same time
+
+  Scenario: tasks of the former process start again at once
+    Given a group of 2 endpoints whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And job "a" of 4 tasks is submitted
+    And 0.2 s have passed
+    And all endpoints restart, and the list shows it after 0.3 s
+    Then job "a" ends as "completed" within 2 s
+    And no task of job "a" ran twice at the same time
+    And 8 runs of job "a" were started
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -74,6 +74,17 @@
             self.endpoint_list.update(await self.directory.fetch(), monotonic())
             await anyio_sleep(LIST_INTERVAL_S)
 
+    async def restart_endpoints(self) -> None:
+        """Restarts the processes of all endpoints; the list goes on to name the former ones."""
+        self.directory.outdated_list = tuple(endpoint.info for endpoint in self.endpoints)
+        for endpoint in self.endpoints:
+            endpoint.restart()
+
+    async def update_list_after(self, lag_s: float) -> None:
+        """Lets the list name the present processes of the endpoints after a time."""
+        await anyio_sleep(lag_s)
+        self.directory.outdated_list = None
+
     def take_over(self, fence: int, inherited: InheritedEndpoints | None = None) -> None:
         """Starts a holder, under a claim of its own unless the fence is a provisional one.
 
@@ -210,6 +221,13 @@
     context.holder_world.newest_fence = newest_fence
 
 
+@when(r"all endpoints restart, and the list shows it after (?P<lag_s>[\d.]+) s")
+def step_impl(context, lag_s):
+    world = context.holder_world
+    world.portal.call(world.restart_endpoints)
+    world.portal.start_task_soon(world.update_list_after, float(lag_s))
+
+
 @when(r"(?P<wait_s>[\d.]+) s have passed")
 def step_impl(context, wait_s):
     sleep(float(wait_s))
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -84,7 +84,8 @@
             endpoint.end_due_runs()
         self._check(fence)
         running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
-        return EndpointReport(0, sent_s, tuple(running), tuple(endpoint.ended))
+        born_ms = endpoint.info.instance.born_ms
+        return EndpointReport(born_ms, sent_s, tuple(running), tuple(endpoint.ended))
 
     async def close(self) -> None:
         """Does nothing: there are no connections."""
@@ -104,16 +105,20 @@
     def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
         self.delay_s = 0.0
+        self.outdated_list: tuple[EndpointInfo, ...] | None = None
         self.clients: list[FakeEndpointClient] = []
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list."""
         await sleep(self.delay_s)
+        if self.outdated_list is not None:
+            return self.outdated_list
         return tuple(endpoint.info for endpoint in self.endpoints)
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
-        endpoint = next(e for e in self.endpoints if e.info.instance == info.instance)
+        endpoint_id = info.instance.endpoint_id
+        endpoint = next(e for e in self.endpoints if e.info.instance.endpoint_id == endpoint_id)
         self.clients.append(FakeEndpointClient(endpoint))
         return self.clients[-1]
 
@@ -183,6 +188,6 @@
 
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Creates an endpoint with a given number of cores."""
-    instance = EndpointInstance(name, 0)
+    instance = EndpointInstance(name, 1)
     capacity = Resources(cores * 1000, 128_000)
     return RunnerModel(EndpointInfo(instance, "ledger", f"{name}:1", "a", capacity))
