Reproduce a task that runs in two groups at once when its job comes again

Three ways by which the holder of a best-effort job isn't told, or is told too early, that its caller has gone; the job then comes again through another daemon and begins in another group.

--- /dev/null
+++ b/tests/durable/resubmission.feature
@@ -0,0 +1,20 @@
+Feature: A best-effort job that comes again runs only after its earlier runs are over
+
+  Background:
+    Given 2 groups of 1 endpoint with a holder each, and 2 more daemons, of which one gets a job
+
+  Scenario: the entry's stream to the holder breaks as the caller leaves, and the drop is lost
+    When its stream to the job's holder breaks and the caller disconnects
+    And the job comes again 1.3 s later to the other daemon
+    Then the job has begun again, and no task ran twice at the same time
+
+  Scenario: the holder reads a job and its drop at once, and opens the job after the drop
+    Given the entry's stream to each holder stalls
+    And a second job is submitted through it, whose caller disconnects
+    When the streams go on
+    Then the second job doesn't run within 0.5 s
+
+  Scenario: the caller leaves while its entry knows no holder, and nobody is told
+    When the entry has lost sight of the job's holder and the caller disconnects
+    And the job comes again 1.3 s later to the other daemon
+    Then the job has begun again, and no task ran twice at the same time
--- /dev/null
+++ b/tests/steps/durable_resubmission_steps.py
@@ -0,0 +1,120 @@
+"""Steps for best-effort jobs that come again to another daemon; all are played in one event loop."""
+
+from anyio import run, sleep
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.durable.messages import HolderHeartbeat
+from tests.support.resubmission_world import ResubmissionWorld
+
+JOB, SECOND_JOB = "job-1", "job-2"
+RUN_TIME_S = 6.0
+
+use_step_matcher("re")
+
+
+def play(context):
+    """Plays the steps collected so far."""
+
+    async def play_all(world):
+        for step in context.plays:
+            await step(world)
+
+    run(context.resubmission_world.run, play_all)
+
+
+@given(r"2 groups of 1 endpoint with a holder each, and 2 more daemons, of which one gets a job")
+def step_impl(context):
+    context.resubmission_world = ResubmissionWorld(endpoints_per_group=1, run_time_s=RUN_TIME_S)
+
+    async def submit(world):
+        context.caller = world.submit(world.entry, JOB)
+        await world.wait_until(lambda: world.count_running() == 2)
+
+    context.plays = [submit]
+
+
+@when(r"its stream to the job's holder breaks and the caller disconnects")
+def step_impl(context):
+    async def leave(world):
+        world.entry.network._dialled[world.holder_of(JOB).incarnation].close()
+        context.caller.cancel()
+
+    context.plays.append(leave)
+
+
+@when(r"the entry has lost sight of the job's holder and the caller disconnects")
+def step_impl(context):
+    async def leave(world):
+        world.entry.ignore_notices(HolderHeartbeat)
+        world.entry.coordinator.is_leaving = True  # it claims no group
+        known = world.entry.coordinator.known_holders[world.group_of(JOB)]
+        known.incarnation = ""
+        context.caller.cancel()
+
+    context.plays.append(leave)
+
+
+@when(r"the job comes again (?P<delay_s>[\d.]+) s later to the other daemon")
+def step_impl(context, delay_s):
+    async def come_again(world):
+        await sleep(float(delay_s))
+        world.submit(world.other_entry, JOB)
+
+    context.plays.append(come_again)
+
+
+@then(r"the job has begun again, and no task ran twice at the same time")
+def step_impl(context):
+    def count_starts(world):
+        return sum(e[1] == "start" for endpoint in world.endpoints for e in endpoint.history)
+
+    async def check(world):
+        await world.wait_until(lambda: count_starts(world) == 4)
+        assert not world.find_overlaps(), [e.history for e in world.endpoints]
+
+    context.plays.append(check)
+    play(context)
+
+
+@given(r"the entry's stream to each holder stalls")
+def step_impl(context):
+    async def stall(world):
+        for link in world.entry.network._dialled.values():
+            link._congested_bytes = 1
+            link._queued_bytes += 1
+
+    context.plays.append(stall)
+
+
+@given(r"a second job is submitted through it, whose caller disconnects")
+def step_impl(context):
+    async def come_and_go(world):
+        caller = world.submit(world.entry, SECOND_JOB, tasks=1)
+        links = world.entry.network._dialled.values()
+        await world.wait_until(lambda: any(link._queued_requests for link in links))
+        await sleep(0.05)
+        caller.cancel()
+        await sleep(0.05)
+
+    context.plays.append(come_and_go)
+
+
+@when(r"the streams go on")
+def step_impl(context):
+    async def go_on(world):
+        for link in world.entry.network._dialled.values():
+            link._resume_writing()
+
+    context.plays.append(go_on)
+
+
+@then(r"the second job doesn't run within (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    async def check(world):
+        await sleep(float(time_s))
+        events = [event for endpoint in world.endpoints for event in endpoint.history]
+        started = [event for event in events if event[2].job_id == SECOND_JOB]
+        assert not started, started
+
+    context.plays.append(check)
+    play(context)
