--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -1,4 +1,4 @@
-"""Steps for best-effort jobs that come again to another daemon; all are played in one event loop."""
+"""Steps for best-effort jobs that come again to another daemon; each is played in one loop."""
 
 from anyio import run, sleep
 from behave import given, then, use_step_matcher, when
--- a/tests/support/resubmission_world.py
+++ b/tests/support/resubmission_world.py
@@ -1,4 +1,4 @@
-"""Daemons over real streams that hold the groups of one service, and callers of best-effort jobs."""
+"""Daemons over real streams that hold the groups of a service, and callers of their jobs."""
 
 from collections.abc import Callable
 from math import inf
