Don't open a best-effort job after its caller has gone

Callers could see a task run twice at the same time: their job came again to another group of endpoints while the first group still ran it.

The holder handles a notice as it is read, but a request in a task that starts later. If it reads a submission and the drop of it at once, as after a stall of the stream or of the holder, the drop found no job, and the submission then opened it with nobody waiting. Its entry daemon was alive, so nothing ended the run.

A submission now carries the number of its call at the entry daemon, and a drop names the call and the newest attempt that it withdraws. The holder remembers withdrawn attempts and opens no job for them, in whichever order both are handled. A drop that is overtaken by a further call or attempt leaves the job alone, which will matter once drops are repeated.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -1,5 +1,6 @@
 """Best-effort jobs: held only in the holder's memory, while their callers wait for the end."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,7 +11,7 @@
 from berylproxy.durable.job_log import JobLog
 from berylproxy.durable.job_table import Job, JobTable
 from berylproxy.durable.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.messages import NO_ROOM, JobSubmission, JobSubmissionReply
+from berylproxy.durable.messages import NO_ROOM, DropJob, JobSubmission, JobSubmissionReply
 from berylproxy.durable.models import JobSpec, JobState, StoredJob
 from berylproxy.durable.placement import is_too_late
 from berylproxy.durable.routing import count_needed_millicores, has_room
@@ -18,6 +19,7 @@
 from berylproxy.errors import BerylproxyError
 
 RUN_NUMBERS_PER_TENURE = 64  # run numbers of a tenure lie above those of all earlier ones
+MAX_WITHDRAWN_CALLS = 20_000
 
 
 class JobAbandonedError(BerylproxyError):
@@ -93,6 +95,9 @@
         self._measure_room_millicores = measure_room_millicores
         self._on_reopened = on_reopened
         self._shared_replies: dict[str, SharedReply] = {}
+        # Newest withdrawn attempt by entry daemon and call: a submission may be handled later than
+        # its withdrawal.
+        self._withdrawn: OrderedDict[tuple[str, int], int] = OrderedDict()
 
     async def run_best_effort(self, message: JobSubmission, entry: str) -> JobSubmissionReply:
         """Runs a job and returns once it has ended; a repeated submission joins the running job.
@@ -104,9 +109,11 @@
         :raises TenureLostError: if the tenure ended before the job did.
         """
         job_id = message.job.job_id
+        if message.attempt <= self._withdrawn.get((entry, message.call), -1):
+            raise JobAbandonedError("its caller no longer waits")
         job, outcome = self._job_table.jobs.get(job_id), self._job_table.state(job_id)
         if job is not None:
-            job.entry = entry
+            job.entry, job.call, job.attempt = entry, message.call, message.attempt
         elif outcome is JobState.CANCELLED and not message.attempt:
             raise JobAbandonedError("the job had begun and was dropped")
         elif outcome is not None and not message.attempt:
@@ -148,6 +155,7 @@
             is_excess=decision.tentative_job.is_excess,
         )
         job.deadline_s = decision.tentative_job.deadline_s
+        job.call, job.attempt = message.call, message.attempt
         self._group.adopt_orphans(job, now_s)
         if job.is_final:
             return JobSubmissionReply(state=job.state.value)
@@ -156,6 +164,27 @@
         self._group.changed.set()
         return None
 
+    def withdraw(self, message: DropJob, entry: str, reason: str) -> None:
+        """Drops a job whose caller at an entry daemon no longer waits for it.
+
+        The job goes on if it was submitted again since, by another call or a later attempt.
+
+        :param entry: incarnation of the entry daemon.
+        """
+        job = self._job_table.jobs.get(message.job_id)
+        if message.call:
+            self._note_withdrawn((entry, message.call), message.attempt)
+            if job is not None and (job.entry, job.call) != (entry, message.call):
+                return
+            if job is not None and job.attempt > message.attempt:
+                return
+        self.drop(message.job_id, reason)
+
+    def _note_withdrawn(self, call: tuple[str, int], attempt: int) -> None:
+        self._withdrawn[call] = max(attempt, self._withdrawn.get(call, 0))
+        while len(self._withdrawn) > MAX_WITHDRAWN_CALLS:
+            self._withdrawn.popitem(last=False)
+
     def drop(self, job_id: str, reason: str) -> None:
         """Stops a job whose caller, as far as this daemon knows, no longer waits for it.
 
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -816,7 +816,8 @@
     def _handle_drop(self, sender: DaemonIdentity, message: DropJob) -> None:
         holder = self.holders.get(message.group)
         if holder is not None:
-            holder.drop(message.job_id, f"its caller at {sender.daemon_id} no longer waits")
+            reason = f"its caller at {sender.daemon_id} no longer waits"
+            holder.withdraw(message, sender.incarnation, reason)
 
     async def _answer_pending(self, _: DaemonIdentity, message: AskPending) -> PendingReply:
         holder = self.require_holder(message.group)
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from itertools import count
 from typing import Any
 
 from anyio import create_task_group, fail_after, get_cancelled_exc_class, sleep
@@ -79,6 +80,7 @@
         self._telemetry = telemetry
         self._cached_states: OrderedDict[str, JobState] = OrderedDict()
         self._pending: dict[str, int] = {}
+        self._call_numbers = count(1)
 
     def record_ended_jobs(self, states: dict[str, str]) -> None:
         """Caches the final states that holders report for durable jobs.
@@ -100,6 +102,7 @@
         """
         started_s = self._clock.now_s()
         attempt, group, former_fence = 0, "", 0
+        call = next(self._call_numbers)
         refused_by: set[str] = set()
         refusals: dict[str, JobSubmissionReply] = {}
         try:
@@ -114,7 +117,7 @@
                     if group in refusals:
                         raise _make_refusal_error(refusals[group])
                 message = JobSubmission(
-                    group, spec, attempt, wait_s - elapsed_s, former_fence, only_if_room
+                    group, spec, attempt, wait_s - elapsed_s, former_fence, only_if_room, call
                 )
                 fence = self._coordinator.known_fence(group)
                 try:
@@ -149,9 +152,9 @@
                 else:
                     refusals[group] = reply
         except get_cancelled_exc_class():
-            self._drop_job(group, spec.job_id)
+            self._drop_job(DropJob(group, spec.job_id, call, attempt))
             raise
-        self._drop_job(group, spec.job_id)
+        self._drop_job(DropJob(group, spec.job_id, call, attempt))
         self._log_unanswered(spec, started_s, attempt > 0)
         if attempt:
             raise ResultUnknownError("it is not known whether the job has run")
@@ -221,15 +224,16 @@
             },
         )
 
-    def _drop_job(self, group: str, job_id: str) -> None:
+    def _drop_job(self, message: DropJob) -> None:
         """Notifies the holder that nobody waits for a best-effort job any more."""
-        incarnation = self._coordinator.holder_incarnation(group)
+        incarnation = self._coordinator.holder_incarnation(message.group)
         if incarnation == self._coordinator.own_incarnation:
-            holder = self._coordinator.holders.get(group)
+            holder = self._coordinator.holders.get(message.group)
             if holder is not None:
-                holder.drop(job_id, "its caller at this daemon no longer waits")
+                reason = "its caller at this daemon no longer waits"
+                holder.withdraw(message, incarnation, reason)
         elif incarnation:
-            self._network.notify(incarnation, DropJob(group, job_id))
+            self._network.notify(incarnation, message)
 
     async def _submit_until_holder_changes(
         self, group: str, message: JobSubmission, timeout_s: float
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -35,6 +35,7 @@
     TenureLostError,
 )
 from berylproxy.durable.messages import (
+    DropJob,
     HolderHeartbeat,
     JobsEnded,
     JobSubmission,
@@ -555,6 +556,13 @@
         """Drops a best-effort job whose caller no longer waits for it."""
         self._best_effort_jobs.drop(job_id, reason)
 
+    def withdraw(self, message: DropJob, entry: str, reason: str) -> None:
+        """Drops a best-effort job unless it was submitted again since the withdrawn attempt.
+
+        :param entry: incarnation of the entry daemon whose caller no longer waits.
+        """
+        self._best_effort_jobs.withdraw(message, entry, reason)
+
     async def _run_periodic_checks(self) -> None:
         while True:
             await sleep(TICK_INTERVAL_S)
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -86,6 +86,8 @@
     :ivar accepted_s: monotonic time of its acceptance.
     :ivar deadline_s: monotonic time at which its caller stops waiting; infinite without a limit.
     :ivar entry: incarnation of its entry daemon; empty after a change of holder.
+    :ivar call: number of its newest submission's call at the entry daemon; 0 if unknown.
+    :ivar attempt: attempt of its newest submission.
     :ivar expected_s: expected run time of its longest chain of tasks at speed 1.
     :ivar waiting: its tasks that may be started now.
     :ivar unfinished_tasks: number of tasks that are not done.
@@ -103,6 +105,8 @@
     deadline_s: float = inf
     tasks: dict[tuple[int, int], Task] = field(default_factory=dict)
     entry: str = ""
+    call: int = 0
+    attempt: int = 0
     state: JobState = JobState.QUEUED
     expected_s: float = 0.0
     waiting: list[Task] = field(default_factory=list)
--- a/berylproxy/durable/messages.py
+++ b/berylproxy/durable/messages.py
@@ -23,6 +23,8 @@
     :param former_fence: the highest fence of these former holders; 0 for none.
     :param only_if_room: whether to refuse a best-effort job with :data:`NO_ROOM` unless there is
         room for all its tasks at once.
+    :param call: number of the caller's request at its entry daemon, the same for all attempts; 0
+        from versions that don't count them.
     """
 
     WIRE_NAME: ClassVar[str] = "HandIn"
@@ -33,6 +35,7 @@
     wait_s: float = 0.0
     former_fence: int = 0
     only_if_room: bool = False
+    call: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +58,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DropJob:
-    """Notifies the holder that nobody waits for a best-effort job any more."""
+    """Tells the holder that a caller does not wait for a best-effort job any more.
+
+    :param call: number of the caller's request, as in :class:`JobSubmission`.
+    :param attempt: the newest attempt that is withdrawn; later ones stay in force.
+    """
 
     group: str
     job_id: str
+    call: int = 0
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -166,6 +166,22 @@
     And job "a" of 1 task is submitted
     Then job "a" was abandoned within 1 s
 
+  Scenario: a late drop of an earlier call leaves the job to the call that came since
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And call 1 submits job "a" of 1 task
+    And call 2 submits job "a" of 1 task
+    And attempt 0 of call 1 for job "a" is withdrawn
+    Then job "a" ends as "completed"
+
+  Scenario: a late drop of an earlier attempt leaves the job to the attempt that came since
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And call 1 submits job "a" of 1 task
+    And call 1 submits job "a" of 1 task as attempt 1
+    And attempt 0 of call 1 for job "a" is withdrawn
+    Then job "a" ends as "completed"
+
   Scenario: a caller disconnects just when its task is ordered
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -17,7 +17,7 @@
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
 from berylproxy.durable.ledger import NotHolderError
-from berylproxy.durable.messages import JobSubmission
+from berylproxy.durable.messages import DropJob, JobSubmission
 from berylproxy.durable.models import (
     EndKind,
     JobSpec,
@@ -122,13 +122,14 @@
         former_fence=0,
         estimate_s=0.1,
         wait_s=ANSWER_TIMEOUT_S,
+        call=0,
     ) -> None:
         """Submits a job without waiting for the reply."""
         needs = Resources(TASK_CPU_MILLICORES)
         terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=objective_s)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, estimate_s),), is_kept)
         holder = self.holders[fence or self.newest_fence]
-        message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence)
+        message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence, call=call)
         future = self.portal.start_task_soon(holder.submit, message, ENTRY)
         self.replies.setdefault(name, []).append(future)
         sleep(0.02)
@@ -297,6 +298,19 @@
     world.portal.call(order_and_drop)
 
 
+@when(r'call (?P<call>\d+) submits job "(?P<name>\w+)" of 1 task(?: as attempt (?P<attempt>\d+))?')
+def step_impl(context, call, name, attempt=None):
+    context.holder_world.submit(name, 1, call=int(call), attempt=int(attempt or 0))
+
+
+@when(r'attempt (?P<attempt>\d+) of call (?P<call>\d+) for job "(?P<name>\w+)" is withdrawn')
+def step_impl(context, attempt, call, name):
+    world = context.holder_world
+    message = DropJob(GROUP, name, int(call), int(attempt))
+    holder = world.holders[world.newest_fence]
+    world.portal.call(holder.withdraw, message, ENTRY, "its caller has disconnected")
+
+
 @given(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
 def step_impl(context, ages):
     world = context.holder_world
