Repeat the drop of a best-effort job until its holder confirms it

Callers could see a task run twice at the same time: their job came again to another group of endpoints while the first group still ran it.

The entry daemon sent the drop once, as a notice. When connections are reset at its VM, those to its callers break together with its streams to the holders, so that there is no stream for the notice.

The drop is now a request, repeated until the holder confirms it. Holders of earlier versions refuse the request without harm to the stream and get the notice. Weighed: heartbeats that list the jobs waited for (cost with every heartbeat; a drop is rare), and dropping all jobs of a stream that breaks (work lost with each reset whose callers stay).

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -77,6 +77,7 @@
     route_job,
 )
 from berylproxy.durable.telemetry import Telemetry, make_share_samples
+from berylproxy.durable.withdrawals import Withdrawals
 from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
@@ -158,6 +159,7 @@
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
     :ivar evacuations: the evacuated failure domains as this daemon knows them.
     :ivar neighbour_mode: what is done about tasks that slow each other down on one endpoint.
+    :ivar withdrawals: tells the holders of jobs for which callers no longer wait.
     :param list_members: returns the failure domains of the daemons that the store lists, by
         daemon identifier.
     :param has_store: returns whether the store answers this daemon.
@@ -228,12 +230,14 @@
         network.handle_request(AskState, self._answer_state)
         network.handle_request(CancelStored, self._answer_cancel)
         network.handle_request(AskPending, self._answer_pending)
+        network.handle_request(DropJob, self._answer_drop)
         network.handle_notice(DropJob, self._handle_drop)
         network.handle_notice(HolderHeartbeat, self._handle_holder_heartbeat)
         network.handle_notice(JobsEnded, lambda _, message: self._on_jobs_ended(message.states))
         network.add_heartbeat_part(HEARTBEAT_PART, self._describe_for_heartbeat)
         network.prioritize_members(self._list_entry_daemons)
         EvacuationSpread(network, evacuations, clock)
+        self.withdrawals = Withdrawals(network, clock)
 
     async def run(self) -> None:
         """Checks the holders of all groups periodically until cancelled."""
@@ -241,6 +245,7 @@
             self._task_group = task_group
             task_group.start_soon(self._refresh_models)
             task_group.start_soon(self._follow_endpoint_list)
+            task_group.start_soon(self.withdrawals.run)
             while True:
                 await sleep(HOLDER_CHECK_INTERVAL_S)
                 now_s = self._clock.now_s()
@@ -813,6 +818,11 @@
     async def _answer_cancel(self, _: DaemonIdentity, message: CancelStored) -> StateReply:
         return StateReply(await self.require_holder(message.group).cancel(message.job_id))
 
+    async def _answer_drop(self, sender: DaemonIdentity, message: DropJob) -> StateReply:
+        """Confirms a drop, also without a tenure: its runs are the next holder's matter."""
+        self._handle_drop(sender, message)
+        return StateReply("")
+
     def _handle_drop(self, sender: DaemonIdentity, message: DropJob) -> None:
         holder = self.holders.get(message.group)
         if holder is not None:
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -225,7 +225,7 @@
         )
 
     def _drop_job(self, message: DropJob) -> None:
-        """Notifies the holder that nobody waits for a best-effort job any more."""
+        """Tells the holder that nobody waits for a best-effort job any more."""
         incarnation = self._coordinator.holder_incarnation(message.group)
         if incarnation == self._coordinator.own_incarnation:
             holder = self._coordinator.holders.get(message.group)
@@ -233,7 +233,7 @@
                 reason = "its caller at this daemon no longer waits"
                 holder.withdraw(message, incarnation, reason)
         elif incarnation:
-            self._network.notify(incarnation, message)
+            self._coordinator.withdrawals.send(incarnation, message)
 
     async def _submit_until_holder_changes(
         self, group: str, message: JobSubmission, timeout_s: float
--- a/tests/durable/resubmission.feature
+++ b/tests/durable/resubmission.feature
@@ -5,7 +5,12 @@
 
   Scenario: the entry's stream to the holder breaks as the caller leaves, and the drop is lost
     When its stream to the job's holder breaks and the caller disconnects
-    And the job comes again 1.3 s later to the other daemon
+    And the job comes again 1.3 s later to the other daemon, which finds more room in the other group
+    Then the job has begun again, and no task ran twice at the same time
+
+  Scenario: all streams of the entry break as the caller leaves, and are open again at once
+    When all its streams break and the caller disconnects
+    And the job comes again 1.3 s later to the other daemon, which finds more room in the other group
     Then the job has begun again, and no task ran twice at the same time
 
   Scenario: the holder reads a job and its drop at once, and opens the job after the drop
@@ -14,7 +19,12 @@
     When the streams go on
     Then the second job doesn't run within 0.5 s
 
+  Scenario: a holder of an earlier version, which takes drops as notices only, stops the job
+    Given the holders are of a version that takes drops as notices only
+    When the caller disconnects
+    Then nothing runs anywhere within 0.5 s
+
   Scenario: the caller leaves while its entry knows no holder, and nobody is told
     When the entry has lost sight of the job's holder and the caller disconnects
-    And the job comes again 1.3 s later to the other daemon
+    And the job comes again 1.3 s later to the other daemon, which finds more room in the other group
     Then the job has begun again, and no task ran twice at the same time
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -3,7 +3,8 @@
 from anyio import run, sleep
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.messages import HolderHeartbeat
+from berylproxy.durable.messages import DropJob, HolderHeartbeat
+from berylproxy.durable.routing import GroupChoice
 from tests.support.resubmission_world import ResubmissionWorld
 
 JOB, SECOND_JOB = "job-1", "job-2"
@@ -33,10 +34,15 @@
     context.plays = [submit]
 
 
-@when(r"its stream to the job's holder breaks and the caller disconnects")
-def step_impl(context):
+@when(r"(?P<which>its stream to the job's holder breaks|all its streams break) .+ disconnects")
+def step_impl(context, which):
     async def leave(world):
-        world.entry.network._dialled[world.holder_of(JOB).incarnation].close()
+        network = world.entry.network
+        links = [network._dialled[world.holder_of(JOB).incarnation]]
+        if which == "all its streams break":
+            links = [*network._dialled.values(), *network._accepted.values()]
+        for link in links:
+            link.close()
         context.caller.cancel()
 
     context.plays.append(leave)
@@ -54,10 +60,43 @@
     context.plays.append(leave)
 
 
-@when(r"the job comes again (?P<delay_s>[\d.]+) s later to the other daemon")
+@given(r"the holders are of a version that takes drops as notices only")
+def step_impl(context):
+    async def forget_requests(world):
+        for daemon in world.daemons:
+            del daemon.network._router._request_handlers[DropJob]
+
+    context.plays.append(forget_requests)
+
+
+@when(r"the caller disconnects")
+def step_impl(context):
+    async def leave(world):
+        context.caller.cancel()
+
+    context.plays.append(leave)
+
+
+@then(r"nothing runs anywhere within (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    async def check(world):
+        await sleep(float(time_s))
+        assert not world.count_running(), [e.running for e in world.endpoints]
+
+    context.plays.append(check)
+    play(context)
+
+
+@when(
+    r"the job comes again (?P<delay_s>[\d.]+) s later to the other daemon, which finds more room "
+    r"in the other group"
+)
 def step_impl(context, delay_s):
     async def come_again(world):
         await sleep(float(delay_s))
+        (other_group,) = set(world.groups) - {world.group_of(JOB)}
+        choice = GroupChoice(other_group, only_if_room=False)
+        world.other_entry.coordinator.route_job = lambda spec, refused_by: choice
         world.submit(world.other_entry, JOB)
 
     context.plays.append(come_again)
