Drop a best-effort job at each holder that may have it

Callers could see a task run twice at the same time: their job came again to another group of endpoints while the first group still ran it.

The drop went to the holder that the entry daemon knew at that moment. It went to nobody if that one had been silent for 2 s or a tenure was seen to end, and past the holder that has the job if another one had been heard of since. As long as the entry counts as alive there, the job ran on.

A call now records the holders that its submissions went to, until they answer or certainly did not get them, and the drop goes to each of them.

--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
@@ -62,6 +63,26 @@
     code = "not_known_now"
 
 
+@dataclass(slots=True, eq=False)
+class OpenCall:
+    """A caller's request for a best-effort job.
+
+    :param number: distinguishes it from the other calls at this daemon.
+    :ivar submitted: newest attempt by group and incarnation of the holders that may have the job.
+    """
+
+    number: int
+    job_id: str
+    submitted: dict[tuple[str, str], int] = field(default_factory=dict)
+
+    def list_drops(self) -> list[tuple[str, DropJob]]:
+        """Lists the incarnations of the holders that may have the job, and the drops for them."""
+        return [
+            (incarnation, DropJob(group, self.job_id, self.number, attempt))
+            for (group, incarnation), attempt in self.submitted.items()
+        ]
+
+
 class JobFrontend:
     """Serves callers' requests about jobs by sending them to the holders of the groups."""
 
@@ -102,7 +123,7 @@
         """
         started_s = self._clock.now_s()
         attempt, group, former_fence = 0, "", 0
-        call = next(self._call_numbers)
+        call = OpenCall(next(self._call_numbers), spec.job_id)
         refused_by: set[str] = set()
         refusals: dict[str, JobSubmissionReply] = {}
         try:
@@ -117,13 +138,17 @@
                     if group in refusals:
                         raise _make_refusal_error(refusals[group])
                 message = JobSubmission(
-                    group, spec, attempt, wait_s - elapsed_s, former_fence, only_if_room, call
+                    group,
+                    spec,
+                    attempt,
+                    wait_s - elapsed_s,
+                    former_fence,
+                    only_if_room,
+                    call.number,
                 )
                 fence = self._coordinator.known_fence(group)
                 try:
-                    reply = await self._submit_until_holder_changes(
-                        group, message, wait_s - elapsed_s
-                    )
+                    reply = await self._submit_until_holder_changes(call, message)
                 except PeerUnreachableError:
                     await sleep(RETRY_PAUSE_S)
                     continue
@@ -152,9 +177,9 @@
                 else:
                     refusals[group] = reply
         except get_cancelled_exc_class():
-            self._drop_job(DropJob(group, spec.job_id, call, attempt))
+            self._drop_job(call)
             raise
-        self._drop_job(DropJob(group, spec.job_id, call, attempt))
+        self._drop_job(call)
         self._log_unanswered(spec, started_s, attempt > 0)
         if attempt:
             raise ResultUnknownError("it is not known whether the job has run")
@@ -224,39 +249,53 @@
             },
         )
 
-    def _drop_job(self, message: DropJob) -> None:
-        """Tells the holder that nobody waits for a best-effort job any more."""
-        incarnation = self._coordinator.holder_incarnation(message.group)
-        if incarnation == self._coordinator.own_incarnation:
+    def _drop_job(self, call: OpenCall) -> None:
+        """Tells all holders that may have a best-effort job that its caller no longer waits.
+
+        They need not be the present holders as far as this daemon knows.
+        """
+        for incarnation, message in call.list_drops():
+            if incarnation != self._coordinator.own_incarnation:
+                self._coordinator.withdrawals.send(incarnation, message)
+                continue
             holder = self._coordinator.holders.get(message.group)
             if holder is not None:
                 reason = "its caller at this daemon no longer waits"
                 holder.withdraw(message, incarnation, reason)
-        elif incarnation:
-            self._coordinator.withdrawals.send(incarnation, message)
+
+    async def _submit_to_holder(self, call: OpenCall, message: JobSubmission) -> JobSubmissionReply:
+        """Submits a best-effort job to the present holder, and records that it may have the job."""
+        incarnation = self._coordinator.holder_incarnation(message.group)
+        key = message.group, incarnation
+        former_attempt = call.submitted.get(key)
+        if incarnation:
+            call.submitted[key] = message.attempt
+        try:
+            reply = await self._send_submission(message, message.wait_s)
+        except BerylproxyError as error:
+            is_absent = isinstance(error, PeerUnreachableError) or error.code == NotHolderError.code
+            if is_absent and former_attempt is None:
+                call.submitted.pop(key, None)
+            raise
+        call.submitted.pop(key, None)  # the job has ended, or was refused before it began
+        return reply
 
     async def _submit_until_holder_changes(
-        self, group: str, message: JobSubmission, timeout_s: float
+        self, call: OpenCall, message: JobSubmission
     ) -> JobSubmissionReply:
         """Submits a job to the holder and waits for its reply while the holder stays the same.
 
         :raises PeerUnreachableError: if the message has certainly not reached a holder.
         :raises BerylproxyError: if the message may have reached a holder.
         """
-        known = self._coordinator.known_holders.get(group)
+        known = self._coordinator.known_holders.get(message.group)
         if known is None:
-            raise PeerUnreachableError(f"no holder of {group} is known")
+            raise PeerUnreachableError(f"no holder of {message.group} is known")
         changed, replies, errors = known.changed, [], []
 
         async def submit() -> None:
             try:
-                reply = await self._call_holder(
-                    group,
-                    message,
-                    lambda holder: holder.submit(message, self._coordinator.own_incarnation),
-                    timeout_s,
-                )
-                replies.append(reply)
+                replies.append(await self._submit_to_holder(call, message))
             except BerylproxyError as error:
                 errors.append(error)
             task_group.cancel_scope.cancel()
