Tell a former holder that its job is submitted to the next one

Callers could see a task run twice at the same time, without having sent their job again.

A successor starts tasks that it finds nowhere after 2.8 s, and a former holder starts those of a lost endpoint elsewhere after 1.4 s. Both count on the entry daemon being on one side only, so that the former holder hears nothing from it and drops the job after 1 s. If only the two holders don't hear each other, and the former one sees no newer claim either, the entry reaches both, and both go on.

When an entry daemon submits a job to another holder, it now drops the earlier attempts at the former ones, 0.5 s later: a successor adopts runs at once where it reaches them, and the former holder has not started anything again by then. A later attempt at the same daemon stays in force.

--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/frontend.py
@@ -39,6 +39,9 @@
 SUBMIT_TIMEOUT_S = 1.0  # includes a write to the store, for which a slow store takes some 0.3 s
 RETRY_PAUSE_S = 0.03
 FORMER_HOLDER_REPLY_WAIT_S = 0.02  # a former holder that is still alive replies within this time
+# By then a successor has taken over the runs at the endpoints that it reaches, and the former
+# holder has not yet started them elsewhere (UNREACHABLE_GRACE_S).
+FORMER_HOLDER_DROP_DELAY_S = 0.5
 NO_HOLDER_WAIT_S = 1.0  # a new holder is found within this time unless the store is unavailable
 
 
@@ -263,10 +266,22 @@
                 reason = "its caller at this daemon no longer waits"
                 holder.withdraw(message, incarnation, reason)
 
+    def _drop_at_former_holders(self, call: OpenCall, holder: str) -> None:
+        """Tells the former holders that a job is submitted to another one.
+
+        One that doesn't hear of its successor would go on with the job while it hears this daemon.
+        """
+        own = self._coordinator.own_incarnation
+        for incarnation, message in call.list_drops() if holder else ():
+            if incarnation not in (holder, own):
+                self._coordinator.withdrawals.send(incarnation, message, FORMER_HOLDER_DROP_DELAY_S)
+                del call.submitted[message.group, incarnation]
+
     async def _submit_to_holder(self, call: OpenCall, message: JobSubmission) -> JobSubmissionReply:
         """Submits a best-effort job to the present holder, and records that it may have the job."""
         incarnation = self._coordinator.holder_incarnation(message.group)
         key = message.group, incarnation
+        self._drop_at_former_holders(call, incarnation)
         former_attempt = call.submitted.get(key)
         if incarnation:
             call.submitted[key] = message.attempt
--- a/berylproxy/durable/withdrawals.py
+++ b/berylproxy/durable/withdrawals.py
@@ -41,26 +41,31 @@
         finally:
             self._task_group = None
 
-    def send(self, incarnation: str, message: DropJob) -> None:
-        """Starts to send a withdrawal to a holder."""
+    def send(self, incarnation: str, message: DropJob, delay_s: float = 0.0) -> None:
+        """Starts to send a withdrawal to a holder, after a delay."""
         if self._task_group is None:
             self._network.notify(incarnation, message)
         else:
-            self._task_group.start_soon(self._repeat_until_confirmed, incarnation, message)
+            self._task_group.start_soon(self._repeat_until_confirmed, incarnation, message, delay_s)
 
-    async def _repeat_until_confirmed(self, incarnation: str, message: DropJob) -> None:
+    async def _repeat_until_confirmed(
+        self, incarnation: str, message: DropJob, delay_s: float
+    ) -> None:
         """Ends early once the holder has certainly dropped the job because of a silence."""
+        await sleep(delay_s)
         started_s = reached_s = self._clock.now_s()
         pause_s = SHORTEST_PAUSE_S
         while not await self._is_confirmed(incarnation, message):
             now_s = self._clock.now_s()
             if self._network.links(incarnation):
                 reached_s = now_s
+            if now_s - reached_s > NO_STREAM_LIMIT_S:
+                return
+            if now_s - started_s > WITHDRAWAL_LIMIT_S:
+                logger.warning("drop never confirmed", extra=_describe(message))
+                return
             if pause_s == SHORTEST_PAUSE_S:
                 logger.info("drop not confirmed yet; repeating it", extra=_describe(message))
-            if now_s - started_s > WITHDRAWAL_LIMIT_S or now_s - reached_s > NO_STREAM_LIMIT_S:
-                logger.info("drop never confirmed", extra=_describe(message))
-                return
             await sleep(pause_s)
             pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
 
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -23,9 +23,14 @@
     run(context.resubmission_world.run, play_all)
 
 
-@given(r"2 groups of 1 endpoint with a holder each, and 2 more daemons, of which one gets a job")
-def step_impl(context):
-    context.resubmission_world = ResubmissionWorld(endpoints_per_group=1, run_time_s=RUN_TIME_S)
+@given(
+    r"2 groups of (?P<count>\d+) endpoints? with a holder each, and 2 more daemons, of which one "
+    r"gets a job"
+)
+def step_impl(context, count):
+    context.resubmission_world = ResubmissionWorld(
+        endpoints_per_group=int(count), run_time_s=RUN_TIME_S
+    )
 
     async def submit(world):
         context.caller = world.submit(world.entry, JOB)
@@ -115,6 +120,42 @@
     play(context)
 
 
+@when(r"the other daemon becomes the holder of its group, and neither holder hears of the other")
+def step_impl(context):
+    async def take_over(world):
+        group, former = world.group_of(JOB), world.holder_of(JOB)
+        former.ignore_notices(HolderHeartbeat)
+        context.former_fence = former.coordinator.holders[group].tenure.fence
+        fence = context.former_fence + 1
+        world.task_group.start_soon(world.other_entry.coordinator._hold_group, group, fence, 0)
+
+    context.plays.append(take_over)
+
+
+@when(r"neither reaches the endpoint that the other one reaches")
+def step_impl(context):
+    async def cut_off(world):
+        endpoints = sorted(world.endpoints_of(JOB), key=lambda endpoint: not endpoint.running)
+        endpoints[0].cut_fences.add(context.former_fence + 1)
+        endpoints[1].cut_fences.add(context.former_fence)
+
+    context.plays.append(cut_off)
+
+
+@when(r"(?P<time_s>\d+) s have passed in this play")
+def step_impl(context, time_s):
+    context.plays.append(lambda world: sleep(float(time_s)))
+
+
+@then(r"no task has run twice at the same time in this play")
+def step_impl(context):
+    async def check(world):
+        assert not world.find_overlaps(), [e.history for e in world.endpoints]
+
+    context.plays.append(check)
+    play(context)
+
+
 @given(r"the entry's stream to each holder stalls")
 def step_impl(context):
     async def stall(world):
--- a/tests/support/resubmission_world.py
+++ b/tests/support/resubmission_world.py
@@ -87,6 +87,7 @@
     def __init__(self, *, endpoints_per_group: int, run_time_s: float) -> None:
         groups = list_groups(SERVICE, 2)
         count = 2 * endpoints_per_group
+        self._room_millicores = endpoints_per_group * 64_000
         self.endpoints = [make_endpoint(f"e{number}") for number in range(count)]
         for endpoint in self.endpoints:
             endpoint.run_time_s = run_time_s
@@ -117,7 +118,8 @@
         await self.wait_until(lambda: all(map(self._knows_rooms, self.daemons)))
 
     def _knows_rooms(self, daemon: WorldDaemon) -> bool:
-        return all(daemon.coordinator._room_millicores(group) == 64_000 for group in self.groups)
+        room_of = daemon.coordinator._room_millicores
+        return all(room_of(group) == self._room_millicores for group in self.groups)
 
     def holder_of(self, job_id: str) -> WorldDaemon:
         """Returns the daemon that holds the group to which a job belongs."""
