Don't send a caller elsewhere whose job a former holder may run

Callers could see a task run twice at the same time: their job came again to another group of endpoints while the first group still ran it.

A submission without an attempt, as of a caller who came again through another daemon, joins the job that its first entry daemon has submitted again after a change of holder. Until endpoints that the new holder can't reach must have dropped their runs, no task is started, and the job counted as one that hadn't begun: if it couldn't end in time or the tenure ended, the joined caller was told that nothing had run, and its entry daemon submitted the job to another group. A job that a former holder may have begun now counts as begun in both answers.

Both new scenarios failed before: with a refusal, and with 'the tenure ended before the job began'.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -129,7 +129,7 @@
         if shared_reply.reply is not None:
             return shared_reply.reply
         job = self._job_table.jobs.get(job_id)
-        if job is not None and not job.started and not message.attempt:
+        if job is not None and not job.may_have_begun and not message.attempt:
             raise NotHolderError("the tenure ended before the job began")
         raise TenureLostError("the tenure ended before the job did")
 
@@ -222,7 +222,7 @@
         """
         waiting = len(job.waiting)
         self._job_table.cancel(job)
-        if not job.started:
+        if not job.may_have_begun:
             refusal = Refusal("waited")
             self._log.note_refused(job, refusal, now_s - job.accepted_s)
             self.finish(job, JobSubmissionReply(TOO_LATE, refusal.retry_after_s))
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -182,6 +182,27 @@
     And attempt 0 of call 1 for job "a" is withdrawn
     Then job "a" ends as "completed"
 
+  Scenario: a caller that joins a job of a former holder isn't sent elsewhere when the tenure ends
+    Given a group of 1 endpoint whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And endpoint 1 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.1 s
+    And job "a" of 1 task is submitted again
+    And call 2 submits job "a" of 1 task
+    And the holder with fence 32 ends
+    Then job "a" ends with an error that says that it may have begun
+
+  Scenario: a caller that joins a job of a former holder isn't refused when it can't end in time
+    Given a group of 1 endpoint whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And endpoint 1 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.1 s
+    And job "a" of 1 task is submitted again, whose caller waits for 0.3 s
+    And call 2 submits job "a" of 1 task
+    Then job "a" ends with an error that says that it may have begun
+
   Scenario: a caller disconnects just when its task is ordered
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -16,7 +16,7 @@
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
-from berylproxy.durable.ledger import NotHolderError
+from berylproxy.durable.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.messages import DropJob, JobSubmission
 from berylproxy.durable.models import (
     EndKind,
@@ -230,6 +230,25 @@
     sleep(2 * LIST_INTERVAL_S)
 
 
+@when(r"the holder with fence (?P<fence>\d+) ends")
+def step_impl(context, fence):
+    world = context.holder_world
+    world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
+
+
+@when(r'job "(?P<name>\w+)" of 1 task is submitted again, whose caller waits for (?P<wait_s>\S+) s')
+def step_impl(context, name, wait_s):
+    world = context.holder_world
+    former_fence = sorted(world.holders)[-2]
+    world.submit(name, 1, attempt=1, former_fence=former_fence, wait_s=float(wait_s))
+
+
+@then(r'job "(?P<name>\w+)" ends with an error that says that it may have begun')
+def step_impl(context, name):
+    error = context.holder_world.replies[name][-1].exception(ANSWER_TIMEOUT_S)
+    assert isinstance(error, JobAbandonedError) or type(error) is TenureLostError, repr(error)
+
+
 @when(
     r"a holder with fence 32 takes over that knows of no endpoints used by the holder with fence "
     r"(?P<known>\d+)"
