Send copies of a drop on both streams to the holder

Callers could see a task run twice at the same time: their job came again to another group of endpoints while the first group still ran it.

Streams may go silent for good without a reset. The entry daemon sent drops on the stream that it had dialled, and closes a silent one after 1.2 to 1.7 s only. Over the stream that the holder had dialled, it counted as alive all that time.

--- a/berylproxy/durable/withdrawals.py
+++ b/berylproxy/durable/withdrawals.py
@@ -54,8 +54,9 @@
         """Ends early once the holder has certainly dropped the job because of a silence."""
         await sleep(delay_s)
         started_s = reached_s = self._clock.now_s()
-        pause_s = SHORTEST_PAUSE_S
-        while not await self._is_confirmed(incarnation, message):
+        pause_s, copies = SHORTEST_PAUSE_S, 0
+        while not await self._is_confirmed(incarnation, message, copies):
+            copies += 1
             now_s = self._clock.now_s()
             if self._network.links(incarnation):
                 reached_s = now_s
@@ -69,9 +70,17 @@
             await sleep(pause_s)
             pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
 
-    async def _is_confirmed(self, incarnation: str, message: DropJob) -> bool:
+    async def _is_confirmed(self, incarnation: str, message: DropJob, copies: int) -> bool:
+        """Sends a copy and returns whether it was confirmed.
+
+        The copies take turns on the streams: one may have gone silent while the other one still
+        lets this daemon count as alive.
+        """
+        links = self._network.links(incarnation)
+        if not links:
+            return False
         try:
-            await self._network.request(incarnation, message, CONFIRMATION_TIMEOUT_S)
+            await links[copies % len(links)].request(message, CONFIRMATION_TIMEOUT_S)
         except PeerRequestRefusedError as error:
             if error.code != PeerProtocolError.code:
                 return False
--- a/tests/durable/resubmission.feature
+++ b/tests/durable/resubmission.feature
@@ -19,6 +19,11 @@
     When the streams go on
     Then the second job doesn't run within 0.5 s
 
+  Scenario: the entry's stream to the holder goes silent, and the drop is lost in it
+    Given 2 groups of 1 endpoint with a holder each, and 2 more daemons, of which one gets a job
+    When its stream to the job's holder goes silent for good and the caller disconnects
+    Then nothing runs anywhere within 1.0 s
+
   Scenario: a holder of an earlier version, which takes drops as notices only, stops the job
     Given 2 groups of 1 endpoint with a holder each, and 2 more daemons, of which one gets a job
     And the holders are of a version that takes drops as notices only
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -53,6 +53,16 @@
     context.plays.append(leave)
 
 
+@when(r"its stream to the job's holder goes silent for good and the caller disconnects")
+def step_impl(context):
+    async def leave(world):
+        link = world.entry.network._dialled[world.holder_of(JOB).incarnation]
+        link._stream.write = lambda data: None
+        context.caller.cancel()
+
+    context.plays.append(leave)
+
+
 @when(r"the entry has lost sight of the job's holder and the caller disconnects")
 def step_impl(context):
     async def leave(world):
--- a/tests/steps/durable_withdrawals_steps.py
+++ b/tests/steps/durable_withdrawals_steps.py
@@ -9,11 +9,10 @@
 from berylproxy.durable import withdrawals
 from berylproxy.durable.messages import DropJob
 from berylproxy.peers.errors import PeerOverloadedError, PeerRequestRefusedError
-from berylproxy.peers.membership import PeerLostError, PeerUnreachableError
+from berylproxy.peers.membership import PeerLostError
 
 ERRORS = {
     "that confirms the third copy": PeerLostError("no reply"),
-    "to which there is no stream any more": PeerUnreachableError("no stream"),
     "whose stream is open, and that never answers": PeerLostError("no reply"),
     "that refuses it for having too much to do": PeerRequestRefusedError(
         PeerOverloadedError.code, "too many requests"
@@ -27,7 +26,7 @@
 def step_impl(context, holder):
     context.clock_s, context.copies_s = 100.0, []
 
-    async def request(incarnation, message, timeout_s):
+    async def request(message, timeout_s):
         context.copies_s.append(context.clock_s)
         if "third copy" in holder and len(context.copies_s) == 3:
             return
@@ -35,10 +34,13 @@
             context.clock_s += timeout_s
         raise ERRORS[holder]
 
-    has_stream = "no stream" not in holder
-    context.network = SimpleNamespace(
-        request=request, links=lambda incarnation: ["a stream"] if has_stream else []
-    )
+    def links(incarnation):
+        if "no stream" not in holder:
+            return [SimpleNamespace(request=request)]
+        context.copies_s.append(context.clock_s)
+        return []
+
+    context.network = SimpleNamespace(links=links)
 
 
 @when(r"a drop is sent to it, on a clock of its own")
