Extend no lease of an endpoint that has not confirmed the stop of a dropped run

Callers could see a task run twice at the same time: their job came again to another group of endpoints while an endpoint of the first group still ran it.

A lease holds for all runs of an endpoint. An endpoint that leaves the stop and the renewals unanswered counts as usable until a renewal has timed out, up to 0.55 s later. A start of another job extended the lease meanwhile, and with it the dropped run, to 1.6 s after the drop; the job may come again after 1.3 s. The runs of a dropped job now count as orphans at once, not at the next report: their endpoint's lease isn't extended and nothing is started there until it has confirmed the stop, most often some ms later.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -241,7 +241,7 @@
         :param reply: reply to the callers; by default the job's state.
         :param error: error to raise for the callers instead of a reply.
         """
-        self._group.stop_all_runs(job)
+        self._group.abandon_runs(job)
         job_id = job.spec.job_id
         if job_id not in self._job_table.jobs:
             return
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -46,9 +46,9 @@
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
     :ivar is_uncertain: whether the order to start the run was not answered.
-    :ivar is_orphan: whether a former holder ordered the run for a job that this holder doesn't
-        know. The lease of such a run must not be extended, because the former holder may rely on
-        its lapse.
+    :ivar is_orphan: whether the run belongs to no job that this holder has: a former holder ordered
+        it, or its job was dropped. The lease of such a run must not be extended, because others may
+        rely on its lapse.
     :ivar kind: kind of the task; empty if its job is not known.
     :ivar occupancy_at_start: ``None`` if this holder did not order the run.
     :ivar estimate: what its run time is compared with; ``None`` if it was not ordered by this
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -524,6 +524,8 @@
         endpoint_run = endpoint.runs.get((name, run))
         if endpoint_run is not None:
             endpoint_run.stop_confirmed_s = min(endpoint_run.stop_confirmed_s, self._clock.now_s())
+            endpoint_run.is_orphan = False
+            self.changed.set()
         self._wakeups[endpoint.info.instance].set()
 
     def order_start(self, task: Task, endpoint: EndpointState) -> None:
@@ -761,6 +763,19 @@
         for client in self._clients.values():
             await client.close()
 
+    def abandon_runs(self, job: Job) -> None:
+        """Starts to stop all runs of a job that this holder forgets.
+
+        The job may come again to another group soon. So until an endpoint has confirmed the stop,
+        its lease is not extended.
+        """
+        for task in job.tasks.values():
+            endpoint = self.endpoints.get(task.instance) if task.instance is not None else None
+            run = endpoint.runs.get((task.name, task.run)) if endpoint is not None else None
+            if run is not None and task.status in ACTIVE_STATUSES:
+                run.is_orphan = True
+        self.stop_all_runs(job)
+
     def stop_all_runs(self, job: Job) -> None:
         """Starts to stop all runs of a job in the background."""
         for task in job.tasks.values():
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -34,6 +34,7 @@
     :ivar cut_fences: calls with these fences get no answer and have no effect.
     :ivar lost_starts: number of the next starts that take effect but get no answer.
     :ivar late_starts: number of the next starts that take effect late and get no answer.
+    :ivar lost_calls: kinds of calls, ``"stop"`` and ``"renew"``, that have no effect and no answer.
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
     :ivar ended: ends of runs that the holder has not acknowledged yet.
@@ -50,6 +51,7 @@
     cut_fences: set = field(default_factory=set)
     lost_starts: int = 0
     late_starts: int = 0
+    lost_calls: set = field(default_factory=set)
     late_by_s: float = 0.3
     fence: int = 0
     lease_end_s: float = 0.0
--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -149,6 +149,16 @@
     And the caller of job "a" disconnects after 0.1 s
     Then nothing runs at any endpoint within 0.3 s
 
+  Scenario: the stop of a dropped job is lost, and starts of others don't keep its run alive
+    Given a group of 1 endpoint whose runs take 3 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task with an estimate of 3 s is submitted, due 1 s after that
+    And the endpoint leaves orders to stop and renewals unanswered from now on
+    And the caller of job "a" disconnects after 0.35 s
+    And 0.1 s have passed
+    And job "b" of 1 task is submitted
+    Then the run of job "a" ends within 1 s of its drop
+
   Scenario: a job that was dropped before it began runs when it comes again
     Given a group of 1 endpoint whose runs take 0.5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -299,6 +299,7 @@
 def step_impl(context, name, delay_s):
     world = context.holder_world
     sleep(float(delay_s))
+    context.dropped_s = monotonic()
     world.portal.call(world.holders[world.newest_fence].drop, name, "its caller has disconnected")
 
 
@@ -330,6 +331,22 @@
     world.portal.call(holder.withdraw, message, ENTRY, "its caller has disconnected")
 
 
+@when(r"the endpoint leaves orders to stop and renewals unanswered from now on")
+def step_impl(context):
+    sleep(0.1)
+    context.holder_world.endpoints[0].lost_calls = {"stop", "renew"}
+
+
+@then(r'the run of job "(?P<name>\w+)" ends within (?P<time_s>\d+) s of its drop')
+def step_impl(context, name, time_s):
+    world = context.holder_world
+    sleep(float(time_s) + 0.5)
+    world.portal.call(world.endpoints[0].end_due_runs)
+    ends = world.list_events(name, EndKind.LAPSED.value)
+    assert len(ends) == 1, world.endpoints[0].history
+    assert ends[0][0] - context.dropped_s <= float(time_s), ends[0][0] - context.dropped_s
+
+
 @given(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
 def step_impl(context, ages):
     world = context.holder_world
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -25,6 +25,7 @@
 from standins.runner_model import RunnerModel
 
 LEASE_S = 1.0
+CALL_TIMEOUT_S = 0.25
 
 
 class FakeEndpointClient:
@@ -60,6 +61,7 @@
     async def stop(self, name: TaskName, run: int, fence: int) -> None:
         """Stops a run, also one whose start order has not arrived yet."""
         await sleep(0.001)
+        await self._lose("stop", 0.0)
         self._check(fence)
         self.endpoint.stop(name, run)
 
@@ -72,6 +74,7 @@
         if extend:
             self._lease_end_s = sent_s + LEASE_S  # the request may arrive even if no answer does
         await sleep(0.001)
+        await self._lose("renew", wait_s)
         self._check(fence)
         endpoint = self.endpoint
         if extend:
@@ -89,6 +92,11 @@
     async def close(self) -> None:
         """Does nothing: there are no connections."""
 
+    async def _lose(self, kind: str, wait_s: float) -> None:
+        if kind in self.endpoint.lost_calls:
+            await sleep(wait_s + CALL_TIMEOUT_S)
+            raise EndpointCallError("no answer")
+
     def _check(self, fence: int) -> None:
         self.endpoint.end_due_runs()
         if fence in self.endpoint.cut_fences:
