--- a/tests/durable/holder.feature
+++ b/tests/durable/holder.feature
@@ -149,6 +149,16 @@
     And the caller of job "a" disconnects after 0.1 s
     Then nothing runs at any endpoint within 0.3 s
 
+  Scenario: the stop of a dropped job is lost, and starts of others don't keep its run alive
+    Given a group of 1 endpoint whose runs take 3 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task with an estimate of 3 s is submitted, due 1 s after that
+    And the endpoint leaves orders to stop and renewals unanswered from now on
+    And the caller of job "a" disconnects after 0.35 s
+    And 0.1 s have passed
+    And job "b" of 1 task is submitted
+    Then the run of job "a" ends within 1 s of its drop
+
   Scenario: a job that was dropped before it began runs when it comes again
     Given a group of 1 endpoint whose runs take 0.5 s
     When a holder with fence 16 takes over
@@ -166,6 +176,43 @@
     And job "a" of 1 task is submitted
     Then job "a" was abandoned within 1 s
 
+  Scenario: a late drop of an earlier call leaves the job to the call that came since
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And call 1 submits job "a" of 1 task
+    And call 2 submits job "a" of 1 task
+    And attempt 0 of call 1 for job "a" is withdrawn
+    Then job "a" ends as "completed"
+
+  Scenario: a late drop of an earlier attempt leaves the job to the attempt that came since
+    Given a group of 1 endpoint whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And call 1 submits job "a" of 1 task
+    And call 1 submits job "a" of 1 task as attempt 1
+    And attempt 0 of call 1 for job "a" is withdrawn
+    Then job "a" ends as "completed"
+
+  Scenario: a caller that joins a job of a former holder isn't sent elsewhere when the tenure ends
+    Given a group of 1 endpoint whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And endpoint 1 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.1 s
+    And job "a" of 1 task is submitted again
+    And call 2 submits job "a" of 1 task
+    And the holder with fence 32 ends
+    Then job "a" ends with an error that says that it may have begun
+
+  Scenario: a caller that joins a job of a former holder isn't refused when it can't end in time
+    Given a group of 1 endpoint whose runs take 0.9 s
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And endpoint 1 is cut off from holders with fence 32
+    And a holder with fence 32 takes over after 0.1 s
+    And job "a" of 1 task is submitted again, whose caller waits for 0.3 s
+    And call 2 submits job "a" of 1 task
+    Then job "a" ends with an error that says that it may have begun
+
   Scenario: a caller disconnects just when its task is ordered
     Given a group of 1 endpoint whose runs take 5 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -16,8 +16,8 @@
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
-from berylproxy.durable.ledger import NotHolderError
-from berylproxy.durable.messages import JobSubmission
+from berylproxy.durable.ledger import NotHolderError, TenureLostError
+from berylproxy.durable.messages import DropJob, JobSubmission
 from berylproxy.durable.models import (
     EndKind,
     JobSpec,
@@ -133,13 +133,14 @@
         former_fence=0,
         estimate_s=0.1,
         wait_s=ANSWER_TIMEOUT_S,
+        call=0,
     ) -> None:
         """Submits a job without waiting for the reply."""
         needs = Resources(TASK_CPU_MILLICORES)
         terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=objective_s)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, estimate_s),), is_kept)
         holder = self.holders[fence or self.newest_fence]
-        message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence)
+        message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence, call=call)
         future = self.portal.start_task_soon(holder.submit, message, ENTRY)
         self.replies.setdefault(name, []).append(future)
         sleep(0.02)
@@ -247,6 +248,25 @@
     sleep(2 * LIST_INTERVAL_S)
 
 
+@when(r"the holder with fence (?P<fence>\d+) ends")
+def step_impl(context, fence):
+    world = context.holder_world
+    world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
+
+
+@when(r'job "(?P<name>\w+)" of 1 task is submitted again, whose caller waits for (?P<wait_s>\S+) s')
+def step_impl(context, name, wait_s):
+    world = context.holder_world
+    former_fence = sorted(world.holders)[-2]
+    world.submit(name, 1, attempt=1, former_fence=former_fence, wait_s=float(wait_s))
+
+
+@then(r'job "(?P<name>\w+)" ends with an error that says that it may have begun')
+def step_impl(context, name):
+    error = context.holder_world.replies[name][-1].exception(ANSWER_TIMEOUT_S)
+    assert isinstance(error, JobAbandonedError) or type(error) is TenureLostError, repr(error)
+
+
 @when(
     r"a holder with fence 32 takes over that knows of no endpoints used by the holder with fence "
     r"(?P<known>\d+)"
@@ -297,6 +317,7 @@
 def step_impl(context, name, delay_s):
     world = context.holder_world
     sleep(float(delay_s))
+    context.dropped_s = monotonic()
     world.portal.call(world.holders[world.newest_fence].drop, name, "its caller has disconnected")
 
 
@@ -315,6 +336,35 @@
     world.portal.call(order_and_drop)
 
 
+@when(r'call (?P<call>\d+) submits job "(?P<name>\w+)" of 1 task(?: as attempt (?P<attempt>\d+))?')
+def step_impl(context, call, name, attempt=None):
+    context.holder_world.submit(name, 1, call=int(call), attempt=int(attempt or 0))
+
+
+@when(r'attempt (?P<attempt>\d+) of call (?P<call>\d+) for job "(?P<name>\w+)" is withdrawn')
+def step_impl(context, attempt, call, name):
+    world = context.holder_world
+    message = DropJob(GROUP, name, int(call), int(attempt))
+    holder = world.holders[world.newest_fence]
+    world.portal.call(holder.withdraw, message, ENTRY, "its caller has disconnected")
+
+
+@when(r"the endpoint leaves orders to stop and renewals unanswered from now on")
+def step_impl(context):
+    sleep(0.1)
+    context.holder_world.endpoints[0].lost_calls = {"stop", "renew"}
+
+
+@then(r'the run of job "(?P<name>\w+)" ends within (?P<time_s>\d+) s of its drop')
+def step_impl(context, name, time_s):
+    world = context.holder_world
+    sleep(float(time_s) + 0.5)
+    world.portal.call(world.endpoints[0].end_due_runs)
+    ends = world.list_events(name, EndKind.LAPSED.value)
+    assert len(ends) == 1, world.endpoints[0].history
+    assert ends[0][0] - context.dropped_s <= float(time_s), ends[0][0] - context.dropped_s
+
+
 @given(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
 def step_impl(context, ages):
     world = context.holder_world
