Hold what a holder starts while capacities change

Endpoints may shrink and grow while they run, and some don't guard their capacity. A capacity that has shrunk counts 0.3 s longer in them, as the list is read each 0.1 s.

--- /dev/null
+++ b/tests/durable/capacity.feature
@@ -0,0 +1,52 @@
+Feature: Endpoints whose capacity changes, and which don't guard it
+
+  Scenario: an endpoint that has shrunk below what it runs starts nothing until it fits again
+    Given a group of 1 endpoint whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And job "a" of 3 tasks is submitted
+    And 0.15 s have passed
+    And endpoint 1 shrinks to 30 cores and 128000 MB
+    And 0.3 s have passed
+    And job "b" of 2 tasks is submitted
+    Then job "a" ends as "completed"
+    And job "b" ends as "completed"
+    And 3 runs of job "a" were started
+    And no start has brought an endpoint over its capacity
+    And at most 1 run of job "b" was active at a time
+
+  Scenario: waiting tasks start as soon as the room has come back
+    Given a group of 1 endpoint whose runs take 0.2 s
+    And endpoint 1 shrinks to 0 cores and 0 MB
+    When a holder with fence 16 takes over
+    And job "a" of 3 tasks is submitted
+    And 0.5 s have passed
+    Then 0 runs of job "a" were started
+    When endpoint 1 grows to 64 cores and 128000 MB
+    Then job "a" ends as "completed" within 1 s
+    And no start has brought an endpoint over its capacity
+
+  Scenario: an endpoint of which only the memory has shrunk starts what needs less of it
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And endpoint 1 shrinks to 64 cores and 500 MB
+    When a holder with fence 16 takes over
+    And job "a" of 2 tasks of 10 cores and 400 MB is submitted
+    And job "b" of 1 task of 10 cores and 700 MB is submitted
+    Then job "a" ends as "completed"
+    And 0 runs of job "b" were started
+    And at most 1 run of job "a" was active at a time
+    When endpoint 1 grows to 64 cores and 128000 MB
+    Then job "b" ends as "completed"
+    And no start has brought an endpoint over its capacity
+
+  Scenario: what has shrunk is full, and the others take the tasks
+    Given a group of 2 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And job "a" of 6 tasks is submitted
+    And 0.15 s have passed
+    And endpoint 1 shrinks to 10 cores and 128000 MB
+    And 0.2 s have passed
+    And job "b" of 3 tasks is submitted
+    Then job "a" ends as "completed"
+    And job "b" ends as "completed"
+    And endpoint 1 has started 3 runs
+    And no start has brought an endpoint over its capacity
--- a/tests/support/runs.py
+++ b/tests/support/runs.py
@@ -35,3 +35,12 @@
         for (first_s, run), (next_s, next_run) in pairwise(task_starts)
         if ends.get((task, run), float("inf")) > next_s
     ]
+
+
+def most_active_runs(events: Iterable[tuple]) -> int:
+    """Returns the largest number of runs that were active at a time."""
+    active, most = 0, 0
+    for _, kind, _, _ in sorted(events):
+        active += 1 if kind == "start" else -1
+        most = max(most, active)
+    return most
