Count a run whose needs are unknown as the whole endpoint until they are known

What callers saw: nothing yet; a start could bring an endpoint over its capacity (LIMIT). Cause: the need of a run of an unknown job was set to the capacity at the time of the report and never corrected. Found while the capacity was small, the run left room once it grew, also after its job had become known, if it wasn't adopted but stopped. Evidence: 'a second run of a task that was found while the capacity was small counts in full' failed before: endpoint 2 started 3 tasks of 20 cores beside the run of 20 cores that it was stopping, 80 of 64 cores. The need is unknown (None) now, which leaves no room whatever the capacity, and each report and each submission of the job makes it known.

--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -42,6 +42,7 @@
 class EndpointRun:
     """A run that is, or may be, active on an endpoint.
 
+    :ivar needs: ``None`` while its job isn't known, so that it may take all of the endpoint.
     :ivar confirmed_s: monotonic time at which the endpoint confirmed the run; infinite until then.
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
@@ -57,7 +58,7 @@
     :ivar move_ordered_s: monotonic time at which it was last to be stopped for a start elsewhere.
     """
 
-    needs: Resources
+    needs: Resources | None
     kind: str = ""
     confirmed_s: float = inf
     stop_confirmed_s: float = inf
@@ -95,7 +96,8 @@
     :ivar cold_until_s: monotonic time until which the endpoint is slow after its start.
     :ivar cold_s: how long it was to stay slow when that was known first.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
-    :ivar used: resources taken by all ``runs``.
+    :ivar used: resources taken by all ``runs`` whose needs are known.
+    :ivar unknown_runs: number of the other runs.
     :ivar occupancy: kinds of the ``runs`` over time.
     :ivar trust: how likely the endpoint is to fail its runs now.
     """
@@ -117,6 +119,7 @@
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Resources = field(default_factory=Resources)
+    unknown_runs: int = 0
     occupancy: Occupancy = field(default_factory=Occupancy)
     trust: EndpointTrust = field(default_factory=FailureTrust)
 
@@ -156,16 +159,25 @@
 
     @property
     def free_resources(self) -> Resources:
-        """The unused part of the endpoint's capacity; runs that are being stopped count as used."""
+        """The unused part of the endpoint's capacity; runs that are being stopped count as used.
+
+        An amount is negative while the endpoint runs more than its capacity, which has shrunk.
+        """
+        if self.unknown_runs:
+            return Resources()
         return self.info.capacity - self.used
 
     @property
     def free_millicores(self) -> int:
         """The unused part of the endpoint's processor capacity, in thousandths of a core."""
+        if self.unknown_runs:
+            return 0
         return self.info.capacity.cpu_millicores - self.used.cpu_millicores
 
     def has_room(self, needs: Resources) -> bool:
         """Returns whether a task fits into the unused part of the endpoint's capacity."""
+        if self.unknown_runs:
+            return False
         # Placement asks this of each endpoint for each task; a new object would cost more.
         capacity, used = self.info.capacity, self.used
         return (
@@ -204,19 +216,40 @@
             return 0.0
         return min((self.cold_until_s - now_s) / self.cold_s, 1.0)
 
-    def add_run(self, name: TaskName, run: int, needs: Resources, kind: str = "") -> EndpointRun:
-        """Adds a run and counts its resources as used; returns the known one if there is one."""
+    def add_run(
+        self, name: TaskName, run: int, needs: Resources | None, kind: str = ""
+    ) -> EndpointRun:
+        """Adds a run and counts its resources as used; returns the known one if there is one.
+
+        :param needs: ``None`` if they aren't known; a later call may add them.
+        """
         endpoint_run = self.runs.get((name, run))
         if endpoint_run is None:
             endpoint_run = self.runs[name, run] = EndpointRun(needs, kind)
-            self.used = self.used + needs
+            self._count_needs(endpoint_run)
+        elif endpoint_run.needs is None and needs is not None:
+            self._discount_needs(endpoint_run)
+            endpoint_run.needs = needs
+            self._count_needs(endpoint_run)
         return endpoint_run
 
+    def _count_needs(self, endpoint_run: EndpointRun) -> None:
+        if endpoint_run.needs is None:
+            self.unknown_runs += 1
+        else:
+            self.used = self.used + endpoint_run.needs
+
+    def _discount_needs(self, endpoint_run: EndpointRun) -> None:
+        if endpoint_run.needs is None:
+            self.unknown_runs -= 1
+        else:
+            self.used = self.used - endpoint_run.needs
+
     def remove_run(self, name: TaskName, run: int) -> None:
         """Removes a run and counts its resources as free."""
         endpoint_run = self.runs.pop((name, run), None)
         if endpoint_run is not None:
-            self.used = self.used - endpoint_run.needs
+            self._discount_needs(endpoint_run)
 
     def note_failure(self, now_s: float) -> bool:
         """Counts a failure of a task that did not fail on another endpoint.
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -16,6 +16,7 @@
     EndpointInfo,
     EndpointInstance,
     EndpointReport,
+    Resources,
     RunningTask,
     TaskName,
     kind_of_task,
@@ -342,10 +343,8 @@
         """Applies a reported run: adopts, stops or leaves it, as its job may be submitted again."""
         instance = endpoint.info.instance
         task = self._job_table.find_task(running.name)
-        endpoint_run = endpoint.runs.get((running.name, running.run))
-        if endpoint_run is None:
-            needs = task.step.needs if task is not None else endpoint.info.capacity
-            endpoint_run = endpoint.add_run(running.name, running.run, needs)
+        needs = self._find_needs(running.name)
+        endpoint_run = endpoint.add_run(running.name, running.run, needs)
         if task is not None and not endpoint_run.kind:
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
@@ -370,6 +369,12 @@
                 running.progress_percent,
             )
 
+    def _find_needs(self, name: TaskName) -> Resources | None:
+        """Returns what a task needs; ``None`` if its job is not open."""
+        job = self._job_table.jobs.get(name.job_id)
+        task = job.tasks.get((name.step, name.index)) if job is not None else None
+        return task.step.needs if task is not None else None
+
     def _may_adopt(self, task: Task, instance: EndpointInstance, run: int) -> bool:
         """Returns whether a reported run may continue as the task's current run."""
         if task.status in ACTIVE_STATUSES:
@@ -670,7 +675,10 @@
                     if task is not None:
                         self._job_table.note_end(task, end, endpoint.info.instance)
             for name, run in list(endpoint.runs):
-                task = self._job_table.find_task(name) if name.job_id == job.spec.job_id else None
+                if name.job_id != job.spec.job_id:
+                    continue
+                endpoint.add_run(name, run, self._find_needs(name))
+                task = self._job_table.find_task(name)
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -1,5 +1,20 @@
 Feature: Endpoints whose capacity changes, and which don't guard it
 
+  Scenario: a second run of a task that was found while the capacity was small counts in full
+    Given a group of 2 endpoints whose runs take 3 s
+    And a stop takes 0.6 s at each endpoint
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    And 0.15 s have passed
+    And the endpoint without runs shrinks to 2 cores and runs the task of job "a", too
+    And a holder with fence 32 takes over after 0.2 s
+    And job "a" of 1 task is submitted again
+    And the second endpoint with the task of job "a" grows to 64 cores
+    And 0.15 s have passed
+    And job "b" of 6 tasks is submitted
+    Then job "b" ends as "completed"
+    And no start has brought an endpoint over its capacity
+
   Scenario: an endpoint that has shrunk below what it runs starts nothing until it fits again
     Given a group of 1 endpoint whose runs take 0.6 s
     When a holder with fence 16 takes over
