Tell other daemons of changed capacities of endpoints

What callers saw: nothing yet; starts could bring an endpoint over a capacity that had shrunk for longer than it still counts (4.5 to 6.5 s). Cause: two holders reckon with an old list. One that takes over while the store answers in more than 0.3 s, or not at all, starts with a standby list up to 10 s old. One that the store turns away while it serves the others keeps its last list as long as that lasts. Evidence: 'a capacity that shrinks while the holder can't read the list is heard from another daemon' fails with EndpointGroup.follow_heard_capacities taken out: 3 starts over 10 cores. The holder's, members', divisions' and evacuations' features pass. A holder's heartbeat tells each change for 12 s, until every standby daemon has read the list anew, as evacuations are told; the entry's revision decides which of two readings holds. While the store turns a holder away, the first daemon that has the store reads the list at the holders' interval and tells the changes. Ways weighed: reading the list on standby each 0.7 s (16 times the calls), starting nothing with a list older than 4 s (all work of an outage of the store is lost). Open: while the store answers nobody, a change is known to nobody.

--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/coordinator.py
@@ -17,6 +17,7 @@
 from msgpack import packb, unpackb
 
 from berylproxy.clock import Clock
+from berylproxy.durable.capacity_spread import CapacitySpread
 from berylproxy.durable.contention import (
     BROKEN_STREAM_TIMEOUT_S,
     FENCES_PER_CLAIM,
@@ -54,7 +55,7 @@
     PendingReply,
     StateReply,
 )
-from berylproxy.durable.models import JobSpec
+from berylproxy.durable.models import EndpointInfo, JobSpec
 from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
 from berylproxy.durable.placement import DEFAULT_REMOTE_FACTOR
 from berylproxy.durable.ports import (
@@ -234,6 +235,7 @@
         network.add_heartbeat_part(HEARTBEAT_PART, self._describe_for_heartbeat)
         network.prioritize_members(self._list_entry_daemons)
         EvacuationSpread(network, evacuations, clock)
+        CapacitySpread(network, self._endpoint_list, clock, self._tells_capacity_of)
 
     async def run(self) -> None:
         """Checks the holders of all groups periodically until cancelled."""
@@ -273,11 +275,37 @@
                 logger.debug("the endpoint list is unavailable: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S if self.holders else EMPTY_LIST_INTERVAL_S)
                 continue
-            with move_on_after(self._endpoint_list_interval_s()):
+            await self._wait_for_next_read(tenure_began)
+
+    async def _wait_for_next_read(self, tenure_began: Event) -> None:
+        """Waits until the endpoint list is to be read again; the interval may change meanwhile."""
+        read_s = self._clock.now_s()
+        while not tenure_began.is_set():
+            remaining_s = read_s + self._endpoint_list_interval_s() - self._clock.now_s()
+            if remaining_s <= 0:
+                return
+            with move_on_after(min(remaining_s, HOLDER_LIST_INTERVAL_S)):
                 await tenure_began.wait()
 
+    def _tells_capacity_of(self, info: EndpointInfo) -> bool:
+        """Returns whether this daemon tells others of an endpoint's changes of capacity."""
+        group = self.divisions.group_of_endpoint(info.service, info.instance.endpoint_id)
+        return group in self.holders or self._reads_for_holders()
+
+    def _reads_for_holders(self) -> bool:
+        """Returns whether this daemon reads the list for holders that the store turns away."""
+        if not self._has_store():
+            return False
+        members = self.live_members()
+        parts = {m.identity.daemon_id: _read_heartbeat_part(m) for m in members}
+        have_store = [name for name, part in parts.items() if part.get("has_store", True)]
+        are_turned_away = any(
+            part.get("holds") and not part.get("has_store", True) for part in parts.values()
+        )
+        return are_turned_away and self._network.identity.daemon_id <= min(have_store, default="~")
+
     def _endpoint_list_interval_s(self) -> float:
-        if self.holders:
+        if self.holders or self._reads_for_holders():
             return HOLDER_LIST_INTERVAL_S
         return STANDBY_LIST_INTERVAL_S if self._endpoint_list.endpoints else EMPTY_LIST_INTERVAL_S
 
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -1,12 +1,18 @@
 """A holder's view of its endpoints: free resources, quarantine, run ends to acknowledge."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from anyio import Event
 
 from berylproxy.durable.estimates import TaskEstimate
-from berylproxy.durable.models import EndedRun, EndpointInfo, Resources, TaskName
+from berylproxy.durable.models import (
+    EndedRun,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+    TaskName,
+)
 from berylproxy.durable.occupancy import Occupancy, OccupancyAtStart
 from berylproxy.durable.run_times import RunPace
 from berylproxy.durable.trust import EndpointTrust, FailureTrust
@@ -25,18 +31,69 @@
 
     :ivar read_s: monotonic time of the last answer that confirmed the list; 0 before the first one.
     :ivar confirmed: set at the next answer; a new event then takes its place.
+    :ivar heard: set when a capacity is heard from another daemon; a new event then takes its place.
     """
 
     endpoints: tuple[EndpointInfo, ...] = ()
     read_s: float = 0.0
     confirmed: Event = field(default_factory=Event)
+    heard: Event = field(default_factory=Event)
+    _by_instance: dict[EndpointInstance, EndpointInfo] = field(default_factory=dict)
+    _heard_capacities: dict[EndpointInstance, tuple[int, Resources]] = field(default_factory=dict)
+    _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
 
     def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
         """Replaces the list by the one of a new answer."""
-        self.endpoints, self.read_s = endpoints, now_s
+        for info in endpoints:
+            former = self._by_instance.get(info.instance)
+            if former is not None and former.capacity != info.capacity:
+                self._changed_s[info.instance] = now_s
+        self._by_instance = {info.instance: self._apply_heard(info) for info in endpoints}
+        self._heard_capacities = {
+            instance: heard
+            for instance, heard in self._heard_capacities.items()
+            if instance in self._by_instance and heard[0] >= self._by_instance[instance].revision
+        }
+        self.endpoints, self.read_s = tuple(self._by_instance.values()), now_s
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
 
+    def hear_capacity(self, instance: EndpointInstance, revision: int, capacity: Resources) -> None:
+        """Applies a capacity that another daemon has read, unless the one known is newer.
+
+        :param revision: revision of the entry that showed it.
+        """
+        known = self._by_instance.get(instance)
+        heard_revision, _ = self._heard_capacities.get(instance, (0, None))
+        if known is None or revision <= max(known.revision, heard_revision):
+            return
+        self._heard_capacities[instance] = (revision, capacity)
+        if known.capacity == capacity:
+            return
+        self._by_instance[instance] = self._apply_heard(known)
+        self.endpoints = tuple(self._by_instance.values())
+        heard, self.heard = self.heard, Event()
+        heard.set()
+
+    def list_changed(self) -> list[EndpointInfo]:
+        """Lists the endpoints that an answer has shown with another capacity than before."""
+        if not self._changed_s:
+            return []
+        return [info for info in self.endpoints if info.instance in self._changed_s]
+
+    def forget_changes(self, before_s: float) -> None:
+        """Forgets the changes that were seen before a monotonic time."""
+        self._changed_s = {
+            instance: at_s for instance, at_s in self._changed_s.items() if at_s >= before_s
+        }
+
+    def _apply_heard(self, info: EndpointInfo) -> EndpointInfo:
+        """Returns an entry with what was heard; the answer may be older than that."""
+        revision, capacity = self._heard_capacities.get(info.instance, (0, info.capacity))
+        if revision <= info.revision:
+            return info
+        return replace(info, capacity=capacity, revision=revision)
+
 
 @dataclass(slots=True, eq=False)
 class EndpointRun:
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -1,6 +1,7 @@
 """Polls the endpoints of a holder's group, renews their leases, and starts and stops runs there."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from math import inf, log
 
 from anyio import Event, move_on_after, sleep
@@ -137,6 +138,16 @@
             self.changed.set()
             await self._endpoint_list.confirmed.wait()
 
+    async def follow_heard_capacities(self) -> None:
+        """Applies the capacities that other daemons have told until cancelled."""
+        while True:
+            await self._endpoint_list.heard.wait()
+            for info in self._endpoint_list.endpoints:
+                endpoint = self.endpoints.get(info.instance)
+                if endpoint is not None and endpoint.info.capacity != info.capacity:
+                    endpoint.info = replace(endpoint.info, capacity=info.capacity)
+            self.changed.set()
+
     async def follow_evacuations(self) -> None:
         """Applies each change of the evacuated failure domains until cancelled."""
         while True:
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -259,6 +259,7 @@
                 self.tenure.task_group = task_group
                 task_group.start_soon(self._send_heartbeats)
                 task_group.start_soon(self.group.follow_directory)
+                task_group.start_soon(self.group.follow_heard_capacities)
                 task_group.start_soon(self.group.follow_evacuations)
                 task_group.start_soon(self._place_tasks)
                 task_group.start_soon(self._run_periodic_checks)
--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -168,6 +168,7 @@
     :param rack: the rack of the endpoint's VM; empty if unknown.
     :param kind: the VM's hardware kind; empty if unknown.
     :param cold_left_s: how much longer the endpoint stays slow after its start.
+    :param revision: revision of the entry in the store; 0 if unknown.
     """
 
     instance: EndpointInstance
@@ -180,6 +181,7 @@
     rack: str = ""
     kind: str = ""
     cold_left_s: float = 0.0
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -253,6 +253,7 @@
         rack=next((label for label in labels if _is_rack_label(label)), ""),
         kind=next((label for label in labels if not _is_rack_label(label)), ""),
         cold_left_s=_decode_cold_left_s(content.get("cold-left-ms")),
+        revision=entry.revision,
     )
 
 
--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -65,3 +65,50 @@
     And job "b" ends as "completed"
     And endpoint 1 has started 3 runs
     And no start has brought an endpoint over its capacity
+
+  Scenario: a capacity that shrinks while the holder can't read the list is heard from another daemon
+    Given a group of 2 endpoints whose runs take 0.5 s
+    When a holder with fence 16 takes over
+    And 0.15 s have passed
+    And the list of endpoints can't be read any more
+    And endpoint 1 shrinks to 10 cores and 128000 MB
+    And another daemon tells that endpoint 1 has shrunk
+    And 0.3 s have passed
+    And job "a" of 6 tasks is submitted
+    Then job "a" ends as "completed"
+    And no start has brought an endpoint over its capacity
+
+  Scenario: daemons tell each other the capacities that have changed since they read the list
+    Given daemons "d1" and "d2" that have read of an endpoint of 64 cores at revision 5
+    When "d1" reads of 10 cores at revision 7
+    And "d1" sends its heartbeat to "d2"
+    Then "d2" reckons with 10 cores
+    When "d2" gets an older answer of 64 cores at revision 6
+    Then "d2" reckons with 10 cores
+    When "d2" reads of 80 cores at revision 8
+    And "d1" sends its heartbeat to "d2"
+    Then "d2" reckons with 80 cores
+    And after 13 s "d1" has no more to tell
+
+  Scenario Outline: rows of a heartbeat about capacities that can't be read are skipped
+    Given daemons "d1" and "d2" that have read of an endpoint of 64 cores at revision 5
+    When "d2" gets a heartbeat with <part>
+    Then "d2" reckons with <cores> cores
+
+    Examples:
+      | part                                                                | cores |
+      | nothing                                                             | 64    |
+      | [1]                                                                 | 64    |
+      | {"changed": 4}                                                      | 64    |
+      | {"changed": [["e1", 0, "x", 1, 1, 0], 7, ["e1", 0, 9, 10000, 1, 0]]} | 10    |
+
+  Scenario Outline: one daemon reads the list often for holders that the store turns away
+    Given a standby daemon "<name>" <store>, a holder <holder store> and a standby daemon "d5" with the store
+    Then it reads the list each <interval_s> s
+
+    Examples:
+      | name | store             | holder store      | interval_s |
+      | d0   | with the store    | without the store | 0.7        |
+      | d0   | with the store    | with the store    | 10         |
+      | d0   | without the store | without the store | 10         |
+      | d9   | with the store    | without the store | 10         |
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -1,17 +1,52 @@
 """Steps for endpoints whose capacity changes."""
 
 from dataclasses import replace
+from json import loads
 from time import monotonic
+from types import SimpleNamespace
 
 from behave import given, then, use_step_matcher, when
 
+from berylproxy.durable.capacity_spread import HEARTBEAT_PART, CapacitySpread
+from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.models import Resources
+from berylproxy.peers.membership import MemberStatus
 from standins.runner_model import ModelRun, RunnerModel
-from tests.support.endpoint_world import LEASE_S
+from tests.steps.durable_member_steps import make_coordinator, make_identity, make_network
+from tests.support.endpoint_world import LEASE_S, FakeDirectory, make_endpoint
 from tests.support.runs import most_active_runs
 
 LIST_GRACE_S = 0.3
 
+NOW_S = 100.0
+
+
+class ToldDaemon:
+    """A daemon's copy of the list, and what it tells others of it."""
+
+    def __init__(self, name):
+        self.name, self.now_s = name, NOW_S
+        self.list = EndpointList()
+        network = SimpleNamespace(
+            add_heartbeat_part=lambda _, describe: setattr(self, "describe", describe),
+            on_change=lambda listener: setattr(self, "listener", listener),
+        )
+        clock = SimpleNamespace(now_s=lambda: self.now_s)
+        CapacitySpread(network, self.list, clock, lambda info: True)
+
+    def read(self, cores, revision):
+        """Applies an answer of the store."""
+        info = make_endpoint("e1", cores).info
+        self.list.update((replace(info, revision=revision),), self.now_s)
+
+    def hear(self, part, name="d1"):
+        """Applies a heartbeat of another daemon."""
+        heartbeat = {} if part is None else {HEARTBEAT_PART: part}
+        self.listener(
+            SimpleNamespace(heartbeat=heartbeat, identity=SimpleNamespace(daemon_id=name))
+        )
+
+
 use_step_matcher("re")
 
 
@@ -86,3 +121,85 @@
     history = context.holder_world.endpoints[int(number) - 1].history
     started = [event for event in history if event[1] == "start"]
     assert len(started) == int(count), [e.history for e in context.holder_world.endpoints]
+
+
+@when(r"another daemon tells that endpoint (?P<number>\d+) has shrunk")
+def step_impl(context, number):
+    world = context.holder_world
+    info = world.endpoints[int(number) - 1].info
+    world.portal.call(
+        world.endpoint_list.hear_capacity, info.instance, info.revision + 1, info.capacity
+    )
+
+
+@given(
+    r'daemons "d1" and "d2" that have read of an endpoint of (?P<cores>\d+) cores at revision '
+    r"(?P<revision>\d+)"
+)
+def step_impl(context, cores, revision):
+    context.told_daemons = {name: ToldDaemon(name) for name in ("d1", "d2")}
+    for daemon in context.told_daemons.values():
+        daemon.read(int(cores), int(revision))
+
+
+@when(
+    r'"(?P<name>d\d)" (?:reads of|gets an older answer of) (?P<cores>\d+) cores at revision '
+    r"(?P<revision>\d+)"
+)
+def step_impl(context, name, cores, revision):
+    context.told_daemons[name].read(int(cores), int(revision))
+
+
+@when(r'"d1" sends its heartbeat to "d2"')
+def step_impl(context):
+    context.told_daemons["d2"].hear(context.told_daemons["d1"].describe())
+
+
+@when(r'"d2" gets a heartbeat with (?P<part>.+)')
+def step_impl(context, part):
+    context.told_daemons["d2"].hear(None if part == "nothing" else loads(part))
+
+
+@then(r'"(?P<name>d\d)" reckons with (?P<cores>\d+) cores')
+def step_impl(context, name, cores):
+    (info,) = context.told_daemons[name].list.endpoints
+    assert info.capacity.cpu_millicores == int(cores) * 1000, info
+
+
+@then(r'after (?P<time_s>\d+) s "d1" has no more to tell')
+def step_impl(context, time_s):
+    daemon = context.told_daemons["d1"]
+    assert daemon.describe()["changed"]
+    daemon.now_s += float(time_s)
+    assert daemon.describe() == {"changed": []}
+
+
+@given(
+    r'a standby daemon "(?P<name>\w+)" (?P<own>with|without) the store, a holder '
+    r'(?P<holder>with|without) the store and a standby daemon "d5" with the store'
+)
+def step_impl(context, name, own, holder):
+    parts = {
+        "d2": {"holds": 1, "has_store": holder == "with"},
+        "d5": {"holds": 0, "has_store": True},
+    }
+    members = [
+        SimpleNamespace(
+            identity=make_identity(daemon_id),
+            status=MemberStatus.ALIVE,
+            heartbeat={"durable": part},
+        )
+        for daemon_id, part in parts.items()
+    ]
+    network = make_network(name)
+    network.members, network.links = lambda: members, lambda _: ["link"]
+    directory = FakeDirectory([])
+    context.coordinator = make_coordinator(
+        directory, name=name, has_store=own == "with", network=network
+    )
+    context.coordinator._endpoint_list.update((make_endpoint("e1").info,), 0.0)
+
+
+@then(r"it reads the list each (?P<interval_s>[\d.]+) s")
+def step_impl(context, interval_s):
+    assert context.coordinator._endpoint_list_interval_s() == float(interval_s)
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -337,6 +337,7 @@
 
 
 @given(r"the list of endpoints can't be read any more")
+@when(r"the list of endpoints can't be read any more")
 def step_impl(context):
     sleep(2 * LIST_INTERVAL_S)
     context.holder_world.directory.delay_s = ANSWER_TIMEOUT_S
