Play loads on endpoints whose capacity changes

No start was over what counts by the platform's rule, and no job was left; with a holder that never hears of the changes some starts were.

--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -112,3 +112,8 @@
       | d0   | with the store    | with the store    | 10         |
       | d0   | without the store | without the store | 10         |
       | d9   | with the store    | without the store | 10         |
+
+  Scenario: under load no start brings an endpoint over a capacity that shrinks and grows
+    When 100 loads on endpoints whose capacity changes are simulated
+    Then no start was over the capacity, of at least 10000, and no job is left
+    And some starts would have been without the reports of the changes
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -13,6 +13,7 @@
 from berylproxy.peers.membership import MemberStatus
 from standins.runner_model import ModelRun, RunnerModel
 from tests.steps.durable_member_steps import make_coordinator, make_identity, make_network
+from tests.support.capacity_play import CapacitySimulation
 from tests.support.endpoint_world import LEASE_S, FakeDirectory, make_endpoint
 from tests.support.runs import most_active_runs
 
@@ -203,3 +204,34 @@
 @then(r"it reads the list each (?P<interval_s>[\d.]+) s")
 def step_impl(context, interval_s):
     assert context.coordinator._endpoint_list_interval_s() == float(interval_s)
+
+
+def play_capacities(seeds, ignores_changes=False):
+    """Simulates loads on endpoints whose capacity changes."""
+    simulations = []
+    for seed in seeds:
+        simulation = CapacitySimulation(seed)
+        simulation.ignores_changes = ignores_changes
+        simulation.run()
+        simulations.append(simulation)
+    return simulations
+
+
+@when(r"(?P<count>\d+) loads on endpoints whose capacity changes are simulated")
+def step_impl(context, count):
+    context.plays = play_capacities(range(int(count)))
+
+
+@then(r"no start was over the capacity, of at least (?P<least>\d+), and no job is left")
+def step_impl(context, least):
+    overfills = {seed: play.overfills for seed, play in enumerate(context.plays) if play.overfills}
+    assert not overfills, overfills
+    starts = sum(play.starts for play in context.plays)
+    assert starts >= int(least), starts
+    left = [play.job_table.jobs for play in context.plays if play.job_table.jobs]
+    assert not left, left
+
+
+@then(r"some starts would have been without the reports of the changes")
+def step_impl(context):
+    assert any(play.overfills for play in play_capacities(range(3), ignores_changes=True))
