Place a job's tasks whatever step of it fits nowhere

What callers saw: a job of which one step fits no endpoint while room is small, in accelerators say, had nothing running although there was room for its other steps: late, and LOST after 3 s. Cause: a round of placement looked at the first waiting task of a job only, and left the job at the first task without a place. Evidence: 'a step that fits nowhere while room is small holds no other step of its job back' failed in all three examples, with no start. Tasks of one step need the same, so a round leaves out a step, not the job. A job still counts once for the limit of skipped jobs.

--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -217,10 +217,18 @@
     waiting_jobs = [
         job
         for job in waiting_jobs
-        if any(_could_ever_fit(endpoint, job.waiting[0].step) for endpoint in usable)
+        if any(
+            _could_ever_fit(endpoint, task.step)
+            for task in _first_waiting_tasks(job)
+            for endpoint in usable
+        )
     ]
     max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
-    if all(job.waiting[0].step.needs.cpu_millicores > max_free_millicores for job in waiting_jobs):
+    if all(
+        task.step.needs.cpu_millicores > max_free_millicores
+        for job in waiting_jobs
+        for task in _first_waiting_tasks(job)
+    ):
         return  # without ordering the jobs, which would take longer
     millicores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable)
     cores = max(millicores / len(usable), 1) / 1000
@@ -230,24 +238,33 @@
     for job in jobs:
         if max_free_millicores <= 0 or skipped >= MAX_SKIPPED_JOBS:
             return
+        lacks_room = False
+        # The tasks of a step need the same; those of another step may fit where these don't.
+        passed_steps: set[int] = set()
         for task in list(job.waiting):
+            if task.name.step in passed_steps:
+                continue
             if not any(_could_ever_fit(endpoint, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
-                break
+                passed_steps.add(task.name.step)
+                continue
             if task.step.needs.cpu_millicores > max_free_millicores:
-                skipped += 1
-                break
+                lacks_room = True
+                passed_steps.add(task.name.step)
+                continue
             near = NearRack(choose_rack(job, task, usable, view), remote_factor)
             endpoint = choose_endpoint(job, task, usable, view, now_s, near, policies.neighbours)
             if endpoint is None:
-                skipped += 1
-                break
+                lacks_room = True
+                passed_steps.add(task.name.step)
+                continue
             is_far = near.rack and near.rack != endpoint.info.rack
             task.distance_factor = remote_factor if is_far else 1.0
             had_max_free = endpoint.free_millicores == max_free_millicores
             order_start(task, endpoint)
             if had_max_free:
                 max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
+        skipped += lacks_room
 
 
 def choose_rack(job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimes) -> str:
@@ -379,6 +396,13 @@
     return job.expected_s * cores / endpoint_cores
 
 
+def _first_waiting_tasks(job: Job) -> list[Task]:
+    """Returns the first waiting task of each step of a job."""
+    if len(job.spec.steps) == 1:
+        return job.waiting[:1]
+    return list({task.name.step: task for task in reversed(job.waiting)}.values())
+
+
 def _count_active_tasks(job: Job, step: int) -> Counter:
     return Counter(
         task.instance
--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -117,3 +117,14 @@
     When 100 loads on endpoints whose capacity changes are simulated
     Then no start was over the capacity, of at least 10000, and no job is left
     And some starts would have been without the reports of the changes
+
+  Scenario Outline: a step that fits nowhere while room is small holds no other step of its job back
+    Given 2 endpoints of 64 cores, 128000 MB and no accelerators
+    When a job of a step that needs <need> and of 2 tasks of 20 cores is placed
+    Then 2 tasks of 20 cores have started, and no others
+
+    Examples:
+      | need                                |
+      | 20 cores, 0 MB and 1 accelerators   |
+      | 90 cores, 0 MB and 0 accelerators   |
+      | 1 cores, 200000 MB and 0 accelerators |
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -8,10 +8,13 @@
 from behave import given, then, use_step_matcher, when
 
 from berylproxy.durable.capacity_spread import HEARTBEAT_PART, CapacitySpread
+from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.models import Resources
+from berylproxy.durable.job_table import JobTable, TaskStatus
+from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec, StoredJob
 from berylproxy.peers.membership import MemberStatus
 from standins.runner_model import ModelRun, RunnerModel
+from tests.steps.durable_decisions_steps import GROUP, make_state, place_all
 from tests.steps.durable_member_steps import make_coordinator, make_identity, make_network
 from tests.support.capacity_play import CapacitySimulation
 from tests.support.endpoint_world import LEASE_S, FakeDirectory, make_endpoint
@@ -235,3 +238,29 @@
 @then(r"some starts would have been without the reports of the changes")
 def step_impl(context):
     assert any(play.overfills for play in play_capacities(range(3), ignores_changes=True))
+
+
+@given(r"2 endpoints of 64 cores, 128000 MB and no accelerators")
+def step_impl(context):
+    context.model = RunTimeModel()
+    context.states = [make_state("a"), make_state("b")]
+
+
+@when(
+    r"a job of a step that needs (?P<cores>\d+) cores, (?P<memory_mb>\d+) MB and "
+    r"(?P<accelerators>\d+) accelerators and of 2 tasks of 20 cores is placed"
+)
+def step_impl(context, cores, memory_mb, accelerators):
+    large = Resources(int(cores) * 1000, int(memory_mb), int(accelerators))
+    steps = (StepSpec(1, large, 0.1), StepSpec(2, Resources(20_000), 0.1))
+    spec = JobSpec("j", QueueTerms("q", GROUP, objective_s=10.0), "", steps)
+    job_table = JobTable()
+    context.placed_job = job_table.open(StoredJob(spec, 0.0), 100.0)
+    place_all(context, job_table)
+
+
+@then(r"2 tasks of 20 cores have started, and no others")
+def step_impl(context):
+    tasks = context.placed_job.tasks.values()
+    started = [task.name for task in tasks if task.status is TaskStatus.STARTING]
+    assert [(name.step, name.index) for name in started] == [(1, 0), (1, 1)], started
