Measure a group's room in memory and accelerators, too

What callers saw: jobs that went to a group whose endpoints had processors but no memory free waited there while other groups had room; and a group that had shrunk to nothing refused jobs instead of letting them go on to another group. Cause: only the processor share was measured, so an endpoint whose memory has shrunk below its use counted as free; half of a capacity of 0 was always free. Evidence: 'the room that a group tells others is that where tasks of the usual need fit' failed in two examples (100 and 120 cores in place of 60 and 100), 'a group all of whose endpoints have shrunk to nothing lets jobs go to another one' failed. A negative share of one endpoint hid no other's room before either. The usual need is learned for all three resources, and an endpoint with a negative amount of any has no room.

--- a/berylproxy/durable/routing.py
+++ b/berylproxy/durable/routing.py
@@ -12,7 +12,7 @@
 
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.job_table import Job
-from berylproxy.durable.models import JobSpec
+from berylproxy.durable.models import JobSpec, Resources
 
 MAX_ROOM_CHECKS = 2  # groups that may refuse a job before one takes it without room
 SAMPLED_GROUPS = 3  # besides the job's own one; with all of them, entries would choose the same one
@@ -22,19 +22,37 @@
 
 @dataclass(slots=True)
 class TypicalNeed:
-    """The processor share that a group's tasks usually need.
+    """What a group's tasks usually need.
 
     :ivar millicores: exponential moving average over jobs; 0 before the first one.
+    :ivar memory_mb: the same of their memory.
+    :ivar accelerators: the same of their accelerators.
     """
 
     millicores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
 
     def learn(self, spec: JobSpec) -> None:
         """Adds the mean need of a job's tasks."""
-        tasks = sum(step.count for step in spec.steps)
-        mean = count_needed_millicores(spec) / max(tasks, 1)
+        tasks = max(sum(step.count for step in spec.steps), 1)
         rate = NEED_LEARNING_RATE if self.millicores else 1.0
-        self.millicores += rate * (mean - self.millicores)
+        memory_mb = sum(step.count * step.needs.memory_mb for step in spec.steps)
+        accelerators = sum(step.count * step.needs.accelerators for step in spec.steps)
+        self.millicores += rate * (count_needed_millicores(spec) / tasks - self.millicores)
+        self.memory_mb += rate * (memory_mb / tasks - self.memory_mb)
+        self.accelerators += rate * (accelerators / tasks - self.accelerators)
+
+    def count_fitting(self, free: Resources) -> int:
+        """Returns how many tasks of this need fit; none where any amount is negative."""
+        amounts = (
+            (free.cpu_millicores, max(int(self.millicores), 1)),
+            (free.memory_mb, int(self.memory_mb)),
+            (free.accelerators, int(self.accelerators)),
+        )
+        if any(available < 0 for available, _ in amounts):
+            return 0
+        return min(available // unit for available, unit in amounts if unit)
 
 
 def measure_room_millicores(
@@ -47,9 +65,9 @@
     """
     unit = max(int(need.millicores), 1)
     free = sum(
-        endpoint.free_millicores // unit * unit
+        need.count_fitting(endpoint.free_resources) * unit
         for endpoint in endpoints
-        if endpoint.may_start(now_s) and endpoint.free_millicores > 0
+        if endpoint.may_start(now_s)
     )
     waiting = sum(task.step.needs.cpu_millicores for job in jobs for task in job.waiting)
     return free - waiting
@@ -61,10 +79,10 @@
     """Returns whether a group should take a job at once.
 
     One that needs most of a group runs in several waves anyway, and all groups of this size would
-    refuse it. A group all of whose endpoints are evacuated takes none.
+    refuse it. A group all of whose endpoints are evacuated, or have shrunk to nothing, takes none.
     """
     endpoints = list(endpoints)
-    if endpoints and all(endpoint.is_evacuated for endpoint in endpoints):
+    if endpoints and all(e.is_evacuated or not e.info.capacity.cpu_millicores for e in endpoints):
         return False
     capacity = sum(e.info.capacity.cpu_millicores for e in endpoints if e.is_serving(now_s))
     return room_millicores >= min(needed_millicores, capacity // 2)
--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -128,3 +128,22 @@
       | 20 cores, 0 MB and 1 accelerators   |
       | 90 cores, 0 MB and 0 accelerators   |
       | 1 cores, 200000 MB and 0 accelerators |
+
+  Scenario Outline: the room that a group tells others is that where tasks of the usual need fit
+    Given 2 endpoints of 64 cores and 1000 MB, whose tasks need 20 cores and 300 MB
+    When the first endpoint runs <runs> tasks
+    And the first endpoint's capacity is <cores> cores and <memory_mb> MB
+    Then the room is <room> cores, and a job of 2 tasks <verdict>
+
+    Examples:
+      | runs | cores | memory_mb | room | verdict             |
+      | 0    | 64    | 1000      | 120  | is taken            |
+      | 3    | 30    | 1000      | 60   | is taken            |
+      | 1    | 64    | 200       | 60   | is taken            |
+      | 0    | 64    | 650       | 100  | is taken            |
+      | 0    | 0     | 0         | 60   | is taken            |
+
+  Scenario: a group all of whose endpoints have shrunk to nothing lets jobs go to another one
+    Given 2 endpoints of 64 cores and 1000 MB, whose tasks need 20 cores and 300 MB
+    When both endpoints shrink to nothing
+    Then the room is 0 cores, and a job of 2 tasks is refused for room
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -11,7 +11,13 @@
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
 from berylproxy.durable.job_table import JobTable, TaskStatus
-from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec, StoredJob
+from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec, StoredJob, TaskName
+from berylproxy.durable.routing import (
+    TypicalNeed,
+    count_needed_millicores,
+    has_room,
+    measure_room_millicores,
+)
 from berylproxy.peers.membership import MemberStatus
 from standins.runner_model import ModelRun, RunnerModel
 from tests.steps.durable_decisions_steps import GROUP, make_state, place_all
@@ -264,3 +270,43 @@
     tasks = context.placed_job.tasks.values()
     started = [task.name for task in tasks if task.status is TaskStatus.STARTING]
     assert [(name.step, name.index) for name in started] == [(1, 0), (1, 1)], started
+
+
+@given(r"2 endpoints of 64 cores and 1000 MB, whose tasks need 20 cores and 300 MB")
+def step_impl(context):
+    context.states = [make_state("a"), make_state("b")]
+    for state in context.states:
+        state.info = replace(state.info, capacity=Resources(64_000, 1000))
+    step = StepSpec(2, Resources(20_000, 300))
+    context.usual_job = JobSpec("j", QueueTerms("q", GROUP), "", (step,))
+    context.need = TypicalNeed()
+    context.need.learn(context.usual_job)
+
+
+@when(r"the first endpoint runs (?P<runs>\d+) tasks")
+def step_impl(context, runs):
+    for number in range(int(runs)):
+        context.states[0].add_run(TaskName("x", 0, number), 1, Resources(20_000, 300))
+
+
+@when(r"the first endpoint's capacity is (?P<cores>\d+) cores and (?P<memory_mb>\d+) MB")
+def step_impl(context, cores, memory_mb):
+    capacity = Resources(int(cores) * 1000, int(memory_mb))
+    context.states[0].info = replace(context.states[0].info, capacity=capacity)
+
+
+@when(r"both endpoints shrink to nothing")
+def step_impl(context):
+    for state in context.states:
+        state.info = replace(state.info, capacity=Resources())
+
+
+@then(
+    r"the room is (?P<cores>\d+) cores, and a job of 2 tasks "
+    r"(?P<verdict>is taken|is refused for room)"
+)
+def step_impl(context, cores, verdict):
+    room = measure_room_millicores(context.states, [], context.need, NOW_S)
+    assert room == int(cores) * 1000, room
+    is_taken = has_room(room, count_needed_millicores(context.usual_job), context.states, NOW_S)
+    assert is_taken == (verdict == "is taken")
