Spread endpoints without capacity over the groups

What callers saw: nothing yet; a group could get most of the endpoints that were listed for the first time while they had shrunk to nothing, and keep them once they had grown again. Cause: a new endpoint goes to the group with least capacity, and one without capacity doesn't change that. Evidence: 'endpoints that are listed while they have shrunk to nothing are spread over the groups' failed: 24 of 24 in one group. The number of listed endpoints decides between groups of equal capacity.

--- a/berylproxy/durable/groups.py
+++ b/berylproxy/durable/groups.py
@@ -62,7 +62,9 @@
 ) -> dict[str, int]:
     """Assigns the listed endpoints that have no group yet, each to the group with least capacity.
 
-    An endpoint never changes its group: two holders would order it under different fences.
+    Of groups with equal capacity, the one with the fewest listed endpoints is chosen: endpoints
+    that have no capacity for the moment are spread, too. An endpoint never changes its group: two
+    holders would order it under different fences.
 
     :param assigned: number of the group by endpoint.
     :param listed: capacity of the listed endpoints by identifier, in any unit.
@@ -72,15 +74,17 @@
     unlisted = [endpoint_id for endpoint_id in assigned if endpoint_id not in listed]
     for endpoint_id in unlisted[: max(len(unlisted) - MAX_UNLISTED_ASSIGNMENTS, 0)]:
         del result[endpoint_id]
-    capacities = [0] * count
+    capacities, counts = [0] * count, [0] * count
     for endpoint_id, capacity in listed.items():
         if endpoint_id in result:
             capacities[result[endpoint_id]] += capacity
+            counts[result[endpoint_id]] += 1
     unassigned = [endpoint_id for endpoint_id in listed if endpoint_id not in result]
     for endpoint_id in sorted(unassigned, key=lambda name: (-listed[name], name)):
-        number = min(range(count), key=capacities.__getitem__)
+        number = min(range(count), key=lambda group: (capacities[group], counts[group]))
         result[endpoint_id] = number
         capacities[number] += listed[endpoint_id]
+        counts[number] += 1
     return result
 
 
--- a/tests/durable/capacity.feature
+++ b/tests/durable/capacity.feature
@@ -147,3 +147,7 @@
     Given 2 endpoints of 64 cores and 1000 MB, whose tasks need 20 cores and 300 MB
     When both endpoints shrink to nothing
     Then the room is 0 cores, and a job of 2 tasks is refused for room
+
+  Scenario: endpoints that are listed while they have shrunk to nothing are spread over the groups
+    Given 24 endpoints without capacity that are assigned to 4 groups
+    Then each group has 6 endpoints
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -1,5 +1,6 @@
 """Steps for endpoints whose capacity changes."""
 
+from collections import Counter
 from dataclasses import replace
 from json import loads
 from time import monotonic
@@ -10,6 +11,7 @@
 from berylproxy.durable.capacity_spread import HEARTBEAT_PART, CapacitySpread
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointList
+from berylproxy.durable.groups import assign_endpoints
 from berylproxy.durable.job_table import JobTable, TaskStatus
 from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec, StoredJob, TaskName
 from berylproxy.durable.routing import (
@@ -310,3 +312,15 @@
     assert room == int(cores) * 1000, room
     is_taken = has_room(room, count_needed_millicores(context.usual_job), context.states, NOW_S)
     assert is_taken == (verdict == "is taken")
+
+
+@given(r"(?P<endpoints>\d+) endpoints without capacity that are assigned to (?P<groups>\d+) groups")
+def step_impl(context, endpoints, groups):
+    listed = {f"e{number}": 0 for number in range(int(endpoints))}
+    context.assigned = assign_endpoints({}, listed, int(groups))
+
+
+@then(r"each group has (?P<count>\d+) endpoints")
+def step_impl(context, count):
+    counts = Counter(context.assigned.values())
+    assert set(counts.values()) == {int(count)}, counts
