Hold that waiting tasks start when room is back, without tight times

The scenario depended on whether the first list came before or after its job: a job that is submitted while all room is away is refused (no_endpoint).

--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 from json import loads
-from time import monotonic
+from time import monotonic, sleep
 from types import SimpleNamespace
 
 from behave import given, then, use_step_matcher, when
@@ -128,6 +128,16 @@
     assert most <= int(count), most
 
 
+@then(r'within (?P<wait_s>\d+) s (?P<count>\d+) runs of job "(?P<name>\w+)" have started')
+def step_impl(context, wait_s, count, name):
+    until_s = monotonic() + float(wait_s)
+    started = []
+    while len(started) < int(count) and monotonic() < until_s:
+        sleep(0.02)
+        started = context.holder_world.list_events(name, "start")
+    assert len(started) == int(count), started
+
+
 @then(r"endpoint (?P<number>\d+) has started (?P<count>\d+) runs")
 def step_impl(context, number, count):
     history = context.holder_world.endpoints[int(number) - 1].history
