Merge the part on capacities that change

Three conflicts, in each of which both sides' lines stay: the coordinator's parts, the imports of the endpoint model, and the parameters of a test's submission.

--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -1,12 +1,18 @@
 """A holder's view of its endpoints: free resources, quarantine, run ends to acknowledge."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 from anyio import Event
 
 from berylproxy.durable.estimates import TaskEstimate
-from berylproxy.durable.models import EndedRun, EndpointInfo, Resources, TaskName
+from berylproxy.durable.models import (
+    EndedRun,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+    TaskName,
+)
 from berylproxy.durable.occupancy import Occupancy, OccupancyAtStart
 from berylproxy.durable.run_times import RunPace
 from berylproxy.durable.trust import EndpointTrust, FailureTrust
@@ -25,23 +31,75 @@
 
     :ivar read_s: monotonic time of the last answer that confirmed the list; 0 before the first one.
     :ivar confirmed: set at the next answer; a new event then takes its place.
+    :ivar heard: set when a capacity is heard from another daemon; a new event then takes its place.
     """
 
     endpoints: tuple[EndpointInfo, ...] = ()
     read_s: float = 0.0
     confirmed: Event = field(default_factory=Event)
+    heard: Event = field(default_factory=Event)
+    _by_instance: dict[EndpointInstance, EndpointInfo] = field(default_factory=dict)
+    _heard_capacities: dict[EndpointInstance, tuple[int, Resources]] = field(default_factory=dict)
+    _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
 
     def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
         """Replaces the list by the one of a new answer."""
-        self.endpoints, self.read_s = endpoints, now_s
+        for info in endpoints:
+            former = self._by_instance.get(info.instance)
+            if former is not None and former.capacity != info.capacity:
+                self._changed_s[info.instance] = now_s
+        self._by_instance = {info.instance: self._apply_heard(info) for info in endpoints}
+        self._heard_capacities = {
+            instance: heard
+            for instance, heard in self._heard_capacities.items()
+            if instance in self._by_instance and heard[0] >= self._by_instance[instance].revision
+        }
+        self.endpoints, self.read_s = tuple(self._by_instance.values()), now_s
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
 
+    def hear_capacity(self, instance: EndpointInstance, revision: int, capacity: Resources) -> None:
+        """Applies a capacity that another daemon has read, unless the one known is newer.
+
+        :param revision: revision of the entry that showed it.
+        """
+        known = self._by_instance.get(instance)
+        heard_revision, _ = self._heard_capacities.get(instance, (0, None))
+        if known is None or revision <= max(known.revision, heard_revision):
+            return
+        self._heard_capacities[instance] = (revision, capacity)
+        if known.capacity == capacity:
+            return
+        self._by_instance[instance] = self._apply_heard(known)
+        self.endpoints = tuple(self._by_instance.values())
+        heard, self.heard = self.heard, Event()
+        heard.set()
+
+    def list_changed(self) -> list[EndpointInfo]:
+        """Lists the endpoints that an answer has shown with another capacity than before."""
+        if not self._changed_s:
+            return []
+        return [info for info in self.endpoints if info.instance in self._changed_s]
+
+    def forget_changes(self, before_s: float) -> None:
+        """Forgets the changes that were seen before a monotonic time."""
+        self._changed_s = {
+            instance: at_s for instance, at_s in self._changed_s.items() if at_s >= before_s
+        }
+
+    def _apply_heard(self, info: EndpointInfo) -> EndpointInfo:
+        """Returns an entry with what was heard; the answer may be older than that."""
+        revision, capacity = self._heard_capacities.get(info.instance, (0, info.capacity))
+        if revision <= info.revision:
+            return info
+        return replace(info, capacity=capacity, revision=revision)
+
 
 @dataclass(slots=True, eq=False)
 class EndpointRun:
     """A run that is, or may be, active on an endpoint.
 
+    :ivar needs: ``None`` while its job isn't known, so that it may take all of the endpoint.
     :ivar confirmed_s: monotonic time at which the endpoint confirmed the run; infinite until then.
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
@@ -58,7 +116,7 @@
     :ivar move_ordered_s: monotonic time at which it was last to be stopped for a start elsewhere.
     """
 
-    needs: Resources
+    needs: Resources | None
     kind: str = ""
     confirmed_s: float = inf
     stop_confirmed_s: float = inf
@@ -97,7 +155,8 @@
     :ivar cold_until_s: monotonic time until which the endpoint is slow after its start.
     :ivar cold_s: how long it was to stay slow when that was known first.
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
-    :ivar used: resources taken by all ``runs``.
+    :ivar used: resources taken by all ``runs`` whose needs are known.
+    :ivar unknown_runs: number of the other runs.
     :ivar occupancy: kinds of the ``runs`` over time.
     :ivar trust: how likely the endpoint is to fail its runs now.
     """
@@ -119,6 +178,7 @@
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Resources = field(default_factory=Resources)
+    unknown_runs: int = 0
     occupancy: Occupancy = field(default_factory=Occupancy)
     trust: EndpointTrust = field(default_factory=FailureTrust)
 
@@ -158,16 +218,25 @@
 
     @property
     def free_resources(self) -> Resources:
-        """The unused part of the endpoint's capacity; runs that are being stopped count as used."""
+        """The unused part of the endpoint's capacity; runs that are being stopped count as used.
+
+        An amount is negative while the endpoint runs more than its capacity, which has shrunk.
+        """
+        if self.unknown_runs:
+            return Resources()
         return self.info.capacity - self.used
 
     @property
     def free_millicores(self) -> int:
         """The unused part of the endpoint's processor capacity, in thousandths of a core."""
+        if self.unknown_runs:
+            return 0
         return self.info.capacity.cpu_millicores - self.used.cpu_millicores
 
     def has_room(self, needs: Resources) -> bool:
         """Returns whether a task fits into the unused part of the endpoint's capacity."""
+        if self.unknown_runs:
+            return False
         # Placement asks this of each endpoint for each task; a new object would cost more.
         capacity, used = self.info.capacity, self.used
         return (
@@ -206,19 +275,40 @@
             return 0.0
         return min((self.cold_until_s - now_s) / self.cold_s, 1.0)
 
-    def add_run(self, name: TaskName, run: int, needs: Resources, kind: str = "") -> EndpointRun:
-        """Adds a run and counts its resources as used; returns the known one if there is one."""
+    def add_run(
+        self, name: TaskName, run: int, needs: Resources | None, kind: str = ""
+    ) -> EndpointRun:
+        """Adds a run and counts its resources as used; returns the known one if there is one.
+
+        :param needs: ``None`` if they aren't known; a later call may add them.
+        """
         endpoint_run = self.runs.get((name, run))
         if endpoint_run is None:
             endpoint_run = self.runs[name, run] = EndpointRun(needs, kind)
-            self.used = self.used + needs
+            self._count_needs(endpoint_run)
+        elif endpoint_run.needs is None and needs is not None:
+            self._discount_needs(endpoint_run)
+            endpoint_run.needs = needs
+            self._count_needs(endpoint_run)
         return endpoint_run
 
+    def _count_needs(self, endpoint_run: EndpointRun) -> None:
+        if endpoint_run.needs is None:
+            self.unknown_runs += 1
+        else:
+            self.used = self.used + endpoint_run.needs
+
+    def _discount_needs(self, endpoint_run: EndpointRun) -> None:
+        if endpoint_run.needs is None:
+            self.unknown_runs -= 1
+        else:
+            self.used = self.used - endpoint_run.needs
+
     def remove_run(self, name: TaskName, run: int) -> None:
         """Removes a run and counts its resources as free."""
         endpoint_run = self.runs.pop((name, run), None)
         if endpoint_run is not None:
-            self.used = self.used - endpoint_run.needs
+            self._discount_needs(endpoint_run)
 
     def note_failure(self, now_s: float) -> bool:
         """Counts a failure of a task that did not fail on another endpoint.
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -17,6 +17,7 @@
     EndpointInfo,
     EndpointInstance,
     EndpointReport,
+    Resources,
     RunningTask,
     TaskName,
     kind_of_task,
@@ -137,6 +138,16 @@
             self.changed.set()
             await self._endpoint_list.confirmed.wait()
 
+    async def follow_heard_capacities(self) -> None:
+        """Applies the capacities that other daemons have told until cancelled."""
+        while True:
+            await self._endpoint_list.heard.wait()
+            for info in self._endpoint_list.endpoints:
+                endpoint = self.endpoints.get(info.instance)
+                if endpoint is not None and endpoint.info.capacity != info.capacity:
+                    endpoint.info = replace(endpoint.info, capacity=info.capacity)
+            self.changed.set()
+
     async def follow_evacuations(self) -> None:
         """Applies each change of the evacuated failure domains until cancelled."""
         while True:
@@ -399,10 +410,8 @@
         """Applies a reported run: adopts, stops or leaves it, as its job may be submitted again."""
         instance = endpoint.info.instance
         task = self._job_table.find_task(running.name)
-        endpoint_run = endpoint.runs.get((running.name, running.run))
-        if endpoint_run is None:
-            needs = task.step.needs if task is not None else endpoint.info.capacity
-            endpoint_run = endpoint.add_run(running.name, running.run, needs)
+        needs = self._find_needs(running.name)
+        endpoint_run = endpoint.add_run(running.name, running.run, needs)
         if task is not None and not endpoint_run.kind:
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
@@ -428,6 +437,12 @@
                 running.progress_percent,
             )
 
+    def _find_needs(self, name: TaskName) -> Resources | None:
+        """Returns what a task needs; ``None`` if its job is not open."""
+        job = self._job_table.jobs.get(name.job_id)
+        task = job.tasks.get((name.step, name.index)) if job is not None else None
+        return task.step.needs if task is not None else None
+
     def _may_adopt(self, task: Task, instance: EndpointInstance, run: int) -> bool:
         """Returns whether a reported run may continue as the task's current run."""
         if task.status in ACTIVE_STATUSES:
@@ -730,7 +745,10 @@
                     if task is not None:
                         self._job_table.note_end(task, end, endpoint.info.instance)
             for name, run in list(endpoint.runs):
-                task = self._job_table.find_task(name) if name.job_id == job.spec.job_id else None
+                if name.job_id != job.spec.job_id:
+                    continue
+                endpoint.add_run(name, run, self._find_needs(name))
+                task = self._job_table.find_task(name)
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -41,6 +41,7 @@
 GROUP = "ledger"
 ENTRY = "entry-1"
 TASK_CPU_MILLICORES = 20_000
+TASK_NEEDS = Resources(TASK_CPU_MILLICORES)
 MAX_ATTEMPTS = 3
 ANSWER_TIMEOUT_S = 10.0
 URGENT_OBJECTIVE_S = 0.1
@@ -134,9 +135,11 @@
         estimate_s=0.1,
         wait_s=ANSWER_TIMEOUT_S,
         call=0,
+        needs=TASK_NEEDS,
     ) -> None:
         """Submits a job without waiting for the reply."""
-        needs = Resources(TASK_CPU_MILLICORES)
+        for endpoint in self.endpoints:
+            endpoint.needs_by_job[name] = needs
         terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=objective_s)
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, estimate_s),), is_kept)
         holder = self.holders[fence or self.newest_fence]
@@ -402,6 +405,7 @@
 
 
 @given(r"the list of endpoints can't be read any more")
+@when(r"the list of endpoints can't be read any more")
 def step_impl(context):
     sleep(2 * LIST_INTERVAL_S)
     context.holder_world.directory.delay_s = ANSWER_TIMEOUT_S
