Log which tasks an endpoint ran when it crashed, and tell crashes from cuts

A requeue said 'its lease has lapsed' after a cut, after a crash and after a restart that showed before the lapse, and a restart that showed later was connected with no task. CrashWatch keeps the tasks of a lapsed endpoint until it answers again: as the same process (a cut) or as another one (a crash), by its report or by a new entry of the list. A requeue after a restart now says so; the line after a lapse is unchanged.

--- /dev/null
+++ b/berylproxy/durable/crashes.py
@@ -0,0 +1,217 @@
+"""Decides which tasks crash the endpoints that run them, without a clock or sockets.
+
+Made for loads in which a few tasks end the process of each endpoint that starts them, while other
+endpoints are lost in partitions or crash for reasons of their own. The process is back only after
+the tasks have been requeued, so the evidence comes late: a task that loses a second endpoint waits
+for it. A task that loses an endpoint runs apart from others, which shows which of them is to blame.
+Takes time proportional to the tasks of an endpoint that is lost.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from math import inf
+from typing import NamedTuple
+
+from berylproxy.durable.models import EndpointInstance, TaskName
+
+MAX_BLAMED_CRASHES = 2  # of endpoints on which no other job can be to blame
+MAX_CRASHES = 3
+# An endpoint process that crashed is back after some seconds.
+HOLD_S = 2.5
+MAX_LOSSES = 1_000
+MAX_CONVICTED_JOBS = 5_000
+# Stands for tasks that a former holder knew.
+UNKNOWN_TASK = TaskName("", 0, 0)
+
+
+class Treatment(Enum):
+    """How a waiting task may be started."""
+
+    USUAL = auto()
+    APART = auto()  # on an endpoint without runs if there is one
+    ALONE = auto()  # only on an endpoint without runs, which then gets no others
+    HELD = auto()  # not now
+
+
+class CrashCount(NamedTuple):
+    """The crashes of endpoints that ran a task.
+
+    :param crashes: number of crashes.
+    :param blamed: number of those for which no other job can be to blame.
+    """
+
+    crashes: int = 0
+    blamed: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Loss:
+    """An endpoint that stopped answering while it ran tasks.
+
+    :ivar suspects: tasks that ran there and haven't ended on another endpoint since.
+    :ivar is_crash: whether its process has certainly ended; else it may be cut off.
+    """
+
+    suspects: set[TaskName] = field(default_factory=set)
+    is_crash: bool = False
+
+    def blames(self, name: TaskName) -> bool:
+        """Returns whether no job but that of a task can be to blame."""
+        return self.is_crash and all(task.job_id == name.job_id for task in self.suspects)
+
+
+@dataclass(slots=True, eq=False)
+class TaskRecord:
+    """The losses under one task.
+
+    :ivar last_lost_s: monotonic time at which the newest one was noted.
+    """
+
+    losses: list[Loss] = field(default_factory=list)
+    last_lost_s: float = -inf
+
+
+class CrashRecord:
+    """The endpoints lost under tasks, and the jobs whose tasks are to blame.
+
+    Jobs stay in the record when they are closed: their callers may submit them again.
+    """
+
+    def __init__(self) -> None:
+        self._losses: OrderedDict[EndpointInstance, Loss] = OrderedDict()
+        self._records: dict[TaskName, TaskRecord] = {}
+        self._convicted: OrderedDict[str, None] = OrderedDict()
+
+    def note_lost(
+        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+    ) -> None:
+        """Records that an endpoint stopped answering while it ran tasks."""
+        self._add_suspects(instance, names, now_s)
+
+    def note_answered(self, instance: EndpointInstance) -> bool:
+        """Records that the process of an endpoint goes on: it was cut off.
+
+        :return: whether the endpoint had been lost under tasks.
+        """
+        loss = self._losses.get(instance)
+        if loss is None or loss.is_crash:
+            return False
+        self._remove_loss(instance)
+        return True
+
+    def note_crashed(
+        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+    ) -> list[TaskName]:
+        """Records that the process of an endpoint ended unasked.
+
+        :param names: tasks that it ran, besides those with which it was lost.
+        :return: the tasks that are to blame, if they are known by this.
+        """
+        loss = self._add_suspects(instance, names, now_s)
+        if loss is None:
+            return []
+        loss.is_crash = True
+        return self._convict(loss.suspects)
+
+    def note_ended(self, name: TaskName) -> list[TaskName]:
+        """Records that a run of a task has ended by itself: the task crashes no endpoints.
+
+        :return: the tasks that are to blame for earlier crashes, if they are known by this.
+        """
+        record = self._records.pop(name, None)
+        if record is None:
+            return []
+        remaining: set[TaskName] = set()
+        for loss in record.losses:
+            loss.suspects.discard(name)
+            if loss.is_crash:
+                remaining |= loss.suspects
+        return self._convict(remaining)
+
+    def restore(self, name: TaskName, count: CrashCount) -> None:
+        """Adds the crashes that a former holder has stored for a task."""
+        record = self._records.setdefault(name, TaskRecord())
+        for number in range(count.crashes):
+            suspects = {name} if number < count.blamed else {name, UNKNOWN_TASK}
+            record.losses.append(Loss(suspects, is_crash=True))
+
+    def count(self, name: TaskName) -> CrashCount:
+        """Returns the crashes of endpoints that ran a task, unless it has ended since."""
+        record = self._records.get(name)
+        if record is None:
+            return CrashCount()
+        crashes = [loss for loss in record.losses if loss.is_crash]
+        return CrashCount(len(crashes), sum(loss.blames(name) for loss in crashes))
+
+    def suspects(self, instance: EndpointInstance) -> set[TaskName]:
+        """Returns the tasks that may be to blame for the loss of an endpoint."""
+        loss = self._losses.get(instance)
+        return set(loss.suspects) if loss is not None else set()
+
+    def has_crashed(self, instance: EndpointInstance) -> bool:
+        """Returns whether an endpoint was lost under tasks by a crash."""
+        loss = self._losses.get(instance)
+        return loss is not None and loss.is_crash
+
+    def list_lost(self, endpoint_id: str) -> list[EndpointInstance]:
+        """Returns the instances of an endpoint that were lost and may be cut off."""
+        return [
+            instance
+            for instance, loss in self._losses.items()
+            if instance.endpoint_id == endpoint_id and not loss.is_crash
+        ]
+
+    def is_convicted(self, job_id: str) -> bool:
+        """Returns whether a task of a job is to blame for crashes."""
+        return job_id in self._convicted
+
+    def treatment(self, name: TaskName, now_s: float) -> Treatment:
+        """Returns how a waiting task may be started now."""
+        record = self._records.get(name)
+        if record is None or not record.losses:
+            return Treatment.USUAL
+        crashes = sum(loss.is_crash for loss in record.losses)
+        is_evidence_due = crashes < len(record.losses) and now_s < record.last_lost_s + HOLD_S
+        if len(record.losses) > 1 and is_evidence_due:
+            return Treatment.HELD
+        return Treatment.ALONE if crashes or len(record.losses) > 1 else Treatment.APART
+
+    def _add_suspects(
+        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+    ) -> Loss | None:
+        """Adds tasks to the loss of an endpoint; returns ``None`` if it ran none."""
+        loss = self._losses.get(instance)
+        for name in names:
+            if loss is None:
+                loss = self._losses[instance] = Loss()
+            if name not in loss.suspects:
+                loss.suspects.add(name)
+                record = self._records.setdefault(name, TaskRecord())
+                record.losses.append(loss)
+                record.last_lost_s = now_s
+        if len(self._losses) > MAX_LOSSES:
+            self._remove_loss(next(iter(self._losses)))
+        return loss
+
+    def _remove_loss(self, instance: EndpointInstance) -> None:
+        loss = self._losses.pop(instance)
+        for name in loss.suspects:
+            record = self._records[name]
+            record.losses.remove(loss)
+            if not record.losses:
+                del self._records[name]
+
+    def _convict(self, names: Iterable[TaskName]) -> list[TaskName]:
+        """Returns those of some tasks that are to blame and weren't known to be."""
+        convicted = []
+        for name in names:
+            count = self.count(name)
+            is_to_blame = count.blamed >= MAX_BLAMED_CRASHES or count.crashes >= MAX_CRASHES
+            if is_to_blame and name.job_id not in self._convicted:
+                self._convicted[name.job_id] = None
+                convicted.append(name)
+        while len(self._convicted) > MAX_CONVICTED_JOBS:
+            self._convicted.popitem(last=False)
+        return convicted
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -6,6 +6,7 @@
 from anyio import Event, move_on_after, sleep
 from logbook import Logger
 
+from berylproxy.durable.crash_watch import CrashWatch
 from berylproxy.durable.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
@@ -104,6 +105,7 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
+        self._crash_watch = CrashWatch(tenure)
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
@@ -155,6 +157,7 @@
             self._unlisted_from_s.pop(instance, None)
             endpoint = self.endpoints.get(instance)
             if endpoint is None:
+                self._crash_watch.note_listed(instance, self.endpoints.values())
                 self._add_endpoint(info)
                 continue
             if info.leaving and not endpoint.info.leaving:
@@ -225,6 +228,7 @@
                 await sleep(RETRY_PAUSE_S)
                 continue
             if report.born_ms != instance.born_ms and report.born_ms and instance.born_ms:
+                self._crash_watch.note_restarted(endpoint)
                 self._remove_endpoint(endpoint, "its process was restarted")
                 return
             endpoint.sent_acknowledgement = acknowledged
@@ -269,12 +273,13 @@
         endpoint.missed_calls += 1
         lapsed_s = max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S)
         if endpoint.runs and now_s > lapsed_s:
-            self._requeue_all_tasks(endpoint)
+            self._crash_watch.note_lapsed(endpoint)
+            self._requeue_all_tasks(endpoint, "its lease has lapsed")
 
-    def _requeue_all_tasks(self, endpoint: EndpointState) -> None:
-        """Requeues all tasks of an endpoint whose lease has certainly lapsed."""
+    def _requeue_all_tasks(self, endpoint: EndpointState, reason: str) -> None:
+        """Requeues all tasks of an endpoint whose runs have certainly ended."""
         for name, run in list(endpoint.runs):
-            self._drop_run(endpoint, name, run, "its lease has lapsed")
+            self._drop_run(endpoint, name, run, reason)
         self.changed.set()
 
     def _drop_run(self, endpoint: EndpointState, name: TaskName, run: int, reason: str) -> None:
@@ -304,7 +309,7 @@
             reason,
             extra=self._tenure.extra(endpoint=instance.endpoint_id),
         )
-        self._requeue_all_tasks(endpoint)
+        self._requeue_all_tasks(endpoint, f"endpoint removed, {reason}")
         self._tenure.spawn(self._clients[instance].close)
         self.endpoints.pop(instance, None)
         self._model.forget(instance.endpoint_id)
@@ -314,6 +319,7 @@
         """Applies the ends and the active runs that an endpoint reports."""
         now_s = self._clock.now_s()
         if endpoint.missed_calls:
+            self._crash_watch.note_answered(endpoint)
             logger.info(
                 "endpoint answers again",
                 extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
@@ -384,6 +390,7 @@
         endpoint.remove_run(end.name, end.run)
         beside = self._neighbours.note_end(endpoint, endpoint_run, now_s)
         self._tenure.telemetry.count("runs_ended", kind=end.kind.value)
+        self._crash_watch.note_end(end)
         task = self._job_table.find_task(end.name)
         job = self._job_table.jobs.get(end.name.job_id)
         if job is None and self._may_have_orphans(endpoint, now_s):
