Give up a task that crashes the endpoints that start it

What callers saw: a task that ends the process of each endpoint that starts it was started again 1.4 s after each loss, at the next endpoint and beside other tasks, whose callers waited for a second lapse; its own job never ended but by its caller's time. Cause: only runs that ended 'failed' were counted, and the evidence of a crash, another start time, came when the runs were forgotten.

A suspected task runs where no other job does; after a second loss it waits up to 2.5 s for the evidence; a crash blames a job once all others that ran there have ended elsewhere. Two such crashes, or three of any kind, fail the job, and the same identifier is answered 'failed' at once. Durable jobs store the count; records without it are read as before. A lapse alone counts for nothing, so a cut fails no job.

--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/best_effort.py
@@ -107,6 +107,8 @@
         job, outcome = self._job_table.jobs.get(job_id), self._job_table.state(job_id)
         if job is not None:
             job.entry = entry
+        elif self._group.is_convicted(job_id):
+            return JobSubmissionReply(state=JobState.FAILED.value)
         elif outcome is JobState.CANCELLED and not message.attempt:
             raise JobAbandonedError("the job had begun and was dropped")
         elif outcome is not None and not message.attempt:
--- a/berylproxy/durable/crash_watch.py
+++ b/berylproxy/durable/crash_watch.py
@@ -1,11 +1,12 @@
-"""Tells crashes of a group's endpoints from cuts, and logs under which tasks they happened."""
+"""Tells crashes of a group's endpoints from cuts, and fails the jobs whose tasks cause them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from logbook import Logger
 
 from berylproxy.durable.crashes import CrashRecord
 from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.job_table import Job, JobTable
 from berylproxy.durable.models import EndedRun, EndKind, EndpointInstance, TaskName
 from berylproxy.durable.tenure import Tenure
 
@@ -17,12 +18,23 @@
 class CrashWatch:
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
+    :param on_crash: called with each open job under whose tasks an endpoint has crashed.
+    :param on_final: called with each job that fails because a task crashes its endpoints.
     :ivar record: the endpoints lost under tasks.
     """
 
-    def __init__(self, tenure: Tenure) -> None:
+    def __init__(
+        self,
+        tenure: Tenure,
+        job_table: JobTable,
+        on_crash: Callable[[Job], None],
+        on_final: Callable[[Job], None],
+    ) -> None:
         self.record = CrashRecord()
         self._tenure = tenure
+        self._job_table = job_table
+        self._on_crash = on_crash
+        self._on_final = on_final
 
     def note_lapsed(self, endpoint: EndpointState) -> None:
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
@@ -65,14 +77,53 @@
     def note_end(self, end: EndedRun) -> None:
         """Records the end of a run."""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
-            self.record.note_ended(end.name)
+            convicted = self.record.note_ended(end.name)
+            self._update_tasks([end.name])
+            self._fail_jobs(convicted)
+
+    def restore(self, job: Job, now_s: float) -> None:
+        """Takes over the crashes that a former holder has stored with a job."""
+        for task in job.tasks.values():
+            if task.has_crashed:
+                self.record.restore(task.name, task.crash_count, now_s)
 
     def _note_crashed(self, instance: EndpointInstance, endpoint: EndpointState | None) -> None:
         names = _list_tasks(endpoint) if endpoint is not None else []
         known = self.record.suspects(instance)
         if not known.issuperset(names) or (known and not self.record.has_crashed(instance)):
             self._log("endpoint crashed under tasks", instance, "crash", known.union(names))
-            self.record.note_crashed(instance, names, self._tenure.clock.now_s())
+            convicted = self.record.note_crashed(instance, names, self._tenure.clock.now_s())
+            self._update_tasks(known.union(names))
+            self._fail_jobs(convicted)
+
+    def _update_tasks(self, names: Iterable[TaskName]) -> None:
+        """Applies the record to the tasks of open jobs."""
+        changed = {}
+        for name in names:
+            task, count = self._job_table.find_task(name), self.record.count(name)
+            if task is not None and task.crash_count != count:
+                task.crash_count = count
+                changed[name.job_id] = self._job_table.jobs[name.job_id]
+        for job in changed.values():
+            self._on_crash(job)
+
+    def _fail_jobs(self, convicted: list[TaskName]) -> None:
+        for name in convicted:
+            count = self.record.count(name)
+            self._tenure.telemetry.count("crashing_tasks")
+            logger.warning(
+                "task given up: it crashes the endpoints that start it",
+                extra=self._tenure.extra(
+                    job=name.job_id,
+                    task=list(name[1:]),
+                    crashes=count.crashes,
+                    blamed_crashes=count.blamed,
+                ),
+            )
+            job = self._job_table.jobs.get(name.job_id)
+            if job is not None and not job.is_final:
+                self._job_table.fail(job)
+                self._on_final(job)
 
     def _log(
         self, message: str, instance: EndpointInstance, outcome: str, names: Iterable[TaskName]
--- a/berylproxy/durable/crashes.py
+++ b/berylproxy/durable/crashes.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from math import inf
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from berylproxy.durable.models import EndpointInstance, TaskName
 
@@ -20,6 +20,8 @@
 MAX_CRASHES = 3
 # An endpoint process that crashed is back after some seconds.
 HOLD_S = 2.5
+# While no endpoint is free of runs, a suspected task can't be tried alone.
+LONGEST_ALONE_S = 5.0
 MAX_LOSSES = 1_000
 MAX_CONVICTED_JOBS = 5_000
 # Stands for tasks that a former holder knew.
@@ -35,6 +37,13 @@
     HELD = auto()  # not now
 
 
+class Suspicion(Protocol):
+    """Tells which tasks may crash the endpoint that starts them."""
+
+    def treatment(self, name: TaskName, now_s: float) -> Treatment:
+        """Returns how a waiting task may be started now."""
+
+
 class CrashCount(NamedTuple):
     """The crashes of endpoints that ran a task.
 
@@ -73,6 +82,14 @@
     last_lost_s: float = -inf
 
 
+class NoSuspicion:
+    """Suspects no task."""
+
+    def treatment(self, name: TaskName, now_s: float) -> Treatment:
+        """Returns the usual treatment."""
+        return Treatment.USUAL
+
+
 class CrashRecord:
     """The endpoints lost under tasks, and the jobs whose tasks are to blame.
 
@@ -130,9 +147,10 @@
                 remaining |= loss.suspects
         return self._convict(remaining)
 
-    def restore(self, name: TaskName, count: CrashCount) -> None:
+    def restore(self, name: TaskName, count: CrashCount, now_s: float) -> None:
         """Adds the crashes that a former holder has stored for a task."""
         record = self._records.setdefault(name, TaskRecord())
+        record.last_lost_s = now_s
         for number in range(count.crashes):
             suspects = {name} if number < count.blamed else {name, UNKNOWN_TASK}
             record.losses.append(Loss(suspects, is_crash=True))
@@ -173,10 +191,13 @@
         if record is None or not record.losses:
             return Treatment.USUAL
         crashes = sum(loss.is_crash for loss in record.losses)
-        is_evidence_due = crashes < len(record.losses) and now_s < record.last_lost_s + HOLD_S
+        lost_ago_s = now_s - record.last_lost_s
+        is_evidence_due = crashes < len(record.losses) and lost_ago_s < HOLD_S
         if len(record.losses) > 1 and is_evidence_due:
             return Treatment.HELD
-        return Treatment.ALONE if crashes or len(record.losses) > 1 else Treatment.APART
+        is_suspected = crashes or len(record.losses) > 1
+        is_alone = is_suspected and lost_ago_s < LONGEST_ALONE_S
+        return Treatment.ALONE if is_alone else Treatment.APART
 
     def _add_suspects(
         self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -97,6 +97,8 @@
     :ivar quarantined_until_s: monotonic time before which no task is started on the endpoint.
     :ivar used: resources taken by all ``runs``.
     :ivar occupancy: kinds of the ``runs`` over time.
+    :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves; empty for
+        none.
     :ivar trust: how likely the endpoint is to fail its runs now.
     """
 
@@ -118,6 +120,7 @@
     quarantine_s: float = FIRST_QUARANTINE_S
     used: Resources = field(default_factory=Resources)
     occupancy: Occupancy = field(default_factory=Occupancy)
+    reserved_for: str = ""
     trust: EndpointTrust = field(default_factory=FailureTrust)
 
     @property
@@ -217,6 +220,16 @@
         endpoint_run = self.runs.pop((name, run), None)
         if endpoint_run is not None:
             self.used = self.used - endpoint_run.needs
+        if not self.runs:
+            self.reserved_for = ""
+
+    def is_apart(self, job_id: str) -> bool:
+        """Returns whether the endpoint has no runs of other jobs."""
+        return all(name.job_id == job_id for name, _ in self.runs)
+
+    def is_closed_to(self, job_id: str) -> bool:
+        """Returns whether the endpoint is reserved for another job."""
+        return bool(self.reserved_for) and self.reserved_for != job_id
 
     def note_failure(self, now_s: float) -> bool:
         """Counts a failure of a task that did not fail on another endpoint.
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -7,6 +7,7 @@
 from logbook import Logger
 
 from berylproxy.durable.crash_watch import CrashWatch
+from berylproxy.durable.crashes import Suspicion
 from berylproxy.durable.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
@@ -23,6 +24,7 @@
 )
 from berylproxy.durable.moves import Move, MoveReason, plan_moves
 from berylproxy.durable.neighbours import NeighbourModel
+from berylproxy.durable.placement import should_reserve
 from berylproxy.durable.ports import (
     EndpointCallError,
     EndpointClient,
@@ -69,6 +71,7 @@
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
+    :param on_crash: called with a job under whose tasks an endpoint has crashed.
     :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
         ends of unknown jobs may belong to them.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
@@ -89,6 +92,7 @@
         is_in_group: Callable[[EndpointInfo], bool],
         on_end: Callable[[EndpointState, EndedRun], None],
         on_final: Callable[[Job], None],
+        on_crash: Callable[[Job], None],
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
@@ -105,7 +109,7 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
-        self._crash_watch = CrashWatch(tenure)
+        self._crash_watch = CrashWatch(tenure, job_table, on_crash, on_final)
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
@@ -540,6 +544,7 @@
         job, kind = self._job_table.jobs[task.name.job_id], self._kind_of(task)
         beside = dict(endpoint.occupancy.counts)
         endpoint_run = endpoint.add_run(task.name, task.run, task.step.needs, kind)
+        self._reserve_for_suspect(task, endpoint, now_s)
         self._neighbours.note_start(endpoint, endpoint_run, now_s)
         if not task.saved:
             factor = self._neighbours.expected_factor(kind, beside)
@@ -548,6 +553,25 @@
         order = StartOrder(task.name, task.run, payload, self._tenure.fence, task.saved)
         self._tenure.spawn(self._start, task, endpoint, order)
 
+    def _reserve_for_suspect(self, task: Task, endpoint: EndpointState, now_s: float) -> None:
+        """Keeps other jobs from an endpoint while it runs tasks that may crash it."""
+        treatment, job_id = self.suspicion.treatment(task.name, now_s), task.name.job_id
+        if should_reserve(treatment, endpoint, job_id, self.endpoints.values()):
+            endpoint.reserved_for = job_id
+
+    @property
+    def suspicion(self) -> Suspicion:
+        """Tells which tasks may crash the endpoint that starts them."""
+        return self._crash_watch.record
+
+    def is_convicted(self, job_id: str) -> bool:
+        """Returns whether a task of a job is known to crash the endpoints that start it."""
+        return self._crash_watch.record.is_convicted(job_id)
+
+    def restore_crashes(self, job: Job, now_s: float) -> None:
+        """Takes over the crashes that a former holder has stored with a job."""
+        self._crash_watch.restore(job, now_s)
+
     def _expect_run_time(
         self,
         job: Job,
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holder.py
@@ -211,7 +211,6 @@
         self._was_scarce = False
         self._model = model
         self.neighbours = neighbours
-        self._policies = PlacementPolicies(SharedOrder(), neighbours)
         self._neighbours_refreshed_s = tenure.began_s
         self._inherited = inherited
         self._context = context
@@ -230,7 +229,9 @@
             == group,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
+            lambda job: self._outcomes.note_progress(job),
         )
+        self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
         self.group.is_loading_jobs = claim_revision > 0
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
@@ -312,6 +313,7 @@
         age_s = max(time() - stored.accepted_unix_s, 0.0)
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
         job = self.job_table.open(stored, now_s - age_s, first_run=first_run)
+        self.group.restore_crashes(job, now_s)
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
             self._unresolved.append(UnresolvedJob(job, now_s, 0))
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/job_table.py
@@ -6,6 +6,7 @@
 from enum import Enum, auto
 from math import inf
 
+from berylproxy.durable.crashes import CrashCount
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.models import (
     FINAL_STATES,
@@ -57,6 +58,7 @@
     :ivar progressed_s: monotonic time at which the newest run last made progress.
     :ivar failed_runs: numbers of the runs that have failed.
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
+    :ivar crash_count: crashes of endpoints that ran the task, unless a run has ended since.
     :ivar saved: checkpoint that a run saved last.
     :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
     :ivar moves: how often a run was stopped because its endpoint had turned slow.
@@ -74,10 +76,16 @@
     progressed_s: float = 0.0
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
+    crash_count: CrashCount = CrashCount()
     saved: str = ""
     distance_factor: float = 1.0
     moves: int = 0
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether an endpoint has crashed while it ran the task."""
+        return self.crash_count.crashes > 0
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -135,13 +143,16 @@
         return self.state in FINAL_STATES
 
     def progress(self) -> Progress:
-        """Returns the done tasks and the failed runs.
+        """Returns the done tasks, the failed runs and the crashes of endpoints.
 
         They must be in the store before endpoints may forget them.
         """
         return Progress(
             tuple(key for key, task in self.tasks.items() if task.status is TaskStatus.DONE),
             tuple((*key, run) for key, task in self.tasks.items() for run in task.failed_runs),
+            tuple(
+                (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
+            ),
         )
 
 
@@ -219,6 +230,10 @@
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.failed_runs.add(run)
+        for step_number, index, crashes, blamed in stored.progress.crashes:
+            task = job.tasks.get((step_number, index))
+            if task is not None:
+                task.crash_count = CrashCount(crashes, blamed)
         job.unfinished_tasks = sum(
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
@@ -343,14 +358,18 @@
             task.failed_runs.add(end.run)
             task.failed_endpoint_ids.add(instance.endpoint_id)
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
-                job.state = JobState.FAILED
-                job.waiting.clear()
-                self._remove_work(job)
+                self.fail(job)
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
+    def fail(self, job: Job) -> None:
+        """Marks a job as failed; the caller must stop its active tasks."""
+        job.state = JobState.FAILED
+        job.waiting.clear()
+        self._remove_work(job)
+
     def cancel(self, job: Job) -> None:
         """Marks a job as cancelled; the caller must stop its active tasks."""
         job.state = JobState.CANCELLED
--- a/berylproxy/durable/models.py
+++ b/berylproxy/durable/models.py
@@ -234,10 +234,13 @@
 
     :param done: tasks that are done, as (step, index).
     :param failures: failed runs as (step, index, run).
+    :param crashes: crashes of endpoints that ran a task, as (step, index, crashes, those for which
+        no other job can be to blame); records of earlier versions have none.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     failures: tuple[tuple[int, int, int], ...] = ()
+    crashes: tuple[tuple[int, int, int, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/outcomes.py
+++ b/berylproxy/durable/outcomes.py
@@ -56,12 +56,18 @@
         self._retained_ends: dict[str, list[RetainedEnd]] = {}
         self._stored_events: dict[str, Event] = {}
         self._storing_progress: set[str] = set()
+        self._changed_progress: set[str] = set()
 
     def retain_end(self, endpoint: EndpointState, end: EndedRun) -> None:
         """Records that an endpoint must retain an end of a run until it is released."""
         retained = RetainedEnd(endpoint, end.number, self._tenure.clock.now_s())
         self._retained_ends.setdefault(end.name.job_id, []).append(retained)
 
+    def note_progress(self, job: Job) -> None:
+        """Records that a job's progress should be stored soon, without an end to release."""
+        if job.spec.is_durable:
+            self._changed_progress.add(job.spec.job_id)
+
     def start_storing(self, job: Job) -> None:
         """Starts storing a job's outcome, unless that has been started before."""
         job_id = job.spec.job_id
@@ -135,20 +141,26 @@
         self._stored_events.pop(job_id).set()
 
     def store_old_progress(self, now_s: float) -> None:
-        """Starts storing the progress of unfinished jobs with ends retained for too long.
+        """Starts storing progress that has changed, or whose ends are retained for too long.
 
         The endpoints can then discard these ends before the job has ended.
         """
-        for job_id, ends in self._retained_ends.items():
+        for job_id in self._changed_progress.union(self._retained_ends):
+            ends = self._retained_ends.get(job_id)
             job = self._job_table.jobs.get(job_id)
-            if job is None or job.is_final or job_id in self._storing_progress:
+            if job is None or job.is_final:
+                self._changed_progress.discard(job_id)
+                continue
+            if job_id in self._storing_progress:
                 continue
-            if ends and now_s - ends[0].received_s > MAX_RETAINED_END_AGE_S:
+            is_old = bool(ends) and now_s - ends[0].received_s > MAX_RETAINED_END_AGE_S
+            if is_old or job_id in self._changed_progress:
                 self._storing_progress.add(job_id)
                 self._tenure.spawn(self._store_progress, job)
 
     async def _store_progress(self, job: Job) -> None:
         job_id = job.spec.job_id
+        self._changed_progress.discard(job_id)
         retained = list(self._retained_ends.get(job_id, ()))
         stored = StoredJob(job.spec, job.accepted_unix_s, job.progress())
         change = Change(
@@ -161,6 +173,8 @@
             self._tenure.end("another daemon holds the claim")
             return
         except (StoreError, KeyExistsError) as error:
+            if not isinstance(error, KeyExistsError):
+                self._changed_progress.add(job_id)
             logger.debug("cannot store the progress of job {}: {}", job_id, error.message)
             return
         finally:
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/placement.py
@@ -11,6 +11,7 @@
 from math import inf
 from typing import Protocol
 
+from berylproxy.durable.crashes import NoSuspicion, Suspicion, Treatment
 from berylproxy.durable.estimates import RunTimeModel
 from berylproxy.durable.fleet import EndpointState
 from berylproxy.durable.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
@@ -116,6 +117,7 @@
 
 OBJECTIVE_ORDER = ObjectiveOrder()
 NO_NEIGHBOUR_EFFECT = NoNeighbourEffect()
+NO_SUSPICION = NoSuspicion()
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,10 +126,12 @@
 
     :param order: decides which jobs go first.
     :param neighbours: tells how tasks on one endpoint slow each other down.
+    :param suspicion: tells which tasks may crash the endpoint that starts them.
     """
 
     order: JobOrder = OBJECTIVE_ORDER
     neighbours: NeighbourEffect = NO_NEIGHBOUR_EFFECT
+    suspicion: Suspicion = NO_SUSPICION
 
 
 DEFAULT_POLICIES = PlacementPolicies()
@@ -237,8 +241,20 @@
             if task.step.needs.cpu_millicores > max_free_millicores:
                 skipped += 1
                 break
+            treatment = policies.suspicion.treatment(task.name, now_s)
+            candidates = _list_candidates(job, treatment, usable, policies.suspicion, now_s)
+            if not candidates and treatment is not Treatment.APART:
+                continue
             near = NearRack(choose_rack(job, task, usable, view), remote_factor)
-            endpoint = choose_endpoint(job, task, usable, view, now_s, near, policies.neighbours)
+            endpoint = choose_endpoint(
+                job, task, candidates, view, now_s, near, policies.neighbours
+            )
+            if endpoint is None and treatment is Treatment.APART:
+                endpoint = choose_endpoint(
+                    job, task, usable, view, now_s, near, policies.neighbours
+                )
+            if endpoint is None and treatment is Treatment.ALONE:
+                continue
             if endpoint is None:
                 skipped += 1
                 break
@@ -250,6 +266,49 @@
                 max_free_millicores = max(endpoint.free_millicores for endpoint in usable)
 
 
+def _list_candidates(
+    job: Job,
+    treatment: Treatment,
+    usable: list[EndpointState],
+    suspicion: Suspicion,
+    now_s: float,
+) -> list[EndpointState]:
+    """Returns the endpoints where a task should be started, as it may crash them.
+
+    The suspected tasks of one job are tried on one endpoint: it fails with the first of them.
+    """
+    if treatment is Treatment.USUAL:
+        return usable
+    if treatment is Treatment.HELD:
+        return []
+    apart = [endpoint for endpoint in usable if endpoint.is_apart(job.spec.job_id)]
+    if treatment is Treatment.APART:
+        return apart
+    tried_at = {
+        task.instance
+        for task in job.tasks.values()
+        if task.status in ACTIVE_STATUSES
+        and suspicion.treatment(task.name, now_s) is Treatment.ALONE
+    }
+    return [e for e in apart if not tried_at or e.info.instance in tried_at]
+
+
+def should_reserve(
+    treatment: Treatment, endpoint: EndpointState, job_id: str, endpoints: Iterable[EndpointState]
+) -> bool:
+    """Returns whether an endpoint is reserved for the job of a task that is started there.
+
+    While an endpoint may only have been cut off, room is not left unused for it.
+
+    :param endpoints: all endpoints of the group.
+    """
+    if treatment is Treatment.USUAL or not endpoint.is_apart(job_id):
+        return False
+    return treatment is Treatment.ALONE or any(
+        not other.runs and not other.missed_calls and other is not endpoint for other in endpoints
+    )
+
+
 def choose_rack(job: Job, task: Task, usable: Iterable[EndpointState], model: RunTimes) -> str:
     """Returns the rack where a task should run; empty if it runs equally fast in all racks.
 
@@ -319,6 +378,8 @@
             run_time_s += FAILED_HERE_FACTOR * expected_s
         if run_time_s < fastest_s:
             fastest_s = run_time_s
+        if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id):
+            continue
         remaining_millicores = endpoint.free_millicores - needs.cpu_millicores
         if remaining_millicores < 0 or not endpoint.has_room(needs):
             continue
@@ -361,6 +422,8 @@
             continue
         if not endpoint.may_start(now_s) or not endpoint.has_room(task.step.needs):
             continue
+        if endpoint.is_closed_to(job.spec.job_id):
+            continue
         if endpoint_id in task.failed_endpoint_ids or not _could_ever_fit(endpoint, task.step):
             continue
         if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
--- a/berylproxy/durable/telemetry.py
+++ b/berylproxy/durable/telemetry.py
@@ -25,6 +25,7 @@
     "runs_ended": "Runs of tasks that ended, by kind",
     "runs_moved": "Runs stopped so that their tasks start elsewhere, by reason",
     "endpoints_lost_under_tasks": "Endpoints lost under tasks: first unknown, later crash or cut",
+    "crashing_tasks": "Tasks given up because they crash the endpoints that start them",
     "endpoint_speed_changes": "Times that an endpoint turned slow or usual again",
     "endpoint_closures": "Times that an endpoint got no tasks for a while, by reason",
     "neighbour_pairs": "Pairs of kinds of task that slow each other down: found or cleared",
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -1,12 +1,13 @@
 """A model of an endpoint of the users' platform: how it handles orders, without a network."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
 from time import monotonic
 
 from anyio import Event
 
-from berylproxy.durable.models import EndedRun, EndKind, EndpointInfo, TaskName
+from berylproxy.durable.models import EndedRun, EndKind, EndpointInfo, EndpointInstance, TaskName
 from berylproxy.durable.ports import StartOrder, StartOutcome
 
 
@@ -43,6 +44,11 @@
     :ivar changed: event that is set and replaced by a new one at each end of a run.
     :ivar on_event: called with each entry of the history.
     :ivar end_kinds_by_job: how the runs of a job end, by its identifier; done by default.
+    :ivar crashing_jobs: identifiers of jobs whose runs end the process of the endpoint.
+    :ivar crash_after_s: time from the start of such a run to the end of the process.
+    :ivar down_s: time from the end of the process to the start of the next one.
+    :ivar crashes: number of ends of the process.
+    :ivar back_at_s: time at which the next process starts; infinite while one runs.
     """
 
     info: EndpointInfo
@@ -62,6 +68,34 @@
     rejected_jobs: set = field(default_factory=set)
     changed: Event = field(default_factory=Event)
     on_event: Callable[[tuple], None] | None = None
+    crashing_jobs: set = field(default_factory=set)
+    crash_after_s: float = 0.05
+    down_s: float = 3.0
+    crashes: int = 0
+    back_at_s: float = inf
+
+    @property
+    def is_down(self) -> bool:
+        """Whether no process runs; starts the next one if it is time."""
+        if monotonic() >= self.back_at_s:
+            self.back_at_s = inf
+            former = self.info.instance
+            instance = EndpointInstance(former.endpoint_id, former.born_ms + 1)
+            self.info = replace(self.info, instance=instance)
+        return self.back_at_s < inf
+
+    def crash(self) -> None:
+        """Ends the process, which forgets all runs, ends and fences."""
+        now_s = monotonic()
+        for run in self.running.values():
+            self._note(now_s, "crashed", run.name, run.run)
+        self.running, self.ended, self.highest_runs = {}, [], {}
+        self.fence = self.end_count = 0
+        self.lease_end_s = 0.0
+        self.crashes += 1
+        self.back_at_s = now_s + self.down_s
+        self.changed.set()
+        self.changed = Event()
 
     def slow_down(self, factor: float) -> None:
         """Multiplies the remaining time of all runs, and the time of later ones."""
@@ -86,6 +120,11 @@
     def end_due_runs(self) -> None:
         """Ends the runs that are complete or whose lease has lapsed."""
         now_s = monotonic()
+        for run in self.running.values():
+            is_crashing = run.name.job_id in self.crashing_jobs
+            if is_crashing and now_s >= run.started_s + self.crash_after_s:
+                self.crash()
+                return
         for key, run in list(self.running.items()):
             if now_s >= self.lease_end_s and run.ends_s > self.lease_end_s:
                 self.end(key, EndKind.LAPSED, self.lease_end_s)
@@ -106,6 +145,8 @@
     def start(self, order: StartOrder, new_lease_end_s: float) -> StartOutcome:
         """Starts a run of a task and returns the outcome, or the reason for a refusal."""
         self.end_due_runs()
+        if self.is_down:
+            return StartOutcome.NOT_SENT
         if order.fence < self.fence:
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
--- /dev/null
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -0,0 +1,136 @@
+"""Steps for the record of crashes, and for plays of loads with crashing tasks."""
+
+from behave import given, then, use_step_matcher, when
+from msgpack import packb, unpackb
+
+from berylproxy.durable.crashes import CrashRecord, Treatment
+from berylproxy.durable.models import (
+    EndpointInstance,
+    JobSpec,
+    QueueTerms,
+    Resources,
+    StepSpec,
+    StoredJob,
+    TaskName,
+)
+from berylproxy.durable.records import decode_job, encode_job
+from tests.support.crash_play import CrashSimulation
+
+NOW_S = 100.0
+SEEDS = (1, 2, 3)
+LOADS = {
+    "2 in 100 crashing jobs": {"deadly_share": 0.02},
+    "2 in 100 crashing jobs, back after 6 s": {"deadly_share": 0.02, "down_s": 6.0},
+    "10 in 100 crashing jobs": {"deadly_share": 0.1},
+    "2 in 100 crashing jobs beside cuts": {"deadly_share": 0.02, "cuts": 10},
+    "2 in 100 crashing jobs beside other crashes": {"deadly_share": 0.02, "own_crashes": 10},
+    "30 cuts": {"deadly_share": 0.0, "cuts": 30},
+}
+
+
+def parse_tasks(text: str) -> list[TaskName]:
+    """Parses names such as ``a`` or ``a.1``."""
+    pairs = [word.partition(".") for word in text.split()]
+    return [TaskName(job_id, 0, int(index or 0)) for job_id, _, index in pairs]
+
+
+def get_record(context) -> CrashRecord:
+    """Returns the record of the scenario."""
+    if "crash_record" not in context:
+        context.crash_record, context.convicted = CrashRecord(), []
+    return context.crash_record
+
+
+use_step_matcher("re")
+
+
+@when(r'"(?P<endpoint>\w+)" crashes under "(?P<names>[\w. ]+)"')
+def step_impl(context, endpoint, names):
+    instance = EndpointInstance(endpoint, 1)
+    convicted = get_record(context).note_crashed(instance, parse_tasks(names), NOW_S)
+    context.convicted += [name.job_id for name in convicted]
+
+
+@when(r'"(?P<endpoint>\w+)" is lost under "(?P<names>[\w. ]+)"')
+def step_impl(context, endpoint, names):
+    get_record(context).note_lost(EndpointInstance(endpoint, 1), parse_tasks(names), NOW_S)
+
+
+@when(r'"(?P<endpoint>\w+)" answers again')
+def step_impl(context, endpoint):
+    assert get_record(context).note_answered(EndpointInstance(endpoint, 1))
+
+
+@when(r'a run of task "(?P<name>\w+)" ends')
+def step_impl(context, name):
+    convicted = get_record(context).note_ended(*parse_tasks(name))
+    context.convicted += [task.job_id for task in convicted]
+
+
+@then(r"no job is convicted")
+def step_impl(context):
+    assert not context.convicted, context.convicted
+
+
+@then(r'job "(?P<name>\w+)" is convicted')
+def step_impl(context, name):
+    assert context.convicted == [name], context.convicted
+    assert get_record(context).is_convicted(name)
+
+
+@then(r'task "(?P<name>\w+)" is to be tried "(?P<treatment>\w+)"(?: (?P<later_s>[\d.]+) s later)?')
+def step_impl(context, name, treatment, later_s):
+    found = get_record(context).treatment(*parse_tasks(name), NOW_S + float(later_s or 0))
+    assert found is Treatment[treatment.upper()], found
+
+
+@given(r"a stored job without a list of crashes")
+def step_impl(context):
+    step = StepSpec(1, Resources(1000))
+    fields = unpackb(encode_job(StoredJob(JobSpec("a", QueueTerms("q", "s"), "", (step,)), 1.0)))
+    del fields["progress"]["crashes"]
+    context.stored_value = packb(fields)
+
+
+@then(r"it is decoded with no crashes")
+def step_impl(context):
+    assert decode_job(context.stored_value).progress.crashes == ()
+
+
+@when(r"a load with (?P<load>.+) is simulated with 3 seeds")
+def step_impl(context, load):
+    context.crash_load = LOADS[load.strip()]
+    context.plays = [CrashSimulation(seed, **context.crash_load).run() for seed in SEEDS]
+
+
+@then(r"each crashing task is given up after at most (?P<count>\d+) crashes")
+def step_impl(context, count):
+    for play in context.plays:
+        assert play.deadly and play.given_up >= play.deadly, play.deadly - play.given_up
+        crashes = [n for name, n in play.crashes_by_task.items() if name.job_id in play.deadly]
+        assert max(crashes) <= int(count), crashes
+
+
+@then(r"no task is given up under which fewer than 2 endpoints have crashed")
+def step_impl(context):
+    for play in context.plays:
+        counts = {
+            job_id: max(n for name, n in play.crashes_by_task.items() if name.job_id == job_id)
+            for job_id in play.given_up
+        }
+        assert min(counts.values()) >= 2, counts
+
+
+@then(r"all other jobs are done")
+def step_impl(context):
+    for play in context.plays:
+        assert not play.falsely_given_up, play.falsely_given_up
+        assert not play.job_table.jobs, list(play.job_table.jobs)
+
+
+@then(r"at most a quarter as many endpoints crash as when lost tasks are requeued at once")
+def step_impl(context):
+    plays = [CrashSimulation(seed, **context.crash_load, is_decided=False) for seed in SEEDS]
+    without = sum(play.run().crashes for play in plays)
+    crashes = sum(play.crashes for play in context.plays)
+    assert 4 * crashes <= without, (crashes, without)
--- /dev/null
+++ b/tests/steps/durable_crashes_steps.py
@@ -0,0 +1,73 @@
+"""Steps for tasks that crash the endpoints that start them."""
+
+from time import monotonic, sleep
+
+from anyio import sleep as anyio_sleep
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.durable.records import decode_job, open_key
+from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP
+
+use_step_matcher("re")
+
+
+def count_crashes(context) -> int:
+    """Returns how many endpoint processes have crashed."""
+    return sum(endpoint.crashes for endpoint in context.holder_world.endpoints)
+
+
+def wait_for(condition, what: str):
+    """Waits until a condition holds and returns its value."""
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while monotonic() < until_s:
+        value = condition()
+        if value:
+            return value
+        sleep(0.005)
+    raise AssertionError(f"not seen: {what}")
+
+
+@given(
+    r'job "(?P<name>\w+)" crashes the endpoints that start it(?: after (?P<after_s>[\d.]+) s)?, '
+    r"which are back after (?P<down_s>[\d.]+) s"
+)
+def step_impl(context, name, after_s, down_s):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.crashing_jobs.add(name)
+        endpoint.down_s = float(down_s)
+        endpoint.crash_after_s = float(after_s) if after_s else endpoint.crash_after_s
+
+
+@when(r'the endpoint that runs job "(?P<name>\w+)" is cut off for (?P<cut_s>[\d.]+) s')
+def step_impl(context, name, cut_s):
+    world = context.holder_world
+
+    def find_reached():
+        for endpoint in world.endpoints:
+            is_running = any(task.job_id == name for task, _ in list(endpoint.running))
+            if is_running and not endpoint.cut_fences:
+                return endpoint
+        return None
+
+    endpoint = wait_for(find_reached, f"a run of {name} at an endpoint that is reached")
+    endpoint.cut_fences.add(world.newest_fence)
+    world.portal.start_task_soon(_heal_later, endpoint, float(cut_s))
+
+
+async def _heal_later(endpoint, cut_s):
+    await anyio_sleep(cut_s)
+    endpoint.cut_fences.clear()
+
+
+@when(r'1 endpoint process has crashed and its crash is stored with job "(?P<name>\w+)"')
+def step_impl(context, name):
+    def is_stored():
+        entry = context.holder_world.store.entries.get(open_key(GROUP, name))
+        return entry is not None and decode_job(entry.value).progress.crashes
+
+    wait_for(is_stored, "a stored crash")
+
+
+@then(r"(?P<count>\d+) endpoint processes have crashed")
+def step_impl(context, count):
+    assert count_crashes(context) == int(count), count_crashes(context)
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -25,6 +25,7 @@
 from standins.runner_model import RunnerModel
 
 LEASE_S = 1.0
+FIRST_BORN_MS = 1_000
 
 
 class FakeEndpointClient:
@@ -77,20 +78,25 @@
         if extend:
             endpoint.lease_end_s = max(endpoint.lease_end_s, self._lease_end_s)
         endpoint.acknowledge(acknowledged)
+        born_ms = endpoint.info.instance.born_ms
         until_s = monotonic() + wait_s
         while not endpoint.ended and monotonic() < until_s:
             with move_on_after(0.005):
                 await endpoint.changed.wait()
             endpoint.end_due_runs()
         self._check(fence)
+        if endpoint.info.instance.born_ms != born_ms:
+            raise EndpointCallError("the connection was reset")
         running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
-        return EndpointReport(0, sent_s, tuple(running), tuple(endpoint.ended))
+        return EndpointReport(born_ms, sent_s, tuple(running), tuple(endpoint.ended))
 
     async def close(self) -> None:
         """Does nothing: there are no connections."""
 
     def _check(self, fence: int) -> None:
         self.endpoint.end_due_runs()
+        if self.endpoint.is_down:
+            raise EndpointCallError("the connection was refused")
         if fence in self.endpoint.cut_fences:
             raise EndpointCallError("cut off")
         if fence < self.endpoint.fence:
@@ -109,11 +115,14 @@
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list."""
         await sleep(self.delay_s)
-        return tuple(endpoint.info for endpoint in self.endpoints)
+        for endpoint in self.endpoints:
+            endpoint.end_due_runs()
+        return tuple(endpoint.info for endpoint in self.endpoints if not endpoint.is_down)
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
-        endpoint = next(e for e in self.endpoints if e.info.instance == info.instance)
+        endpoint_id = info.instance.endpoint_id
+        endpoint = next(e for e in self.endpoints if e.info.instance.endpoint_id == endpoint_id)
         self.clients.append(FakeEndpointClient(endpoint))
         return self.clients[-1]
 
@@ -183,6 +192,6 @@
 
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Creates an endpoint with a given number of cores."""
-    instance = EndpointInstance(name, 0)
+    instance = EndpointInstance(name, FIRST_BORN_MS)
     capacity = Resources(cores * 1000, 128_000)
     return RunnerModel(EndpointInfo(instance, "ledger", f"{name}:1", "a", capacity))
