--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,7 +15,13 @@
 PROVING_FOLDERS = ("admit", "collect", "daemon", "deduplicate", "place", "send")
 PLATFORM_FOLDERS = ("platform",)
 JOBS_FOLDER = "durable"
-LOAD_PLAYS = ("crash_decisions", "load", "neighbours", "scarce_room", "uneven")  # features of that folder
+LOAD_PLAYS = (
+    "crash_decisions",
+    "load",
+    "neighbours",
+    "scarce_room",
+    "uneven",
+)  # features of that folder
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 CHECKED_FOLDERS = ("berylproxy", "standins", "tests", "tools")
 PASSED = "passed"
