Count a crash whose endpoint comes back under another identifier

Cause: only another start time counted as evidence, while an answer 421 (the process at the address is not the one meant) was not connected with the tasks. A cut can't cause that answer: the former process has ended; one that was leaving is not counted. A task whose start order was refused so has not run there and is no suspect.

Evidence: 'a task crashes endpoints that come back under another identifier' ended with 'the job has begun and cannot end in time' before, and passes now.

--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -225,6 +225,7 @@
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
             except OtherInstanceError:
+                self._crash_watch.note_restarted(endpoint)
                 self._remove_endpoint(endpoint, "another instance answers at its address")
                 return
             except EndpointCallError as error:
@@ -649,6 +650,8 @@
             self._wakeups[endpoint.info.instance].set()
             return
         if outcome is StartOutcome.OTHER_INSTANCE:
+            self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
+            self._crash_watch.note_restarted(endpoint)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
         if outcome is StartOutcome.INVALID:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -48,6 +48,8 @@
     :ivar crash_after_s: time from the start of such a run to the end of the process.
     :ivar down_s: time from the end of the process to the start of the next one.
     :ivar crashes: number of ends of the process.
+    :ivar rejects_former: whether a new process has another identifier, and rejects calls that are
+        meant for the former one.
     :ivar back_at_s: time at which the next process starts; infinite while one runs.
     """
 
@@ -72,6 +74,7 @@
     crash_after_s: float = 0.05
     down_s: float = 3.0
     crashes: int = 0
+    rejects_former: bool = False
     back_at_s: float = inf
 
     @property
@@ -80,7 +83,8 @@
         if monotonic() >= self.back_at_s:
             self.back_at_s = inf
             former = self.info.instance
-            instance = EndpointInstance(former.endpoint_id, former.born_ms + 1)
+            endpoint_id = former.endpoint_id + ("x" if self.rejects_former else "")
+            instance = EndpointInstance(endpoint_id, former.born_ms + 1)
             self.info = replace(self.info, instance=instance)
         return self.back_at_s < inf
 
--- a/tests/durable/crashes.feature
+++ b/tests/durable/crashes.feature
@@ -17,6 +17,15 @@
     And the store holds the outcome of job "k" and not the job
     And 2 endpoint processes have crashed
 
+  Scenario: a task crashes endpoints that come back under another identifier
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And job "a" crashes the endpoints that start it, which are back after 2.5 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    Then job "a" ends as "failed"
+    And 2 endpoint processes have crashed
+
   Scenario: a neighbour of a task that crashes its endpoints is done
     Given a group of 3 endpoints whose runs take 0.4 s
     And job "a" crashes the endpoints that start it, which are back after 2.5 s
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -38,6 +38,12 @@
         endpoint.crash_after_s = float(after_s) if after_s else endpoint.crash_after_s
 
 
+@given(r"the endpoints come back under another identifier")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.rejects_former = True
+
+
 @when(r'the endpoint that runs job "(?P<name>\w+)" is cut off for (?P<cut_s>[\d.]+) s')
 def step_impl(context, name, cut_s):
     world = context.holder_world
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -16,6 +16,7 @@
 from berylproxy.durable.ports import (
     EndpointCallError,
     FencedOffError,
+    OtherInstanceError,
     StartOrder,
     StartOutcome,
     Transaction,
@@ -33,6 +34,7 @@
 
     def __init__(self, endpoint: RunnerModel) -> None:
         self.endpoint = endpoint
+        self.instance = endpoint.info.instance
         self.renewals = 0
         self._lease_end_s = 0.0
 
@@ -52,6 +54,8 @@
             await sleep(endpoint.late_by_s)
             endpoint.start(order, self._lease_end_s)
             return StartOutcome.UNKNOWN
+        if self._is_rejected():
+            return StartOutcome.OTHER_INSTANCE
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
@@ -93,10 +97,18 @@
     async def close(self) -> None:
         """Does nothing: there are no connections."""
 
+    def _is_rejected(self) -> bool:
+        endpoint = self.endpoint
+        if endpoint.is_down or not endpoint.rejects_former:
+            return False
+        return endpoint.info.instance != self.instance
+
     def _check(self, fence: int) -> None:
         self.endpoint.end_due_runs()
         if self.endpoint.is_down:
             raise EndpointCallError("the connection was refused")
+        if self._is_rejected():
+            raise OtherInstanceError("another instance answered")
         if fence in self.endpoint.cut_fences:
             raise EndpointCallError("cut off")
         if fence < self.endpoint.fence:
