--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/fleet.py
@@ -158,6 +158,8 @@
     :ivar used: resources taken by all ``runs`` whose needs are known.
     :ivar unknown_runs: number of the other runs.
     :ivar occupancy: kinds of the ``runs`` over time.
+    :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves; empty for
+        none.
     :ivar trust: how likely the endpoint is to fail its runs now.
     """
 
@@ -180,6 +182,7 @@
     used: Resources = field(default_factory=Resources)
     unknown_runs: int = 0
     occupancy: Occupancy = field(default_factory=Occupancy)
+    reserved_for: str = ""
     trust: EndpointTrust = field(default_factory=FailureTrust)
 
     @property
@@ -309,6 +312,16 @@
         endpoint_run = self.runs.pop((name, run), None)
         if endpoint_run is not None:
             self._discount_needs(endpoint_run)
+        if not self.runs:
+            self.reserved_for = ""
+
+    def is_apart(self, job_id: str) -> bool:
+        """Returns whether the endpoint has no runs of other jobs."""
+        return all(name.job_id == job_id for name, _ in self.runs)
+
+    def is_closed_to(self, job_id: str) -> bool:
+        """Returns whether the endpoint is reserved for another job."""
+        return bool(self.reserved_for) and self.reserved_for != job_id
 
     def note_failure(self, now_s: float) -> bool:
         """Counts a failure of a task that did not fail on another endpoint.
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/group.py
@@ -7,6 +7,8 @@
 from anyio import Event, move_on_after, sleep
 from logbook import Logger
 
+from berylproxy.durable.crash_watch import CrashWatch
+from berylproxy.durable.crashes import Suspicion
 from berylproxy.durable.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
 from berylproxy.durable.evacuation import EvacuatedDomains
 from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
@@ -24,6 +26,7 @@
 )
 from berylproxy.durable.moves import Move, MoveReason, plan_moves
 from berylproxy.durable.neighbours import NeighbourModel
+from berylproxy.durable.placement import should_reserve
 from berylproxy.durable.ports import (
     EndpointCallError,
     EndpointClient,
@@ -70,6 +73,7 @@
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
+    :param on_crash: called with a job under whose tasks an endpoint has crashed.
     :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
         ends of unknown jobs may belong to them.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
@@ -90,6 +94,7 @@
         is_in_group: Callable[[EndpointInfo], bool],
         on_end: Callable[[EndpointState, EndedRun], None],
         on_final: Callable[[Job], None],
+        on_crash: Callable[[Job], None],
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
@@ -106,6 +111,7 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
+        self._crash_watch = CrashWatch(tenure, job_table, on_crash, on_final)
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
@@ -167,6 +173,7 @@
             self._unlisted_from_s.pop(instance, None)
             endpoint = self.endpoints.get(instance)
             if endpoint is None:
+                self._crash_watch.note_listed(instance, self.endpoints.values())
                 self._add_endpoint(info)
                 continue
             if info.leaving and not endpoint.info.leaving:
@@ -230,6 +237,7 @@
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
             except OtherInstanceError:
+                self._crash_watch.note_restarted(endpoint)
                 self._remove_endpoint(endpoint, "another instance answers at its address")
                 return
             except EndpointCallError as error:
@@ -281,12 +289,13 @@
         endpoint.missed_calls += 1
         lapsed_s = max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S)
         if endpoint.runs and now_s > lapsed_s:
-            self._requeue_all_tasks(endpoint)
+            self._crash_watch.note_lapsed(endpoint)
+            self._requeue_all_tasks(endpoint, "its lease has lapsed")
 
-    def _requeue_all_tasks(self, endpoint: EndpointState) -> None:
-        """Requeues all tasks of an endpoint whose lease has certainly lapsed."""
+    def _requeue_all_tasks(self, endpoint: EndpointState, reason: str) -> None:
+        """Requeues all tasks of an endpoint whose runs have certainly ended."""
         for name, run in list(endpoint.runs):
-            self._drop_run(endpoint, name, run, "its lease has lapsed")
+            self._drop_run(endpoint, name, run, reason)
         self.changed.set()
 
     def _drop_run(self, endpoint: EndpointState, name: TaskName, run: int, reason: str) -> None:
@@ -316,7 +325,7 @@
             reason,
             extra=self._tenure.extra(endpoint=instance.endpoint_id),
         )
-        self._requeue_all_tasks(endpoint)
+        self._requeue_all_tasks(endpoint, f"endpoint removed, {reason}")
         self._tenure.spawn(self._clients[instance].close)
         self.endpoints.pop(instance, None)
         self._model.forget(instance.endpoint_id)
@@ -346,6 +355,7 @@
             # The leases of the transferred runs, which its client doesn't know, began before now.
             successor.last_answer_s = max(successor.last_answer_s, now_s)
             self._wakeups[instance].set()
+        self._crash_watch.note_restarted(endpoint)
         self._remove_endpoint(endpoint, "its process was restarted")
 
     def _transfer_run(
@@ -382,6 +392,7 @@
         """Applies the ends and the active runs that an endpoint reports."""
         now_s = self._clock.now_s()
         if endpoint.missed_calls:
+            self._crash_watch.note_answered(endpoint)
             logger.info(
                 "endpoint answers again",
                 extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
@@ -457,6 +468,7 @@
         endpoint.remove_run(end.name, end.run)
         beside = self._neighbours.note_end(endpoint, endpoint_run, now_s)
         self._tenure.telemetry.count("runs_ended", kind=end.kind.value)
+        self._crash_watch.note_end(end)
         task = self._job_table.find_task(end.name)
         job = self._job_table.jobs.get(end.name.job_id)
         if job is None and self._may_have_orphans(endpoint, now_s):
@@ -608,6 +620,7 @@
         job, kind = self._job_table.jobs[task.name.job_id], self._kind_of(task)
         beside = dict(endpoint.occupancy.counts)
         endpoint_run = endpoint.add_run(task.name, task.run, task.step.needs, kind)
+        self._reserve_for_suspect(task, endpoint, now_s)
         self._neighbours.note_start(endpoint, endpoint_run, now_s)
         if not task.saved:
             factor = self._neighbours.expected_factor(kind, beside)
@@ -616,6 +629,25 @@
         order = StartOrder(task.name, task.run, payload, self._tenure.fence, task.saved)
         self._tenure.spawn(self._start, task, endpoint, order)
 
+    def _reserve_for_suspect(self, task: Task, endpoint: EndpointState, now_s: float) -> None:
+        """Keeps other jobs from an endpoint while it runs tasks that may crash it."""
+        treatment, job_id = self.suspicion.treatment(task.name, now_s), task.name.job_id
+        if should_reserve(treatment, endpoint, job_id, self.endpoints.values()):
+            endpoint.reserved_for = job_id
+
+    @property
+    def suspicion(self) -> Suspicion:
+        """Tells which tasks may crash the endpoint that starts them."""
+        return self._crash_watch.record
+
+    def is_convicted(self, job_id: str) -> bool:
+        """Returns whether a task of a job is known to crash the endpoints that start it."""
+        return self._crash_watch.record.is_convicted(job_id)
+
+    def restore_crashes(self, job: Job, now_s: float) -> None:
+        """Takes over the crashes that a former holder has stored with a job."""
+        self._crash_watch.restore(job, now_s)
+
     def _expect_run_time(
         self,
         job: Job,
@@ -693,6 +725,8 @@
             self._wakeups[endpoint.info.instance].set()
             return
         if outcome is StartOutcome.OTHER_INSTANCE:
+            self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
+            self._crash_watch.note_restarted(endpoint)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
         if outcome is StartOutcome.INVALID:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -7,7 +7,14 @@
 
 from anyio import Event
 
-from berylproxy.durable.models import EndedRun, EndKind, EndpointInfo, Resources, TaskName
+from berylproxy.durable.models import (
+    EndedRun,
+    EndKind,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+    TaskName,
+)
 from berylproxy.durable.ports import StartOrder, StartOutcome
 
 
@@ -52,6 +59,13 @@
     :ivar shrink_grace_s: how long a capacity counts after it has shrunk.
     :ivar overfills: starts that brought the endpoint over its capacity, which it doesn't guard, as
         (time, task, run).
+    :ivar crashing_jobs: identifiers of jobs whose runs end the process of the endpoint.
+    :ivar crash_after_s: time from the start of such a run to the end of the process.
+    :ivar down_s: time from the end of the process to the start of the next one.
+    :ivar crashes: number of ends of the process.
+    :ivar rejects_former: whether a new process has another identifier, and rejects calls that are
+        meant for the former one.
+    :ivar back_at_s: time at which the next process starts; infinite while one runs.
     """
 
     info: EndpointInfo
@@ -84,6 +98,37 @@
         self._former_capacities.append((counts_until_s, self.info.capacity))
         self.info = replace(self.info, capacity=capacity)
 
+    crashing_jobs: set = field(default_factory=set)
+    crash_after_s: float = 0.05
+    down_s: float = 3.0
+    crashes: int = 0
+    rejects_former: bool = False
+    back_at_s: float = inf
+
+    @property
+    def is_down(self) -> bool:
+        """Whether no process runs; starts the next one if it is time."""
+        if monotonic() >= self.back_at_s:
+            self.back_at_s = inf
+            former = self.info.instance
+            endpoint_id = former.endpoint_id + ("x" if self.rejects_former else "")
+            instance = EndpointInstance(endpoint_id, former.born_ms + 1)
+            self.info = replace(self.info, instance=instance)
+        return self.back_at_s < inf
+
+    def crash(self) -> None:
+        """Ends the process, which forgets all runs, ends and fences."""
+        now_s = monotonic()
+        for run in self.running.values():
+            self._note(now_s, "crashed", run.name, run.run)
+        self.running, self.ended, self.highest_runs = {}, [], {}
+        self.fence = self.end_count = 0
+        self.lease_end_s = 0.0
+        self.crashes += 1
+        self.back_at_s = now_s + self.down_s
+        self.changed.set()
+        self.changed = Event()
+
     def slow_down(self, factor: float) -> None:
         """Multiplies the remaining time of all runs, and the time of later ones."""
         now_s = monotonic()
@@ -103,14 +148,9 @@
             self.end_due_runs()
 
     def restart(self) -> None:
-        """Replaces the process by another one, which knows nothing and keeps the identifier."""
-        for key in list(self.running):
-            run = self.running.pop(key)
-            self._note(monotonic(), "killed", run.name, run.run)
-        self.fence, self.lease_end_s, self.end_count = 0, 0.0, 0
-        self.ended, self.highest_runs = [], {}
-        instance = self.info.instance
-        self.info = replace(self.info, instance=instance._replace(born_ms=instance.born_ms + 1))
+        """Replaces the process at once by another one, which keeps the identifier."""
+        self.crash()
+        self.back_at_s = monotonic()
 
     def acknowledge(self, number: int) -> None:
         """Discards the reported ends up to a number."""
@@ -119,6 +159,11 @@
     def end_due_runs(self) -> None:
         """Ends the runs that are complete or whose lease has lapsed."""
         now_s = monotonic()
+        for run in self.running.values():
+            is_crashing = run.name.job_id in self.crashing_jobs
+            if is_crashing and now_s >= run.started_s + self.crash_after_s:
+                self.crash()
+                return
         for key, run in list(self.running.items()):
             if now_s >= run.stops_s and run.stops_s < run.ends_s:
                 self.end(key, EndKind.STOPPED, run.stops_s)
@@ -141,6 +186,8 @@
     def start(self, order: StartOrder, new_lease_end_s: float) -> StartOutcome:
         """Starts a run of a task and returns the outcome, or the reason for a refusal."""
         self.end_due_runs()
+        if self.is_down:
+            return StartOutcome.NOT_SENT
         if order.fence < self.fence:
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -16,6 +16,7 @@
 from berylproxy.durable.ports import (
     EndpointCallError,
     FencedOffError,
+    OtherInstanceError,
     StartOrder,
     StartOutcome,
     Transaction,
@@ -26,6 +27,7 @@
 
 LEASE_S = 1.0
 CALL_TIMEOUT_S = 0.25
+FIRST_BORN_MS = 1_000
 
 
 class FakeEndpointClient:
@@ -33,6 +35,7 @@
 
     def __init__(self, endpoint: RunnerModel) -> None:
         self.endpoint = endpoint
+        self.instance = endpoint.info.instance
         self.renewals = 0
         self._lease_end_s = 0.0
 
@@ -52,6 +55,8 @@
             await sleep(endpoint.late_by_s)
             endpoint.start(order, self._lease_end_s)
             return StartOutcome.UNKNOWN
+        if self._is_rejected():
+            return StartOutcome.OTHER_INSTANCE
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
@@ -80,14 +85,16 @@
         if extend:
             endpoint.lease_end_s = max(endpoint.lease_end_s, self._lease_end_s)
         endpoint.acknowledge(acknowledged)
+        born_ms = endpoint.info.instance.born_ms
         until_s = monotonic() + wait_s
         while not endpoint.ended and monotonic() < until_s:
             with move_on_after(0.005):
                 await endpoint.changed.wait()
             endpoint.end_due_runs()
         self._check(fence)
+        if endpoint.info.instance.born_ms != born_ms:
+            raise EndpointCallError("the connection was reset")
         running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
-        born_ms = endpoint.info.instance.born_ms
         return EndpointReport(born_ms, sent_s, tuple(running), tuple(endpoint.ended))
 
     async def close(self) -> None:
@@ -98,8 +105,18 @@
             await sleep(wait_s + CALL_TIMEOUT_S)
             raise EndpointCallError("no answer")
 
+    def _is_rejected(self) -> bool:
+        endpoint = self.endpoint
+        if endpoint.is_down or not endpoint.rejects_former:
+            return False
+        return endpoint.info.instance != self.instance
+
     def _check(self, fence: int) -> None:
         self.endpoint.end_due_runs()
+        if self.endpoint.is_down:
+            raise EndpointCallError("the connection was refused")
+        if self._is_rejected():
+            raise OtherInstanceError("another instance answered")
         if fence in self.endpoint.cut_fences:
             raise EndpointCallError("cut off")
         if fence < self.endpoint.fence:
@@ -121,7 +138,9 @@
         await sleep(self.delay_s)
         if self.outdated_list is not None:
             return self.outdated_list
-        return tuple(endpoint.info for endpoint in self.endpoints)
+        for endpoint in self.endpoints:
+            endpoint.end_due_runs()
+        return tuple(endpoint.info for endpoint in self.endpoints if not endpoint.is_down)
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
@@ -196,6 +215,6 @@
 
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Creates an endpoint with a given number of cores."""
-    instance = EndpointInstance(name, 1)
+    instance = EndpointInstance(name, FIRST_BORN_MS)
     capacity = Resources(cores * 1000, 128_000)
     return RunnerModel(EndpointInfo(instance, "ledger", f"{name}:1", "a", capacity))
