--- a/berylproxy/durable/acceptance.py
+++ b/berylproxy/durable/decisions/acceptance.py
@@ -8,13 +8,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from berylproxy.durable.capacity import CapacityMeter
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, JobTable
-from berylproxy.durable.placement import RUN_TIME_MARGIN, latest_useful_end_s, objective_s
-from berylproxy.durable.returns import SHORTEST_RETRY_AFTER_S, ReturnPlaces
-from berylproxy.durable.shares import RECENT_DEMAND_S, RoomShares
+from berylproxy.durable.decisions.capacity import CapacityMeter
+from berylproxy.durable.decisions.placement import RUN_TIME_MARGIN, latest_useful_end_s, objective_s
+from berylproxy.durable.decisions.returns import SHORTEST_RETRY_AFTER_S, ReturnPlaces
+from berylproxy.durable.decisions.shares import RECENT_DEMAND_S, RoomShares
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job, JobTable
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 TOO_LATE = "its answer would come too late"  # the only reason for a refusal under load
 MAX_OPEN_JOBS = 5_000  # bounds a holder's memory, of which a job takes some 4 KB
--- a/berylproxy/durable/capacity.py
+++ b/berylproxy/durable/decisions/capacity.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 MEASURE_INTERVAL_S = 0.02
 # Without a measurement: tasks of 27 cores leave a sixth of endpoints of 64 and 96 cores unused.
--- a/berylproxy/durable/moves.py
+++ b/berylproxy/durable/decisions/moves.py
@@ -10,10 +10,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointRun, EndpointState
-from berylproxy.durable.job_table import Job, JobTable, Task, TaskStatus
-from berylproxy.durable.placement import find_free_endpoint, latest_useful_end_s, objective_s
+from berylproxy.durable.decisions.placement import (
+    find_free_endpoint,
+    latest_useful_end_s,
+    objective_s,
+)
+from berylproxy.durable.endpoints.fleet import EndpointRun, EndpointState
+from berylproxy.durable.jobs.job_table import Job, JobTable, Task, TaskStatus
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 # Share of the expected run time; endpoints report progress in hundredths of the real run time.
 STALL_LIMIT_PERCENT = 5
--- a/berylproxy/durable/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -11,11 +11,11 @@
 from math import inf
 from typing import Protocol
 
-from berylproxy.durable.crashes import NoSuspicion, Suspicion, Treatment
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
-from berylproxy.durable.models import StepSpec, kind_of_task
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.crashes import NoSuspicion, Suspicion, Treatment
+from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
+from berylproxy.durable.jobs.models import StepSpec, kind_of_task
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 # An answer is late up to this multiple of the job's objective, and worthless after it.
 LATE_FACTOR = 3.0
@@ -102,7 +102,7 @@
 
         What the task does to its neighbours is included: it should wait rather than make them late.
 
-        :param kind: from :func:`~berylproxy.durable.models.kind_of_task`.
+        :param kind: from :func:`~berylproxy.durable.jobs.models.kind_of_task`.
         :return: 1 if there is no effect.
         """
 
--- a/berylproxy/durable/returns.py
+++ b/berylproxy/durable/decisions/returns.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from math import ceil
 
-from berylproxy.durable.workload import Claimant
+from berylproxy.durable.jobs.workload import Claimant
 
 SHORTEST_RETRY_AFTER_S = 1.0  # Retry-After counts whole seconds
 LONGEST_RETRY_AFTER_S = 10.0
--- a/berylproxy/durable/routing.py
+++ b/berylproxy/durable/decisions/routing.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job
-from berylproxy.durable.models import JobSpec, Resources
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job
+from berylproxy.durable.jobs.models import JobSpec, Resources
 
 MAX_ROOM_CHECKS = 2  # groups that may refuse a job before one takes it without room
 SAMPLED_GROUPS = 3  # besides the job's own one; with all of them, entries would choose the same one
--- a/berylproxy/durable/shares.py
+++ b/berylproxy/durable/decisions/shares.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 from math import exp
 
-from berylproxy.durable.job_table import Job
-from berylproxy.durable.placement import OBJECTIVE_ORDER, rank_job
-from berylproxy.durable.workload import Claimant
+from berylproxy.durable.decisions.placement import OBJECTIVE_ORDER, rank_job
+from berylproxy.durable.jobs.job_table import Job
+from berylproxy.durable.jobs.workload import Claimant
 
 RECENT_DEMAND_S = 1.0
 USUAL_DEMAND_S = 20.0
--- /dev/null
+++ b/berylproxy/durable/endpoints/__init__.py
@@ -0,0 +1,4 @@
+"""A daemon's view of endpoints: their list, state, leases, evacuations and neighbouring tasks.
+
+May import ``learning`` and ``jobs``.
+"""
--- a/berylproxy/durable/capacity_spread.py
+++ b/berylproxy/durable/endpoints/capacity_spread.py
@@ -12,15 +12,15 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.models import EndpointInfo, EndpointInstance, Resources
+from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.jobs.models import EndpointInfo, EndpointInstance, Resources
 from berylproxy.peers.membership import Member
 from berylproxy.peers.network import TcpPeerNetwork
 
 HEARTBEAT_PART = "capacities"
 TOLD_FOR_S = 12.0  # daemons without a group read the list each 10 s
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.capacity_spread")
 
 
 class CapacitySpread:
--- a/berylproxy/durable/evacuation.py
+++ b/berylproxy/durable/endpoints/evacuation.py
@@ -19,7 +19,7 @@
 MAX_VIEW_AGE_S = 2.0
 STORE_SOURCE = "store"
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.evacuation")
 
 
 @dataclass(slots=True)
--- a/berylproxy/durable/evacuation_spread.py
+++ b/berylproxy/durable/endpoints/evacuation_spread.py
@@ -10,13 +10,13 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.peers.membership import Member
 from berylproxy.peers.network import TcpPeerNetwork
 
 HEARTBEAT_PART = "evacuation"
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.evacuation_spread")
 
 
 class EvacuationSpread:
--- a/berylproxy/durable/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -5,17 +5,17 @@
 
 from anyio import Event
 
-from berylproxy.durable.estimates import TaskEstimate
-from berylproxy.durable.models import (
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndpointInfo,
     EndpointInstance,
     Resources,
     TaskName,
 )
-from berylproxy.durable.occupancy import Occupancy, OccupancyAtStart
-from berylproxy.durable.run_times import RunPace
-from berylproxy.durable.trust import EndpointTrust, FailureTrust
+from berylproxy.durable.learning.estimates import TaskEstimate
+from berylproxy.durable.learning.occupancy import Occupancy, OccupancyAtStart
+from berylproxy.durable.learning.run_times import RunPace
+from berylproxy.durable.learning.trust import EndpointTrust, FailureTrust
 
 # After the first quarantine, one task of a second or less may show whether the endpoint works.
 FIRST_QUARANTINE_S = 0.5
--- a/berylproxy/durable/neighbours.py
+++ b/berylproxy/durable/endpoints/neighbours.py
@@ -17,10 +17,10 @@
 from enum import StrEnum
 from math import exp, log, sqrt
 
-from berylproxy.durable.fleet import EndpointRun, EndpointState
-from berylproxy.durable.models import TaskName
-from berylproxy.durable.occupancy import MAX_KINDS
-from berylproxy.durable.pair_effects import (
+from berylproxy.durable.endpoints.fleet import EndpointRun, EndpointState
+from berylproxy.durable.jobs.models import TaskName
+from berylproxy.durable.learning.occupancy import MAX_KINDS
+from berylproxy.durable.learning.pair_effects import (
     HALF_LIFE_S,
     Pair,
     PairChange,
@@ -29,7 +29,7 @@
     describe_effects,
     parse_effects,
 )
-from berylproxy.durable.regression import Coefficient, DecayingRegression
+from berylproxy.durable.learning.regression import Coefficient, DecayingRegression
 
 MAX_STEPS = 2_000  # whose siblings are compared; the oldest ones go first
 LARGEST_SLOWDOWN = 8.0
@@ -131,7 +131,7 @@
 
 
 class NeighbourModel:
-    """Implements :class:`berylproxy.durable.placement.NeighbourEffect` by what it observes.
+    """Implements :class:`~berylproxy.durable.decisions.placement.NeighbourEffect` by observation.
 
     :param mode: returns what is done about tasks that slow each other down.
     """
--- a/berylproxy/durable/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -10,11 +10,12 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.acceptance import TOO_LATE
-from berylproxy.durable.best_effort import JobAbandonedError
-from berylproxy.durable.coordinator import GroupCoordinator
-from berylproxy.durable.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.messages import (
+from berylproxy.durable.decisions.acceptance import TOO_LATE
+from berylproxy.durable.holding.best_effort import JobAbandonedError
+from berylproxy.durable.holding.coordinator import GroupCoordinator
+from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
+from berylproxy.durable.holding.records import decode_final, final_key, open_key
+from berylproxy.durable.jobs.messages import (
     NO_ROOM,
     AskPending,
     AskState,
@@ -25,10 +26,9 @@
     PendingReply,
     StateReply,
 )
-from berylproxy.durable.models import JobSpec, JobState
-from berylproxy.durable.ports import JobStore
-from berylproxy.durable.records import decode_final, final_key, open_key
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.jobs.models import JobSpec, JobState
+from berylproxy.durable.jobs.ports import JobStore
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.peers.membership import PeerUnreachableError
 from berylproxy.peers.network import TcpPeerNetwork
@@ -45,7 +45,7 @@
 NO_HOLDER_WAIT_S = 1.0  # a new holder is found within this time unless the store is unavailable
 
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.frontend")
 
 
 class NotAcceptedError(BerylproxyError):
@@ -401,8 +401,8 @@
     ) -> JobState | None:
         """Sends a request about a job to the holders of groups until one has the job.
 
-        :param method: name of the :class:`~berylproxy.durable.holder.Holder` method that serves
-            the request where this daemon is the holder itself.
+        :param method: name of the :class:`~berylproxy.durable.holding.holder.Holder` method that
+            serves the request where this daemon is the holder itself.
         :return: the job's state; ``None`` if no group has the job.
         :raises ResultUnknownError: if a holder did not answer and no other has the job.
         """
--- a/berylproxy/durable/view.py
+++ b/berylproxy/durable/entry/view.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from berylproxy.clock import Clock
-from berylproxy.durable.coordinator import GroupCoordinator
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.shares import ClaimantShare
+from berylproxy.durable.decisions.shares import ClaimantShare
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.holding.coordinator import GroupCoordinator
 from berylproxy.peers.membership import describe_member
 from berylproxy.peers.network import TcpPeerNetwork
 
--- a/berylproxy/durable/best_effort.py
+++ b/berylproxy/durable/holding/best_effort.py
@@ -6,16 +6,16 @@
 
 from anyio import Event
 
-from berylproxy.durable.acceptance import TOO_LATE, Refusal
-from berylproxy.durable.group import EndpointGroup
-from berylproxy.durable.job_log import JobLog
-from berylproxy.durable.job_table import Job, JobTable
-from berylproxy.durable.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.messages import NO_ROOM, DropJob, JobSubmission, JobSubmissionReply
-from berylproxy.durable.models import JobSpec, JobState, StoredJob
-from berylproxy.durable.placement import is_too_late
-from berylproxy.durable.routing import count_needed_millicores, has_room
-from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.decisions.acceptance import TOO_LATE, Refusal
+from berylproxy.durable.decisions.placement import is_too_late
+from berylproxy.durable.decisions.routing import count_needed_millicores, has_room
+from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
+from berylproxy.durable.jobs.job_table import Job, JobTable
+from berylproxy.durable.jobs.messages import NO_ROOM, DropJob, JobSubmission, JobSubmissionReply
+from berylproxy.durable.jobs.models import JobSpec, JobState, StoredJob
+from berylproxy.durable.orders.group import EndpointGroup
+from berylproxy.durable.orders.job_log import JobLog
+from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.errors import BerylproxyError
 
 RUN_NUMBERS_PER_TENURE = 64  # run numbers of a tenure lie above those of all earlier ones
--- a/berylproxy/durable/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -17,8 +17,19 @@
 from msgpack import packb, unpackb
 
 from berylproxy.clock import Clock
-from berylproxy.durable.capacity_spread import CapacitySpread
-from berylproxy.durable.contention import (
+from berylproxy.durable.decisions.placement import DEFAULT_REMOTE_FACTOR
+from berylproxy.durable.decisions.routing import (
+    MAX_ROOM_AGE_S,
+    GroupChoice,
+    count_needed_millicores,
+    route_job,
+)
+from berylproxy.durable.endpoints.capacity_spread import CapacitySpread
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.evacuation_spread import EvacuationSpread
+from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.endpoints.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.holding.contention import (
     BROKEN_STREAM_TIMEOUT_S,
     FENCES_PER_CLAIM,
     HEARTBEAT_INTERVAL_S,
@@ -35,15 +46,19 @@
     should_claim,
     yields_to_equal,
 )
-from berylproxy.durable.divisions import ServiceDivisions
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.evacuation_spread import EvacuationSpread
-from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.groups import count_carried_endpoints
-from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
-from berylproxy.durable.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.messages import (
+from berylproxy.durable.holding.divisions import ServiceDivisions
+from berylproxy.durable.holding.groups import count_carried_endpoints
+from berylproxy.durable.holding.holder import Holder, HolderContext, InheritedEndpoints
+from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
+from berylproxy.durable.holding.records import (
+    StoredValueError,
+    adopt_model,
+    claim_key,
+    decode_pairs,
+    model_key,
+)
+from berylproxy.durable.holding.withdrawals import Withdrawals
+from berylproxy.durable.jobs.messages import (
     AskPending,
     AskState,
     CancelStored,
@@ -55,30 +70,15 @@
     PendingReply,
     StateReply,
 )
-from berylproxy.durable.models import EndpointInfo, JobSpec
-from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
-from berylproxy.durable.placement import DEFAULT_REMOTE_FACTOR
-from berylproxy.durable.ports import (
+from berylproxy.durable.jobs.models import EndpointInfo, JobSpec
+from berylproxy.durable.jobs.ports import (
     EndpointDirectory,
     JobStore,
     Transaction,
     TransactionConflictError,
 )
-from berylproxy.durable.records import (
-    StoredValueError,
-    adopt_model,
-    claim_key,
-    decode_pairs,
-    model_key,
-)
-from berylproxy.durable.routing import (
-    MAX_ROOM_AGE_S,
-    GroupChoice,
-    count_needed_millicores,
-    route_job,
-)
-from berylproxy.durable.telemetry import Telemetry, make_share_samples
-from berylproxy.durable.withdrawals import Withdrawals
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.orders.telemetry import Telemetry, make_share_samples
 from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
@@ -100,7 +100,7 @@
 ENTRY_DAEMON_TIMEOUT_S = 1.0  # two heartbeats between daemons, and their delays
 HOLDER_TIMEOUT_S = 2.0  # no requests are sent to a holder that has been silent for longer
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.coordinator")
 
 
 @dataclass(slots=True)
--- a/berylproxy/durable/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -6,7 +6,7 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.groups import (
+from berylproxy.durable.holding.groups import (
     Division,
     assign_endpoints,
     choose_group,
@@ -15,24 +15,24 @@
     is_list_stable,
     list_groups,
 )
-from berylproxy.durable.models import EndpointInfo
-from berylproxy.durable.ports import (
-    EndpointDirectory,
-    JobStore,
-    Transaction,
-    TransactionConflictError,
-)
-from berylproxy.durable.records import (
+from berylproxy.durable.holding.records import (
     StoredValueError,
     decode_division,
     division_key,
     encode_division,
 )
+from berylproxy.durable.jobs.models import EndpointInfo
+from berylproxy.durable.jobs.ports import (
+    EndpointDirectory,
+    JobStore,
+    Transaction,
+    TransactionConflictError,
+)
 
 ASSIGNMENT_DELAY_S = 1.5  # per group; a lost holder is replaced within this time
 LIST_CHECK_INTERVAL_S = 0.5  # between two reads of the endpoint list, when a service is new
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.divisions")
 
 
 class ServiceDivisions:
--- a/berylproxy/durable/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -9,67 +9,67 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.acceptance import MAX_OPEN_JOBS, TOO_LATE, Admission, Refusal
-from berylproxy.durable.best_effort import (
+from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, TOO_LATE, Admission, Refusal
+from berylproxy.durable.decisions.placement import PlacementPolicies, place_waiting_tasks
+from berylproxy.durable.decisions.returns import SHORTEST_RETRY_AFTER_S
+from berylproxy.durable.decisions.routing import TypicalNeed, measure_room_millicores
+from berylproxy.durable.decisions.shares import ClaimantShare, SharedOrder
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.endpoints.neighbours import NeighbourModel
+from berylproxy.durable.holding.best_effort import (
     RUN_NUMBERS_PER_TENURE,
     AdmissionDecision,
     BestEffortJobs,
     SharedReply,
 )
-from berylproxy.durable.contention import (
+from berylproxy.durable.holding.contention import (
     FENCES_PER_CLAIM,
     HEARTBEAT_INTERVAL_S,
     HEARTBEATS_PER_BROADCAST,
 )
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.group import EndpointGroup
-from berylproxy.durable.job_log import JobLog
-from berylproxy.durable.job_table import Job, JobTable, expect_chain_s
-from berylproxy.durable.ledger import (
+from berylproxy.durable.holding.ledger import (
     Change,
     KeyExistsError,
     Ledger,
     NotHolderError,
     TenureLostError,
 )
-from berylproxy.durable.messages import (
+from berylproxy.durable.holding.outcomes import OutcomeStore
+from berylproxy.durable.holding.records import (
+    StoredValueError,
+    claim_key,
+    decode_final,
+    decode_job,
+    encode_job,
+    encode_model,
+    final_key,
+    model_key,
+    open_key,
+    open_prefix,
+)
+from berylproxy.durable.jobs.job_table import Job, JobTable, expect_chain_s
+from berylproxy.durable.jobs.messages import (
     DropJob,
     HolderHeartbeat,
     JobsEnded,
     JobSubmission,
     JobSubmissionReply,
 )
-from berylproxy.durable.models import (
+from berylproxy.durable.jobs.models import (
     JobSpec,
     JobState,
     StoredJob,
 )
-from berylproxy.durable.neighbours import NeighbourModel
-from berylproxy.durable.outcomes import OutcomeStore
-from berylproxy.durable.placement import PlacementPolicies, place_waiting_tasks
-from berylproxy.durable.ports import (
+from berylproxy.durable.jobs.ports import (
     EndpointDirectory,
     JobStore,
 )
-from berylproxy.durable.records import (
-    StoredValueError,
-    claim_key,
-    decode_final,
-    decode_job,
-    encode_job,
-    encode_model,
-    final_key,
-    model_key,
-    open_key,
-    open_prefix,
-)
-from berylproxy.durable.returns import SHORTEST_RETRY_AFTER_S
-from berylproxy.durable.routing import TypicalNeed, measure_room_millicores
-from berylproxy.durable.shares import ClaimantShare, SharedOrder
-from berylproxy.durable.telemetry import Telemetry
-from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.orders.group import EndpointGroup
+from berylproxy.durable.orders.job_log import JobLog
+from berylproxy.durable.orders.telemetry import Telemetry
+from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
     StoreError,
@@ -89,7 +89,7 @@
 # After this time, the leases that a former holder extended have lapsed.
 FORMER_TENURE_LIMIT_S = UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.holder")
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/ledger.py
+++ b/berylproxy/durable/holding/ledger.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 from logbook import Logger
 
-from berylproxy.durable.ports import JobStore, Transaction, TransactionConflictError
+from berylproxy.durable.jobs.ports import JobStore, Transaction, TransactionConflictError
 from berylproxy.errors import BerylproxyError
 from berylproxy.store.port import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
 
@@ -18,7 +18,7 @@
 LATENCY_LEARNING_RATE = 0.2
 MAX_COPIES = 6  # of one transaction, in flight or lost
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.ledger")
 
 
 class TenureLostError(BerylproxyError):
--- a/berylproxy/durable/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -6,12 +6,9 @@
 from anyio import Event, sleep
 from logbook import Logger
 
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, JobTable
-from berylproxy.durable.ledger import Change, KeyExistsError, Ledger, TenureLostError
-from berylproxy.durable.models import EndedRun, StoredJob
-from berylproxy.durable.ports import JobStore
-from berylproxy.durable.records import (
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.holding.ledger import Change, KeyExistsError, Ledger, TenureLostError
+from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
     StoredValueError,
     encode_final,
@@ -20,14 +17,17 @@
     is_final_expired,
     open_key,
 )
-from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.jobs.job_table import Job, JobTable
+from berylproxy.durable.jobs.models import EndedRun, StoredJob
+from berylproxy.durable.jobs.ports import JobStore
+from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.store.port import Entry, StoreError
 
 MAX_RETAINED_END_AGE_S = 1.0  # older ends are stored as progress of their unfinished job
 RETRY_PAUSE_S = 0.05
 SWEEP_INTERVAL_S = 60.0  # a fifth of the retention time of outcomes
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.outcomes")
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/records.py
+++ b/berylproxy/durable/holding/records.py
@@ -7,9 +7,9 @@
 from msgpack import packb, unpackb
 from pydantic import TypeAdapter, ValidationError
 
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.groups import MAX_GROUPS, Division
-from berylproxy.durable.models import JobState, StoredJob
+from berylproxy.durable.holding.groups import MAX_GROUPS, Division
+from berylproxy.durable.jobs.models import JobState, StoredJob
+from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.errors import BerylproxyError
 
 ROOT = "berylproxy/"
@@ -125,7 +125,7 @@
     """Encodes the learned run times of a model.
 
     :param pairs: the kinds of task that slow each other down, as
-        :meth:`~berylproxy.durable.neighbours.NeighbourModel.describe` lists them.
+        :meth:`~berylproxy.durable.endpoints.neighbours.NeighbourModel.describe` lists them.
     """
     fields = {"schema_version": SCHEMA_VERSION, **model.describe()}
     return packb(fields | {"pairs": list(pairs)} if pairs else fields)
--- a/berylproxy/durable/withdrawals.py
+++ b/berylproxy/durable/holding/withdrawals.py
@@ -9,7 +9,7 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.messages import DropJob
+from berylproxy.durable.jobs.messages import DropJob
 from berylproxy.peers.errors import PeerProtocolError, PeerRequestRefusedError
 from berylproxy.peers.membership import PeerError
 from berylproxy.peers.network import TcpPeerNetwork
@@ -22,7 +22,7 @@
 NO_STREAM_LIMIT_S = 4.0
 WITHDRAWAL_LIMIT_S = 30.0  # callers wait no longer, so that the holder ends the job itself
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.withdrawals")
 
 
 class Withdrawals:
--- a/berylproxy/durable/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -14,7 +14,7 @@
 from math import inf
 from typing import NamedTuple, Protocol
 
-from berylproxy.durable.models import EndpointInstance, TaskName
+from berylproxy.durable.jobs.models import EndpointInstance, TaskName
 
 MAX_BLAMED_CRASHES = 2  # of endpoints on which no other job can be to blame
 MAX_CRASHES = 3
--- a/berylproxy/durable/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -6,9 +6,8 @@
 from enum import Enum, auto
 from math import inf
 
-from berylproxy.durable.crashes import CrashCount
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.models import (
+from berylproxy.durable.jobs.crashes import CrashCount
+from berylproxy.durable.jobs.models import (
     FINAL_STATES,
     EndedRun,
     EndKind,
@@ -20,8 +19,9 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.run_times import SiblingRunTimes
-from berylproxy.durable.workload import Claimant, Workload
+from berylproxy.durable.jobs.workload import Claimant, Workload
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.learning.run_times import SiblingRunTimes
 
 REMEMBERED_FINAL_JOBS = 20_000  # their states are answered without a read of the store
 
--- a/berylproxy/durable/messages.py
+++ b/berylproxy/durable/jobs/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from berylproxy.durable.models import JobSpec
+from berylproxy.durable.jobs.models import JobSpec
 
 NO_ROOM = "the group has no room for all tasks at once"  # refusal that asks to try another group
 
--- a/berylproxy/durable/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-from berylproxy.durable.models import EndpointInfo, EndpointReport, TaskName
+from berylproxy.durable.jobs.models import EndpointInfo, EndpointReport, TaskName
 from berylproxy.errors import BerylproxyError
 from berylproxy.store.port import Entry
 
--- a/berylproxy/durable/estimates.py
+++ b/berylproxy/durable/learning/estimates.py
@@ -8,14 +8,14 @@
 from dataclasses import dataclass, field
 from math import exp, log
 
-from berylproxy.durable.run_times import (
+from berylproxy.durable.learning.run_times import (
     Comparison,
     Prediction,
     QueueHistory,
     RunPace,
     SiblingRunTimes,
 )
-from berylproxy.durable.speeds import (
+from berylproxy.durable.learning.speeds import (
     FOUND_PROBABILITY,
     MAX_LOG_SPEED,
     STRONGEST_EVIDENCE,
--- a/berylproxy/durable/speeds.py
+++ b/berylproxy/durable/learning/speeds.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from math import exp, log
 
-from berylproxy.durable.hidden_state import HiddenState
-from berylproxy.durable.run_times import Prediction, normal_density
+from berylproxy.durable.learning.hidden_state import HiddenState
+from berylproxy.durable.learning.run_times import Prediction, normal_density
 
 INITIAL_SPEED_VARIANCE = 0.2  # generations differ by a factor of about 1.6
 ADOPTED_SPEED_VARIANCE = 0.05
--- a/berylproxy/durable/trust.py
+++ b/berylproxy/durable/learning/trust.py
@@ -9,7 +9,7 @@
 from math import exp
 from typing import Protocol
 
-from berylproxy.durable.hidden_state import HiddenState
+from berylproxy.durable.learning.hidden_state import HiddenState
 
 FAILING_ONSET_PER_S = 1 / 500
 FAILING_END_PER_S = 1 / 5
--- a/berylproxy/durable/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -4,15 +4,15 @@
 
 from logbook import Logger
 
-from berylproxy.durable.crashes import CrashRecord
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, JobTable
-from berylproxy.durable.models import EndedRun, EndKind, EndpointInstance, TaskName
-from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.crashes import CrashRecord
+from berylproxy.durable.jobs.job_table import Job, JobTable
+from berylproxy.durable.jobs.models import EndedRun, EndKind, EndpointInstance, TaskName
+from berylproxy.durable.orders.tenure import Tenure
 
 MAX_LOGGED_TASKS = 20
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.crash_watch")
 
 
 class CrashWatch:
--- a/berylproxy/durable/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -7,13 +7,14 @@
 from anyio import Event, move_on_after, sleep
 from logbook import Logger
 
-from berylproxy.durable.crash_watch import CrashWatch
-from berylproxy.durable.crashes import Suspicion
-from berylproxy.durable.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.fleet import EndpointList, EndpointRun, EndpointState
-from berylproxy.durable.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.moves import Move, MoveReason, plan_moves
+from berylproxy.durable.decisions.placement import should_reserve
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
+from berylproxy.durable.endpoints.neighbours import NeighbourModel
+from berylproxy.durable.jobs.crashes import Suspicion
+from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -24,10 +25,7 @@
     TaskName,
     kind_of_task,
 )
-from berylproxy.durable.moves import Move, MoveReason, plan_moves
-from berylproxy.durable.neighbours import NeighbourModel
-from berylproxy.durable.placement import should_reserve
-from berylproxy.durable.ports import (
+from berylproxy.durable.jobs.ports import (
     EndpointCallError,
     EndpointClient,
     EndpointDirectory,
@@ -36,10 +34,12 @@
     StartOrder,
     StartOutcome,
 )
-from berylproxy.durable.response_times import renewal_wait_s
-from berylproxy.durable.run_times import RunPace
-from berylproxy.durable.tenure import Tenure
-from berylproxy.durable.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
+from berylproxy.durable.learning.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
+from berylproxy.durable.learning.response_times import renewal_wait_s
+from berylproxy.durable.learning.run_times import RunPace
+from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
+from berylproxy.durable.orders.crash_watch import CrashWatch
+from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
 MAX_LIST_SILENCE_S = 2.4
@@ -60,7 +60,7 @@
 MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
 UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.group")
 
 
 class EndpointGroup:
--- a/berylproxy/durable/job_log.py
+++ b/berylproxy/durable/orders/job_log.py
@@ -4,13 +4,13 @@
 
 from logbook import Logger
 
-from berylproxy.durable.acceptance import Refusal
-from berylproxy.durable.capacity import CapacityMeter
-from berylproxy.durable.job_table import Job, JobTable
-from berylproxy.durable.models import JobSpec
-from berylproxy.durable.placement import objective_s
-from berylproxy.durable.shares import ClaimantShare
-from berylproxy.durable.tenure import Tenure
+from berylproxy.durable.decisions.acceptance import Refusal
+from berylproxy.durable.decisions.capacity import CapacityMeter
+from berylproxy.durable.decisions.placement import objective_s
+from berylproxy.durable.decisions.shares import ClaimantShare
+from berylproxy.durable.jobs.job_table import Job, JobTable
+from berylproxy.durable.jobs.models import JobSpec
+from berylproxy.durable.orders.tenure import Tenure
 
 # After "job refused: ", by the reason of the refusal.
 REFUSAL_TEXTS = {
@@ -22,7 +22,7 @@
     "unconfirmed": "the claim is not confirmed",
 }
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.job_log")
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylproxy/durable/telemetry.py
+++ b/berylproxy/durable/orders/telemetry.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from berylproxy.durable.shares import ClaimantShare
+from berylproxy.durable.decisions.shares import ClaimantShare
 from berylproxy.metrics import Metrics, Sample
 
 PREFIX = "berylproxy_"
--- a/berylproxy/durable/tenure.py
+++ b/berylproxy/durable/orders/tenure.py
@@ -8,9 +8,9 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.orders.telemetry import Telemetry
 
-logger = Logger(__name__)
+logger = Logger("berylproxy.durable.tenure")
 
 
 @dataclass(slots=True, eq=False)
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -10,14 +10,14 @@
 from anyio import CancelScope, Event, create_task_group, move_on_after
 from logbook import Logger
 
-from berylproxy.durable.frontend import (
+from berylproxy.durable.entry.frontend import (
     JobFrontend,
     NotAcceptedError,
     OverloadedError,
     ResultUnknownError,
 )
-from berylproxy.durable.models import JobSpec, JobState, StepSpec
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.jobs.models import JobSpec, JobState, StepSpec
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.platform.configuration import JobRoute, PlatformConfiguration
 from berylproxy.platform.endpoints import decode_resources
--- a/berylproxy/platform/configuration.py
+++ b/berylproxy/platform/configuration.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, NonNegativeInt, ValidationError
 
-from berylproxy.durable.models import QueueTerms
+from berylproxy.durable.jobs.models import QueueTerms
 from berylproxy.errors import BerylproxyError
 from berylproxy.platform.settings import to_kebab_case
 
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -14,14 +14,14 @@
 
 from berylproxy import __version__
 from berylproxy.clock import MonotonicClock
-from berylproxy.durable.coordinator import GroupCoordinator
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.frontend import JobFrontend
-from berylproxy.durable.messages import DURABLE_MESSAGES
-from berylproxy.durable.ports import Transaction, TransactionConflictError
-from berylproxy.durable.records import ROOT
-from berylproxy.durable.telemetry import Telemetry
-from berylproxy.durable.view import DaemonView
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.entry.frontend import JobFrontend
+from berylproxy.durable.entry.view import DaemonView
+from berylproxy.durable.holding.coordinator import GroupCoordinator
+from berylproxy.durable.holding.records import ROOT
+from berylproxy.durable.jobs.messages import DURABLE_MESSAGES
+from berylproxy.durable.jobs.ports import Transaction, TransactionConflictError
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
 from berylproxy.peers.errors import PeerSettingsError
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -8,8 +8,8 @@
 import orjson
 from logbook import Logger
 
-from berylproxy.durable.leases import LeaseClock
-from berylproxy.durable.models import (
+from berylproxy.durable.endpoints.leases import LeaseClock
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -19,14 +19,14 @@
     RunningTask,
     TaskName,
 )
-from berylproxy.durable.ports import (
+from berylproxy.durable.jobs.ports import (
     EndpointCallError,
     FencedOffError,
     OtherInstanceError,
     StartOrder,
     StartOutcome,
 )
-from berylproxy.durable.response_times import ResponseTimes
+from berylproxy.durable.learning.response_times import ResponseTimes
 from berylproxy.http_exchange import (
     AnswerLostError,
     Hedge,
@@ -71,7 +71,7 @@
 
 
 class PlatformEndpoints:
-    """Implements :class:`berylproxy.durable.ports.EndpointDirectory`.
+    """Implements :class:`berylproxy.durable.jobs.ports.EndpointDirectory`.
 
     :ivar longest_lease_s: longest lease that runners grant, in seconds; applies to new connections.
     """
@@ -104,7 +104,7 @@
 
 
 class PlatformEndpoint:
-    """Implements :class:`berylproxy.durable.ports.EndpointClient` for one runner.
+    """Implements :class:`berylproxy.durable.jobs.ports.EndpointClient` for one runner.
 
     On the wire the platform calls a lease "hold", its end "until-ms" and the number of the last
     acknowledged end "last-seen".
--- a/berylproxy/platform/operator_watch.py
+++ b/berylproxy/platform/operator_watch.py
@@ -9,7 +9,7 @@
 from anyio import sleep
 from logbook import Logger
 
-from berylproxy.durable.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.platform.configuration import CONFIGURATION_KEY
 from berylproxy.platform.store import PlatformStore
 from berylproxy.store.errors import StoreCompactedError
--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from berylproxy.durable.neighbours import NeighbourMode
+from berylproxy.durable.endpoints.neighbours import NeighbourMode
 from berylproxy.settings import SettingsError
 
 # OpenTelemetry exporters serve on this port by default; deploy/ configures it as well.
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from berylproxy.durable.ports import Transaction, TransactionConflictError
+from berylproxy.durable.jobs.ports import Transaction, TransactionConflictError
 from berylproxy.http_exchange import AnswerLostError, HttpClient, HttpResponse, NotSentError
 from berylproxy.store.errors import StoreCompactedError, StoreLeaseLapsedError, StoreRefusedError
 from berylproxy.store.port import (
@@ -39,7 +39,7 @@
 
 
 class PlatformStore:
-    """Implements :class:`berylproxy.durable.ports.JobStore` and the reads that a daemon needs.
+    """Implements :class:`berylproxy.durable.jobs.ports.JobStore` and the reads that a daemon needs.
 
     :ivar call_count: number of calls made.
     :ivar last_contact_s: monotonic time of the last response other than a refusal.
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -18,8 +18,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from berylproxy.durable.models import EndpointInfo, EndpointInstance, Resources, TaskName
-from berylproxy.durable.ports import StartOrder, StartOutcome
+from berylproxy.durable.jobs.models import EndpointInfo, EndpointInstance, Resources, TaskName
+from berylproxy.durable.jobs.ports import StartOrder, StartOutcome
 from standins.runner_model import RunnerModel
 from standins.serving import announce, open_listener, port_of, serve_app
 
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -7,7 +7,7 @@
 
 from anyio import Event
 
-from berylproxy.durable.models import (
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -15,7 +15,7 @@
     Resources,
     TaskName,
 )
-from berylproxy.durable.ports import StartOrder, StartOutcome
+from berylproxy.durable.jobs.ports import StartOrder, StartOutcome
 
 
 @dataclass
--- a/tests/steps/durable_bad_values_steps.py
+++ b/tests/steps/durable_bad_values_steps.py
@@ -2,11 +2,11 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.acceptance import Admission
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import JobTable
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.acceptance import Admission
+from berylproxy.durable.decisions.shares import MAX_CLAIMANTS, RoomShares
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import JobTable
+from berylproxy.durable.jobs.models import (
     EndpointInfo,
     EndpointInstance,
     JobSpec,
@@ -16,7 +16,7 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.shares import MAX_CLAIMANTS, RoomShares
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 ENDPOINT_IDS = ("a", "b", "c", "d")
 QUEUE = "q"
--- a/tests/steps/durable_capacity_steps.py
+++ b/tests/steps/durable_capacity_steps.py
@@ -8,18 +8,25 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.capacity_spread import HEARTBEAT_PART, CapacitySpread
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.groups import assign_endpoints
-from berylproxy.durable.job_table import JobTable, TaskStatus
-from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec, StoredJob, TaskName
-from berylproxy.durable.routing import (
+from berylproxy.durable.decisions.routing import (
     TypicalNeed,
     count_needed_millicores,
     has_room,
     measure_room_millicores,
 )
+from berylproxy.durable.endpoints.capacity_spread import HEARTBEAT_PART, CapacitySpread
+from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.holding.groups import assign_endpoints
+from berylproxy.durable.jobs.job_table import JobTable, TaskStatus
+from berylproxy.durable.jobs.models import (
+    JobSpec,
+    QueueTerms,
+    Resources,
+    StepSpec,
+    StoredJob,
+    TaskName,
+)
+from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.peers.membership import MemberStatus
 from standins.runner_model import ModelRun, RunnerModel
 from tests.steps.durable_decisions_steps import GROUP, make_state, place_all
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -3,8 +3,9 @@
 from behave import given, then, use_step_matcher, when
 from msgpack import packb, unpackb
 
-from berylproxy.durable.crashes import CrashRecord, Treatment
-from berylproxy.durable.models import (
+from berylproxy.durable.holding.records import decode_job, encode_job
+from berylproxy.durable.jobs.crashes import CrashRecord, Treatment
+from berylproxy.durable.jobs.models import (
     EndpointInstance,
     JobSpec,
     QueueTerms,
@@ -13,7 +14,6 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.records import decode_job, encode_job
 from tests.support.crash_play import CrashSimulation
 
 NOW_S = 100.0
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -5,7 +5,7 @@
 from anyio import sleep as anyio_sleep
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.records import decode_job, open_key
+from berylproxy.durable.holding.records import decode_job, open_key
 from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP
 
 use_step_matcher("re")
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -10,8 +10,11 @@
 from hypothesis import settings, strategies
 from msgpack import packb
 
-from berylproxy.durable.acceptance import Admission
-from berylproxy.durable.contention import (
+from berylproxy.durable.decisions.acceptance import Admission
+from berylproxy.durable.decisions.placement import place_waiting_tasks, rank_job
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.endpoints.leases import LeaseClock
+from berylproxy.durable.holding.contention import (
     Candidate,
     HolderObservation,
     choose_watchers,
@@ -22,9 +25,7 @@
     rank,
     should_claim,
 )
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.groups import (
+from berylproxy.durable.holding.groups import (
     Division,
     assign_endpoints,
     choose_group,
@@ -33,9 +34,15 @@
     is_list_stable,
     list_groups,
 )
-from berylproxy.durable.job_table import JobTable
-from berylproxy.durable.leases import LeaseClock
-from berylproxy.durable.models import (
+from berylproxy.durable.holding.records import (
+    StoredValueError,
+    adopt_model,
+    decode_division,
+    encode_division,
+    encode_model,
+)
+from berylproxy.durable.jobs.job_table import JobTable
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -47,14 +54,7 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.placement import place_waiting_tasks, rank_job
-from berylproxy.durable.records import (
-    StoredValueError,
-    adopt_model,
-    decode_division,
-    encode_division,
-    encode_model,
-)
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 GROUP = "ledger"
 
--- a/tests/steps/durable_divisions_steps.py
+++ b/tests/steps/durable_divisions_steps.py
@@ -6,10 +6,10 @@
 from behave import given, then, use_step_matcher, when
 from msgpack import packb, unpackb
 
-from berylproxy.durable import divisions
-from berylproxy.durable.divisions import ServiceDivisions
-from berylproxy.durable.groups import list_groups
-from berylproxy.durable.records import division_key
+from berylproxy.durable.holding import divisions
+from berylproxy.durable.holding.divisions import ServiceDivisions
+from berylproxy.durable.holding.groups import list_groups
+from berylproxy.durable.holding.records import division_key
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
--- a/tests/steps/durable_evacuation_steps.py
+++ b/tests/steps/durable_evacuation_steps.py
@@ -7,12 +7,12 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.acceptance import Admission
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.evacuation_spread import EvacuationSpread
-from berylproxy.durable.job_table import JobTable
-from berylproxy.durable.routing import TypicalNeed, has_room, measure_room_millicores
+from berylproxy.durable.decisions.acceptance import Admission
+from berylproxy.durable.decisions.routing import TypicalNeed, has_room, measure_room_millicores
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.evacuation_spread import EvacuationSpread
+from berylproxy.durable.jobs.job_table import JobTable
+from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.platform.operator_watch import decode_evacuated_domain
 from tests.steps.durable_decisions_steps import make_state, open_job, place_all
 
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -10,15 +10,22 @@
 from behave import given, then, use_step_matcher, when
 
 from berylproxy.clock import MonotonicClock
-from berylproxy.durable import outcomes
-from berylproxy.durable.best_effort import JobAbandonedError, JobInterruptedError
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.fleet import EndpointList
-from berylproxy.durable.holder import Holder, HolderContext, InheritedEndpoints
-from berylproxy.durable.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.messages import DropJob, JobSubmission
-from berylproxy.durable.models import (
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.endpoints.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.holding import outcomes
+from berylproxy.durable.holding.best_effort import JobAbandonedError, JobInterruptedError
+from berylproxy.durable.holding.holder import Holder, HolderContext, InheritedEndpoints
+from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
+from berylproxy.durable.holding.records import (
+    FINAL_PREFIX,
+    claim_key,
+    encode_final,
+    final_key,
+    open_key,
+)
+from berylproxy.durable.jobs.messages import DropJob, JobSubmission
+from berylproxy.durable.jobs.models import (
     EndKind,
     JobSpec,
     JobState,
@@ -27,9 +34,8 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
-from berylproxy.durable.records import FINAL_PREFIX, claim_key, encode_final, final_key, open_key
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import (
     FakeDirectory,
--- a/tests/steps/durable_load_steps.py
+++ b/tests/steps/durable_load_steps.py
@@ -4,8 +4,8 @@
 
 from behave import then, use_step_matcher, when
 
-from berylproxy.durable import placement
-from berylproxy.durable.routing import route_job
+from berylproxy.durable.decisions import placement
+from berylproxy.durable.decisions.routing import route_job
 from tests.support import load_play
 from tests.support.group_load_play import GroupedLoadSimulation, stay_in_own_group
 from tests.support.load_play import LoadSimulation, summarize
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -8,19 +8,19 @@
 from msgpack import packb
 
 from berylproxy.clock import MonotonicClock
-from berylproxy.durable.coordinator import GroupCoordinator, KnownHolder
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.groups import Division, list_groups
-from berylproxy.durable.messages import HolderHeartbeat
-from berylproxy.durable.records import (
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.holding.coordinator import GroupCoordinator, KnownHolder
+from berylproxy.durable.holding.groups import Division, list_groups
+from berylproxy.durable.holding.records import (
     claim_key,
     division_key,
     encode_division,
     encode_model,
     model_key,
 )
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.jobs.messages import HolderHeartbeat
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus
 from berylproxy.store.port import Entry
--- a/tests/steps/durable_neighbours_steps.py
+++ b/tests/steps/durable_neighbours_steps.py
@@ -11,13 +11,13 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.models import EndpointInfo, EndpointInstance, Resources, TaskName
-from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
-from berylproxy.durable.pair_effects import FOUND_CERTAINTY, HALF_LIFE_S, Pair
-from berylproxy.durable.records import StoredValueError, decode_pairs, encode_model
-from berylproxy.durable.regression import MAX_REGRESSORS, DecayingRegression
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.endpoints.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.holding.records import StoredValueError, decode_pairs, encode_model
+from berylproxy.durable.jobs.models import EndpointInfo, EndpointInstance, Resources, TaskName
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.learning.pair_effects import FOUND_CERTAINTY, HALF_LIFE_S, Pair
+from berylproxy.durable.learning.regression import MAX_REGRESSORS, DecayingRegression
 from berylproxy.platform.settings import load_platform_settings
 from berylproxy.settings import SettingsError
 from tests.support.load_play import summarize
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -3,8 +3,8 @@
 from anyio import run, sleep
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.messages import DropJob, HolderHeartbeat
-from berylproxy.durable.routing import GroupChoice
+from berylproxy.durable.decisions.routing import GroupChoice
+from berylproxy.durable.jobs.messages import DropJob, HolderHeartbeat
 from tests.support.resubmission_world import ResubmissionWorld
 
 JOB, SECOND_JOB = "job-1", "job-2"
--- a/tests/steps/durable_shares_steps.py
+++ b/tests/steps/durable_shares_steps.py
@@ -8,12 +8,13 @@
 import orjson
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable import placement, shares
-from berylproxy.durable.acceptance import Admission
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import ACTIVE_STATUSES, JobTable, TaskStatus
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions import placement, shares
+from berylproxy.durable.decisions.acceptance import Admission
+from berylproxy.durable.decisions.returns import ReturnPlaces
+from berylproxy.durable.decisions.shares import Scarcity, SharedOrder, divide_room
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, JobTable, TaskStatus
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -24,10 +25,9 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.returns import ReturnPlaces
-from berylproxy.durable.shares import Scarcity, SharedOrder, divide_room
-from berylproxy.durable.telemetry import make_share_samples
-from berylproxy.durable.workload import Claimant
+from berylproxy.durable.jobs.workload import Claimant
+from berylproxy.durable.learning.estimates import RunTimeModel
+from berylproxy.durable.orders.telemetry import make_share_samples
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
 from tests.support import load_play
 from tests.support.share_play import Load, ShareSimulation, Surge, share_in_time
--- a/tests/steps/durable_uneven_endpoints_steps.py
+++ b/tests/steps/durable_uneven_endpoints_steps.py
@@ -2,10 +2,10 @@
 
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.estimates import RunTimeModel, TaskEstimate
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import JobTable
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.placement import place_waiting_tasks
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import JobTable
+from berylproxy.durable.jobs.models import (
     EndpointInfo,
     EndpointInstance,
     JobSpec,
@@ -15,8 +15,8 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.placement import place_waiting_tasks
-from berylproxy.durable.run_times import RunPace, SiblingRunTimes
+from berylproxy.durable.learning.estimates import RunTimeModel, TaskEstimate
+from berylproxy.durable.learning.run_times import RunPace, SiblingRunTimes
 
 ESTIMATE_S = 0.2
 REPORT_INTERVAL_S = 0.1
--- a/tests/steps/durable_withdrawals_steps.py
+++ b/tests/steps/durable_withdrawals_steps.py
@@ -6,8 +6,8 @@
 from anyio import run
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable import withdrawals
-from berylproxy.durable.messages import DropJob
+from berylproxy.durable.holding import withdrawals
+from berylproxy.durable.jobs.messages import DropJob
 from berylproxy.peers.errors import PeerOverloadedError, PeerRequestRefusedError
 from berylproxy.peers.membership import PeerLostError
 
--- a/tests/steps/platform_callers_steps.py
+++ b/tests/steps/platform_callers_steps.py
@@ -12,7 +12,7 @@
 )
 from behave import given, then, when
 
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.platform.callers import CallerApplication
 from berylproxy.platform.configuration import decode_configuration
 from tests.support.platform_cluster import HOST, PREFIX, make_configuration
--- a/tests/steps/platform_endpoints_steps.py
+++ b/tests/steps/platform_endpoints_steps.py
@@ -8,9 +8,15 @@
 from anyio import run
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.durable.models import EndKind, EndpointInfo, EndpointInstance, Resources, TaskName
-from berylproxy.durable.ports import StartOrder
-from berylproxy.durable.response_times import ResponseTimes, renewal_wait_s
+from berylproxy.durable.jobs.models import (
+    EndKind,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+    TaskName,
+)
+from berylproxy.durable.jobs.ports import StartOrder
+from berylproxy.durable.learning.response_times import ResponseTimes, renewal_wait_s
 from berylproxy.platform import endpoints
 from berylproxy.platform.endpoints import PlatformEndpoint
 from tests.support.platform_cluster import PlatformCluster
--- a/tests/support/answer_loss.py
+++ b/tests/support/answer_loss.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from berylproxy.durable.response_times import ResponseTimes, renewal_wait_s
+from berylproxy.durable.learning.response_times import ResponseTimes, renewal_wait_s
 from berylproxy.http_exchange import MAX_COPIES
 from berylproxy.platform.endpoints import CALL_TIMEOUT_S
 
--- a/tests/support/capacity_play.py
+++ b/tests/support/capacity_play.py
@@ -3,9 +3,9 @@
 from collections import defaultdict
 from dataclasses import replace
 
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, JobTable, Task
-from berylproxy.durable.models import EndpointInstance, JobSpec, Resources, TaskName
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job, JobTable, Task
+from berylproxy.durable.jobs.models import EndpointInstance, JobSpec, Resources, TaskName
 from tests.support.answer_loss import MESSAGE_DELAY_S
 from tests.support.load_play import LoadSimulation
 
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -5,11 +5,16 @@
 from itertools import count
 from random import Random
 
-from berylproxy.durable.crashes import CrashRecord
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import JobTable, Task
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.placement import (
+    NO_SUSPICION,
+    PlacementPolicies,
+    place_waiting_tasks,
+    should_reserve,
+)
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.crashes import CrashRecord
+from berylproxy.durable.jobs.job_table import JobTable, Task
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -21,12 +26,7 @@
     StoredJob,
     TaskName,
 )
-from berylproxy.durable.placement import (
-    NO_SUSPICION,
-    PlacementPolicies,
-    place_waiting_tasks,
-    should_reserve,
-)
+from berylproxy.durable.learning.estimates import RunTimeModel
 
 GROUP = "ledger"
 LENGTH_S = 20.0
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -5,7 +5,7 @@
 
 from anyio import move_on_after, sleep
 
-from berylproxy.durable.models import (
+from berylproxy.durable.jobs.models import (
     EndpointInfo,
     EndpointInstance,
     EndpointReport,
@@ -13,7 +13,7 @@
     RunningTask,
     TaskName,
 )
-from berylproxy.durable.ports import (
+from berylproxy.durable.jobs.ports import (
     EndpointCallError,
     FencedOffError,
     OtherInstanceError,
--- a/tests/support/group_load_play.py
+++ b/tests/support/group_load_play.py
@@ -4,13 +4,13 @@
 from heapq import heappop
 from random import Random
 
-from berylproxy.durable.models import JobSpec
-from berylproxy.durable.routing import (
+from berylproxy.durable.decisions.routing import (
     GroupChoice,
     TypicalNeed,
     has_room,
     measure_room_millicores,
 )
+from berylproxy.durable.jobs.models import JobSpec
 from tests.support.load_play import JOB_KINDS, JobKind, LoadSimulation, Tally
 
 HEARTBEAT_S = 0.45  # the longest time between two heartbeats of a holder to a daemon
@@ -48,7 +48,7 @@
     """Simulates the load of 24 endpoints that are divided into groups.
 
     :param route_job: the decision about a job's group; see
-        :func:`~berylproxy.durable.routing.route_job`.
+        :func:`~berylproxy.durable.decisions.routing.route_job`.
     """
 
     def __init__(
--- a/tests/support/load_play.py
+++ b/tests/support/load_play.py
@@ -6,12 +6,17 @@
 from itertools import count
 from random import Random
 
-from berylproxy.durable import placement
-from berylproxy.durable.acceptance import Admission, Refusal
-from berylproxy.durable.estimates import RunTimeModel
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, JobTable, Task
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions import placement
+from berylproxy.durable.decisions.acceptance import Admission, Refusal
+from berylproxy.durable.decisions.placement import (
+    LATE_FACTOR,
+    PlacementPolicies,
+    place_waiting_tasks,
+)
+from berylproxy.durable.decisions.shares import SharedOrder
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job, JobTable, Task
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -22,8 +27,7 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.placement import LATE_FACTOR, PlacementPolicies, place_waiting_tasks
-from berylproxy.durable.shares import SharedOrder
+from berylproxy.durable.learning.estimates import RunTimeModel
 from tests.support.answer_loss import MESSAGE_DELAY_S, AnswerLoss
 
 GROUP = "ledger"
--- a/tests/support/neighbour_load_play.py
+++ b/tests/support/neighbour_load_play.py
@@ -6,11 +6,11 @@
 from itertools import count
 from math import log
 
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Task
-from berylproxy.durable.models import EndpointInstance
-from berylproxy.durable.neighbours import NeighbourMode, NeighbourModel
-from berylproxy.durable.pair_effects import Pair
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.endpoints.neighbours import NeighbourMode, NeighbourModel
+from berylproxy.durable.jobs.job_table import Task
+from berylproxy.durable.jobs.models import EndpointInstance
+from berylproxy.durable.learning.pair_effects import Pair
 from tests.support.answer_loss import MESSAGE_DELAY_S
 from tests.support.load_play import LoadSimulation
 
--- a/tests/support/resubmission_world.py
+++ b/tests/support/resubmission_world.py
@@ -9,14 +9,14 @@
 from logbook import Logger
 
 from berylproxy.clock import MonotonicClock
-from berylproxy.durable.coordinator import GroupCoordinator
-from berylproxy.durable.evacuation import EvacuatedDomains
-from berylproxy.durable.frontend import JobFrontend
-from berylproxy.durable.groups import Division, list_groups
-from berylproxy.durable.messages import DURABLE_MESSAGES
-from berylproxy.durable.models import JobSpec, QueueTerms, Resources, StepSpec
-from berylproxy.durable.records import division_key, encode_division
-from berylproxy.durable.telemetry import Telemetry
+from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.entry.frontend import JobFrontend
+from berylproxy.durable.holding.coordinator import GroupCoordinator
+from berylproxy.durable.holding.groups import Division, list_groups
+from berylproxy.durable.holding.records import division_key, encode_division
+from berylproxy.durable.jobs.messages import DURABLE_MESSAGES
+from berylproxy.durable.jobs.models import JobSpec, QueueTerms, Resources, StepSpec
+from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
--- a/tests/support/share_play.py
+++ b/tests/support/share_play.py
@@ -4,9 +4,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.placement import LATE_FACTOR
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job
+from berylproxy.durable.jobs.models import (
     EndpointInfo,
     EndpointInstance,
     JobSpec,
@@ -15,7 +16,6 @@
     StepSpec,
     StoredJob,
 )
-from berylproxy.durable.placement import LATE_FACTOR
 from tests.support import load_play
 from tests.support.answer_loss import MESSAGE_DELAY_S
 from tests.support.load_play import (
--- a/tests/support/uneven_load_play.py
+++ b/tests/support/uneven_load_play.py
@@ -5,20 +5,20 @@
 from math import exp, log
 from random import Random
 
-from berylproxy.durable.estimates import RunTimeModel, TaskEstimate
-from berylproxy.durable.fleet import EndpointState
-from berylproxy.durable.job_table import Job, Task, TaskStatus
-from berylproxy.durable.models import (
+from berylproxy.durable.decisions.moves import MoveReason, plan_moves
+from berylproxy.durable.endpoints.fleet import EndpointState
+from berylproxy.durable.jobs.job_table import Job, Task, TaskStatus
+from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
     EndpointInstance,
     Resources,
 )
-from berylproxy.durable.moves import MoveReason, plan_moves
-from berylproxy.durable.response_times import renewal_wait_s
-from berylproxy.durable.run_times import RunPace
-from berylproxy.durable.trust import (
+from berylproxy.durable.learning.estimates import RunTimeModel, TaskEstimate
+from berylproxy.durable.learning.response_times import renewal_wait_s
+from berylproxy.durable.learning.run_times import RunPace
+from berylproxy.durable.learning.trust import (
     SUSPECTED_PROBABILITY,
     EndpointTrust,
     FailureStatistics,
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -50,7 +50,7 @@
         [name for name in names if name in PLATFORM_FOLDERS],
         [name for name in names if name not in chosen],
     ]
-    jobs = sorted((ROOT / "tests" / JOBS_FOLDER).glob("*.feature"))
+    jobs = sorted((ROOT / "tests" / JOBS_FOLDER).rglob("*.feature"))
     plays = [str(path.relative_to(ROOT)) for path in jobs if path.stem in LOAD_PLAYS]
     others = [str(path.relative_to(ROOT)) for path in jobs if path.stem not in LOAD_PLAYS]
     return [[f"tests/{name}" for name in shard] for shard in shards] + [plays, others]
