Validate messages, settings and configuration with msgspec

Cause: 0.5 s of processor time for imports; pydantic with the schemas of some thirty messages was the largest part that is not needed. msgspec checks the same data classes without schemas that are built at the start. The platform's settings and configuration are msgspec tables; berylproxy/tables.py still reports all wrong fields of a file at once, each with its location. pydantic stays in the product's own interfaces.

Ways weighed: pydantic with schemas built at first use (the codec needs most of them in the first second), msgspec. SettingsError moves to berylproxy/errors.py, since berylproxy/settings.py needs pydantic.

--- a/berylproxy/daemon/core.py
+++ b/berylproxy/daemon/core.py
@@ -12,10 +12,10 @@
 from berylproxy.daemon.application import Application
 from berylproxy.daemon.definition import Arguments
 from berylproxy.environment import Environment
-from berylproxy.errors import BerylproxyError
+from berylproxy.errors import BerylproxyError, SettingsError
 from berylproxy.exit_status import ExitStatus
 from berylproxy.logs import make_log_handler
-from berylproxy.settings import Settings, SettingsError, load_settings
+from berylproxy.settings import Settings, load_settings
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
--- a/berylproxy/durable/holding/records.py
+++ b/berylproxy/durable/holding/records.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Sequence
 from dataclasses import asdict
-from functools import cache
 
 from msgpack import packb, unpackb
-from pydantic import TypeAdapter, ValidationError
+from msgspec import ValidationError, convert
 
 from berylproxy.durable.holding.groups import MAX_GROUPS, Division
 from berylproxy.durable.jobs.models import JobState, StoredJob
@@ -62,18 +61,11 @@
     :raises StoredValueError: if the value is not an encoded job.
     """
     try:
-        fields = unpackb(value)
-        return _stored_job_adapter().validate_python(fields)
+        return convert(unpackb(value), StoredJob, strict=False)
     except (ValueError, TypeError, ValidationError) as error:
         raise StoredValueError(f"not a stored job: {error}") from error
 
 
-@cache
-def _stored_job_adapter() -> TypeAdapter[StoredJob]:
-    """Returns the validator of stored jobs, which is built at its first use."""
-    return TypeAdapter(StoredJob)
-
-
 def division_key(service: str) -> str:
     """Returns the key of a service's division into groups."""
     return DIVISION_PREFIX + service
--- a/berylproxy/errors.py
+++ b/berylproxy/errors.py
@@ -26,3 +26,16 @@
         self.message = message
         self.hint = hint
         self.retry_after_s = retry_after_s
+
+
+class SettingsError(BerylproxyError):
+    """One or more settings are invalid.
+
+    :param problems: one line for each problem.
+    """
+
+    code = "settings_invalid"
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("; ".join(problems), hint="see berylproxyd --help")
+        self.problems = problems
--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -1,23 +1,24 @@
 """Frames of the streams: dataclasses encoded as msgpack and validated when they are decoded."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from functools import cache
-from typing import Any, NamedTuple
+from typing import Any
 
-from msgpack import Packer, Unpacker
-from pydantic import TypeAdapter
-from pydantic_core import SchemaValidator, ValidationError
+from msgpack import Unpacker
+from msgspec import ValidationError, convert
+from msgspec.msgpack import Encoder
 
 from berylproxy.peers.errors import PeerProtocolError
+from berylproxy.tables import describe_problem
 
 REQUEST, REPLY, REFUSAL, NOTICE = range(4)
 MAX_REQUEST_ID = 2**63
 READ_BYTES = 16 * 1024
 MAX_FEED_BYTES = 64 * 1024
 MAX_CONTAINER_ITEMS = 16_384
-# Lax validation would turn str into bytes and numbers into str.
-STRICT_TYPES = frozenset({"str", "bytes", "int", "float", "bool"})
+MAX_PROBLEM_CHARACTERS = 200
+# Types that msgpack has itself; of others, a converter would also accept their form in JSON.
+NATIVE_TYPES = (bytes,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,14 +67,11 @@
 
     def __init__(self, message_types: Iterable[type]) -> None:
         self._types = tuple(dict.fromkeys(message_types))
-        converters = {message_type: _make_converters(message_type) for message_type in self._types}
-        self._dumpers = {kind: converter.dump for kind, converter in converters.items()}
-        self._validators = {
-            _wire_name(kind): converter.validate for kind, converter in converters.items()
-        }
-        if len(self._validators) != len(self._types):
+        self._names = {kind: getattr(kind, "WIRE_NAME", kind.__name__) for kind in self._types}
+        self._types_by_name = {name: kind for kind, name in self._names.items()}
+        if len(self._types_by_name) != len(self._types):
             raise ValueError("two message types have the same name")
-        self._pack = Packer(use_bin_type=True).pack
+        self._encode = Encoder().encode
         self._last_notice: Any = None
         self._last_notice_bytes = b""
 
@@ -88,13 +86,13 @@
         """
         match frame:
             case RequestFrame(request_id, message):
-                return self._pack((REQUEST, request_id, *self._dump(message)))
+                return self._encode((REQUEST, request_id, self._name(message), message))
             case ReplyFrame(request_id, message):
-                return self._pack((REPLY, request_id, *self._dump(message)))
+                return self._encode((REPLY, request_id, self._name(message), message))
             case NoticeFrame(message):
                 return self._encode_notice(message)
             case RefusalFrame(request_id, code, text, retry_after_s):
-                return self._pack((REFUSAL, request_id, code, (text, retry_after_s)))
+                return self._encode((REFUSAL, request_id, code, (text, retry_after_s)))
 
     def _encode_notice(self, message: Any) -> bytes:
         """Encodes a notice, which is often sent to many daemons, only once in a row.
@@ -102,7 +100,7 @@
         Messages are immutable.
         """
         if message is not self._last_notice:
-            self._last_notice_bytes = self._pack((NOTICE, 0, *self._dump(message)))
+            self._last_notice_bytes = self._encode((NOTICE, 0, self._name(message), message))
             self._last_notice = message
         return self._last_notice_bytes
 
@@ -138,25 +136,23 @@
             return NoticeFrame(message)
         raise PeerProtocolError(f"unknown kind of frame {frame_kind}")
 
-    def _dump(self, message: Any) -> tuple[str, Any]:
-        message_type = type(message)
-        dump = self._dumpers.get(message_type)
-        if dump is None:
-            raise TypeError(f"{message_type.__name__} is not a registered message type")
-        return _wire_name(message_type), dump(message)
+    def _name(self, message: Any) -> str:
+        name = self._names.get(type(message))
+        if name is None:
+            raise TypeError(f"{type(message).__name__} is not a registered message type")
+        return name
 
     def _parse_message(self, name: str, body: Any) -> Any:
-        validate = self._validators.get(name)
-        if validate is None:
+        message_type = self._types_by_name.get(name)
+        if message_type is None:
             raise PeerProtocolError(f"unknown message type {name[:64]!r}")
         if type(body) is not dict:
             raise PeerProtocolError(f"the body of {name} is not a map")
         try:
-            return validate(body)
+            return convert(body, message_type, builtin_types=NATIVE_TYPES)
         except ValidationError as error:
-            first = error.errors(include_url=False, include_input=False)[0]
-            location = ".".join(map(str, first["loc"]))
-            raise PeerProtocolError(f"malformed {name}: {location[:64]}: {first['msg']}") from error
+            problem = describe_problem(error)[:MAX_PROBLEM_CHARACTERS]
+            raise PeerProtocolError(f"malformed {name}: {problem}") from error
 
 
 class FrameDecoder:
@@ -208,28 +204,6 @@
             raise PeerProtocolError(f"not a msgpack stream: {type(error).__name__}") from error
 
 
-class _Converters(NamedTuple):
-    """Converts messages of one type to and from values that msgpack can encode.
-
-    :param validate: raises :class:`ValidationError` for a value that is no such message.
-    """
-
-    dump: Callable[[Any], Any]
-    validate: Callable[[Any], Any]
-
-
-@cache
-def _make_converters(message_type: type) -> _Converters:
-    """Builds the converters of a message type once for all codecs of the process."""
-    adapter = TypeAdapter(message_type)
-    validator = SchemaValidator(_make_strict(adapter.core_schema))
-    return _Converters(adapter.serializer.to_python, validator.validate_python)
-
-
-def _wire_name(message_type: type) -> str:
-    return getattr(message_type, "WIRE_NAME", message_type.__name__)
-
-
 def _parse_refusal(request_id: int, code: str, body: Any) -> RefusalFrame:
     if type(body) is not list or len(body) != 2 or type(body[0]) is not str:
         raise PeerProtocolError("malformed refusal")
@@ -240,14 +214,3 @@
 
 def _reject_extension(code: int, _: bytes) -> Any:
     raise PeerProtocolError(f"msgpack extension type {code} is not supported")
-
-
-def _make_strict(schema: Any) -> Any:
-    if isinstance(schema, dict):
-        strict = {key: _make_strict(value) for key, value in schema.items()}
-        if strict.get("type") in STRICT_TYPES:
-            strict["strict"] = True
-        return strict
-    if isinstance(schema, list):
-        return [_make_strict(item) for item in schema]
-    return schema
--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -7,11 +7,11 @@
 from logbook import Logger
 
 from berylproxy.environment import Environment
+from berylproxy.errors import SettingsError
 from berylproxy.exit_status import ExitStatus
 from berylproxy.logs import NonBlockingOutput, make_log_handler
 from berylproxy.platform.daemon import PlatformDaemon
 from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
-from berylproxy.settings import SettingsError
 
 # New objects until the next collection. Reference counting frees nearly all of them at once, so
 # that the default of 700 costs processor time and finds little.
--- a/berylproxy/platform/configuration.py
+++ b/berylproxy/platform/configuration.py
@@ -1,13 +1,14 @@
 """Decodes the operator's configuration from the platform's store."""
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, NonNegativeInt, ValidationError
+from msgspec import Meta
+from orjson import JSONDecodeError, loads
 
 from berylproxy.durable.jobs.models import QueueTerms
 from berylproxy.errors import BerylproxyError
-from berylproxy.platform.settings import to_kebab_case
+from berylproxy.tables import Table, TableInvalidError, convert_table
 
 CONFIGURATION_KEY = "op/config"
 DEFAULT_MAX_BODY_BYTES = 262_144
@@ -19,11 +20,7 @@
     code = "configuration_invalid"
 
 
-class _Table(BaseModel):
-    model_config = ConfigDict(extra="ignore", alias_generator=to_kebab_case, frozen=True)
-
-
-class _Route(_Table):
+class _Route(Table):
     name: str
     host: str
     prefix: str
@@ -32,21 +29,21 @@
     # Despite its name only the constant part of a job's latency objective; "stretch" is the factor
     # of the part that grows with the job.
     target_latency_ms: float = 0.0
-    priority: NonNegativeInt = 0
+    priority: Annotated[int, Meta(ge=0)] = 0
     max_attempts: int = 1
     stretch: float = 1.0
     advice: Any = None
 
 
-class _Service(_Table):
+class _Service(Table):
     name: str
 
 
-class _Limits(_Table):
+class _Limits(Table):
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
 
 
-class _Configuration(_Table):
+class _Configuration(Table):
     version: int
     routes: list[_Route]
     services: list[_Service] = []
@@ -93,11 +90,11 @@
     :raises ConfigurationInvalidError: if it can't be decoded.
     """
     try:
-        parsed = _Configuration.model_validate_json(value)
-    except ValidationError as error:
-        first = error.errors(include_url=False)[0]
-        location = ".".join(map(str, first["loc"]))
-        raise ConfigurationInvalidError(f"{location}: {first['msg']}") from error
+        parsed = convert_table(loads(value), _Configuration)
+    except JSONDecodeError as error:
+        raise ConfigurationInvalidError(f"not JSON: {error}") from error
+    except TableInvalidError as error:
+        raise ConfigurationInvalidError(error.problems[0]) from error
     routes = tuple(_convert_route(route) for route in parsed.routes)
     by_host: dict[str, list[JobRoute]] = {}
     for route in sorted(routes, key=lambda route: -len(route.prefix)):
--- a/berylproxy/platform/reload.py
+++ b/berylproxy/platform/reload.py
@@ -7,8 +7,8 @@
 from anyio import Event, move_on_after
 from logbook import Logger
 
+from berylproxy.errors import SettingsError
 from berylproxy.platform.settings import PlatformSettings, load_platform_settings
-from berylproxy.settings import SettingsError
 
 CHECK_INTERVAL_S = 1.0  # half of the shortest time within which a change must take effect
 # Fields that take effect at the next start only: open connections depend on them.
--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -4,11 +4,13 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from msgspec import Meta
 
 from berylproxy.durable.endpoints.neighbours import NeighbourMode
-from berylproxy.settings import SettingsError
+from berylproxy.errors import SettingsError
+from berylproxy.tables import Table, TableInvalidError, convert_table
 
 # OpenTelemetry exporters serve on this port by default; deploy/ configures it as well.
 METRICS_PORT = 9464
@@ -18,39 +20,36 @@
 SHARING_CONTRACT = "sharing"
 
 
-def to_kebab_case(name: str) -> str:
-    return name.replace("_", "-")
+Name = Annotated[str, Meta(min_length=1)]
+PositiveFloat = Annotated[float, Meta(gt=0)]
+PositiveInt = Annotated[int, Meta(gt=0)]
 
 
-class _Table(BaseModel):
-    model_config = ConfigDict(extra="ignore", alias_generator=to_kebab_case, frozen=True)
-
-
-class _Listen(_Table):
+class _Listen(Table):
     frontend_addr: str
     ready_addr: str
 
 
-class _Limits(_Table):
-    cpu_share: float = Field(1.0, gt=0)
-    cores: float = Field(1.0, gt=0)
-    memory_mb: int = Field(256, gt=0)
-    link_mbps: float = Field(1000.0, gt=0)
+class _Limits(Table):
+    cpu_share: PositiveFloat = 1.0
+    cores: PositiveFloat = 1.0
+    memory_mb: PositiveInt = 256
+    link_mbps: PositiveFloat = 1000.0
 
 
-class _Bounds(_Table):
+class _Bounds(Table):
     grace_s: float = 6.0
     hold_max_ms: int = 1000
     remote_factor: float = 2.0
 
 
-class _Platform(_Table):
+class _Platform(Table):
     address: str
     value_bytes: int = 1_048_576
 
 
-class _SettingsFile(_Table):
-    node_name: str = Field(min_length=1)
+class _SettingsFile(Table):
+    node_name: Name
     ip: str
     zone: str
     internal_ports: tuple[int, int]
@@ -105,14 +104,9 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"{path}: not TOML: {error}"]) from error
     try:
-        return _convert(_SettingsFile.model_validate(content))
-    except ValidationError as error:
-        raise SettingsError(
-            [
-                f"{path}: {'.'.join(map(str, problem['loc']))}: {problem['msg']}"
-                for problem in error.errors(include_url=False)
-            ]
-        ) from error
+        return _convert(convert_table(content, _SettingsFile))
+    except TableInvalidError as error:
+        raise SettingsError([f"{path}: {problem}" for problem in error.problems]) from error
 
 
 def _convert(file: _SettingsFile) -> PlatformSettings:
--- a/berylproxy/settings.py
+++ b/berylproxy/settings.py
@@ -14,7 +14,7 @@
     field_validator,
 )
 
-from berylproxy.errors import BerylproxyError
+from berylproxy.errors import SettingsError
 from berylproxy.logs import LEVELS
 
 VARIABLE_PREFIX = "BERYLPROXY_"
@@ -34,19 +34,6 @@
 }
 
 
-class SettingsError(BerylproxyError):
-    """One or more settings are invalid.
-
-    :param problems: one line for each problem.
-    """
-
-    code = "settings_invalid"
-
-    def __init__(self, problems: list[str]) -> None:
-        super().__init__("; ".join(problems), hint="see berylproxyd --help")
-        self.problems = problems
-
-
 def _split_list(value: object) -> object:
     if isinstance(value, str):
         return tuple(part.strip() for part in value.split(",") if part.strip())
--- a/tests/steps/durable_neighbours_steps.py
+++ b/tests/steps/durable_neighbours_steps.py
@@ -18,8 +18,8 @@
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.learning.pair_effects import FOUND_CERTAINTY, HALF_LIFE_S, Pair
 from berylproxy.durable.learning.regression import MAX_REGRESSORS, DecayingRegression
+from berylproxy.errors import SettingsError
 from berylproxy.platform.settings import load_platform_settings
-from berylproxy.settings import SettingsError
 from tests.support.load_play import summarize
 from tests.support.neighbour_load_play import NeighbourLoadSimulation
 
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
+from berylproxy.errors import SettingsError
 from berylproxy.http_exchange import HttpResponse
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
@@ -17,7 +18,6 @@
 from berylproxy.platform.daemon import decode_member
 from berylproxy.platform.endpoints import decode_entry, decode_report, decode_start
 from berylproxy.platform.settings import load_platform_settings
-from berylproxy.settings import SettingsError
 from berylproxy.store.port import Entry
 from tests.support.platform_cluster import HOST, make_configuration
 
