Count a watch that began before the store failed as no sign of it

Callers saw 503 for the rest of an outage of the store in which a holder died. Cause: the log of the failing scenario shows the provisional tenure end 0.05 s after its start, 'the store is available again', while the store refused every call. A watch that had begun before the outage ended at that moment with 200, which reset the count of failed calls; a provisional tenure that has ended can't begin again. Now an answer to a watch counts only if the watch was sent after the last failed call.

Before: the new scenario 'a watch that began before the store failed ends' fails (reachable). After: it passes, and a watch that began after the failure still counts.

--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -53,6 +53,7 @@
         self.call_count = 0
         self.last_contact_s = monotonic()
         self._consecutive_failures = 0
+        self._last_failure_s = 0.0
 
     def change_address(self, address: str) -> None:
         """Switches to another address; calls in progress finish at the former one."""
@@ -161,9 +162,11 @@
                 "GET", target, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
             )
         except (NotSentError, AnswerLostError) as error:
-            self._consecutive_failures += 1
+            self._note_failure()
             raise StoreUnavailableError(f"watch: {error.message}") from error
-        self._note_response(response)
+        # A watch that began before the last failure ends without the service being available.
+        if response.sent_s > self._last_failure_s:
+            self._note_response(response)
         if response.status == 410:
             raise StoreCompactedError(f"changes after {after_revision} are no longer available")
         content = _decode_object(self._require_success(response))
@@ -184,10 +187,10 @@
         try:
             response = await self._http.call("POST", target, content, timeout_s=CALL_TIMEOUT_S)
         except NotSentError as error:
-            self._consecutive_failures += 1
+            self._note_failure()
             raise StoreUnavailableError(error.message) from error
         except AnswerLostError as error:
-            self._consecutive_failures += 1
+            self._note_failure()
             raise StoreOutcomeUnknownError(error.message) from error
         self._note_response(response)
         return response
@@ -197,14 +200,18 @@
         try:
             response = await self._http.call("GET", target, timeout_s=READ_TIMEOUT_S)
         except (NotSentError, AnswerLostError) as error:
-            self._consecutive_failures += 1
+            self._note_failure()
             raise StoreUnavailableError(error.message) from error
         self._note_response(response)
         return response
 
+    def _note_failure(self) -> None:
+        self._consecutive_failures += 1
+        self._last_failure_s = monotonic()
+
     def _note_response(self, response: HttpResponse) -> None:
         if response.status in REFUSAL_STATUSES:
-            self._consecutive_failures += 1
+            self._note_failure()
         else:
             self._consecutive_failures = 0
             self.last_contact_s = response.received_s
