Test the HTTP server with requests as they come over the wire

Pipelined requests, chunked bodies with Expect, malformed and endless heads, failing applications, disconnections, early responses, callers that don't read, HEAD, HTTP/1.0, planned stops and idle connections. Twelve scenarios.

--- /dev/null
+++ b/tests/http_server/server.feature
@@ -0,0 +1,67 @@
+Feature: The HTTP server of daemons on small VMs
+
+  Scenario: requests on one connection are answered in their order
+    Given an HTTP server with an application that echoes bodies
+    When a caller sends three requests at once on one connection
+    Then the caller receives the three bodies in order
+
+  Scenario: a body in chunks, with Expect, is received whole
+    Given an HTTP server with an application that echoes bodies
+    When a caller sends a chunked body after "100 Continue"
+    Then the caller receives the body whole
+
+  Scenario Outline: input that is no HTTP/1.1 request
+    Given an HTTP server with an application that echoes bodies
+    When a caller sends <input>
+    Then the caller receives status <status> and the end of the connection
+
+    Examples:
+      | input             | status |
+      | bytes of any kind | 400    |
+      | an endless head   | 431    |
+
+  Scenario: an application that fails is answered for, and the server goes on
+    Given an HTTP server with an application that fails
+    When a caller sends a request
+    Then the caller receives status 500 and the end of the connection
+    And another caller receives status 500 and the end of the connection
+
+  Scenario: the application hears that its caller has disconnected
+    Given an HTTP server with an application that waits for the disconnection
+    When a caller sends a request and disconnects
+    Then the application's request ends
+
+  Scenario: a response before the end of the body reaches a caller that sends on
+    Given an HTTP server with an application that answers before the body
+    When a caller sends a request with a body of 4000000 bytes
+    Then the caller receives status 413 and the end of the connection
+
+  Scenario: a caller that doesn't read makes the response wait
+    Given an HTTP server with an application that sends 40 parts of a million bytes
+    When a caller sends a request and reads nothing
+    Then the application has not sent all parts
+    And the caller then receives 40000000 bytes in chunks
+
+  Scenario: a response to HEAD and to HTTP/1.0
+    Given an HTTP server with an application that echoes bodies
+    When a caller sends a HEAD request and then one of HTTP/1.0
+    Then the first response has no body, and the connection ends after the second
+
+  Scenario: requests in progress end before the server does
+    Given an HTTP server with an application that waits for a permit
+    When a caller sends a request
+    And the server is stopped, then the permit is given
+    Then the caller receives status 200 and the end of the connection
+    And the server says that all requests were answered
+
+  Scenario: a request that outlasts the end of the server is cut off
+    Given an HTTP server with an application that waits for a permit
+    When a caller sends a request
+    And the server is stopped
+    Then the caller receives the end of the connection
+    And the server says that not all requests were answered
+
+  Scenario: idle connections are closed
+    Given an HTTP server with an application that echoes bodies that closes idle connections
+    When a caller connects and sends nothing
+    Then the caller receives the end of the connection
--- /dev/null
+++ b/tests/steps/http_server_steps.py
@@ -0,0 +1,286 @@
+"""Steps that send raw HTTP/1.1 to the small HTTP server, which runs on a loop in a thread."""
+
+import asyncio
+import socket
+import threading
+from contextlib import suppress
+
+from behave import given, then, when
+
+from berylproxy.http_server import HttpServer
+from berylproxy.listeners import open_listener
+
+TIMEOUT_S = 10.0
+GRACEFUL_TIMEOUT_S = 0.5
+LONG_KEEP_ALIVE_S = 60.0
+PARTS, PART_BYTES = 40, 1_000_000
+BODY_BYTES = 4_000_000
+
+
+class ServedApplication:
+    """Runs a server with one of the applications below.
+
+    :ivar parts_sent: number of parts that the application has sent.
+    :ivar request_ended: set when a request has ended in the application.
+    :ivar all_answered: what the server has returned.
+    """
+
+    def __init__(self, name: str, keep_alive_s: float) -> None:
+        self.parts_sent = 0
+        self.request_ended = threading.Event()
+        self.all_answered: bool | None = None
+        self._answer = getattr(self, name)
+        self._keep_alive_s = keep_alive_s
+        listener = open_listener("127.0.0.1:0")
+        self.address = listener.getsockname()
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=asyncio.run, args=(self._run(listener),))
+        self._thread.start()
+        assert self._started.wait(TIMEOUT_S)
+
+    async def _run(self, listener: socket.socket) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._stop, self._permit = asyncio.Event(), asyncio.Event()
+        self._loop.call_soon(self._started.set)
+        server = HttpServer(self._serve, self._keep_alive_s)
+        self.all_answered = await server.serve([listener], self._stop.wait, GRACEFUL_TIMEOUT_S)
+
+    def connect(self) -> socket.socket:
+        """Opens a caller's connection."""
+        return socket.create_connection(self.address, timeout=TIMEOUT_S)
+
+    def stop(self) -> None:
+        """Begins the planned stop."""
+        self._loop.call_soon_threadsafe(self._stop.set)
+
+    def permit(self) -> None:
+        """Lets the application that waits for it answer."""
+        self._loop.call_soon_threadsafe(self._permit.set)
+
+    def close(self) -> None:
+        """Stops the server and waits for its end."""
+        if self._thread.is_alive():
+            self.stop()
+        self._thread.join(TIMEOUT_S)
+
+    async def _serve(self, scope, receive, send) -> None:
+        try:
+            await self._answer(scope, receive, send)
+        finally:
+            self.request_ended.set()
+
+    async def echo(self, scope, receive, send) -> None:
+        body = b""
+        while True:
+            message = await receive()
+            body += message["body"]
+            if not message["more_body"]:
+                break
+        await respond(send, 200, body)
+
+    async def fail(self, scope, receive, send) -> None:
+        raise RuntimeError("this application always fails")
+
+    async def wait_for_disconnection(self, scope, receive, send) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    async def answer_early(self, scope, receive, send) -> None:
+        await respond(send, 413, b"")
+
+    async def stream(self, scope, receive, send) -> None:
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        for _ in range(PARTS):
+            part = {"type": "http.response.body", "body": bytes(PART_BYTES), "more_body": True}
+            await send(part)
+            self.parts_sent += 1
+        await send({"type": "http.response.body"})
+
+    async def wait_for_permit(self, scope, receive, send) -> None:
+        await self._permit.wait()
+        await respond(send, 200, b"")
+
+
+async def respond(send, status: int, body: bytes) -> None:
+    await send({"type": "http.response.start", "status": status, "headers": []})
+    await send({"type": "http.response.body", "body": body})
+
+
+APPLICATIONS = {
+    "echoes bodies": "echo",
+    "fails": "fail",
+    "waits for the disconnection": "wait_for_disconnection",
+    "answers before the body": "answer_early",
+    "sends 40 parts of a million bytes": "stream",
+    "waits for a permit": "wait_for_permit",
+}
+
+
+def serve(context, name: str, keep_alive_s: float = LONG_KEEP_ALIVE_S) -> None:
+    context.served = ServedApplication(APPLICATIONS[name], keep_alive_s)
+    context.add_cleanup(context.served.close)
+    context.connection = context.served.connect()
+    context.add_cleanup(context.connection.close)
+
+
+def encode_request(body: bytes = b"", method: str = "POST", version: str = "1.1") -> bytes:
+    head = f"{method} /x HTTP/{version}\r\nHost: h\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def read_until(connection: socket.socket, end: bytes) -> bytes:
+    received = b""
+    while not received.endswith(end):
+        chunk = connection.recv(65_536)
+        assert chunk, received
+        received += chunk
+    return received
+
+
+def read_to_end(connection: socket.socket) -> bytes:
+    received = bytearray()
+    while chunk := connection.recv(1_000_000):
+        received += chunk
+    return bytes(received)
+
+
+def check_status_and_end(connection: socket.socket, status: int) -> None:
+    received = read_to_end(connection)
+    assert received.startswith(b"HTTP/1.1 %d " % status), received[:200]
+
+
+@given("an HTTP server with an application that {name} that closes idle connections")
+def step_impl(context, name):
+    serve(context, name, keep_alive_s=0.0)
+
+
+@given("an HTTP server with an application that {name}")
+def step_impl(context, name):
+    serve(context, name)
+
+
+@when("a caller sends three requests at once on one connection")
+def step_impl(context):
+    context.connection.sendall(b"".join(encode_request(body) for body in (b"one", b"two", b"3")))
+
+
+@then("the caller receives the three bodies in order")
+def step_impl(context):
+    received = read_until(context.connection, b"\r\n\r\n3")
+    assert received.index(b"\r\n\r\none") < received.index(b"\r\n\r\ntwo"), received
+
+
+@when('a caller sends a chunked body after "100 Continue"')
+def step_impl(context):
+    head = b"POST /x HTTP/1.1\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+    context.connection.sendall(head)
+    assert read_until(context.connection, b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    context.connection.sendall(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+
+
+@then("the caller receives the body whole")
+def step_impl(context):
+    assert b"content-length: 5\r\n" in read_until(context.connection, b"abcde")
+
+
+@when("a caller sends bytes of any kind")
+def step_impl(context):
+    context.connection.sendall(b"\x00\x01 no HTTP \xff\r\n\r\n")
+
+
+@when("a caller sends an endless head")
+def step_impl(context):
+    context.connection.sendall(b"GET / HTTP/1.1\r\n" + b"name: value\r\n" * 6_000)
+
+
+@when("a caller sends a request")
+def step_impl(context):
+    context.connection.sendall(encode_request())
+
+
+@when("a caller sends a request and disconnects")
+def step_impl(context):
+    context.connection.sendall(encode_request())
+    context.connection.close()
+
+
+@when("a caller sends a request and reads nothing")
+def step_impl(context):
+    context.connection.sendall(encode_request())
+
+
+@when("a caller sends a request with a body of 4000000 bytes")
+def step_impl(context):
+    context.connection.sendall(encode_request(bytes(BODY_BYTES)))
+
+
+@when("a caller sends a HEAD request and then one of HTTP/1.0")
+def step_impl(context):
+    context.connection.sendall(encode_request(method="HEAD"))
+    head = read_until(context.connection, b"\r\n\r\n")
+    assert b"content-length: 0\r\n" in head, head
+    context.connection.sendall(encode_request(b"ab", version="1.0"))
+
+
+@when("the server is stopped, then the permit is given")
+def step_impl(context):
+    context.served.stop()
+    context.served.permit()
+
+
+@when("the server is stopped")
+def step_impl(context):
+    context.served.stop()
+
+
+@when("a caller connects and sends nothing")
+def step_impl(context):
+    pass
+
+
+@then("the caller receives status {status:d} and the end of the connection")
+def step_impl(context, status):
+    check_status_and_end(context.connection, status)
+
+
+@then("another caller receives status {status:d} and the end of the connection")
+def step_impl(context, status):
+    with context.served.connect() as connection:
+        connection.sendall(encode_request())
+        check_status_and_end(connection, status)
+
+
+@then("the application's request ends")
+def step_impl(context):
+    assert context.served.request_ended.wait(TIMEOUT_S)
+
+
+@then("the application has not sent all parts")
+def step_impl(context):
+    assert not context.served.request_ended.wait(0.3)
+    assert context.served.parts_sent < PARTS
+
+
+@then("the caller then receives 40000000 bytes in chunks")
+def step_impl(context):
+    received, size = bytearray(), PARTS * PART_BYTES
+    while not received.endswith(b"\r\n0\r\n\r\n"):
+        received += context.connection.recv(1_000_000)
+    assert received.count(b"\x00") == size, received.count(b"\x00")
+
+
+@then("the first response has no body, and the connection ends after the second")
+def step_impl(context):
+    assert read_to_end(context.connection).endswith(b"\r\n\r\nab")
+
+
+@then("the caller receives the end of the connection")
+def step_impl(context):
+    with suppress(ConnectionResetError):  # if the caller's request was cut off
+        assert read_to_end(context.connection) == b""
+
+
+@then("the server says that {amount} requests were answered")
+def step_impl(context, amount):
+    context.served.close()
+    assert context.served.all_answered is (amount == "all"), context.served.all_answered
