Give each run of the tests loopback addresses of its own

Six entries of KNOWN-RED.txt failed with 'Address already in use', or beside tests that did: the metrics port is fixed, and all runs on a machine used the same addresses. A run now claims a network of the loopback for as long as its process lives.

--- a/berylproxy/deduplicate/messages.py
+++ b/berylproxy/deduplicate/messages.py
@@ -1,12 +1,11 @@
 """Messages between the entry daemon of a caller's request and the home of its submission."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from berylproxy.models import JobAnswer, Submission
 
 
-@dataclass(frozen=True, slots=True)
-class SubmitJob:
+class SubmitJob(Struct, frozen=True):
     """Submits a job to its home and waits for the answer.
 
     :param wait_s: how long the home may wait for the job's end before it replies.
@@ -16,8 +15,7 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class FetchJob:
+class FetchJob(Struct, frozen=True):
     """Requests a job's answer from its home.
 
     :param team: the requesting team; jobs of other teams are reported as not found.
@@ -29,16 +27,14 @@
     wait_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class CancelJob:
+class CancelJob(Struct, frozen=True):
     """Requests that the home cancel a job."""
 
     job_id: str
     team: str
 
 
-@dataclass(frozen=True, slots=True)
-class JobState:
+class JobState(Struct, frozen=True):
     """State of a job at its home.
 
     :param answer: the job's answer; ``None`` until the job has finished.
--- a/berylproxy/place/messages.py
+++ b/berylproxy/place/messages.py
@@ -1,10 +1,9 @@
 """Messages between homes and the holders of slots."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class DemandEntry:
+class DemandEntry(Struct, frozen=True):
     """Tasks of one service and team with the same needs that wait at a home.
 
     :param needs: resources by name, sorted.
@@ -19,8 +18,7 @@
     oldest_age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class HeldSlot:
+class HeldSlot(Struct, frozen=True):
     """A slot in use at a home.
 
     :param issuer: incarnation of the holder that granted it.
@@ -34,8 +32,7 @@
     team: str
 
 
-@dataclass(frozen=True, slots=True)
-class UpdateDemand:
+class UpdateDemand(Struct, frozen=True):
     """Home to holder: absolute counts of the tasks that wait for slots of a group.
 
     :param pool: the pool whose slots are requested.
@@ -52,8 +49,7 @@
     held: tuple[HeldSlot, ...] | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SlotGrant:
+class SlotGrant(Struct, frozen=True):
     """One slot of one endpoint for one task."""
 
     sequence: int
@@ -63,8 +59,7 @@
     needs: tuple[tuple[str, int], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class SlotRelease:
+class SlotRelease(Struct, frozen=True):
     """The end of the use of a slot.
 
     :param result: a value of :class:`berylproxy.place.endpoint_state.SlotResult`.
@@ -79,8 +74,7 @@
     run_time_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseSlots:
+class ReleaseSlots(Struct, frozen=True):
     """Home to holder: slots that the home has stopped using."""
 
     pool: str
@@ -88,8 +82,7 @@
     releases: tuple[SlotRelease, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class HolderSummary:
+class HolderSummary(Struct, frozen=True):
     """Holder to homes: the load of a group's endpoints.
 
     :param free: number of slots that may be granted now.
@@ -109,8 +102,7 @@
     costs_s: tuple[float, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class GrantSlots:
+class GrantSlots(Struct, frozen=True):
     """Holder to home: slots that the home may use now.
 
     :param summary: the load of the group's endpoints after these grants.
--- a/berylproxy/records/messages.py
+++ b/berylproxy/records/messages.py
@@ -4,9 +4,10 @@
 ``[key, revision]``.
 """
 
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
+
 from berylproxy.records.envelope import KEY_PREFIX
 from berylproxy.records.errors import RecordError
 from berylproxy.store.port import Entry
@@ -21,8 +22,7 @@
     code = "record_message_invalid"
 
 
-@dataclass(frozen=True, slots=True)
-class FetchRecords:
+class FetchRecords(Struct, frozen=True):
     """Requests the records in which the receiver differs from the sender.
 
     :param bucket_digests: the sender's digests; empty to request all records.
@@ -33,8 +33,7 @@
     after_key: str
 
 
-@dataclass(frozen=True, slots=True)
-class Records:
+class Records(Struct, frozen=True):
     """One chunk of the answer to :class:`FetchRecords`, sorted by key.
 
     :param is_loaded: whether the sender's view is complete.
@@ -51,8 +50,7 @@
     next_after_key: str
 
 
-@dataclass(frozen=True, slots=True)
-class RecordsAccepted:
+class RecordsAccepted(Struct, frozen=True):
     """Notifies other daemons of changes that the store has accepted."""
 
     entries: list[Any]
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -14,6 +14,7 @@
 
 from berylproxy.platform.settings import SETTINGS_VARIABLE
 from standins.process import ROOT, ManagedProcess
+from tests.support.loopback import claim_network
 from tests.support.runs import Run
 
 SERVICE = "ledger"
@@ -39,7 +40,7 @@
 
 
 def pick_ports(count: int) -> list[int]:
-    """Returns ports that are free at this moment."""
+    """Returns ports that are free at this moment on an address that all processes share."""
     with ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
         for bound_socket in sockets:
@@ -47,9 +48,9 @@
         return [bound_socket.getsockname()[1] for bound_socket in sockets]
 
 
-def host_of(number: int, subnet: int = 1) -> str:
+def host_of(number: int) -> str:
     """Returns a daemon's own loopback address; the fixed metrics port requires separate ones."""
-    return f"127.0.{subnet}.{number + 1}"
+    return f"{claim_network()}.1.{number + 1}"
 
 
 def make_configuration(version: int, prefixes: list[str]) -> dict:
@@ -96,7 +97,6 @@
     runner_count: int
     run_time_s: float
     grace_s: float = 6.0
-    subnet: int = 1
     stack: ExitStack = field(default_factory=ExitStack)
     daemons: list[ManagedProcess] = field(default_factory=list)
     runners: list[ManagedProcess] = field(default_factory=list)
@@ -121,7 +121,7 @@
 
     def host(self, number: int) -> str:
         """Returns a daemon's loopback address."""
-        return host_of(number, self.subnet)
+        return host_of(number)
 
     def start_runner(self, number: int) -> ManagedProcess:
         """Starts a runner."""
--- a/tools/daemon_cost/__main__.py
+++ b/tools/daemon_cost/__main__.py
@@ -130,9 +130,7 @@
     parser.add_argument("--functions", action="store_true", help="also list samples by function")
     arguments = parser.parse_args()
     with TemporaryDirectory() as folder:
-        cluster = SampledCluster(
-            Path(folder), arguments.daemons, arguments.runners, RUN_TIME_S, subnet=7
-        )
+        cluster = SampledCluster(Path(folder), arguments.daemons, arguments.runners, RUN_TIME_S)
         try:
             cluster.start()
             load = Load(cluster, arguments.jobs_per_s, arguments.seconds)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,6 +1,5 @@
 """Runs the soak test: ``python -m tools.soak --seed N``."""
 
-import os
 import signal
 import sys
 from argparse import ArgumentParser, Namespace
@@ -29,15 +28,13 @@
 # durable job as completed.
 RECOVERY_TIMEOUT_S = 15.0
 MAX_SHOWN_PROBLEMS = 8
-FIRST_SUBNET, SUBNETS = 2, 250  # of 127.0.x.0, so that soaks can run in parallel
 FINAL_CONFIGURATION_VERSION = 99  # above the version at the start
 FINAL_JOB_IDS = count(1)
 
 
 def run_seed(seed: int, length_s: float, folder: Path) -> list[str]:
     """Runs the schedule of one seed and returns the violated guarantees."""
-    subnet = FIRST_SUBNET + os.getpid() % SUBNETS
-    cluster = SoakCluster(folder, DAEMONS, RUNNERS, RUN_TIME_S, subnet=subnet)
+    cluster = SoakCluster(folder, DAEMONS, RUNNERS, RUN_TIME_S)
     try:
         cluster.start()
         callers = SoakCallers(seed, CALLERS, DAEMONS, cluster.url_of)
