Tell how many endpoints serve, and why others don't, when room turns scarce

The lines 'room is scarce' show that the group counts on 29% fewer cores then, and not whether fewer endpoints serve or their speeds count for less. They now name both.

--- a/berylproxy/durable/decisions/capacity.py
+++ b/berylproxy/durable/decisions/capacity.py
@@ -28,11 +28,13 @@
 
     :ivar raw_cores: cores of the endpoints that serve, weighted by their speed.
     :ivar mean_endpoint_cores: cores of a mean endpoint; 0 without any.
+    :ivar mean_speed: speed by which the cores are weighted in the mean; 0 without any.
     :ivar usable_share: work that is done while tasks wait, relative to ``raw_cores``.
     """
 
     raw_cores: float = 0.0
     mean_endpoint_cores: float = 0.0
+    mean_speed: float = 0.0
     usable_share: float = NOMINAL_USABLE_SHARE
     _measured_s: float | None = None
     _noted_s: float = 0.0
@@ -67,6 +69,7 @@
                 count += 1
         self.raw_cores = total_weighted / 1000
         self.mean_endpoint_cores = total_millicores / 1000 / count if count else 0.0
+        self.mean_speed = total_weighted / total_millicores if total_millicores else 0.0
 
     def note_placed(
         self, has_waiting: bool, active_millicores: int, done_core_s: float, now_s: float
--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -256,7 +256,10 @@
         return not (self.runs and self.trust.is_on_probation(now_s))
 
     def is_serving(self, now_s: float) -> bool:
-        """Returns whether the endpoint's capacity is available to future jobs."""
+        """Returns whether the endpoint's capacity is available to future jobs.
+
+        :meth:`reason_not_serving` tells why it is not.
+        """
         return (
             self.is_contacted
             and self.is_listed
@@ -266,6 +269,18 @@
             and now_s >= self.quarantined_until_s
         )
 
+    def reason_not_serving(self, now_s: float) -> str:
+        """Returns why the endpoint is not serving; empty if it is."""
+        reasons = {
+            "not_contacted": not self.is_contacted,
+            "not_listed": not self.is_listed,
+            "leaving": self.info.leaving,
+            "evacuated": self.is_evacuated,
+            "unanswered": self.missed_calls > 0,
+            "quarantined": now_s < self.quarantined_until_s,
+        }
+        return next((reason for reason, applies in reasons.items() if applies), "")
+
     def note_cold(self, left_s: float, now_s: float) -> None:
         """Applies how much longer the endpoint says to stay slow."""
         if now_s >= self.cold_until_s:
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -1,5 +1,6 @@
 """The holder of an endpoint group: accepts its jobs and runs them while its claim is in force."""
 
+from collections import Counter
 from collections.abc import Callable, Set
 from dataclasses import dataclass
 from math import inf
@@ -447,7 +448,10 @@
         is_scarce = self.admission.update_scarcity(now_s)
         if is_scarce is not self._was_scarce:
             self._was_scarce = is_scarce
-            self._log.note_scarcity(is_scarce, self.admission.meter, self.list_shares())
+            endpoints = Counter(
+                endpoint.reason_not_serving(now_s) for endpoint in self.group.endpoints.values()
+            )
+            self._log.note_scarcity(is_scarce, self.admission.meter, self.list_shares(), endpoints)
 
     def list_shares(self) -> list[ClaimantShare]:
         """Lists the shares of the claimants that have recently submitted jobs."""
--- a/berylproxy/durable/orders/job_log.py
+++ b/berylproxy/durable/orders/job_log.py
@@ -1,5 +1,6 @@
 """Log lines and metrics of the decisions on jobs, one line for each decision."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from logbook import Logger
@@ -67,9 +68,17 @@
         )
 
     def note_scarcity(
-        self, is_scarce: bool, meter: CapacityMeter, shares: list[ClaimantShare]
+        self,
+        is_scarce: bool,
+        meter: CapacityMeter,
+        shares: list[ClaimantShare],
+        endpoints: Mapping[str, int],
     ) -> None:
-        """Records that room became scarce or ample, and who sends more than its share."""
+        """Records that room became scarce or ample, and who sends more than its share.
+
+        :param endpoints: number of endpoints by the reason why they don't serve; empty for those
+            that serve.
+        """
         over = [
             f"{share.claimant.queue}@{share.claimant.failure_domain or '?'}"
             for share in shares
@@ -81,6 +90,8 @@
                 demand_cores=round(sum(share.demand for share in shares), 1),
                 capacity_cores=round(meter.observed_cores, 1),
                 usable_share=round(meter.usable_share, 3),
+                mean_speed=round(meter.mean_speed, 3),
+                endpoints={reason or "serving": count for reason, count in endpoints.items()},
                 over_share=over,
             ),
         )
