--- /dev/null
+++ b/tests/platform/start_up.feature
@@ -0,0 +1,23 @@
+Feature: A daemon on a small VM accepts connections soon after its process has started
+
+  Scenario: what only the product's own interfaces need is not imported
+    When the modules of the platform's daemon are imported
+    Then none of "pydantic, hypercorn, starlette, httpx, opentelemetry" is among them
+
+  Scenario: callers are queued before most modules are imported
+    When the modules that the platform's daemon needs before it listens are imported
+    Then none of "asyncio, anyio, uvloop, logbook, berylproxy.durable.holding" is among them
+
+  Scenario: the number of modules is bounded
+    When the modules of the platform's daemon are imported
+    Then they are fewer than 260
+
+  Scenario: a connection that comes before the daemon is ready is served
+    Given a store that answers nothing yet and a starting platform daemon
+    When a caller connects as soon as the daemon listens and submits a job
+    And the store begins to answer
+    Then the caller is answered by the daemon
+
+  Scenario: an address in use is one clear error
+    Given a platform daemon whose ready address is in use
+    Then it ends with status 12 and one line that names the address
