Import the holder at a daemon's first claim

A standby daemon imported the holder with all decisions before it served. What standby daemons share with it (context, errors, refusal texts, the default remote factor) gets modules of its own, and the coordinator imports the holder before it writes its first claim, so that nobody waits for a holder that is still importing.

--- a/berylproxy/durable/decisions/acceptance.py
+++ b/berylproxy/durable/decisions/acceptance.py
@@ -16,7 +16,6 @@
 from berylproxy.durable.jobs.job_table import Job, JobTable
 from berylproxy.durable.learning.estimates import RunTimeModel
 
-TOO_LATE = "its answer would come too late"  # the only reason for a refusal under load
 MAX_OPEN_JOBS = 5_000  # bounds a holder's memory, of which a job takes some 4 KB
 # Factor by which the expected end is overestimated: jobs of the backlog that are abandoned or
 # overtaken count in full.
--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -14,12 +14,11 @@
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.jobs.crashes import NoSuspicion, Suspicion, Treatment
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
-from berylproxy.durable.jobs.models import StepSpec, kind_of_task
+from berylproxy.durable.jobs.models import DEFAULT_REMOTE_FACTOR, StepSpec, kind_of_task
 from berylproxy.durable.learning.estimates import RunTimeModel
 
 # An answer is late up to this multiple of the job's objective, and worthless after it.
 LATE_FACTOR = 3.0
-DEFAULT_REMOTE_FACTOR = 2.0  # the larger one of the known installations
 # Cost of the processor share that stays unused beside the task; for a whole endpoint a third of a
 # short task's run time. It favours placements that leave no remainder too small for another task.
 FIT_WEIGHT_S = 0.02
--- a/berylproxy/durable/decisions/routing.py
+++ b/berylproxy/durable/decisions/routing.py
@@ -9,11 +9,14 @@
 from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING
 
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.jobs.job_table import Job
 from berylproxy.durable.jobs.models import JobSpec, Resources
 
+if TYPE_CHECKING:
+    from berylproxy.durable.jobs.job_table import Job
+
 MAX_ROOM_CHECKS = 2  # groups that may refuse a job before one takes it without room
 SAMPLED_GROUPS = 3  # besides the job's own one; with all of them, entries would choose the same one
 NEED_LEARNING_RATE = 0.05  # about 20 jobs count
@@ -56,7 +59,7 @@
 
 
 def measure_room_millicores(
-    endpoints: Iterable[EndpointState], jobs: Iterable[Job], need: TypicalNeed, now_s: float
+    endpoints: Iterable[EndpointState], jobs: Iterable["Job"], need: TypicalNeed, now_s: float
 ) -> int:
     """Returns the processor share that a group has free for further tasks of the usual need.
 
--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -10,13 +10,13 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.decisions.acceptance import TOO_LATE
-from berylproxy.durable.holding.best_effort import JobAbandonedError
 from berylproxy.durable.holding.coordinator import GroupCoordinator
+from berylproxy.durable.holding.errors import JobAbandonedError
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import decode_final, final_key, open_key
 from berylproxy.durable.jobs.messages import (
     NO_ROOM,
+    TOO_LATE,
     AskPending,
     AskState,
     CancelStored,
--- a/berylproxy/durable/entry/view.py
+++ b/berylproxy/durable/entry/view.py
@@ -2,15 +2,17 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from berylproxy.clock import Clock
-from berylproxy.durable.decisions.shares import ClaimantShare
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.holding.coordinator import GroupCoordinator
 from berylproxy.peers.membership import describe_member
 from berylproxy.peers.network import TcpPeerNetwork
 
+if TYPE_CHECKING:
+    from berylproxy.durable.decisions.shares import ClaimantShare
+
 
 @dataclass(frozen=True, slots=True)
 class DaemonView:
@@ -105,7 +107,7 @@
         ]
 
 
-def _describe_share(share: ClaimantShare) -> dict[str, Any]:
+def _describe_share(share: "ClaimantShare") -> dict[str, Any]:
     return {
         "queue": share.claimant.queue,
         "failure_domain": share.claimant.failure_domain,
--- a/berylproxy/durable/holding/best_effort.py
+++ b/berylproxy/durable/holding/best_effort.py
@@ -6,12 +6,19 @@
 
 from anyio import Event
 
-from berylproxy.durable.decisions.acceptance import TOO_LATE, Refusal
+from berylproxy.durable.decisions.acceptance import Refusal
 from berylproxy.durable.decisions.placement import is_too_late
 from berylproxy.durable.decisions.routing import count_needed_millicores, has_room
+from berylproxy.durable.holding.errors import JobAbandonedError, JobInterruptedError
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.jobs.job_table import Job, JobTable
-from berylproxy.durable.jobs.messages import NO_ROOM, DropJob, JobSubmission, JobSubmissionReply
+from berylproxy.durable.jobs.messages import (
+    NO_ROOM,
+    TOO_LATE,
+    DropJob,
+    JobSubmission,
+    JobSubmissionReply,
+)
 from berylproxy.durable.jobs.models import JobSpec, JobState, StoredJob
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
@@ -22,18 +29,6 @@
 MAX_WITHDRAWN_CALLS = 20_000
 
 
-class JobAbandonedError(BerylproxyError):
-    """The job has begun and is not completed, because it would end too late for its caller."""
-
-    code = "job_given_up"
-
-
-class JobInterruptedError(BerylproxyError):
-    """The job was dropped although its caller may still be waiting; it may be submitted again."""
-
-    code = "job_interrupted"
-
-
 @dataclass(frozen=True, slots=True)
 class AdmissionDecision:
     """The decision whether to accept a job, which is not in the job table yet.
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from anyio import Event, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
@@ -17,7 +17,6 @@
 from msgpack import packb, unpackb
 
 from berylproxy.clock import Clock
-from berylproxy.durable.decisions.placement import DEFAULT_REMOTE_FACTOR
 from berylproxy.durable.decisions.routing import (
     MAX_ROOM_AGE_S,
     GroupChoice,
@@ -47,9 +46,9 @@
     should_claim,
     yields_to_equal,
 )
+from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.divisions import ServiceDivisions
 from berylproxy.durable.holding.groups import count_carried_endpoints
-from berylproxy.durable.holding.holder import Holder, HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
     StoredValueError,
@@ -71,7 +70,7 @@
     PendingReply,
     StateReply,
 )
-from berylproxy.durable.jobs.models import EndpointInfo, JobSpec
+from berylproxy.durable.jobs.models import DEFAULT_REMOTE_FACTOR, EndpointInfo, JobSpec
 from berylproxy.durable.jobs.ports import (
     EndpointDirectory,
     JobStore,
@@ -86,6 +85,9 @@
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.store.port import StoreError
 
+if TYPE_CHECKING:
+    from berylproxy.durable.holding.holder import Holder
+
 HOLDER_CHECK_INTERVAL_S = 0.05
 HEARTBEAT_PART = "durable"
 CLAIM_RETRY_DELAY_S = 0.15  # after a claim that the store did not answer
@@ -104,6 +106,16 @@
 logger = Logger("berylproxy.durable.coordinator")
 
 
+def _import_holder() -> type["Holder"]:
+    """Imports the holder with its decisions at the first claim.
+
+    Few daemons hold a group, and each must serve callers soon after its start.
+    """
+    from berylproxy.durable.holding.holder import Holder
+
+    return Holder
+
+
 @dataclass(slots=True)
 class KnownHolder:
     """The newest holder of a group that is known to this daemon.
@@ -588,6 +600,7 @@
 
     async def _claim_group(self, group: str, observation: HolderObservation) -> None:
         """Claims a group and runs a tenure over it, unless another daemon keeps the claim."""
+        _import_holder()  # takes a while, in which no other daemon should wait for orders
         try:
             revision = await self._try_claim(group)
         except StoreError as error:
@@ -652,7 +665,9 @@
         self._claiming.discard(group)
         model = self._models.setdefault(group, RunTimeModel())
         neighbours = self._find_neighbours(group)
-        holder = Holder(group, fence, claim_revision, inherited, model, neighbours, self._context)
+        holder = _import_holder()(
+            group, fence, claim_revision, inherited, model, neighbours, self._context
+        )
         self.holders[group] = holder
         tenure_began, self._tenure_began = self._tenure_began, Event()
         tenure_began.set()
@@ -823,7 +838,7 @@
 
     # Serving requests as the holder
 
-    def require_holder(self, group: str) -> Holder:
+    def require_holder(self, group: str) -> "Holder":
         """Returns this daemon's own tenure over a group.
 
         :raises NotHolderError: if this daemon does not hold the group.
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -1,7 +1,7 @@
 """The holder of an endpoint group: accepts its jobs and runs them while its claim is in force."""
 
 from collections import Counter
-from collections.abc import Callable, Set
+from collections.abc import Set
 from dataclasses import dataclass
 from math import inf
 from time import time
@@ -9,14 +9,11 @@
 from anyio import Event, create_task_group, sleep
 from logbook import Logger
 
-from berylproxy.clock import Clock
-from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, TOO_LATE, Admission, Refusal
+from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, Admission, Refusal
 from berylproxy.durable.decisions.placement import PlacementPolicies, place_waiting_tasks
 from berylproxy.durable.decisions.returns import SHORTEST_RETRY_AFTER_S
 from berylproxy.durable.decisions.routing import TypicalNeed, measure_room_millicores
 from berylproxy.durable.decisions.shares import ClaimantShare, SharedOrder
-from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
-from berylproxy.durable.endpoints.fleet import EndpointList
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding.best_effort import (
     RUN_NUMBERS_PER_TENURE,
@@ -29,6 +26,7 @@
     HEARTBEAT_INTERVAL_S,
     HEARTBEATS_PER_BROADCAST,
 )
+from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.ledger import (
     Change,
     KeyExistsError,
@@ -51,6 +49,7 @@
 )
 from berylproxy.durable.jobs.job_table import Job, JobTable, expect_chain_s
 from berylproxy.durable.jobs.messages import (
+    TOO_LATE,
     DropJob,
     HolderHeartbeat,
     JobsEnded,
@@ -62,14 +61,9 @@
     JobState,
     StoredJob,
 )
-from berylproxy.durable.jobs.ports import (
-    EndpointDirectory,
-    JobStore,
-)
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
-from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
@@ -93,17 +87,6 @@
 logger = Logger("berylproxy.durable.holder")
 
 
-@dataclass(frozen=True, slots=True)
-class InheritedEndpoints:
-    """Endpoints to which a former holder had given work, according to its last heartbeat.
-
-    :param fence: fence of the former holder.
-    """
-
-    fence: int
-    endpoint_ids: frozenset[str]
-
-
 @dataclass(frozen=True, slots=True)
 class UnresolvedJob:
     """A job that may still run, for a former holder, at endpoints that have not answered yet.
@@ -147,43 +130,6 @@
     return former_fence in (0, inherited.fence) and inherited.endpoint_ids <= listed
 
 
-@dataclass(frozen=True, slots=True)
-class HolderContext:
-    """Dependencies that all tenures of a daemon share.
-
-    :param endpoint_list: the list of endpoints that this daemon read last.
-    :param evacuations: the evacuated failure domains as this daemon knows them.
-    :param group_of_endpoint: returns the group of an endpoint, given its service and identifier;
-        empty if it is in none yet.
-    :param notify: sends a message without a reply to an incarnation.
-    :param members: returns the incarnations of the other live daemons.
-    :param watchers: returns the incarnations of a group's likely next holders.
-    :param may_others_reach_store: returns whether any other daemon may reach the store; ``True``
-        also while messages arrive from too few daemons to know.
-    :param is_entry_alive: returns whether a message from the entry daemon of a job, given its
-        incarnation, has arrived recently.
-    :param remote_factor: returns the run time of a task away from its data, relative to its run
-        time near the data.
-    :param failure_domain: returns the failure domain of a daemon, given its incarnation; empty if
-        it is unknown.
-    """
-
-    store: JobStore
-    directory: EndpointDirectory
-    endpoint_list: EndpointList
-    evacuations: EvacuatedDomains
-    group_of_endpoint: Callable[[str, str], str]
-    clock: Clock
-    telemetry: Telemetry
-    notify: Callable[[str, object], None]
-    members: Callable[[], list[str]]
-    watchers: Callable[[str], list[str]]
-    may_others_reach_store: Callable[[], bool]
-    is_entry_alive: Callable[[str], bool]
-    remote_factor: Callable[[], float]
-    failure_domain: Callable[[str], str]
-
-
 class Holder:
     """Accepts, places and finishes the jobs of one group during one tenure.
 
--- a/berylproxy/durable/jobs/messages.py
+++ b/berylproxy/durable/jobs/messages.py
@@ -9,6 +9,7 @@
 
 from berylproxy.durable.jobs.models import JobSpec
 
+TOO_LATE = "its answer would come too late"  # the only reason for a refusal under load
 NO_ROOM = "the group has no room for all tasks at once"  # refusal that asks to try another group
 
 
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct, field
 
+DEFAULT_REMOTE_FACTOR = 2.0  # the larger one of the known installations
+
 
 class JobState(StrEnum):
     """The state of a job; the last three are final."""
--- a/berylproxy/durable/orders/telemetry.py
+++ b/berylproxy/durable/orders/telemetry.py
@@ -2,10 +2,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
-from berylproxy.durable.decisions.shares import ClaimantShare
 from berylproxy.metrics import Metrics, Sample
 
+if TYPE_CHECKING:
+    from berylproxy.durable.decisions.shares import ClaimantShare
+
 PREFIX = "berylproxy_"
 JOB_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 REQUEST_BUCKETS_S = (0.005, 0.02, 0.1, 0.3, 1.0, 3.0)
@@ -77,7 +80,7 @@
             yield Sample(f"{PREFIX}{name}_total", HELP[name], value, dict(labels))
 
 
-def make_share_samples(group: str, shares: Iterable[ClaimantShare]) -> Iterable[Sample]:
+def make_share_samples(group: str, shares: Iterable["ClaimantShare"]) -> Iterable[Sample]:
     """Returns the gauges of the claimants of a group, of those that send most."""
     largest = sorted(shares, key=lambda share: -share.demand)[:MAX_SHARE_LABELS]
     for share in largest:
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -26,6 +26,7 @@
 # After a response that came before the end of the request's body: a connection that is closed with
 # unread data is reset, and the response may be lost.
 LINGER_S = 2.0
+QUEUED_REQUESTS_S = 0.02  # for reading what the system has already queued when the server stops
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 STATUS_LINES = {
@@ -72,6 +73,7 @@
         sweeper = loop.create_task(self._close_idle_connections())
         try:
             await wait_for_stop()
+            await asyncio.sleep(QUEUED_REQUESTS_S)
             self.is_stopping = True
             for server in servers:
                 server.close()
@@ -140,6 +142,8 @@
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
         self._local_address = tuple(transport.get_extra_info("sockname")[:2])
         self._server.connections.add(self)
+        if self._server.is_stopping:
+            self._transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the requests in progress that their caller has disconnected."""
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -21,12 +21,14 @@
     """Runs a server with one of the applications below.
 
     :ivar parts_sent: number of parts that the application has sent.
+    :ivar request_began: set when a request has reached the application.
     :ivar request_ended: set when a request has ended in the application.
     :ivar all_answered: what the server has returned.
     """
 
     def __init__(self, name: str, keep_alive_s: float) -> None:
         self.parts_sent = 0
+        self.request_began = threading.Event()
         self.request_ended = threading.Event()
         self.all_answered: bool | None = None
         self._answer = getattr(self, name)
@@ -64,6 +66,7 @@
         self._thread.join(TIMEOUT_S)
 
     async def _serve(self, scope, receive, send) -> None:
+        self.request_began.set()
         try:
             await self._answer(scope, receive, send)
         finally:
@@ -224,12 +227,14 @@
 
 @when("the server is stopped, then the permit is given")
 def step_impl(context):
+    assert context.served.request_began.wait(TIMEOUT_S)
     context.served.stop()
     context.served.permit()
 
 
 @when("the server is stopped")
 def step_impl(context):
+    assert context.served.request_began.wait(TIMEOUT_S)
     context.served.stop()
 
 
--- a/tests/steps/records_spread_steps.py
+++ b/tests/steps/records_spread_steps.py
@@ -147,7 +147,7 @@
 def step_chunks(context, size):
     assert len(context.cluster.replies) > 1
     for reply in context.cluster.replies:
-        packed = msgpack.packb([getattr(reply, name) for name in reply.__dataclass_fields__])
+        packed = msgpack.packb([getattr(reply, name) for name in reply.__struct_fields__])
         assert len(packed) < size, len(packed)
 
 
