Keep a response that is under way when what follows its request can't be parsed

A malformed second request closed the connection before the first one's response was written, and data after a request to upgrade was parsed as another request. Input is ignored from then on instead, and the connection closes after the last response; a request whose body turns malformed is told that its caller has gone. Three scenarios. Listening sockets of both daemons are opened by one function, whose error names the address; the module that runs the platform's daemon is process.py, as a runner is what the users call an endpoint.

--- a/berylproxy/daemon/application.py
+++ b/berylproxy/daemon/application.py
@@ -20,7 +20,7 @@
 from berylproxy.admit.authorization import OperatorAuthorizer
 from berylproxy.clock import MonotonicClock
 from berylproxy.constants import MAX_PEER_MESSAGE_BYTES
-from berylproxy.daemon.http_server import format_bound_address, open_listener, serve_http
+from berylproxy.daemon.http_server import format_bound_address, serve_http
 from berylproxy.daemon.leaving_hosts import LeavingHostWatcher
 from berylproxy.daemon.monitoring import MonitoringApi, make_metrics_route
 from berylproxy.deduplicate.claims import ClaimRegistry
@@ -29,6 +29,7 @@
 from berylproxy.deduplicate.registry import JobRegistry
 from berylproxy.deduplicate.router import JobRouter
 from berylproxy.environment import Environment
+from berylproxy.listeners import open_listener
 from berylproxy.metrics import Metrics
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
@@ -141,7 +142,7 @@
 
         Requests in flight are completed unless they exceed the drain timeout.
         """
-        listener = open_listener(self._settings.http_address)
+        listener = open_listener(self._settings.http_address, hint="choose another --http-address")
         http_address = format_bound_address(listener)
         application = self._make_http_application()
         async with create_task_group() as task_group:
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -134,6 +134,7 @@
         self._local_address: tuple[str, int] = ("", 0)
         self._task: asyncio.Task[None] | None = None
         self._is_reading = True
+        self._ignores_input = False
         self._can_write = asyncio.Event()
         self._can_write.set()
 
@@ -162,21 +163,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser; malformed data is answered with 400."""
+        if self._ignores_input:
+            return
         if self._received is None:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            # The request itself is served; what follows it isn't HTTP/1.1.
-            if self._requests:
-                self._requests[-1].keeps_alive = False
-            self._pause_reading()
+        except HttpParserUpgrade:  # the request is served, and what follows it isn't HTTP/1.1
+            self._end_input(HTTPStatus.BAD_REQUEST)
         except HttpParserError:
-            self._refuse(HTTPStatus.BAD_REQUEST)
-            return
+            self._end_input(HTTPStatus.BAD_REQUEST)
         if self._received is None and self._head_bytes > MAX_HEAD_BYTES:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-            return
+            self._end_input(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self.adjust_reading()
 
     def on_message_begin(self) -> None:
@@ -291,12 +289,21 @@
             self._is_reading = False
             self._transport.pause_reading()
 
-    def _refuse(self, status: HTTPStatus) -> None:
-        """Answers what can't be parsed, unless an earlier request is still in progress."""
-        if not self._requests:
+    def _end_input(self, status: HTTPStatus) -> None:
+        """Ignores what comes from now on, and closes the connection after the last response.
+
+        :param status: of the response if no request is in progress.
+        """
+        self._ignores_input = True
+        if self._received is not None:  # the rest of its body can't be read
+            self._received.disconnect()
+            self._received = None
+        if self._requests:
+            self._requests[-1].keeps_alive = False
+        elif not self._transport.is_closing():
             head = b"content-length: 0\r\nconnection: close\r\n\r\n"
             self._transport.write(STATUS_LINES[status] + head)
-        self._transport.close()
+            self._transport.close()
 
 
 class _Request:
--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -10,7 +10,7 @@
 from berylproxy.environment import Environment
 from berylproxy.errors import SettingsError
 from berylproxy.exit_status import ExitStatus
-from berylproxy.listeners import ListenError, open_listener
+from berylproxy.listeners import AddressUnavailableError, open_listener
 from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
 
 # New objects until the next collection. Reference counting frees nearly all of them at once, so
@@ -29,10 +29,10 @@
         for problem in error.problems:
             env.stderr.write(f"berylproxy: {error.code}: {problem}\n")
         return ExitStatus.SETTINGS_INVALID
-    except ListenError as error:
+    except AddressUnavailableError as error:
         env.stderr.write(f"berylproxy: {error.code}: {error.message}\n")
         return ExitStatus.CANNOT_START
-    from berylproxy.platform.runner import run_daemon
+    from berylproxy.platform.process import run_daemon
 
     gc.freeze()  # the modules stay for good and need not be examined again
     gc.set_threshold(COLLECTION_THRESHOLD)
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -20,6 +20,22 @@
       | bytes of any kind | 400    |
       | an endless head   | 431    |
 
+  Scenario Outline: what follows a request can't harm its response
+    Given an HTTP server with an application that waits for a permit
+    When a caller sends <request>
+    And the permit is given
+    Then the caller receives status 200 and the end of the connection
+
+    Examples:
+      | request                                |
+      | a request and then bytes of any kind   |
+      | a request to switch to another protocol |
+
+  Scenario: a body that turns malformed ends its request
+    Given an HTTP server with an application that waits for the disconnection
+    When a caller sends a request whose second chunk has no size
+    Then the application's request ends
+
   Scenario: an application that fails is answered for, and the server goes on
     Given an HTTP server with an application that fails
     When a caller sends a request
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -191,6 +191,32 @@
     context.connection.sendall(b"\x00\x01 no HTTP \xff\r\n\r\n")
 
 
+@when("a caller sends a request and then bytes of any kind")
+def step_impl(context):
+    context.connection.sendall(encode_request())
+    assert context.served.request_began.wait(TIMEOUT_S)
+    context.connection.sendall(b"\x00\x01 no HTTP \xff\r\n\r\n" * 100)
+
+
+@when("a caller sends a request to switch to another protocol")
+def step_impl(context):
+    head = b"GET /x HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+    context.connection.sendall(head)
+    assert context.served.request_began.wait(TIMEOUT_S)
+    context.connection.sendall(b"\x81\x05hello")
+
+
+@when("a caller sends a request whose second chunk has no size")
+def step_impl(context):
+    head = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    context.connection.sendall(head + b"3\r\nabc\r\nnone\r\n")
+
+
+@when("the permit is given")
+def step_impl(context):
+    context.served.permit()
+
+
 @when("a caller sends an endless head")
 def step_impl(context):
     context.connection.sendall(b"GET / HTTP/1.1\r\n" + b"name: value\r\n" * 6_000)
--- a/tests/steps/platform_start_up_steps.py
+++ b/tests/steps/platform_start_up_steps.py
@@ -33,7 +33,7 @@
 @when(r"the modules of the platform's daemon are imported")
 def step_impl(context):
     context.modules = list_modules(
-        "import berylproxy.platform.__main__, berylproxy.platform.runner"
+        "import berylproxy.platform.__main__, berylproxy.platform.process"
     )
 
 
