--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -17,6 +17,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from logbook import Logger
 
+from berylproxy.http_request import STATUS_LINES, ServedRequest
 from berylproxy.listeners import BACKLOG_CONNECTIONS
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -28,13 +29,8 @@
 LINGER_S = 2.0
 QUEUED_REQUESTS_S = 0.02  # for reading what the system has already queued when the server stops
 
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-STATUS_LINES = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
-}
 
 Application = Callable[..., Awaitable[None]]
-Message = dict[str, Any]
 
 logger = Logger(__name__)
 
@@ -126,8 +122,8 @@
         self.lingers_until_s = inf
         self._server = server
         self._parser = HttpRequestParser(self)
-        self._requests: deque[_Request] = deque()
-        self._received: _Request | None = None  # the request that is being received
+        self._requests: deque[ServedRequest] = deque()
+        self._received: ServedRequest | None = None  # the request that is being received
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -206,7 +202,7 @@
             "headers": self._headers,
             "server": self._local_address,
         }
-        self._received = _Request(self, scope, self._parser.should_keep_alive())
+        self._received = ServedRequest(self, scope, self._parser.should_keep_alive())
         self._head_bytes = 0
         self.idle_since_s = None
         self._requests.append(self._received)
@@ -256,7 +252,7 @@
         request = self._requests[0]
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
-    async def _serve(self, request: "_Request") -> None:
+    async def _serve(self, request: ServedRequest) -> None:
         try:
             await self._server.application(request.scope, request.receive, request.send)
         except Exception:
@@ -267,7 +263,7 @@
             self._requests.popleft()
             self._go_on(request)
 
-    def _go_on(self, request: "_Request") -> None:
+    def _go_on(self, request: ServedRequest) -> None:
         """Serves the next request, or waits for one, or closes the connection."""
         if self._transport.is_closing():
             return
@@ -304,112 +300,3 @@
             head = b"content-length: 0\r\nconnection: close\r\n\r\n"
             self._transport.write(STATUS_LINES[status] + head)
             self._transport.close()
-
-
-class _Request:
-    """One request and its response.
-
-    :ivar keeps_alive: whether the connection stays open after the response.
-    """
-
-    def __init__(self, connection: _Connection, scope: Message, keeps_alive: bool) -> None:
-        self.scope = scope
-        self.keeps_alive = keeps_alive
-        self._connection = connection
-        self._body = bytearray()
-        self._is_complete = self._is_disconnected = False
-        self._is_body_read = False
-        self._expects_continue = (b"expect", b"100-continue") in scope["headers"]
-        self._changed = asyncio.Event()
-        self._head: Message | None = None
-        self._is_head_sent = self._is_chunked = self._is_answered = False
-
-    @property
-    def buffered_bytes(self) -> int:
-        """Size of the part of the body that the application has not read."""
-        return len(self._body)
-
-    def feed(self, body: bytes) -> None:
-        """Buffers a part of the body."""
-        if not self._is_answered:
-            self._body += body
-            self._changed.set()
-
-    def complete(self) -> None:
-        """Marks the body as complete."""
-        self._is_complete = True
-        self._changed.set()
-
-    def disconnect(self) -> None:
-        """Tells the application that the caller has disconnected."""
-        self._is_disconnected = True
-        self._changed.set()
-
-    async def receive(self) -> Message:
-        """Returns the next part of the body, after the last one the disconnection."""
-        if self._expects_continue and not self._is_complete:
-            self._expects_continue = False
-            await self._connection.write(CONTINUE)
-        while True:
-            if self._is_disconnected or self._is_answered:
-                return {"type": "http.disconnect"}
-            if not self._is_body_read and (self._body or self._is_complete):
-                body, self._body = bytes(self._body), bytearray()
-                self._is_body_read = self._is_complete
-                self._connection.adjust_reading()
-                return {"type": "http.request", "body": body, "more_body": not self._is_complete}
-            self._changed.clear()
-            await self._changed.wait()
-
-    async def send(self, message: Message) -> None:
-        """Sends the head of the response together with the first part of its body."""
-        if message["type"] == "http.response.start":
-            self._head = message
-            return
-        body, has_more = message.get("body", b""), message.get("more_body", False)
-        data = b"" if self._is_head_sent else self._encode_head(len(body), has_more)
-        self._is_head_sent = True
-        if self.scope["method"] != "HEAD":
-            data += _encode_chunk(body, has_more) if self._is_chunked else body
-        if not has_more:
-            self._is_answered = True
-            self._changed.set()
-        await self._connection.write(data)
-
-    async def finish(self) -> None:
-        """Answers with 500 if the application sent no whole response and none has begun."""
-        if self._is_answered or self._is_disconnected:
-            return
-        self.keeps_alive = False
-        if not self._is_head_sent:
-            self._head = {"status": 500, "headers": []}
-            await self.send({"type": "http.response.body"})
-
-    def _encode_head(self, body_bytes: int, has_more: bool) -> bytes:
-        head = self._head or {"status": 500, "headers": []}
-        lines = [STATUS_LINES.get(head["status"]) or f"HTTP/1.1 {head['status']} \r\n".encode()]
-        names = set()
-        for name, value in head.get("headers", ()):
-            names.add(name)
-            if name == b"connection" and value == b"close":
-                self.keeps_alive = False
-            lines.append(name + b": " + value + b"\r\n")
-        if b"content-length" not in names:
-            if has_more and self.scope["http_version"] == "1.1":
-                self._is_chunked = True
-                lines.append(b"transfer-encoding: chunked\r\n")
-            elif has_more:
-                self.keeps_alive = False  # the end of the connection ends the body
-            else:
-                lines.append(b"content-length: %d\r\n" % body_bytes)
-        if not self.keeps_alive and b"connection" not in names:
-            lines.append(b"connection: close\r\n")
-        elif self.keeps_alive and self.scope["http_version"] == "1.0":
-            lines.append(b"connection: keep-alive\r\n")
-        lines.append(b"\r\n")
-        return b"".join(lines)
-
-
-def _encode_chunk(body: bytes, has_more: bool) -> bytes:
-    chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
-    return chunk if has_more else chunk + b"0\r\n\r\n"
--- a/tools/daemon_cost/sampler.py
+++ b/tools/daemon_cost/sampler.py
@@ -50,6 +50,7 @@
     ("durable/entry/frontend.py", WHOLE_MODULE, "callers"),
     ("hypercorn/", WHOLE_MODULE, "HTTP server"),
     ("berylproxy/http_server.py", WHOLE_MODULE, "HTTP server"),
+    ("berylproxy/http_request.py", WHOLE_MODULE, "HTTP server"),
     ("peers/", WHOLE_MODULE, "streams between daemons"),
     ("platform/__main__.py", WHOLE_MODULE, EVENT_LOOP),
     ("berylproxy/", WHOLE_MODULE, "rest of the daemon"),
