--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -15,8 +15,9 @@
 from berylproxy.durable.endpoints.neighbour_mode import NeighbourMode
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding import outcomes
+from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.errors import JobAbandonedError, JobInterruptedError
-from berylproxy.durable.holding.holder import Holder, HolderContext, InheritedEndpoints
+from berylproxy.durable.holding.holder import Holder
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
