Answer callers of a daemon that can't get ready

A daemon that started while the store was away listened, but served nothing until it had the key of the streams: its callers waited until their own deadline, where a refused connection had sent them elsewhere before. The HTTP server now runs from the start; a request waits up to 0.5 s for the daemon's parts and is then told, truly, that it has not run, and to come back. The readiness probe gets 503 at once.

New scenario; it failed before (no answer).

--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -30,7 +30,8 @@
 # Despite its name, the header holds a duration in milliseconds and not a point in time.
 WAIT_TIME_HEADER = b"berylproxy-deadline-ms"
 MAX_WAIT_S = 30.0
-# A starting daemon reads the configuration within some round trips to the store.
+# A starting daemon is ready, and then has the configuration, within some round trips to the store.
+START_WAIT_S = 0.5
 FIRST_CONFIGURATION_WAIT_S = 0.5
 BODY_TIMEOUT_S = 5.0  # 256 KB at 0.4 Mbit/s, which is slower than the slowest known links
 RESPONSE_MARGIN_S = 0.05  # reserved for sending the response to the caller
@@ -83,6 +84,7 @@
     closes: bool = False
 
 
+STARTING_RESPONSE = CallerResponse(503, {"error": "the daemon is starting"}, 1.0)
 STOPPING_RESPONSE = CallerResponse(503, {"error": "the daemon is stopping"}, 1.0)
 
 
@@ -286,18 +288,49 @@
         return None
 
     async def _send_response(self, send: Send, response: CallerResponse) -> None:
-        body = orjson.dumps(response.content) if response.content is not None else b""
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        if response.retry_after_s:
-            retry_after_s = max(round(response.retry_after_s), 1)
-            headers.append((b"retry-after", str(retry_after_s).encode()))
-        if response.closes or self._is_stopping():
-            headers.append((b"connection", b"close"))
-        await send({"type": "http.response.start", "status": response.status, "headers": headers})
-        await send({"type": "http.response.body", "body": body})
+        await _send(send, response, closes=response.closes or self._is_stopping())
+
+
+class StartingApplication:
+    """Takes requests until the daemon's application is ready, for which they wait a while.
+
+    A daemon that starts while the store is away is not ready for long. Its callers are told so, as
+    other daemons may serve them.
+    """
+
+    def __init__(self) -> None:
+        self._application: CallerApplication | None = None
+        self._started = Event()
+
+    def start(self, application: CallerApplication) -> None:
+        """Passes the requests that wait, and all later ones, to the application."""
+        self._application = application
+        self._started.set()
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Handles one request."""
+        if self._application is None and scope["path"] != READY_PATH:
+            with move_on_after(START_WAIT_S):
+                await self._started.wait()
+        if self._application is None:
+            await _send(send, STARTING_RESPONSE, closes=True)
+        else:
+            await self._application(scope, receive, send)
+
+
+async def _send(send: Send, response: CallerResponse, *, closes: bool) -> None:
+    body = orjson.dumps(response.content) if response.content is not None else b""
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    if response.retry_after_s:
+        retry_after_s = max(round(response.retry_after_s), 1)
+        headers.append((b"retry-after", str(retry_after_s).encode()))
+    if closes:
+        headers.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
 
 
 def _describe_unknown_result(scope: dict[str, Any], reason: str) -> CallerResponse:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 import orjson
-from anyio import Event, create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
+from anyio.abc import TaskGroup
 from logbook import Logger
 
 from berylproxy import __version__
@@ -27,7 +28,7 @@
 from berylproxy.peers.errors import PeerSettingsError
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.peers.settings import PeerSettings, split_address
-from berylproxy.platform.callers import CallerApplication
+from berylproxy.platform.callers import CallerApplication, StartingApplication
 from berylproxy.platform.configuration import (
     ConfigurationInvalidError,
     PlatformConfiguration,
@@ -70,6 +71,7 @@
     ) -> None:
         self._settings = settings
         self._listeners = listeners
+        self._starting_application = StartingApplication()
         self._settings_watcher = SettingsWatcher(settings_path, settings, self._apply_settings)
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
@@ -94,6 +96,14 @@
             settings.failure_domain,
             settings.peer_address,
         )
+        async with create_task_group() as task_group:
+            task_group.start_soon(self._serve, task_group.cancel_scope)
+            await self._start(task_group)
+        logger.info("stopped")
+
+    async def _start(self, task_group: TaskGroup) -> None:
+        """Builds the daemon's parts and starts them in the task group."""
+        settings = self._settings
         self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
         telemetry = Telemetry()
         key = await self._fetch_peer_key()
@@ -133,23 +143,22 @@
             telemetry,
             self._describe,
         )
-        async with create_task_group() as task_group:
-            await task_group.start(self._network.run)
-            task_group.start_soon(self._operator_watch.run)
-            task_group.start_soon(self._maintain_membership)
-            task_group.start_soon(self._track_groups)
-            task_group.start_soon(self._coordinator.run)
-            task_group.start_soon(self._settings_watcher.run)
-            task_group.start_soon(self._handle_signals)
-            logger.info("serving on {}", settings.callers_address)
-            await self._serve()
-            task_group.cancel_scope.cancel()
-        logger.info("stopped")
+        await task_group.start(self._network.run)
+        task_group.start_soon(self._operator_watch.run)
+        task_group.start_soon(self._maintain_membership)
+        task_group.start_soon(self._track_groups)
+        task_group.start_soon(self._coordinator.run)
+        task_group.start_soon(self._settings_watcher.run)
+        task_group.start_soon(self._handle_signals)
+        self._starting_application.start(self._application)
+        logger.info("serving on {}", settings.callers_address)
 
-    async def _serve(self) -> None:
-        server = HttpServer(self._application, KEEP_ALIVE_S)
+    async def _serve(self, all_parts: CancelScope) -> None:
+        """Serves from the start until the planned stop is over, then ends all other parts."""
+        server = HttpServer(self._starting_application, KEEP_ALIVE_S)
         if not await server.serve(self._listeners, self._stopped.wait, LAST_RESPONSES_TIMEOUT_S):
             logger.warning("stopped before all requests were answered")
+        all_parts.cancel()
 
     def _describe(self) -> dict[str, Any]:
         view = DaemonView(self._network, self._coordinator, self._clock)
--- a/tests/platform/start_up.feature
+++ b/tests/platform/start_up.feature
@@ -18,6 +18,12 @@
     And the store begins to answer
     Then the caller is answered by the daemon
 
+  Scenario: a caller of a daemon that can't get ready is told so
+    Given a store that answers nothing yet and a starting platform daemon
+    When a caller connects as soon as the daemon listens and submits a job
+    Then the caller is answered 503 with Retry-After by the starting daemon
+    And the starting daemon is not ready
+
   Scenario: an address in use is one clear error
     Given a platform daemon whose ready address is in use
     Then it ends with status 12 and one line that names the address
--- a/tests/steps/platform_start_up_steps.py
+++ b/tests/steps/platform_start_up_steps.py
@@ -101,6 +101,19 @@
     assert (answer.status_code, answer.json()) == (200, {"state": "completed"}), answer.text
 
 
+@then(r"the caller is answered 503 with Retry-After by the starting daemon")
+def step_impl(context):
+    answer = context.answer.result()
+    assert answer.status_code == 503 and int(answer.headers["retry-after"]) >= 1, answer
+
+
+@then(r"the starting daemon is not ready")
+def step_impl(context):
+    cluster = context.platform_cluster
+    url = f"http://{cluster.host(0)}:{cluster.ports[0][3]}/-/ready"
+    assert cluster.client.get(url).status_code == 503
+
+
 @given(r"a platform daemon whose ready address is in use")
 def step_impl(context):
     cluster = PlatformCluster(context.folder, 1, 0, 0.05)
