--- a/tools/daemon_cost/sampler.py
+++ b/tools/daemon_cost/sampler.py
@@ -14,7 +14,6 @@
 # The innermost frame that matches decides: its module's path ends with the first text, and its
 # function is the second one, if that is not empty.
 RULES = (
-    ("pydantic/type_adapter.py", "__init__", START_UP),
     ("platform/settings.py", "load_platform_settings", START_UP),
     ("durable/decisions/placement.py", WHOLE_MODULE, "decisions"),
     ("durable/decisions/acceptance.py", WHOLE_MODULE, "decisions"),
@@ -52,7 +51,7 @@
     ("berylproxy/http_server.py", WHOLE_MODULE, "HTTP server"),
     ("berylproxy/http_request.py", WHOLE_MODULE, "HTTP server"),
     ("peers/", WHOLE_MODULE, "streams between daemons"),
-    ("platform/__main__.py", WHOLE_MODULE, EVENT_LOOP),
+    ("platform/process.py", WHOLE_MODULE, EVENT_LOOP),
     ("berylproxy/", WHOLE_MODULE, "rest of the daemon"),
 )
 
