Look a durable job up in the store before saying that it never runs

Cause, by its logs: d2 had stored the first submission 1.5 s before; d0 reached no holder within 1 s, knew of its own attempts only, and refused. It reads the job's keys in the store now: a stored job is accepted, and without an answer of the store the outcome is unknown (504, the caller sends it again).

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -226,7 +226,23 @@
         self._log_unanswered(spec, started_s, may_be_stored)
         if may_be_stored:
             raise ResultUnknownError("it is not known whether the job is stored")
-        raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
+        if not await self._is_stored(spec):
+            raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
+
+    async def _is_stored(self, spec: JobSpec) -> bool:
+        """Returns whether an earlier submission of a durable job, by any daemon, was stored.
+
+        :raises ResultUnknownError: if the store doesn't answer.
+        """
+        group = self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id)
+        try:
+            for key in (open_key(group, spec.job_id), final_key(spec.job_id)):
+                if await self._store.get(key) is not None:
+                    return True
+        except StoreError as error:
+            message = f"neither holder nor store answers: {error.message}"
+            raise ResultUnknownError(message) from error
+        return False
 
     async def _send_submission(
         self, message: JobSubmission, timeout_s: float
