--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,12 +8,13 @@
 import subprocess
 import sys
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 RESULT_FOLDER = ROOT / "build"
 PROVING_FOLDERS = ("admit", "collect", "daemon", "deduplicate", "place", "send")
-PLATFORM_FOLDERS = ("platform",)
+PLATFORM_FOLDER = "platform"
 JOBS_FOLDER = "durable"
 LOAD_PLAYS = (
     "crash_decisions",
@@ -37,23 +38,33 @@
 def list_shards(paths: list[str]) -> list[list[str]]:
     """Divides the features into shards that run in parallel.
 
-    There are five: tests with clusters of daemons, the platform, load plays, other tests of jobs,
-    and all others.
+    There are seven: tests with clusters of daemons, two of the platform, load plays, other tests of
+    jobs, and two of all others.
     """
     if paths:
         return [paths]
-    folders = sorted(path.parent for path in (ROOT / "tests").glob("*/*.feature"))
-    names = dict.fromkeys(folder.name for folder in folders)
-    chosen = {*PROVING_FOLDERS, *PLATFORM_FOLDERS, JOBS_FOLDER}
-    shards = [
-        [name for name in names if name in PROVING_FOLDERS],
-        [name for name in names if name in PLATFORM_FOLDERS],
-        [name for name in names if name not in chosen],
+    folders: dict[str, list[str]] = {}
+    for path in sorted((ROOT / "tests").rglob("*.feature")):
+        name = path.relative_to(ROOT / "tests").parts[0]
+        folders.setdefault(name, []).append(str(path.relative_to(ROOT)))
+    proving = _join(folders, PROVING_FOLDERS)
+    platform, jobs = folders[PLATFORM_FOLDER], folders[JOBS_FOLDER]
+    plays = [path for path in jobs if Path(path).stem in LOAD_PLAYS]
+    chosen = {*PROVING_FOLDERS, PLATFORM_FOLDER, JOBS_FOLDER}
+    others = _join(folders, [name for name in folders if name not in chosen])
+    return [
+        proving,
+        platform[::2],
+        platform[1::2],
+        plays,
+        [path for path in jobs if path not in plays],
+        others[::2],
+        others[1::2],
     ]
-    jobs = sorted((ROOT / "tests" / JOBS_FOLDER).rglob("*.feature"))
-    plays = [str(path.relative_to(ROOT)) for path in jobs if path.stem in LOAD_PLAYS]
-    others = [str(path.relative_to(ROOT)) for path in jobs if path.stem not in LOAD_PLAYS]
-    return [[f"tests/{name}" for name in shard] for shard in shards] + [plays, others]
+
+
+def _join(folders: dict[str, list[str]], names: Iterable[str]) -> list[str]:
+    return [path for name in names for path in folders.get(name, ())]
 
 
 def run_features(shards: list[list[str]]) -> list[bool]:
