--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -160,7 +160,7 @@
     Then the run of job "a" ends within 1 s of its drop
 
   Scenario: a job that was dropped before it began runs when it comes again
-    Given a group of 1 endpoint whose runs take 0.5 s
+    Given a group of 1 endpoint whose runs take 2 s
     When a holder with fence 16 takes over
     And job "a" of 3 tasks is submitted
     And job "b" of 1 task is submitted
