Read a durable job's stored state by one function

submit_durable read the job's two keys by a copy of what find_state did, with the same conversion of the store's errors. Both call _find_stored_state; what callers get is the same.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -226,24 +226,11 @@
         self._log_unanswered(spec, started_s, may_be_stored)
         if may_be_stored:
             raise ResultUnknownError("it is not known whether the job is stored")
-        if not await self._is_stored(spec):
+        # Another daemon may have stored the job for an earlier submission.
+        groups = [self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id)]
+        if await self._find_stored_state(groups, spec.job_id) is None:
             raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
 
-    async def _is_stored(self, spec: JobSpec) -> bool:
-        """Returns whether an earlier submission of a durable job, by any daemon, was stored.
-
-        :raises ResultUnknownError: if the store doesn't answer.
-        """
-        group = self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id)
-        try:
-            for key in (open_key(group, spec.job_id), final_key(spec.job_id)):
-                if await self._store.get(key) is not None:
-                    return True
-        except StoreError as error:
-            message = f"neither holder nor store answers: {error.message}"
-            raise ResultUnknownError(message) from error
-        return False
-
     async def _send_submission(
         self, message: JobSubmission, timeout_s: float
     ) -> JobSubmissionReply:
@@ -358,7 +345,10 @@
         except ResultUnknownError:
             if cached_state is not None:
                 return cached_state
-            return await self._read_state_from_store(groups, job_id)
+            state = await self._find_stored_state(groups, job_id)
+            if state is None:  # the holder might know the job nevertheless
+                raise ResultUnknownError("no holder answers") from None
+            return state
 
     def _groups_of(self, services: list[str], job_id: str) -> list[str]:
         """Lists the group that the job would belong to in each service."""
@@ -457,11 +447,11 @@
             return None
         return reply.state
 
-    async def _read_state_from_store(self, groups: list[str], job_id: str) -> JobState | None:
+    async def _find_stored_state(self, groups: list[str], job_id: str) -> JobState | None:
         """Reads a job's state from the store, for use while its holder is unavailable.
 
-        :raises ResultUnknownError: if the store is unavailable too or has no such job, which the
-            holder might know nevertheless.
+        :return: ``None`` if the store has no such job.
+        :raises ResultUnknownError: if the store is unavailable too.
         """
         try:
             entry = await self._store.get(final_key(job_id))
@@ -474,7 +464,7 @@
             raise ResultUnknownError(
                 f"neither holder nor store answers: {error.message}"
             ) from error
-        raise ResultUnknownError("no holder answers")
+        return None
 
     async def _call_holder(
         self, group: str, message: Any, call: Callable[[Any], Awaitable[Any]], timeout_s: float
--- a/tests/steps/durable_frontend_steps.py
+++ b/tests/steps/durable_frontend_steps.py
@@ -9,11 +9,11 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.entry import frontend
 from berylproxy.durable.entry.frontend import JobFrontend, NotAcceptedError, ResultUnknownError
-from berylproxy.durable.holding.records import final_key, open_key
-from berylproxy.durable.jobs.models import JobSpec, QueueTerms, Resources, StepSpec
+from berylproxy.durable.holding.records import encode_final, final_key, open_key
+from berylproxy.durable.jobs.models import JobSpec, JobState, QueueTerms, Resources, StepSpec
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.peers.membership import PeerUnreachableError
-from berylproxy.store.port import StoreUnavailableError
+from berylproxy.store.port import Entry, StoreUnavailableError
 
 JOB = JobSpec("j1", QueueTerms("q", "ledger"), "", (StepSpec(1, Resources(1_000)),))
 KEYS = {
@@ -39,7 +39,8 @@
     async def get(self, key):
         if self._keys is None:
             raise StoreUnavailableError("no answer")
-        return key if key in self._keys else None
+        value = encode_final(JobState.COMPLETED, 0.0)
+        return Entry(key, value, 1) if key in self._keys else None
 
 
 async def reach_nobody(message, timeout_s):
