Handle both ends of HTTP input alike, and name the codec's types as they are

Two handlers of the parser's errors did the same, and the pause of reading had a method for one caller. The codec's docstrings spoke of data classes, where messages are structs.

--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -29,7 +29,6 @@
 LINGER_S = 2.0
 QUEUED_REQUESTS_S = 0.02  # for reading what the system has already queued when the server stops
 
-
 Application = Callable[..., Awaitable[None]]
 
 logger = Logger(__name__)
@@ -165,9 +164,8 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserUpgrade:  # the request is served, and what follows it isn't HTTP/1.1
-            self._end_input(HTTPStatus.BAD_REQUEST)
-        except HttpParserError:
+        except (HttpParserError, HttpParserUpgrade):
+            # A request to upgrade is served, and what follows it isn't HTTP/1.1.
             self._end_input(HTTPStatus.BAD_REQUEST)
         if self._received is None and self._head_bytes > MAX_HEAD_BYTES:
             self._end_input(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -226,7 +224,9 @@
         """Reads no further while enough is buffered, and resumes when there is room again."""
         buffered = sum(request.buffered_bytes for request in self._requests)
         if buffered > MAX_BUFFERED_BYTES or len(self._requests) > MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
+            if self._is_reading:
+                self._is_reading = False
+                self._transport.pause_reading()
         elif not self._is_reading and not self._transport.is_closing():
             self._is_reading = True
             self._transport.resume_reading()
@@ -280,11 +280,6 @@
             self.idle_since_s = monotonic()
             self.adjust_reading()
 
-    def _pause_reading(self) -> None:
-        if self._is_reading:
-            self._is_reading = False
-            self._transport.pause_reading()
-
     def _end_input(self, status: HTTPStatus) -> None:
         """Ignores what comes from now on, and closes the connection after the last response.
 
--- a/berylproxy/peers/codec.py
+++ b/berylproxy/peers/codec.py
@@ -1,4 +1,4 @@
-"""Frames of the streams: dataclasses encoded as msgpack and validated when they are decoded."""
+"""Frames of the streams: structs encoded as msgpack and validated when they are decoded."""
 
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -53,11 +53,11 @@
 
 
 class MessageCodec:
-    """Encodes and decodes frames that carry messages of registered dataclasses.
+    """Encodes and decodes frames that carry messages of registered types.
 
     Fields are encoded by name, so that a daemon of another version may add fields with defaults.
 
-    :param message_types: dataclasses, named on the wire by their ``WIRE_NAME`` or class name.
+    :param message_types: structs or data classes, named by their ``WIRE_NAME`` or class name.
     """
 
     def __init__(self, message_types: Iterable[type]) -> None:
