--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -41,7 +41,9 @@
 region = "r"
 internal-ports = [{peer_port},{last_port}]
 heartbeat-ms = 1500
-contracts = ["base","drain","config","cost","recover","sched","platform"]
+contracts = [
+  "base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"
+]
 orders = "invocation"
 [zones]
 a = "r"
@@ -238,8 +240,12 @@
         """Runs a coroutine until the end."""
         self._tasks.append(asyncio.ensure_future(work))
 
-    def configure(self, version: int, **queue: Any) -> None:
-        """Writes a configuration as the operator."""
+    def configure(self, version: int, standby: tuple[str, ...] = (), **queue: Any) -> None:
+        """Writes a configuration as the operator.
+
+        :param standby: names of further services, whose machines are off.
+        :param queue: fields of the queue that differ from the usual ones.
+        """
         route = {
             "name": "r-rota",
             "host": HOST,
@@ -254,8 +260,13 @@
             **queue,
         }
         services = [
-            {"name": name, "max-conns": 64, "enforces-capacity": True, "standby": False}
-            for name in self._services
+            {
+                "name": name,
+                "max-conns": 64,
+                "enforces-capacity": True,
+                "standby": name in standby,
+            }
+            for name in (*self._services, *standby)
         ]
         config = {
             "version": version,
