--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -399,9 +399,8 @@
         while True:
             await asyncio.sleep(0.2)
             for runner in self.runners:
-                key = f"servers/{runner.name}"
-                if "" not in self.store.down and runner.has_expired_entry():
-                    self.store.remove(key)
+                for name in runner.list_silent() if "" not in self.store.down else ():
+                    self.store.remove(f"servers/{name}")
 
 
 def _pick_network() -> str:
--- a/review/support/rules.py
+++ b/review/support/rules.py
@@ -1,6 +1,7 @@
 """Checks of RULES.md, on what runners and clients have seen."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 from math import inf
 
 from support.deployment import Job
@@ -8,6 +9,7 @@
 
 LISTED_S = 0.1  # with no disturbance near, an end counts as noted so long after it is listed
 SHOWN_S = 1.0
+CRASHES_TO_GIVE_UP = 2
 MAX_REPORTED = 10
 
 
@@ -55,30 +57,28 @@
 
 
 def find_failed_without_cause(runs: list[Run], jobs: list[Job], max_attempts: int) -> list[str]:
-    """Returns what breaks LOST: jobs shown as failed though no task had that many failed runs."""
+    """Returns what breaks LOST: jobs shown as failed though no task had that many failed runs.
+
+    A task under which two runners have crashed may be given up.
+    """
     broken = []
     for job in jobs:
-        failed: dict[str, int] = defaultdict(int)
-        for run in runs:
-            if run.task.startswith(job.job_id + ".") and run.how == "failed":
-                failed[run.task] += 1
-        most = max(failed.values(), default=0)
-        if any(state == "failed" for _, state in job.shown) and most < max_attempts:
+        of_job = [run for run in runs if run.task.startswith(job.job_id + ".")]
+        most_failed = _count_most(run.task for run in of_job if run.how == "failed")
+        most_lost = _count_most(run.task for run in of_job if run.how == "lost")
+        is_shown = any(state == "failed" for _, state in job.shown)
+        if is_shown and most_failed < max_attempts and most_lost < CRASHES_TO_GIVE_UP:
             broken.append(
-                f"LOST: job {job.job_id} is shown as failed; of its tasks none has had more than "
-                f"{most} runs that ended failed, and max-attempts is {max_attempts}"
+                f"LOST: job {job.job_id} is shown as failed; its tasks have begun {len(of_job)} "
+                f"runs, of one task at most {most_failed} ended failed and {most_lost} were lost "
+                f"with their runner; max-attempts is {max_attempts}"
             )
     return broken
 
 
-def find_gone(jobs: list[Job], visible_s: float) -> list[str]:
-    """Returns what breaks LOST: an accepted job that is answered 410."""
-    return [
-        f"LOST: job {job.job_id} was accepted, and answered 410 {at_s - job.accepted_s:.1f} s later"
-        for job in jobs
-        for at_s, state in job.shown
-        if state == "410" and job.accepted_s and at_s - job.accepted_s > visible_s
-    ]
+def _count_most(tasks: Iterable[str]) -> int:
+    """Returns how often the task that comes most often comes."""
+    return max(Counter(tasks).values(), default=0)
 
 
 def describe(broken: list[str]) -> str:
--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -78,7 +78,7 @@
 
     :param capacity: ``cpu`` and ``mem-mb``; the runner rejects what does not fit.
     :param runs: receives each run that starts, for the checks.
-    :ivar down_s: total time without a process.
+    :ivar former_names: identifiers of earlier processes, with the time of their last entry.
     """
 
     def __init__(
@@ -93,7 +93,7 @@
         runs: list[Run],
     ) -> None:
         self.name = name
-        self.crashes = 0
+        self.former_names: dict[str, float] = {}
         self._service, self._zone, self._labels = service, zone, labels
         self._capacity = capacity
         self._store, self._record, self._runs = store, record, runs
@@ -105,8 +105,11 @@
         self._publisher: asyncio.Task[None] | None = None
         self._last_entry_s = 0.0
 
-    async def start(self) -> None:
-        """Starts a process; a later one keeps the address and the identifier."""
+    async def start(self, name: str = "") -> None:
+        """Starts a process; a later one keeps the address, and its identifier if none is given."""
+        if name:
+            self.former_names[self.name] = self._last_entry_s
+            self.name = name
         self._life, self._seq = Life(), 0
         await self._server.start(port=self._port)
         self._port = self._server.port
@@ -121,7 +124,6 @@
         for run in lost:
             run.ended_s, run.how = now_s, "lost"
         self._record.note(f"{self.name}: crashes with {[(r.task, r.number) for r in lost]}")
-        self.crashes += 1
         self.close()
 
     def close(self) -> None:
@@ -163,9 +165,11 @@
             else:
                 await asyncio.sleep(0.1)
 
-    def has_expired_entry(self) -> bool:
-        """Returns whether three ping intervals have passed since the last entry."""
-        return monotonic() - self._last_entry_s > SILENT_HEARTBEATS * HEARTBEAT_S
+    def list_silent(self) -> list[str]:
+        """Lists the identifiers for which three ping intervals have passed without an entry."""
+        last_entries = {**self.former_names, self.name: self._last_entry_s}
+        limit_s = monotonic() - SILENT_HEARTBEATS * HEARTBEAT_S
+        return [name for name, at_s in last_entries.items() if at_s < limit_s]
 
     def _clock_ms(self, life: Life) -> int:
         return int((monotonic() - life.began_s) * 1000)
