--- a/tests/steps/peers_codec_steps.py
+++ b/tests/steps/peers_codec_steps.py
@@ -1,7 +1,6 @@
 """Steps for the codec of the streams."""
 
 from behave import then
-from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 
 from berylproxy.models import DaemonIdentity
@@ -10,8 +9,8 @@
 from berylproxy.peers.membership import MemberStatus
 from berylproxy.peers.messages import Heartbeat, LeaveNotice, MemberUpdate
 from tests.support.peer_networks import FULL_CODEC, News
+from tests.support.random_examples import run_examples
 
-SEED = 20261203
 MAX_FRAME_BYTES = 4096
 COUNTS = st.integers(0, 2**31)
 IDENTITIES = st.builds(DaemonIdentity, *[st.text(max_size=12)] * 4)
@@ -40,17 +39,6 @@
 )
 
 
-def run_examples(count, strategy, check):
-    """Runs a check on random examples, generated from a fixed seed."""
-    run = settings(
-        max_examples=count,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )(seed(SEED)(given(strategy)(check)))
-    run()
-
-
 def decode_or_refuse(data):
     try:
         list(FULL_CODEC.make_decoder(MAX_FRAME_BYTES).feed(data))
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -72,7 +72,12 @@
 
 
 class LoggedDaemon(ManagedProcess):
-    """A daemon whose standard output goes to ``<folder>/<name>.log``."""
+    """A daemon whose standard output goes to ``<folder>/<name>.log``.
+
+    :ivar build: folder that holds the package to run.
+    """
+
+    build: Path = ROOT
 
     def start(self) -> None:
         """Starts the process without waiting for it."""
@@ -80,7 +85,7 @@
         with self.stderr_path.open("ab") as stderr, (folder / f"{self.name}.log").open("ab") as log:
             self.child = subprocess.Popen(
                 [sys.executable, *self.arguments],
-                cwd=ROOT,
+                cwd=self.build,
                 env=os.environ | self.environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -90,7 +95,10 @@
 
 @dataclass
 class PlatformCluster:
-    """Starts the processes of a platform and ends them on close."""
+    """Starts the processes of a platform and ends them on close.
+
+    :ivar builds: numbers of daemons that run another build, with the folder of its package.
+    """
 
     folder: Path
     daemon_count: int
@@ -101,6 +109,7 @@
     daemons: list[ManagedProcess] = field(default_factory=list)
     runners: list[ManagedProcess] = field(default_factory=list)
     ports: list[list[int]] = field(default_factory=list)
+    builds: dict[int, Path] = field(default_factory=dict)
 
     def start(self) -> None:
         """Starts everything and waits until each daemon is ready."""
@@ -167,6 +176,7 @@
         environment = {SETTINGS_VARIABLE: str(self.settings_path(number))}
         arguments = ["-m", "berylproxy.platform"]
         daemon = LoggedDaemon(f"d{number}", arguments, self.folder, environment=environment)
+        daemon.build = self.builds.get(number, ROOT)
         return self.stack.enter_context(daemon)
 
     def wait_ready(self, number: int) -> None:
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -121,7 +121,7 @@
     for job in durable_jobs:
         while states.get(job.job_id) != {"completed"}:
             states[job.job_id] = {
-                read_state(cluster, number, job.job_id) for number in range(DAEMONS)
+                read_state(cluster, number, job.job_id) for number in range(len(cluster.daemons))
             }
             if monotonic() > until_s:
                 break
