Tell why a job failed, and which evidence a crash under its tasks has

A job that was shown as failed left no line that says whether its runs had failed, its orders had been rejected or its endpoints had crashed, and 'endpoint crashed under tasks' didn't say how the end of the process was learned or whether its runs had been confirmed.

Jobs record the cause of their failure: the line 'job failed' has failure_cause, failed_runs and crashes, and berylproxy_jobs_failed_total counts by queue and cause. Lines of lost and crashed endpoints have the numbers of confirmed and unconfirmed runs, and the sign of the restart.

--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -12,6 +12,7 @@
     EndedRun,
     EndKind,
     EndpointInstance,
+    FailureCause,
     JobSpec,
     JobState,
     Progress,
@@ -29,6 +30,7 @@
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
+UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 
 class TaskStatus(Enum):
@@ -107,6 +109,7 @@
     :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
         acceptance, or of an earlier refusal after which its caller came back as told.
     :ivar is_excess: whether it exceeds its claimant's share of scarce room.
+    :ivar failure_cause: why it has failed; ``None`` if it hasn't.
     :ivar siblings: run times of its tasks, relative to the expected ones.
     """
 
@@ -127,6 +130,7 @@
     failure_domain: str = ""
     place_s: float = 0.0
     is_excess: bool = False
+    failure_cause: FailureCause | None = None
 
     @property
     def claimant(self) -> Claimant:
@@ -386,15 +390,18 @@
             task.failed_runs.add(end.run)
             task.failed_endpoint_ids.add(instance.endpoint_id)
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
-                self.fail(job)
+                is_listed = end.number > UNLISTED_END_NUMBER
+                self.fail(
+                    job, FailureCause.FAILED_RUNS if is_listed else FailureCause.REJECTED_ORDERS
+                )
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
-    def fail(self, job: Job) -> None:
+    def fail(self, job: Job, cause: FailureCause) -> None:
         """Marks a job as failed; the caller must stop its active tasks."""
-        job.state = JobState.FAILED
+        job.state, job.failure_cause = JobState.FAILED, cause
         job.waiting.clear()
         self._remove_work(job)
 
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -21,6 +21,14 @@
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
+class FailureCause(StrEnum):
+    """Why a job has failed."""
+
+    FAILED_RUNS = "failed_runs"  # runs of a task ended by failing as often as its queue allows
+    REJECTED_ORDERS = "rejected_orders"
+    CRASHES = "crashes"  # a task crashes the endpoints that start it
+
+
 class EndKind(StrEnum):
     """How a run of a task ended."""
 
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -1,13 +1,21 @@
 """Tells crashes of a group's endpoints from cuts, and fails the jobs whose tasks cause them."""
 
 from collections.abc import Callable, Iterable
+from enum import StrEnum
+from math import inf
 
 from logbook import Logger
 
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.jobs.crashes import CrashRecord
 from berylproxy.durable.jobs.job_table import Job, JobTable
-from berylproxy.durable.jobs.models import EndedRun, EndKind, EndpointInstance, TaskName
+from berylproxy.durable.jobs.models import (
+    EndedRun,
+    EndKind,
+    EndpointInstance,
+    FailureCause,
+    TaskName,
+)
 from berylproxy.durable.orders.tenure import Tenure
 
 MAX_LOGGED_TASKS = 20
@@ -15,6 +23,15 @@
 logger = Logger("berylproxy.durable.crash_watch")
 
 
+class RestartSign(StrEnum):
+    """How the end of an endpoint's process was learned."""
+
+    ORDER_REJECTED = "order_rejected"  # by another instance
+    RENEWAL_REJECTED = "renewal_rejected"  # by another instance
+    REPORTED = "reported"  # with another start time
+    LISTED = "listed"  # with another start time
+
+
 class CrashWatch:
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
@@ -41,7 +58,15 @@
         instance, names = endpoint.info.instance, _list_tasks(endpoint)
         if names:
             self.record.note_lost(instance, names, self._tenure.clock.now_s())
-            self._log("endpoint lost under tasks, crashed or cut off", instance, "unknown", names)
+            confirmed = _count_confirmed(endpoint)
+            self._log(
+                "endpoint lost under tasks, crashed or cut off",
+                instance,
+                "unknown",
+                names,
+                confirmed_runs=confirmed,
+                unconfirmed_runs=len(names) - confirmed,
+            )
 
     def note_answered(self, endpoint: EndpointState) -> None:
         """Records that the process of an endpoint answers again."""
@@ -50,12 +75,12 @@
         if self.record.note_answered(instance):
             self._log("endpoint was cut off and has not crashed", instance, "cut", names)
 
-    def note_restarted(self, endpoint: EndpointState) -> None:
+    def note_restarted(self, endpoint: EndpointState, sign: RestartSign) -> None:
         """Records that another process has taken the place of an endpoint's process."""
         if endpoint.info.leaving:
             self.record.note_answered(endpoint.info.instance)
             return
-        self._note_crashed(endpoint.info.instance, endpoint)
+        self._note_crashed(endpoint.info.instance, endpoint, sign)
 
     def note_listed(self, instance: EndpointInstance, endpoints: Iterable[EndpointState]) -> None:
         """Records a new entry of the list, which shows that earlier processes have ended.
@@ -70,9 +95,9 @@
         for former in earlier:
             if 0 < former.born_ms < instance.born_ms:
                 if former in known:
-                    self.note_restarted(known[former])
+                    self.note_restarted(known[former], RestartSign.LISTED)
                 else:
-                    self._note_crashed(former, None)
+                    self._note_crashed(former, None, RestartSign.LISTED)
 
     def note_end(self, end: EndedRun) -> None:
         """Records the end of a run."""
@@ -87,11 +112,22 @@
             if task.has_crashed:
                 self.record.restore(task.name, task.crash_count, now_s)
 
-    def _note_crashed(self, instance: EndpointInstance, endpoint: EndpointState | None) -> None:
+    def _note_crashed(
+        self, instance: EndpointInstance, endpoint: EndpointState | None, sign: RestartSign
+    ) -> None:
         names = _list_tasks(endpoint) if endpoint is not None else []
         known = self.record.suspects(instance)
         if not known.issuperset(names) or (known and not self.record.has_crashed(instance)):
-            self._log("endpoint crashed under tasks", instance, "crash", known.union(names))
+            confirmed = _count_confirmed(endpoint) if endpoint is not None else 0
+            self._log(
+                "endpoint crashed under tasks",
+                instance,
+                "crash",
+                known.union(names),
+                sign=sign.value,
+                confirmed_runs=confirmed,
+                unconfirmed_runs=len(names) - confirmed,
+            )
             convicted = self.record.note_crashed(instance, names, self._tenure.clock.now_s())
             self._update_tasks(known.union(names))
             self._fail_jobs(convicted)
@@ -122,11 +158,16 @@
             )
             job = self._job_table.jobs.get(name.job_id)
             if job is not None and not job.is_final:
-                self._job_table.fail(job)
+                self._job_table.fail(job, FailureCause.CRASHES)
                 self._on_final(job)
 
     def _log(
-        self, message: str, instance: EndpointInstance, outcome: str, names: Iterable[TaskName]
+        self,
+        message: str,
+        instance: EndpointInstance,
+        outcome: str,
+        names: Iterable[TaskName],
+        **fields: object,
     ) -> None:
         self._tenure.telemetry.count("endpoints_lost_under_tasks", outcome=outcome)
         tasks = sorted(names)
@@ -137,9 +178,14 @@
                 born_ms=instance.born_ms,
                 task_count=len(tasks),
                 tasks=[list(name) for name in tasks[:MAX_LOGGED_TASKS]],
+                **fields,
             ),
         )
 
 
 def _list_tasks(endpoint: EndpointState) -> list[TaskName]:
     return [name for name, _ in endpoint.runs]
+
+
+def _count_confirmed(endpoint: EndpointState) -> int:
+    return sum(run.confirmed_s < inf for run in endpoint.runs.values())
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -13,7 +13,14 @@
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Suspicion
-from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
+from berylproxy.durable.jobs.job_table import (
+    ACTIVE_STATUSES,
+    UNLISTED_END_NUMBER,
+    Job,
+    JobTable,
+    Task,
+    TaskStatus,
+)
 from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
@@ -38,7 +45,7 @@
 from berylproxy.durable.learning.response_times import renewal_wait_s
 from berylproxy.durable.learning.run_times import RunPace
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
-from berylproxy.durable.orders.crash_watch import CrashWatch
+from berylproxy.durable.orders.crash_watch import CrashWatch, RestartSign
 from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
@@ -58,7 +65,6 @@
 UNREACHABLE_GRACE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
-UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 logger = Logger("berylproxy.durable.group")
 
@@ -237,7 +243,7 @@
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
             except OtherInstanceError:
-                self._crash_watch.note_restarted(endpoint)
+                self._crash_watch.note_restarted(endpoint, RestartSign.RENEWAL_REJECTED)
                 self._remove_endpoint(endpoint, "another instance answers at its address")
                 return
             except EndpointCallError as error:
@@ -355,7 +361,7 @@
             # The leases of the transferred runs, which its client doesn't know, began before now.
             successor.last_answer_s = max(successor.last_answer_s, now_s)
             self._wakeups[instance].set()
-        self._crash_watch.note_restarted(endpoint)
+        self._crash_watch.note_restarted(endpoint, RestartSign.REPORTED)
         self._remove_endpoint(endpoint, "its process was restarted")
 
     def _transfer_run(
@@ -728,7 +734,7 @@
             return
         if outcome is StartOutcome.OTHER_INSTANCE:
             self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
-            self._crash_watch.note_restarted(endpoint)
+            self._crash_watch.note_restarted(endpoint, RestartSign.ORDER_REJECTED)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
         if outcome is StartOutcome.INVALID:
--- a/berylproxy/durable/orders/job_log.py
+++ b/berylproxy/durable/orders/job_log.py
@@ -142,9 +142,11 @@
         self.tenure.telemetry.observe_job(queue, took_s)
         if is_late:
             self.tenure.telemetry.count("jobs_late", queue=queue)
-        starts_s = [
-            task.ordered_s - job.accepted_s for task in job.tasks.values() if task.ordered_s
-        ]
+        if job.failure_cause is not None:
+            cause = job.failure_cause.value
+            self.tenure.telemetry.count("jobs_failed", queue=queue, cause=cause)
+        tasks = job.tasks.values()
+        starts_s = [task.ordered_s - job.accepted_s for task in tasks if task.ordered_s]
         logger.info(
             "job {}",
             job.state.value,
@@ -157,8 +159,11 @@
                 measured_objective_s=round(measured_objective_s, 3),
                 expected_s=round(job.expected_s, 3),
                 late=is_late,
-                tasks=len(job.tasks),
-                runs=sum(task.ordered_starts for task in job.tasks.values()),
+                failure_cause=job.failure_cause.value if job.failure_cause else None,
+                failed_runs=max((len(task.failed_runs) for task in tasks), default=0),
+                crashes=max((task.crash_count.crashes for task in tasks), default=0),
+                tasks=len(tasks),
+                runs=sum(task.ordered_starts for task in tasks),
                 first_start_s=round(min(starts_s), 3) if starts_s else None,
                 last_start_s=round(max(starts_s), 3) if starts_s else None,
             ),
--- a/berylproxy/durable/orders/telemetry.py
+++ b/berylproxy/durable/orders/telemetry.py
@@ -19,6 +19,7 @@
 
 HELP = {
     "jobs_ended": "Jobs that ended here, by queue and state",
+    "jobs_failed": "Jobs that failed here, by queue and cause",
     "jobs_late": "Jobs that ended after their objective, by the work they had and by queue",
     "jobs_refused": "Jobs refused, by queue and reason",
     "returned_jobs_accepted": "Refused jobs accepted when sent again at the time told, by queue",
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -77,3 +77,12 @@
 @then(r"(?P<count>\d+) endpoint processes have crashed")
 def step_impl(context, count):
     assert count_crashes(context) == int(count), count_crashes(context)
+
+
+@then(r'(?P<count>\d+) jobs? (?:has|have) failed because of "(?P<cause>\w+)"')
+def step_impl(context, count, cause):
+    world = context.holder_world
+    telemetry = world.holders[world.newest_fence].tenure.telemetry
+    content, _ = telemetry.metrics.scrape(["text/plain"])
+    found = [line for line in content.decode().splitlines() if f'cause="{cause}"' in line]
+    assert sum(int(float(line.rpartition(" ")[2])) for line in found) == int(count), found
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -19,6 +19,7 @@
     EndKind,
     EndpointInfo,
     EndpointInstance,
+    FailureCause,
     JobSpec,
     QueueTerms,
     Resources,
@@ -204,5 +205,5 @@
             self.given_up.add(name.job_id)
             job = self.job_table.jobs.get(name.job_id)
             if job is not None:
-                self.job_table.fail(job)
+                self.job_table.fail(job, FailureCause.CRASHES)
                 self.job_table.close(job)
