Count an endpoint's crash only under tasks whose runs had begun there

Callers saw accepted jobs as failed some 30 ms after they had sent them, though none of their runs had failed and most had never begun: idle endpoints had been replaced by other processes at their addresses, and each order answered 421 counted a crash under all other runs that were ordered there in the same moment. Two such endpoints failed the job.

Cause: the record of crashes took each run that the holder counts at an endpoint for one that the lost process had begun. Orders without an outcome, unanswered ones, runs being stopped and runs that a new process under the same identifier may have are counted there, too, as they may need the room.

Each run now has its evidence (ordered, possible, begun), in EndpointRun.evidence, and the record of crashes keeps it. Only crashes under begun runs count as before (two blamed, or three). A possible run, such as one whose order was never answered, counts beside them with thresholds of four and five: a task may end the process before that answers, and has to be given up, too. An order without an outcome counts for nothing, but keeps its neighbours from being the only suspects until the outcome is known; a 421 clears it. After a restart under the same identifier only reported runs are begun, as the new process may have carried out the other orders.

The fake directory finds an endpoint by its address, as outdated lists name former ids.

Other ways: not to count crashes at all on a 421 (deadly tasks whose endpoints come back under other identifiers would go on); to leave unconfirmed runs out of the suspects (a task that ends the process before it answers would convict its neighbour).

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -6,6 +6,7 @@
 from anyio import Event
 from msgspec.structs import replace
 
+from berylproxy.durable.jobs.crashes import Evidence
 from berylproxy.durable.jobs.models import (
     EndedRun,
     EndpointInfo,
@@ -104,6 +105,8 @@
     :ivar confirmed_s: monotonic time at which the endpoint confirmed the run; infinite until then.
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
+    :ivar has_begun: whether the endpoint's present process has confirmed the run; one that was
+        transferred to it may have been confirmed by the former process.
     :ivar was_reported: whether a report of the endpoint's present process has listed the run.
     :ivar is_uncertain: whether the order to start the run was not answered.
     :ivar is_orphan: whether the run belongs to no job that this holder has: a former holder ordered
@@ -120,6 +123,7 @@
     needs: Resources | None
     kind: str = ""
     confirmed_s: float = inf
+    has_begun: bool = False
     stop_confirmed_s: float = inf
     was_reported: bool = False
     is_uncertain: bool = False
@@ -129,6 +133,24 @@
     pace: RunPace | None = None
     move_ordered_s: float = -inf
 
+    @property
+    def evidence(self) -> Evidence:
+        """What is known of the run in case the endpoint is lost."""
+        if self.has_begun and self.stop_confirmed_s == inf:
+            return Evidence.BEGUN
+        is_possible = self.is_uncertain or min(self.confirmed_s, self.stop_confirmed_s) < inf
+        return Evidence.POSSIBLE if is_possible else Evidence.ORDERED
+
+    def note_confirmed(self, now_s: float) -> None:
+        """Records that the endpoint's present process runs it, by its answer to the order."""
+        self.confirmed_s = min(self.confirmed_s, now_s)
+        self.has_begun = True
+
+    def note_reported(self, now_s: float) -> None:
+        """Records that a report of the endpoint's present process lists it."""
+        self.note_confirmed(now_s)
+        self.was_reported, self.is_uncertain = True, False
+
     def is_gone(self, report_sent_s: float) -> bool:
         """Returns whether the run is certainly not active if a report doesn't list it.
 
--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -8,9 +8,9 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import Enum, IntEnum, auto
 from math import inf
 from typing import NamedTuple, Protocol
 
@@ -18,6 +18,9 @@
 
 MAX_BLAMED_CRASHES = 2  # of endpoints on which no other job can be to blame
 MAX_CRASHES = 3
+# Crashes under runs that may not have begun, beside those under runs that had.
+MAX_BLAMED_POSSIBLE_CRASHES = 4
+MAX_POSSIBLE_CRASHES = 5
 # An endpoint process that crashed is back after some seconds.
 HOLD_S = 2.5
 # While no endpoint is free of runs, a suspected task can't be tried alone.
@@ -28,6 +31,14 @@
 UNKNOWN_TASK = TaskName("", 0, 0)
 
 
+class Evidence(IntEnum):
+    """What is known of a run at an endpoint, in case the endpoint is lost."""
+
+    ORDERED = auto()  # its order has no outcome yet
+    POSSIBLE = auto()  # it may not have begun there, or may have ended
+    BEGUN = auto()  # the process that is lost had confirmed it
+
+
 class Treatment(Enum):
     """How a waiting task may be started."""
 
@@ -45,7 +56,7 @@
 
 
 class CrashCount(NamedTuple):
-    """The crashes of endpoints that ran a task.
+    """The crashes of endpoints under begun runs of a task.
 
     :param crashes: number of crashes.
     :param blamed: number of those for which no other job can be to blame.
@@ -57,15 +68,19 @@
 
 @dataclass(slots=True, eq=False)
 class Loss:
-    """An endpoint that stopped answering while it ran tasks.
+    """An endpoint that stopped answering while tasks were ordered there.
 
-    :ivar suspects: tasks that ran there and haven't ended on another endpoint since.
+    :ivar suspects: tasks that may have run there and haven't ended on another endpoint since.
     :ivar is_crash: whether its process has certainly ended; else it may be cut off.
     """
 
-    suspects: set[TaskName] = field(default_factory=set)
+    suspects: dict[TaskName, Evidence] = field(default_factory=dict)
     is_crash: bool = False
 
+    def is_crash_under(self, name: TaskName, least: Evidence) -> bool:
+        """Returns whether its process has ended under a task, by the least evidence that counts."""
+        return self.is_crash and self.suspects.get(name, Evidence.ORDERED) >= least
+
     def blames(self, name: TaskName) -> bool:
         """Returns whether no job but that of a task can be to blame."""
         return self.is_crash and all(task.job_id == name.job_id for task in self.suspects)
@@ -102,10 +117,10 @@
         self._convicted: OrderedDict[str, None] = OrderedDict()
 
     def note_lost(
-        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
     ) -> None:
-        """Records that an endpoint stopped answering while it ran tasks."""
-        self._add_suspects(instance, names, now_s)
+        """Records that an endpoint stopped answering while tasks were ordered there."""
+        self._add_suspects(instance, runs, now_s)
 
     def note_answered(self, instance: EndpointInstance) -> bool:
         """Records that the process of an endpoint goes on: it was cut off.
@@ -119,19 +134,36 @@
         return True
 
     def note_crashed(
-        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
     ) -> list[TaskName]:
         """Records that the process of an endpoint ended unasked.
 
-        :param names: tasks that it ran, besides those with which it was lost.
+        :param runs: tasks that were ordered there, besides those with which it was lost.
         :return: the tasks that are to blame, if they are known by this.
         """
-        loss = self._add_suspects(instance, names, now_s)
+        loss = self._add_suspects(instance, runs, now_s)
         if loss is None:
             return []
         loss.is_crash = True
         return self._convict(loss.suspects)
 
+    def note_outcome(
+        self, instance: EndpointInstance, name: TaskName, *, may_have_begun: bool
+    ) -> list[TaskName]:
+        """Records the outcome of an order that had none when its endpoint was lost.
+
+        :return: the tasks that are to blame, if they are known by this.
+        """
+        loss = self._losses.get(instance)
+        if loss is None or loss.suspects.get(name) is not Evidence.ORDERED:
+            return []
+        if may_have_begun:
+            loss.suspects[name] = Evidence.POSSIBLE
+        else:
+            del loss.suspects[name]
+            self._remove_from_record(name, loss)
+        return self._convict(loss.suspects) if loss.is_crash else []
+
     def note_ended(self, name: TaskName) -> list[TaskName]:
         """Records that a run of a task has ended by itself: the task crashes no endpoints.
 
@@ -142,9 +174,9 @@
             return []
         remaining: set[TaskName] = set()
         for loss in record.losses:
-            loss.suspects.discard(name)
+            loss.suspects.pop(name, None)
             if loss.is_crash:
-                remaining |= loss.suspects
+                remaining.update(loss.suspects)
         return self._convict(remaining)
 
     def restore(self, name: TaskName, count: CrashCount, now_s: float) -> None:
@@ -152,21 +184,34 @@
         record = self._records.setdefault(name, TaskRecord())
         record.last_lost_s = now_s
         for number in range(count.crashes):
-            suspects = {name} if number < count.blamed else {name, UNKNOWN_TASK}
+            suspects = {name: Evidence.BEGUN}
+            if number >= count.blamed:
+                suspects[UNKNOWN_TASK] = Evidence.BEGUN
             record.losses.append(Loss(suspects, is_crash=True))
 
     def count(self, name: TaskName) -> CrashCount:
-        """Returns the crashes of endpoints that ran a task, unless it has ended since."""
+        """Returns the crashes under begun runs of a task, unless it has ended since."""
+        return self._count(name, Evidence.BEGUN)
+
+    def _count(self, name: TaskName, least: Evidence) -> CrashCount:
         record = self._records.get(name)
-        if record is None:
-            return CrashCount()
-        crashes = [loss for loss in record.losses if loss.is_crash]
+        losses = record.losses if record is not None else []
+        crashes = [loss for loss in losses if loss.is_crash_under(name, least)]
         return CrashCount(len(crashes), sum(loss.blames(name) for loss in crashes))
 
-    def suspects(self, instance: EndpointInstance) -> set[TaskName]:
+    def _is_to_blame(self, name: TaskName) -> bool:
+        begun, possible = self._count(name, Evidence.BEGUN), self._count(name, Evidence.POSSIBLE)
+        return (
+            begun.blamed >= MAX_BLAMED_CRASHES
+            or begun.crashes >= MAX_CRASHES
+            or possible.blamed >= MAX_BLAMED_POSSIBLE_CRASHES
+            or possible.crashes >= MAX_POSSIBLE_CRASHES
+        )
+
+    def suspects(self, instance: EndpointInstance) -> dict[TaskName, Evidence]:
         """Returns the tasks that may be to blame for the loss of an endpoint."""
         loss = self._losses.get(instance)
-        return set(loss.suspects) if loss is not None else set()
+        return dict(loss.suspects) if loss is not None else {}
 
     def has_crashed(self, instance: EndpointInstance) -> bool:
         """Returns whether an endpoint was lost under tasks by a crash."""
@@ -188,30 +233,33 @@
     def treatment(self, name: TaskName, now_s: float) -> Treatment:
         """Returns how a waiting task may be started now."""
         record = self._records.get(name)
-        if record is None or not record.losses:
+        if record is None:
+            return Treatment.USUAL
+        losses = [loss for loss in record.losses if loss.suspects[name] > Evidence.ORDERED]
+        if not losses:
             return Treatment.USUAL
-        crashes = sum(loss.is_crash for loss in record.losses)
+        crashes = sum(loss.is_crash for loss in losses)
         lost_ago_s = now_s - record.last_lost_s
-        is_evidence_due = crashes < len(record.losses) and lost_ago_s < HOLD_S
-        if len(record.losses) > 1 and is_evidence_due:
+        is_evidence_due = crashes < len(losses) and lost_ago_s < HOLD_S
+        if len(losses) > 1 and is_evidence_due:
             return Treatment.HELD
-        is_suspected = crashes or len(record.losses) > 1
+        is_suspected = crashes or len(losses) > 1
         is_alone = is_suspected and lost_ago_s < LONGEST_ALONE_S
         return Treatment.ALONE if is_alone else Treatment.APART
 
     def _add_suspects(
-        self, instance: EndpointInstance, names: Iterable[TaskName], now_s: float
+        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
     ) -> Loss | None:
-        """Adds tasks to the loss of an endpoint; returns ``None`` if it ran none."""
+        """Adds tasks to the loss of an endpoint; returns ``None`` if it has none."""
         loss = self._losses.get(instance)
-        for name in names:
+        for name, evidence in runs.items():
             if loss is None:
                 loss = self._losses[instance] = Loss()
             if name not in loss.suspects:
-                loss.suspects.add(name)
                 record = self._records.setdefault(name, TaskRecord())
                 record.losses.append(loss)
                 record.last_lost_s = now_s
+            loss.suspects[name] = max(evidence, loss.suspects.get(name, evidence))
         if len(self._losses) > MAX_LOSSES:
             self._remove_loss(next(iter(self._losses)))
         return loss
@@ -219,18 +267,19 @@
     def _remove_loss(self, instance: EndpointInstance) -> None:
         loss = self._losses.pop(instance)
         for name in loss.suspects:
-            record = self._records[name]
-            record.losses.remove(loss)
-            if not record.losses:
-                del self._records[name]
+            self._remove_from_record(name, loss)
+
+    def _remove_from_record(self, name: TaskName, loss: Loss) -> None:
+        record = self._records[name]
+        record.losses.remove(loss)
+        if not record.losses:
+            del self._records[name]
 
     def _convict(self, names: Iterable[TaskName]) -> list[TaskName]:
         """Returns those of some tasks that are to blame and weren't known to be."""
         convicted = []
         for name in names:
-            count = self.count(name)
-            is_to_blame = count.blamed >= MAX_BLAMED_CRASHES or count.crashes >= MAX_CRASHES
-            if is_to_blame and name.job_id not in self._convicted:
+            if name.job_id not in self._convicted and self._is_to_blame(name):
                 self._convicted[name.job_id] = None
                 convicted.append(name)
         while len(self._convicted) > MAX_CONVICTED_JOBS:
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable, Iterable
 from enum import StrEnum
-from math import inf
 
 from logbook import Logger
 
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.jobs.crashes import CrashRecord
+from berylproxy.durable.jobs.crashes import CrashRecord, Evidence
 from berylproxy.durable.jobs.job_table import Job, JobTable
 from berylproxy.durable.jobs.models import (
     EndedRun,
@@ -31,6 +30,11 @@
     REPORTED = "reported"  # with another start time
     LISTED = "listed"  # with another start time
 
+    @property
+    def keeps_identifier(self) -> bool:
+        """Whether the new process has the identifier of the former one, which orders name."""
+        return self in (RestartSign.REPORTED, RestartSign.LISTED)
+
 
 class CrashWatch:
     """Feeds what is seen of a group's endpoints into the record of crashes.
@@ -55,17 +59,15 @@
 
     def note_lapsed(self, endpoint: EndpointState) -> None:
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
-        instance, names = endpoint.info.instance, _list_tasks(endpoint)
-        if names:
-            self.record.note_lost(instance, names, self._tenure.clock.now_s())
-            confirmed = _count_confirmed(endpoint)
+        instance, runs = endpoint.info.instance, _list_runs(endpoint)
+        if runs:
+            self.record.note_lost(instance, runs, self._tenure.clock.now_s())
             self._log(
                 "endpoint lost under tasks, crashed or cut off",
                 instance,
                 "unknown",
-                names,
-                confirmed_runs=confirmed,
-                unconfirmed_runs=len(names) - confirmed,
+                runs,
+                **_count_evidence(runs),
             )
 
     def note_answered(self, endpoint: EndpointState) -> None:
@@ -99,6 +101,15 @@
                 else:
                     self._note_crashed(former, None, RestartSign.LISTED)
 
+    def note_outcome(
+        self, endpoint: EndpointState, name: TaskName, *, may_have_begun: bool
+    ) -> None:
+        """Records the outcome of an order, which may have come after the endpoint was lost."""
+        instance = endpoint.info.instance
+        convicted = self.record.note_outcome(instance, name, may_have_begun=may_have_begun)
+        self._update_tasks(self.record.suspects(instance))
+        self._fail_jobs(convicted)
+
     def note_end(self, end: EndedRun) -> None:
         """Records the end of a run."""
         if end.kind in (EndKind.DONE, EndKind.FAILED):
@@ -115,22 +126,27 @@
     def _note_crashed(
         self, instance: EndpointInstance, endpoint: EndpointState | None, sign: RestartSign
     ) -> None:
-        names = _list_tasks(endpoint) if endpoint is not None else []
+        runs = _list_runs(endpoint) if endpoint is not None else {}
+        if sign.keeps_identifier and endpoint is not None:
+            # The new process may have carried out the orders of runs that weren't reported.
+            reported = {name for (name, _), run in endpoint.runs.items() if run.was_reported}
+            runs = {name: e if name in reported else Evidence.ORDERED for name, e in runs.items()}
         known = self.record.suspects(instance)
-        if not known.issuperset(names) or (known and not self.record.has_crashed(instance)):
-            confirmed = _count_confirmed(endpoint) if endpoint is not None else 0
+        if runs.keys() <= known.keys() and (not known or self.record.has_crashed(instance)):
+            return
+        convicted = self.record.note_crashed(instance, runs, self._tenure.clock.now_s())
+        suspects = self.record.suspects(instance)
+        if any(evidence > Evidence.ORDERED for evidence in suspects.values()):
             self._log(
                 "endpoint crashed under tasks",
                 instance,
                 "crash",
-                known.union(names),
+                suspects,
                 sign=sign.value,
-                confirmed_runs=confirmed,
-                unconfirmed_runs=len(names) - confirmed,
+                **_count_evidence(suspects),
             )
-            convicted = self.record.note_crashed(instance, names, self._tenure.clock.now_s())
-            self._update_tasks(known.union(names))
-            self._fail_jobs(convicted)
+        self._update_tasks(suspects)
+        self._fail_jobs(convicted)
 
     def _update_tasks(self, names: Iterable[TaskName]) -> None:
         """Applies the record to the tasks of open jobs."""
@@ -183,9 +199,15 @@
         )
 
 
-def _list_tasks(endpoint: EndpointState) -> list[TaskName]:
-    return [name for name, _ in endpoint.runs]
+def _list_runs(endpoint: EndpointState) -> dict[TaskName, Evidence]:
+    """Returns the tasks ordered at an endpoint, each with the best evidence of its runs."""
+    runs: dict[TaskName, Evidence] = {}
+    for (name, _), run in endpoint.runs.items():
+        runs[name] = max(run.evidence, runs.get(name, run.evidence))
+    return runs
 
 
-def _count_confirmed(endpoint: EndpointState) -> int:
-    return sum(run.confirmed_s < inf for run in endpoint.runs.values())
+def _count_evidence(runs: dict[TaskName, Evidence]) -> dict[str, int]:
+    """Returns the fields of a log line that tell how many runs had begun."""
+    begun = sum(evidence is Evidence.BEGUN for evidence in runs.values())
+    return {"begun_runs": begun, "other_runs": len(runs) - begun}
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -345,6 +345,7 @@
         """
         former, now_s = endpoint.info.instance, self._clock.now_s()
         instance = former._replace(born_ms=born_ms)
+        self._crash_watch.note_restarted(endpoint, RestartSign.REPORTED)
         unreported = [
             (key, endpoint_run)
             for key, endpoint_run in endpoint.runs.items()
@@ -361,7 +362,6 @@
             # The leases of the transferred runs, which its client doesn't know, began before now.
             successor.last_answer_s = max(successor.last_answer_s, now_s)
             self._wakeups[instance].set()
-        self._crash_watch.note_restarted(endpoint, RestartSign.REPORTED)
         self._remove_endpoint(endpoint, "its process was restarted")
 
     def _transfer_run(
@@ -432,9 +432,7 @@
         if task is not None and not endpoint_run.kind:
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
-        endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
-        endpoint_run.was_reported = True
-        endpoint_run.is_uncertain = False
+        endpoint_run.note_reported(now_s)
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
         if endpoint_run.is_orphan and self._may_have_orphans(endpoint, now_s):
             return  # its job may be submitted again
@@ -691,7 +689,7 @@
         endpoint_run = endpoint.runs.get((task.name, run))
         if outcome is StartOutcome.STARTED:
             if endpoint_run is not None:
-                endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
+                endpoint_run.note_confirmed(now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
                     task.status = TaskStatus.RUNNING
@@ -724,6 +722,8 @@
         if outcome is StartOutcome.FENCED_OFF:
             self._tenure.end("an endpoint has accepted a higher fence")
             return
+        may_have_begun = outcome is StartOutcome.UNKNOWN
+        self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=may_have_begun)
         if outcome is StartOutcome.UNKNOWN:
             if endpoint_run is not None and endpoint_run.confirmed_s == inf:
                 endpoint_run.is_uncertain = True
@@ -789,13 +789,14 @@
             for name, run in list(endpoint.runs):
                 if name.job_id != job.spec.job_id:
                     continue
-                endpoint.add_run(name, run, self._find_needs(name))
+                former = endpoint.add_run(name, run, self._find_needs(name))
                 task = self._job_table.find_task(name)
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
                     adopted.confirmed_s = now_s
                     adopted.was_reported = True
+                    adopted.has_begun = former.has_begun
                     self._neighbours.note_runs(endpoint, now_s)
                     self._job_table.note_running(task, endpoint.info.instance, run, now_s)
         if job.is_final:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -45,6 +45,8 @@
     :ivar cut_fences: calls with these fences get no answer and have no effect.
     :ivar lost_starts: number of the next starts that take effect but get no answer.
     :ivar late_starts: number of the next starts that take effect late and get no answer.
+    :ivar crashing_starts: number of the next starts that arrive as the process ends, and have no
+        effect and no answer.
     :ivar lost_calls: kinds of calls, ``"stop"`` and ``"renew"``, that have no effect and no answer.
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
@@ -74,6 +76,7 @@
     cut_fences: set = field(default_factory=set)
     lost_starts: int = 0
     late_starts: int = 0
+    crashing_starts: int = 0
     lost_calls: set = field(default_factory=set)
     late_by_s: float = 0.3
     fence: int = 0
--- a/tests/durable/jobs/crash_decisions.feature
+++ b/tests/durable/jobs/crash_decisions.feature
@@ -44,6 +44,33 @@
     And "e1" crashes under "a"
     Then no job is convicted
 
+  Scenario: crashes under runs that may not have begun convict only after four of them
+    When "e1" crashes under "a", which may not have begun
+    And "e2" crashes under "a", which may not have begun
+    And "e3" crashes under "a", which may not have begun
+    Then no job is convicted
+    And task "a" is to be tried "alone"
+    When "e4" crashes under "a", which may not have begun
+    Then job "a" is convicted
+
+  Scenario: crashes of endpoints whose orders have no outcome make no task suspect
+    When "e1" crashes under "a", whose order has no outcome
+    And "e2" crashes under "a", whose order has no outcome
+    Then no job is convicted
+    And task "a" is to be tried "usual"
+    When the order of "a" at "e1" may have been carried out
+    Then task "a" is to be tried "alone"
+    When the order of "a" at "e2" was not carried out
+    Then no job is convicted
+
+  Scenario: a task whose order has no outcome may be to blame in place of its neighbour
+    When "e1" crashes under "a"
+    And "e1" crashes under "b", whose order has no outcome
+    And "e2" crashes under "a"
+    Then no job is convicted
+    When the order of "b" at "e1" was not carried out
+    Then job "a" is convicted
+
   Scenario: a job stored by an earlier version has no crashes
     Given a stored job without a list of crashes
     Then it is decoded with no crashes
--- /dev/null
+++ b/tests/durable/orders/crash_evidence.feature
@@ -0,0 +1,31 @@
+Feature: An endpoint's crash counts only under tasks whose runs had begun there
+
+  Scenario: orders that another instance rejects don't fail a job that has never begun
+    Given a group of 4 endpoints whose runs take 0.1 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And all endpoints restart, and the list shows it after 0.5 s
+    And durable job "k" of 8 tasks is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And no crash has been counted
+    And 8 runs of job "k" were started
+
+  Scenario: endpoints that crash before they carry out an order don't fail its job
+    Given a group of 2 endpoints whose runs take 0.1 s
+    And each endpoint crashes before it carries out its first order, and is back after 1.6 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 9 s
+    And 2 endpoint processes have crashed
+
+  Scenario: runs of the new process aren't lost with the former one that the list shows as ended
+    Given a group of 2 endpoints whose runs take 0.6 s
+    When a holder with fence 16 takes over
+    And the answers to renewals are lost
+    And all endpoints restart, and the list shows it after 0.1 s
+    And durable job "k" of 2 tasks is submitted
+    And the list shows the new processes
+    And renewals are answered again
+    Then durable job "k" is shown as "completed" within 7 s
+    And no crash has been counted
+    And no task of job "k" ran twice at the same time
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -4,7 +4,7 @@
 from msgpack import packb, unpackb
 
 from berylproxy.durable.holding.records import decode_job, encode_job
-from berylproxy.durable.jobs.crashes import CrashRecord, Treatment
+from berylproxy.durable.jobs.crashes import CrashRecord, Evidence, Treatment
 from berylproxy.durable.jobs.models import (
     EndpointInstance,
     JobSpec,
@@ -18,6 +18,11 @@
 
 NOW_S = 100.0
 SEEDS = (1, 2, 3)
+EVIDENCE = {
+    "": Evidence.BEGUN,
+    ", which may not have begun": Evidence.POSSIBLE,
+    ", whose order has no outcome": Evidence.ORDERED,
+}
 LOADS = {
     "2 in 100 crashing jobs": {"deadly_share": 0.02},
     "2 in 100 crashing jobs, back after 6 s": {"deadly_share": 0.02, "down_s": 6.0},
@@ -34,6 +39,11 @@
     return [TaskName(job_id, 0, int(index or 0)) for job_id, _, index in pairs]
 
 
+def parse_runs(text: str, evidence: Evidence = Evidence.BEGUN) -> dict[TaskName, Evidence]:
+    """Parses names of tasks, and gives all of them the same evidence."""
+    return dict.fromkeys(parse_tasks(text), evidence)
+
+
 def get_record(context) -> CrashRecord:
     """Returns the record of the scenario."""
     if "crash_record" not in context:
@@ -44,16 +54,26 @@
 use_step_matcher("re")
 
 
-@when(r'"(?P<endpoint>\w+)" crashes under "(?P<names>[\w. ]+)"')
-def step_impl(context, endpoint, names):
-    instance = EndpointInstance(endpoint, 1)
-    convicted = get_record(context).note_crashed(instance, parse_tasks(names), NOW_S)
+@when(r'"(?P<endpoint>\w+)" crashes under "(?P<names>[\w. ]+)"(?P<detail>, .+)?')
+def step_impl(context, endpoint, names, detail):
+    instance, runs = EndpointInstance(endpoint, 1), parse_runs(names, EVIDENCE[detail or ""])
+    convicted = get_record(context).note_crashed(instance, runs, NOW_S)
     context.convicted += [name.job_id for name in convicted]
 
 
+@when(r'the order of "(?P<name>\w+)" at "(?P<endpoint>\w+)" (?P<outcome>may have been|was not) .+')
+def step_impl(context, name, endpoint, outcome):
+    convicted = get_record(context).note_outcome(
+        EndpointInstance(endpoint, 1),
+        *parse_tasks(name),
+        may_have_begun=outcome == "may have been",
+    )
+    context.convicted += [task.job_id for task in convicted]
+
+
 @when(r'"(?P<endpoint>\w+)" is lost under "(?P<names>[\w. ]+)"')
 def step_impl(context, endpoint, names):
-    get_record(context).note_lost(EndpointInstance(endpoint, 1), parse_tasks(names), NOW_S)
+    get_record(context).note_lost(EndpointInstance(endpoint, 1), parse_runs(names), NOW_S)
 
 
 @when(r'"(?P<endpoint>\w+)" answers again')
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -44,6 +44,38 @@
         endpoint.rejects_former = True
 
 
+@given(
+    r"each endpoint crashes before it carries out its first order, and is back after (?P<s>\S+) s"
+)
+def step_impl(context, s):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.crashing_starts, endpoint.down_s = 1, float(s)
+
+
+@when(r"the answers to renewals are lost")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = {"renew"}
+
+
+@when(r"the list shows the new processes")
+def step_impl(context):
+    world = context.holder_world
+
+    def is_listed():
+        listed = {info.instance for info in world.endpoint_list.endpoints}
+        known = world.holders[world.newest_fence].group.endpoints.keys()
+        return all(endpoint.info.instance in listed & known for endpoint in world.endpoints)
+
+    wait_for(is_listed, "the new processes in the list")
+
+
+@when(r"renewals are answered again")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = set()
+
+
 @when(r'the endpoint that runs job "(?P<name>\w+)" is cut off for (?P<cut_s>[\d.]+) s')
 def step_impl(context, name, cut_s):
     world = context.holder_world
@@ -86,3 +118,18 @@
     content, _ = telemetry.metrics.scrape(["text/plain"])
     found = [line for line in content.decode().splitlines() if f'cause="{cause}"' in line]
     assert sum(int(float(line.rpartition(" ")[2])) for line in found) == int(count), found
+
+
+@then(r"no crash has been counted")
+def step_impl(context):
+    assert not _count_lost_endpoints(context, "crash")
+
+
+def _count_lost_endpoints(context, outcome):
+    """Returns how many endpoints were lost under tasks in a way."""
+    world = context.holder_world
+    telemetry = world.holders[world.newest_fence].tenure.telemetry
+    content, _ = telemetry.metrics.scrape(["text/plain"])
+    name = 'berylproxy_endpoints_lost_under_tasks_total{outcome="' + outcome
+    lines = [line for line in content.decode().splitlines() if line.startswith(name)]
+    return sum(int(float(line.rpartition(" ")[2])) for line in lines)
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -12,7 +12,7 @@
     should_reserve,
 )
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.jobs.crashes import CrashRecord
+from berylproxy.durable.jobs.crashes import CrashRecord, Evidence
 from berylproxy.durable.jobs.job_table import JobTable, Task
 from berylproxy.durable.jobs.models import (
     EndedRun,
@@ -182,8 +182,8 @@
         self._schedule(self.now_s + self.down_s, self._return, endpoint, has_crashed)
 
     def _requeue(self, endpoint: EndpointState) -> None:
-        names = [name for name, _ in endpoint.runs]
-        self.record.note_lost(endpoint.info.instance, names, self.now_s)
+        runs = {name: Evidence.BEGUN for name, _ in endpoint.runs}
+        self.record.note_lost(endpoint.info.instance, runs, self.now_s)
         for name, run in list(endpoint.runs):
             endpoint.remove_run(name, run)
             task = self.job_table.find_task(name)
@@ -198,7 +198,7 @@
             return
         self.endpoints.remove(endpoint)
         self.endpoints.append(self._make_endpoint(instance.endpoint_id, instance.born_ms + 1))
-        self._convict(self.record.note_crashed(instance, [], self.now_s))
+        self._convict(self.record.note_crashed(instance, {}, self.now_s))
 
     def _convict(self, names: list[TaskName]) -> None:
         for name in names if self.is_decided else []:
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -33,9 +33,9 @@
 class FakeEndpointClient:
     """Implements a holder's client of a fake endpoint."""
 
-    def __init__(self, endpoint: RunnerModel) -> None:
+    def __init__(self, endpoint: RunnerModel, instance: EndpointInstance) -> None:
         self.endpoint = endpoint
-        self.instance = endpoint.info.instance
+        self.instance = instance
         self.renewals = 0
         self._lease_end_s = 0.0
 
@@ -57,6 +57,10 @@
             return StartOutcome.UNKNOWN
         if self._is_rejected():
             return StartOutcome.OTHER_INSTANCE
+        if endpoint.crashing_starts:
+            endpoint.crashing_starts -= 1
+            endpoint.crash()
+            return StartOutcome.UNKNOWN
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
@@ -144,9 +148,8 @@
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
-        endpoint_id = info.instance.endpoint_id
-        endpoint = next(e for e in self.endpoints if e.info.instance.endpoint_id == endpoint_id)
-        self.clients.append(FakeEndpointClient(endpoint))
+        endpoint = next(e for e in self.endpoints if e.info.address == info.address)
+        self.clients.append(FakeEndpointClient(endpoint, info.instance))
         return self.clients[-1]
 
 
