Don't take crashes stored without proof for crashes under begun runs

After an upgrade a durable job could be failed by the first crash under it: earlier versions have stored crashes under runs that had not begun, and the successor believed them.

Stored progress has begun_crashes beside crashes. Both are written with the same counts, so that earlier versions go on to read theirs; what only crashes holds counts as possible. If an earlier version rewrites the record, the proof is gone, and a task needs two more proven crashes.

Failed before: 'a crash that a former version has stored without proof doesn't fail a job' (failed in place of completed).

Other way: to ignore the counts of earlier versions; a task that crashes its endpoints would then take two more down than it does now.

--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -65,6 +65,10 @@
     crashes: int = 0
     blamed: int = 0
 
+    def without(self, other: "CrashCount") -> "CrashCount":
+        """Returns how many more crashes these are than others."""
+        return CrashCount(max(self.crashes - other.crashes, 0), max(self.blamed - other.blamed, 0))
+
 
 @dataclass(slots=True, eq=False)
 class Loss:
@@ -179,14 +183,16 @@
                 remaining.update(loss.suspects)
         return self._convict(remaining)
 
-    def restore(self, name: TaskName, count: CrashCount, now_s: float) -> None:
+    def restore(self, name: TaskName, count: CrashCount, evidence: Evidence, now_s: float) -> None:
         """Adds the crashes that a former holder has stored for a task."""
+        if not count.crashes:
+            return
         record = self._records.setdefault(name, TaskRecord())
         record.last_lost_s = now_s
         for number in range(count.crashes):
-            suspects = {name: Evidence.BEGUN}
+            suspects = {name: evidence}
             if number >= count.blamed:
-                suspects[UNKNOWN_TASK] = Evidence.BEGUN
+                suspects[UNKNOWN_TASK] = evidence
             record.losses.append(Loss(suspects, is_crash=True))
 
     def count(self, name: TaskName) -> CrashCount:
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -60,7 +60,10 @@
     :ivar progressed_s: monotonic time at which the newest run last made progress.
     :ivar failed_runs: numbers of the runs that have failed.
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
-    :ivar crash_count: crashes of endpoints that ran the task, unless a run has ended since.
+    :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
+        since.
+    :ivar unproven_crash_count: crashes that a former holder has stored without telling whether the
+        run had begun.
     :ivar saved: checkpoint that a run saved last.
     :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
     :ivar moves: how often a run was stopped because its endpoint had turned slow.
@@ -81,6 +84,7 @@
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
     crash_count: CrashCount = CrashCount()
+    unproven_crash_count: CrashCount = CrashCount()
     saved: str = ""
     distance_factor: float = 1.0
     moves: int = 0
@@ -158,12 +162,14 @@
 
         They must be in the store before endpoints may forget them.
         """
+        crashes = tuple(
+            (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
+        )
         return Progress(
             tuple(key for key, task in self.tasks.items() if task.status is TaskStatus.DONE),
             tuple((*key, run) for key, task in self.tasks.items() for run in task.failed_runs),
-            tuple(
-                (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
-            ),
+            crashes,  # for daemons of earlier versions
+            crashes,
         )
 
 
@@ -262,10 +268,14 @@
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.failed_runs.add(run)
-        for step_number, index, crashes, blamed in stored.progress.crashes:
+        for step_number, index, crashes, blamed in stored.progress.begun_crashes:
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.crash_count = CrashCount(crashes, blamed)
+        for step_number, index, crashes, blamed in stored.progress.crashes:
+            task = job.tasks.get((step_number, index))
+            if task is not None:
+                task.unproven_crash_count = CrashCount(crashes, blamed).without(task.crash_count)
         job.unfinished_tasks = sum(
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -238,13 +238,16 @@
 
     :param done: tasks that are done, as (step, index).
     :param failures: failed runs as (step, index, run).
-    :param crashes: crashes of endpoints that ran a task, as (step, index, crashes, those for which
-        no other job can be to blame); records of earlier versions have none.
+    :param crashes: crashes of endpoints at which a task was ordered, as (step, index, crashes,
+        those for which no other job can be to blame); earlier versions also count those under runs
+        that had not begun, or have none.
+    :param begun_crashes: those of them under runs that had begun; earlier versions have none.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     failures: tuple[tuple[int, int, int], ...] = ()
     crashes: tuple[tuple[int, int, int, int], ...] = ()
+    begun_crashes: tuple[tuple[int, int, int, int], ...] = ()
 
 
 class StoredJob(Struct, frozen=True):
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -120,8 +120,8 @@
     def restore(self, job: Job, now_s: float) -> None:
         """Takes over the crashes that a former holder has stored with a job."""
         for task in job.tasks.values():
-            if task.has_crashed:
-                self.record.restore(task.name, task.crash_count, now_s)
+            self.record.restore(task.name, task.crash_count, Evidence.BEGUN, now_s)
+            self.record.restore(task.name, task.unproven_crash_count, Evidence.POSSIBLE, now_s)
 
     def _note_crashed(
         self, instance: EndpointInstance, endpoint: EndpointState | None, sign: RestartSign
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -18,6 +18,15 @@
     Then durable job "k" is shown as "completed" within 9 s
     And 2 endpoint processes have crashed
 
+  Scenario: a crash that a former version has stored without proof doesn't fail a job
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And job "k" crashes the endpoints that start it, which are back after 1.6 s
+    And durable job "k" of 1 task was stored with 1 crash by an earlier version
+    When a holder with fence 16 takes over
+    And an endpoint process has crashed
+    And job "k" crashes no endpoints any more
+    Then durable job "k" is shown as "completed" within 9 s
+
   Scenario: runs of the new process aren't lost with the former one that the list shows as ended
     Given a group of 2 endpoints whose runs take 0.6 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -1,12 +1,15 @@
 """Steps for tasks that crash the endpoints that start them."""
 
-from time import monotonic, sleep
+from time import monotonic, sleep, time
 
 from anyio import sleep as anyio_sleep
 from behave import given, then, use_step_matcher, when
+from msgpack import packb, unpackb
 
-from berylproxy.durable.holding.records import decode_job, open_key
-from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP
+from berylproxy.durable.holding.records import decode_job, encode_job, open_key
+from berylproxy.durable.jobs.models import JobSpec, Progress, QueueTerms, StepSpec, StoredJob
+from berylproxy.store.port import Entry
+from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP, MAX_ATTEMPTS, TASK_NEEDS
 
 use_step_matcher("re")
 
@@ -97,6 +100,28 @@
     endpoint.cut_fences.clear()
 
 
+@given(r'durable job "(?P<name>\w+)" of 1 task was stored with 1 crash by an earlier version')
+def step_impl(context, name):
+    terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
+    spec = JobSpec(name, terms, "", (StepSpec(1, TASK_NEEDS, 0.1),))
+    progress = Progress(crashes=((0, 0, 1, 1),))
+    fields = unpackb(encode_job(StoredJob(spec, time(), progress)))
+    fields["progress"].pop("begun_crashes", None)
+    key = open_key(GROUP, name)
+    context.holder_world.store.entries[key] = Entry(key, packb(fields), 1)
+
+
+@when(r"an endpoint process has crashed")
+def step_impl(context):
+    wait_for(lambda: count_crashes(context), "a crash")
+
+
+@when(r'job "(?P<name>\w+)" crashes no endpoints any more')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.crashing_jobs.discard(name)
+
+
 @when(r'1 endpoint process has crashed and its crash is stored with job "(?P<name>\w+)"')
 def step_impl(context, name):
     def is_stored():
