Don't count orders that endpoints reject as failed runs

A job could be shown as failed although no run of it had failed as often as its queue allows: an order answered as invalid counted as a run that ended failed, together with those that did, and was stored as one. One endpoint that rejects what others carry out was enough.

Rejections are counted by themselves. The order is tried at other endpoints; the job fails when as many as it has attempts, two at least, or all that could run the task have rejected it. An endpoint that rejects the same task again gets no tasks for a while, so that an order isn't repeated without pause where nothing else has room.

Other way: never to fail such a job; it would be ordered until its endpoints take it, and its caller would never learn of it.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -221,7 +221,7 @@
         job
         for job in waiting_jobs
         if any(
-            _could_ever_fit(endpoint, task.step)
+            could_ever_fit(endpoint, task.step)
             for task in _first_waiting_tasks(job)
             for endpoint in usable
         )
@@ -247,7 +247,7 @@
         for task in list(job.waiting):
             if task.name.step in passed_steps:
                 continue
-            if not any(_could_ever_fit(endpoint, task.step) for endpoint in usable):
+            if not any(could_ever_fit(endpoint, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
                 passed_steps.add(task.name.step)
                 continue
@@ -440,7 +440,7 @@
             continue
         if endpoint.is_closed_to(job.spec.job_id):
             continue
-        if endpoint_id in task.failed_endpoint_ids or not _could_ever_fit(endpoint, task.step):
+        if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint, task.step):
             continue
         if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
             continue
@@ -473,7 +473,7 @@
     )
 
 
-def _could_ever_fit(endpoint: EndpointState, step: StepSpec) -> bool:
+def could_ever_fit(endpoint: EndpointState, step: StepSpec) -> bool:
     """Returns whether an endpoint could run a task of a step if it had no other tasks."""
     return _has_label(endpoint, step) and step.needs.fits(endpoint.info.capacity)
 
@@ -484,7 +484,7 @@
 
 def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
     """Returns how many tasks of a step fit into the free resources of an endpoint."""
-    if not _could_ever_fit(endpoint, step):
+    if not could_ever_fit(endpoint, step):
         return 0
     free_resources, needs = endpoint.free_resources, step.needs
     counts = [
--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -291,6 +291,11 @@
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether the endpoint is to get tasks again, if not now."""
+        return self.is_listed and not self.info.leaving and not self.is_evacuated
+
     def reason_not_serving(self, now_s: float) -> str:
         """Returns why the endpoint is not serving; empty if it is."""
         reasons = {
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -30,7 +30,7 @@
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
-UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
+MIN_REJECTIONS = 2  # one endpoint may be at fault itself
 
 
 class TaskStatus(Enum):
@@ -59,7 +59,10 @@
     :ivar started_s: monotonic time at which the newest run was ordered or first reported.
     :ivar progressed_s: monotonic time at which the newest run last made progress.
     :ivar failed_runs: numbers of the runs that have failed.
-    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
+    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed, or that have
+        rejected its orders.
+    :ivar rejections: number of orders that endpoints rejected as invalid.
+    :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
     :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
         since.
     :ivar unproven_crash_count: crashes that a former holder has stored without telling whether the
@@ -83,6 +86,8 @@
     progressed_s: float = 0.0
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
+    rejections: int = 0
+    rejecting_endpoint_ids: set[str] = field(default_factory=set)
     crash_count: CrashCount = CrashCount()
     unproven_crash_count: CrashCount = CrashCount()
     saved: str = ""
@@ -400,15 +405,33 @@
             task.failed_runs.add(end.run)
             task.failed_endpoint_ids.add(instance.endpoint_id)
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
-                is_listed = end.number > UNLISTED_END_NUMBER
-                self.fail(
-                    job, FailureCause.FAILED_RUNS if is_listed else FailureCause.REJECTED_ORDERS
-                )
+                self.fail(job, FailureCause.FAILED_RUNS)
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
+    def note_rejected(
+        self, task: Task, instance: EndpointInstance, *, has_untried_endpoint: bool
+    ) -> None:
+        """Applies the answer that an endpoint can't execute an order as given.
+
+        It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
+        when as many endpoints as it has attempts, or all of them, have rejected its orders.
+
+        :param has_untried_endpoint: whether an endpoint that hasn't rejected one could run it.
+        """
+        job = self.jobs[task.name.job_id]
+        needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
+        task.rejections += 1
+        task.rejecting_endpoint_ids.add(instance.endpoint_id)
+        task.failed_endpoint_ids.add(instance.endpoint_id)
+        is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
+        if task.rejections >= needed and (is_rejected_widely or not has_untried_endpoint):
+            self.fail(job, FailureCause.REJECTED_ORDERS)
+        else:
+            self.note_not_running(task)
+
     def fail(self, job: Job, cause: FailureCause) -> None:
         """Marks a job as failed; the caller must stop its active tasks."""
         job.state, job.failure_cause = JobState.FAILED, cause
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -8,14 +8,13 @@
 from msgspec.structs import replace
 
 from berylproxy.durable.decisions.moves import Move, MoveReason, plan_moves
-from berylproxy.durable.decisions.placement import should_reserve
+from berylproxy.durable.decisions.placement import could_ever_fit, should_reserve
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Suspicion
 from berylproxy.durable.jobs.job_table import (
     ACTIVE_STATUSES,
-    UNLISTED_END_NUMBER,
     Job,
     JobTable,
     Task,
@@ -750,18 +749,28 @@
     def _handle_rejected_order(
         self, task: Task, endpoint: EndpointState, run: int, now_s: float
     ) -> None:
-        """Counts an order that an endpoint rejects as invalid as a failed run.
-
-        The likely cause is the content of the job. Every other endpoint would reject it too, so
-        without the count the order would be repeated endlessly.
-        """
+        """Has an order that an endpoint rejects as invalid tried at other endpoints."""
+        instance = endpoint.info.instance
         endpoint.remove_run(task.name, run)
         self._neighbours.note_runs(endpoint, now_s)
-        if self._job_table.find_task(task.name) is None:
+        is_current = task.instance == instance and task.run == run
+        if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        end = EndedRun(UNLISTED_END_NUMBER, task.name, run, EndKind.FAILED, "")
-        self._record_failed_run(endpoint, task, end, now_s)
-        self._job_table.note_end(task, end, endpoint.info.instance)
+        is_quarantined = instance.endpoint_id in task.rejecting_endpoint_ids
+        if is_quarantined:
+            endpoint.quarantine(now_s)
+        elif not task.failed_endpoint_ids:
+            is_quarantined = endpoint.note_failure(now_s)
+        if is_quarantined:
+            self._tenure.telemetry.count("endpoint_closures", reason="rejections")
+        has_untried_endpoint = any(
+            other.is_staying
+            and could_ever_fit(other, task.step)
+            and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
+            for other in self.endpoints.values()
+            if other is not endpoint
+        )
+        self._job_table.note_rejected(task, instance, has_untried_endpoint=has_untried_endpoint)
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -54,6 +54,8 @@
     :ivar highest_runs: highest run number by task that was started or stopped; a start needs a
         higher one.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
+    :ivar rejections: number of orders that were rejected as malformed.
+    :ivar failing_runs: number of the next runs of a job that fail, by its identifier.
     :ivar changed: event that is set and replaced by a new one at each end of a run.
     :ivar on_event: called with each entry of the history.
     :ivar end_kinds_by_job: how the runs of a job end, by its identifier; done by default.
@@ -88,6 +90,8 @@
     history: list = field(default_factory=list)
     end_kinds_by_job: dict = field(default_factory=dict)
     rejected_jobs: set = field(default_factory=set)
+    rejections: int = 0
+    failing_runs: dict = field(default_factory=dict)
     changed: Event = field(default_factory=Event)
     on_event: Callable[[tuple], None] | None = None
     stop_time_s: float = 0.0
@@ -175,6 +179,9 @@
                 self.end(key, EndKind.LAPSED, self.lease_end_s)
             elif now_s >= run.ends_s:
                 kind = self.end_kinds_by_job.get(run.name.job_id, EndKind.DONE)
+                if self.failing_runs.get(run.name.job_id, 0):
+                    self.failing_runs[run.name.job_id] -= 1
+                    kind = EndKind.FAILED
                 self.end(key, kind, run.ends_s)
 
     def end(self, key: tuple, kind: EndKind, at_s: float) -> None:
@@ -196,6 +203,7 @@
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
         if order.name.job_id in self.rejected_jobs:
+            self.rejections += 1
             return StartOutcome.INVALID
         if (order.name, order.run) in self.running:
             return StartOutcome.STARTED
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -24,6 +24,23 @@
     And 0 runs of job "a" were started
     And no endpoint is quarantined
 
+  Scenario: orders that endpoints reject don't count as failed runs
+    Given a group of 4 endpoints whose runs take 0.02 s
+    And endpoints 1 and 2 reject every order of job "k"
+    And the first run of job "k" at each other endpoint fails
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 3 runs of job "k" were started
+
+  Scenario: a job whose orders the only endpoint rejects fails after all attempts
+    Given a group of 1 endpoint whose runs take 0.02 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    Then job "a" ends as "failed"
+    And endpoint 1 has rejected 3 orders
+
   Scenario: an order takes effect and its answer is lost
     Given a group of 1 endpoint whose runs take 0.3 s
     And the answers of the next 2 starts are lost
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -194,6 +194,24 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[:2]:
+        endpoint.rejected_jobs.add(name)
+
+
+@given(r'the first run of job "(?P<name>\w+)" at each other endpoint fails')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[2:]:
+        endpoint.failing_runs[name] = 1
+
+
+@then(r"endpoint 1 has rejected (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert rejections == int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
