Take a refusal for an unknown reason for a passing one

A start order refused with 409 and a reason that this version doesn't know was taken for an order that no endpoint can execute, and some of those failed the job. Nothing shows that its content is at fault. Such a refusal now pauses starts at the endpoint for a moment, as one for lack of room does; the task is ordered again. 'ticket' stays invalid: this version has no tickets to send.

Other way: to close the endpoint as after an unhealthy answer; if all orders of one queue are refused, that would close the whole group to the others.

--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -37,6 +37,7 @@
     TOO_LATE = "too_late"  # the order arrived after the end of the lease that it granted
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
+    REFUSED = "refused"  # for a reason that this version doesn't know
     INVALID = "invalid"  # the endpoint can't execute the order as given
     OTHER_INSTANCE = "other_life"
     NOT_SENT = "not_sent"
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -739,7 +739,7 @@
         if outcome is StartOutcome.INVALID:
             self._handle_rejected_order(task, endpoint, run, now_s)
             return
-        if outcome is StartOutcome.NO_ROOM:
+        if outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
             endpoint.note_no_room(now_s)
         elif outcome is not StartOutcome.RUN_TOO_OLD:
             endpoint.quarantine(now_s)
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -51,6 +51,7 @@
     "old": StartOutcome.RUN_TOO_OLD,
     "late": StartOutcome.TOO_LATE,
     "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.INVALID,
 }
 
 # Outcomes of a start order that hold whatever becomes of another copy of the order.
@@ -282,7 +283,7 @@
     if response.status in UNHEALTHY_STATUSES:
         return StartOutcome.UNHEALTHY
     if response.status == 409:
-        return REFUSALS.get(str(_decode_object(response).get("reason")), StartOutcome.INVALID)
+        return REFUSALS.get(str(_decode_object(response).get("reason")), StartOutcome.REFUSED)
     if response.status == 400:
         return StartOutcome.INVALID
     logger.warning(
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -54,6 +54,7 @@
     :ivar highest_runs: highest run number by task that was started or stopped; a start needs a
         higher one.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
+    :ivar refused_starts: number of the next starts that are refused for an unknown reason.
     :ivar rejections: number of orders that were rejected as malformed.
     :ivar failing_runs: number of the next runs of a job that fail, by its identifier.
     :ivar changed: event that is set and replaced by a new one at each end of a run.
@@ -90,6 +91,7 @@
     history: list = field(default_factory=list)
     end_kinds_by_job: dict = field(default_factory=dict)
     rejected_jobs: set = field(default_factory=set)
+    refused_starts: int = 0
     rejections: int = 0
     failing_runs: dict = field(default_factory=dict)
     changed: Event = field(default_factory=Event)
@@ -202,6 +204,9 @@
         if order.fence < self.fence:
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
+        if self.refused_starts:
+            self.refused_starts -= 1
+            return StartOutcome.REFUSED
         if order.name.job_id in self.rejected_jobs:
             self.rejections += 1
             return StartOutcome.INVALID
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -33,6 +33,14 @@
     Then durable job "k" is shown as "completed" within 7 s
     And 3 runs of job "k" were started
 
+  Scenario: orders that are refused for an unknown reason don't fail a job
+    Given a group of 2 endpoints whose runs take 0.02 s
+    And the next 3 orders at each endpoint are refused for an unknown reason
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 1 runs of job "k" were started
+
   Scenario: a job whose orders the only endpoint rejects fails after all attempts
     Given a group of 1 endpoint whose runs take 0.02 s
     And every order of job "a" is rejected
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -206,6 +206,12 @@
         endpoint.failing_runs[name] = 1
 
 
+@given(r"the next (?P<count>\d+) orders at each endpoint are refused for an unknown reason")
+def step_impl(context, count):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.refused_starts = int(count)
+
+
 @then(r"endpoint 1 has rejected (?P<count>\d+) orders")
 def step_impl(context, count):
     rejections = context.holder_world.endpoints[0].rejections
