Don't take an endpoint that may have left by plan for one that crashed

While the holder can't read the list of endpoints, it doesn't see which of them are leaving. One whose process then ended as planned, and whose address or identifier another process took, counted as a crash under its tasks; two such failed a job.

The end of a process now proves a crash under a begun run only if the list was read in the 1.5 s before the process showed that it was alive, or later: an endpoint that leaves is listed as leaving for longer than that. Else its runs are possible ones, with the higher thresholds.

Failed before: 'endpoints that may have left by plan while the list was unread don't fail a job' (failed in place of completed).

Other way: to count nothing while the list is unread; a task that crashes its endpoints would then go on through an outage of the store.

--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -18,6 +18,8 @@
 from berylproxy.durable.orders.tenure import Tenure
 
 MAX_LOGGED_TASKS = 20
+# An endpoint that leaves by plan is listed so for longer before its process ends.
+LEAVING_NOTICE_S = 1.5
 
 logger = Logger("berylproxy.durable.crash_watch")
 
@@ -39,6 +41,7 @@
 class CrashWatch:
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
+    :param list_read_s: returns the monotonic time at which the list of endpoints was last read.
     :param on_crash: called with each open job under whose tasks an endpoint has crashed.
     :param on_final: called with each job that fails because a task crashes its endpoints.
     :ivar record: the endpoints lost under tasks.
@@ -48,18 +51,20 @@
         self,
         tenure: Tenure,
         job_table: JobTable,
+        list_read_s: Callable[[], float],
         on_crash: Callable[[Job], None],
         on_final: Callable[[Job], None],
     ) -> None:
         self.record = CrashRecord()
         self._tenure = tenure
         self._job_table = job_table
+        self._list_read_s = list_read_s
         self._on_crash = on_crash
         self._on_final = on_final
 
     def note_lapsed(self, endpoint: EndpointState) -> None:
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
-        instance, runs = endpoint.info.instance, _list_runs(endpoint)
+        instance, runs = endpoint.info.instance, self._list_runs(endpoint)
         if runs:
             self.record.note_lost(instance, runs, self._tenure.clock.now_s())
             self._log(
@@ -126,7 +131,7 @@
     def _note_crashed(
         self, instance: EndpointInstance, endpoint: EndpointState | None, sign: RestartSign
     ) -> None:
-        runs = _list_runs(endpoint) if endpoint is not None else {}
+        runs = self._list_runs(endpoint) if endpoint is not None else {}
         if sign.keeps_identifier and endpoint is not None:
             # The new process may have carried out the orders of runs that weren't reported.
             reported = {name for (name, _), run in endpoint.runs.items() if run.was_reported}
@@ -148,6 +153,18 @@
         self._update_tasks(suspects)
         self._fail_jobs(convicted)
 
+    def _list_runs(self, endpoint: EndpointState) -> dict[TaskName, Evidence]:
+        """Returns the tasks ordered at an endpoint, each with the best evidence of its runs."""
+        confirmed_s = [run.confirmed_s for run in endpoint.runs.values() if run.has_begun]
+        alive_s = max([endpoint.last_answer_s, *confirmed_s])
+        # Without a recent list it isn't known whether the endpoint was about to leave.
+        is_listed_lately = self._list_read_s() >= alive_s - LEAVING_NOTICE_S
+        best = Evidence.BEGUN if is_listed_lately else Evidence.POSSIBLE
+        runs: dict[TaskName, Evidence] = {}
+        for (name, _), run in endpoint.runs.items():
+            runs[name] = max(min(run.evidence, best), runs.get(name, Evidence.ORDERED))
+        return runs
+
     def _update_tasks(self, names: Iterable[TaskName]) -> None:
         """Applies the record to the tasks of open jobs."""
         changed = {}
@@ -199,14 +216,6 @@
         )
 
 
-def _list_runs(endpoint: EndpointState) -> dict[TaskName, Evidence]:
-    """Returns the tasks ordered at an endpoint, each with the best evidence of its runs."""
-    runs: dict[TaskName, Evidence] = {}
-    for (name, _), run in endpoint.runs.items():
-        runs[name] = max(run.evidence, runs.get(name, run.evidence))
-    return runs
-
-
 def _count_evidence(runs: dict[TaskName, Evidence]) -> dict[str, int]:
     """Returns the fields of a log line that tell how many runs had begun."""
     begun = sum(evidence is Evidence.BEGUN for evidence in runs.values())
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -116,7 +116,9 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
-        self._crash_watch = CrashWatch(tenure, job_table, on_crash, on_final)
+        self._crash_watch = CrashWatch(
+            tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
+        )
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -27,6 +27,17 @@
     And job "k" crashes no endpoints any more
     Then durable job "k" is shown as "completed" within 9 s
 
+  Scenario: endpoints that may have left by plan while the list was unread don't fail a job
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And job "k" crashes the endpoints that start it, which are back after 1.6 s
+    When a holder with fence 16 takes over
+    And the list of endpoints can't be read any more
+    And 2 s have passed
+    And durable job "k" of 1 task is submitted
+    And 2 endpoint processes are lost and seen to have ended
+    And job "k" crashes no endpoints any more
+    Then durable job "k" is shown as "completed" within 9 s
+
   Scenario: runs of the new process aren't lost with the former one that the list shows as ended
     Given a group of 2 endpoints whose runs take 0.6 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -111,6 +111,11 @@
     context.holder_world.store.entries[key] = Entry(key, packb(fields), 1)
 
 
+@when(r"(?P<count>\d+) endpoint processes are lost and seen to have ended")
+def step_impl(context, count):
+    wait_for(lambda: _count_lost_endpoints(context, "crash") >= int(count), "crashes of endpoints")
+
+
 @when(r"an endpoint process has crashed")
 def step_impl(context):
     wait_for(lambda: count_crashes(context), "a crash")
