--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -21,6 +21,14 @@
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
+class FailureCause(StrEnum):
+    """Why a job has failed."""
+
+    FAILED_RUNS = "failed_runs"  # runs of a task ended by failing as often as its queue allows
+    REJECTED_ORDERS = "rejected_orders"
+    CRASHES = "crashes"  # a task crashes the endpoints that start it
+
+
 class EndKind(StrEnum):
     """How a run of a task ended."""
 
@@ -230,13 +238,16 @@
 
     :param done: tasks that are done, as (step, index).
     :param failures: failed runs as (step, index, run).
-    :param crashes: crashes of endpoints that ran a task, as (step, index, crashes, those for which
-        no other job can be to blame); records of earlier versions have none.
+    :param crashes: crashes of endpoints at which a task was ordered, as (step, index, crashes,
+        those for which no other job can be to blame); earlier versions also count those under runs
+        that had not begun, or have none.
+    :param begun_crashes: those of them under runs that had begun; earlier versions have none.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     failures: tuple[tuple[int, int, int], ...] = ()
     crashes: tuple[tuple[int, int, int, int], ...] = ()
+    begun_crashes: tuple[tuple[int, int, int, int], ...] = ()
 
 
 class StoredJob(Struct, frozen=True):
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -8,12 +8,18 @@
 from msgspec.structs import replace
 
 from berylproxy.durable.decisions.moves import Move, MoveReason, plan_moves
-from berylproxy.durable.decisions.placement import should_reserve
+from berylproxy.durable.decisions.placement import could_ever_fit, should_reserve
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Suspicion
-from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
+from berylproxy.durable.jobs.job_table import (
+    ACTIVE_STATUSES,
+    Job,
+    JobTable,
+    Task,
+    TaskStatus,
+)
 from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
@@ -38,7 +44,7 @@
 from berylproxy.durable.learning.response_times import renewal_wait_s
 from berylproxy.durable.learning.run_times import RunPace
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
-from berylproxy.durable.orders.crash_watch import CrashWatch
+from berylproxy.durable.orders.crash_watch import CrashWatch, RestartSign
 from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
@@ -58,7 +64,6 @@
 UNREACHABLE_GRACE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
-UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 logger = Logger("berylproxy.durable.group")
 
@@ -111,7 +116,9 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
-        self._crash_watch = CrashWatch(tenure, job_table, on_crash, on_final)
+        self._crash_watch = CrashWatch(
+            tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
+        )
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
@@ -237,7 +244,7 @@
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
             except OtherInstanceError:
-                self._crash_watch.note_restarted(endpoint)
+                self._crash_watch.note_restarted(endpoint, RestartSign.RENEWAL_REJECTED)
                 self._remove_endpoint(endpoint, "another instance answers at its address")
                 return
             except EndpointCallError as error:
@@ -339,6 +346,7 @@
         """
         former, now_s = endpoint.info.instance, self._clock.now_s()
         instance = former._replace(born_ms=born_ms)
+        self._crash_watch.note_restarted(endpoint, RestartSign.REPORTED)
         unreported = [
             (key, endpoint_run)
             for key, endpoint_run in endpoint.runs.items()
@@ -355,7 +363,6 @@
             # The leases of the transferred runs, which its client doesn't know, began before now.
             successor.last_answer_s = max(successor.last_answer_s, now_s)
             self._wakeups[instance].set()
-        self._crash_watch.note_restarted(endpoint)
         self._remove_endpoint(endpoint, "its process was restarted")
 
     def _transfer_run(
@@ -426,9 +433,7 @@
         if task is not None and not endpoint_run.kind:
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
-        endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
-        endpoint_run.was_reported = True
-        endpoint_run.is_uncertain = False
+        endpoint_run.note_reported(now_s)
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
         if endpoint_run.is_orphan and self._may_have_orphans(endpoint, now_s):
             return  # its job may be submitted again
@@ -685,7 +690,7 @@
         endpoint_run = endpoint.runs.get((task.name, run))
         if outcome is StartOutcome.STARTED:
             if endpoint_run is not None:
-                endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
+                endpoint_run.note_confirmed(now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
                     task.status = TaskStatus.RUNNING
@@ -718,6 +723,8 @@
         if outcome is StartOutcome.FENCED_OFF:
             self._tenure.end("an endpoint has accepted a higher fence")
             return
+        may_have_begun = outcome is StartOutcome.UNKNOWN
+        self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=may_have_begun)
         if outcome is StartOutcome.UNKNOWN:
             if endpoint_run is not None and endpoint_run.confirmed_s == inf:
                 endpoint_run.is_uncertain = True
@@ -728,13 +735,13 @@
             return
         if outcome is StartOutcome.OTHER_INSTANCE:
             self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
-            self._crash_watch.note_restarted(endpoint)
+            self._crash_watch.note_restarted(endpoint, RestartSign.ORDER_REJECTED)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
         if outcome is StartOutcome.INVALID:
             self._handle_rejected_order(task, endpoint, run, now_s)
             return
-        if outcome is StartOutcome.NO_ROOM:
+        if outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
             endpoint.note_no_room(now_s)
         elif outcome is not StartOutcome.RUN_TOO_OLD:
             endpoint.quarantine(now_s)
@@ -744,18 +751,28 @@
     def _handle_rejected_order(
         self, task: Task, endpoint: EndpointState, run: int, now_s: float
     ) -> None:
-        """Counts an order that an endpoint rejects as invalid as a failed run.
-
-        The likely cause is the content of the job. Every other endpoint would reject it too, so
-        without the count the order would be repeated endlessly.
-        """
+        """Has an order that an endpoint rejects as invalid tried at other endpoints."""
+        instance = endpoint.info.instance
         endpoint.remove_run(task.name, run)
         self._neighbours.note_runs(endpoint, now_s)
-        if self._job_table.find_task(task.name) is None:
+        is_current = task.instance == instance and task.run == run
+        if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        end = EndedRun(UNLISTED_END_NUMBER, task.name, run, EndKind.FAILED, "")
-        self._record_failed_run(endpoint, task, end, now_s)
-        self._job_table.note_end(task, end, endpoint.info.instance)
+        is_quarantined = instance.endpoint_id in task.rejecting_endpoint_ids
+        if is_quarantined:
+            endpoint.quarantine(now_s)
+        elif not task.failed_endpoint_ids:
+            is_quarantined = endpoint.note_failure(now_s)
+        if is_quarantined:
+            self._tenure.telemetry.count("endpoint_closures", reason="rejections")
+        has_untried_endpoint = any(
+            other.is_staying
+            and could_ever_fit(other, task.step)
+            and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
+            for other in self.endpoints.values()
+            if other is not endpoint
+        )
+        self._job_table.note_rejected(task, instance, has_untried_endpoint=has_untried_endpoint)
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
@@ -783,13 +800,14 @@
             for name, run in list(endpoint.runs):
                 if name.job_id != job.spec.job_id:
                     continue
-                endpoint.add_run(name, run, self._find_needs(name))
+                former = endpoint.add_run(name, run, self._find_needs(name))
                 task = self._job_table.find_task(name)
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
                     adopted.confirmed_s = now_s
                     adopted.was_reported = True
+                    adopted.has_begun = former.has_begun
                     self._neighbours.note_runs(endpoint, now_s)
                     self._job_table.note_running(task, endpoint.info.instance, run, now_s)
         if job.is_final:
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -1,12 +1,15 @@
 """Steps for tasks that crash the endpoints that start them."""
 
-from time import monotonic, sleep
+from time import monotonic, sleep, time
 
 from anyio import sleep as anyio_sleep
 from behave import given, then, use_step_matcher, when
+from msgpack import packb, unpackb
 
-from berylproxy.durable.holding.records import decode_job, open_key
-from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP
+from berylproxy.durable.holding.records import decode_job, encode_job, open_key
+from berylproxy.durable.jobs.models import JobSpec, Progress, QueueTerms, StepSpec, StoredJob
+from berylproxy.store.port import Entry
+from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP, MAX_ATTEMPTS, TASK_NEEDS
 
 use_step_matcher("re")
 
@@ -44,6 +47,38 @@
         endpoint.rejects_former = True
 
 
+@given(
+    r"each endpoint crashes before it carries out its first order, and is back after (?P<s>\S+) s"
+)
+def step_impl(context, s):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.crashing_starts, endpoint.down_s = 1, float(s)
+
+
+@when(r"the answers to renewals are lost")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = {"renew"}
+
+
+@when(r"the list shows the new processes")
+def step_impl(context):
+    world = context.holder_world
+
+    def is_listed():
+        listed = {info.instance for info in world.endpoint_list.endpoints}
+        known = world.holders[world.newest_fence].group.endpoints.keys()
+        return all(endpoint.info.instance in listed & known for endpoint in world.endpoints)
+
+    wait_for(is_listed, "the new processes in the list")
+
+
+@when(r"renewals are answered again")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = set()
+
+
 @when(r'the endpoint that runs job "(?P<name>\w+)" is cut off for (?P<cut_s>[\d.]+) s')
 def step_impl(context, name, cut_s):
     world = context.holder_world
@@ -65,6 +100,33 @@
     endpoint.cut_fences.clear()
 
 
+@given(r'durable job "(?P<name>\w+)" of 1 task was stored with 1 crash by an earlier version')
+def step_impl(context, name):
+    terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
+    spec = JobSpec(name, terms, "", (StepSpec(1, TASK_NEEDS, 0.1),))
+    progress = Progress(crashes=((0, 0, 1, 1),))
+    fields = unpackb(encode_job(StoredJob(spec, time(), progress)))
+    fields["progress"].pop("begun_crashes", None)
+    key = open_key(GROUP, name)
+    context.holder_world.store.entries[key] = Entry(key, packb(fields), 1)
+
+
+@when(r"(?P<count>\d+) endpoint processes are lost and seen to have ended")
+def step_impl(context, count):
+    wait_for(lambda: _count_lost_endpoints(context, "crash") >= int(count), "crashes of endpoints")
+
+
+@when(r"an endpoint process has crashed")
+def step_impl(context):
+    wait_for(lambda: count_crashes(context), "a crash")
+
+
+@when(r'job "(?P<name>\w+)" crashes no endpoints any more')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.crashing_jobs.discard(name)
+
+
 @when(r'1 endpoint process has crashed and its crash is stored with job "(?P<name>\w+)"')
 def step_impl(context, name):
     def is_stored():
@@ -77,3 +139,27 @@
 @then(r"(?P<count>\d+) endpoint processes have crashed")
 def step_impl(context, count):
     assert count_crashes(context) == int(count), count_crashes(context)
+
+
+@then(r'(?P<count>\d+) jobs? (?:has|have) failed because of "(?P<cause>\w+)"')
+def step_impl(context, count, cause):
+    world = context.holder_world
+    telemetry = world.holders[world.newest_fence].tenure.telemetry
+    content, _ = telemetry.metrics.scrape(["text/plain"])
+    found = [line for line in content.decode().splitlines() if f'cause="{cause}"' in line]
+    assert sum(int(float(line.rpartition(" ")[2])) for line in found) == int(count), found
+
+
+@then(r"no crash has been counted")
+def step_impl(context):
+    assert not _count_lost_endpoints(context, "crash")
+
+
+def _count_lost_endpoints(context, outcome):
+    """Returns how many endpoints were lost under tasks in a way."""
+    world = context.holder_world
+    telemetry = world.holders[world.newest_fence].tenure.telemetry
+    content, _ = telemetry.metrics.scrape(["text/plain"])
+    name = 'berylproxy_endpoints_lost_under_tasks_total{outcome="' + outcome
+    lines = [line for line in content.decode().splitlines() if line.startswith(name)]
+    return sum(int(float(line.rpartition(" ")[2])) for line in lines)
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -194,6 +194,30 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[:2]:
+        endpoint.rejected_jobs.add(name)
+
+
+@given(r'the first run of job "(?P<name>\w+)" at each other endpoint fails')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[2:]:
+        endpoint.failing_runs[name] = 1
+
+
+@given(r"the next (?P<count>\d+) orders at each endpoint are refused for an unknown reason")
+def step_impl(context, count):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.refused_starts = int(count)
+
+
+@then(r"endpoint 1 has rejected (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert rejections == int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
