Count each copy of a write before it is taken for refused

Cause: each copy of a transaction restored, when it was refused, what was known when it had been sent. If the first copy was refused after later ones were sent and lost, the ledger forgot those and said that nothing was written. Now each copy counts as possibly applied from its start until it is refused or finds a conflict, in whatever order the answers come.

The other user of copies, HttpClient.call with a Hedge, returns the first answer and says that there were copies (was_hedged); PlatformEndpoints.start then takes a refusal for unknown, and its other calls may be made twice. The store's client makes no copies of its own.

Other way: to stop sending copies once one is refused. The lost ones would still be unknown, and a store that is busy for a moment would fail writes.

--- a/berylproxy/durable/holding/ledger.py
+++ b/berylproxy/durable/holding/ledger.py
@@ -228,16 +228,22 @@
         self._in_flight = 0
         self._copy_ended = Event()
         self.answered = Event()
-        self._may_be_applied = False
+        self._without_refusal = 0
+
+    @property
+    def may_be_applied(self) -> bool:
+        """Whether any copy may have taken effect, or may do so later."""
+        return self._without_refusal > 0
 
     @property
     def has_certainly_failed(self) -> bool:
         """Whether all copies have ended and none can have taken effect."""
-        return not self._in_flight and not self._may_be_applied and not self.answered.is_set()
+        return not self._in_flight and not self.may_be_applied and not self.answered.is_set()
 
     def start(self, task_group: TaskGroup) -> None:
         """Sends another copy."""
         self._in_flight += 1
+        self._without_refusal += 1
         task_group.start_soon(self._run)
 
     async def wait_for_any_answer(self) -> None:
@@ -255,16 +261,16 @@
             raise StoreOutcomeUnknownError("no copy of the transaction was answered")
 
     async def _run(self) -> None:
-        was_possible, self._may_be_applied = self._may_be_applied, True  # stays so if cancelled
         try:
             await self._call()
             self.answered.set()
         except TransactionConflictError as error:
+            self._without_refusal -= 1
             if not self.answered.is_set():
                 self._error = error
             self.answered.set()
         except StoreUnavailableError:
-            self._may_be_applied = was_possible
+            self._without_refusal -= 1
         except StoreError as error:
             logger.debug("no answer to a copy of a transaction: {}", error.message)
         finally:
