Remember lost copies of a batch that is committed again without a conflict

Callers could get 503 for a durable job that is stored (REFUSED): its write goes with others in a batch, a copy of the batch is lost, another one finds a conflict of one change, and the batch without that change is refused. The ledger judged by the last transaction alone, although the lost copy of the first one may have been carried out before the conflict arose.

Each change now knows whether an earlier transaction with it may take effect; then a refusal is reported as unknown.

Evidence: the new scenario failed before (StoreUnavailableError) and passes.

--- a/berylproxy/durable/holding/ledger.py
+++ b/berylproxy/durable/holding/ledger.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from time import monotonic
 
 from anyio import Event, create_task_group, move_on_after
@@ -46,6 +47,7 @@
     :param absent: keys that must not exist for the change to be made.
     :param written: pairs of key and value.
     :param removed: keys to remove.
+    :ivar may_be_applied: whether an earlier transaction with the change may take effect.
     :ivar done: set once the change is committed or has failed.
     :ivar error: the reason of a failure; ``None`` if the change is committed.
     """
@@ -53,6 +55,7 @@
     absent: tuple[str, ...] = ()
     written: tuple[tuple[str, bytes], ...] = ()
     removed: tuple[str, ...] = ()
+    may_be_applied: bool = False
     done: Event = field(default_factory=Event)
     error: BerylproxyError | None = None
 
@@ -63,6 +66,8 @@
 
     def complete(self, error: BerylproxyError | None = None) -> None:
         """Marks the change as committed, or as failed with an error."""
+        if self.may_be_applied and isinstance(error, StoreUnavailableError):
+            error = StoreOutcomeUnknownError(f"an earlier copy was lost: {error.message}")
         self.error = error
         self.done.set()
 
@@ -148,9 +153,12 @@
         """Commits a batch; repeats that without the changes that caused a conflict."""
         while batch:
             started_s = monotonic()
+            call = _HedgedCall(partial(self._store.commit, self._make_transaction(batch)))
             try:
-                await self._commit_hedged(self._make_transaction(batch))
+                await self._commit_hedged(call)
             except TransactionConflictError as conflict:
+                for change in batch:
+                    change.may_be_applied |= call.may_be_applied
                 batch = self._reject_conflicting(batch, conflict)
                 continue
             except StoreError as error:
@@ -199,9 +207,8 @@
             return []
         return remaining
 
-    async def _commit_hedged(self, transaction: Transaction) -> None:
+    async def _commit_hedged(self, hedged_call: "_HedgedCall") -> None:
         """Commits a transaction, and sends further copies while no answer arrives in time."""
-        hedged_call = _HedgedCall(lambda: self._store.commit(transaction))
         hedge_s = max(FIRST_HEDGE_S, HEDGE_FACTOR * self._latency_s)
         async with create_task_group() as task_group:
             for _ in range(MAX_COPIES):
--- a/tests/durable/holding/lost_writes.feature
+++ b/tests/durable/holding/lost_writes.feature
@@ -20,3 +20,11 @@
     When a holder with fence 16 takes over
     And durable job "k" of 1 task is submitted
     Then it isn't known whether job "k" is stored
+
+  Scenario: a write is refused after a copy was lost and another found a conflict of its batch
+    Given a ledger whose claim is in force
+    And record "x" exists
+    And the first copy of the next write is lost and the second answered
+    And all 6 copies of the next write are refused
+    When record "a" is written as "1", and "b" as "1" if "x" doesn't exist
+    Then the ledger says that the write of "a" may have taken effect
--- a/tests/support/lost_writes.py
+++ b/tests/support/lost_writes.py
@@ -27,10 +27,11 @@
 
 
 class LossyJobStore(FakeJobStore):
-    """A job store of which each commit of an open job's record has a fate.
+    """A job store of which each write of an open job's record, or removal alone, has a fate.
 
     :ivar fates: fates of the next commits; later ones are answered.
     :ivar sent: all transactions that were sent.
+    :ivar was_sent: set once there is one.
     :ivar late: transactions that were lost and are yet to be carried out.
     """
 
@@ -38,13 +39,16 @@
         super().__init__()
         self.fates: deque[Fate] = deque()
         self.sent: list[Transaction] = []
+        self.was_sent = Event()
         self.late: list[Transaction] = []
         self._lost = Event()
 
     async def commit(self, transaction: Transaction) -> int:
         """Handles a commit by its fate."""
         self.sent.append(transaction)
-        has_fate = any(key.startswith(OPEN_PREFIX) for key, _ in transaction.written)
+        self.was_sent.set()
+        is_of_open_job = any(key.startswith(OPEN_PREFIX) for key, _ in transaction.written)
+        has_fate = is_of_open_job or bool(transaction.removed and not transaction.written)
         fate = self.fates.popleft() if has_fate and self.fates else Fate.ANSWERED
         if fate is Fate.REFUSED_AFTER_NEXT:
             await self._lost.wait()
