Write a holder's records over their newest revision only

Cause: the record of an open job was written by its acceptance and by each storing of its progress under one condition: the claim, and no outcome. So a copy of the first write whose answer was lost could be carried out seconds after the second and take the stored progress back. The holder works from memory and didn't notice; its successor loaded the old record. "Changes are idempotent" holds for one change and its copies, not for two states that are written under one condition.

Now the ledger knows the revision of each record that the tenure writes, from the load of the open jobs, its own commits and conflicts, and each transaction expects it. Once a write is committed, no copy of an earlier one can be. A conflict on the record tells that an earlier copy was carried out meanwhile, since nobody else writes under the claim: the ledger notes the revision and sends the batch again over it; the other changes of the batch go with it and the tenure goes on. Writes of one record are sent one after the other. The outcome of a job is the only value of its key in a tenure and keeps the claim as its condition.

Other ways: a growing number inside the record, which the store can't check; a read back after each unanswered write, which doesn't bind copies that are still in flight.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -238,6 +238,7 @@
                 continue
             for entry in entries:
                 after_key = entry.key
+                self._ledger.note_revision(entry.key, entry.revision)
                 self._load_job(entry.key, entry.value)
         self.is_loaded = True
         self.group.is_loading_jobs = False
--- a/berylproxy/durable/holding/ledger.py
+++ b/berylproxy/durable/holding/ledger.py
@@ -1,6 +1,6 @@
 """Commits a holder's changes to the store in batches, on condition that its claim is in force."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from time import monotonic
@@ -45,7 +45,9 @@
     """Writes and removals that belong together, as a part of a batch's transaction.
 
     :param absent: keys that must not exist for the change to be made.
-    :param written: pairs of key and value.
+    :param written: pairs of key and value; each is written over the key's newest revision only.
+    :param constant: pairs of key and value that are written whatever is there; during a tenure the
+        key gets no other value.
     :param removed: keys to remove.
     :ivar may_be_applied: whether an earlier transaction with the change may take effect.
     :ivar done: set once the change is committed or has failed.
@@ -54,6 +56,7 @@
 
     absent: tuple[str, ...] = ()
     written: tuple[tuple[str, bytes], ...] = ()
+    constant: tuple[tuple[str, bytes], ...] = ()
     removed: tuple[str, ...] = ()
     may_be_applied: bool = False
     done: Event = field(default_factory=Event)
@@ -62,7 +65,13 @@
     @property
     def size(self) -> int:
         """Number of entries that the change takes in a transaction."""
-        return len(self.absent) + len(self.written) + len(self.removed)
+        pairs = 2 * len(self.written) + len(self.constant)  # a written key's revision is expected
+        return len(self.absent) + pairs + len(self.removed)
+
+    @property
+    def keys(self) -> set[str]:
+        """The keys that the change writes or removes."""
+        return {*self.removed, *(key for key, _ in (*self.written, *self.constant))}
 
     def complete(self, error: BerylproxyError | None = None) -> None:
         """Marks the change as committed, or as failed with an error."""
@@ -77,8 +86,13 @@
 
     Every transaction expects the claim's revision, so that nothing is written once another daemon
     has replaced the claim. While some transactions are in flight, further changes queue up and are
-    committed together. Changes are idempotent: a transaction whose answer is late or lost is sent
-    again as a copy.
+    committed together.
+
+    A transaction whose answer is late or lost is sent again as a copy, and a lost copy may take
+    effect seconds later. So each transaction also expects the newest known revision of the keys
+    that it writes: once one is committed, no copy of an earlier one can take effect. A conflict
+    means that an earlier one did meanwhile, as nobody else writes under the claim; the transaction
+    is then sent again, over the revision that it made.
 
     :param claim: key and revision of the claim.
     :param on_confirmed: called after each commit with a monotonic time, before the commit, at which
@@ -96,8 +110,14 @@
         self._wakeup = Event()
         self._latency_s = 0.0
         self._unfinished: set[Change] = set()
+        self._revisions: dict[str, int] = {}
+        self._keys_in_flight: set[str] = set()
         self._has_ended = False
 
+    def note_revision(self, key: str, revision: int) -> None:
+        """Records the revision that a key had after the claim was made."""
+        self._revisions[key] = revision
+
     async def run(self) -> None:
         """Commits queued changes until cancelled; then fails those that are unfinished."""
         try:
@@ -105,9 +125,9 @@
                 while True:
                     await self._wakeup.wait()
                     self._wakeup = Event()
-                    while self._queue and self._in_flight < CONCURRENT_COMMITS:
+                    while self._in_flight < CONCURRENT_COMMITS and (batch := self._pop_batch()):
                         self._in_flight += 1
-                        task_group.start_soon(self._commit, self._pop_batch())
+                        task_group.start_soon(self._commit, batch)
         finally:
             self._has_ended = True
             for change in list(self._unfinished):
@@ -134,18 +154,29 @@
             raise change.error
 
     def _pop_batch(self) -> list[Change]:
-        """Removes as many changes from the queue as fit into one transaction."""
-        batch, size = [], 1  # the claim
-        while self._queue and size + self._queue[0].size <= self._store.max_entries:
-            change = self._queue.pop(0)
-            size += change.size
-            batch.append(change)
+        """Removes as many changes from the queue as fit into one transaction.
+
+        A change waits while an earlier one of the same key is in flight, so that the newest value
+        is committed last.
+        """
+        batch, size, taken = [], 1, set(self._keys_in_flight)  # the claim is one entry
+        for change in self._queue:
+            if size + change.size > self._store.max_entries:
+                break
+            if taken.isdisjoint(change.keys):
+                batch.append(change)
+                size += change.size
+            taken |= change.keys
+        if batch:
+            self._queue = [change for change in self._queue if change not in batch]
+            self._keys_in_flight |= _list_keys(batch)
         return batch
 
     async def _commit(self, batch: list[Change]) -> None:
         try:
             await self._commit_batch(batch)
         finally:
+            self._keys_in_flight -= _list_keys(batch)
             self._in_flight -= 1
             self._wakeup.set()
 
@@ -155,11 +186,11 @@
             started_s = monotonic()
             call = _HedgedCall(partial(self._store.commit, self._make_transaction(batch)))
             try:
-                await self._commit_hedged(call)
+                revision = await self._commit_hedged(call)
             except TransactionConflictError as conflict:
                 for change in batch:
                     change.may_be_applied |= call.may_be_applied
-                batch = self._reject_conflicting(batch, conflict)
+                batch = self._resolve_conflict(batch, conflict)
                 continue
             except StoreError as error:
                 for change in batch:
@@ -169,21 +200,26 @@
             self._latency_s += LATENCY_LEARNING_RATE * (took_s - self._latency_s)
             self._on_confirmed(started_s)
             for change in batch:
+                self._revisions |= {key: revision for key, _ in change.written}
+                for key in change.removed:
+                    self._revisions.pop(key, None)
                 change.complete()
             return
 
     def _make_transaction(self, batch: list[Change]) -> Transaction:
         absent = [(key, 0) for change in batch for key in change.absent]
+        written = [pair for change in batch for pair in change.written]
+        constant = [pair for change in batch for pair in change.constant]
         return Transaction(
-            (self._claim, *absent),
-            tuple(pair for change in batch for pair in change.written),
+            (self._claim, *absent, *((key, self._revisions.get(key, 0)) for key, _ in written)),
+            (*written, *constant),
             tuple(key for change in batch for key in change.removed),
         )
 
-    def _reject_conflicting(
+    def _resolve_conflict(
         self, batch: list[Change], conflict: TransactionConflictError
     ) -> list[Change]:
-        """Fails the changes that caused a conflict and returns the others, to be committed again.
+        """Fails the changes that can't be made, and returns the others, to be committed again.
 
         All changes fail if the claim has been replaced.
         """
@@ -193,22 +229,41 @@
             for change in batch:
                 change.complete(error)
             return []
-        remaining = []
+        remaining, is_explained = [], False
         for change in batch:
             if any(conflict.revisions.get(key) for key in change.absent):
                 change.complete(KeyExistsError("a key that must be absent exists"))
-            else:
-                remaining.append(change)
-        if len(remaining) == len(batch):
-            for change in batch:
-                change.complete(
-                    StoreUnavailableError("the store reports a conflict but no conflicting key")
-                )
-            return []
-        return remaining
+                is_explained = True
+                continue
+            remaining.append(change)
+            if self._learn_revisions(change, conflict.revisions):
+                change.may_be_applied = is_explained = True
+        if is_explained:
+            return remaining
+        for change in remaining:
+            change.complete(
+                StoreUnavailableError("the store reports a conflict but no conflicting key")
+            )
+        return []
+
+    def _learn_revisions(self, change: Change, revisions: Mapping[str, int]) -> bool:
+        """Learns the revisions of the keys that a change writes; returns whether any is new."""
+        has_new = False
+        for key, _ in change.written:
+            known, revision = self._revisions.get(key, 0), revisions.get(key, 0)
+            if revision == known:
+                continue
+            has_new = True
+            self._revisions[key] = revision
+            if known:
+                logger.info("{} was replaced: revision {}, not {}", key, revision, known)
+        return has_new
+
+    async def _commit_hedged(self, hedged_call: "_HedgedCall") -> int:
+        """Commits a transaction, and sends further copies while no answer arrives in time.
 
-    async def _commit_hedged(self, hedged_call: "_HedgedCall") -> None:
-        """Commits a transaction, and sends further copies while no answer arrives in time."""
+        :return: revision of the written keys.
+        """
         hedge_s = max(FIRST_HEDGE_S, HEDGE_FACTOR * self._latency_s)
         async with create_task_group() as task_group:
             for _ in range(MAX_COPIES):
@@ -220,7 +275,11 @@
             else:
                 await hedged_call.wait_for_any_answer()
             task_group.cancel_scope.cancel()
-        hedged_call.raise_for_error()
+        return hedged_call.result()
+
+
+def _list_keys(batch: list[Change]) -> set[str]:
+    return {key for change in batch for key in change.keys}
 
 
 class _HedgedCall:
@@ -231,7 +290,8 @@
 
     def __init__(self, call: Callable[[], Awaitable[int]]) -> None:
         self._call = call
-        self._error: StoreError | TransactionConflictError | None = None
+        self._result = 0
+        self._error: TransactionConflictError | None = None
         self._in_flight = 0
         self._copy_ended = Event()
         self.answered = Event()
@@ -258,18 +318,21 @@
         while self._in_flight and not self.answered.is_set():
             await self._copy_ended.wait()
 
-    def raise_for_error(self) -> None:
-        """Raises the error that the call ended with, if any."""
+    def result(self) -> int:
+        """Returns the result of the first copy that was answered, or raises its error."""
         if self._error is not None:
             raise self._error
         if not self.answered.is_set():
             if self.has_certainly_failed:
                 raise StoreUnavailableError("the store refused the call")
             raise StoreOutcomeUnknownError("no copy of the transaction was answered")
+        return self._result
 
     async def _run(self) -> None:
         try:
-            await self._call()
+            revision = await self._call()
+            if not self.answered.is_set():
+                self._result = revision
             self.answered.set()
         except TransactionConflictError as error:
             self._without_refusal -= 1
--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -121,13 +121,11 @@
     async def store(self, job: Job) -> None:
         """Stores a job's outcome, with retries until the tenure ends, and closes the job."""
         job_id = job.spec.job_id
-        written_and_removed = (
-            ((final_key(job_id), encode_final(job.state, time())),),
-            (open_key(self._tenure.group, job_id),),
-        )
+        constant = ((final_key(job_id), encode_final(job.state, time())),)
+        removed = (open_key(self._tenure.group, job_id),)
         while True:
             try:
-                await self._ledger.apply(Change((), *written_and_removed))
+                await self._ledger.apply(Change(constant=constant, removed=removed))
                 break
             except TenureLostError:
                 self._tenure.end("another daemon holds the claim")
--- a/tests/steps/durable_lost_writes_steps.py
+++ b/tests/steps/durable_lost_writes_steps.py
@@ -89,6 +89,16 @@
     context.plays.append(write_both)
 
 
+@when(r'record "a" is written as "1" and then as "2" at once')
+def step_impl(context):
+    async def write_both(world):
+        async with create_task_group() as task_group:
+            task_group.start_soon(world.write, "a", "1")
+            task_group.start_soon(world.write, "a", "2")
+
+    context.plays.append(write_both)
+
+
 @when(r'record "a" is written as "1", and as "2" once that has been sent')
 def step_impl(context):
     async def write_both(world):
@@ -141,6 +151,12 @@
     assert len(world.store.sent) - world.sent_before == int(count), world.store.sent
 
 
+@then(r"the store was sent (?P<count>\d+) transactions")
+def step_impl(context, count):
+    world = context.ledger_world
+    assert len(world.store.sent) == int(count), world.store.sent
+
+
 @then(r"no transaction was too large for the store")
 def step_impl(context):
     store = context.ledger_world.store
