Remove an expired outcome only at the revision that was read

Each holder removes outcomes of all groups after their retention time, and the transaction named the claim alone. A copy that was carried out late, or after another holder had removed the outcome and the same identifier had come again, removed a newer outcome: callers got 410 for a job that had ended, and a late copy of its acceptance would no longer be refused. The removal now expects the revision that was read.

Evidence: the new scenario failed before (the newer outcome was gone).

--- a/berylproxy/durable/holding/ledger.py
+++ b/berylproxy/durable/holding/ledger.py
@@ -40,11 +40,18 @@
     code = "already_there"
 
 
+class RecordChangedError(BerylproxyError):
+    """A key has another revision than a change expects; nothing was written."""
+
+    code = "record_changed"
+
+
 @dataclass(slots=True, eq=False)
 class Change:
     """Writes and removals that belong together, as a part of a batch's transaction.
 
     :param absent: keys that must not exist for the change to be made.
+    :param unchanged: keys with the revision that each must have for the change to be made.
     :param written: pairs of key and value; each is written over the key's newest revision only.
     :param constant: pairs of key and value that are written whatever is there; during a tenure the
         key gets no other value.
@@ -55,6 +62,7 @@
     """
 
     absent: tuple[str, ...] = ()
+    unchanged: tuple[tuple[str, int], ...] = ()
     written: tuple[tuple[str, bytes], ...] = ()
     constant: tuple[tuple[str, bytes], ...] = ()
     removed: tuple[str, ...] = ()
@@ -66,7 +74,7 @@
     def size(self) -> int:
         """Number of entries that the change takes in a transaction."""
         pairs = 2 * len(self.written) + len(self.constant)  # a written key's revision is expected
-        return len(self.absent) + pairs + len(self.removed)
+        return len(self.absent) + len(self.unchanged) + pairs + len(self.removed)
 
     @property
     def keys(self) -> set[str]:
@@ -137,6 +145,7 @@
         """Queues a change and returns once it is committed.
 
         :raises KeyExistsError: if one of the keys that must be absent exists.
+        :raises RecordChangedError: if one of the keys that must be unchanged has another revision.
         :raises StoreUnavailableError: if the change was certainly not committed.
         :raises StoreOutcomeUnknownError: if the change may have been committed.
         :raises TenureLostError: if the claim is no longer in force or the tenure has ended.
@@ -210,8 +219,10 @@
         absent = [(key, 0) for change in batch for key in change.absent]
         written = [pair for change in batch for pair in change.written]
         constant = [pair for change in batch for pair in change.constant]
+        unchanged = [pair for change in batch for pair in change.unchanged]
+        revisions = [(key, self._revisions.get(key, 0)) for key, _ in written]
         return Transaction(
-            (self._claim, *absent, *((key, self._revisions.get(key, 0)) for key, _ in written)),
+            (self._claim, *absent, *unchanged, *revisions),
             (*written, *constant),
             tuple(key for change in batch for key in change.removed),
         )
@@ -235,6 +246,10 @@
                 change.complete(KeyExistsError("a key that must be absent exists"))
                 is_explained = True
                 continue
+            if any(conflict.revisions.get(key, 0) != rev for key, rev in change.unchanged):
+                change.complete(RecordChangedError("a key has another revision than expected"))
+                is_explained = True
+                continue
             remaining.append(change)
             if self._learn_revisions(change, conflict.revisions):
                 change.may_be_applied = is_explained = True
--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -7,7 +7,13 @@
 from logbook import Logger
 
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.holding.ledger import Change, KeyExistsError, Ledger, TenureLostError
+from berylproxy.durable.holding.ledger import (
+    Change,
+    KeyExistsError,
+    Ledger,
+    RecordChangedError,
+    TenureLostError,
+)
 from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
     StoredValueError,
@@ -108,9 +114,16 @@
             for entry in entries:
                 after_key = entry.key
                 if self._is_expired(entry):
-                    await self._ledger.apply(Change(removed=(entry.key,)))
+                    await self._remove(entry)
             has_more = has_more and bool(entries)
 
+    async def _remove(self, entry: Entry) -> None:
+        unchanged = ((entry.key, entry.revision),)
+        try:
+            await self._ledger.apply(Change(unchanged=unchanged, removed=(entry.key,)))
+        except RecordChangedError:
+            logger.debug("the outcome at key {} was removed or replaced meanwhile", entry.key)
+
     def _is_expired(self, entry: Entry) -> bool:
         try:
             return is_final_expired(entry.value, time())
--- a/tests/durable/holding/lost_writes.feature
+++ b/tests/durable/holding/lost_writes.feature
@@ -104,3 +104,13 @@
     And a holder with fence 32 takes over
     And 0.5 s have passed
     Then no task of job "k" that was done has started again
+
+  Scenario: a late copy of the removal of an outcome doesn't remove a newer one
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And a store that loses answers
+    And the store holds the outcomes of jobs that ended 400 s ago
+    And the first copy of the next removal of an outcome is lost and the second answered
+    When a holder with fence 16 takes over and sweeps at once
+    And the outcome of the job that ended 400 s ago is stored anew
+    And the lost copies of the job's writes are carried out
+    Then the store holds the outcomes of jobs that ended 400 s ago
