Prevent a late first write of a job that is cancelled

What callers could see: a job's POST gets no final answer since the answers of the store are lost, a DELETE for it is answered 410, as the holder knows no such job, and then the lost write is carried out: the next holder runs the job (UNASKED). A GET in between said 410, too.

A holder already knows for which jobs it can't tell whether they are stored. For these, a cancel now stores the outcome `cancelled` and removes the open record in one transaction. The job's first write expects that no outcome is stored, so no copy of it can be carried out any more; submissions that come meanwhile wait for it. A question for the state is answered as not known in place of "no such job".

Other way: to answer the cancel as not known until the job is submitted again, which a caller that cancels doesn't do.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -410,7 +410,8 @@
         """Returns a job's state; empty if there is no such job.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
-        :raises StoreError: if the state has to be read from the store and the read fails.
+        :raises StoreError: if the state has to be read from the store and the read fails, or it is
+            not known whether the job is stored.
         """
         while job_id in self._pending_submissions:
             await self._pending_submissions[job_id].answered.wait()
@@ -423,6 +424,8 @@
             return state.value
         entry = await self._store.get(final_key(job_id))
         if entry is None:
+            if job_id in self._possibly_stored:
+                raise StoreOutcomeUnknownError("it is not known whether the job is stored")
             return ""
         state = decode_final(entry.value)
         self.job_table.remember_outcome(job_id, state)
@@ -435,6 +438,10 @@
 
         :raises BerylproxyError: if the cancellation may not be stored.
         """
+        while job_id in self._pending_submissions:
+            await self._pending_submissions[job_id].answered.wait()
+        if job_id in self._possibly_stored and not self.tenure.is_over:
+            await self._cancel_possibly_stored(job_id)
         state = await self.find_state(job_id)
         job = self.job_table.jobs.get(job_id)
         if job is None:
@@ -448,6 +455,26 @@
             raise TenureLostError("the tenure ended before the cancellation was certainly stored")
         return job.state.value
 
+    async def _cancel_possibly_stored(self, job_id: str) -> None:
+        """Stores the outcome of a job whose record may yet be stored, which this prevents."""
+        shared_reply = self._pending_submissions[job_id] = SharedReply()
+        self.tenure.spawn(self._store_cancellation, shared_reply, job_id)
+        await shared_reply.answered.wait()
+        if shared_reply.error is not None:
+            raise shared_reply.error
+
+    async def _store_cancellation(self, shared_reply: SharedReply, job_id: str) -> None:
+        """Stores the outcome, and answers the submissions that have come meanwhile."""
+        try:
+            await self._outcomes.store_cancellation(job_id)
+            self._possibly_stored.discard(job_id)
+            shared_reply.reply = JobSubmissionReply()
+        except (StoreError, TenureLostError) as error:
+            shared_reply.error = StoreOutcomeUnknownError(error.message)
+        finally:
+            self._pending_submissions.pop(job_id, None)
+            shared_reply.answered.set()
+
     def count_pending(self, queue: str) -> int:
         """Returns the number of a queue's open jobs of which no task has begun."""
         return self.job_table.count_pending(queue)
--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -24,7 +24,7 @@
     open_key,
 )
 from berylproxy.durable.jobs.job_table import Job, JobTable
-from berylproxy.durable.jobs.models import EndedRun, StoredJob
+from berylproxy.durable.jobs.models import EndedRun, JobState, StoredJob
 from berylproxy.durable.jobs.ports import JobStore
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.store.port import Entry, StoreError
@@ -151,6 +151,22 @@
             retained.endpoint.release_end(retained.number)
         self._stored_events.pop(job_id).set()
 
+    async def store_cancellation(self, job_id: str) -> None:
+        """Stores as cancelled a job that is not open; no effect if its outcome is stored already.
+
+        :raises StoreError: if that may not be stored.
+        :raises TenureLostError: if the tenure has ended.
+        """
+        change = Change(
+            absent=(final_key(job_id),),
+            constant=((final_key(job_id), encode_final(JobState.CANCELLED, time())),),
+            removed=(open_key(self._tenure.group, job_id),),
+        )
+        try:
+            await self._ledger.apply(change)
+        except KeyExistsError:
+            logger.debug("the outcome of job {} is stored already", job_id)
+
     def store_old_progress(self, now_s: float) -> None:
         """Starts storing progress that has changed, or whose ends are retained for too long.
 
--- a/tests/durable/holding/lost_writes.feature
+++ b/tests/durable/holding/lost_writes.feature
@@ -114,3 +114,38 @@
     And the outcome of the job that ended 400 s ago is stored anew
     And the lost copies of the job's writes are carried out
     Then the store holds the outcomes of jobs that ended 400 s ago
+
+  Scenario: a job whose first write was lost is cancelled before that is carried out
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And a store that loses answers
+    And all 6 copies of the job's first write are lost
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then it isn't known whether job "k" is stored
+    And a cancel of job "k" is answered with "cancelled"
+    When the lost copies of the job's writes are carried out
+    And a holder with fence 32 takes over
+    And 0.5 s have passed
+    Then 0 runs of job "k" were started
+
+  Scenario: a job whose first write was lost is carried out and then cancelled
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And a store that loses answers
+    And all 6 copies of the job's first write are lost
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then it isn't known whether job "k" is stored
+    When the lost copies of the job's writes are carried out
+    Then a cancel of job "k" is answered with "cancelled"
+    And the store holds the outcome of job "k" and not the job
+
+  Scenario: the state of a job whose first write was lost isn't known
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And a store that loses answers
+    And all 6 copies of the job's first write are lost
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then it isn't known whether job "k" is stored
+    And the state of job "k" isn't known
+    When durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 2 s
--- a/tests/steps/durable_lost_writes_steps.py
+++ b/tests/steps/durable_lost_writes_steps.py
@@ -200,6 +200,28 @@
     context.holder_world.store.fates.extend([Fate.LOST, Fate.ANSWERED])
 
 
+@given(r"all (?P<count>\d+) copies of the job's first write are lost")
+def step_impl(context, count):
+    context.holder_world.store.fates.extend([Fate.LOST] * int(count))
+
+
+@then(r'a cancel of job "(?P<name>\w+)" is answered with "(?P<state>\w+)"')
+def step_impl(context, name, state):
+    world = context.holder_world
+    answer = world.portal.call(world.holders[world.newest_fence].cancel, name)
+    assert answer == state, answer
+
+
+@then(r'the state of job "(?P<name>\w+)" isn\'t known')
+def step_impl(context, name):
+    world = context.holder_world
+    try:
+        state = world.portal.call(world.holders[world.newest_fence].find_state, name)
+    except StoreOutcomeUnknownError:
+        return
+    raise AssertionError(f"the state is {state!r}")
+
+
 @when(r"runs that start after the first (?P<count>\d+) take (?P<run_time_s>\d+) s")
 def step_impl(context, count, run_time_s):
     endpoint = context.holder_world.endpoints[0]
