Write a daemon's member record again until it is in the store

A daemon whose first write of its member record was refused (503) or lost was never listed as a member: it went on to renew the lease and took the record for written. The others then opened no streams to it and left it out when they counted who reaches whom. The write named no condition either, so that a late copy of a former process's write bound the record to a lease that ends, and the record vanished for good.

The record is now written until a write is answered, over the revision that was read, and again if a complete list lacks it, as after a late write of a daemon of an earlier version.

--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -35,17 +35,16 @@
     decode_configuration,
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.membership import OwnMemberRecord
 from berylproxy.platform.operator_watch import OperatorWatch
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
-from berylproxy.store.errors import StoreLeaseLapsedError
 from berylproxy.store.port import Entry, StoreError
 
 PEER_KEY_RECORD = ROOT + "peer-key"
 MEMBER_PREFIX = ROOT + "members/"
 PEER_KEY_BYTES = 32
-MEMBER_LEASE_S = 6.0  # a lost VM is removed from the list within this time
 MEMBER_RENEWAL_INTERVAL_S = 2.0
 MEMBER_LIST_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.1
@@ -248,35 +247,32 @@
 
     async def _maintain_membership(self) -> None:
         """Keeps this daemon in the store's list of members and connects to the others."""
-        lease_id, renewed_s = 0, 0.0
+        renewed_s = 0.0
         value = orjson.dumps(
             {
                 "peer_address": self._identity.peer_address,
                 "failure_domain": self._identity.failure_domain,
             }
         )
+        record = OwnMemberRecord(self._store, MEMBER_PREFIX + self._settings.daemon_id, value)
         while True:
             try:
-                if not self._is_stopping and monotonic() - renewed_s >= MEMBER_RENEWAL_INTERVAL_S:
-                    if not lease_id or not await self._store.renew_lease(lease_id):
-                        lease_id = await self._store.grant_lease(MEMBER_LEASE_S)
-                        key = MEMBER_PREFIX + self._settings.daemon_id
-                        await self._store.put_with_lease(key, value, lease_id)
+                is_due = monotonic() - renewed_s >= MEMBER_RENEWAL_INTERVAL_S
+                if is_due and not self._is_stopping and await record.renew():
                     renewed_s = monotonic()
-                await self._refresh_members()
+                await self._refresh_members(record)
                 await sleep(
                     MEMBER_LIST_INTERVAL_S if len(self._member_domains) > 1 else RETRY_DELAY_S
                 )
-            except StoreLeaseLapsedError:
-                lease_id = 0
             except StoreError as error:
                 logger.debug("the list of members is not available: {}", error.message)
                 await sleep(RETRY_DELAY_S)
 
-    async def _refresh_members(self) -> None:
+    async def _refresh_members(self, record: OwnMemberRecord) -> None:
         page = await self._store.read_page(
             MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1
         )
+        record.note_listed(page.entries, is_complete=not page.has_more)
         member_domains = {}
         for entry in page.entries:
             member = decode_member(entry)
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -90,13 +90,20 @@
             raise TransactionConflictError("a key has another revision", revisions)
         return int(_decode_object(self._require_success(response))["rev"])
 
-    async def put_with_lease(self, key: str, value: bytes, lease_id: int) -> None:
-        """Writes a key that is removed when the lease ends.
+    async def put_with_lease(
+        self, key: str, value: bytes, lease_id: int, expected_revision: int
+    ) -> None:
+        """Writes a key, if it has the expected revision, to be removed when the lease ends.
 
+        :raises TransactionConflictError: if the key has another revision.
         :raises StoreLeaseLapsedError: if the lease has ended.
         """
         row = {"key": key, "value": b64encode(value).decode(), "lease": lease_id}
-        response = await self._write("/-/kv-txn", {"expect": [], "set-keys": [row], "remove": []})
+        expected = {"key": key, "rev": expected_revision}
+        body = {"expect": [expected], "set-keys": [row], "remove": []}
+        response = await self._write("/-/kv-txn", body)
+        if response.status == 412:
+            raise TransactionConflictError("the key has another revision", {})
         if response.status == 404:
             raise StoreLeaseLapsedError("the lease has ended")
         self._require_success(response)
