Play random losses of writes against the ledger

Five seeds of 150 writes each, of which 35% are lost and may be carried out later, 30% refused and 20% of the rest carried out without an answer: what is stored never goes back, and what was reported as refused is never stored.

--- a/tests/durable/holding/lost_writes.feature
+++ b/tests/durable/holding/lost_writes.feature
@@ -149,3 +149,15 @@
     And the state of job "k" isn't known
     When durable job "k" of 1 task is submitted
     Then durable job "k" is shown as "completed" within 2 s
+
+  Scenario Outline: writes are lost, refused and carried out late at random
+    When 6 records are written 25 times each over a store that fails at random, by seed <seed>
+    Then no committed write was undone, and no refused write was carried out
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
--- a/tests/steps/durable_lost_writes_steps.py
+++ b/tests/steps/durable_lost_writes_steps.py
@@ -1,10 +1,13 @@
 """Steps for writes without an answer; those of the ledger alone are played in one loop."""
 
+from random import Random
 from time import monotonic, sleep, time
+from unittest.mock import patch
 
 from anyio import create_task_group, run
 from behave import given, then, use_step_matcher, when
 
+from berylproxy.durable.holding import ledger
 from berylproxy.durable.holding.records import (
     OPEN_PREFIX,
     claim_key,
@@ -15,7 +18,13 @@
 )
 from berylproxy.durable.jobs.models import EndKind, JobState
 from berylproxy.store.port import Entry, StoreOutcomeUnknownError, StoreUnavailableError
-from tests.support.lost_writes import GROUP, Fate, LedgerWorld, LossyJobStore
+from tests.support.lost_writes import (
+    GROUP,
+    Fate,
+    LedgerWorld,
+    LossyJobStore,
+    RandomJobStore,
+)
 
 MAX_COPIES = 6
 ANSWER_TIMEOUT_S = 10.0
@@ -177,6 +186,45 @@
     assert isinstance(error, StoreUnavailableError), repr(error)
 
 
+@when(
+    r"(?P<records>\d+) records are written (?P<times>\d+) times each over a store that fails at "
+    r"random, by seed (?P<seed>\d+)"
+)
+def step_impl(context, records, times, seed):
+    names = [f"r{number}" for number in range(int(records))]
+    world = context.ledger_world = LedgerWorld(RandomJobStore(Random(int(seed))))
+    context.committed, context.refused = set(), set()
+
+    async def write_often(name):
+        for number in range(int(times)):
+            key, value = OPEN_PREFIX + name, f"{number:04}"
+            await world.write(name, value)
+            if world.errors[name] is None:
+                context.committed.add((key, value))
+            elif isinstance(world.errors[name], StoreUnavailableError):
+                context.refused.add((key, value))
+
+    async def write_all(world):
+        async with create_task_group() as task_group:
+            for name in names:
+                task_group.start_soon(write_often, name)
+        await world.store.carry_out_late()
+
+    with patch.object(ledger, "FIRST_HEDGE_S", 0.002), patch.object(ledger, "HEDGE_FACTOR", 0.0):
+        run(world.run, [write_all])
+
+
+@then(r"no committed write was undone, and no refused write was carried out")
+def step_impl(context):
+    world = context.ledger_world
+    assert context.committed and context.refused, "the seed plays too little"
+    for key, values in world.store.history.items():
+        assert values == sorted(values), (key, values)
+    carried_out = {(k, v.decode()) for k, values in world.store.history.items() for v in values}
+    assert context.committed <= carried_out, context.committed - carried_out
+    assert not context.refused & carried_out, context.refused & carried_out
+
+
 @given(r"a store that loses answers")
 def step_impl(context):
     context.holder_world.store = LossyJobStore()
--- a/tests/support/lost_writes.py
+++ b/tests/support/lost_writes.py
@@ -1,8 +1,10 @@
 """A store that loses answers as told, and a ledger that writes to it."""
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import Enum, auto
+from random import Random
 
 from anyio import Event, create_task_group
 
@@ -15,6 +17,10 @@
 
 GROUP = "ledger"
 CLAIM_REVISION = 5
+REFUSED_SHARE = 0.3
+LOST_SHARE = 0.35
+LOST_ANSWER_SHARE = 0.2
+LATE_SHARE = 0.3
 
 
 class Fate(Enum):
@@ -69,14 +75,56 @@
                 continue
 
 
+class RandomJobStore(FakeJobStore):
+    """A job store that refuses and loses writes at random, and carries lost ones out later.
+
+    :ivar history: values by key, in the order in which they were written.
+    """
+
+    def __init__(self, random: Random) -> None:
+        super().__init__()
+        self.history: defaultdict[str, list[bytes]] = defaultdict(list)
+        self._random = random
+        self._late: list[Transaction] = []
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Handles a commit, and perhaps carries out a lost one before."""
+        if self._late and self._random.random() < LATE_SHARE:
+            late = self._late.pop(self._random.randrange(len(self._late)))
+            with suppress(TransactionConflictError):
+                await self._carry_out(late)
+        fate = self._random.random()
+        if fate < REFUSED_SHARE:
+            raise StoreUnavailableError("refused")
+        if fate < REFUSED_SHARE + LOST_SHARE:
+            self._late.append(transaction)
+            raise StoreOutcomeUnknownError("no answer")
+        revision = await self._carry_out(transaction)
+        if self._random.random() < LOST_ANSWER_SHARE:
+            raise StoreOutcomeUnknownError("no answer")
+        return revision
+
+    async def carry_out_late(self) -> None:
+        """Carries out all lost transactions whose condition still holds."""
+        for late in self._late:
+            with suppress(TransactionConflictError):
+                await self._carry_out(late)
+
+    async def _carry_out(self, transaction: Transaction) -> int:
+        revision = await super().commit(transaction)
+        for key, value in transaction.written:
+            self.history[key].append(value)
+        return revision
+
+
 class LedgerWorld:
     """A ledger under a claim that is in force.
 
     :ivar errors: error by name of a written record; ``None`` if its change was committed.
     """
 
-    def __init__(self) -> None:
-        self.store = LossyJobStore()
+    def __init__(self, store: FakeJobStore | None = None) -> None:
+        self.store = store or LossyJobStore()
         claim = claim_key(GROUP)
         self.store.entries[claim] = Entry(claim, b"", CLAIM_REVISION)
         self.ledger = Ledger(self.store, (claim, CLAIM_REVISION), lambda confirmed_s: None)
