--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -7,7 +7,13 @@
 from logbook import Logger
 
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.holding.ledger import Change, KeyExistsError, Ledger, TenureLostError
+from berylproxy.durable.holding.ledger import (
+    Change,
+    KeyExistsError,
+    Ledger,
+    RecordChangedError,
+    TenureLostError,
+)
 from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
     StoredValueError,
@@ -18,7 +24,7 @@
     open_key,
 )
 from berylproxy.durable.jobs.job_table import Job, JobTable
-from berylproxy.durable.jobs.models import EndedRun, StoredJob
+from berylproxy.durable.jobs.models import EndedRun, JobState, StoredJob
 from berylproxy.durable.jobs.ports import JobStore
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.store.port import Entry, StoreError
@@ -108,9 +114,16 @@
             for entry in entries:
                 after_key = entry.key
                 if self._is_expired(entry):
-                    await self._ledger.apply(Change(removed=(entry.key,)))
+                    await self._remove(entry)
             has_more = has_more and bool(entries)
 
+    async def _remove(self, entry: Entry) -> None:
+        unchanged = ((entry.key, entry.revision),)
+        try:
+            await self._ledger.apply(Change(unchanged=unchanged, removed=(entry.key,)))
+        except RecordChangedError:
+            logger.debug("the outcome at key {} was removed or replaced meanwhile", entry.key)
+
     def _is_expired(self, entry: Entry) -> bool:
         try:
             return is_final_expired(entry.value, time())
@@ -121,13 +134,11 @@
     async def store(self, job: Job) -> None:
         """Stores a job's outcome, with retries until the tenure ends, and closes the job."""
         job_id = job.spec.job_id
-        written_and_removed = (
-            ((final_key(job_id), encode_final(job.state, time())),),
-            (open_key(self._tenure.group, job_id),),
-        )
+        constant = ((final_key(job_id), encode_final(job.state, time())),)
+        removed = (open_key(self._tenure.group, job_id),)
         while True:
             try:
-                await self._ledger.apply(Change((), *written_and_removed))
+                await self._ledger.apply(Change(constant=constant, removed=removed))
                 break
             except TenureLostError:
                 self._tenure.end("another daemon holds the claim")
@@ -140,6 +151,22 @@
             retained.endpoint.release_end(retained.number)
         self._stored_events.pop(job_id).set()
 
+    async def store_cancellation(self, job_id: str) -> None:
+        """Stores as cancelled a job that is not open; no effect if its outcome is stored already.
+
+        :raises StoreError: if that may not be stored.
+        :raises TenureLostError: if the tenure has ended.
+        """
+        change = Change(
+            absent=(final_key(job_id),),
+            constant=((final_key(job_id), encode_final(JobState.CANCELLED, time())),),
+            removed=(open_key(self._tenure.group, job_id),),
+        )
+        try:
+            await self._ledger.apply(change)
+        except KeyExistsError:
+            logger.debug("the outcome of job {} is stored already", job_id)
+
     def store_old_progress(self, now_s: float) -> None:
         """Starts storing progress that has changed, or whose ends are retained for too long.
 
