Let only a holder that has loaded its open jobs end what is left of others

Cause: a task's name doesn't tell whether its job is durable. A provisional holder never loads the open jobs, and the flag `is_loading_jobs` was false for it, as for a holder that has loaded them. So it took their ends and runs for those of best-effort jobs that nobody had submitted again: after 0.2 s it let endpoints forget the ends and stopped the runs. The next holder with a claim found neither.

Now ends of jobs that aren't open here are released, and their runs stopped, by an `OrphanClearance` only, which is made from a `LoadedClaim`: a holder has one once it has loaded the open jobs under its claim. Jobs whose records can't be decoded are left out of it, too. Before, ends stay and the runs lapse within a second, as leases of endpoints with unknown runs aren't extended. A job that this holder has had itself is settled by its own state: best-effort ends go at once, also after the job is closed. Under a claim the grace of 0.2 s is as before. A holder that suspends its durable jobs no longer orders their runs to stop (the orders were cancelled with the tenure).

Other ways: to read the claim's jobs from a peer (the peers may be cut off, too); to stop unknown runs but keep their ends (stops what a holder with a claim would adopt); a flag of three states (nothing keeps a new call from ignoring it).

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -64,6 +64,7 @@
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
+from berylproxy.durable.orders.orphans import LoadedClaim
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
@@ -153,7 +154,7 @@
         tenure = Tenure(group, fence, claim_revision, context.clock, context.telemetry)
         self.tenure = tenure
         self.job_table = JobTable(model)
-        self.is_loaded = False
+        self._loaded_claim: LoadedClaim | None = None
         self.is_leaving = False
         self.admission = Admission(self.job_table, model)
         self._was_scarce = False
@@ -180,7 +181,6 @@
             lambda job: self._outcomes.note_progress(job),
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
-        self.group.is_loading_jobs = claim_revision > 0
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
         self._log = JobLog(tenure, self.job_table)
@@ -224,9 +224,15 @@
             self._best_effort_jobs.release_callers()
             await self.group.close()
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the open durable jobs are loaded."""
+        return self._loaded_claim is not None
+
     async def _load_jobs(self) -> None:
         """Loads the open jobs from the store; retries until the store answers."""
         after_key, has_more = "", True
+        unreadable: set[str] = set()
         while has_more:
             try:
                 entries, has_more = await self._store.list_page(
@@ -238,10 +244,10 @@
                 continue
             for entry in entries:
                 after_key = entry.key
-                self._load_job(entry.key, entry.value)
-        self.is_loaded = True
-        self.group.is_loading_jobs = False
-        self.group.changed.set()
+                if not self._load_job(entry.key, entry.value):
+                    unreadable.add(entry.key.removeprefix(open_prefix(self.tenure.group)))
+        self._loaded_claim = LoadedClaim(self.tenure.claim_revision, frozenset(unreadable))
+        self.group.clear_orphans(self._loaded_claim)
         logger.info(
             "holder of {}: {} open jobs loaded",
             self.tenure.group,
@@ -249,15 +255,15 @@
             extra=self.tenure.extra(),
         )
 
-    def _load_job(self, key: str, value: bytes) -> None:
-        """Adds a stored open job to the job table; skips one that cannot be decoded."""
+    def _load_job(self, key: str, value: bytes) -> bool:
+        """Adds a stored open job to the job table; returns whether its record can be decoded."""
         try:
             stored = decode_job(value)
         except StoredValueError as error:
             logger.error(
                 "open job {} skipped, its stored record cannot be decoded: {}", key, error.message
             )
-            return
+            return False
         now_s = self._clock.now_s()
         age_s = max(time() - stored.accepted_unix_s, 0.0)
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
@@ -266,6 +272,7 @@
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
             self._unresolved.append(UnresolvedJob(job, now_s, 0))
+        return True
 
     async def submit(self, message: JobSubmission, entry: str) -> JobSubmissionReply:
         """Accepts or refuses a job.
@@ -631,9 +638,9 @@
                 logger.debug("learned run times not stored: {}", error.message)
 
     def _suspend_durable_jobs(self, age_s: float) -> None:
-        """Stops the open durable jobs and ends the tenure; has no effect without such jobs.
+        """Ends the tenure; has no effect without durable jobs.
 
-        Another holder may be running the jobs.
+        Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
         durable_jobs = [
             job for job in self.job_table.jobs.values() if job.spec.is_durable and not job.is_final
@@ -642,5 +649,4 @@
             return
         for job in durable_jobs:
             logger.info("durable job suspended", extra=self.tenure.extra(job=job.spec.job_id))
-            self.group.stop_all_runs(job)
         self.tenure.end(f"the store has not confirmed the claim for {age_s:.1f} s")
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -39,6 +39,7 @@
 from berylproxy.durable.learning.run_times import RunPace
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
 from berylproxy.durable.orders.crash_watch import CrashWatch
+from berylproxy.durable.orders.orphans import LoadedClaim, OrphanClearance, OrphanEnds
 from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
@@ -51,7 +52,6 @@
 RETRY_PAUSE_S = 0.05
 FIRST_LIST_TIMEOUT_S = 0.3  # the store answers within some 10 ms unless it is slow or down
 FIRST_CONTACT_TIMEOUT_S = 0.4  # endpoints answer within some 4 ms; those that are cut off never do
-ORPHAN_GRACE_S = 0.2  # time in which entry daemons submit unfinished jobs again
 # 1 s without a message from an entry daemon, a renewal's wait and a margin. A holder that is cut
 # off from an endpoint has by then dropped the jobs of entry daemons on the other side of the
 # partition, which may have submitted them to another holder.
@@ -74,8 +74,6 @@
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
     :param on_crash: called with a job under whose tasks an endpoint has crashed.
-    :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
-        ends of unknown jobs may belong to them.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
         is silent.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
@@ -98,7 +96,6 @@
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
-        self.is_loading_jobs = False
         self.has_read_list = False
         self._tenure = tenure
         self._clock = tenure.clock
@@ -118,7 +115,8 @@
         self._clients: dict[EndpointInstance, EndpointClient] = {}
         self._wakeups: dict[EndpointInstance, Event] = {}
         self._unlisted_from_s: dict[EndpointInstance, float] = {}
-        self._orphan_ends: list[tuple[EndpointState, int]] = []
+        self._orphan_ends = OrphanEnds()
+        self._clearance: OrphanClearance | None = None
         self._list_read_s = tenure.began_s
 
     async def follow_directory(self) -> None:
@@ -418,7 +416,7 @@
     def _apply_running_task(
         self, endpoint: EndpointState, running: RunningTask, now_s: float
     ) -> None:
-        """Applies a reported run: adopts, stops or leaves it, as its job may be submitted again."""
+        """Applies a reported run: adopts, stops or leaves it, as its job may be wanted."""
         instance = endpoint.info.instance
         task = self._job_table.find_task(running.name)
         needs = self._find_needs(running.name)
@@ -430,10 +428,12 @@
         endpoint_run.was_reported = True
         endpoint_run.is_uncertain = False
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
-        if endpoint_run.is_orphan and self._may_have_orphans(endpoint, now_s):
-            return  # its job may be submitted again
+        if endpoint_run.is_orphan and self._job_table.state(running.name.job_id) is None:
+            if self._clearance is not None:
+                self._clearance.stop_run(endpoint, running.name, running.run, now_s)
+            return
         if task is None or not self._may_adopt(task, instance, running.run):
-            self.stop_soon(endpoint, running.name, running.run)
+            self._stop_soon(endpoint, running.name, running.run)
             return
         self._job_table.note_running(task, instance, running.run, now_s)
         task.saved = running.saved or task.saved
@@ -471,12 +471,12 @@
         self._crash_watch.note_end(end)
         task = self._job_table.find_task(end.name)
         job = self._job_table.jobs.get(end.name.job_id)
-        if job is None and self._may_have_orphans(endpoint, now_s):
-            self._orphan_ends.append((endpoint, end.number))
-        elif job is None or not job.spec.is_durable:
-            endpoint.release_end(end.number)
-        else:
+        if job is not None and job.spec.is_durable:
             self._on_end(endpoint, end)
+        elif self._job_table.state(end.name.job_id) is not None:
+            endpoint.release_end(end.number)  # best-effort, or closed with its outcome stored
+        else:
+            self._keep_orphan_end(endpoint, end, now_s)
         if task is None or job is None:
             return
         is_current_run = task.instance == endpoint.info.instance and task.run == end.run
@@ -498,6 +498,11 @@
         if job.is_final:
             self._on_final(job)
 
+    def _keep_orphan_end(self, endpoint: EndpointState, end: EndedRun, now_s: float) -> None:
+        """Keeps the end of a job that isn't open, unless nobody can want it any more."""
+        if self._clearance is None or not self._clearance.release_end(endpoint, end, now_s):
+            self._orphan_ends.add(endpoint, end)
+
     def _learn_run_time(
         self,
         task: Task,
@@ -593,7 +598,7 @@
                 except EndpointCallError as error:
                     logger.debug("a request to stop a run was not answered: {}", error.message)
 
-    def stop_soon(self, endpoint: EndpointState, name: TaskName, run: int) -> None:
+    def _stop_soon(self, endpoint: EndpointState, name: TaskName, run: int) -> None:
         """Starts to stop a run in the background."""
         self._tenure.spawn(self._stop, endpoint, name, run)
 
@@ -690,7 +695,7 @@
                 if is_current and task.status is TaskStatus.STARTING:
                     task.status = TaskStatus.RUNNING
                 if self._job_table.find_task(task.name) is None:
-                    self.stop_soon(endpoint, task.name, run)
+                    self._stop_soon(endpoint, task.name, run)
             self._wakeups[instance].set()
             return
         logger.info(
@@ -761,19 +766,18 @@
             self._on_final(job)
         self.changed.set()
 
-    def _may_have_orphans(self, endpoint: EndpointState, now_s: float) -> bool:
-        """Returns whether jobs that a former holder ran on an endpoint may become known yet.
-
-        Best-effort jobs may be submitted again, and durable ones may not be loaded yet.
-        """
-        if self.is_loading_jobs:
-            return True
-        return endpoint.contacted_s is None or now_s - endpoint.contacted_s < ORPHAN_GRACE_S
+    def clear_orphans(self, claim: LoadedClaim) -> None:
+        """Begins to end what endpoints keep of jobs that nobody wants any more."""
+        self._clearance = OrphanClearance(claim, self._orphan_ends, self._stop_soon)
+        self.changed.set()
 
     def adopt_orphans(self, job: Job, now_s: float) -> None:
         """Applies the runs and ends of a former holder that endpoints have reported for a job."""
-        if job.spec.is_durable:
-            self._retain_orphan_ends(job)
+        for endpoint, end in self._orphan_ends.take(job.spec.job_id):
+            if job.spec.is_durable:
+                self._on_end(endpoint, end)
+            else:
+                endpoint.release_end(end.number)
         for endpoint in self.endpoints.values():
             for end in list(endpoint.ends.values()):
                 if end.name.job_id == job.spec.job_id and not job.is_final:
@@ -795,26 +799,10 @@
         if job.is_final:
             self._on_final(job)
 
-    def _retain_orphan_ends(self, job: Job) -> None:
-        """Makes endpoints retain the ends of a durable job until the store holds their effect."""
-        remaining = []
-        for endpoint, number in self._orphan_ends:
-            end = endpoint.ends.get(number)
-            if end is not None and end.name.job_id == job.spec.job_id:
-                self._on_end(endpoint, end)
-            else:
-                remaining.append((endpoint, number))
-        self._orphan_ends = remaining
-
     def release_orphan_ends(self, now_s: float) -> None:
-        """Lets endpoints forget the ends of jobs that were not submitted again in time."""
-        remaining = []
-        for endpoint, number in self._orphan_ends:
-            if self._may_have_orphans(endpoint, now_s):
-                remaining.append((endpoint, number))
-            else:
-                endpoint.release_end(number)
-        self._orphan_ends = remaining
+        """Lets endpoints forget the ends of jobs that nobody can want any more."""
+        if self._clearance is not None:
+            self._clearance.release_ends(now_s)
 
     def count_uneven_endpoints(self) -> tuple[int, int, float]:
         """Returns how many endpoints are slowed and suspected to fail, and the lowest speed."""
@@ -863,7 +851,7 @@
             ),
         )
         self._tenure.telemetry.count("runs_moved", reason=move.reason.value)
-        self.stop_soon(endpoint, task.name, task.run)
+        self._stop_soon(endpoint, task.name, task.run)
 
     def has_contacted_endpoints(self, now_s: float) -> bool:
         """Returns whether all endpoints have answered, or have had the time to, in this tenure."""
@@ -894,4 +882,4 @@
         for task in job.tasks.values():
             endpoint = self.endpoints.get(task.instance) if task.instance is not None else None
             if endpoint is not None and task.status in ACTIVE_STATUSES:
-                self.stop_soon(endpoint, task.name, task.run)
+                self._stop_soon(endpoint, task.name, task.run)
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -325,6 +325,17 @@
     And 3 runs of job "k" were started
     And the store holds the outcome of job "k" and not the job
 
+  Scenario: a provisional holder leaves the ends of a durable job to the next holder with a claim
+    Given a group of 3 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 6 tasks is submitted
+    And a holder with fence 17 takes over after 0.1 s
+    And 1.8 s have passed
+    And a holder with fence 32 takes over
+    Then durable job "k" is shown as "completed" within 3 s
+    And 6 runs of job "k" were started
+    And each task of job "k" was done once
+
   Scenario: the reply to the commit of a job is lost, and the commit is repeated
     Given a group of 1 endpoint whose runs take 0.05 s
     And the answer to the next commit is lost
--- /dev/null
+++ b/tests/steps/durable_orphans_steps.py
@@ -0,0 +1,123 @@
+"""Steps for what endpoints report of jobs that aren't open at a holder, which isn't run."""
+
+from anyio import run
+from behave import given, then, use_step_matcher, when
+
+from berylproxy.durable.jobs.models import EndKind
+from tests.support.still_holder import StillHolder
+
+JOB, UNKNOWN_JOB = "known", "unknown"
+ENDED_TASK, RUNNING_TASK = 0, 1
+
+use_step_matcher("re")
+
+
+@given(r"a holder without a claim")
+def step_impl(context):
+    context.still_holder = StillHolder(has_claim=False)
+
+
+@given(r"a holder with a claim that (?P<loaded>has loaded the open jobs|hasn't loaded .+ yet)")
+def step_impl(context, loaded):
+    context.still_holder = StillHolder(has_claim=True)
+    if loaded.startswith("has "):
+        run(context.still_holder.load_jobs)
+
+
+@given(r"a holder with a claim that can't decode that job's record")
+def step_impl(context):
+    context.still_holder = StillHolder(has_claim=True)
+    context.still_holder.store_open_job(UNKNOWN_JOB, b"\xc1")
+    run(context.still_holder.load_jobs)
+
+
+def report_unknown(world):
+    """Lets the endpoint report one end and one run of an unknown job."""
+    ended = [(UNKNOWN_JOB, ENDED_TASK, EndKind.DONE)]
+    world.report(ended, [(UNKNOWN_JOB, RUNNING_TASK)])
+
+
+@when(r"an endpoint reports an end and a run of an unknown job, again after (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    world = context.still_holder
+    report_unknown(world)
+    world.now_s += float(time_s)
+    report_unknown(world)
+
+
+@when(r"the open jobs are loaded, and the endpoint reports again")
+def step_impl(context):
+    run(context.still_holder.load_jobs)
+    report_unknown(context.still_holder)
+
+
+@when(r"that job is submitted again as a best-effort job")
+def step_impl(context):
+    world = context.still_holder
+    job = world.open_job(UNKNOWN_JOB, 2, is_durable=False, first_run=1)
+    world.holder.group.adopt_orphans(job, world.now_s)
+    world.now_s += 1.0
+    report_unknown(world)
+
+
+@then(
+    r"the holder (?P<lets>lets|doesn't let) the endpoint forget that end, and "
+    r"(?P<stops>stops|doesn't stop) that run"
+)
+def step_impl(context, lets, stops):
+    world = context.still_holder
+    assert world.endpoint.next_acknowledgement() == (1 if lets == "lets" else 0)
+    expected = [(UNKNOWN_JOB, RUNNING_TASK)] if stops == "stops" else []
+    assert world.list_stopped() == expected, world.list_stopped()
+
+
+@given(r"a (?P<kind>best-effort|durable) job of 2 tasks runs at its endpoint")
+def step_impl(context, kind):
+    world = context.still_holder
+    context.job = world.open_job(JOB, 2, is_durable=kind == "durable")
+    world.start_tasks(context.job)
+    world.report(running=[(JOB, ENDED_TASK), (JOB, RUNNING_TASK)])
+
+
+@when(r"the endpoint reports the end of the first task")
+def step_impl(context):
+    ended = [(JOB, ENDED_TASK, EndKind.DONE)]
+    context.still_holder.report(ended, [(JOB, RUNNING_TASK)])
+
+
+@when(r"the job is dropped and the endpoint reports the end of the second task, too")
+def step_impl(context):
+    context.still_holder.holder.drop(JOB, "its caller has disconnected")
+    ended = [(JOB, ENDED_TASK, EndKind.DONE), (JOB, RUNNING_TASK, EndKind.STOPPED)]
+    context.still_holder.now_s += 1.0
+    context.still_holder.report(ended)
+
+
+@when(r"the job is dropped and the endpoint reports both runs")
+def step_impl(context):
+    context.still_holder.holder.drop(JOB, "its caller has disconnected")
+    context.still_holder.now_s += 1.0
+    context.still_holder.report(running=[(JOB, ENDED_TASK), (JOB, RUNNING_TASK)])
+
+
+@then(r"the holder has ordered each run of the job to stop twice")
+def step_impl(context):
+    stopped = context.still_holder.list_stopped()
+    assert sorted(stopped) == [(JOB, task) for task in (0, 0, 1, 1)], stopped
+
+
+@then(r"the holder lets the endpoint forget (?P<count>\d+) ends?")
+def step_impl(context, count):
+    assert context.still_holder.endpoint.next_acknowledgement() == int(count)
+
+
+@when(r"the store hasn't confirmed its claim for too long")
+def step_impl(context):
+    context.still_holder.holder._suspend_durable_jobs(2.0)
+
+
+@then(r"its tenure has ended, and no run was ordered to stop")
+def step_impl(context):
+    world = context.still_holder
+    assert world.work.cancel_scope.cancel_called
+    assert not world.list_stopped(), world.list_stopped()
