Take a run for gone only by a complete report

Cause: a run that a report didn't list counted as gone, whatever the report left out: ends behind the 500th, rows that couldn't be read, a list that was missing or no list. So did a task of a job that a new holder had loaded, and a run whose start order or stop had gone unanswered.

Whether a report is complete is decided where it is decoded, since the bound is the platform's, and is part of its type. Only a CompleteReport shows that a run is gone, and only one from each endpoint that has answered lets a new holder start tasks that nobody reports. Ends behind the 500th are listed once the first ones are released. Rows that can't be read may stay so: nothing starts on such an endpoint and its lease is left to lapse while they may hide a run, then its tasks are requeued.

Other ways: to compare counts of runs (what a list hides isn't known); to refuse a whole report with one odd row (any new kind of end would put all endpoints out of use).

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -10,6 +10,7 @@
     EndedRun,
     EndpointInfo,
     EndpointInstance,
+    EndpointReport,
     Resources,
     TaskName,
 )
@@ -129,12 +130,12 @@
     pace: RunPace | None = None
     move_ordered_s: float = -inf
 
-    def is_gone(self, report_sent_s: float) -> bool:
-        """Returns whether the run is certainly not active if a report doesn't list it.
+    def should_be_listed(self, report: EndpointReport) -> bool:
+        """Returns whether a report would list the run if it is active.
 
-        :param report_sent_s: monotonic time at which the report was requested.
+        So it is certainly not active if a complete report doesn't list it.
         """
-        return min(self.confirmed_s, self.stop_confirmed_s) < report_sent_s
+        return min(self.confirmed_s, self.stop_confirmed_s) < report.sent_s
 
 
 @dataclass(slots=True, eq=False)
@@ -149,6 +150,11 @@
     :ivar sent_acknowledgement: the newest ``acknowledged`` that the endpoint has confirmed.
     :ivar contacted_s: monotonic time at which the endpoint first answered under this holder's
         fence; ``None`` until then.
+    :ivar is_surveyed: whether all runs and ends of former holders are known: the endpoint has sent
+        a complete report under this holder's fence, or all leases from before have lapsed.
+    :ivar is_report_complete: whether its last report was complete.
+    :ivar unreadable_from_s: monotonic time from which on its reports may have hidden a run in rows
+        that can't be read; ``None`` if they don't.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
@@ -171,6 +177,9 @@
     acknowledged: int = 0
     sent_acknowledgement: int = 0
     contacted_s: float | None = None
+    is_surveyed: bool = False
+    is_report_complete: bool = False
+    unreadable_from_s: float | None = None
     is_listed: bool = True
     is_evacuated: bool = False
     cold_until_s: float = 0.0
@@ -198,6 +207,16 @@
                 return True
         return False
 
+    @property
+    def should_let_lapse(self) -> bool:
+        """Whether the endpoint's lease must not be extended, neither by a renewal nor by a start.
+
+        If unanswered calls could extend it, the holder could never tell when it has lapsed; nor
+        could it rely on the lapse of a run that it can't see. For orphans see
+        :attr:`EndpointRun.is_orphan`.
+        """
+        return bool(self.missed_calls) or self.unreadable_from_s is not None or self.has_orphans
+
     @property
     def is_contacted(self) -> bool:
         """Whether the endpoint has answered, and so rejects orders under lower fences."""
@@ -209,7 +228,7 @@
 
         It answered the last call, has no runs and remembers no ends.
         """
-        if self.sent_acknowledgement != self.acknowledged:
+        if self.sent_acknowledgement != self.acknowledged or not self.is_surveyed:
             return False
         return self.is_contacted and not (self.runs or self.ends or self.missed_calls)
 
@@ -218,7 +237,7 @@
         """Whether the endpoint needs a call for no more than to forget released ends."""
         if self.runs or self.missed_calls or not (self.is_contacted and self.is_listed):
             return False
-        return self.released.issuperset(self.ends)
+        return self.is_report_complete and self.released.issuperset(self.ends)
 
     @property
     def free_resources(self) -> Resources:
@@ -251,7 +270,7 @@
 
     def may_start(self, now_s: float) -> bool:
         """Returns whether tasks may be started on the endpoint now."""
-        if not self.is_serving(now_s) or self.has_orphans:
+        if not self.is_serving(now_s) or self.should_let_lapse:
             return False
         return not (self.runs and self.trust.is_on_probation(now_s))
 
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -100,13 +100,19 @@
     former_fence: int
 
 
-def can_resolve(age_s: float, are_contacted: bool, are_former_listed: bool) -> bool:
-    """Returns whether a task that no endpoint reports is certainly not running.
+def can_resolve(
+    age_s: float, are_contacted: bool, are_surveyed: bool, are_former_listed: bool
+) -> bool:
+    """Returns whether a task that no endpoint reports certainly neither runs nor has been done.
 
     :param age_s: time since the job was loaded or submitted again.
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
+    :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
+        proves nothing, since this holder may have extended their leases.
     :param are_former_listed: whether all endpoints that the former holder used are listed.
     """
+    if not are_surveyed:
+        return False
     if not are_contacted:
         return age_s >= FORMER_TENURE_LIMIT_S
     return are_former_listed or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
@@ -475,7 +481,9 @@
         if not self._unresolved or not self.group.has_read_list:
             return
         now_s = self._clock.now_s()
-        are_contacted = all(endpoint.is_contacted for endpoint in self.group.endpoints.values())
+        endpoints = self.group.endpoints.values()
+        are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
+        are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
         listed = {instance.endpoint_id for instance in self.group.endpoints}
         still_unresolved = []
         for unresolved in self._unresolved:
@@ -484,7 +492,7 @@
                 self._inherited, unresolved.former_fence, listed
             )
             if not unresolved.job.is_final and not can_resolve(
-                age_s, are_contacted, are_former_listed
+                age_s, are_contacted, are_surveyed, are_former_listed
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -213,6 +213,8 @@
 class EndpointReport(Struct, frozen=True):
     """An endpoint's answer to a renewal of its lease.
 
+    Nothing follows from what it doesn't list; see :class:`CompleteReport`.
+
     :param born_ms: Unix time of the endpoint process's start in milliseconds; 0 if unknown.
     :param sent_s: monotonic time at which the renewal was sent; later events may be missing.
     :param unreadable: number of rows that could not be decoded.
@@ -225,6 +227,13 @@
     unreadable: int = 0
 
 
+class CompleteReport(EndpointReport, frozen=True):
+    """A report that lists all runs in progress and all ends that the endpoint remembers.
+
+    Only such a report shows that a run is gone.
+    """
+
+
 class Progress(Struct, frozen=True):
     """The stored progress of an unfinished job.
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -15,6 +15,7 @@
 from berylproxy.durable.jobs.crashes import Suspicion
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
 from berylproxy.durable.jobs.models import (
+    CompleteReport,
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -227,10 +228,7 @@
                 self._wakeups[instance] = Event()
             acknowledged = endpoint.next_acknowledgement()
             wait_s = 0.0 if self._should_poll_at_once(endpoint) else self._renewal_wait_s(endpoint)
-            # If unanswered calls could extend the lease, this holder could never tell when it has
-            # lapsed. For orphans see EndpointRun.is_orphan.
-            should_let_lapse = endpoint.missed_calls or endpoint.has_orphans
-            extend = bool(endpoint.runs) and not should_let_lapse
+            extend = bool(endpoint.runs) and not endpoint.should_let_lapse
             try:
                 report = await client.renew(self._tenure.fence, acknowledged, wait_s, extend=extend)
             except FencedOffError:
@@ -250,7 +248,8 @@
             endpoint.sent_acknowledgement = acknowledged
             self._apply_report(endpoint, report)
             await self._stop_uncertain_runs(endpoint, client)
-            if endpoint.ends and endpoint.next_acknowledgement() == acknowledged:
+            may_repeat = bool(endpoint.ends) or not endpoint.is_report_complete
+            if may_repeat and endpoint.next_acknowledgement() == acknowledged:
                 with move_on_after(END_POLL_INTERVAL_S):
                     await self._wakeups[instance].wait()
 
@@ -287,8 +286,10 @@
             )
             endpoint.trust.note_silence(now_s)
         endpoint.missed_calls += 1
-        lapsed_s = max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S)
-        if endpoint.runs and now_s > lapsed_s:
+        if now_s <= max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S):
+            return
+        endpoint.is_surveyed = endpoint.is_contacted
+        if endpoint.runs:
             self._crash_watch.note_lapsed(endpoint)
             self._requeue_all_tasks(endpoint, "its lease has lapsed")
 
@@ -407,14 +408,49 @@
         for running in report.running:
             reported.add((running.name, running.run))
             self._apply_running_task(endpoint, running, now_s)
-        for (name, run), endpoint_run in list(endpoint.runs.items()):
-            if (name, run) not in reported and endpoint_run.is_gone(report.sent_s):
+        unlisted = [
+            (key, endpoint_run)
+            for key, endpoint_run in endpoint.runs.items()
+            if key not in reported and endpoint_run.should_be_listed(report)
+        ]
+        endpoint.is_report_complete = isinstance(report, CompleteReport)
+        if isinstance(report, CompleteReport):
+            endpoint.is_surveyed, endpoint.unreadable_from_s = True, None
+            for (name, run), _ in unlisted:
                 self._drop_run(endpoint, name, run, "its endpoint does not report the run")
+        else:
+            self._note_incomplete_report(endpoint, report, bool(unlisted), now_s)
         self._log_findings()
         if endpoint.contacted_s is None:
             endpoint.contacted_s = now_s
         self.changed.set()
 
+    def _note_incomplete_report(
+        self, endpoint: EndpointState, report: EndpointReport, has_unlisted: bool, now_s: float
+    ) -> None:
+        """Decides what becomes of runs that an incomplete report may hide.
+
+        Ends that didn't fit into a report are listed once the endpoint may forget the first ones.
+        Rows that can't be read may stay so: the lease is left to lapse, which ends all runs.
+
+        :param has_unlisted: whether a run that should be listed is not.
+        """
+        if not report.unreadable or (endpoint.is_surveyed and not has_unlisted):
+            endpoint.unreadable_from_s = None
+            return
+        if endpoint.unreadable_from_s is None:
+            endpoint.unreadable_from_s = now_s
+            logger.warning(
+                "{} rows of an endpoint's report can't be read: no tasks start there",
+                report.unreadable,
+                extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
+            )
+        client = self._clients[endpoint.info.instance]
+        if now_s > max(client.lease_end_s(), endpoint.unreadable_from_s + UNREACHABLE_GRACE_S):
+            endpoint.is_surveyed, endpoint.unreadable_from_s = True, None
+            endpoint.quarantine(now_s)
+            self._requeue_all_tasks(endpoint, "its lease has lapsed, and its reports hide runs")
+
     def _apply_running_task(
         self, endpoint: EndpointState, running: RunningTask, now_s: float
     ) -> None:
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -10,6 +10,7 @@
 
 from berylproxy.durable.endpoints.leases import LeaseClock
 from berylproxy.durable.jobs.models import (
+    CompleteReport,
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -43,6 +44,7 @@
 INSTANCE_HEADER = "Berylproxy-Expect-Instance"
 OTHER_INSTANCE_STATUS = 421
 STATES = ("ready", "draining")
+MAX_LISTED_ENDS = 500  # in one report; a runner lists the others once it has forgotten these
 UNHEALTHY_STATUSES = (429, 503)  # the request had no effect
 RACK_LABEL_PREFIX = "r"  # a label is either the kind or the rack, written as r<room>-<rack>
 
@@ -292,16 +294,20 @@
 
 
 def decode_report(content: dict[str, Any], sent_s: float) -> EndpointReport:
-    """Decodes a runner's report; rows that can't be decoded are skipped and counted."""
-    unreadable = 0
+    """Decodes a runner's report; rows that can't be decoded are skipped and counted.
+
+    A missing list counts as one such row.
+    """
+    running_rows, ended_rows = content.get("running"), content.get("ended")
+    unreadable = [isinstance(running_rows, list), isinstance(ended_rows, list)].count(False)
     running, ended = [], []
-    for row in _list_rows(content, "running"):
+    for row in running_rows if isinstance(running_rows, list) else ():
         try:
             name = _parse_task_name(row[0])
             running.append(RunningTask(name, int(row[1]), _text_or_empty(row[2]), int(row[3])))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
-    for row in _list_rows(content, "ended"):
+    for row in ended_rows if isinstance(ended_rows, list) else ():
         try:
             name = _parse_task_name(row[1])
             kind, saved = EndKind(row[3]), _text_or_empty(row[4])
@@ -309,16 +315,13 @@
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     born = content.get("born", 0)
-    return EndpointReport(
+    is_complete = not unreadable and len(ended) < MAX_LISTED_ENDS
+    report_type = CompleteReport if is_complete else EndpointReport
+    return report_type(
         born if isinstance(born, int) else 0, sent_s, tuple(running), tuple(ended), unreadable
     )
 
 
-def _list_rows(content: dict[str, Any], name: str) -> list[Any]:
-    rows = content.get(name)
-    return rows if isinstance(rows, list) else []
-
-
 def _text_or_empty(value: Any) -> str:
     return value if isinstance(value, str) else ""
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -123,7 +123,7 @@
         ]
         ended = [
             [end.number, format_name(end.name), end.run, end.kind.value, ""]
-            for end in self.model.ended
+            for end in self.model.list_ends()
         ]
         return self.answer({"running": running, "ended": ended, "born": self.born_ms})
 
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -49,6 +49,8 @@
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
     :ivar ended: ends of runs that the holder has not acknowledged yet.
+    :ivar max_listed_ends: largest number of ends in one report, the first ones.
+    :ivar has_unreadable_rows: whether no row of its reports can be read.
     :ivar highest_runs: highest run number by task that was started or stopped; a start needs a
         higher one.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
@@ -80,6 +82,8 @@
     lease_end_s: float = 0.0
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
+    max_listed_ends: int = 500
+    has_unreadable_rows: bool = False
     highest_runs: dict = field(default_factory=dict)
     end_count: int = 0
     history: list = field(default_factory=list)
@@ -157,6 +161,10 @@
         """Discards the reported ends up to a number."""
         self.ended = [end for end in self.ended if end.number > number]
 
+    def list_ends(self) -> list[EndedRun]:
+        """Returns the ends that a report lists."""
+        return self.ended[: self.max_listed_ends]
+
     def end_due_runs(self) -> None:
         """Ends the runs that are complete or whose lease has lapsed."""
         now_s = monotonic()
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -45,6 +45,22 @@
       """
     Then 1 running task, 1 ended run and 3 unreadable rows are found
 
+  Scenario Outline: only a report that certainly lists everything is complete
+    When a runner's report with <change> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | change                          | verdict           |
+      | 499 ends                        | a complete report |
+      | 500 ends                        | a partial report  |
+      | 0 ends                          | a complete report |
+      | "running" missing               | a partial report  |
+      | "ended" missing                 | a partial report  |
+      | "ended" becoming {}             | a partial report  |
+      | "running" becoming null         | a partial report  |
+      | "running" becoming [["x", 1]]   | a partial report  |
+      | "ended" becoming [[1, "x", 1]]  | a partial report  |
+
   Scenario Outline: a runner's answer to a start order
     Then a runner's <status> with reason "<reason>" means "<outcome>"
 
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -202,7 +202,19 @@
     assert not quarantined, quarantined
 
 
+@given(r"reports list at most (?P<count>\d+) ends")
+def step_impl(context, count):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.max_listed_ends = int(count)
+
+
+@when(r"no row in the reports of endpoint (?P<number>\d+) can be read from now on")
+def step_impl(context, number):
+    context.holder_world.endpoints[int(number) - 1].has_unreadable_rows = True
+
+
 @given(r"the answers of the next (?P<count>\d+) starts are lost")
+@when(r"the answers of the next (?P<count>\d+) starts are lost")
 def step_impl(context, count):
     context.holder_world.endpoints[0].lost_starts = int(count)
 
@@ -259,6 +271,19 @@
     sleep(2 * LIST_INTERVAL_S)
 
 
+@when(
+    r"the holder with fence (?P<fence>\d+) ends once (?P<count>\d+) runs of job "
+    r'"(?P<name>\w+)" were started'
+)
+def step_impl(context, fence, count, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while len(world.list_events(name, "start")) < int(count):
+        assert monotonic() < until_s, world.list_events(name, "start")
+        sleep(0.005)
+    world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
+
+
 @when(r"the holder with fence (?P<fence>\d+) ends")
 def step_impl(context, fence):
     world = context.holder_world
@@ -524,6 +549,11 @@
     context.holder_world.store.is_out = True
 
 
+@when(r"the job store is available again")
+def step_impl(context):
+    context.holder_world.store.is_out = False
+
+
 @when(r'durable job "(?P<name>\w+)" is cancelled after (?P<delay_s>[\d.]+) s')
 def step_impl(context, name, delay_s):
     world = context.holder_world
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
+from berylproxy.durable.jobs.models import CompleteReport
 from berylproxy.errors import SettingsError
 from berylproxy.http_exchange import HttpResponse
 from berylproxy.logs import NonBlockingOutput
@@ -104,6 +105,25 @@
     assert report.born_ms == 7 and report.running[0].name == ("00000000000000aa", 1, 2)
 
 
+@when(
+    r"a runner's report with (?:(?P<count>\d+) ends|"
+    r'"(?P<name>\w+)" (?:missing|becoming (?P<value>.+))) is decoded'
+)
+def step_impl(context, count=None, name=None, value=None):
+    ended = [[n + 1, f"00000000000000aa.0.0.{n}", 1, "done", ""] for n in range(int(count or 0))]
+    content = {"born": 7, "running": [], "ended": ended}
+    if value:
+        content[name] = json.loads(value)
+    elif name:
+        del content[name]
+    context.report = decode_report(content, 0.0)
+
+
+@then(r"it is a (?P<verdict>complete|partial) report")
+def step_impl(context, verdict):
+    assert isinstance(context.report, CompleteReport) == (verdict == "complete"), context.report
+
+
 @given(r'a configuration with the prefixes "(?P<first>[/\w]+)" and "(?P<second>[/\w]+)"')
 def step_impl(context, first, second):
     encoded = json.dumps(make_configuration(4, [first, second])).encode()
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -6,6 +6,7 @@
 from anyio import move_on_after, sleep
 
 from berylproxy.durable.jobs.models import (
+    CompleteReport,
     EndpointInfo,
     EndpointInstance,
     EndpointReport,
@@ -95,7 +96,11 @@
         if endpoint.info.instance.born_ms != born_ms:
             raise EndpointCallError("the connection was reset")
         running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
-        return EndpointReport(born_ms, sent_s, tuple(running), tuple(endpoint.ended))
+        ended = endpoint.list_ends()
+        if endpoint.has_unreadable_rows:
+            return EndpointReport(born_ms, sent_s, (), (), len(running) + len(ended))
+        report_type = CompleteReport if len(ended) < endpoint.max_listed_ends else EndpointReport
+        return report_type(born_ms, sent_s, tuple(running), tuple(ended))
 
     async def close(self) -> None:
         """Does nothing: there are no connections."""
