Skip entries of the list of runners that make no sense

What callers saw: another writer leaves one entry whose key can't be written in Latin-1, whose address has a scope, or whose port is of digits that are not ASCII. Each holder's tenure ends by an unexpected error, again and again, and jobs are answered 503. Very deeply nested entries, ports out of range and numbers that are no 64-bit integers were skipped before.

Cause: fields were checked one by one, and the key, the form of the address and the size of numbers not at all; they failed where they are used, in a header, a sum or a message to other daemons.

Now one typed table bounds each field, and the key and the address are checked with it. The other way, to catch errors at each use, leaves the next use open.

Two rows of wire.feature said that "born" and "cold-left-ms" of another type leave an endpoint. The users' pages say that an entry with a field of another type names no runner, so the rows are 'rejected' now; a row is new.

A member's record that is not valid is logged once, too, not each second.

--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -5,7 +5,7 @@
 from secrets import token_hex
 from socket import socket
 from time import monotonic
-from typing import Any, NamedTuple
+from typing import Any
 
 import orjson
 from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
@@ -25,9 +25,8 @@
 from berylproxy.http_server import HttpServer
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
-from berylproxy.peers.errors import PeerSettingsError
 from berylproxy.peers.network import TcpPeerNetwork
-from berylproxy.peers.settings import PeerSettings, split_address
+from berylproxy.peers.settings import PeerSettings
 from berylproxy.platform.callers import CallerApplication, StartingApplication
 from berylproxy.platform.configuration import (
     ConfigurationInvalidError,
@@ -35,15 +34,15 @@
     decode_configuration,
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.members import MEMBER_PREFIX, MemberList
 from berylproxy.platform.operator_watch import OperatorWatch
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
 from berylproxy.store.errors import StoreLeaseLapsedError
-from berylproxy.store.port import Entry, StoreError
+from berylproxy.store.port import StoreError
 
 PEER_KEY_RECORD = ROOT + "peer-key"
-MEMBER_PREFIX = ROOT + "members/"
 PEER_KEY_BYTES = 32
 MEMBER_LEASE_S = 6.0  # a lost VM is removed from the list within this time
 MEMBER_RENEWAL_INTERVAL_S = 2.0
@@ -80,6 +79,7 @@
         self._operator_watch = OperatorWatch(
             self._store, self._apply_configuration, self._evacuations
         )
+        self._member_list = MemberList()
         self._member_domains: dict[str, str] = {}
         self._is_stopping = False
         self._is_ready = True
@@ -277,16 +277,11 @@
         page = await self._store.read_page(
             MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1
         )
-        member_domains = {}
-        for entry in page.entries:
-            member = decode_member(entry)
-            if member is None:
-                logger.warning("skipped member {}: its record is not valid", entry.key)
-                continue
-            member_domains[entry.key.removeprefix(MEMBER_PREFIX)] = member.failure_domain
+        members = self._member_list.decode(page.entries)
+        for member in members.values():
             if member.peer_address != self._identity.peer_address:
                 self._network.add_address(member.peer_address)
-        self._member_domains = member_domains
+        self._member_domains = {name: m.failure_domain for name, m in members.items()}
 
     async def _handle_signals(self) -> None:
         """Starts the planned stop on SIGTERM or SIGINT and reloads the settings on SIGHUP.
@@ -316,24 +311,6 @@
         self._stopped.set()
 
 
-class MemberRecord(NamedTuple):
-    """A daemon's entry in the list of members."""
-
-    peer_address: str
-    failure_domain: str
-
-
-def decode_member(entry: Entry) -> MemberRecord | None:
-    """Decodes an entry of the list of members; returns ``None`` if it is not valid."""
-    try:
-        content = orjson.loads(entry.value)
-        member = MemberRecord(content["peer_address"], content["failure_domain"])
-        split_address(member.peer_address)
-    except (ValueError, TypeError, KeyError, AttributeError, PeerSettingsError):
-        return None
-    return member if isinstance(member.failure_domain, str) else None
-
-
 def _make_peer_settings(settings: PlatformSettings, key: bytes) -> PeerSettings:
     return PeerSettings(
         listen_address=settings.peer_address,
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -1,7 +1,5 @@
 """Lists the platform's runners (endpoints) from the store and calls them."""
 
-from ipaddress import ip_address
-from math import isfinite
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -13,7 +11,6 @@
     EndedRun,
     EndKind,
     EndpointInfo,
-    EndpointInstance,
     EndpointReport,
     Resources,
     RunningTask,
@@ -34,17 +31,20 @@
     HttpResponse,
     NotSentError,
 )
+from berylproxy.platform.runner_entries import (
+    LIST_PREFIX,
+    MAX_NUMBER,
+    EntryInvalidError,
+    decode_entry,
+)
 from berylproxy.platform.store import PlatformStore
-from berylproxy.store.port import Entry
 
-LIST_PREFIX = "servers/"
 CALL_TIMEOUT_S = 0.25  # a runner normally responds in about 4 ms
 CONNECT_TIMEOUT_S = 0.2
 INSTANCE_HEADER = "Berylproxy-Expect-Instance"
 OTHER_INSTANCE_STATUS = 421
-STATES = ("ready", "draining")
 UNHEALTHY_STATUSES = (429, 503)  # the request had no effect
-RACK_LABEL_PREFIX = "r"  # a label is either the kind or the rack, written as r<room>-<rack>
+MAX_TASK_NUMBER_DIGITS = 9
 
 REFUSALS = {
     "fence": StartOutcome.FENCED_OFF,
@@ -80,24 +80,33 @@
         self._store = store
         self.longest_lease_s = longest_lease_s
         self._response_times = ResponseTimes()
-        self._logged_keys: set[str] = set()
+        self._logged_problems: set[tuple[str, str]] = set()
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
-        """Reads the list of runners; entries that can't be decoded are skipped and logged once."""
+        """Reads the list of runners; entries that name no usable runner are skipped."""
         endpoints, after_key, has_more = [], "", True
+        problems: set[tuple[str, str]] = set()
+        keys: set[str] = set()
         while has_more:
             page = await self._store.read_page(LIST_PREFIX, after_key)
             for entry in page.entries:
                 after_key = entry.key
-                info = decode_entry(entry)
-                if info is not None:
-                    endpoints.append(info)
-                elif entry.key not in self._logged_keys:
-                    self._logged_keys.add(entry.key)
-                    logger.warning("skipped list entry {}: not a valid endpoint", entry.key)
+                keys.add(entry.key)
+                try:
+                    endpoints.append(decode_entry(entry))
+                except EntryInvalidError as error:
+                    problems.add((entry.key, error.message))
             has_more = page.has_more and bool(page.entries)
+        self._log_problems(problems, keys)
         return tuple(endpoints)
 
+    def _log_problems(self, problems: set[tuple[str, str]], keys: set[str]) -> None:
+        """Logs each problem of an entry once for as long as the entry is listed."""
+        for key, problem in sorted(problems - self._logged_problems):
+            logger.warning("skipped list entry {!r}: {}", key, problem)
+        logged = {(key, problem) for key, problem in self._logged_problems if key in keys}
+        self._logged_problems = logged | problems
+
     def connect(self, info: EndpointInfo) -> "PlatformEndpoint":
         """Returns a client for one runner."""
         return PlatformEndpoint(info, self.longest_lease_s, self._response_times)
@@ -195,7 +204,7 @@
             self._response_times.add(response.received_s - response.sent_s)
         content = _decode_object(response) if response.status in (200, 409) else {}
         clock_ms = content.get("clock-ms")
-        if isinstance(clock_ms, int):
+        if _is_count(clock_ms):
             self._clock.update(clock_ms, response.sent_s, response.received_s)
         return _Answer(response, content)
 
@@ -219,49 +228,6 @@
         return content
 
 
-def decode_entry(entry: Entry) -> EndpointInfo | None:
-    """Decodes an entry of the list; returns ``None`` if it is not a valid, usable endpoint."""
-    try:
-        content = orjson.loads(entry.value)
-        state, service = content["state"], content["service"]
-        address, zone = content["address"], content["zone"]
-        labels = content.get("labels", [])
-        capacity = decode_resources(content["capacity"])
-        host, _, port = address.rpartition(":")
-        ip_address(host.strip("[]"))  # a name that can't be encoded would raise at each call
-        is_valid = (
-            state in STATES
-            and all(isinstance(text, str) and text for text in (service, zone))
-            and 0 < int(port) < 65_536
-            and all(isinstance(label, str) for label in labels)
-        )
-    except (ValueError, TypeError, KeyError, AttributeError):
-        return None
-    if not is_valid:
-        return None
-    # "born" is the start of the runner's process in Unix milliseconds. An id may be reused, so that
-    # only both together identify an instance.
-    born = content.get("born", 0)
-    return EndpointInfo(
-        EndpointInstance(entry.key.removeprefix(LIST_PREFIX), born if isinstance(born, int) else 0),
-        service,
-        address,
-        zone,
-        capacity,
-        leaving=state == "draining",
-        labels=frozenset(labels),
-        rack=next((label for label in labels if _is_rack_label(label)), ""),
-        kind=next((label for label in labels if not _is_rack_label(label)), ""),
-        cold_left_s=_decode_cold_left_s(content.get("cold-left-ms")),
-        revision=entry.revision,
-    )
-
-
-def _decode_cold_left_s(value: Any) -> float:
-    """Returns for how long a runner stays slow; 0 if its entry doesn't say it in a valid way."""
-    return max(value, 0) / 1000 if type(value) in (int, float) and isfinite(value) else 0.0
-
-
 def decode_resources(content: dict[str, Any]) -> Resources:
     """Decodes resource amounts; a missing one is 0.
 
@@ -282,7 +248,8 @@
     if response.status in UNHEALTHY_STATUSES:
         return StartOutcome.UNHEALTHY
     if response.status == 409:
-        return REFUSALS.get(str(_decode_object(response).get("reason")), StartOutcome.INVALID)
+        reason = _decode_object(response).get("reason")
+        return REFUSALS.get(reason if isinstance(reason, str) else "", StartOutcome.INVALID)
     if response.status == 400:
         return StartOutcome.INVALID
     logger.warning(
@@ -297,23 +264,52 @@
     running, ended = [], []
     for row in _list_rows(content, "running"):
         try:
-            name = _parse_task_name(row[0])
-            running.append(RunningTask(name, int(row[1]), _text_or_empty(row[2]), int(row[3])))
+            running.append(_decode_running(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     for row in _list_rows(content, "ended"):
         try:
-            name = _parse_task_name(row[1])
-            kind, saved = EndKind(row[3]), _text_or_empty(row[4])
-            ended.append(EndedRun(int(row[0]), name, int(row[2]), kind, saved))
+            ended.append(_decode_ended(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     born = content.get("born", 0)
     return EndpointReport(
-        born if isinstance(born, int) else 0, sent_s, tuple(running), tuple(ended), unreadable
+        born if _is_count(born) else 0, sent_s, tuple(running), tuple(ended), unreadable
+    )
+
+
+def _decode_running(row: Any) -> RunningTask:
+    """Decodes a run in progress; progress that makes no sense doesn't hide the run."""
+    percent = row[3] if type(row[3]) in (int, float) and row[3] >= 0 else 0
+    return RunningTask(
+        _parse_task_name(row[0]),
+        _require_count(row[1]),
+        _text_or_empty(row[2]),
+        int(min(percent, 100)),
+    )
+
+
+def _decode_ended(row: Any) -> EndedRun:
+    return EndedRun(
+        _require_count(row[0]),
+        _parse_task_name(row[1]),
+        _require_count(row[2]),
+        EndKind(row[3]),
+        _text_or_empty(row[4]),
     )
 
 
+def _is_count(value: Any) -> bool:
+    """Returns whether a decoded value is a whole number that calls and messages can carry."""
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def _require_count(value: Any) -> int:
+    if not _is_count(value):
+        raise ValueError("not a whole number in range")
+    return value
+
+
 def _list_rows(content: dict[str, Any], name: str) -> list[Any]:
     rows = content.get(name)
     return rows if isinstance(rows, list) else []
@@ -328,12 +324,12 @@
 
 
 def _parse_task_name(text: str) -> TaskName:
-    job_id, _, step, index = text.rsplit(".", 3)
-    return TaskName(job_id, int(step), int(index))
-
-
-def _is_rack_label(label: str) -> bool:
-    return label.startswith(RACK_LABEL_PREFIX) and "-" in label
+    job_id, _, *numbers = text.rsplit(".", 3)
+    for number in numbers:
+        if len(number) > MAX_TASK_NUMBER_DIGITS or str(int(number)) != number or number[0] == "-":
+            raise ValueError("not the name of a task")
+    step, index = map(int, numbers)
+    return TaskName(job_id, step, index)
 
 
 def _decode_object(response: HttpResponse) -> dict[str, Any]:
--- a/berylproxy/tables.py
+++ b/berylproxy/tables.py
@@ -30,15 +30,16 @@
         self.problems = problems
 
 
-def convert_table(content: Any, table: type[TableType]) -> TableType:
+def convert_table(content: Any, table: type[TableType], *, strict: bool = False) -> TableType:
     """Validates decoded JSON or TOML and returns it as a table.
 
+    :param strict: whether to refuse values of a similar type, such as numbers written as text.
     :raises TableInvalidError: listing the problem of each field.
     """
     try:
-        return convert(content, table, strict=False)
+        return convert(content, table, strict=strict)
     except ValidationError as error:
-        problems = _list_problems(content, table, "") or [describe_problem(error)]
+        problems = _list_problems(content, table, "", strict) or [describe_problem(error)]
         raise TableInvalidError(problems) from error
 
 
@@ -54,7 +55,7 @@
     return f"{'.'.join(filter(None, (location, path)))}: {match['text']}"
 
 
-def _list_problems(content: Any, table: type[Table], location: str) -> list[str]:
+def _list_problems(content: Any, table: type[Table], location: str, strict: bool) -> list[str]:
     if not isinstance(content, dict):
         return [f"{location}: Expected a table"] if location else ["Expected a table"]
     problems = []
@@ -64,10 +65,10 @@
             if field.required:
                 problems.append(f"{name}: Field required")
         elif isinstance(field.type, type) and issubclass(field.type, Table):
-            problems += _list_problems(content[field.encode_name], field.type, name)
+            problems += _list_problems(content[field.encode_name], field.type, name, strict)
         else:
             try:
-                convert(content[field.encode_name], field.type, strict=False)
+                convert(content[field.encode_name], field.type, strict=strict)
             except ValidationError as error:
                 problems.append(describe_problem(error, name))
     return problems
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -115,9 +115,10 @@
         return self.answer({"ttl-ms": int(ttl_s * 1000)}, 200 if ttl_s else 404)
 
     async def control_put(self, request: Request) -> Response:
-        """Writes a key on behalf of an operator or a runner, with a JSON value."""
+        """Writes a key on behalf of an operator or a runner, with a JSON value or any text."""
         body = await request.json()
-        self.values.put(body["key"].encode(), json.dumps(body["value"]).encode(), 0)
+        text = body["text"] if "text" in body else json.dumps(body["value"])
+        self.values.put(body["key"].encode(), text.encode(), 0)
         return self.answer({})
 
     async def control_remove(self, request: Request) -> Response:
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -18,10 +18,11 @@
       | field "capacity" becomes []        | rejected              |
       | field "capacity" becomes {"cpu":-1} | rejected             |
       | field "labels" becomes [1]         | rejected              |
-      | field "born" becomes "today"       | an endpoint           |
+      | field "born" becomes "today"       | rejected              |
       | field "extra" becomes true         | an endpoint           |
       | field "cold-left-ms" becomes 2500  | an endpoint           |
-      | field "cold-left-ms" becomes "x"   | an endpoint           |
+      | field "cold-left-ms" becomes "x"   | rejected              |
+      | field "cold-left-ms" becomes -3    | an endpoint           |
       | bytes are cut in half              | rejected              |
 
   Scenario Outline: a daemon's record is used only if it is valid
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -15,8 +15,9 @@
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
-from berylproxy.platform.daemon import decode_member
-from berylproxy.platform.endpoints import decode_entry, decode_report, decode_start
+from berylproxy.platform.endpoints import decode_report, decode_start
+from berylproxy.platform.members import decode_member
+from berylproxy.platform.runner_entries import EntryInvalidError, decode_entry
 from berylproxy.platform.settings import load_platform_settings
 from berylproxy.store.port import Entry
 from tests.support.platform_cluster import HOST, make_configuration
@@ -77,10 +78,12 @@
 
 @then(r"it is (?P<verdict>an endpoint|a leaving endpoint|rejected)")
 def step_impl(context, verdict):
-    info = decode_entry(Entry("servers/e1", context.entry_bytes, 1))
-    if verdict == "rejected":
-        assert info is None, info
+    try:
+        info = decode_entry(Entry("servers/e1", context.entry_bytes, 1))
+    except EntryInvalidError:
+        assert verdict == "rejected"
         return
+    assert verdict != "rejected", info
     assert info.instance.endpoint_id == "e1"
     assert info.leaving == (verdict == "a leaving endpoint")
     assert (info.kind, info.rack) == ("b", "r1-2")
@@ -175,7 +178,8 @@
         make_variants(step),
     )
     def check(entry, report, config, fields, one_step):
-        decode_entry(Entry("servers/e1", json.dumps(entry).encode(), 1))
+        with contextlib.suppress(EntryInvalidError):
+            decode_entry(Entry("servers/e1", json.dumps(entry).encode(), 1))
         decode_report(report, 0.0)
         with contextlib.suppress(ConfigurationInvalidError):
             decode_configuration(json.dumps(config).encode())
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -212,6 +212,11 @@
         url = f"{self.store.url}/control/put"
         self.client.post(url, json={"key": key, "value": value}).raise_for_status()
 
+    def write_text(self, key: str, text: str) -> None:
+        """Writes a key as another writer does, with a value that need not be JSON."""
+        url = f"{self.store.url}/control/put"
+        self.client.post(url, json={"key": key, "text": text}).raise_for_status()
+
     def remove_key(self, key: str) -> None:
         """Removes a key of the operator."""
         url = f"{self.store.url}/control/remove"
