Take malformed answers of the store for errors of the store

What callers would see: a tenure or a daemon ends by an unexpected error when the store answers without "rev", "key" or "lease", or with items that are no objects.

Cause: the fields were taken from the decoded JSON without a check of types.

Each answer is decoded by a typed table; one that doesn't fit raises StoreOutcomeUnknownError, which all callers handle. Items of a page or of a watch that don't fit are skipped, so that one can't stop the reader.

--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -1,13 +1,14 @@
 """Client of the platform's key-value service."""
 
 from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
 from dataclasses import dataclass
 from time import monotonic
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import orjson
+from logbook import Logger
+from msgspec import Meta
 
 from berylproxy.durable.jobs.ports import Transaction, TransactionConflictError
 from berylproxy.http_exchange import AnswerLostError, HttpClient, HttpResponse, NotSentError
@@ -18,6 +19,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from berylproxy.tables import Table, TableInvalidError, TableType, convert_table
 
 CALL_TIMEOUT_S = 1.0  # a slow store responds in about 0.3 s
 READ_TIMEOUT_S = 0.7  # a dead connection is detected early, and a new one is tried
@@ -27,6 +29,44 @@
 WATCH_TIMEOUT_MARGIN_S = 0.4  # added to the wait before a watch is considered hung
 REFUSAL_STATUSES = (429, 503)  # the request had no effect
 MAX_TRANSACTION_ENTRIES = 32
+MAX_REVISION = 2**63 - 1
+
+logger = Logger(__name__)
+
+Revision = Annotated[int, Meta(ge=0, le=MAX_REVISION)]
+
+
+class _Item(Table):
+    """An item of the store, or an event of a watch.
+
+    :ivar value: Base64 text.
+    """
+
+    key: str
+    value: Any = None
+    rev: Revision = 0
+    deleted: Any = False
+
+
+class _Written(Table):
+    """The answer to a transaction."""
+
+    rev: Revision
+
+
+class _Granted(Table):
+    """The answer to the creation of a lease."""
+
+    lease: int
+
+
+class _Listed(Table):
+    """A page of items, or the events of a watch."""
+
+    items: list[Any] | None = None
+    events: list[Any] | None = None
+    more_pages: Any = False
+    store_revision: Revision | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +94,7 @@
         self.last_contact_s = monotonic()
         self._consecutive_failures = 0
         self._last_failure_s = 0.0
+        self._has_logged_item = False
 
     def change_address(self, address: str) -> None:
         """Switches to another address; calls in progress finish at the former one."""
@@ -85,10 +126,11 @@
         response = await self._write("/-/kv-txn", body)
         if response.status == 412:
             revisions = {key: 0 for key, _ in transaction.expected}
-            for item in _decode_object(response).get("items", ()):
-                revisions[item["key"]] = item.get("rev", 0)
+            for row in _decode_answer(response, _Listed).items or ():
+                item = _convert_answer(row, _Item)
+                revisions[item.key] = item.rev
             raise TransactionConflictError("a key has another revision", revisions)
-        return int(_decode_object(self._require_success(response))["rev"])
+        return _decode_answer(self._require_success(response), _Written).rev
 
     async def put_with_lease(self, key: str, value: bytes, lease_id: int) -> None:
         """Writes a key that is removed when the lease ends.
@@ -104,7 +146,7 @@
     async def grant_lease(self, ttl_s: float) -> int:
         """Creates a lease and returns its identifier."""
         response = await self._write("/-/kv-lease", {"ttl-ms": int(ttl_s * 1000)})
-        return int(_decode_object(self._require_success(response))["lease"])
+        return _decode_answer(self._require_success(response), _Granted).lease
 
     async def renew_lease(self, lease_id: int) -> bool:
         """Renews a lease; returns ``False`` if it has ended."""
@@ -119,7 +161,7 @@
         response = await self._read(f"/-/kv-key?key={quote(key, safe='')}")
         if response.status == 404:
             return None
-        return _decode_item(_decode_object(self._require_success(response)))
+        return _make_entry(_decode_answer(self._require_success(response), _Item))
 
     async def list_page(
         self, prefix: str, after_key: str, *, may_be_stale: bool = False
@@ -137,12 +179,11 @@
             target += f"&after={quote(after_key, safe='')}"
         if may_be_stale:
             target += "&stale-ok=1"
-        content = _decode_object(self._require_success(await self._read(target)))
-        entries = [_decode_item(item) for item in content.get("items", ())]
+        page = _decode_answer(self._require_success(await self._read(target)), _Listed)
         return StorePage(
-            tuple(entry for entry in entries if entry is not None),
-            bool(content.get("more-pages")),
-            int(content.get("store-revision", 0)),
+            tuple(_make_entry(item) for item in self._decode_items(page.items)),
+            bool(page.more_pages),
+            page.store_revision or 0,
         )
 
     async def wait_for_changes(
@@ -169,18 +210,25 @@
             self._note_response(response)
         if response.status == 410:
             raise StoreCompactedError(f"changes after {after_revision} are no longer available")
-        content = _decode_object(self._require_success(response))
+        batch = _decode_answer(self._require_success(response), _Listed)
         updates, deletions = [], []
-        for event in content.get("events", ()):
-            if event.get("deleted"):
-                deletions.append(Entry(event["key"], b"", int(event.get("rev", 0))))
-            else:
-                entry = _decode_item(event)
-                if entry is not None:
-                    updates.append(entry)
-        revision = int(content.get("store-revision", after_revision))
+        for event in self._decode_items(batch.events):
+            (deletions if event.deleted else updates).append(_make_entry(event))
+        revision = after_revision if batch.store_revision is None else batch.store_revision
         return ChangeBatch(revision, tuple(updates), tuple(deletions))
 
+    def _decode_items(self, rows: list[Any] | None) -> list[_Item]:
+        """Decodes the items of an answer; the first one that is malformed is logged."""
+        items = []
+        for row in rows or ():
+            try:
+                items.append(convert_table(row, _Item, strict=True))
+            except TableInvalidError as error:
+                if not self._has_logged_item:
+                    logger.warning("skipped an item of the store: {}", error.problems[0])
+                self._has_logged_item = True
+        return items
+
     async def _write(self, target: str, body: Any) -> HttpResponse:
         content = orjson.dumps(body) if body is not None else b""
         self.call_count += 1
@@ -224,23 +272,29 @@
         return response
 
 
-def _decode_object(response: HttpResponse) -> dict[str, Any]:
+def _decode_answer(response: HttpResponse, table: type[TableType]) -> TableType:
+    """Decodes the body of an answer.
+
+    :raises StoreOutcomeUnknownError: if it is malformed.
+    """
     try:
         content = orjson.loads(response.body)
     except orjson.JSONDecodeError as error:
         raise StoreOutcomeUnknownError(f"the answer is not JSON: {error}") from error
-    if not isinstance(content, dict):
-        raise StoreOutcomeUnknownError("the answer is not a JSON object")
-    return content
+    return _convert_answer(content, table)
+
+
+def _convert_answer(content: Any, table: type[TableType]) -> TableType:
+    try:
+        return convert_table(content, table, strict=True)
+    except TableInvalidError as error:
+        raise StoreOutcomeUnknownError(f"malformed answer: {error.problems[0]}") from error
 
 
-def _decode_item(item: dict[str, Any]) -> Entry | None:
-    """Decodes an item; a value that is not base64 is replaced by an empty one."""
-    key, value = item.get("key"), item.get("value")
-    if not isinstance(key, str):
-        return None
+def _make_entry(item: _Item) -> Entry:
+    """Returns the entry of an item; a value that is not base64 is replaced by an empty one."""
     try:
-        decoded = b64decode(value, validate=True) if isinstance(value, str) else b""
-    except Base64Error:
-        decoded = b""
-    return Entry(key, decoded, int(item.get("rev", 0)))
+        value = b64decode(item.value, validate=True) if isinstance(item.value, str) else b""
+    except ValueError:
+        value = b""
+    return Entry(item.key, value, item.rev)
