Handle signals while the daemon waits for its store

What operators saw: SIGHUP, which tells of a changed settings file, ended a daemon that was waiting for the store at its start. SIGTERM reset the callers that waited there.

Cause: the handlers were installed after the first answer of the store.

Signals are blocked first thing in main and released once their handlers are installed, so none is lost or fatal in between. Installing handlers in main was the other way: they would have to store what came until the event loop runs. The settings file is watched from the start, so that a daemon learns a new address of the store that it waits for. A stop before the store has answered has nothing to hand over: it answers 503 and ends with status 0.

--- a/berylproxy/platform/__main__.py
+++ b/berylproxy/platform/__main__.py
@@ -12,6 +12,7 @@
 from berylproxy.exit_status import ExitStatus
 from berylproxy.listeners import AddressUnavailableError, open_listener
 from berylproxy.platform.settings import SETTINGS_VARIABLE, load_platform_settings
+from berylproxy.signals import hold_signals
 
 # New objects until the next collection. Reference counting frees nearly all of them at once, so
 # that the default of 700 costs processor time and finds little.
@@ -20,6 +21,7 @@
 
 def main(env: Environment) -> ExitStatus:
     """Loads the settings and runs the daemon until a signal stops it."""
+    hold_signals()
     path = env.variables.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_platform_settings(path)
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -307,6 +307,10 @@
         self._application = application
         self._started.set()
 
+    def give_up(self) -> None:
+        """Answers the requests that wait, and all later ones, that the daemon isn't ready."""
+        self._started.set()
+
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Handles one request."""
         if self._application is None and scope["path"] != READY_PATH:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -1,6 +1,5 @@
 """Assembles the daemon for the users' platform and runs it until a planned stop."""
 
-import signal
 from collections.abc import Sequence
 from secrets import token_hex
 from socket import socket
@@ -8,8 +7,16 @@
 from typing import Any
 
 import orjson
-from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
-from anyio.abc import TaskGroup
+from anyio import (
+    TASK_STATUS_IGNORED,
+    CancelScope,
+    Event,
+    create_task_group,
+    move_on_after,
+    open_signal_receiver,
+    sleep,
+)
+from anyio.abc import TaskGroup, TaskStatus
 from logbook import Logger
 
 from berylproxy import __version__
@@ -39,6 +46,7 @@
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
+from berylproxy.signals import HANDLED_SIGNALS, RELOAD_SIGNAL, release_signals
 from berylproxy.store.errors import StoreLeaseLapsedError
 from berylproxy.store.port import StoreError
 
@@ -74,6 +82,7 @@
         self._settings_watcher = SettingsWatcher(settings_path, settings, self._apply_settings)
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
+        self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
         self._configuration = PlatformConfiguration()
         self._evacuations = EvacuatedDomains()
         self._operator_watch = OperatorWatch(
@@ -84,6 +93,8 @@
         self._is_stopping = False
         self._is_ready = True
         self._stopped = Event()
+        self._coordinator: GroupCoordinator | None = None
+        self._start_ended = Event()
         self._groups_changed = Event()
         self._configured = Event()
 
@@ -97,16 +108,25 @@
             settings.peer_address,
         )
         async with create_task_group() as task_group:
+            self._store_wait = CancelScope()
+            await task_group.start(self._handle_signals)
+            task_group.start_soon(self._settings_watcher.run)
             task_group.start_soon(self._serve, task_group.cancel_scope)
-            await self._start(task_group)
+            key = None
+            with self._store_wait:
+                key = await self._fetch_peer_key()
+            if key is not None:
+                await self._start(task_group, settings, key)
+            self._start_ended.set()
         logger.info("stopped")
 
-    async def _start(self, task_group: TaskGroup) -> None:
-        """Builds the daemon's parts and starts them in the task group."""
-        settings = self._settings
-        self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
+    async def _start(self, task_group: TaskGroup, settings: PlatformSettings, key: bytes) -> None:
+        """Builds the daemon's parts and starts them in the task group.
+
+        :param settings: the settings at the start of the process.
+        :param key: shared key of the daemons.
+        """
         telemetry = Telemetry()
-        key = await self._fetch_peer_key()
         self._network = TcpPeerNetwork(
             self._identity,
             _make_peer_settings(settings, key),
@@ -125,9 +145,7 @@
             telemetry,
             self._evacuations,
         )
-        self._coordinator.link_mbps = settings.link_mbps
-        self._coordinator.remote_factor = settings.remote_factor
-        self._coordinator.neighbour_mode = settings.neighbour_mode
+        self._apply_to_coordinator(self._settings)
         telemetry.add_gauges(self._coordinator.list_group_gauges)
         telemetry.metrics.add_source(self._evacuations.list_gauges)
         telemetry.metrics.add_source(self._coordinator.list_share_samples)
@@ -148,8 +166,6 @@
         task_group.start_soon(self._maintain_membership)
         task_group.start_soon(self._track_groups)
         task_group.start_soon(self._coordinator.run)
-        task_group.start_soon(self._settings_watcher.run)
-        task_group.start_soon(self._handle_signals)
         self._starting_application.start(self._application)
         logger.info("serving on {}", settings.callers_address)
 
@@ -178,11 +194,16 @@
         if settings.store_address != self._settings.store_address:
             self._store.change_address(settings.store_address)
         self._endpoints.longest_lease_s = settings.longest_lease_s
+        self._apply_to_coordinator(settings)
+        self._settings = settings
+
+    def _apply_to_coordinator(self, settings: PlatformSettings) -> None:
+        if self._coordinator is None:
+            return
         self._coordinator.cores = settings.cores
         self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
         self._coordinator.neighbour_mode = settings.neighbour_mode
-        self._settings = settings
 
     def _is_accepting(self) -> bool:
         if self._is_stopping or not self._configuration.version:
@@ -283,15 +304,17 @@
                 self._network.add_address(member.peer_address)
         self._member_domains = {name: m.failure_domain for name, m in members.items()}
 
-    async def _handle_signals(self) -> None:
+    async def _handle_signals(self, *, task_status: TaskStatus[None] = TASK_STATUS_IGNORED) -> None:
         """Starts the planned stop on SIGTERM or SIGINT and reloads the settings on SIGHUP.
 
         Later signals neither speed up nor interrupt a stop.
         """
-        with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        with open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            release_signals()
+            task_status.started()
             async with create_task_group() as task_group:
                 async for number in signals:
-                    if number == signal.SIGHUP:
+                    if number == RELOAD_SIGNAL:
                         self._settings_watcher.request_reload()
                     elif self._is_stopping:
                         logger.info("received another stop signal; already stopping")
@@ -302,6 +325,12 @@
     async def _stop(self) -> None:
         """Answers the requests in flight, within the time before SIGKILL."""
         logger.info("stopping")
+        self._store_wait.cancel()
+        await self._start_ended.wait()
+        if self._coordinator is None:  # nothing is served yet
+            self._starting_application.give_up()
+            self._stopped.set()
+            return
         self._coordinator.leave()
         self._network.announce_leaving()
         with move_on_after(self._settings.stop_grace_s * DRAIN_SHARE):
--- a/tests/steps/platform_start_up_steps.py
+++ b/tests/steps/platform_start_up_steps.py
@@ -1,6 +1,7 @@
 """Steps on what a starting daemon imports, and on callers who connect before it is ready."""
 
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 LISTEN_TIMEOUT_S = 10.0
 END_TIMEOUT_S = 20.0
 CANNOT_START = 12
+WAITING = "the store is not available yet"
 JOB_ID = "00000000000000cc"
 LARGEST = 20  # packages that are named when there are too many modules
 
@@ -70,20 +72,79 @@
     cluster.start()
     cluster.daemons[0].kill()
     cluster.switch_store(busy=True)
+    context.former_lines = len(cluster.read_log(cluster.daemons[0]))
     cluster.daemons[0].start()
 
 
-@when(r"a caller connects as soon as the daemon listens and submits a job")
-def step_impl(context):
-    cluster = context.platform_cluster
+def wait_until_listening(cluster):
+    """Waits until the daemon accepts connections, which it does before it has imported all."""
     deadline_s = monotonic() + LISTEN_TIMEOUT_S
     while True:
         try:
             socket.create_connection((cluster.host(0), cluster.ports[0][2])).close()
-            break
+            return
         except ConnectionRefusedError:
             assert monotonic() < deadline_s, "the daemon doesn't listen"
             sleep(0.005)
+
+
+def wait_until_waiting(cluster, former_lines):
+    """Waits until the daemon has logged, after a number of lines, that it waits for its store."""
+    deadline_s = monotonic() + LISTEN_TIMEOUT_S
+    while not any(
+        line["message"].startswith(WAITING)
+        for line in cluster.read_log(cluster.daemons[0])[former_lines:]
+    ):
+        assert monotonic() < deadline_s, "the daemon doesn't wait for its store"
+        sleep(0.02)
+
+
+@given(r"a starting platform daemon whose settings name a store that isn't there")
+def step_impl(context):
+    context.platform_cluster = cluster = PlatformCluster(context.folder, 1, 1, 0.05)
+    context.add_cleanup(cluster.close)
+    cluster.start()
+    cluster.daemons[0].kill()
+    [unused_port] = pick_ports(1)
+    cluster.write_settings(0, store_port=unused_port)
+    context.former_lines = len(cluster.read_log(cluster.daemons[0]))
+    cluster.daemons[0].start()
+
+
+@when(r"the starting daemon gets SIGHUP once its settings name the store that is there")
+def step_impl(context):
+    cluster = context.platform_cluster
+    wait_until_waiting(cluster, context.former_lines)
+    cluster.write_settings(0)
+    cluster.daemons[0].send_signal(signal.SIGHUP)
+
+
+@when(
+    r"the starting daemon gets (?P<name>SIGHUP|SIGTERM) "
+    r"(?P<moment>as soon as it listens|once it has been refused by the store)"
+)
+def step_impl(context, name, moment):
+    cluster = context.platform_cluster
+    wait_until_listening(cluster)
+    if moment != "as soon as it listens":
+        wait_until_waiting(cluster, context.former_lines)
+    cluster.daemons[0].send_signal(signal.Signals[name])
+
+
+@then(r"the starting daemon gets ready")
+def step_impl(context):
+    context.platform_cluster.wait_ready(0)
+
+
+@then(r"the starting daemon ends with status 0")
+def step_impl(context):
+    assert context.platform_cluster.daemons[0].wait(END_TIMEOUT_S) == 0
+
+
+@when(r"a caller connects as soon as the daemon listens and submits a job")
+def step_impl(context):
+    cluster = context.platform_cluster
+    wait_until_listening(cluster)
     executor = ThreadPoolExecutor(1)
     context.add_cleanup(executor.shutdown)
     fields = {"best-effort": True}
