--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -195,18 +195,18 @@
                 suspects[UNKNOWN_TASK] = evidence
             record.losses.append(Loss(suspects, is_crash=True))
 
-    def count(self, name: TaskName) -> CrashCount:
-        """Returns the crashes under begun runs of a task, unless it has ended since."""
-        return self._count(name, Evidence.BEGUN)
+    def count(self, name: TaskName, least: Evidence = Evidence.BEGUN) -> CrashCount:
+        """Returns the crashes under runs of a task, unless it has ended since.
 
-    def _count(self, name: TaskName, least: Evidence) -> CrashCount:
+        :param least: the least evidence of runs that count.
+        """
         record = self._records.get(name)
         losses = record.losses if record is not None else []
         crashes = [loss for loss in losses if loss.is_crash_under(name, least)]
         return CrashCount(len(crashes), sum(loss.blames(name) for loss in crashes))
 
     def _is_to_blame(self, name: TaskName) -> bool:
-        begun, possible = self._count(name, Evidence.BEGUN), self._count(name, Evidence.POSSIBLE)
+        begun, possible = self.count(name), self.count(name, Evidence.POSSIBLE)
         return (
             begun.blamed >= MAX_BLAMED_CRASHES
             or begun.crashes >= MAX_CRASHES
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -187,6 +187,7 @@
                     task=list(name[1:]),
                     crashes=count.crashes,
                     blamed_crashes=count.blamed,
+                    possible_crashes=self.record.count(name, Evidence.POSSIBLE).crashes,
                 ),
             )
             job = self._job_table.jobs.get(name.job_id)
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -13,13 +13,7 @@
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Suspicion
-from berylproxy.durable.jobs.job_table import (
-    ACTIVE_STATUSES,
-    Job,
-    JobTable,
-    Task,
-    TaskStatus,
-)
+from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
 from berylproxy.durable.jobs.models import (
     CompleteReport,
     EndedRun,
