Ask only the services that may have a job

What callers saw: while the configuration had a service without endpoints, each DELETE was answered 504 and each GET for an open job 503, for all queues.

Cause: an entry daemon asked nobody for a job until it knew the groups of every service; a service without endpoints never gets any.

The known groups are asked first, the route's own before the others. Only if none has the job, services whose division isn't known matter; then the store is asked. A stored division is never removed, and jobs are accepted by holders of its groups only, so a service without one has no jobs.

Other ways: to skip services that are not known leaves jobs of one whose division this daemon hasn't read yet unfound (410); to remember from the last look that a service had no division is no proof for a job accepted since.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -13,7 +13,12 @@
 from berylproxy.durable.holding.coordinator import GroupCoordinator
 from berylproxy.durable.holding.errors import JobAbandonedError
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
-from berylproxy.durable.holding.records import decode_final, final_key, open_key
+from berylproxy.durable.holding.records import (
+    StoredValueError,
+    decode_final,
+    final_key,
+    open_key,
+)
 from berylproxy.durable.jobs.messages import (
     NO_ROOM,
     TOO_LATE,
@@ -338,33 +343,72 @@
         cached_state = self._cached_states.get(job_id)
         if cached_state is not None and cached_state in _FINAL_STATES:
             return cached_state
-        message = AskState("", job_id)
-        groups = self._groups_of(services, job_id)
         try:
-            return await self._query_groups(groups, message, "find_state", wait_s)
+            return await self._query_services(services, AskState("", job_id), "find_state", wait_s)
         except ResultUnknownError:
             if cached_state is not None:
                 return cached_state
+            groups = self._known_groups(self._list_candidates(services), job_id)
             state = await self._find_stored_state(groups, job_id)
             if state is None:  # the holder might know the job nevertheless
                 raise ResultUnknownError("no holder answers") from None
             return state
 
-    def _groups_of(self, services: list[str], job_id: str) -> list[str]:
-        """Lists the group that the job would belong to in each service."""
-        groups = [self._coordinator.divisions.group_of_job(service, job_id) for service in services]
-        if not all(groups):
-            raise ResultUnknownError("the groups of a service are not known yet")
-        return groups
-
     async def cancel(self, services: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Cancels a job and returns its stored state; ``None`` if there is no such job.
 
         :param services: services that may have the job, the likeliest first.
         :raises ResultUnknownError: if the cancellation may not be stored.
         """
-        groups = self._groups_of(services, job_id)
-        return await self._query_groups(groups, CancelStored("", job_id), "cancel", wait_s)
+        return await self._query_services(services, CancelStored("", job_id), "cancel", wait_s)
+
+    def _list_candidates(self, services: list[str]) -> list[str]:
+        """Lists the services that may have a job; those removed from the configuration go last."""
+        return list(dict.fromkeys([*services, *self._coordinator.divisions.list_services()]))
+
+    def _known_groups(self, services: list[str], job_id: str) -> list[str]:
+        """Lists the group that the job would belong to in each service whose division is known."""
+        group_of_job = self._coordinator.divisions.group_of_job
+        return [group for service in services if (group := group_of_job(service, job_id))]
+
+    async def _query_services(
+        self, services: list[str], message: Any, method: str, wait_s: float
+    ) -> JobState | None:
+        """Sends a request about a job to the holders that may have it; see :meth:`_query_groups`.
+
+        Services whose division isn't known matter only if no other one has the job.
+
+        :raises ResultUnknownError: if the job may be where no answer comes from.
+        """
+        started_s = self._clock.now_s()
+        candidates = self._list_candidates(services)
+        group_of_job = self._coordinator.divisions.group_of_job
+        unknown = [name for name in candidates if not group_of_job(name, message.job_id)]
+        known_groups = self._known_groups(candidates, message.job_id)
+        state = await self._query_groups(known_groups, message, method, wait_s)
+        if state is not None or not unknown:
+            return state
+        remaining_s = wait_s - (self._clock.now_s() - started_s)
+        found = await self._find_groups(unknown, message.job_id, remaining_s)
+        remaining_s = wait_s - (self._clock.now_s() - started_s)
+        return await self._query_groups(found, message, method, remaining_s)
+
+    async def _find_groups(self, services: list[str], job_id: str, wait_s: float) -> list[str]:
+        """Lists the job's groups in services whose division isn't known; others can't have it.
+
+        :raises ResultUnknownError: if the store doesn't tell.
+        """
+        find_group = self._coordinator.divisions.find_group_of_job
+        try:
+            with fail_after(max(wait_s, 0.0)):
+                groups = [await find_group(service, job_id) for service in services]
+        except (StoreError, StoredValueError) as error:
+            raise ResultUnknownError(
+                f"the groups of a service are not known: {error.message}"
+            ) from error
+        except TimeoutError as error:
+            raise ResultUnknownError("the groups of a service are not known in time") from error
+        return [group for group in groups if group]
 
     async def count_pending(self, service: str, queue: str, wait_s: float) -> int:
         """Counts a queue's jobs of which no task has started, over all groups of its service.
@@ -414,13 +458,13 @@
         """
         started_s = self._clock.now_s()
         limit_s = min(wait_s, NO_HOLDER_WAIT_S)
-        unanswered = set(groups)
+        unanswered = list(groups)
         while unanswered and self._clock.now_s() - started_s < limit_s:
             for group in list(unanswered):
                 state = await self._query_group(group, message, method)
                 if state is None:
                     continue
-                unanswered.discard(group)
+                unanswered.remove(group)
                 if state:
                     self._cache_state(message.job_id, JobState(state))
                     return JobState(state)
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -75,6 +75,28 @@
         division = self._divisions.get(service)
         return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
 
+    def list_services(self) -> list[str]:
+        """Lists the services whose divisions are known, also those no longer configured."""
+        return list(self._divisions)
+
+    async def find_group_of_job(self, service: str, job_id: str) -> str:
+        """Returns the group of a service's job, from the store if the division isn't known.
+
+        Jobs are accepted by the holders of groups only, and a division is never removed. So a
+        service whose division isn't stored has no jobs.
+
+        :return: empty if the service is not divided.
+        :raises StoreError: if the store does not answer.
+        :raises StoredValueError: if the stored division is unreadable.
+        """
+        division = self._divisions.get(service)
+        if division is None:
+            entry = await self._store.get(division_key(service))
+            if entry is None:
+                return ""
+            division = decode_division(entry.value, entry.revision)
+        return choose_group(service, division.count, job_id)
+
     async def load(self, service: str) -> bool:
         """Reads the division of a service; creates it if the service is new.
 
