Keep a request one job when its queue changes its service

What callers saw: a request that arrived again after its queue had been sent to another service ran its job there a second time, while the first runs went on.

Cause: the record of an open job stands under its group, and the holder that accepts a job looks for its outcome and its own jobs only.

The accepting transaction now expects the absence of the job's records in the groups of the other services, too: one entry for each, no call and no message. Asking their holders first costs a message each and is no proof while an acceptance is under way.

An entry daemon that reaches no holder looks for the job's record in the groups of all services.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -232,7 +232,7 @@
         if may_be_stored:
             raise ResultUnknownError("it is not known whether the job is stored")
         # Another daemon may have stored the job for an earlier submission.
-        groups = [self._coordinator.divisions.group_of_job(spec.terms.service, spec.job_id)]
+        groups = self._known_groups(self._list_candidates([spec.terms.service]), spec.job_id)
         if await self._find_stored_state(groups, spec.job_id) is None:
             raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
 
--- a/berylproxy/durable/holding/context.py
+++ b/berylproxy/durable/holding/context.py
@@ -40,6 +40,8 @@
         time near the data.
     :param failure_domain: returns the failure domain of a daemon, given its incarnation; empty if
         it is unknown.
+    :param other_groups_of_job: returns the groups in which a job may be if its queue had another
+        service before, given its service and identifier.
     """
 
     store: JobStore
@@ -56,3 +58,4 @@
     is_entry_alive: Callable[[str], bool]
     remote_factor: Callable[[], float]
     failure_domain: Callable[[str], str]
+    other_groups_of_job: Callable[[str, str], list[str]] = lambda service, job_id: []
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -230,6 +230,7 @@
             self._is_entry_alive,
             lambda: self.remote_factor,
             self._failure_domain,
+            self.divisions.other_groups_of_job,
         )
         self._on_jobs_ended = on_jobs_ended
         self._models: dict[str, RunTimeModel] = {}
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -79,6 +79,10 @@
         """Lists the services whose divisions are known, also those no longer configured."""
         return list(self._divisions)
 
+    def other_groups_of_job(self, service: str, job_id: str) -> list[str]:
+        """Lists the groups that a job would belong to if its queue were sent to another service."""
+        return [self.group_of_job(name, job_id) for name in self._divisions if name != service]
+
     async def find_group_of_job(self, service: str, job_id: str) -> str:
         """Returns the group of a service's job, from the store if the division isn't known.
 
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -75,6 +75,9 @@
 
 TICK_INTERVAL_S = 0.05
 RETRY_PAUSE_S = 0.05
+# In one transaction, which has 32 entries at most. A queue that had one of further services may
+# have its job run there, too.
+MAX_OTHER_GROUPS = 16
 LEASE_LENGTH_S = 1.0  # the longest lease that endpoints grant
 CLAIM_CHECK_INTERVAL_S = 0.4
 NEIGHBOUR_REFRESH_INTERVAL_S = 0.5
@@ -342,8 +345,10 @@
         if decision.refusal is not None:
             return decision.refusal
         stored = decision.stored
+        other_groups = self._context.other_groups_of_job(spec.terms.service, spec.job_id)
+        elsewhere = [open_key(group, spec.job_id) for group in other_groups[:MAX_OTHER_GROUPS]]
         change = Change(
-            absent=(final_key(spec.job_id),),
+            absent=(final_key(spec.job_id), *elsewhere),
             written=((open_key(self.tenure.group, spec.job_id), encode_job(stored)),),
         )
         try:
--- a/tests/steps/durable_frontend_steps.py
+++ b/tests/steps/durable_frontend_steps.py
@@ -49,7 +49,9 @@
 
 @given("an entry daemon that reaches no holder, and a store that {store}")
 def step_impl(context, store):
-    divisions = SimpleNamespace(group_of_job=lambda service, job_id: service)
+    divisions = SimpleNamespace(
+        group_of_job=lambda service, job_id: service, list_services=lambda: ["ledger"]
+    )
     coordinator = SimpleNamespace(divisions=divisions, holder_incarnation=lambda group: "")
     network = SimpleNamespace()
     store = KnownKeys(KEYS[store])
--- /dev/null
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -0,0 +1,168 @@
+"""Steps on durable jobs whose queue is sent to another service."""
+
+from collections import Counter
+from functools import partial
+from time import monotonic
+
+from anyio import create_task_group, run, sleep
+from behave import given, then, use_step_matcher, when
+from msgspec.structs import replace
+
+from berylproxy.clock import MonotonicClock
+from berylproxy.durable.entry.frontend import JobFrontend
+from berylproxy.durable.holding.groups import Division
+from berylproxy.durable.holding.records import division_key, encode_division
+from berylproxy.durable.jobs.models import JobSpec, JobState, QueueTerms, Resources, StepSpec
+from berylproxy.durable.orders.telemetry import Telemetry
+from tests.steps.durable_member_steps import make_coordinator, make_network, write
+from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
+
+SERVICES = ("ledger", "annex")
+TASKS = 4
+RUN_TIME_S = 0.4
+CALLER_WAIT_S = 10.0
+WAIT_LIMIT_S = 20.0
+
+use_step_matcher("re")
+
+
+class TwoServices:
+    """A daemon that holds the only group of each of two services, without sockets."""
+
+    def __init__(self) -> None:
+        self.endpoints = [make_endpoint(f"{service}-e") for service in SERVICES]
+        for service, endpoint in zip(SERVICES, self.endpoints, strict=True):
+            endpoint.info = replace(endpoint.info, service=service)
+            endpoint.run_time_s = RUN_TIME_S
+        self.store = FakeJobStore()
+        for service in SERVICES:
+            write(self.store, division_key(service), encode_division(Division(1)))
+        network = make_network()
+        self.coordinator = make_coordinator(
+            FakeDirectory(self.endpoints), store=self.store, network=network
+        )
+        self.frontend = JobFrontend(
+            network, self.coordinator, self.store, MonotonicClock(), Telemetry()
+        )
+        self.accepted = 0
+        self.state: JobState | None = None
+
+    async def run(self, play) -> None:
+        """Plays a scenario once both groups are held."""
+        async with create_task_group() as task_group:
+            assert await self.coordinator.follow_services(set(SERVICES))
+            task_group.start_soon(self.coordinator.run)
+            await self.wait_until(self.is_holding)
+            await play(self)
+            task_group.cancel_scope.cancel()
+
+    def is_holding(self) -> bool:
+        """Returns whether both groups have a holder that has loaded its jobs."""
+        holders = self.coordinator.holders
+        return all(name in holders and holders[name].is_loaded for name in SERVICES)
+
+    async def wait_until(self, condition) -> None:
+        """Waits until a condition holds."""
+        until_s = monotonic() + WAIT_LIMIT_S
+        while not condition():
+            assert monotonic() < until_s, "the condition was not met"
+            await sleep(0.01)
+
+    async def submit(self, job_id: str, service: str) -> None:
+        """Submits a durable job by a route to a service."""
+        terms = QueueTerms("q", service, max_attempts=3, objective_s=CALLER_WAIT_S)
+        steps = (StepSpec(TASKS, Resources(10_000), RUN_TIME_S),)
+        await self.frontend.submit_durable(JobSpec(job_id, terms, "", steps), CALLER_WAIT_S)
+        self.accepted += 1
+
+    def count_running(self) -> int:
+        """Returns how many runs are active at all endpoints."""
+        for endpoint in self.endpoints:
+            endpoint.end_due_runs()
+        return sum(len(endpoint.running) for endpoint in self.endpoints)
+
+    def count_starts(self, job_id: str) -> Counter:
+        """Returns how often each task of a job has started, at whichever endpoints."""
+        return Counter(
+            name
+            for endpoint in self.endpoints
+            for _, kind, name, _ in endpoint.history
+            if kind == "start" and name.job_id == job_id
+        )
+
+    async def wait_for_end(self) -> None:
+        """Waits until no group has open jobs."""
+        holders = self.coordinator.holders.values()
+        await self.wait_until(lambda: not any(holder.job_table.jobs for holder in holders))
+
+
+@given(r'a daemon that holds the groups of the services "ledger" and "annex"')
+def step_impl(context):
+    context.two_services = TwoServices()
+    context.cancels = False
+
+
+async def play_in_turn(moment, context, world):
+    await world.submit("j1", "ledger")
+    if moment == "it has ended":
+        await world.wait_for_end()
+    else:
+        await world.wait_until(lambda: world.count_running() == TASKS)
+    await world.submit("j1", "annex")
+    await world.wait_for_end()
+
+
+async def play_at_once(first_job, second_job, world):
+    async with create_task_group() as task_group:
+        task_group.start_soon(world.submit, first_job, "ledger")
+        task_group.start_soon(world.submit, second_job, "annex")
+    await world.wait_for_end()
+
+
+async def play_cancel(world):
+    await world.submit("j1", "ledger")
+    await world.wait_until(lambda: world.count_running() == TASKS)
+    await world.submit("j1", "annex")
+    world.state = await world.frontend.cancel(["annex", "ledger"], "j1", CALLER_WAIT_S)
+    await world.wait_until(lambda: not world.count_running())
+
+
+@when(r'job "j1" is submitted to "ledger", and once (?P<moment>its tasks run|it has ended) to .+')
+def step_impl(context, moment):
+    context.play = partial(play_in_turn, moment, context)
+
+
+@when(r'a caller of "annex" cancels job "j1"')
+def step_impl(context):
+    context.play = play_cancel
+
+
+@when(r'job "j1" is submitted to "ledger" and to "annex" at once')
+def step_impl(context):
+    context.play = partial(play_at_once, "j1", "j1")
+
+
+@when(r'job "j1" is submitted to "ledger" and job "j2" to "annex"')
+def step_impl(context):
+    context.play = partial(play_at_once, "j1", "j2")
+
+
+@then(r"both submissions are accepted")
+def step_impl(context):
+    run(context.two_services.run, context.play)
+    assert context.two_services.accepted == 2, context.two_services.accepted
+
+
+@then(r"the job is cancelled, and no run of it is left")
+def step_impl(context):
+    run(context.two_services.run, context.play)
+    assert context.two_services.state is JobState.CANCELLED, context.two_services.state
+
+
+@then(r'each task of job "(?P<job_id>\w+)" has started once')
+def step_impl(context, job_id):
+    starts = context.two_services.count_starts(job_id)
+    assert len(starts) == TASKS and set(starts.values()) == {1}, starts
+
+
+use_step_matcher("parse")
