--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -18,6 +18,8 @@
 NEIGHBOURS_VARIABLE = "BERYLPROXY_NEIGHBOURS"
 # The contract under which tasks on one endpoint share more than the room that they declare.
 SHARING_CONTRACT = "sharing"
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 
 
 Name = Annotated[str, Meta(min_length=1)]
@@ -105,11 +107,13 @@
         raise SettingsError([f"{path}: not TOML: {error}"]) from error
     try:
         return _convert(convert_table(content, _SettingsFile))
-    except TableInvalidError as error:
+    except (TableInvalidError, SettingsError) as error:
         raise SettingsError([f"{path}: {problem}" for problem in error.problems]) from error
 
 
 def _convert(file: _SettingsFile) -> PlatformSettings:
+    if not _is_address(file.platform.address):
+        raise SettingsError([f"platform.address: {file.platform.address!r} is not host:port"])
     first_port, _ = file.internal_ports
     return PlatformSettings(
         daemon_id=file.node_name,
@@ -128,6 +132,14 @@
     )
 
 
+def _is_address(address: str) -> bool:
+    """Returns whether calls can be made to an address: its host is checked by each call."""
+    host, _, port = address.rpartition(":")
+    is_host = bool(host) and host.isascii() and host.isprintable() and " " not in host
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_host and is_number and 0 < int(port) <= MAX_PORT
+
+
 def _choose_neighbour_mode(contracts: tuple[str, ...]) -> NeighbourMode:
     """Returns the mode that the environment names, else the one that the contracts call for.
 
--- a/tests/platform/reload.feature
+++ b/tests/platform/reload.feature
@@ -35,7 +35,8 @@
     Then each platform job is answered 200 as "completed"
 
     Examples:
-      | damage          | named         |
-      | half a file     | not TOML      |
-      | a missing field | listen        |
-      | no file         | can't be read |
+      | damage               | named            |
+      | half a file          | not TOML         |
+      | a missing field      | listen           |
+      | no file              | can't be read    |
+      | no port of the store | platform.address |
--- a/tests/steps/platform_reload_steps.py
+++ b/tests/steps/platform_reload_steps.py
@@ -49,12 +49,15 @@
     context.platform_cluster.client.put(url, json={"cut": True}).raise_for_status()
 
 
-@when(r"the settings of daemon 0 become (?P<damage>half a file|a missing field|no file)")
+@when(r"the settings of daemon 0 become (?P<damage>half a file|a missing field|no file|no port .+)")
 def step_impl(context, damage):
     path = context.platform_cluster.settings_path(0)
     content = path.read_text()
     if damage == "no file":
         path.unlink()
+    elif damage == "no port of the store":
+        port = context.platform_cluster.store.announced["port"]
+        path.write_text(content.replace(f"127.0.0.1:{port}", "127.0.0.1"))
     elif damage == "half a file":
         path.write_text(content[: len(content) // 2] + "[")
     else:
@@ -76,7 +79,7 @@
     assert list(lines[-1][keys[effect]]) == [name], lines[-1]
 
 
-@then(r'daemon 0 logs "(?P<message>[\w ]+)" once, naming "(?P<named>[\w\' ]+)"')
+@then(r'daemon 0 logs "(?P<message>[\w ]+)" once, naming "(?P<named>[\w\'. ]+)"')
 def step_impl(context, message, named):
     sleep(LOG_WAIT_S)
     lines = find_lines(context, 0, message)
