Decode what heartbeats say of capacities and evacuations by typed tables

What operators would see: a heartbeat with a number that no 64 bits hold raises an unexpected error, and what follows in it is lost; a capacity of 64 bits, as a daemon of an earlier version would tell it, is taken.

Cause: the rows were converted number by number, without a range, and the errors that this raises were listed by hand.

Rows from earlier versions have the same form; further fields at their end, or further keys, are ignored. The ranges are those of the list's entries.

--- a/berylproxy/durable/endpoints/capacity_spread.py
+++ b/berylproxy/durable/endpoints/capacity_spread.py
@@ -10,10 +10,17 @@
 from typing import Any
 
 from logbook import Logger
+from msgspec import Struct, ValidationError, convert
 
 from berylproxy.clock import Clock
 from berylproxy.durable.endpoints.fleet import EndpointList
-from berylproxy.durable.jobs.models import EndpointInfo, EndpointInstance, Resources
+from berylproxy.durable.jobs.models import (
+    Amount,
+    Count,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+)
 from berylproxy.peers.membership import Member
 from berylproxy.peers.network import TcpPeerNetwork
 
@@ -23,6 +30,20 @@
 logger = Logger("berylproxy.durable.capacity_spread")
 
 
+class ToldCapacity(Struct, frozen=True, array_like=True):
+    """The row for an endpoint in a heartbeat.
+
+    :param revision: revision of the entry that showed the capacity.
+    """
+
+    endpoint_id: str
+    born_ms: Count
+    revision: Count
+    cpu_millicores: Amount
+    memory_mb: Amount
+    accelerators: Amount
+
+
 class CapacitySpread:
     """Adds changed capacities to this daemon's heartbeats, and applies those of others.
 
@@ -55,17 +76,15 @@
         rows = part.get("changed") if isinstance(part, dict) else None
         for row in rows if isinstance(rows, list | tuple) else ():
             try:
-                endpoint_id, *numbers = row
-                born_ms, revision, *amounts = map(int, numbers)
-                instance, capacity = EndpointInstance(str(endpoint_id), born_ms), Resources(
-                    *amounts
-                )
-            except (ValueError, TypeError) as error:
+                told = convert(row, ToldCapacity)
+            except ValidationError as error:
                 logger.warning(
                     "skipped a capacity that {} told: {!r}", member.identity.daemon_id, error
                 )
                 continue
-            self._endpoint_list.hear_capacity(instance, revision, capacity)
+            instance = EndpointInstance(told.endpoint_id, told.born_ms)
+            capacity = Resources(told.cpu_millicores, told.memory_mb, told.accelerators)
+            self._endpoint_list.hear_capacity(instance, told.revision, capacity)
 
 
 def _encode(info: EndpointInfo) -> list[Any]:
--- a/berylproxy/durable/endpoints/evacuation_spread.py
+++ b/berylproxy/durable/endpoints/evacuation_spread.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 from logbook import Logger
+from msgspec import Struct, ValidationError, convert
 
 from berylproxy.clock import Clock
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
+from berylproxy.durable.jobs.models import Count
 from berylproxy.peers.membership import Member
 from berylproxy.peers.network import TcpPeerNetwork
 
@@ -19,6 +21,13 @@
 logger = Logger("berylproxy.durable.evacuation_spread")
 
 
+class ToldEvacuations(Struct, frozen=True):
+    """A daemon's view in its heartbeats."""
+
+    revision: Count
+    failure_domains: list[str]
+
+
 class EvacuationSpread:
     """Adds this daemon's view to its heartbeats, and applies newer views of others."""
 
@@ -43,12 +52,15 @@
         if part is None:  # a daemon of an earlier version
             return
         try:
-            revision, names = int(part["revision"]), [str(name) for name in part["failure_domains"]]
-        except (ValueError, TypeError, KeyError) as error:
+            told = convert(part, ToldEvacuations)
+        except ValidationError as error:
             logger.warning(
                 "skipped the evacuations that {} told: {!r}", member.identity.daemon_id, error
             )
             return
         self._evacuations.hear(
-            frozenset(names), revision, member.identity.daemon_id, self._clock.now_s()
+            frozenset(told.failure_domains),
+            told.revision,
+            member.identity.daemon_id,
+            self._clock.now_s(),
         )
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -1,12 +1,18 @@
 """Data classes of durable jobs, their tasks and the endpoints that run them."""
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
+MAX_AMOUNT = 10**9  # a million cores, or a petabyte of memory
+MAX_NUMBER = 2**53 - 1  # the largest integer that all readers of JSON agree on
 DEFAULT_REMOTE_FACTOR = 2.0  # the larger one of the known installations
 
+# Types of what others have written or told.
+Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
+Count = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+
 
 class JobState(StrEnum):
     """The state of a job; the last three are final."""
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -8,6 +8,7 @@
 
 from berylproxy.durable.endpoints.leases import LeaseClock
 from berylproxy.durable.jobs.models import (
+    MAX_NUMBER,
     CompleteReport,
     EndedRun,
     EndKind,
@@ -34,7 +35,6 @@
 )
 from berylproxy.platform.runner_entries import (
     LIST_PREFIX,
-    MAX_NUMBER,
     EntryInvalidError,
     decode_entry,
 )
--- a/berylproxy/platform/runner_entries.py
+++ b/berylproxy/platform/runner_entries.py
@@ -9,7 +9,13 @@
 from msgspec import Meta
 from orjson import JSONDecodeError, loads
 
-from berylproxy.durable.jobs.models import EndpointInfo, EndpointInstance, Resources
+from berylproxy.durable.jobs.models import (
+    Amount,
+    Count,
+    EndpointInfo,
+    EndpointInstance,
+    Resources,
+)
 from berylproxy.errors import BerylproxyError
 from berylproxy.store.port import Entry
 from berylproxy.tables import Table, TableInvalidError, convert_table
@@ -19,15 +25,12 @@
 LEAVING_STATE = "draining"
 MAX_TEXT_CHARACTERS = 200
 MAX_LABELS = 64
-MAX_AMOUNT = 10**9  # a million cores, or a petabyte of memory
 MAX_COLD_MS = 24 * 3600 * 1000
-MAX_NUMBER = 2**53 - 1  # the largest integer that all readers of JSON agree on
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_PROBLEM_CHARACTERS = 200
 
 Text = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_CHARACTERS)]
-Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class EntryInvalidError(BerylproxyError):
@@ -53,7 +56,7 @@
     cold_left_ms: Annotated[float, Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)] = 0.0
     # The start of the runner's process in Unix milliseconds. An id may be reused, so that only both
     # together identify an instance.
-    born: Annotated[int, Meta(ge=0, le=MAX_NUMBER)] = 0
+    born: Count = 0
 
 
 def decode_entry(entry: Entry) -> EndpointInfo:
--- a/tests/durable/endpoints/capacity.feature
+++ b/tests/durable/endpoints/capacity.feature
@@ -110,6 +110,9 @@
       | [1]                                                                 | 64    |
       | {"changed": 4}                                                      | 64    |
       | {"changed": [["e1", 1000, "x", 1, 1, 0], 7, ["e1", 1000, 9, 10000, 1, 0]]} | 10    |
+      | {"changed": [["e1", 1000, 9, 1e400, 1, 0], ["e1", 1000, 9, 10000, 1, 0]]}  | 10    |
+      | {"changed": [["e1", 1000, 9, 18446744073709551615, 1, 0]]}          | 64    |
+      | {"changed": [["e1", 1000, 9, -1, 1, 0]]}                            | 64    |
 
   Scenario Outline: one daemon reads the list often for holders that the store turns away
     Given a standby daemon "<name>" <store>, a holder <holder store> and a standby daemon "d5" with the store
--- a/tests/durable/endpoints/evacuation.feature
+++ b/tests/durable/endpoints/evacuation.feature
@@ -34,6 +34,8 @@
       | {"revision": "x", "failure_domains": []}       |
       | {"revision": 9, "failure_domains": null}       |
       | {"revision": null, "failure_domains": ["c"]}   |
+      | {"revision": 1e400, "failure_domains": ["c"]}  |
+      | {"revision": 9, "failure_domains": [["c"]]}    |
 
   Scenario Outline: a holder that begins its tenure waits for a view that is old
     Given a view of the evacuated failure domains "" that the store confirmed <age_s> s ago
