Let daemons that reach the store go before a provisional holder

What callers saw: a holder that the store alone turned away suspended its durable jobs and, 0.1 s later, held the group provisionally, although the others reached the store.

Cause: a daemon decided by its own view of the store that it was away, and it knew of the end of its tenure before all others.

Now a daemon without the store waits 0.6 s longer while a reachable daemon that is ready says in its heartbeats that it has the store. Those claim the group in that time; the wait is bounded because what they say may be outdated. While all that are reachable lack the store nothing changes. A daemon that has the store replaces a provisional holder, whoever that is. A holder that suspends its durable jobs says so by the field `leaving` of its heartbeat, on which others claim at once.

No message changes.

'a former holder, unaware of its successor, ...' in resubmission.feature has a provisional holder beside daemons with the store, which would now replace it; its step takes the store from all of them. It checks the same as before.

Other ways: a wait without a bound (one daemon with an outdated view or without a stream to the endpoints leaves callers without a holder); to ask each daemon to read the store before (one more message, and a read by each).

--- a/berylproxy/durable/holding/contention.py
+++ b/berylproxy/durable/holding/contention.py
@@ -7,6 +7,8 @@
 
 While the store is unavailable no claim can be replaced. A daemon may then act as a provisional
 holder, under a fence between those of two claims: above the last known claim, below any later one.
+The store may turn away some daemons and serve the others. One of those then claims the group: they
+go before any that would hold it provisionally, and replace a provisional holder.
 """
 
 from collections import Counter
@@ -24,6 +26,8 @@
 BROKEN_STREAM_TIMEOUT_S = 0.1  # without a stream to a holder that refuses connections
 RANK_DELAY_S = 0.05  # per rank; a claim and its first heartbeat take some 15 ms
 MINORITY_DELAY_S = 3.0  # until the entries of lost VMs have left the list of members
+# For a claim with two calls to a slow store, 0.3 s each.
+CLAIM_LEAD_S = 0.6
 FENCES_PER_CLAIM = 16  # one for the claim itself, the others for provisional holders by rank
 
 
@@ -47,7 +51,8 @@
 
     :param silence_s: time since its last heartbeat, or since this daemon began to wait for one.
     :param has_stream: whether there is an open stream to it, or one may be opened again.
-    :param is_leaving: whether it has asked to be replaced.
+    :param is_leaving: whether it has asked to be replaced, or is a provisional holder although this
+        daemon reaches the store.
     :param heartbeat_interval_s: time between its heartbeats to this daemon.
     :param has_ended: whether its process has certainly ended, since this daemon runs in its place.
     """
@@ -108,6 +113,26 @@
     return suspected_s >= 0 and min(suspected_s, settled_s) >= delay_s
 
 
+def should_hold_provisionally(
+    observation: HolderObservation, own_rank: int, may_others_claim: bool
+) -> bool:
+    """Returns whether this daemon, which the store doesn't answer, should act as the holder now.
+
+    :param own_rank: number of candidates that precede this daemon.
+    :param may_others_claim: whether a reachable daemon says that the store answers it. It gets the
+        time to claim the group. What it says may be outdated, so that the time is limited.
+    """
+    delay_s = CLAIM_LEAD_S if may_others_claim else 0.0
+    if not observation.has_ended:
+        delay_s += own_rank * RANK_DELAY_S
+    return observation.silence_s - _suspicion_timeout_s(observation) >= delay_s
+
+
+def is_provisional(fence: int) -> bool:
+    """Returns whether a fence is that of a provisional holder."""
+    return fence % FENCES_PER_CLAIM > 0
+
+
 def is_suspect(observation: HolderObservation) -> bool:
     """Returns whether any daemon might claim the group now.
 
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -38,12 +38,14 @@
     choose_watchers,
     claim_fence,
     is_minority,
+    is_provisional,
     is_suspect,
     may_hold_provisionally,
     may_replace_claim,
     provisional_fence,
     rank,
     should_claim,
+    should_hold_provisionally,
     yields_to_equal,
 )
 from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
@@ -149,6 +151,7 @@
         return (
             self.is_leaving
             or self.has_ended
+            or is_provisional(self.fence)
             or (now_s - self.last_seen_s >= BROKEN_STREAM_TIMEOUT_S)
         )
 
@@ -491,15 +494,16 @@
 
         Candidates that precede this daemon get the time to claim the group first.
 
-        Without the store this daemon may become a provisional holder only. Its own provisional
-        tenure ends once the store is available again.
+        Without the store this daemon may become a provisional holder only, after those that reach
+        the store have had the time to claim the group. A provisional holder is replaced once the
+        store is available to this daemon, also if it is this daemon itself.
         """
         if group in self._claiming or self.is_leaving:
             return
         known = self.known_holders[group]
         has_store = self._has_store()
         if group in self.holders:
-            if has_store and known.fence % FENCES_PER_CLAIM:
+            if has_store and is_provisional(known.fence):
                 known.is_leaving = True
                 self.holders[group].tenure.end(
                     "the store is available again, so a holder needs a claim"
@@ -508,7 +512,7 @@
         observation = HolderObservation(
             self._silence_s(known),
             self._may_be_connected(known.incarnation),
-            known.is_leaving,
+            known.is_leaving or (has_store and is_provisional(known.fence)),
             known.heartbeat_interval_s,
             known.has_ended,
         )
@@ -516,9 +520,7 @@
             return
         members = [m for m in self.live_members() if m.identity.incarnation != known.incarnation]
         candidates = [
-            _make_candidate(m)
-            for m in members
-            if m.ready and (not has_store or _read_heartbeat_part(m).get("has_store", True))
+            _make_candidate(m) for m in members if m.ready and (not has_store or _has_store(m))
         ]
         own = Candidate(self._network.identity.daemon_id, self.cores, self._count_held())
         listed_count = len(
@@ -533,8 +535,10 @@
         if has_store and should_claim(observation, own_rank, len(members), listed_count, settled_s):
             self._claiming.add(group)
             self._task_group.start_soon(self._claim_group, group, observation)
-        elif not has_store and should_claim(observation, own_rank, listed_count, listed_count):
-            self._hold_provisionally(group, known, own_rank)
+        elif not has_store:
+            may_others_claim = any(m.ready and _has_store(m) for m in members)
+            if should_hold_provisionally(observation, own_rank, may_others_claim):
+                self._hold_provisionally(group, known, own_rank)
 
     def _update_settled_s(self, reached_count: int, listed_count: int) -> float:
         """Returns for how long this daemon has reached at least half of the others."""
@@ -762,7 +766,7 @@
         members = {
             member.identity.daemon_id: member
             for member in self.live_members()
-            if member.ready and _read_heartbeat_part(member).get("has_store", True)
+            if member.ready and _has_store(member)
         }
         candidates = [_make_candidate(member) for member in members.values()]
         return [members[name].identity.incarnation for name in choose_watchers(group, candidates)]
@@ -788,7 +792,7 @@
         members = self.live_members()
         if 2 * len(members) < len(self._list_members()) - 1:
             return True
-        return any(_read_heartbeat_part(m).get("has_store", True) for m in members)
+        return any(_has_store(m) for m in members)
 
     def _notify(self, incarnation: str, message: Any) -> None:
         """Sends a message without reply; one to this daemon itself is handled directly."""
@@ -885,6 +889,11 @@
     return member.heartbeat.get(HEARTBEAT_PART, {})
 
 
+def _has_store(member: Member) -> bool:
+    """Returns whether the store answers a member, by its last heartbeat."""
+    return _read_heartbeat_part(member).get("has_store", True)
+
+
 def _make_candidate(member: Member) -> Candidate:
     part = _read_heartbeat_part(member)
     return Candidate(member.identity.daemon_id, part.get("cores", 0.0), part.get("holds", 0))
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -674,7 +674,7 @@
                 logger.debug("learned run times not stored: {}", error.message)
 
     def _suspend_durable_jobs(self, age_s: float) -> None:
-        """Ends the tenure; has no effect without durable jobs.
+        """Ends the tenure, so that another daemon takes over; has no effect without durable jobs.
 
         Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
@@ -685,4 +685,6 @@
             return
         for job in durable_jobs:
             logger.info("durable job suspended", extra=self.tenure.extra(job=job.spec.job_id))
+        self.is_leaving = True
+        self.send_heartbeat()
         self.tenure.end(f"the store has not confirmed the claim for {age_s:.1f} s")
--- a/tests/durable/holding/contention.feature
+++ b/tests/durable/holding/contention.feature
@@ -112,3 +112,27 @@
       | a1 b2 c3 | a1      | may     |
       | a3 b2 c1 | a1 b1   | may not |
       | a3 b2 c1 | a1 b2   | may     |
+
+  Scenario Outline: a daemon that the store turns away lets one that reaches the store go first
+    Given a daemon without the store that has not heard the holder of a group for <silence> s
+    And it reaches the daemons <others>
+    When it checks the holder
+    Then it <holds> the group provisionally
+
+    Examples:
+      | silence | others                                        | holds         |
+      | 0.7     | p1 with the store, p2 without it              | does not hold |
+      | 0.7     | p1 without it, p2 without it                  | holds         |
+      | 0.7     | p1 with the store but leaving, p2 without it  | holds         |
+      | 1.5     | p1 with the store, p2 without it              | holds         |
+
+  Scenario Outline: a provisional holder is replaced as soon as a daemon reaches the store
+    Given a daemon <store> the store that hears each heartbeat of a holder with fence <fence>
+    When it checks the holder
+    Then it <claims> the holder's group
+
+    Examples:
+      | store   | fence | claims         |
+      | with    | 17    | claims         |
+      | without | 17    | does not claim |
+      | with    | 16    | does not claim |
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -44,8 +44,9 @@
     And that job is submitted again as a best-effort job
     Then the holder lets the endpoint forget that end, and doesn't stop that run
 
-  Scenario: a holder that suspends its durable jobs leaves their runs alone
+  Scenario: a holder that suspends its durable jobs leaves their runs alone and asks to be replaced
     Given a holder with a claim that has loaded the open jobs
     And a durable job of 2 tasks runs at its endpoint
     When the store hasn't confirmed its claim for too long
     Then its tenure has ended, and no run was ordered to stop
+    And the other daemons have heard that it is leaving
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -9,7 +9,11 @@
 
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
-from berylproxy.durable.holding.coordinator import GroupCoordinator, KnownHolder
+from berylproxy.durable.holding.coordinator import (
+    HEARTBEAT_PART,
+    GroupCoordinator,
+    KnownHolder,
+)
 from berylproxy.durable.holding.groups import Division, list_groups
 from berylproxy.durable.holding.records import (
     claim_key,
@@ -55,14 +59,21 @@
 
 
 def make_coordinator(
-    directory, *, name="d0", store=None, list_members=dict, has_store=True, network=None
+    directory,
+    *,
+    name="d0",
+    store=None,
+    list_members=dict,
+    has_store=True,
+    network=None,
+    clock=None,
 ):
     """Makes a coordinator without other daemons."""
     return GroupCoordinator(
         network or make_network(name),
         store or FakeJobStore(),
         directory,
-        MonotonicClock(),
+        clock or MonotonicClock(),
         1.0,
         list_members,
         lambda: has_store,
@@ -189,6 +200,72 @@
     run(check)
 
 
+@given(
+    r"a daemon without the store that has not heard the holder of a group for (?P<silence_s>\S+) s"
+)
+def step_impl(context, silence_s):
+    context.silence_s, context.has_store, context.fence = float(silence_s), False, CLAIM_FENCE
+
+
+@given(r"it reaches the daemons (?P<others>.+)")
+def step_impl(context, others):
+    context.members = []
+    for other in others.split(", "):
+        name, _, state = other.partition(" ")
+        part = {HEARTBEAT_PART: {"has_store": state.startswith("with the store")}}
+        is_ready = not state.endswith("leaving")
+        context.members.append(Member(make_identity(name), MemberStatus.ALIVE, is_ready, part))
+
+
+@given(
+    r"a daemon (?P<store>with|without) the store that hears each heartbeat of a holder with fence "
+    r"(?P<fence>\d+)"
+)
+def step_impl(context, store, fence):
+    context.silence_s, context.has_store, context.fence = 0.15, store == "with", int(fence)
+    context.members = []
+
+
+@when(r"it checks the holder")
+def step_impl(context):
+    now_s, holder, store = 100.0, make_identity("holder"), FakeJobStore()
+    write(store, claim_key(SERVICE), CLAIMS['a process of "d1"'])
+    claim_revision = store.revision
+    members, network = [Member(holder, MemberStatus.ALIVE), *context.members], make_network()
+    network.members = lambda: members
+    network.links = lambda incarnation: [None]
+    network.notify = lambda incarnation, message: None
+    domains = {member.identity.daemon_id: "a" for member in members} | {"d0": "a"}
+
+    async def check():
+        coordinator = make_coordinator(
+            FakeDirectory([]),
+            store=store,
+            list_members=lambda: domains,
+            has_store=context.has_store,
+            network=network,
+            clock=SimpleNamespace(now_s=lambda: now_s),
+        )
+        async with create_task_group() as coordinator._task_group:
+            last_seen_s = now_s - context.silence_s
+            fence = (claim_revision - 1) * CLAIM_FENCE + context.fence
+            known = KnownHolder(fence, holder.incarnation, last_seen_s)
+            coordinator.known_holders[SERVICE] = known
+            assert known.may_be_suspect(now_s)
+            coordinator._check_holder(SERVICE)
+            await sleep(0.05)
+            context.holds_provisionally = bool(coordinator.holders) and not context.has_store
+            context.has_claimed = store.entries[claim_key(SERVICE)].revision > claim_revision
+            coordinator._task_group.cancel_scope.cancel()
+
+    run(check)
+
+
+@then(r"it (?P<verdict>holds|does not hold) the group provisionally")
+def step_impl(context, verdict):
+    assert context.holds_provisionally == (verdict == "holds")
+
+
 @given(r'a daemon "d0" that starts while all (?P<count>\d+) others that the store lists are down')
 def step_impl(context, count):
     context.store = FakeJobStore()
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -3,8 +3,9 @@
 from anyio import run
 from behave import given, then, use_step_matcher, when
 
+from berylproxy.durable.jobs.messages import HolderHeartbeat
 from berylproxy.durable.jobs.models import EndKind
-from tests.support.still_holder import StillHolder
+from tests.support.still_holder import OTHER, StillHolder
 
 JOB, UNKNOWN_JOB = "known", "unknown"
 ENDED_TASK, RUNNING_TASK = 0, 1
@@ -121,3 +122,13 @@
     world = context.still_holder
     assert world.work.cancel_scope.cancel_called
     assert not world.list_stopped(), world.list_stopped()
+
+
+@then(r"the other daemons have heard that it is leaving")
+def step_impl(context):
+    heartbeats = [
+        message
+        for incarnation, message in context.still_holder.notices
+        if incarnation == OTHER and isinstance(message, HolderHeartbeat)
+    ]
+    assert heartbeats and heartbeats[-1].leaving, context.still_holder.notices
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -135,6 +135,8 @@
     async def take_over(world):
         group, former = world.group_of(JOB), world.holder_of(JOB)
         former.ignore_notices(HolderHeartbeat)
+        for daemon in world.daemons:
+            daemon.has_store = False  # otherwise one would claim the group at once
         context.former_fence = former.coordinator.holders[group].tenure.fence
         fence = context.former_fence + 1
         world.task_group.start_soon(world.other_entry.coordinator._hold_group, group, fence, 0)
