Keep the ends of unfinished best-effort jobs while a suspension is near

Cause: a holder that had to suspend its durable jobs had acknowledged the end of one task a few milliseconds before the last task of the same job was done; its successor found the run of the other task only.

Now, from half the time after which a holder suspends its durable jobs, the ends of an unfinished best-effort job stay until the job is over. Endpoints keep ends of durable jobs at that time anyway and are polled for them. While the claim is confirmed, and for tenures without durable jobs, nothing changes.

Other ways: to keep such ends always (endpoints with a part of a job done would be polled each 25 ms instead of once for each end); to go on with best-effort jobs until the successor is heard (extends leases of durable runs beyond the time that the successor reckons with).

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -185,6 +185,7 @@
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
+            self._may_have_to_suspend,
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
@@ -673,14 +674,24 @@
             except StoreError as error:
                 logger.debug("learned run times not stored: {}", error.message)
 
+    def _may_have_to_suspend(self) -> bool:
+        """Returns whether the tenure may soon end because the store doesn't confirm its claim."""
+        if not self.tenure.claim_revision:
+            return False
+        age_s = self._clock.now_s() - self.tenure.confirmed_s
+        return age_s > UNCONFIRMED_TENURE_S / 2 and bool(self._list_durable_jobs())
+
+    def _list_durable_jobs(self) -> list[Job]:
+        """Lists the open durable jobs."""
+        jobs = self.job_table.jobs.values()
+        return [job for job in jobs if job.spec.is_durable and not job.is_final]
+
     def _suspend_durable_jobs(self, age_s: float) -> None:
         """Ends the tenure, so that another daemon takes over; has no effect without durable jobs.
 
         Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
-        durable_jobs = [
-            job for job in self.job_table.jobs.values() if job.spec.is_durable and not job.is_final
-        ]
+        durable_jobs = self._list_durable_jobs()
         if not durable_jobs:
             return
         for job in durable_jobs:
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -46,7 +46,7 @@
 from berylproxy.durable.learning.run_times import RunPace
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
 from berylproxy.durable.orders.crash_watch import CrashWatch, RestartSign
-from berylproxy.durable.orders.orphans import LoadedClaim, OrphanClearance, OrphanEnds
+from berylproxy.durable.orders.orphans import KeptEnds, LoadedClaim, OrphanClearance
 from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
@@ -80,6 +80,8 @@
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
     :param on_crash: called with a job under whose tasks an endpoint has crashed.
+    :param may_have_to_end: returns whether the tenure may have to end soon, so that the next holder
+        needs the ends of unfinished best-effort jobs.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
         is silent.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
@@ -99,6 +101,7 @@
         on_end: Callable[[EndpointState, EndedRun], None],
         on_final: Callable[[Job], None],
         on_crash: Callable[[Job], None],
+        may_have_to_end: Callable[[], bool],
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
@@ -114,6 +117,7 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
+        self._may_have_to_end = may_have_to_end
         self._crash_watch = CrashWatch(
             tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
         )
@@ -123,7 +127,8 @@
         self._clients: dict[EndpointInstance, EndpointClient] = {}
         self._wakeups: dict[EndpointInstance, Event] = {}
         self._unlisted_from_s: dict[EndpointInstance, float] = {}
-        self._orphan_ends = OrphanEnds()
+        self._orphan_ends = KeptEnds()
+        self._unfinished_ends = KeptEnds()  # of open best-effort jobs
         self._clearance: OrphanClearance | None = None
         self._list_read_s = tenure.began_s
 
@@ -514,6 +519,8 @@
         job = self._job_table.jobs.get(end.name.job_id)
         if job is not None and job.spec.is_durable:
             self._on_end(endpoint, end)
+        elif job is not None and self._may_have_to_end():
+            self._unfinished_ends.add(endpoint, end)
         elif self._job_table.state(end.name.job_id) is not None:
             endpoint.release_end(end.number)  # best-effort, or closed with its outcome stored
         else:
@@ -919,11 +926,12 @@
             await client.close()
 
     def abandon_runs(self, job: Job) -> None:
-        """Starts to stop all runs of a job that this holder forgets.
+        """Starts to stop all runs of a best-effort job that this holder forgets, with its ends.
 
         The job may come again to another group soon. So until an endpoint has confirmed the stop,
         its lease is not extended.
         """
+        self._unfinished_ends.release_job(job.spec.job_id)
         for task in job.tasks.values():
             endpoint = self.endpoints.get(task.instance) if task.instance is not None else None
             run = endpoint.runs.get((task.name, task.run)) if endpoint is not None else None
--- a/berylproxy/durable/orders/orphans.py
+++ b/berylproxy/durable/orders/orphans.py
@@ -36,8 +36,8 @@
             raise ValueError("open jobs are loaded under a claim only")
 
 
-class OrphanEnds:
-    """Ends of runs that endpoints have reported of jobs that aren't open here."""
+class KeptEnds:
+    """Ends of runs that endpoints have reported and are to keep, by job."""
 
     def __init__(self) -> None:
         self._ends: dict[str, list[tuple[EndpointState, EndedRun]]] = {}
@@ -47,9 +47,14 @@
         self._ends.setdefault(end.name.job_id, []).append((endpoint, end))
 
     def take(self, job_id: str) -> list[tuple[EndpointState, EndedRun]]:
-        """Removes and returns the ends of a job that has been opened."""
+        """Removes and returns the ends of a job."""
         return self._ends.pop(job_id, [])
 
+    def release_job(self, job_id: str) -> None:
+        """Lets the endpoints forget the ends of a job."""
+        for endpoint, end in self.take(job_id):
+            endpoint.release_end(end.number)
+
     def release(self, may_release: Callable[[EndpointState, EndedRun], bool]) -> None:
         """Lets the endpoints forget those ends that they may."""
         remaining: dict[str, list[tuple[EndpointState, EndedRun]]] = {}
@@ -66,14 +71,14 @@
     """Ends what is left of the jobs that nobody wants any more.
 
     :param claim: proves which jobs are no durable ones.
-    :param ends: the reported ends.
+    :param ends: the reported ends of jobs that aren't open.
     :param stop_run: orders a run to stop.
     """
 
     def __init__(
         self,
         claim: LoadedClaim,
-        ends: OrphanEnds,
+        ends: KeptEnds,
         stop_run: Callable[[EndpointState, TaskName, int], None],
     ) -> None:
         self._claim = claim
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -50,3 +50,19 @@
     When the store hasn't confirmed its claim for too long
     Then its tenure has ended, and no run was ordered to stop
     And the other daemons have heard that it is leaving
+
+  Scenario Outline: a holder that may have to suspend keeps the ends of unfinished best-effort jobs
+    Given a holder with a claim that has loaded the open jobs
+    And <others> at its endpoint
+    And a best-effort job of 2 tasks runs at its endpoint
+    When the store has last confirmed its claim <age_s> s ago
+    And the endpoint reports the end of the first task
+    Then the holder lets the endpoint forget <first> ends
+    When the endpoint reports the end of the second task, too
+    Then the holder lets the endpoint forget 2 ends
+
+    Examples:
+      | others                      | age_s | first |
+      | another durable job is open | 1.0   | 0     |
+      | another durable job is open | 0.5   | 1     |
+      | no other job is open        | 1.0   | 1     |
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -7,7 +7,7 @@
 from berylproxy.durable.jobs.models import EndKind
 from tests.support.still_holder import OTHER, StillHolder
 
-JOB, UNKNOWN_JOB = "known", "unknown"
+JOB, DURABLE_JOB, UNKNOWN_JOB = "known", "durable", "unknown"
 ENDED_TASK, RUNNING_TASK = 0, 1
 
 use_step_matcher("re")
@@ -80,6 +80,23 @@
     world.report(running=[(JOB, ENDED_TASK), (JOB, RUNNING_TASK)])
 
 
+@given(r"(?P<others>another durable|no other) job is open at its endpoint")
+def step_impl(context, others):
+    if others == "another durable":
+        context.still_holder.open_job(DURABLE_JOB, 1, is_durable=True)
+
+
+@when(r"the store has last confirmed its claim (?P<age_s>[\d.]+) s ago")
+def step_impl(context, age_s):
+    context.still_holder.now_s = context.still_holder.holder.tenure.confirmed_s + float(age_s)
+
+
+@when(r"the endpoint reports the end of the second task, too")
+def step_impl(context):
+    ended = [(JOB, ENDED_TASK, EndKind.DONE), (JOB, RUNNING_TASK, EndKind.DONE)]
+    context.still_holder.report(ended)
+
+
 @when(r"the endpoint reports the end of the first task")
 def step_impl(context):
     ended = [(JOB, ENDED_TASK, EndKind.DONE)]
