End a tenure that finds open jobs stored after its claim

Cause: a holder whose claim is replaced while it lists the open jobs, and that hasn't heard of its successor yet, also lists jobs that the successor has accepted. It opened them as its own, and could start their tasks at endpoints that the successor hasn't reached, while the successor, who knows that they are new, starts them elsewhere.

All writes of earlier holders are under earlier claims, so an open job whose revision is above the claim's is of a later one: the tenure ends.

Evidence: orphans.feature, 'a holder that finds an open job of a later claim ...', failed before (14 of 15 scenarios passed), passes. The claims of the holders in holder.feature get revisions from the store now, as in the real one; before, a claim could be older than the jobs that it found.

Other ways: a read of the claim after the last page (one more call in each change of holder, and the jobs were open by then).

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -237,7 +237,10 @@
         return self._loaded_claim is not None
 
     async def _load_jobs(self) -> None:
-        """Loads the open jobs from the store; retries until the store answers."""
+        """Loads the open jobs from the store; retries until the store answers.
+
+        A job that was stored after this holder's claim is that of a later holder, which may run it.
+        """
         after_key, has_more = "", True
         unreadable: set[str] = set()
         while has_more:
@@ -251,6 +254,9 @@
                 continue
             for entry in entries:
                 after_key = entry.key
+                if entry.revision > self.tenure.claim_revision:
+                    self.tenure.end("another daemon holds the claim, and has stored an open job")
+                    return
                 self._ledger.note_revision(entry.key, entry.revision)
                 if not self._load_job(entry.key, entry.value):
                     unreadable.add(entry.key.removeprefix(open_prefix(self.tenure.group)))
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -66,3 +66,9 @@
       | another durable job is open | 1.0   | 0     |
       | another durable job is open | 0.5   | 1     |
       | no other job is open        | 1.0   | 1     |
+
+  Scenario: a holder that finds an open job of a later claim has lost its own
+    Given a holder with a claim that hasn't loaded the open jobs yet
+    And a later holder has stored an open job
+    When the open jobs are loaded
+    Then its tenure has ended, and no job is open or counts as loaded
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -99,13 +99,15 @@
 
         :param inherited: endpoints that it believes the former holder used; by default all of them.
         """
-        revision = fence // FENCES_PER_REVISION + 10
-        self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
+        revision = 0
+        if fence % FENCES_PER_REVISION == 0:
+            revision = self.store.revision = self.store.revision + 1
+            self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
         self.newest_model = RunTimeModel()
         self.holders[fence] = Holder(
             GROUP,
             fence,
-            revision if fence % FENCES_PER_REVISION == 0 else 0,
+            revision,
             inherited or InheritedEndpoints(self.newest_fence, self.endpoint_ids),
             self.newest_model,
             NeighbourModel(lambda: NeighbourMode.APART),
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -3,9 +3,10 @@
 from anyio import run
 from behave import given, then, use_step_matcher, when
 
+from berylproxy.durable.holding.records import encode_job
 from berylproxy.durable.jobs.messages import HolderHeartbeat
 from berylproxy.durable.jobs.models import EndKind
-from tests.support.still_holder import OTHER, StillHolder
+from tests.support.still_holder import CLAIM_REVISION, OTHER, StillHolder, make_stored_job
 
 JOB, DURABLE_JOB, UNKNOWN_JOB = "known", "durable", "unknown"
 ENDED_TASK, RUNNING_TASK = 0, 1
@@ -134,6 +135,24 @@
     context.still_holder.holder._suspend_durable_jobs(2.0)
 
 
+@given(r"a later holder has stored an open job")
+def step_impl(context):
+    value = encode_job(make_stored_job(JOB, 1, is_durable=True))
+    context.still_holder.store_open_job(JOB, value, CLAIM_REVISION + 1)
+
+
+@when(r"the open jobs are loaded")
+def step_impl(context):
+    run(context.still_holder.load_jobs)
+
+
+@then(r"its tenure has ended, and no job is open or counts as loaded")
+def step_impl(context):
+    world = context.still_holder
+    assert world.work.cancel_scope.cancel_called
+    assert not world.holder.job_table.jobs and not world.holder.is_loaded
+
+
 @then(r"its tenure has ended, and no run was ordered to stop")
 def step_impl(context):
     world = context.still_holder
--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -33,6 +33,13 @@
 FENCES_PER_REVISION = 16
 
 
+def make_stored_job(name: str, tasks: int, *, is_durable: bool) -> StoredJob:
+    """Makes a job of one step."""
+    terms = QueueTerms("q", GROUP, objective_s=10.0)
+    spec = JobSpec(name, terms, "", (StepSpec(tasks, Resources(1_000), 0.1),), is_durable)
+    return StoredJob(spec, 0.0)
+
+
 class RecordingTaskGroup:
     """Stands in for the task group of a tenure: background work is listed, not done."""
 
@@ -93,10 +100,10 @@
         """What the holder keeps of the endpoint."""
         return self.endpoint
 
-    def store_open_job(self, name: str, value: bytes) -> None:
+    def store_open_job(self, name: str, value: bytes, revision: int = CLAIM_REVISION - 1) -> None:
         """Writes the record of an open job to the store."""
         key = open_key(GROUP, name)
-        self.store.entries[key] = Entry(key, value, self.store.revision)
+        self.store.entries[key] = Entry(key, value, revision)
 
     async def load_jobs(self) -> None:
         """Loads the open jobs from the store."""
@@ -104,9 +111,7 @@
 
     def open_job(self, name: str, tasks: int, *, is_durable: bool, first_run: int = 0) -> Job:
         """Opens a job without placing its tasks."""
-        terms = QueueTerms("q", GROUP, objective_s=10.0)
-        spec = JobSpec(name, terms, "", (StepSpec(tasks, Resources(1_000), 0.1),), is_durable)
-        stored = StoredJob(spec, 0.0)
+        stored = make_stored_job(name, tasks, is_durable=is_durable)
         return self.holder.job_table.open(stored, self.now_s, entry=ENTRY, first_run=first_run)
 
     def start_tasks(self, job: Job) -> None:
