Keep the ends of a best-effort job that comes again for the grace

If the job was dropped and came again within the grace, what was done began again.

'a provisional holder lets endpoints forget ends of a best-effort job that comes again' now asks for that once the job is dropped, as the ends are of use until then.

--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -833,11 +833,9 @@
 
     def adopt_orphans(self, job: Job, now_s: float) -> None:
         """Applies the runs and ends of a former holder that endpoints have reported for a job."""
-        for endpoint, end in self._orphan_ends.take(job.spec.job_id):
-            if job.spec.is_durable:
+        if job.spec.is_durable:
+            for endpoint, end in self._orphan_ends.take(job.spec.job_id):
                 self._on_end(endpoint, end)
-            else:
-                endpoint.release_end(end.number)
         for endpoint in self.endpoints.values():
             for end in list(endpoint.ends.values()):
                 if end.name.job_id == job.spec.job_id and not job.is_final:
@@ -932,6 +930,8 @@
         its lease is not extended.
         """
         self._unfinished_ends.release_job(job.spec.job_id)
+        if self._clearance is None:  # which else releases them after the grace
+            self._orphan_ends.release_job(job.spec.job_id)
         for task in job.tasks.values():
             endpoint = self.endpoints.get(task.instance) if task.instance is not None else None
             run = endpoint.runs.get((task.name, task.run)) if endpoint is not None else None
