Tell an empty list in a report from an answer that is no report

The platform may leave out an empty list, so that a missing one is no odd row: an idle endpoint would be left unused. What matters is whether the answer is a report at all: status 200 with the clock that each answer carries. Anything else is an error like no answer.

--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -175,7 +175,10 @@
         if extend and self._clock.is_known:
             body["until-ms"] = self._next_lease_end_ms()
         answer = await self._call("/-/hold", body, CALL_TIMEOUT_S, wait_s)
-        return decode_report(self._require_success(answer), answer.response.sent_s)
+        content = self._require_success(answer)
+        if answer.response.status != 200 or "clock-ms" not in content:
+            raise EndpointCallError("the runner's answer is not a report")
+        return decode_report(content, answer.response.sent_s)
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -264,17 +267,16 @@
 def decode_report(content: dict[str, Any], sent_s: float) -> EndpointReport:
     """Decodes a runner's report; rows that can't be decoded are skipped and counted.
 
-    A missing list counts as one such row.
+    An empty list may be missing. What is no list counts as one such row.
     """
-    running_rows, ended_rows = content.get("running"), content.get("ended")
-    unreadable = [isinstance(running_rows, list), isinstance(ended_rows, list)].count(False)
+    unreadable = 0
     running, ended = [], []
-    for row in running_rows if isinstance(running_rows, list) else ():
+    for row in _list_rows(content, "running"):
         try:
             running.append(_decode_running(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
-    for row in ended_rows if isinstance(ended_rows, list) else ():
+    for row in _list_rows(content, "ended"):
         try:
             ended.append(_decode_ended(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
@@ -319,6 +321,11 @@
     return value
 
 
+def _list_rows(content: dict[str, Any], name: str) -> list[Any]:
+    rows = content.get(name) or []
+    return rows if isinstance(rows, list) else [rows]
+
+
 def _text_or_empty(value: Any) -> str:
     return value if isinstance(value, str) else ""
 
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -3,20 +3,24 @@
 import contextlib
 import json
 import os
+from functools import partial
 from time import monotonic
 
+from anyio import run
 from behave import given, then, use_step_matcher, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
 from berylproxy.durable.jobs.models import CompleteReport
+from berylproxy.durable.jobs.ports import EndpointCallError
+from berylproxy.durable.learning.response_times import ResponseTimes
 from berylproxy.errors import SettingsError
 from berylproxy.http_exchange import HttpResponse
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
-from berylproxy.platform.endpoints import decode_report, decode_start
+from berylproxy.platform.endpoints import PlatformEndpoint, decode_report, decode_start
 from berylproxy.platform.members import decode_member
 from berylproxy.platform.runner_entries import EntryInvalidError, decode_entry
 from berylproxy.platform.settings import load_platform_settings
@@ -122,6 +126,32 @@
     context.report = decode_report(content, 0.0)
 
 
+class OneAnswer:
+    """Takes the place of the HTTP client of a runner."""
+
+    def __init__(self, status, body):
+        self.status, self.body = status, body
+
+    async def call(self, *_, **__):
+        return HttpResponse(self.status, self.body.encode(), 1.0, 1.1)
+
+
+@when(r"a runner answers a renewal with (?P<status>\d+) and (?P<body>.+)")
+def step_impl(context, status, body):
+    info = decode_entry(Entry("servers/e1", json.dumps(VALID_ENTRY).encode(), 1))
+    client = PlatformEndpoint(info, 1.0, ResponseTimes())
+    client._http = OneAnswer(int(status), body)
+    context.report = None
+    with contextlib.suppress(EndpointCallError):
+        context.report = run(partial(client.renew, 1, 0, 0.0, extend=False))
+
+
+@then(r"the renewal (?P<verdict>returns a complete report|fails)")
+def step_impl(context, verdict):
+    assert (context.report is None) == (verdict == "fails"), context.report
+    assert context.report is None or isinstance(context.report, CompleteReport), context.report
+
+
 @then(r"it is a (?P<verdict>complete|partial) report")
 def step_impl(context, verdict):
     assert isinstance(context.report, CompleteReport) == (verdict == "complete"), context.report
