Give endpoints no tasks whose ends they couldn't list

Callers waited for durable jobs whose ends stood behind the 500 that a report lists until the store was back, and best-effort jobs at the same endpoint with them: ends are forgotten in order, and those of durable jobs stay until the store holds their effect.

An endpoint gets a task only if a complete report can list its end beside the runs and the ends that it has, and one of a durable job only into the first half of that. Others go elsewhere or wait. So that the bound doesn't hold tasks up while the store answers, progress is stored after 0.25 s instead of 1 s where ends fill half of that. The bound comes from the platform's directory.

Evidence: of the four new scenarios three failed on the code before (one by [3, 3, 0] starts where [2, 2, 2] are wanted), the one on durable jobs that hold others back fails without the filter in placement.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -216,11 +216,14 @@
     )
     if not usable:
         return
-    # A job that no endpoint could ever run doesn't hold the others back.
+    # A job that no endpoint could ever run doesn't hold the others back, nor do durable jobs whose
+    # ends no endpoint could list.
+    can_list_durable = any(endpoint.can_list_end(is_durable=True) for endpoint in usable)
     waiting_jobs = [
         job
         for job in waiting_jobs
-        if any(
+        if (can_list_durable or not job.spec.is_durable)
+        and any(
             could_ever_fit(endpoint, task.step)
             for task in _first_waiting_tasks(job)
             for endpoint in usable
@@ -366,7 +369,7 @@
     endpoint with enough free resources. What a failure would cost counts by its probability.
     """
     step, needs = task.step, task.step.needs
-    queue = job.spec.terms.queue
+    queue, is_durable = job.spec.terms.queue, job.spec.is_durable
     kind = kind_of_task(queue, step)
     expected_s = view.expected_run_time_s(queue, step.estimate_s)
     active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
@@ -399,6 +402,8 @@
         remaining_millicores = endpoint.free_millicores - needs.cpu_millicores
         if remaining_millicores < 0 or not endpoint.has_room(needs):
             continue
+        if is_durable and not endpoint.can_list_end(is_durable=True):
+            continue
         if neighbours is not NO_NEIGHBOUR_EFFECT:
             run_time_s *= neighbours.slowdown(kind, endpoint)
         cost_s = run_time_s + FIT_WEIGHT_S * remaining_millicores / max(
@@ -440,6 +445,8 @@
             continue
         if endpoint.is_closed_to(job.spec.job_id):
             continue
+        if job.spec.is_durable and not endpoint.can_list_end(is_durable=True):
+            continue
         if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint, task.step):
             continue
         if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -26,6 +26,9 @@
 FAILURES_BEFORE_QUARANTINE = 2  # in a row, of tasks that have not failed on another endpoint
 # The longest time that an endpoint takes to stop a run whose resources the holder counts as free.
 NO_ROOM_PAUSE_S = 0.05
+# Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
+# and other jobs must go on while it doesn't answer.
+DURABLE_END_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -190,6 +193,7 @@
     :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves; empty for
         none.
     :ivar trust: how likely the endpoint is to fail its runs now.
+    :ivar max_listed_ends: largest number of ends that the endpoint lists in a complete report.
     """
 
     info: EndpointInfo
@@ -216,6 +220,7 @@
     occupancy: Occupancy = field(default_factory=Occupancy)
     reserved_for: str = ""
     trust: EndpointTrust = field(default_factory=FailureTrust)
+    max_listed_ends: float = inf
 
     @property
     def has_orphans(self) -> bool:
@@ -290,10 +295,28 @@
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def can_list_end(self, *, is_durable: bool) -> bool:
+        """Returns whether the endpoint could list the end of another run with all others.
+
+        :param is_durable: whether the run is of a durable job.
+        """
+        limit = self.max_listed_ends * (DURABLE_END_SHARE if is_durable else 1.0)
+        return len(self.runs) + len(self.ends) < limit
+
+    @property
+    def needs_fewer_ends(self) -> bool:
+        """Whether the ends of durable jobs may soon keep further tasks of such jobs away."""
+        return 2 * len(self.ends) >= self.max_listed_ends * DURABLE_END_SHARE
+
     def may_start(self, now_s: float) -> bool:
-        """Returns whether tasks may be started on the endpoint now."""
+        """Returns whether tasks may be started on the endpoint now.
+
+        Those of durable jobs also need :meth:`can_list_end`.
+        """
         if not self.is_serving(now_s) or self.should_let_lapse:
             return False
+        if not self.can_list_end(is_durable=False):
+            return False
         return not (self.runs and self.trust.is_on_probation(now_s))
 
     def is_serving(self, now_s: float) -> bool:
--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -30,6 +30,7 @@
 from berylproxy.store.port import Entry, StoreError
 
 MAX_RETAINED_END_AGE_S = 1.0  # older ends are stored as progress of their unfinished job
+MAX_CROWDING_END_AGE_S = 0.25  # the same where ends begin to keep tasks away
 RETRY_PAUSE_S = 0.05
 SWEEP_INTERVAL_S = 60.0  # a fifth of the retention time of outcomes
 
@@ -180,7 +181,9 @@
                 continue
             if job_id in self._storing_progress:
                 continue
-            is_old = bool(ends) and now_s - ends[0].received_s > MAX_RETAINED_END_AGE_S
+            is_crowding = any(end.endpoint.needs_fewer_ends for end in ends or ())
+            max_age_s = MAX_CROWDING_END_AGE_S if is_crowding else MAX_RETAINED_END_AGE_S
+            is_old = bool(ends) and now_s - ends[0].received_s > max_age_s
             if is_old or job_id in self._changed_progress:
                 self._storing_progress.add(job_id)
                 self._tenure.spawn(self._store_progress, job)
--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -97,7 +97,12 @@
 
 
 class EndpointDirectory(Protocol):
-    """The platform's list of endpoints, and the factory of their clients."""
+    """The platform's list of endpoints, and the factory of their clients.
+
+    :ivar max_listed_ends: largest number of ends that endpoints list in a complete report.
+    """
+
+    max_listed_ends: int
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list.
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -206,7 +206,11 @@
             self._failures.endpoint_count = len(self._trusts)
         if endpoint_id not in self._trusts:
             self._trusts[endpoint_id] = FailureTrust(self._failures)
-        endpoint = EndpointState(info, trust=self._trusts[endpoint_id])
+        endpoint = EndpointState(
+            info,
+            trust=self._trusts[endpoint_id],
+            max_listed_ends=self._directory.max_listed_ends,
+        )
         endpoint.is_evacuated = info.failure_domain in self._evacuations.names
         endpoint.note_cold(info.cold_left_s, self._clock.now_s())
         self.endpoints[info.instance] = endpoint
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -44,7 +44,7 @@
 CONNECT_TIMEOUT_S = 0.2
 INSTANCE_HEADER = "Berylproxy-Expect-Instance"
 OTHER_INSTANCE_STATUS = 421
-MAX_LISTED_ENDS = 500  # in one report; a runner lists the others once it has forgotten these
+REPORT_ENDS = 500  # a runner lists as many at a time, and others once it has forgotten these
 UNHEALTHY_STATUSES = (429, 503)  # the request had no effect
 MAX_TASK_NUMBER_DIGITS = 9
 
@@ -79,6 +79,8 @@
     :ivar longest_lease_s: longest lease that runners grant, in seconds; applies to new connections.
     """
 
+    max_listed_ends = REPORT_ENDS - 1
+
     def __init__(self, store: PlatformStore, longest_lease_s: float) -> None:
         self._store = store
         self.longest_lease_s = longest_lease_s
@@ -282,7 +284,7 @@
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     born = content.get("born", 0)
-    is_complete = not unreadable and len(ended) < MAX_LISTED_ENDS
+    is_complete = not unreadable and len(ended) < REPORT_ENDS
     report_type = CompleteReport if is_complete else EndpointReport
     return report_type(
         born if _is_count(born) else 0, sent_s, tuple(running), tuple(ended), unreadable
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -234,6 +234,49 @@
         endpoint.max_listed_ends = int(count)
 
 
+@given(r"endpoints list at most (?P<count>\d+) ends in a complete report")
+def step_impl(context, count):
+    world = context.holder_world
+    world.directory.max_listed_ends = int(count)
+    for endpoint in world.endpoints:
+        endpoint.max_listed_ends = int(count) + 1
+
+
+@given(r"progress isn't stored for its age alone")
+def step_impl(context):
+    patcher = patch.object(outcomes, "MAX_RETAINED_END_AGE_S", inf)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@when(r"(?P<count>\d+) durable jobs of 1 task are submitted")
+def step_impl(context, count):
+    for number in range(int(count)):
+        context.holder_world.submit(f"durable-{number}", 1, is_kept=True)
+
+
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have ended')
+def step_impl(context, count, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while len(world.list_events(name, "done")) < int(count):
+        assert monotonic() < until_s, world.list_events(name, "done")
+        sleep(0.005)
+
+
+@then(r"each endpoint has started (?P<count>\d+) runs")
+def step_impl(context, count):
+    histories = [endpoint.history for endpoint in context.holder_world.endpoints]
+    started = [sum(event[1] == "start" for event in history) for history in histories]
+    assert set(started) == {int(count)}, started
+
+
+@then(r'at most (?P<count>\d+) runs of job "(?P<name>\w+)" were started')
+def step_impl(context, count, name):
+    started = context.holder_world.list_events(name, "start")
+    assert len(started) <= int(count), started
+
+
 @when(r"no row in the reports of endpoint (?P<number>\d+) can be read from now on")
 def step_impl(context, number):
     context.holder_world.endpoints[int(number) - 1].has_unreadable_rows = True
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -134,7 +134,12 @@
 
 
 class FakeDirectory:
-    """Implements the platform's list of endpoints."""
+    """Implements the platform's list of endpoints.
+
+    :ivar max_listed_ends: what the holder is told of the endpoints' reports.
+    """
+
+    max_listed_ends = 499
 
     def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
