Take nothing for gone because a list was cut short

A page of the store that promised more entries but held none ended the reading as if the list were complete. Endpoints behind it were no longer listed and got no tasks, and evacuations behind it were taken back, so that tasks started in an evacuated failure domain. A new holder read the same page of open jobs again at once, without a pause. An answer without a page counted as an empty list. Of the daemons' list only the first page was read.

Cause: each reader decided by itself what the end of a list is. Now the client of the store does: such an answer is an error like no answer, after which all of them keep what they know and try again, and one method reads all pages for those that need them.

Other way: to take over the entries that were read and keep the others for a while (two kinds of list for the callers, for an answer that is rare).

--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -116,7 +116,6 @@
                 after_key = entry.key
                 if self._is_expired(entry):
                     await self._remove(entry)
-            has_more = has_more and bool(entries)
 
     async def _remove(self, entry: Entry) -> None:
         unchanged = ((entry.key, entry.revision),)
--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -170,6 +170,8 @@
     ) -> tuple[tuple[Entry, ...], bool]:
         """Reads a page of entries below a prefix; returns them and whether more follow.
 
+        Pages are no snapshot. One that more follow has an entry.
+
         :param after_key: key after which the page starts; empty for the first page.
         :param may_be_stale: whether entries may be seconds old, which costs the store less.
         """
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -290,9 +290,7 @@
                 await sleep(RETRY_DELAY_S)
 
     async def _refresh_members(self, record: OwnMemberRecord) -> None:
-        page = await self._store.read_page(
-            MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1
-        )
+        page = await self._store.read_all(MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1)
         record.note_listed(page.entries, is_complete=not page.has_more)
         members = self._member_list.decode(page.entries)
         for member in members.values():
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -89,20 +89,15 @@
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list of runners; entries that name no usable runner are skipped."""
-        endpoints, after_key, has_more = [], "", True
+        entries = (await self._store.read_all(LIST_PREFIX)).entries
+        endpoints = []
         problems: set[tuple[str, str]] = set()
-        keys: set[str] = set()
-        while has_more:
-            page = await self._store.read_page(LIST_PREFIX, after_key)
-            for entry in page.entries:
-                after_key = entry.key
-                keys.add(entry.key)
-                try:
-                    endpoints.append(decode_entry(entry))
-                except EntryInvalidError as error:
-                    problems.add((entry.key, error.message))
-            has_more = page.has_more and bool(page.entries)
-        self._log_problems(problems, keys)
+        for entry in entries:
+            try:
+                endpoints.append(decode_entry(entry))
+            except EntryInvalidError as error:
+                problems.add((entry.key, error.message))
+        self._log_problems(problems, {entry.key for entry in entries})
         return tuple(endpoints)
 
     def _log_problems(self, problems: set[tuple[str, str]], keys: set[str]) -> None:
--- a/berylproxy/platform/operator_watch.py
+++ b/berylproxy/platform/operator_watch.py
@@ -70,21 +70,16 @@
         :return: the revision after which changes are to be watched. Pages are no snapshot, so that
             is the first one's.
         """
-        revision, after_key, has_more = 0, "", True
         requested: dict[str, int] = {}
-        while has_more:
-            page = await self._store.read_page(OPERATOR_PREFIX, after_key)
-            revision = revision or page.revision
-            for entry in page.entries:
-                after_key = entry.key
-                if entry.key == CONFIGURATION_KEY:
-                    self._apply_configuration(entry.value)
-                elif entry.key.startswith(EVACUATION_PREFIX):
-                    requested[entry.key] = entry.revision
-            has_more = page.has_more and bool(page.entries)
+        page = await self._store.read_all(OPERATOR_PREFIX)
+        for entry in page.entries:
+            if entry.key == CONFIGURATION_KEY:
+                self._apply_configuration(entry.value)
+            elif entry.key.startswith(EVACUATION_PREFIX):
+                requested[entry.key] = entry.revision
         self._requested = requested
-        self._confirm(revision)
-        return revision
+        self._confirm(page.revision)
+        return page.revision
 
     def _apply(self, batch: ChangeBatch, revision: int) -> None:
         """Applies the changes that a watch has returned."""
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -71,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StorePage:
-    """One page of the entries under a prefix."""
+    """One page, or all pages, of the entries under a prefix."""
 
     entries: tuple[Entry, ...]
     has_more: bool
@@ -180,18 +180,37 @@
     async def read_page(
         self, prefix: str, after_key: str = "", *, may_be_stale: bool = False
     ) -> StorePage:
-        """Reads a page of entries; a stale read costs the store less and may be seconds old."""
+        """Reads a page of entries; a stale read costs the store less and may be seconds old.
+
+        :raises StoreUnavailableError: if the answer is not a page, or promises more entries
+            without any after which they could be read: others may have been left out.
+        """
         target = f"/-/kv-range?prefix={quote(prefix, safe='')}"
         if after_key:
             target += f"&after={quote(after_key, safe='')}"
         if may_be_stale:
             target += "&stale-ok=1"
-        page = _decode_answer(self._require_success(await self._read(target)), _Listed)
-        return StorePage(
-            tuple(_make_entry(item) for item in self._decode_items(page.items)),
-            bool(page.more_pages),
-            page.store_revision or 0,
+        listed = _decode_answer(self._require_success(await self._read(target)), _Listed)
+        page = StorePage(
+            tuple(_make_entry(item) for item in self._decode_items(listed.items)),
+            bool(listed.more_pages),
+            listed.store_revision or 0,
         )
+        if not page.revision or (page.has_more and not page.entries):
+            raise StoreUnavailableError(f"the list of keys below {prefix} was cut short")
+        return page
+
+    async def read_all(self, prefix: str, *, may_be_stale: bool = False) -> StorePage:
+        """Reads all entries under a prefix; the revision is that of the first page.
+
+        Pages are no snapshot: an entry that came or went meanwhile may be listed or not.
+        """
+        page = await self.read_page(prefix, may_be_stale=may_be_stale)
+        revision, entries = page.revision, list(page.entries)
+        while page.has_more:
+            page = await self.read_page(prefix, entries[-1].key, may_be_stale=may_be_stale)
+            entries += page.entries
+        return StorePage(tuple(entries), False, revision)
 
     async def wait_for_changes(
         self, prefix: str, after_revision: int, wait_s: float
--- a/tests/steps/platform_odd_entries_steps.py
+++ b/tests/steps/platform_odd_entries_steps.py
@@ -87,7 +87,7 @@
     def __init__(self) -> None:
         self.entries: list[Entry] = []
 
-    async def read_page(self, *_: object, **__: object) -> StorePage:
+    async def read_all(self, *_: object, **__: object) -> StorePage:
         return StorePage(tuple(self.entries), False, 1)
 
 
