Outwait a former holder for durable tasks at unlisted endpoints

Callers could see a durable task run twice at once after a change of holder while its endpoint was missing in the list: a new holder started the task 1.15 s after it had loaded the job. A former holder that was cut off from the store, and met its successor at no endpoint, went on for up to 1.5 s and with the last lease for a second more.

Cause: that no listed endpoint reported the task, and the length of a lease, counted as proof for durable jobs, too. For best-effort jobs it is one, since their entry daemons withdraw them. For durable ones it takes the longest time that a tenure goes on unconfirmed and a lease, as it did for endpoints that didn't answer.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -105,7 +105,12 @@
 
 
 def can_resolve(
-    age_s: float, are_contacted: bool, are_surveyed: bool, are_former_listed: bool
+    age_s: float,
+    are_contacted: bool,
+    are_surveyed: bool,
+    are_former_listed: bool,
+    *,
+    is_durable: bool,
 ) -> bool:
     """Returns whether a task that no endpoint reports certainly neither runs nor has been done.
 
@@ -113,13 +118,18 @@
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
     :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
         proves nothing, since this holder may have extended their leases.
-    :param are_former_listed: whether all endpoints that the former holder used are listed.
+    :param are_former_listed: whether all endpoints that the former holder used are listed. Until it
+        learns of its successor, it may extend the leases at those that are not.
+    :param is_durable: whether the job is durable; a best-effort job is withdrawn from the former
+        holder by its entry daemon.
     """
     if not are_surveyed:
         return False
-    if not are_contacted:
-        return age_s >= FORMER_TENURE_LIMIT_S
-    return are_former_listed or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    if are_contacted and are_former_listed:
+        return True
+    if are_contacted and not is_durable:
+        return age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    return age_s >= FORMER_TENURE_LIMIT_S
 
 
 def are_former_endpoints_listed(
@@ -541,7 +551,11 @@
                 self._inherited, unresolved.former_fence, listed
             )
             if not unresolved.job.is_final and not can_resolve(
-                age_s, are_contacted, are_surveyed, are_former_listed
+                age_s,
+                are_contacted,
+                are_surveyed,
+                are_former_listed,
+                is_durable=unresolved.job.spec.is_durable,
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -42,6 +42,7 @@
 from tests.support.endpoint_world import (
     FakeDirectory,
     FakeJobStore,
+    StoreAccess,
     make_endpoint,
 )
 from tests.support.runs import find_overlaps
@@ -69,6 +70,7 @@
         self.endpoint_list = EndpointList()
         self.evacuations = EvacuatedDomains(revision=1, confirmed_s=inf)
         self.holders: dict[int, Holder] = {}
+        self.store_accesses: dict[int, StoreAccess] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
         self.replies: dict[str, list] = {}
@@ -104,6 +106,7 @@
             revision = self.store.revision = self.store.revision + 1
             self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
         self.newest_model = RunTimeModel()
+        self.store_accesses[fence] = StoreAccess(self.store)
         self.holders[fence] = Holder(
             GROUP,
             fence,
@@ -112,7 +115,7 @@
             self.newest_model,
             NeighbourModel(lambda: NeighbourMode.APART),
             HolderContext(
-                self.store,
+                self.store_accesses[fence],
                 self.directory,
                 self.endpoint_list,
                 self.evacuations,
@@ -353,6 +356,22 @@
     world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
 
 
+@when(r"the store turns the holder with fence (?P<fence>\d+) away")
+def step_impl(context, fence):
+    context.holder_world.store_accesses[int(fence)].is_cut = True
+
+
+@when(r'the endpoint that runs job "(?P<name>\w+)" is missing in the list')
+def step_impl(context, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while not world.list_events(name, "start"):
+        assert monotonic() < until_s, name
+        sleep(0.005)
+    world.directory.endpoints = [e for e in world.endpoints if not e.running]
+    sleep(2 * LIST_INTERVAL_S)
+
+
 @when(r"the holder with fence (?P<fence>\d+) ends")
 def step_impl(context, fence):
     world = context.holder_world
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -226,6 +226,36 @@
         return tuple(self.entries[key] for key in found), False
 
 
+class StoreAccess:
+    """One holder's access to the store that all share; the store may turn this holder away."""
+
+    def __init__(self, store: FakeJobStore) -> None:
+        self.max_entries = store.max_entries
+        self.is_cut = False
+        self._store = store
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Applies the changes and returns their revision."""
+        self._check()
+        return await self._store.commit(transaction)
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key."""
+        self._check()
+        return await self._store.get(key)
+
+    async def list_page(
+        self, prefix: str, after_key: str, *, may_be_stale: bool = False
+    ) -> tuple[tuple[Entry, ...], bool]:
+        """Reads all entries below a prefix."""
+        self._check()
+        return await self._store.list_page(prefix, after_key, may_be_stale=may_be_stale)
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise StoreUnavailableError("turned away")
+
+
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Creates an endpoint with a given number of cores."""
     instance = EndpointInstance(name, FIRST_BORN_MS)
