Wait for endpoints that left the list before their runs were named

Callers could see a durable task run twice at once after a change of holder: a new holder started it 0.3 s after its first run had begun, at an endpoint that the list no longer showed. That is how it is shortly after an outage of the store, as entries that have lapsed come back within two seconds.

Cause: that the former holder's last heartbeat didn't name an endpoint counted as proof that nothing ran there. A heartbeat names the endpoints that had runs when it was sent. Now a new holder also takes the endpoints into account that its daemon has missed in the list since 4 s before the tenure began: for that long a holder may order runs by an older list. With one of its group missing, durable tasks that nobody reports wait until the former holder's leases have lapsed. Best-effort jobs are withdrawn at the former holder, and go on.

Evidence: the new scenario failed on the code before by a start 0.3 s after the first.

Other way: to name all endpoints in each heartbeat, some 40 more identifiers to five daemons each 0.15 s. What remains: a daemon that has just started knows of no endpoint that has left.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -26,6 +26,7 @@
 FAILURES_BEFORE_QUARANTINE = 2  # in a row, of tasks that have not failed on another endpoint
 # The longest time that an endpoint takes to stop a run whose resources the holder counts as free.
 NO_ROOM_PAUSE_S = 0.05
+VANISHED_MEMORY_S = 30.0  # well above the time for which a holder may order runs by an old list
 # Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
 # and other jobs must go on while it doesn't answer.
 DURABLE_END_SHARE = 0.5
@@ -47,6 +48,7 @@
     _by_instance: dict[EndpointInstance, EndpointInfo] = field(default_factory=dict)
     _heard_capacities: dict[EndpointInstance, tuple[int, Resources]] = field(default_factory=dict)
     _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
+    _vanished: dict[EndpointInstance, tuple[EndpointInfo, float]] = field(default_factory=dict)
 
     def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
         """Replaces the list by the one of a new answer."""
@@ -54,6 +56,7 @@
             former = self._by_instance.get(info.instance)
             if former is not None and former.capacity != info.capacity:
                 self._changed_s[info.instance] = now_s
+        self._note_vanished(endpoints, now_s)
         self._by_instance = {info.instance: self._apply_heard(info) for info in endpoints}
         self._heard_capacities = {
             instance: heard
@@ -64,6 +67,24 @@
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
 
+    def _note_vanished(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
+        """Remembers for a while which endpoints an answer no longer shows."""
+        listed_ids = {info.instance.endpoint_id for info in endpoints}
+        for instance, info in self._by_instance.items():
+            self._vanished.setdefault(instance, (info, now_s))
+        self._vanished = {
+            instance: (info, from_s)
+            for instance, (info, from_s) in self._vanished.items()
+            if instance.endpoint_id not in listed_ids and now_s - from_s < VANISHED_MEMORY_S
+        }
+
+    def list_vanished(self, since_s: float) -> list[EndpointInfo]:
+        """Lists the endpoints that were missing in an answer first since a monotonic time.
+
+        Those of which a new process is listed aren't among them, nor those that are back.
+        """
+        return [info for info, from_s in self._vanished.values() if from_s >= since_s]
+
     def hear_capacity(self, instance: EndpointInstance, revision: int, capacity: Resources) -> None:
         """Applies a capacity that another daemon has read, unless the one known is newer.
 
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -57,6 +57,7 @@
     JobSubmissionReply,
 )
 from berylproxy.durable.jobs.models import (
+    EndpointInfo,
     JobSpec,
     JobState,
     StoredJob,
@@ -87,6 +88,10 @@
 OUTAGE_TENURE_S = 10.0  # no other daemon can reach the store either
 # After this time, the leases that a former holder extended have lapsed.
 FORMER_TENURE_LIMIT_S = UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+# A former holder may have ordered runs at an endpoint for this long after it has left the list,
+# besides those that its last heartbeat named: until it read the list, or after an outage waited for
+# the endpoint to come back, and sent a heartbeat.
+UNNAMED_RUNS_S = 4.0
 
 logger = Logger("berylproxy.durable.holder")
 
@@ -193,8 +198,7 @@
             self.job_table,
             model,
             neighbours,
-            lambda info: context.group_of_endpoint(info.service, info.instance.endpoint_id)
-            == group,
+            self._is_in_group,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
@@ -221,6 +225,10 @@
         self._watchers: list[str] = []
         self._pauses = PauseDetector(context.clock)
 
+    def _is_in_group(self, info: EndpointInfo) -> bool:
+        group = self._context.group_of_endpoint(info.service, info.instance.endpoint_id)
+        return group == self.tenure.group
+
     async def run(self) -> None:
         """Loads the open jobs and serves the group until the tenure ends."""
         try:
@@ -544,9 +552,11 @@
         are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
         are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
         listed = {instance.endpoint_id for instance in self.group.endpoints}
+        vanished = self._context.endpoint_list.list_vanished(self.tenure.began_s - UNNAMED_RUNS_S)
+        may_have_unnamed = any(self._is_in_group(info) for info in vanished)
         still_unresolved = []
         for unresolved in self._unresolved:
-            age_s = now_s - unresolved.since_s
+            age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
             )
@@ -554,8 +564,8 @@
                 age_s,
                 are_contacted,
                 are_surveyed,
-                are_former_listed,
-                is_durable=unresolved.job.spec.is_durable,
+                are_former_listed and not (is_durable and may_have_unnamed),
+                is_durable=is_durable,
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -121,6 +121,17 @@
     Then no task of job "a" ran twice at the same time
     And durable job "a" is shown as "completed" within 10 s
 
+  Scenario: a new holder waits for endpoints that left the list before a heartbeat named their runs
+    Given a group of 2 endpoints whose runs take 2.5 s
+    When a holder with fence 16 takes over
+    And durable job "a" of 1 task is submitted
+    And the endpoint that runs job "a" is missing in the list
+    And the store turns the holder with fence 16 away
+    And a holder with fence 32 takes over that knows of no endpoints used by the holder with fence 16
+    And 2.2 s have passed
+    Then no task of job "a" ran twice at the same time
+    And durable job "a" is shown as "completed" within 10 s
+
   Scenario: tasks of an endpoint that is cut off start elsewhere once its leases have lapsed
     Given a group of 2 endpoints whose runs take 0.9 s
     When a holder with fence 16 takes over
