--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -44,7 +44,7 @@
 CONNECT_TIMEOUT_S = 0.2
 INSTANCE_HEADER = "Berylproxy-Expect-Instance"
 OTHER_INSTANCE_STATUS = 421
-MAX_LISTED_ENDS = 500  # in one report; a runner lists the others once it has forgotten these
+REPORT_ENDS = 500  # a runner lists as many at a time, and others once it has forgotten these
 UNHEALTHY_STATUSES = (429, 503)  # the request had no effect
 MAX_TASK_NUMBER_DIGITS = 9
 
@@ -79,6 +79,8 @@
     :ivar longest_lease_s: longest lease that runners grant, in seconds; applies to new connections.
     """
 
+    max_listed_ends = REPORT_ENDS - 1
+
     def __init__(self, store: PlatformStore, longest_lease_s: float) -> None:
         self._store = store
         self.longest_lease_s = longest_lease_s
@@ -87,20 +89,15 @@
 
     async def fetch(self) -> tuple[EndpointInfo, ...]:
         """Reads the list of runners; entries that name no usable runner are skipped."""
-        endpoints, after_key, has_more = [], "", True
+        entries = (await self._store.read_all(LIST_PREFIX)).entries
+        endpoints = []
         problems: set[tuple[str, str]] = set()
-        keys: set[str] = set()
-        while has_more:
-            page = await self._store.read_page(LIST_PREFIX, after_key)
-            for entry in page.entries:
-                after_key = entry.key
-                keys.add(entry.key)
-                try:
-                    endpoints.append(decode_entry(entry))
-                except EntryInvalidError as error:
-                    problems.add((entry.key, error.message))
-            has_more = page.has_more and bool(page.entries)
-        self._log_problems(problems, keys)
+        for entry in entries:
+            try:
+                endpoints.append(decode_entry(entry))
+            except EntryInvalidError as error:
+                problems.add((entry.key, error.message))
+        self._log_problems(problems, {entry.key for entry in entries})
         return tuple(endpoints)
 
     def _log_problems(self, problems: set[tuple[str, str]], keys: set[str]) -> None:
@@ -175,7 +172,10 @@
         if extend and self._clock.is_known:
             body["until-ms"] = self._next_lease_end_ms()
         answer = await self._call("/-/hold", body, CALL_TIMEOUT_S, wait_s)
-        return decode_report(self._require_success(answer), answer.response.sent_s)
+        content = self._require_success(answer)
+        if answer.response.status != 200 or "clock-ms" not in content:
+            raise EndpointCallError("the runner's answer is not a report")
+        return decode_report(content, answer.response.sent_s)
 
     async def close(self) -> None:
         """Closes the idle connections."""
@@ -264,23 +264,22 @@
 def decode_report(content: dict[str, Any], sent_s: float) -> EndpointReport:
     """Decodes a runner's report; rows that can't be decoded are skipped and counted.
 
-    A missing list counts as one such row.
+    An empty list may be missing. What is no list counts as one such row.
     """
-    running_rows, ended_rows = content.get("running"), content.get("ended")
-    unreadable = [isinstance(running_rows, list), isinstance(ended_rows, list)].count(False)
+    unreadable = 0
     running, ended = [], []
-    for row in running_rows if isinstance(running_rows, list) else ():
+    for row in _list_rows(content, "running"):
         try:
             running.append(_decode_running(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
-    for row in ended_rows if isinstance(ended_rows, list) else ():
+    for row in _list_rows(content, "ended"):
         try:
             ended.append(_decode_ended(row))
         except (ValueError, TypeError, IndexError, KeyError, AttributeError):
             unreadable += 1
     born = content.get("born", 0)
-    is_complete = not unreadable and len(ended) < MAX_LISTED_ENDS
+    is_complete = not unreadable and len(ended) < REPORT_ENDS
     report_type = CompleteReport if is_complete else EndpointReport
     return report_type(
         born if _is_count(born) else 0, sent_s, tuple(running), tuple(ended), unreadable
@@ -319,6 +318,11 @@
     return value
 
 
+def _list_rows(content: dict[str, Any], name: str) -> list[Any]:
+    rows = content.get(name) or []
+    return rows if isinstance(rows, list) else [rows]
+
+
 def _text_or_empty(value: Any) -> str:
     return value if isinstance(value, str) else ""
 
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -42,6 +42,7 @@
 from tests.support.endpoint_world import (
     FakeDirectory,
     FakeJobStore,
+    StoreAccess,
     make_endpoint,
 )
 from tests.support.runs import find_overlaps
@@ -69,6 +70,7 @@
         self.endpoint_list = EndpointList()
         self.evacuations = EvacuatedDomains(revision=1, confirmed_s=inf)
         self.holders: dict[int, Holder] = {}
+        self.store_accesses: dict[int, StoreAccess] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
         self.replies: dict[str, list] = {}
@@ -104,6 +106,7 @@
             revision = self.store.revision = self.store.revision + 1
             self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
         self.newest_model = RunTimeModel()
+        self.store_accesses[fence] = StoreAccess(self.store)
         self.holders[fence] = Holder(
             GROUP,
             fence,
@@ -112,7 +115,7 @@
             self.newest_model,
             NeighbourModel(lambda: NeighbourMode.APART),
             HolderContext(
-                self.store,
+                self.store_accesses[fence],
                 self.directory,
                 self.endpoint_list,
                 self.evacuations,
@@ -234,6 +237,49 @@
         endpoint.max_listed_ends = int(count)
 
 
+@given(r"endpoints list at most (?P<count>\d+) ends in a complete report")
+def step_impl(context, count):
+    world = context.holder_world
+    world.directory.max_listed_ends = int(count)
+    for endpoint in world.endpoints:
+        endpoint.max_listed_ends = int(count) + 1
+
+
+@given(r"progress isn't stored for its age alone")
+def step_impl(context):
+    patcher = patch.object(outcomes, "MAX_RETAINED_END_AGE_S", inf)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@when(r"(?P<count>\d+) durable jobs of 1 task are submitted")
+def step_impl(context, count):
+    for number in range(int(count)):
+        context.holder_world.submit(f"durable-{number}", 1, is_kept=True)
+
+
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have ended')
+def step_impl(context, count, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while len(world.list_events(name, "done")) < int(count):
+        assert monotonic() < until_s, world.list_events(name, "done")
+        sleep(0.005)
+
+
+@then(r"each endpoint has started (?P<count>\d+) runs")
+def step_impl(context, count):
+    histories = [endpoint.history for endpoint in context.holder_world.endpoints]
+    started = [sum(event[1] == "start" for event in history) for history in histories]
+    assert set(started) == {int(count)}, started
+
+
+@then(r'at most (?P<count>\d+) runs of job "(?P<name>\w+)" were started')
+def step_impl(context, count, name):
+    started = context.holder_world.list_events(name, "start")
+    assert len(started) <= int(count), started
+
+
 @when(r"no row in the reports of endpoint (?P<number>\d+) can be read from now on")
 def step_impl(context, number):
     context.holder_world.endpoints[int(number) - 1].has_unreadable_rows = True
@@ -310,6 +356,22 @@
     world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
 
 
+@when(r"the store turns the holder with fence (?P<fence>\d+) away")
+def step_impl(context, fence):
+    context.holder_world.store_accesses[int(fence)].is_cut = True
+
+
+@when(r'the endpoint that runs job "(?P<name>\w+)" is missing in the list')
+def step_impl(context, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while not world.list_events(name, "start"):
+        assert monotonic() < until_s, name
+        sleep(0.005)
+    world.directory.endpoints = [e for e in world.endpoints if not e.running]
+    sleep(2 * LIST_INTERVAL_S)
+
+
 @when(r"the holder with fence (?P<fence>\d+) ends")
 def step_impl(context, fence):
     world = context.holder_world
