--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -207,9 +207,11 @@
     Then the run of job "a" ends within 1 s of its drop
 
   Scenario: a job that was dropped before it began runs when it comes again
-    Given a group of 1 endpoint whose runs take 2 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 2 s
     When a holder with fence 16 takes over
     And job "a" of 3 tasks is submitted
+    And 3 runs of job "a" have been started
     And job "b" of 1 task is submitted
     And the caller of job "b" disconnects after 0.1 s
     And job "b" of 1 task is submitted
@@ -282,7 +284,8 @@
     Then 1 runs of job "a" were started
 
   Scenario: a run on an endpoint that turns slow is stopped, and its task is done elsewhere
-    Given a group of 3 endpoints whose runs take 0.6 s
+    Given time is simulated
+    And a group of 3 endpoints whose runs take 0.6 s
     When a holder with fence 16 takes over
     And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
     And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
@@ -292,7 +295,8 @@
     And no task of job "a" ran twice at the same time
 
   Scenario: a run on an endpoint that turns slow stays there while no other one has room
-    Given a group of 1 endpoint whose runs take 0.6 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.6 s
     When a holder with fence 16 takes over
     And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
     And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
@@ -313,7 +317,8 @@
     Then job "a" ends as "completed"
 
   Scenario: an entry daemon that is reachable again resubmits its dropped job
-    Given a group of 2 endpoints whose runs take 0.5 s
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.5 s
     When a holder with fence 16 takes over
     And job "a" of 2 tasks is submitted
     And no more messages arrive from the entry daemon
@@ -384,7 +389,8 @@
     And each task of job "k" was done once
 
   Scenario: the reply to the commit of a job is lost, and the commit is repeated
-    Given a group of 1 endpoint whose runs take 0.05 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.05 s
     And the answer to the next commit is lost
     When a holder with fence 16 takes over
     And durable job "k" of 1 task is submitted
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,5 +1,6 @@
 """Steps for the holder, which runs in an event loop in a thread of its own."""
 
+from contextlib import nullcontext
 from math import inf
 from time import monotonic, sleep, time
 from unittest.mock import patch
@@ -46,6 +47,7 @@
     make_endpoint,
 )
 from tests.support.runs import find_overlaps
+from tests.support.simulated_time import SimulatedTime
 
 GROUP = "ledger"
 ENTRY = "entry-1"
@@ -59,9 +61,14 @@
 
 
 class HolderWorld:
-    """Holders of one group that share its endpoints and the store."""
+    """Holders of one group that share its endpoints and the store.
 
-    def __init__(self, count: int, run_time_s: float) -> None:
+    :param simulated_time: what runs the holders; by default a thread, in real time.
+    """
+
+    def __init__(
+        self, count: int, run_time_s: float, simulated_time: SimulatedTime | None = None
+    ) -> None:
         self.endpoints = [make_endpoint(f"e{number + 1}") for number in range(count)]
         for endpoint in self.endpoints:
             endpoint.run_time_s = run_time_s
@@ -75,7 +82,9 @@
         self.is_entry_alive = True
         self.replies: dict[str, list] = {}
         self.endpoint_ids = frozenset(e.info.instance.endpoint_id for e in self.endpoints)
-        self.portal_context = start_blocking_portal()
+        self.portal_context = (
+            nullcontext(simulated_time) if simulated_time else start_blocking_portal()
+        )
         self.portal = self.portal_context.__enter__()
         self.following = self.portal.start_task_soon(self.follow_endpoint_list)
 
@@ -170,6 +179,13 @@
             if event == kind and task.job_id == name
         ]
 
+    def wait_for_starts(self, name: str, count: int) -> None:
+        """Waits until the endpoints have started a number of runs of a job."""
+        until_s = monotonic() + ANSWER_TIMEOUT_S
+        while len(self.list_events(name, "start")) < count:
+            assert monotonic() < until_s, self.list_events(name, "start")
+            sleep(0.005)
+
     def close(self) -> None:
         """Ends all holders."""
         self.following.cancel()
@@ -181,9 +197,20 @@
 use_step_matcher("re")
 
 
+@given(r"time is simulated")
+def step_impl(context):
+    context.simulated_time = simulated_time = SimulatedTime()
+    context.add_cleanup(simulated_time.close)
+    clock = {"monotonic": simulated_time.monotonic, "sleep": simulated_time.sleep}
+    patches = patch.dict(globals(), clock)
+    patches.start()
+    context.add_cleanup(patches.stop)
+
+
 @given(r"a group of (?P<count>\d+) endpoints? whose runs take (?P<run_time_s>[\d.]+) s")
 def step_impl(context, count, run_time_s):
-    context.holder_world = HolderWorld(int(count), float(run_time_s))
+    simulated_time = getattr(context, "simulated_time", None)
+    context.holder_world = HolderWorld(int(count), float(run_time_s), simulated_time)
     context.add_cleanup(context.holder_world.close)
 
 
@@ -349,10 +376,7 @@
 )
 def step_impl(context, fence, count, name):
     world = context.holder_world
-    until_s = monotonic() + ANSWER_TIMEOUT_S
-    while len(world.list_events(name, "start")) < int(count):
-        assert monotonic() < until_s, world.list_events(name, "start")
-        sleep(0.005)
+    world.wait_for_starts(name, int(count))
     world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
 
 
@@ -538,6 +562,11 @@
     assert not [event for event in history if event[1] == "start"], history
 
 
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have been started')
+def step_impl(context, count, name):
+    context.holder_world.wait_for_starts(name, int(count))
+
+
 @when(r"no more messages arrive from the entry daemon")
 def step_impl(context):
     sleep(0.1)
