Outwait a holder whose last read of its claim gets no answer

Callers could see a durable task run twice at once: a new holder starts tasks that no endpoint shows after 2.8 s, which reckons with a former holder that suspends its durable jobs 1.5 s after the store has confirmed its claim last. But the suspension is checked between reads of the claim, and a read without an answer takes 0.7 s or, with a store that has no limit of its own, any time.

The read has a time limit now, and the time that successors wait is derived from it: 3.7 s. To suspend during the read was weighed; in an outage of the whole store the other daemons may not have noticed it after 1.5 s, so durable runs would be given up that nobody else can start.

Simulated time can be closed when nothing runs in it any more.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -6,7 +6,7 @@
 from math import inf
 from time import time
 
-from anyio import Event, create_task_group, sleep
+from anyio import Event, create_task_group, fail_after, sleep
 from logbook import Logger
 
 from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, Admission, Refusal
@@ -86,8 +86,12 @@
 # Limits of a tenure with durable jobs while the store does not answer this daemon:
 UNCONFIRMED_TENURE_S = 1.5  # another daemon may reach the store and replace the claim
 OUTAGE_TENURE_S = 10.0  # no other daemon can reach the store either
+CLAIM_READ_TIMEOUT_S = 0.7
+LONGEST_UNCONFIRMED_TENURE_S = (
+    UNCONFIRMED_TENURE_S + CLAIM_READ_TIMEOUT_S + CLAIM_CHECK_INTERVAL_S / 2
+)
 # After this time, the leases that a former holder extended have lapsed.
-FORMER_TENURE_LIMIT_S = UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+FORMER_TENURE_LIMIT_S = LONGEST_UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
 # A former holder may have ordered runs at an endpoint for this long after it has left the list,
 # besides those that its last heartbeat named: until it read the list, or after an outage waited for
 # the endpoint to come back, and sent a heartbeat.
@@ -689,7 +693,11 @@
                 self._suspend_durable_jobs(age_s)
             sent_s = self._clock.now_s()
             try:
-                entry = await self._store.get(claim_key(self.tenure.group))
+                with fail_after(CLAIM_READ_TIMEOUT_S):
+                    entry = await self._store.get(claim_key(self.tenure.group))
+            except TimeoutError:
+                logger.debug("the claim can't be checked: no answer in {} s", CLAIM_READ_TIMEOUT_S)
+                continue
             except StoreError as error:
                 logger.debug("the claim cannot be checked: {}", error.message)
                 continue
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -418,3 +418,18 @@
     Then the endpoint was polled at most 15 times
     And within 2 s the endpoint has forgotten all ends
     And the endpoint was polled at most 16 times
+
+  Scenario Outline: a holder whose calls of the store get no answer ends before its successors start its tasks
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 9 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And calls of the store by the holder with fence 16 get no answer for <silence_s> s each
+    Then the leases of the holder with fence 16 lapse within the time that its successors wait
+
+    Examples:
+      | silence_s |
+      | 0.4       |
+      | 0.7       |
+      | 3.0       |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -18,7 +18,7 @@
 from berylproxy.durable.holding import outcomes
 from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.errors import JobAbandonedError, JobInterruptedError
-from berylproxy.durable.holding.holder import Holder
+from berylproxy.durable.holding.holder import FORMER_TENURE_LIMIT_S, LEASE_LENGTH_S, Holder
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
@@ -661,6 +661,28 @@
     context.holder_world.store.page_delay_s = float(late_s)
 
 
+@when(
+    r"calls of the store by the holder with fence (?P<fence>\d+) get no answer for "
+    r"(?P<silence_s>[\d.]+) s each"
+)
+def step_impl(context, fence, silence_s):
+    context.holder_world.store_accesses[int(fence)].silence_s = float(silence_s)
+
+
+@then(
+    r"the leases of the holder with fence (?P<fence>\d+) lapse within the time that its successors "
+    r"wait"
+)
+def step_impl(context, fence):
+    world = context.holder_world
+    tenure = world.holders[int(fence)].tenure
+    deadline_s = monotonic() + ANSWER_TIMEOUT_S
+    while not tenure.is_over and monotonic() < deadline_s:
+        sleep(0.01)
+    lapsed_s = monotonic() + LEASE_LENGTH_S - tenure.confirmed_s
+    assert tenure.is_over and lapsed_s <= FORMER_TENURE_LIMIT_S, lapsed_s
+
+
 @when(r"the job store is unavailable")
 def step_impl(context):
     context.holder_world.store.is_out = True
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -23,7 +23,7 @@
     Transaction,
     TransactionConflictError,
 )
-from berylproxy.store.port import Entry, StoreUnavailableError
+from berylproxy.store.port import Entry, StoreOutcomeUnknownError, StoreUnavailableError
 from standins.runner_model import RunnerModel
 
 LEASE_S = 1.0
@@ -227,33 +227,40 @@
 
 
 class StoreAccess:
-    """One holder's access to the store that all share; the store may turn this holder away."""
+    """One holder's access to the store that all share; the store may turn this holder away.
+
+    :ivar silence_s: time for which each call gets no answer before it fails; 0 for none.
+    """
 
     def __init__(self, store: FakeJobStore) -> None:
         self.max_entries = store.max_entries
         self.is_cut = False
+        self.silence_s = 0.0
         self._store = store
 
     async def commit(self, transaction: Transaction) -> int:
         """Applies the changes and returns their revision."""
-        self._check()
+        await self._check()
         return await self._store.commit(transaction)
 
     async def get(self, key: str) -> Entry | None:
         """Reads one key."""
-        self._check()
+        await self._check()
         return await self._store.get(key)
 
     async def list_page(
         self, prefix: str, after_key: str, *, may_be_stale: bool = False
     ) -> tuple[tuple[Entry, ...], bool]:
         """Reads all entries below a prefix."""
-        self._check()
+        await self._check()
         return await self._store.list_page(prefix, after_key, may_be_stale=may_be_stale)
 
-    def _check(self) -> None:
+    async def _check(self) -> None:
         if self.is_cut:
             raise StoreUnavailableError("turned away")
+        if self.silence_s:
+            await sleep(self.silence_s)
+            raise StoreOutcomeUnknownError("no answer")
 
 
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
--- a/tests/support/simulated_time.py
+++ b/tests/support/simulated_time.py
@@ -99,7 +99,8 @@
         tasks = asyncio.all_tasks(self._loop)
         for task in tasks:
             task.cancel()
-        self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
         self._loop.close()
         self._patches.close()
 
