Don't say that a job is unknown whose record can't be decoded

Its ends and runs were left alone already; its state is now not known, too, and the answer isn't final.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -459,8 +459,8 @@
         """Returns a job's state; empty if there is no such job.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
-        :raises StoreError: if the state has to be read from the store and the read fails, or it is
-            not known whether the job is stored.
+        :raises StoreError: if the state has to be read from the store and the read fails, it is
+            not known whether the job is stored, or its record can't be decoded.
         """
         while job_id in self._pending_submissions:
             await self._pending_submissions[job_id].answered.wait()
@@ -475,6 +475,8 @@
         if entry is None:
             if job_id in self._possibly_stored:
                 raise StoreOutcomeUnknownError("it is not known whether the job is stored")
+            if self._loaded_claim is not None and job_id in self._loaded_claim.unreadable:
+                raise StoreOutcomeUnknownError(f"the record of job {job_id} can't be decoded")
             return ""
         state = decode_final(entry.value)
         self.job_table.remember_outcome(job_id, state)
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -82,3 +82,8 @@
     And a later holder has stored an open job
     When the open jobs are loaded
     Then its tenure has ended, and no job is open or counts as loaded
+
+  Scenario: a job whose record can't be decoded isn't said to be unknown
+    Given a holder with a claim that can't decode that job's record
+    When a caller asks for that job, and another one cancels it
+    Then neither is told that there is no such job
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -7,6 +7,7 @@
 from berylproxy.durable.jobs.job_table import TaskStatus
 from berylproxy.durable.jobs.messages import HolderHeartbeat
 from berylproxy.durable.jobs.models import EndKind
+from berylproxy.store.port import StoreOutcomeUnknownError
 from tests.support.still_holder import CLAIM_REVISION, OTHER, StillHolder, make_stored_job
 
 JOB, DURABLE_JOB, UNKNOWN_JOB = "known", "durable", "unknown"
@@ -54,6 +55,27 @@
     report_unknown(context.still_holder)
 
 
+async def list_answers(holder):
+    """Returns what the holder says of the unknown job, or the errors that it raises."""
+    answers = []
+    for call in (holder.find_state, holder.cancel):
+        try:
+            answers.append(await call(UNKNOWN_JOB))
+        except StoreOutcomeUnknownError as error:
+            answers.append(error)
+    return answers
+
+
+@when(r"a caller asks for that job, and another one cancels it")
+def step_impl(context):
+    context.answers = run(list_answers, context.still_holder.holder)
+
+
+@then(r"neither is told that there is no such job")
+def step_impl(context):
+    assert all(isinstance(a, StoreOutcomeUnknownError) for a in context.answers), context.answers
+
+
 @when(r"that job is submitted again as a best-effort job")
 def step_impl(context):
     world = context.still_holder
