Find a job that ends while its state is read from the store

Callers could be told that an accepted job never runs, while no holder is reached: the outcome was read first and the open record after it, and a job that ended between the two reads was in neither. The open records are read first now; the outcome replaces them in one transaction, so a job is found in one of the reads.

The new row of frontend.feature failed before ('no daemon can store the job now') and passes now, with tests/durable/entry. Reads for a job that has ended: one more for each group asked.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -498,12 +498,13 @@
         :raises ResultUnknownError: if the store is unavailable too.
         """
         try:
-            entry = await self._store.get(final_key(job_id))
-            if entry is not None:
-                return decode_final(entry.value)
+            # A job's outcome replaces its open record, so one that ends between reads is found.
             for group in groups:
                 if await self._store.get(open_key(group, job_id)) is not None:
                     return JobState.QUEUED
+            entry = await self._store.get(final_key(job_id))
+            if entry is not None:
+                return decode_final(entry.value)
         except StoreError as error:
             raise ResultUnknownError(
                 f"neither holder nor store answers: {error.message}"
--- a/tests/durable/entry/frontend.feature
+++ b/tests/durable/entry/frontend.feature
@@ -9,5 +9,6 @@
       | store                    | answer               |
       | has the job, still open  | that it is accepted  |
       | has the job, ended       | that it is accepted  |
+      | has it end between reads | that it is accepted  |
       | has no such job          | that it never runs   |
       | answers nothing          | that it isn't known  |
--- a/tests/steps/durable_frontend_steps.py
+++ b/tests/steps/durable_frontend_steps.py
@@ -19,6 +19,7 @@
 KEYS = {
     "has the job, still open": {open_key("ledger", "j1")},
     "has the job, ended": {final_key("j1")},
+    "has it end between reads": {open_key("ledger", "j1")},
     "has no such job": set(),
     "answers nothing": None,
 }
@@ -43,6 +44,15 @@
         return Entry(key, value, 1) if key in self._keys else None
 
 
+class EndingJob(KnownKeys):
+    """A store in which the job ends after the first read."""
+
+    async def get(self, key):
+        entry = await super().get(key)
+        self._keys = {final_key("j1")}
+        return entry
+
+
 async def reach_nobody(message, timeout_s):
     raise PeerUnreachableError("no stream to the holder")
 
@@ -54,7 +64,7 @@
     )
     coordinator = SimpleNamespace(divisions=divisions, holder_incarnation=lambda group: "")
     network = SimpleNamespace()
-    store = KnownKeys(KEYS[store])
+    store = (EndingJob if "between" in store else KnownKeys)(KEYS[store])
     context.frontend = JobFrontend(network, coordinator, store, MonotonicClock(), Telemetry())
     context.frontend._send_submission = reach_nobody
 
