Announce the end of a connection whose request body isn't read

Callers with kept connections saw "server disconnected without sending a response": a call that is refused by its head alone was answered before its body had arrived, and the connection closed behind an answer that didn't say so. A caller that had already chosen the connection for its next call lost that call.

Both HTTP servers had it. berylproxyd (hypercorn) now reads up to 1 MB of the rest of the body before the response begins, for at most 1 s, and says "Connection: close" if more is left; the server of the platform's daemon, which lingers already, only lacked the header.

Weighed: only the header, without reading. The caller would have to connect again after each refusal, and what arrives after the close can reset the connection before the answer is read. Retrying in the test's client would hide what callers see.

--- a/berylproxy/daemon/http_server.py
+++ b/berylproxy/daemon/http_server.py
@@ -7,6 +7,7 @@
 from hypercorn.config import Config
 from starlette.applications import Starlette
 
+from berylproxy.daemon.request_bodies import RequestBodies
 from berylproxy.settings import Settings
 
 KEEP_ALIVE_TIMEOUT_S = 15.0  # also how long a socket stays open after its client closed it
@@ -40,4 +41,4 @@
     if settings.tls_certificate:
         config.certfile = settings.tls_certificate
         config.keyfile = settings.tls_key
-    await serve(application, config, shutdown_trigger=wait_for_stop)
+    await serve(RequestBodies(application), config, shutdown_trigger=wait_for_stop)
--- a/berylproxy/http_request.py
+++ b/berylproxy/http_request.py
@@ -103,6 +103,8 @@
 
     def _encode_head(self, body_bytes: int, has_more: bool) -> bytes:
         head = self._head or {"status": 500, "headers": []}
+        if not self._is_complete:
+            self.keeps_alive = False
         lines = [STATUS_LINES.get(head["status"]) or f"HTTP/1.1 {head['status']} \r\n".encode()]
         names = set()
         for name, value in head.get("headers", ()):
--- a/tests/admit/border.feature
+++ b/tests/admit/border.feature
@@ -40,6 +40,14 @@
     And a team without a record is refused with 403 "team_unknown"
     And the right team token submits a job
 
+  Scenario: A connection that closes after an answer without its request's body says so
+    When a call without a token is sent whose body comes late
+    Then the connection serves the next call unless the answer says that it closes
+
+  Scenario: A call whose body never comes is answered
+    When a call without a token is sent whose body never comes
+    Then the answer with status 401 says that the connection closes
+
   Scenario: A team's id can't be used by another team
     When team "north" has submitted a job at daemon 0
     Then team "south" gets 400 "id_malformed" at each daemon for fetching, cancelling or submitting it
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -52,6 +52,11 @@
     When a caller sends a request with a body of 4000000 bytes
     Then the caller receives status 413 and the end of the connection
 
+  Scenario: a response before the end of the body says that the connection closes
+    Given an HTTP server with an application that answers before the body
+    When a caller sends the head of a request with a body
+    Then the response with status 413 says that the connection closes
+
   Scenario: a caller that doesn't read makes the response wait
     Given an HTTP server with an application that sends 40 parts of a million bytes
     When a caller sends a request and reads nothing
--- a/tests/steps/border_steps.py
+++ b/tests/steps/border_steps.py
@@ -3,6 +3,7 @@
 import json
 import socket
 from concurrent.futures import ThreadPoolExecutor
+from select import select
 
 from behave import given, then, when
 
@@ -22,6 +23,10 @@
 SOCKET_TIMEOUT_S = 20.0
 OTHER_KEY = "another-peer-key-of-the-tests"
 REQUESTS_PATH = f"/v1/services/{SERVICE}/requests"
+UNAUTHORIZED_HEAD = (
+    "POST /v1/job-ids HTTP/1.1\r\nHost: h\r\nBerylproxy-Team: north\r\nContent-Length: 2\r\n\r\n"
+)
+LATE_BODY_S = 0.3
 
 
 def connect(address: str) -> socket.socket:
@@ -54,6 +59,22 @@
     return cluster.submit(job_id, OTHER_TASKS, daemon=1)
 
 
+def read_answer(connection: socket.socket) -> bytes:
+    """Reads one response with a content length; returns its head in lower case."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        chunk = connection.recv(4096)
+        assert chunk, f"the connection was closed after {received!r}"
+        received += chunk
+    head, _, body = received.partition(b"\r\n\r\n")
+    size = int(head.lower().partition(b"content-length:")[2].split()[0])
+    while len(body) < size:
+        chunk = connection.recv(4096)
+        assert chunk, f"the connection was closed after {received + body!r}"
+        body += chunk
+    return head.lower() + b"\r\n"
+
+
 INVALID_INPUTS = {
     "malformed JSON": lambda c: c.call("POST", "/v1/jobs", content=b'{"service": '),
     "a number that is not JSON": lambda c: c.call(
@@ -204,6 +225,41 @@
     assert post_job(context.cluster, team="north").json()["outcome"] == "done"
 
 
+@when("a call without a token is sent whose body comes late")
+def step_late_body(context):
+    address = context.cluster.daemons[0].announced["http_address"]
+    context.connection = connect(address)
+    context.add_cleanup(context.connection.close)
+    context.connection.sendall(UNAUTHORIZED_HEAD.encode())
+    select([context.connection], [], [], LATE_BODY_S)
+    context.connection.sendall(b"{}")
+
+
+@then("the connection serves the next call unless the answer says that it closes")
+def step_connection_goes_on(context):
+    head = read_answer(context.connection)
+    assert head.startswith(b"http/1.1 401 "), head
+    if b"\r\nconnection: close\r\n" in head:
+        return
+    context.connection.sendall(UNAUTHORIZED_HEAD.encode() + b"{}")
+    assert read_answer(context.connection).startswith(b"http/1.1 401 ")
+
+
+@when("a call without a token is sent whose body never comes")
+def step_no_body(context):
+    address = context.cluster.daemons[0].announced["http_address"]
+    context.connection = connect(address)
+    context.add_cleanup(context.connection.close)
+    context.connection.sendall(UNAUTHORIZED_HEAD.encode())
+
+
+@then("the answer with status {status:d} says that the connection closes")
+def step_answer_closes(context, status):
+    head = read_answer(context.connection)
+    assert head.startswith(b"http/1.1 %d " % status), head
+    assert b"\r\nconnection: close\r\n" in head, head
+
+
 @when('team "{team}" has submitted a job at daemon {daemon:d}')
 def step_team_job(context, team, daemon):
     context.job_id = context.cluster.mint(daemon, team)
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -243,6 +243,18 @@
     context.connection.sendall(encode_request(bytes(BODY_BYTES)))
 
 
+@when("a caller sends the head of a request with a body")
+def step_impl(context):
+    context.connection.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+
+
+@then("the response with status {status:d} says that the connection closes")
+def step_impl(context, status):
+    head = read_until(context.connection, b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), head
+    assert b"\r\nconnection: close\r\n" in head, head
+
+
 @when("a caller sends a HEAD request and then one of HTTP/1.0")
 def step_impl(context):
     context.connection.sendall(encode_request(method="HEAD"))
