Simulate the time of the scenario of a run that is moved

"a run on an endpoint that turns slow is stopped, and its task is done elsewhere" failed now and then beside load. It took 0.2 s of real time from the submission to the slowing, and a run of 0.6 s: a process that gets no processor meanwhile slows the endpoint so late that a move no longer pays, or loses leases of 1 s. The product is not to blame.

"Given time is simulated" runs the holder, the endpoints and the steps on one event loop whose clock jumps to the next timer instead of waiting. All durations and bounds of the scenario are the same as before, and the time between them no longer depends on the machine.

--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,5 +1,6 @@
 """Steps for the holder, which runs in an event loop in a thread of its own."""
 
+from contextlib import nullcontext
 from math import inf
 from time import monotonic, sleep, time
 from unittest.mock import patch
@@ -46,6 +47,7 @@
     make_endpoint,
 )
 from tests.support.runs import find_overlaps
+from tests.support.simulated_time import SimulatedTime
 
 GROUP = "ledger"
 ENTRY = "entry-1"
@@ -59,9 +61,14 @@
 
 
 class HolderWorld:
-    """Holders of one group that share its endpoints and the store."""
+    """Holders of one group that share its endpoints and the store.
 
-    def __init__(self, count: int, run_time_s: float) -> None:
+    :param simulated_time: what runs the holders; by default a thread, in real time.
+    """
+
+    def __init__(
+        self, count: int, run_time_s: float, simulated_time: SimulatedTime | None = None
+    ) -> None:
         self.endpoints = [make_endpoint(f"e{number + 1}") for number in range(count)]
         for endpoint in self.endpoints:
             endpoint.run_time_s = run_time_s
@@ -75,7 +82,9 @@
         self.is_entry_alive = True
         self.replies: dict[str, list] = {}
         self.endpoint_ids = frozenset(e.info.instance.endpoint_id for e in self.endpoints)
-        self.portal_context = start_blocking_portal()
+        self.portal_context = (
+            nullcontext(simulated_time) if simulated_time else start_blocking_portal()
+        )
         self.portal = self.portal_context.__enter__()
         self.following = self.portal.start_task_soon(self.follow_endpoint_list)
 
@@ -181,9 +190,20 @@
 use_step_matcher("re")
 
 
+@given(r"time is simulated")
+def step_impl(context):
+    context.simulated_time = simulated_time = SimulatedTime()
+    context.add_cleanup(simulated_time.close)
+    clock = {"monotonic": simulated_time.monotonic, "sleep": simulated_time.sleep}
+    patches = patch.dict(globals(), clock)
+    patches.start()
+    context.add_cleanup(patches.stop)
+
+
 @given(r"a group of (?P<count>\d+) endpoints? whose runs take (?P<run_time_s>[\d.]+) s")
 def step_impl(context, count, run_time_s):
-    context.holder_world = HolderWorld(int(count), float(run_time_s))
+    simulated_time = getattr(context, "simulated_time", None)
+    context.holder_world = HolderWorld(int(count), float(run_time_s), simulated_time)
     context.add_cleanup(context.holder_world.close)
 
 
