Simulate the time of the scenario of a slowed run that stays

"a run on an endpoint that turns slow stays there while no other one has room" found no run to slow when its process got no processor between the submission and the step 0.2 s later, or lost leases and ran twice. It relies on real time like the scenario before it; the durations and bounds stay as they are, in simulated time.

--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -293,7 +293,8 @@
     And no task of job "a" ran twice at the same time
 
   Scenario: a run on an endpoint that turns slow stays there while no other one has room
-    Given a group of 1 endpoint whose runs take 0.6 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.6 s
     When a holder with fence 16 takes over
     And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
     And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
