Simulate the time of the scenario of a resubmitted dropped job

"an entry daemon that is reachable again resubmits its dropped job" waits 0.1 s of real time until messages cease; a process that gets no processor meanwhile finds the runs of 0.5 s ended, and the job complete, before it is dropped. In simulated time nothing ends between two steps.

The guard still holds: if the holder takes each entry daemon for alive, the scenario fails, in simulated time, too.

--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -315,7 +315,8 @@
     Then job "a" ends as "completed"
 
   Scenario: an entry daemon that is reachable again resubmits its dropped job
-    Given a group of 2 endpoints whose runs take 0.5 s
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.5 s
     When a holder with fence 16 takes over
     And job "a" of 2 tasks is submitted
     And no more messages arrive from the entry daemon
