Simulate the time of the scenarios of restarted processes

"a task that the new process has started isn't started elsewhere -- @1.1" lets all endpoints restart 50 ms of real time after the holder has begun, for tasks that are ordered from the former processes. A holder that gets no processor meanwhile calls the endpoints after their restart only: it orders nothing from the former processes, has no endpoint until the list shows the new ones, and refuses the job at once, as it should. In simulated time the orders always precede the news of the restart.

--- a/tests/durable/orders/restart.feature
+++ b/tests/durable/orders/restart.feature
@@ -1,7 +1,8 @@
 Feature: An endpoint's process restarts under the same identifier
 
   Scenario Outline: a task that the new process has started isn't started elsewhere
-    Given a group of 2 endpoints whose runs take 0.6 s
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.6 s
     When a holder with fence 16 takes over
     And all endpoints restart, and the list shows it after <lag_s> s
     And job "a" of <tasks> tasks is submitted
