Simulate the time of the scenario of a job dropped before it began

"a job that was dropped before it began runs when it comes again" needs job "a" to fill the endpoint before "b" comes.

--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -207,9 +207,11 @@
     Then the run of job "a" ends within 1 s of its drop
 
   Scenario: a job that was dropped before it began runs when it comes again
-    Given a group of 1 endpoint whose runs take 2 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 2 s
     When a holder with fence 16 takes over
     And job "a" of 3 tasks is submitted
+    And 3 runs of job "a" have been started
     And job "b" of 1 task is submitted
     And the caller of job "b" disconnects after 0.1 s
     And job "b" of 1 task is submitted
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -179,6 +179,13 @@
             if event == kind and task.job_id == name
         ]
 
+    def wait_for_starts(self, name: str, count: int) -> None:
+        """Waits until the endpoints have started a number of runs of a job."""
+        until_s = monotonic() + ANSWER_TIMEOUT_S
+        while len(self.list_events(name, "start")) < count:
+            assert monotonic() < until_s, self.list_events(name, "start")
+            sleep(0.005)
+
     def close(self) -> None:
         """Ends all holders."""
         self.following.cancel()
@@ -369,10 +376,7 @@
 )
 def step_impl(context, fence, count, name):
     world = context.holder_world
-    until_s = monotonic() + ANSWER_TIMEOUT_S
-    while len(world.list_events(name, "start")) < int(count):
-        assert monotonic() < until_s, world.list_events(name, "start")
-        sleep(0.005)
+    world.wait_for_starts(name, int(count))
     world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
 
 
@@ -558,6 +562,11 @@
     assert not [event for event in history if event[1] == "start"], history
 
 
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have been started')
+def step_impl(context, count, name):
+    context.holder_world.wait_for_starts(name, int(count))
+
+
 @when(r"no more messages arrive from the entry daemon")
 def step_impl(context):
     sleep(0.1)
