Pause a task whose orders are rejected, not its endpoints

Beside a listed endpoint that didn't answer, a durable job whose orders all others rejected stayed running, and jobs of other callers were refused although they could run at once. The silent endpoint counted as untried, so the job never failed, and each repeated rejection closed an endpoint that runs others' tasks for up to 4 s. Two rejected tasks of one job were enough to close an endpoint.

An endpoint without an answer no longer counts as untried. A task whose order would only be repeated pauses, from 0.5 s doubling to 4 s. Rejections count against an endpoint once another one carries the order out, once for each job.

'endpoints that reject what others carry out get no tasks for a while' keeps the protection from an endpoint at fault.

Other ways: to bound the number of rejections alone (until then the job keeps others out); never to close an endpoint for rejections (one that rejects everything is always free and gets each order first).

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -248,7 +248,7 @@
         # The tasks of a step need the same; those of another step may fit where these don't.
         passed_steps: set[int] = set()
         for task in list(job.waiting):
-            if task.name.step in passed_steps:
+            if task.name.step in passed_steps or now_s < task.paused_until_s:
                 continue
             if not any(could_ever_fit(endpoint, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -31,6 +31,8 @@
 # since more of them fit.
 WORK_WEIGHT = 0.3
 MIN_REJECTIONS = 2  # one endpoint may be at fault itself
+FIRST_REJECTION_PAUSE_S = 0.5
+LONGEST_REJECTION_PAUSE_S = 4.0
 
 
 class TaskStatus(Enum):
@@ -63,6 +65,8 @@
         rejected its orders.
     :ivar rejections: number of orders that endpoints rejected as invalid.
     :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
+    :ivar paused_until_s: monotonic time before which its start isn't ordered.
+    :ivar rejection_pause_s: how long the next pause after a rejected order takes.
     :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
         since.
     :ivar unproven_crash_count: crashes that a former holder has stored without telling whether the
@@ -88,6 +92,8 @@
     failed_endpoint_ids: set[str] = field(default_factory=set)
     rejections: int = 0
     rejecting_endpoint_ids: set[str] = field(default_factory=set)
+    paused_until_s: float = 0.0
+    rejection_pause_s: float = FIRST_REJECTION_PAUSE_S
     crash_count: CrashCount = CrashCount()
     unproven_crash_count: CrashCount = CrashCount()
     saved: str = ""
@@ -120,6 +126,8 @@
     :ivar is_excess: whether it exceeds its claimant's share of scarce room.
     :ivar failure_cause: why it has failed; ``None`` if it hasn't.
     :ivar siblings: run times of its tasks, relative to the expected ones.
+    :ivar blamed_endpoint_ids: identifiers of the endpoints that have rejected orders which others
+        carried out.
     """
 
     spec: JobSpec
@@ -140,6 +148,7 @@
     place_s: float = 0.0
     is_excess: bool = False
     failure_cause: FailureCause | None = None
+    blamed_endpoint_ids: set[str] = field(default_factory=set)
 
     @property
     def claimant(self) -> Claimant:
@@ -412,25 +421,51 @@
             self.note_not_running(task)
 
     def note_rejected(
-        self, task: Task, instance: EndpointInstance, *, has_untried_endpoint: bool
+        self,
+        task: Task,
+        instance: EndpointInstance,
+        now_s: float,
+        *,
+        has_untried_endpoint: bool,
     ) -> None:
         """Applies the answer that an endpoint can't execute an order as given.
 
         It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
-        when as many endpoints as it has attempts, or all of them, have rejected its orders.
+        when as many endpoints as it has attempts, or all of them, have rejected its orders. An
+        order that would only be repeated pauses, for a time that doubles.
 
-        :param has_untried_endpoint: whether an endpoint that hasn't rejected one could run it.
+        :param has_untried_endpoint: whether an endpoint that answers and hasn't rejected one could
+            run it.
         """
         job = self.jobs[task.name.job_id]
         needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
+        is_repeated = instance.endpoint_id in task.rejecting_endpoint_ids
         task.rejections += 1
         task.rejecting_endpoint_ids.add(instance.endpoint_id)
         task.failed_endpoint_ids.add(instance.endpoint_id)
         is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
         if task.rejections >= needed and (is_rejected_widely or not has_untried_endpoint):
             self.fail(job, FailureCause.REJECTED_ORDERS)
-        else:
-            self.note_not_running(task)
+            return
+        if is_repeated or not has_untried_endpoint:
+            task.paused_until_s = now_s + task.rejection_pause_s
+            task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+        self.note_not_running(task)
+
+    def note_carried_out(self, task: Task) -> set[str]:
+        """Applies that an endpoint carries out an order: the job's content isn't at fault.
+
+        :return: identifiers of the endpoints that are to blame for rejections by that, and weren't
+            for another one of the job.
+        """
+        job = self.jobs.get(task.name.job_id)
+        if job is None:
+            return set()
+        to_blame = task.rejecting_endpoint_ids - job.blamed_endpoint_ids
+        job.blamed_endpoint_ids |= to_blame
+        task.rejections, task.rejecting_endpoint_ids = 0, set()
+        task.rejection_pause_s = FIRST_REJECTION_PAUSE_S
+        return to_blame
 
     def fail(self, job: Job, cause: FailureCause) -> None:
         """Marks a job as failed; the caller must stop its active tasks."""
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -737,6 +737,7 @@
         if outcome is StartOutcome.STARTED:
             if endpoint_run is not None:
                 endpoint_run.note_confirmed(now_s)
+                self._blame_for_rejections(task, now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
                     task.status = TaskStatus.RUNNING
@@ -804,26 +805,38 @@
         is_current = task.instance == instance and task.run == run
         if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        is_quarantined = instance.endpoint_id in task.rejecting_endpoint_ids
-        if is_quarantined:
-            endpoint.quarantine(now_s)
-        elif not task.failed_endpoint_ids:
-            is_quarantined = endpoint.note_failure(now_s)
-        if is_quarantined:
-            self._tenure.telemetry.count("endpoint_closures", reason="rejections")
         has_untried_endpoint = any(
             other.is_staying
+            and not other.missed_calls
             and could_ever_fit(other, task.step)
             and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
             for other in self.endpoints.values()
             if other is not endpoint
         )
-        self._job_table.note_rejected(task, instance, has_untried_endpoint=has_untried_endpoint)
+        self._job_table.note_rejected(
+            task, instance, now_s, has_untried_endpoint=has_untried_endpoint
+        )
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
+        elif now_s < task.paused_until_s:
+            self._tenure.spawn(self._place_after, task.paused_until_s - now_s)
         self.changed.set()
 
+    async def _place_after(self, pause_s: float) -> None:
+        """Has waiting tasks placed after a pause."""
+        await sleep(pause_s)
+        self.changed.set()
+
+    def _blame_for_rejections(self, task: Task, now_s: float) -> None:
+        """Counts rejections of a task's orders as failures, as another endpoint carries one out."""
+        blamed_endpoint_ids = self._job_table.note_carried_out(task)
+        if not blamed_endpoint_ids:
+            return
+        for instance, endpoint in self.endpoints.items():
+            if instance.endpoint_id in blamed_endpoint_ids and endpoint.note_failure(now_s):
+                self._tenure.telemetry.count("endpoint_closures", reason="rejections")
+
     def clear_orphans(self, claim: LoadedClaim) -> None:
         """Begins to end what endpoints keep of jobs that nobody wants any more."""
         self._clearance = OrphanClearance(claim, self._orphan_ends, self._stop_soon)
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -33,6 +33,44 @@
     Then durable job "k" is shown as "completed" within 7 s
     And 3 runs of job "k" were started
 
+  Scenario: a job whose orders endpoints reject ends beside a silent endpoint, and other jobs run
+    Given time is simulated
+    And a group of 3 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And endpoint 3 is cut off from holders with fence 16
+    And durable job "a" of 1 task is submitted
+    And 6 s have passed
+    And job "b" of 1 task is submitted
+    Then job "b" ends as "completed" within 1 s
+    And durable job "a" is shown as "failed" within 1 s
+
+  Scenario: rejected orders of one job don't close endpoints to other jobs
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "a" of 8 tasks is submitted
+    Then no endpoint is quarantined
+    When 0.3 s have passed
+    Then no endpoint is quarantined
+
+  Scenario: endpoints that reject what others carry out get no tasks for a while
+    Given time is simulated
+    And a group of 4 endpoints whose runs take 0.1 s
+    And endpoints 1 and 2 reject every order of job "k"
+    And endpoints 1 and 2 reject every order of job "l"
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And job "k" of 12 tasks is submitted
+    Then job "k" ends as "completed"
+    And no endpoint is quarantined
+    When job "l" of 12 tasks is submitted
+    Then job "l" ends as "completed"
+    And endpoints 1 and 2 are quarantined
+
   Scenario: orders that are refused for an unknown reason don't fail a job
     Given a group of 2 endpoints whose runs take 0.02 s
     And the next 3 orders at each endpoint are refused for an unknown reason
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -258,6 +258,18 @@
     assert not quarantined, quarantined
 
 
+@then(r"endpoints 1 and 2 are quarantined")
+def step_impl(context):
+    world = context.holder_world
+    endpoints = world.holders[world.newest_fence].group.endpoints
+    quarantined = {
+        instance.endpoint_id
+        for instance, endpoint in endpoints.items()
+        if endpoint.quarantined_until_s > monotonic()
+    }
+    assert quarantined == {"e1", "e2"}, quarantined
+
+
 @given(r"reports list at most (?P<count>\d+) ends")
 def step_impl(context, count):
     for endpoint in context.holder_world.endpoints:
