Don't fail a durable job by the word of one endpoint

A durable job was shown as failed when the one endpoint left for it rejected its orders, while the others were leaving, evacuated or silent: an endpoint at fault itself was enough, and the job would have run elsewhere a moment later.

Two endpoints, at least, have to reject the orders of a durable job; until then its task is tried again after pauses. A best-effort job, whose caller waits, still fails by one endpoint ('a job whose orders the only endpoint rejects fails after all attempts' is one, unchanged).

Failed before: "a durable job isn't failed by the one endpoint at fault that is left" (failed in place of completed).

Other way: to fail it after a longer time (no time tells who is at fault).

--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -30,7 +30,8 @@
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
-MIN_REJECTIONS = 2  # one endpoint may be at fault itself
+MIN_REJECTIONS = 2
+MIN_REJECTING_ENDPOINTS = 2  # of a durable job's orders: one endpoint may be at fault itself
 FIRST_REJECTION_PAUSE_S = 0.5
 LONGEST_REJECTION_PAUSE_S = 4.0
 
@@ -431,8 +432,9 @@
         """Applies the answer that an endpoint can't execute an order as given.
 
         It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
-        when as many endpoints as it has attempts, or all of them, have rejected its orders. An
-        order that would only be repeated pauses, for a time that doubles.
+        when as many endpoints as it has attempts, or all of them, have rejected its orders. One
+        endpoint alone proves nothing about a durable job. An order that would only be repeated
+        pauses, for a time that doubles.
 
         :param has_untried_endpoint: whether an endpoint that answers and hasn't rejected one could
             run it.
@@ -444,7 +446,11 @@
         task.rejecting_endpoint_ids.add(instance.endpoint_id)
         task.failed_endpoint_ids.add(instance.endpoint_id)
         is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
-        if task.rejections >= needed and (is_rejected_widely or not has_untried_endpoint):
+        needed_endpoints = MIN_REJECTING_ENDPOINTS if job.spec.is_durable else 1
+        is_rejected_by_all = (
+            not has_untried_endpoint and len(task.rejecting_endpoint_ids) >= needed_endpoints
+        )
+        if task.rejections >= needed and (is_rejected_widely or is_rejected_by_all):
             self.fail(job, FailureCause.REJECTED_ORDERS)
             return
         if is_repeated or not has_untried_endpoint:
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -79,6 +79,18 @@
     Then durable job "k" is shown as "completed" within 7 s
     And 1 runs of job "k" were started
 
+  Scenario: a durable job isn't failed by the one endpoint at fault that is left
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And endpoint 1 rejects every order of job "k"
+    And endpoint 2 is cut off from holders with fence 16
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 20 s have passed
+    Then endpoint 1 has rejected at most 9 orders
+    When endpoint 2 is reached by all holders after 0 s
+    Then durable job "k" is shown as "completed" within 7 s
+
   Scenario: a job whose orders the only endpoint rejects fails after all attempts
     Given a group of 1 endpoint whose runs take 0.02 s
     And every order of job "a" is rejected
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -226,6 +226,11 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'endpoint 1 rejects every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    context.holder_world.endpoints[0].rejected_jobs.add(name)
+
+
 @given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
 def step_impl(context, name):
     for endpoint in context.holder_world.endpoints[:2]:
@@ -250,6 +255,12 @@
     assert rejections == int(count), rejections
 
 
+@then(r"endpoint 1 has rejected at most (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert 0 < rejections <= int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
