Test that widely rejected orders aren't tried at a whole group

Nothing noticed when a job failed only after each endpoint of a large group had rejected its orders: the groups of the scenarios have few endpoints. With `is_rejected_widely` always false, the new scenario fails (8 rejections in place of 3); it passes on the code as it is.

--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -91,6 +91,16 @@
     When endpoint 2 is reached by all holders after 0 s
     Then durable job "k" is shown as "completed" within 7 s
 
+  Scenario: orders that are rejected widely aren't tried at all endpoints of a large group
+    Given time is simulated
+    And a group of 8 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "a" of 1 task is submitted
+    Then durable job "a" is shown as "failed" within 1 s
+    And the endpoints have rejected 3 orders altogether
+
   Scenario: a job whose orders the only endpoint rejects fails after all attempts
     Given a group of 1 endpoint whose runs take 0.02 s
     And every order of job "a" is rejected
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -261,6 +261,12 @@
     assert 0 < rejections <= int(count), rejections
 
 
+@then(r"the endpoints have rejected (?P<count>\d+) orders altogether")
+def step_impl(context, count):
+    rejections = [endpoint.rejections for endpoint in context.holder_world.endpoints]
+    assert sum(rejections) == int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
