--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -226,6 +226,11 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'endpoint 1 rejects every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    context.holder_world.endpoints[0].rejected_jobs.add(name)
+
+
 @given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
 def step_impl(context, name):
     for endpoint in context.holder_world.endpoints[:2]:
@@ -250,6 +255,18 @@
     assert rejections == int(count), rejections
 
 
+@then(r"endpoint 1 has rejected at most (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert 0 < rejections <= int(count), rejections
+
+
+@then(r"the endpoints have rejected (?P<count>\d+) orders altogether")
+def step_impl(context, count):
+    rejections = [endpoint.rejections for endpoint in context.holder_world.endpoints]
+    assert sum(rejections) == int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
@@ -258,6 +275,18 @@
     assert not quarantined, quarantined
 
 
+@then(r"endpoints 1 and 2 are quarantined")
+def step_impl(context):
+    world = context.holder_world
+    endpoints = world.holders[world.newest_fence].group.endpoints
+    quarantined = {
+        instance.endpoint_id
+        for instance, endpoint in endpoints.items()
+        if endpoint.quarantined_until_s > monotonic()
+    }
+    assert quarantined == {"e1", "e2"}, quarantined
+
+
 @given(r"reports list at most (?P<count>\d+) ends")
 def step_impl(context, count):
     for endpoint in context.holder_world.endpoints:
