Take a list of endpoints to be as old as the request for it

A durable job could be counted to have crashed endpoints that had left by plan: such an exit is told from a crash by a list that was read shortly before, and a list counted as read when its last page had arrived, or after the assignment of new endpoints had been stored. With a slow store, or many pages, it is seconds older.

Times at which capacities change or endpoints vanish stay those of the answer.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -36,7 +36,8 @@
 class EndpointList:
     """The platform's list of endpoints as this daemon knows it.
 
-    :ivar read_s: monotonic time of the last answer that confirmed the list; 0 before the first one.
+    :ivar read_s: monotonic time at which the last answer that confirmed the list was asked for; 0
+        before the first one.
     :ivar confirmed: set at the next answer; a new event then takes its place.
     :ivar heard: set when a capacity is heard from another daemon; a new event then takes its place.
     """
@@ -50,8 +51,13 @@
     _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
     _vanished: dict[EndpointInstance, tuple[EndpointInfo, float]] = field(default_factory=dict)
 
-    def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
-        """Replaces the list by the one of a new answer."""
+    def update(
+        self, endpoints: tuple[EndpointInfo, ...], now_s: float, asked_s: float | None = None
+    ) -> None:
+        """Replaces the list by the one of a new answer.
+
+        :param asked_s: monotonic time at which the answer was asked for; by default now.
+        """
         for info in endpoints:
             former = self._by_instance.get(info.instance)
             if former is not None and former.capacity != info.capacity:
@@ -63,7 +69,8 @@
             for instance, heard in self._heard_capacities.items()
             if instance in self._by_instance and heard[0] >= self._by_instance[instance].revision
         }
-        self.endpoints, self.read_s = tuple(self._by_instance.values()), now_s
+        self.endpoints = tuple(self._by_instance.values())
+        self.read_s = now_s if asked_s is None else asked_s
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
 
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -285,14 +285,14 @@
         One read serves all groups that this daemon holds.
         """
         while True:
-            tenure_began = self._tenure_began
+            tenure_began, asked_s = self._tenure_began, self._clock.now_s()
             try:
                 endpoints = await self._directory.fetch()
-                self._endpoint_list.update(endpoints, self._clock.now_s())
+                self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
                 if self.holders and await self.divisions.assign_new_endpoints(
                     endpoints, self.holders.keys()
                 ):
-                    self._endpoint_list.update(endpoints, self._clock.now_s())
+                    self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
             except StoreError as error:
                 logger.debug("the endpoint list is unavailable: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S if self.holders else EMPTY_LIST_INTERVAL_S)
--- a/tests/durable/holding/member.feature
+++ b/tests/durable/holding/member.feature
@@ -33,3 +33,8 @@
     Given a daemon that holds a group with an endpoint whose address can't be used
     When it has served for 0.2 s
     Then its tenure has ended, and it still runs
+
+  Scenario: a list that takes long to read is as old as the request for it
+    Given a daemon whose reads of the list of endpoints take 2 s each
+    When it reads the list once, beginning at 100 s
+    Then it takes the list for one of 100 s
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -366,6 +366,49 @@
     run(follow)
 
 
+class SlowDirectory(FakeDirectory):
+    """A directory each of whose reads takes a time on a clock of its own.
+
+    :ivar now_s: the time.
+    """
+
+    def __init__(self, read_time_s):
+        super().__init__([make_endpoint("e1")])
+        self.now_s = 0.0
+        self._read_time_s = read_time_s
+
+    async def fetch(self):
+        endpoints = await super().fetch()
+        self.now_s += self._read_time_s
+        return endpoints
+
+
+@given(r"a daemon whose reads of the list of endpoints take (?P<time_s>[\d.]+) s each")
+def step_impl(context, time_s):
+    context.directory = directory = SlowDirectory(float(time_s))
+    clock = SimpleNamespace(now_s=lambda: directory.now_s)
+    context.coordinator = make_coordinator(directory, clock=clock)
+
+
+@when(r"it reads the list once, beginning at (?P<now_s>[\d.]+) s")
+def step_impl(context, now_s):
+    context.directory.now_s = float(now_s)
+
+    async def follow():
+        async with create_task_group() as task_group:
+            confirmed = context.coordinator._endpoint_list.confirmed
+            task_group.start_soon(context.coordinator._follow_endpoint_list)
+            await confirmed.wait()
+            task_group.cancel_scope.cancel()
+
+    run(follow)
+
+
+@then(r"it takes the list for one of (?P<read_s>[\d.]+) s")
+def step_impl(context, read_s):
+    assert context.coordinator._endpoint_list.read_s == float(read_s)
+
+
 @then(r"its copy of the list has (?P<count>\d+) endpoints")
 def step_impl(context, count):
     assert len(context.coordinator._endpoint_list.endpoints) == int(count)
