Name the module of a daemon's own member record after it

Cause: platform/members.py decodes the members' records and platform/membership.py kept the daemon's own one; a newcomer couldn't tell them apart.

--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -42,8 +42,8 @@
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
 from berylproxy.platform.members import MEMBER_PREFIX, MemberList
-from berylproxy.platform.membership import OwnMemberRecord
 from berylproxy.platform.operator_watch import OperatorWatch
+from berylproxy.platform.own_member import OwnMemberRecord
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
--- a/tests/steps/platform_membership_steps.py
+++ b/tests/steps/platform_own_member_steps.py
@@ -5,7 +5,7 @@
 from anyio import run
 from behave import given, then, use_step_matcher, when
 
-from berylproxy.platform.membership import OwnMemberRecord
+from berylproxy.platform.own_member import OwnMemberRecord
 from berylproxy.store.port import Entry, StoreError
 from tests.support.leased_store import LeasedStore
 
--- a/tests/support/leased_store.py
+++ b/tests/support/leased_store.py
@@ -16,7 +16,7 @@
 
 
 class LeasedStore:
-    """Implements :class:`berylproxy.platform.membership.LeaseStore`; leases never end.
+    """Implements :class:`berylproxy.platform.own_member.LeaseStore`; leases never end.
 
     :ivar fate: what happens to the next write: ``refused``, ``lost``, or empty to carry it out.
     :ivar late: lost writes that are yet to be carried out.
