Keep crashes under possible runs at a change of holder

Seen by a reviewer: a task that ends its endpoint's process before it answers the order took 8 processes down, not 4, when the holder changed after three of them; a record of an earlier version lost its crashes as soon as this version stored the job again.

Cause: only the crashes under begun runs were copied from the record of crashes to the tasks, and so into the store. Progress has a third list, `possible_crashes`, of all crashes under runs that had begun or may have; the job is stored when either count changes. `crashes` stays what earlier versions take as proof. A job that is read has the larger of the lists as its possible crashes, so that equal lists aren't added up.

Weighed: to store the surplus over the begun ones (blamed crashes can't be told from shared ones once both lists change), and to count possible crashes in `crashes` (earlier versions would fail jobs without proof).

The step that stores a record of an earlier version drops the new field, too.

--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -56,7 +56,7 @@
 
 
 class CrashCount(NamedTuple):
-    """The crashes of endpoints under begun runs of a task.
+    """The crashes of endpoints under a task.
 
     :param crashes: number of crashes.
     :param blamed: number of those for which no other job can be to blame.
@@ -69,6 +69,10 @@
         """Returns how many more crashes these are than others."""
         return CrashCount(max(self.crashes - other.crashes, 0), max(self.blamed - other.blamed, 0))
 
+    def at_least(self, other: "CrashCount") -> "CrashCount":
+        """Returns the larger of each number."""
+        return CrashCount(max(self.crashes, other.crashes), max(self.blamed, other.blamed))
+
 
 @dataclass(slots=True, eq=False)
 class Loss:
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -65,8 +65,7 @@
     :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
     :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
         since.
-    :ivar unproven_crash_count: crashes that a former holder has stored without telling whether the
-        run had begun.
+    :ivar possible_crash_count: the same under runs that had begun or may have.
     :ivar saved: checkpoint that a run saved last.
     :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
     :ivar moves: how often a run was stopped because its endpoint had turned slow.
@@ -89,17 +88,12 @@
     rejections: int = 0
     rejecting_endpoint_ids: set[str] = field(default_factory=set)
     crash_count: CrashCount = CrashCount()
-    unproven_crash_count: CrashCount = CrashCount()
+    possible_crash_count: CrashCount = CrashCount()
     saved: str = ""
     distance_factor: float = 1.0
     moves: int = 0
     work_s: float = 0.0
 
-    @property
-    def has_crashed(self) -> bool:
-        """Whether an endpoint has crashed while it ran the task."""
-        return self.crash_count.crashes > 0
-
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -167,14 +161,19 @@
 
         They must be in the store before endpoints may forget them.
         """
-        crashes = tuple(
-            (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
+        tasks = self.tasks.items()
+        begun = tuple((*key, *task.crash_count) for key, task in tasks if task.crash_count.crashes)
+        possible = tuple(
+            (*key, *task.possible_crash_count)
+            for key, task in tasks
+            if task.possible_crash_count.crashes
         )
         return Progress(
             tuple(key for key, task in self.tasks.items() if task.status is TaskStatus.DONE),
             tuple((*key, run) for key, task in self.tasks.items() for run in task.failed_runs),
-            crashes,  # for daemons of earlier versions
-            crashes,
+            begun,  # for daemons of earlier versions, which take them for proven
+            begun,
+            possible,
         )
 
 
@@ -276,11 +275,13 @@
         for step_number, index, crashes, blamed in stored.progress.begun_crashes:
             task = job.tasks.get((step_number, index))
             if task is not None:
-                task.crash_count = CrashCount(crashes, blamed)
-        for step_number, index, crashes, blamed in stored.progress.crashes:
+                task.crash_count = task.possible_crash_count = CrashCount(crashes, blamed)
+        unproven = (*stored.progress.crashes, *stored.progress.possible_crashes)
+        for step_number, index, crashes, blamed in unproven:
             task = job.tasks.get((step_number, index))
             if task is not None:
-                task.unproven_crash_count = CrashCount(crashes, blamed).without(task.crash_count)
+                count = CrashCount(crashes, blamed).at_least(task.possible_crash_count)
+                task.possible_crash_count = count
         job.unfinished_tasks = sum(
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
--- a/berylproxy/durable/jobs/models.py
+++ b/berylproxy/durable/jobs/models.py
@@ -257,12 +257,14 @@
         those for which no other job can be to blame); earlier versions also count those under runs
         that had not begun, or have none.
     :param begun_crashes: those of them under runs that had begun; earlier versions have none.
+    :param possible_crashes: all under runs that had begun or may have; earlier versions have none.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     failures: tuple[tuple[int, int, int], ...] = ()
     crashes: tuple[tuple[int, int, int, int], ...] = ()
     begun_crashes: tuple[tuple[int, int, int, int], ...] = ()
+    possible_crashes: tuple[tuple[int, int, int, int], ...] = ()
 
 
 class StoredJob(Struct, frozen=True):
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -42,7 +42,7 @@
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
     :param list_read_s: returns the monotonic time at which the list of endpoints was last read.
-    :param on_crash: called with each open job under whose tasks an endpoint has crashed.
+    :param on_crash: called with each open job whose crashes have changed.
     :param on_final: called with each job that fails because a task crashes its endpoints.
     :ivar record: the endpoints lost under tasks.
     """
@@ -126,7 +126,8 @@
         """Takes over the crashes that a former holder has stored with a job."""
         for task in job.tasks.values():
             self.record.restore(task.name, task.crash_count, Evidence.BEGUN, now_s)
-            self.record.restore(task.name, task.unproven_crash_count, Evidence.POSSIBLE, now_s)
+            others = task.possible_crash_count.without(task.crash_count)
+            self.record.restore(task.name, others, Evidence.POSSIBLE, now_s)
 
     def _note_crashed(
         self, instance: EndpointInstance, endpoint: EndpointState | None, sign: RestartSign
@@ -169,9 +170,12 @@
         """Applies the record to the tasks of open jobs."""
         changed = {}
         for name in names:
-            task, count = self._job_table.find_task(name), self.record.count(name)
-            if task is not None and task.crash_count != count:
-                task.crash_count = count
+            task = self._job_table.find_task(name)
+            if task is None:
+                continue
+            begun, possible = self.record.count(name), self.record.count(name, Evidence.POSSIBLE)
+            if (task.crash_count, task.possible_crash_count) != (begun, possible):
+                task.crash_count, task.possible_crash_count = begun, possible
                 changed[name.job_id] = self._job_table.jobs[name.job_id]
         for job in changed.values():
             self._on_crash(job)
--- a/tests/durable/jobs/crash_decisions.feature
+++ b/tests/durable/jobs/crash_decisions.feature
@@ -75,6 +75,20 @@
     Given a stored job without a list of crashes
     Then it is decoded with no crashes
 
+  Scenario Outline: stored crashes are neither forgotten nor counted twice when they are stored again
+    Given a job stored with <stored> crashes of which <begun> had begun and <possible> may have
+    When it is taken over and stored again, 3 times
+    Then <begun> crashes are begun and <total> are possible
+    And earlier versions read <begun> crashes
+
+    Examples:
+      | stored | begun | possible | total |
+      | 1      | no    | no       | 1     |
+      | 1      | 1     | no       | 1     |
+      | 1      | 1     | 1        | 1     |
+      | 1      | 1     | 3        | 3     |
+      | no     | no    | 3        | 3     |
+
   Scenario Outline: <case>: few endpoints go down, and no other task is given up
     When a load with <case> is simulated with 3 seeds
     Then each crashing task is given up after at most 3 crashes
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -27,6 +27,20 @@
     And job "k" crashes no endpoints any more
     Then durable job "k" is shown as "completed" within 9 s
 
+  Scenario: crashes under runs that may not have begun are kept at a change of holder
+    Given a group of 1 endpoint whose runs take 0.3 s
+    And each endpoint crashes before it carries out any order, and is back after 0.4 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And the list goes on to name the former processes
+    And durable job "k" of 1 task is submitted
+    And a possible crash is stored with job "k"
+    And the holder with fence 16 ends
+    And a holder with fence 32 takes over
+    And the list names the new processes
+    Then durable job "k" is shown as "failed" within 9 s
+    And 4 endpoint processes have crashed
+
   Scenario: endpoints that may have left by plan while the list was unread don't fail a job
     Given a group of 6 endpoints whose runs take 0.3 s
     And job "k" crashes the endpoints that start it, which are back after 1.6 s
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -4,16 +4,19 @@
 from msgpack import packb, unpackb
 
 from berylproxy.durable.holding.records import decode_job, encode_job
-from berylproxy.durable.jobs.crashes import CrashRecord, Evidence, Treatment
+from berylproxy.durable.jobs.crashes import CrashCount, CrashRecord, Evidence, Treatment
+from berylproxy.durable.jobs.job_table import JobTable
 from berylproxy.durable.jobs.models import (
     EndpointInstance,
     JobSpec,
+    Progress,
     QueueTerms,
     Resources,
     StepSpec,
     StoredJob,
     TaskName,
 )
+from berylproxy.durable.orders.crash_watch import CrashWatch
 from tests.support.crash_play import CrashSimulation
 
 NOW_S = 100.0
@@ -51,6 +54,18 @@
     return context.crash_record
 
 
+def count_crashes(count: str) -> CrashCount:
+    """Returns a number of crashes, all of them blamed on one job; ``no`` stands for 0."""
+    number = 0 if count == "no" else int(count)
+    return CrashCount(number, number)
+
+
+def list_crashes(count: str) -> tuple[tuple[int, int, int, int], ...]:
+    """Returns the stored crashes of the only task of a job."""
+    crashes = count_crashes(count)
+    return ((0, 0, *crashes),) if crashes.crashes else ()
+
+
 use_step_matcher("re")
 
 
@@ -117,6 +132,43 @@
     assert decode_job(context.stored_value).progress.crashes == ()
 
 
+@given(
+    r"a job stored with (?P<stored>\w+) crash.* of which (?P<begun>\w+) .* and (?P<possible>\w+) .+"
+)
+def step_impl(context, stored, begun, possible):
+    step = StepSpec(1, Resources(1000))
+    progress = Progress(
+        crashes=list_crashes(stored),
+        begun_crashes=list_crashes(begun),
+        possible_crashes=list_crashes(possible),
+    )
+    context.stored_job = StoredJob(JobSpec("a", QueueTerms("q", "s"), "", (step,)), 1.0, progress)
+
+
+@when(r"it is taken over and stored again, 3 times")
+def step_impl(context):
+    for _ in range(3):
+        table = JobTable()
+        job = table.open(decode_job(encode_job(context.stored_job)), NOW_S, first_run=1)
+        watch = CrashWatch(None, table, lambda: NOW_S, lambda job: None, lambda job: None)
+        watch.restore(job, NOW_S)
+        context.crash_record = watch.record
+        context.stored_job = StoredJob(job.spec, job.accepted_unix_s, job.progress())
+
+
+@then(r"(?P<begun>\w+) crashes are begun and (?P<total>\w+) are possible")
+def step_impl(context, begun, total):
+    task, record = TaskName("a", 0, 0), context.crash_record
+    counts = record.count(task), record.count(task, Evidence.POSSIBLE)
+    assert counts == (count_crashes(begun), count_crashes(total)), counts
+
+
+@then(r"earlier versions read (?P<count>\w+) crashes")
+def step_impl(context, count):
+    progress = context.stored_job.progress
+    assert progress.crashes == list_crashes(count), progress
+
+
 @when(r"a load with (?P<load>.+) is simulated with 3 seeds")
 def step_impl(context, load):
     context.crash_load = LOADS[load.strip()]
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -48,11 +48,13 @@
 
 
 @given(
-    r"each endpoint crashes before it carries out its first order, and is back after (?P<s>\S+) s"
+    r"each endpoint crashes before it carries out (?P<orders>its first|any) order, "
+    r"and is back after (?P<s>\S+) s"
 )
-def step_impl(context, s):
+def step_impl(context, orders, s):
     for endpoint in context.holder_world.endpoints:
-        endpoint.crashing_starts, endpoint.down_s = 1, float(s)
+        endpoint.crashing_starts = 1 if orders == "its first" else 1_000
+        endpoint.down_s = float(s)
 
 
 @when(r"the answers to renewals are lost")
@@ -73,6 +75,17 @@
     wait_for(is_listed, "the new processes in the list")
 
 
+@when(r"the list goes on to name the former processes")
+def step_impl(context):
+    world = context.holder_world
+    world.directory.outdated_list = tuple(endpoint.info for endpoint in world.endpoints)
+
+
+@when(r"the list names the new processes")
+def step_impl(context):
+    context.holder_world.directory.outdated_list = None
+
+
 @when(r"renewals are answered again")
 def step_impl(context):
     for endpoint in context.holder_world.endpoints:
@@ -106,7 +119,8 @@
     spec = JobSpec(name, terms, "", (StepSpec(1, TASK_NEEDS, 0.1),))
     progress = Progress(crashes=((0, 0, 1, 1),))
     fields = unpackb(encode_job(StoredJob(spec, time(), progress)))
-    fields["progress"].pop("begun_crashes", None)
+    for name_of_later_field in ("begun_crashes", "possible_crashes"):
+        fields["progress"].pop(name_of_later_field, None)
     key = open_key(GROUP, name)
     context.holder_world.store.entries[key] = Entry(key, packb(fields), 1)
 
@@ -136,6 +150,15 @@
     wait_for(is_stored, "a stored crash")
 
 
+@when(r'a possible crash is stored with job "(?P<name>\w+)"')
+def step_impl(context, name):
+    def is_stored():
+        entry = context.holder_world.store.entries.get(open_key(GROUP, name))
+        return entry is not None and decode_job(entry.value).progress.possible_crashes
+
+    wait_for(is_stored, "a stored possible crash")
+
+
 @then(r"(?P<count>\d+) endpoint processes have crashed")
 def step_impl(context, count):
     assert count_crashes(context) == int(count), count_crashes(context)
