Count a start that is confirmed only after the loss of its endpoint

Seen by a reviewer: if another instance answers an order, or a renewal, before an earlier order at the same endpoint is answered 200, that run stayed 'ordered' for ever and the crash counted nothing; a task could take down any number of processes so. An outcome 'unknown' at the same moment counted as possible. The late 200 is told to the record of crashes now, too, and counts as possible: the process that gave it isn't known.

'starts that are confirmed only after the loss of the endpoint count as possible' failed before (job still running after 9 s), and passes now.

Two more scenarios for wiring that a reviewer's mutants showed untested; each fails with its mutant: without note_outcome for unconfirmed starts, and with `leaving` ignored in note_restarted.

--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -735,7 +735,9 @@
         now_s = self._clock.now_s()
         endpoint_run = endpoint.runs.get((task.name, run))
         if outcome is StartOutcome.STARTED:
-            if endpoint_run is not None:
+            if endpoint_run is None:
+                self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=True)
+            else:
                 endpoint_run.note_confirmed(now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -47,6 +47,7 @@
     :ivar late_starts: number of the next starts that take effect late and get no answer.
     :ivar crashing_starts: number of the next starts that arrive as the process ends, and have no
         effect and no answer.
+    :ivar late_answer_s: time by which the outcomes of starts are late that do not take effect late.
     :ivar lost_calls: kinds of calls, ``"stop"`` and ``"renew"``, that have no effect and no answer.
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
@@ -81,6 +82,7 @@
     cut_fences: set = field(default_factory=set)
     lost_starts: int = 0
     late_starts: int = 0
+    late_answer_s: float = 0.0
     crashing_starts: int = 0
     lost_calls: set = field(default_factory=set)
     late_by_s: float = 0.3
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -41,6 +41,33 @@
     Then durable job "k" is shown as "failed" within 9 s
     And 4 endpoint processes have crashed
 
+  Scenario: starts that are confirmed only after the loss of the endpoint count as possible
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And job "k" crashes the endpoints that start it, which are back after 0.4 s
+    And the endpoints come back under another identifier
+    And the answers to starts come 0.9 s late
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "failed" within 9 s
+
+  Scenario: starts whose lack of an answer shows only after the loss count as possible
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And each endpoint crashes before it carries out any order, and is back after 0.4 s
+    And the endpoints come back under another identifier
+    And the answers to starts come 0.9 s late
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "failed" within 9 s
+
+  Scenario: an endpoint that leaves by plan doesn't count as crashed
+    Given a group of 2 endpoints whose runs take 1.2 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" is listed as leaving, and its process ends
+    Then durable job "k" is shown as "completed" within 7 s
+    And no crash has been counted
+
   Scenario: endpoints that may have left by plan while the list was unread don't fail a job
     Given a group of 6 endpoints whose runs take 0.3 s
     And job "k" crashes the endpoints that start it, which are back after 1.6 s
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -5,6 +5,7 @@
 from anyio import sleep as anyio_sleep
 from behave import given, then, use_step_matcher, when
 from msgpack import packb, unpackb
+from msgspec.structs import replace
 
 from berylproxy.durable.holding.records import decode_job, encode_job, open_key
 from berylproxy.durable.jobs.models import JobSpec, Progress, QueueTerms, StepSpec, StoredJob
@@ -57,6 +58,29 @@
         endpoint.down_s = float(s)
 
 
+@given(r"the answers to starts come (?P<late_s>\S+) s late")
+def step_impl(context, late_s):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.late_answer_s = float(late_s)
+
+
+@when(r'the endpoint that runs job "(?P<name>\w+)" is listed as leaving, and its process ends')
+def step_impl(context, name):
+    world = context.holder_world
+
+    def find_running():
+        return [e for e in world.endpoints if any(task.job_id == name for task, _ in e.running)]
+
+    def is_leaving_known():
+        known = world.holders[world.newest_fence].group.endpoints[endpoint.info.instance]
+        return known.info.leaving
+
+    endpoint = wait_for(find_running, f"a run of {name}")[0]
+    endpoint.info, endpoint.down_s = replace(endpoint.info, leaving=True), 0.4
+    wait_for(is_leaving_known, "the leaving endpoint in the list")
+    world.portal.call(endpoint.crash)
+
+
 @when(r"the answers to renewals are lost")
 def step_impl(context):
     for endpoint in context.holder_world.endpoints:
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -61,11 +61,13 @@
         if endpoint.crashing_starts:
             endpoint.crashing_starts -= 1
             endpoint.crash()
+            await sleep(endpoint.late_answer_s)
             return StartOutcome.UNKNOWN
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
             return StartOutcome.UNKNOWN
+        await sleep(endpoint.late_answer_s)
         return outcome
 
     async def stop(self, name: TaskName, run: int, fence: int) -> None:
