--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -79,7 +79,18 @@
     Then durable job "k" is shown as "completed" within 7 s
     And 1 runs of job "k" were started
 
-  Scenario: a durable job isn't failed by the one endpoint at fault that is left
+  Scenario: a durable job isn't failed by the one endpoint at fault that is listed
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And endpoint 1 rejects every order of job "k"
+    And only endpoint 1 is listed
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 6 s have passed
+    And all endpoints are listed
+    Then durable job "k" is shown as "completed" within 7 s
+
+  Scenario: a durable job isn't failed by the one endpoint at fault that answers
     Given time is simulated
     And a group of 2 endpoints whose runs take 0.1 s
     And endpoint 1 rejects every order of job "k"
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -231,6 +231,18 @@
     context.holder_world.endpoints[0].rejected_jobs.add(name)
 
 
+@given(r"only endpoint 1 is listed")
+def step_impl(context):
+    world = context.holder_world
+    world.directory.endpoints = world.endpoints[:1]
+
+
+@when(r"all endpoints are listed")
+def step_impl(context):
+    world = context.holder_world
+    world.directory.endpoints = world.endpoints
+
+
 @given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
 def step_impl(context, name):
     for endpoint in context.holder_world.endpoints[:2]:
