Don't stop a test's HTTP server that is ending already

The scenario had stopped the server; its loop was closed, but the thread that ran it had not ended yet, and so close() stopped it again. close() goes by whether it was stopped now.

What the scenarios check is unchanged.

--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -31,6 +31,7 @@
         self.request_began = threading.Event()
         self.request_ended = threading.Event()
         self.all_answered: bool | None = None
+        self._is_stopping = False
         self._answer = getattr(self, name)
         self._keep_alive_s = keep_alive_s
         listener = open_listener("127.0.0.1:0")
@@ -53,6 +54,7 @@
 
     def stop(self) -> None:
         """Begins the planned stop."""
+        self._is_stopping = True
         self._loop.call_soon_threadsafe(self._stop.set)
 
     def permit(self) -> None:
@@ -61,7 +63,7 @@
 
     def close(self) -> None:
         """Stops the server and waits for its end."""
-        if self._thread.is_alive():
+        if not self._is_stopping:
             self.stop()
         self._thread.join(TIMEOUT_S)
 
