--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -64,6 +64,7 @@
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
+from berylproxy.durable.orders.orphans import LoadedClaim
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
@@ -100,13 +101,19 @@
     former_fence: int
 
 
-def can_resolve(age_s: float, are_contacted: bool, are_former_listed: bool) -> bool:
-    """Returns whether a task that no endpoint reports is certainly not running.
+def can_resolve(
+    age_s: float, are_contacted: bool, are_surveyed: bool, are_former_listed: bool
+) -> bool:
+    """Returns whether a task that no endpoint reports certainly neither runs nor has been done.
 
     :param age_s: time since the job was loaded or submitted again.
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
+    :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
+        proves nothing, since this holder may have extended their leases.
     :param are_former_listed: whether all endpoints that the former holder used are listed.
     """
+    if not are_surveyed:
+        return False
     if not are_contacted:
         return age_s >= FORMER_TENURE_LIMIT_S
     return are_former_listed or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
@@ -153,7 +160,7 @@
         tenure = Tenure(group, fence, claim_revision, context.clock, context.telemetry)
         self.tenure = tenure
         self.job_table = JobTable(model)
-        self.is_loaded = False
+        self._loaded_claim: LoadedClaim | None = None
         self.is_leaving = False
         self.admission = Admission(self.job_table, model)
         self._was_scarce = False
@@ -180,7 +187,6 @@
             lambda job: self._outcomes.note_progress(job),
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
-        self.group.is_loading_jobs = claim_revision > 0
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
         self._log = JobLog(tenure, self.job_table)
@@ -224,9 +230,15 @@
             self._best_effort_jobs.release_callers()
             await self.group.close()
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the open durable jobs are loaded."""
+        return self._loaded_claim is not None
+
     async def _load_jobs(self) -> None:
         """Loads the open jobs from the store; retries until the store answers."""
         after_key, has_more = "", True
+        unreadable: set[str] = set()
         while has_more:
             try:
                 entries, has_more = await self._store.list_page(
@@ -238,10 +250,11 @@
                 continue
             for entry in entries:
                 after_key = entry.key
-                self._load_job(entry.key, entry.value)
-        self.is_loaded = True
-        self.group.is_loading_jobs = False
-        self.group.changed.set()
+                self._ledger.note_revision(entry.key, entry.revision)
+                if not self._load_job(entry.key, entry.value):
+                    unreadable.add(entry.key.removeprefix(open_prefix(self.tenure.group)))
+        self._loaded_claim = LoadedClaim(self.tenure.claim_revision, frozenset(unreadable))
+        self.group.clear_orphans(self._loaded_claim)
         logger.info(
             "holder of {}: {} open jobs loaded",
             self.tenure.group,
@@ -249,15 +262,15 @@
             extra=self.tenure.extra(),
         )
 
-    def _load_job(self, key: str, value: bytes) -> None:
-        """Adds a stored open job to the job table; skips one that cannot be decoded."""
+    def _load_job(self, key: str, value: bytes) -> bool:
+        """Adds a stored open job to the job table; returns whether its record can be decoded."""
         try:
             stored = decode_job(value)
         except StoredValueError as error:
             logger.error(
                 "open job {} skipped, its stored record cannot be decoded: {}", key, error.message
             )
-            return
+            return False
         now_s = self._clock.now_s()
         age_s = max(time() - stored.accepted_unix_s, 0.0)
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
@@ -266,6 +279,7 @@
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
             self._unresolved.append(UnresolvedJob(job, now_s, 0))
+        return True
 
     async def submit(self, message: JobSubmission, entry: str) -> JobSubmissionReply:
         """Accepts or refuses a job.
@@ -409,7 +423,8 @@
         """Returns a job's state; empty if there is no such job.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
-        :raises StoreError: if the state has to be read from the store and the read fails.
+        :raises StoreError: if the state has to be read from the store and the read fails, or it is
+            not known whether the job is stored.
         """
         while job_id in self._pending_submissions:
             await self._pending_submissions[job_id].answered.wait()
@@ -422,6 +437,8 @@
             return state.value
         entry = await self._store.get(final_key(job_id))
         if entry is None:
+            if job_id in self._possibly_stored:
+                raise StoreOutcomeUnknownError("it is not known whether the job is stored")
             return ""
         state = decode_final(entry.value)
         self.job_table.remember_outcome(job_id, state)
@@ -434,6 +451,10 @@
 
         :raises BerylproxyError: if the cancellation may not be stored.
         """
+        while job_id in self._pending_submissions:
+            await self._pending_submissions[job_id].answered.wait()
+        if job_id in self._possibly_stored and not self.tenure.is_over:
+            await self._cancel_possibly_stored(job_id)
         state = await self.find_state(job_id)
         job = self.job_table.jobs.get(job_id)
         if job is None:
@@ -447,6 +468,26 @@
             raise TenureLostError("the tenure ended before the cancellation was certainly stored")
         return job.state.value
 
+    async def _cancel_possibly_stored(self, job_id: str) -> None:
+        """Stores the outcome of a job whose record may yet be stored, which this prevents."""
+        shared_reply = self._pending_submissions[job_id] = SharedReply()
+        self.tenure.spawn(self._store_cancellation, shared_reply, job_id)
+        await shared_reply.answered.wait()
+        if shared_reply.error is not None:
+            raise shared_reply.error
+
+    async def _store_cancellation(self, shared_reply: SharedReply, job_id: str) -> None:
+        """Stores the outcome, and answers the submissions that have come meanwhile."""
+        try:
+            await self._outcomes.store_cancellation(job_id)
+            self._possibly_stored.discard(job_id)
+            shared_reply.reply = JobSubmissionReply()
+        except (StoreError, TenureLostError) as error:
+            shared_reply.error = StoreOutcomeUnknownError(error.message)
+        finally:
+            self._pending_submissions.pop(job_id, None)
+            shared_reply.answered.set()
+
     def count_pending(self, queue: str) -> int:
         """Returns the number of a queue's open jobs of which no task has begun."""
         return self.job_table.count_pending(queue)
@@ -475,7 +516,9 @@
         if not self._unresolved or not self.group.has_read_list:
             return
         now_s = self._clock.now_s()
-        are_contacted = all(endpoint.is_contacted for endpoint in self.group.endpoints.values())
+        endpoints = self.group.endpoints.values()
+        are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
+        are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
         listed = {instance.endpoint_id for instance in self.group.endpoints}
         still_unresolved = []
         for unresolved in self._unresolved:
@@ -484,7 +527,7 @@
                 self._inherited, unresolved.former_fence, listed
             )
             if not unresolved.job.is_final and not can_resolve(
-                age_s, are_contacted, are_former_listed
+                age_s, are_contacted, are_surveyed, are_former_listed
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
@@ -631,9 +674,9 @@
                 logger.debug("learned run times not stored: {}", error.message)
 
     def _suspend_durable_jobs(self, age_s: float) -> None:
-        """Stops the open durable jobs and ends the tenure; has no effect without such jobs.
+        """Ends the tenure; has no effect without durable jobs.
 
-        Another holder may be running the jobs.
+        Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
         durable_jobs = [
             job for job in self.job_table.jobs.values() if job.spec.is_durable and not job.is_final
@@ -642,5 +685,4 @@
             return
         for job in durable_jobs:
             logger.info("durable job suspended", extra=self.tenure.extra(job=job.spec.job_id))
-            self.group.stop_all_runs(job)
         self.tenure.end(f"the store has not confirmed the claim for {age_s:.1f} s")
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -12,6 +12,7 @@
     EndedRun,
     EndKind,
     EndpointInstance,
+    FailureCause,
     JobSpec,
     JobState,
     Progress,
@@ -29,6 +30,7 @@
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
+MIN_REJECTIONS = 2  # one endpoint may be at fault itself
 
 
 class TaskStatus(Enum):
@@ -57,8 +59,14 @@
     :ivar started_s: monotonic time at which the newest run was ordered or first reported.
     :ivar progressed_s: monotonic time at which the newest run last made progress.
     :ivar failed_runs: numbers of the runs that have failed.
-    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
-    :ivar crash_count: crashes of endpoints that ran the task, unless a run has ended since.
+    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed, or that have
+        rejected its orders.
+    :ivar rejections: number of orders that endpoints rejected as invalid.
+    :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
+    :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
+        since.
+    :ivar unproven_crash_count: crashes that a former holder has stored without telling whether the
+        run had begun.
     :ivar saved: checkpoint that a run saved last.
     :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
     :ivar moves: how often a run was stopped because its endpoint had turned slow.
@@ -78,7 +86,10 @@
     progressed_s: float = 0.0
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
+    rejections: int = 0
+    rejecting_endpoint_ids: set[str] = field(default_factory=set)
     crash_count: CrashCount = CrashCount()
+    unproven_crash_count: CrashCount = CrashCount()
     saved: str = ""
     distance_factor: float = 1.0
     moves: int = 0
@@ -107,6 +118,7 @@
     :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
         acceptance, or of an earlier refusal after which its caller came back as told.
     :ivar is_excess: whether it exceeds its claimant's share of scarce room.
+    :ivar failure_cause: why it has failed; ``None`` if it hasn't.
     :ivar siblings: run times of its tasks, relative to the expected ones.
     """
 
@@ -127,6 +139,7 @@
     failure_domain: str = ""
     place_s: float = 0.0
     is_excess: bool = False
+    failure_cause: FailureCause | None = None
 
     @property
     def claimant(self) -> Claimant:
@@ -154,12 +167,14 @@
 
         They must be in the store before endpoints may forget them.
         """
+        crashes = tuple(
+            (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
+        )
         return Progress(
             tuple(key for key, task in self.tasks.items() if task.status is TaskStatus.DONE),
             tuple((*key, run) for key, task in self.tasks.items() for run in task.failed_runs),
-            tuple(
-                (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
-            ),
+            crashes,  # for daemons of earlier versions
+            crashes,
         )
 
 
@@ -258,10 +273,14 @@
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.failed_runs.add(run)
-        for step_number, index, crashes, blamed in stored.progress.crashes:
+        for step_number, index, crashes, blamed in stored.progress.begun_crashes:
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.crash_count = CrashCount(crashes, blamed)
+        for step_number, index, crashes, blamed in stored.progress.crashes:
+            task = job.tasks.get((step_number, index))
+            if task is not None:
+                task.unproven_crash_count = CrashCount(crashes, blamed).without(task.crash_count)
         job.unfinished_tasks = sum(
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
@@ -386,15 +405,36 @@
             task.failed_runs.add(end.run)
             task.failed_endpoint_ids.add(instance.endpoint_id)
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
-                self.fail(job)
+                self.fail(job, FailureCause.FAILED_RUNS)
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
-    def fail(self, job: Job) -> None:
+    def note_rejected(
+        self, task: Task, instance: EndpointInstance, *, has_untried_endpoint: bool
+    ) -> None:
+        """Applies the answer that an endpoint can't execute an order as given.
+
+        It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
+        when as many endpoints as it has attempts, or all of them, have rejected its orders.
+
+        :param has_untried_endpoint: whether an endpoint that hasn't rejected one could run it.
+        """
+        job = self.jobs[task.name.job_id]
+        needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
+        task.rejections += 1
+        task.rejecting_endpoint_ids.add(instance.endpoint_id)
+        task.failed_endpoint_ids.add(instance.endpoint_id)
+        is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
+        if task.rejections >= needed and (is_rejected_widely or not has_untried_endpoint):
+            self.fail(job, FailureCause.REJECTED_ORDERS)
+        else:
+            self.note_not_running(task)
+
+    def fail(self, job: Job, cause: FailureCause) -> None:
         """Marks a job as failed; the caller must stop its active tasks."""
-        job.state = JobState.FAILED
+        job.state, job.failure_cause = JobState.FAILED, cause
         job.waiting.clear()
         self._remove_work(job)
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -8,13 +8,20 @@
 from msgspec.structs import replace
 
 from berylproxy.durable.decisions.moves import Move, MoveReason, plan_moves
-from berylproxy.durable.decisions.placement import should_reserve
+from berylproxy.durable.decisions.placement import could_ever_fit, should_reserve
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Suspicion
-from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
+from berylproxy.durable.jobs.job_table import (
+    ACTIVE_STATUSES,
+    Job,
+    JobTable,
+    Task,
+    TaskStatus,
+)
 from berylproxy.durable.jobs.models import (
+    CompleteReport,
     EndedRun,
     EndKind,
     EndpointInfo,
@@ -38,7 +45,8 @@
 from berylproxy.durable.learning.response_times import renewal_wait_s
 from berylproxy.durable.learning.run_times import RunPace
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
-from berylproxy.durable.orders.crash_watch import CrashWatch
+from berylproxy.durable.orders.crash_watch import CrashWatch, RestartSign
+from berylproxy.durable.orders.orphans import LoadedClaim, OrphanClearance, OrphanEnds
 from berylproxy.durable.orders.tenure import Tenure
 
 # Without an answer about the list for longer, its entries may have lapsed meanwhile.
@@ -51,14 +59,12 @@
 RETRY_PAUSE_S = 0.05
 FIRST_LIST_TIMEOUT_S = 0.3  # the store answers within some 10 ms unless it is slow or down
 FIRST_CONTACT_TIMEOUT_S = 0.4  # endpoints answer within some 4 ms; those that are cut off never do
-ORPHAN_GRACE_S = 0.2  # time in which entry daemons submit unfinished jobs again
 # 1 s without a message from an entry daemon, a renewal's wait and a margin. A holder that is cut
 # off from an endpoint has by then dropped the jobs of entry daemons on the other side of the
 # partition, which may have submitted them to another holder.
 UNREACHABLE_GRACE_S = 1.4
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
-UNLISTED_END_NUMBER = 0  # of an end that no endpoint lists; those that are listed count from 1
 
 logger = Logger("berylproxy.durable.group")
 
@@ -74,8 +80,6 @@
         applied to its task.
     :param on_final: called with a job whose outcome has been decided by the end of a run.
     :param on_crash: called with a job under whose tasks an endpoint has crashed.
-    :ivar is_loading_jobs: whether the open durable jobs are still being loaded, so that runs and
-        ends of unknown jobs may belong to them.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
         is silent.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
@@ -98,7 +102,6 @@
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
-        self.is_loading_jobs = False
         self.has_read_list = False
         self._tenure = tenure
         self._clock = tenure.clock
@@ -111,14 +114,17 @@
         self._is_in_group = is_in_group
         self._on_end = on_end
         self._on_final = on_final
-        self._crash_watch = CrashWatch(tenure, job_table, on_crash, on_final)
+        self._crash_watch = CrashWatch(
+            tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
+        )
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
         self._trusts: dict[str, FailureTrust] = {}
         self._clients: dict[EndpointInstance, EndpointClient] = {}
         self._wakeups: dict[EndpointInstance, Event] = {}
         self._unlisted_from_s: dict[EndpointInstance, float] = {}
-        self._orphan_ends: list[tuple[EndpointState, int]] = []
+        self._orphan_ends = OrphanEnds()
+        self._clearance: OrphanClearance | None = None
         self._list_read_s = tenure.began_s
 
     async def follow_directory(self) -> None:
@@ -227,17 +233,14 @@
                 self._wakeups[instance] = Event()
             acknowledged = endpoint.next_acknowledgement()
             wait_s = 0.0 if self._should_poll_at_once(endpoint) else self._renewal_wait_s(endpoint)
-            # If unanswered calls could extend the lease, this holder could never tell when it has
-            # lapsed. For orphans see EndpointRun.is_orphan.
-            should_let_lapse = endpoint.missed_calls or endpoint.has_orphans
-            extend = bool(endpoint.runs) and not should_let_lapse
+            extend = bool(endpoint.runs) and not endpoint.should_let_lapse
             try:
                 report = await client.renew(self._tenure.fence, acknowledged, wait_s, extend=extend)
             except FencedOffError:
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
             except OtherInstanceError:
-                self._crash_watch.note_restarted(endpoint)
+                self._crash_watch.note_restarted(endpoint, RestartSign.RENEWAL_REJECTED)
                 self._remove_endpoint(endpoint, "another instance answers at its address")
                 return
             except EndpointCallError as error:
@@ -250,7 +253,8 @@
             endpoint.sent_acknowledgement = acknowledged
             self._apply_report(endpoint, report)
             await self._stop_uncertain_runs(endpoint, client)
-            if endpoint.ends and endpoint.next_acknowledgement() == acknowledged:
+            may_repeat = bool(endpoint.ends) or not endpoint.is_report_complete
+            if may_repeat and endpoint.next_acknowledgement() == acknowledged:
                 with move_on_after(END_POLL_INTERVAL_S):
                     await self._wakeups[instance].wait()
 
@@ -287,8 +291,10 @@
             )
             endpoint.trust.note_silence(now_s)
         endpoint.missed_calls += 1
-        lapsed_s = max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S)
-        if endpoint.runs and now_s > lapsed_s:
+        if now_s <= max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S):
+            return
+        endpoint.is_surveyed = endpoint.is_contacted
+        if endpoint.runs:
             self._crash_watch.note_lapsed(endpoint)
             self._requeue_all_tasks(endpoint, "its lease has lapsed")
 
@@ -339,6 +345,7 @@
         """
         former, now_s = endpoint.info.instance, self._clock.now_s()
         instance = former._replace(born_ms=born_ms)
+        self._crash_watch.note_restarted(endpoint, RestartSign.REPORTED)
         unreported = [
             (key, endpoint_run)
             for key, endpoint_run in endpoint.runs.items()
@@ -355,7 +362,6 @@
             # The leases of the transferred runs, which its client doesn't know, began before now.
             successor.last_answer_s = max(successor.last_answer_s, now_s)
             self._wakeups[instance].set()
-        self._crash_watch.note_restarted(endpoint)
         self._remove_endpoint(endpoint, "its process was restarted")
 
     def _transfer_run(
@@ -407,18 +413,53 @@
         for running in report.running:
             reported.add((running.name, running.run))
             self._apply_running_task(endpoint, running, now_s)
-        for (name, run), endpoint_run in list(endpoint.runs.items()):
-            if (name, run) not in reported and endpoint_run.is_gone(report.sent_s):
+        unlisted = [
+            (key, endpoint_run)
+            for key, endpoint_run in endpoint.runs.items()
+            if key not in reported and endpoint_run.should_be_listed(report)
+        ]
+        endpoint.is_report_complete = isinstance(report, CompleteReport)
+        if isinstance(report, CompleteReport):
+            endpoint.is_surveyed, endpoint.unreadable_from_s = True, None
+            for (name, run), _ in unlisted:
                 self._drop_run(endpoint, name, run, "its endpoint does not report the run")
+        else:
+            self._note_incomplete_report(endpoint, report, bool(unlisted), now_s)
         self._log_findings()
         if endpoint.contacted_s is None:
             endpoint.contacted_s = now_s
         self.changed.set()
 
+    def _note_incomplete_report(
+        self, endpoint: EndpointState, report: EndpointReport, has_unlisted: bool, now_s: float
+    ) -> None:
+        """Decides what becomes of runs that an incomplete report may hide.
+
+        Ends that didn't fit into a report are listed once the endpoint may forget the first ones.
+        Rows that can't be read may stay so: the lease is left to lapse, which ends all runs.
+
+        :param has_unlisted: whether a run that should be listed is not.
+        """
+        if not report.unreadable or (endpoint.is_surveyed and not has_unlisted):
+            endpoint.unreadable_from_s = None
+            return
+        if endpoint.unreadable_from_s is None:
+            endpoint.unreadable_from_s = now_s
+            logger.warning(
+                "{} rows of an endpoint's report can't be read: no tasks start there",
+                report.unreadable,
+                extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
+            )
+        client = self._clients[endpoint.info.instance]
+        if now_s > max(client.lease_end_s(), endpoint.unreadable_from_s + UNREACHABLE_GRACE_S):
+            endpoint.is_surveyed, endpoint.unreadable_from_s = True, None
+            endpoint.quarantine(now_s)
+            self._requeue_all_tasks(endpoint, "its lease has lapsed, and its reports hide runs")
+
     def _apply_running_task(
         self, endpoint: EndpointState, running: RunningTask, now_s: float
     ) -> None:
-        """Applies a reported run: adopts, stops or leaves it, as its job may be submitted again."""
+        """Applies a reported run: adopts, stops or leaves it, as its job may be wanted."""
         instance = endpoint.info.instance
         task = self._job_table.find_task(running.name)
         needs = self._find_needs(running.name)
@@ -426,14 +467,14 @@
         if task is not None and not endpoint_run.kind:
             endpoint_run.kind = self._kind_of(task)
             self._neighbours.note_runs(endpoint, now_s)
-        endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
-        endpoint_run.was_reported = True
-        endpoint_run.is_uncertain = False
+        endpoint_run.note_reported(now_s)
         endpoint_run.is_orphan = task is None and running.name.job_id not in self._job_table.jobs
-        if endpoint_run.is_orphan and self._may_have_orphans(endpoint, now_s):
-            return  # its job may be submitted again
+        if endpoint_run.is_orphan and self._job_table.state(running.name.job_id) is None:
+            if self._clearance is not None:
+                self._clearance.stop_run(endpoint, running.name, running.run, now_s)
+            return
         if task is None or not self._may_adopt(task, instance, running.run):
-            self.stop_soon(endpoint, running.name, running.run)
+            self._stop_soon(endpoint, running.name, running.run)
             return
         self._job_table.note_running(task, instance, running.run, now_s)
         task.saved = running.saved or task.saved
@@ -471,12 +512,12 @@
         self._crash_watch.note_end(end)
         task = self._job_table.find_task(end.name)
         job = self._job_table.jobs.get(end.name.job_id)
-        if job is None and self._may_have_orphans(endpoint, now_s):
-            self._orphan_ends.append((endpoint, end.number))
-        elif job is None or not job.spec.is_durable:
-            endpoint.release_end(end.number)
-        else:
+        if job is not None and job.spec.is_durable:
             self._on_end(endpoint, end)
+        elif self._job_table.state(end.name.job_id) is not None:
+            endpoint.release_end(end.number)  # best-effort, or closed with its outcome stored
+        else:
+            self._keep_orphan_end(endpoint, end, now_s)
         if task is None or job is None:
             return
         is_current_run = task.instance == endpoint.info.instance and task.run == end.run
@@ -498,6 +539,11 @@
         if job.is_final:
             self._on_final(job)
 
+    def _keep_orphan_end(self, endpoint: EndpointState, end: EndedRun, now_s: float) -> None:
+        """Keeps the end of a job that isn't open, unless nobody can want it any more."""
+        if self._clearance is None or not self._clearance.release_end(endpoint, end, now_s):
+            self._orphan_ends.add(endpoint, end)
+
     def _learn_run_time(
         self,
         task: Task,
@@ -593,7 +639,7 @@
                 except EndpointCallError as error:
                     logger.debug("a request to stop a run was not answered: {}", error.message)
 
-    def stop_soon(self, endpoint: EndpointState, name: TaskName, run: int) -> None:
+    def _stop_soon(self, endpoint: EndpointState, name: TaskName, run: int) -> None:
         """Starts to stop a run in the background."""
         self._tenure.spawn(self._stop, endpoint, name, run)
 
@@ -685,12 +731,12 @@
         endpoint_run = endpoint.runs.get((task.name, run))
         if outcome is StartOutcome.STARTED:
             if endpoint_run is not None:
-                endpoint_run.confirmed_s = min(endpoint_run.confirmed_s, now_s)
+                endpoint_run.note_confirmed(now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
                     task.status = TaskStatus.RUNNING
                 if self._job_table.find_task(task.name) is None:
-                    self.stop_soon(endpoint, task.name, run)
+                    self._stop_soon(endpoint, task.name, run)
             self._wakeups[instance].set()
             return
         logger.info(
@@ -718,6 +764,8 @@
         if outcome is StartOutcome.FENCED_OFF:
             self._tenure.end("an endpoint has accepted a higher fence")
             return
+        may_have_begun = outcome is StartOutcome.UNKNOWN
+        self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=may_have_begun)
         if outcome is StartOutcome.UNKNOWN:
             if endpoint_run is not None and endpoint_run.confirmed_s == inf:
                 endpoint_run.is_uncertain = True
@@ -728,13 +776,13 @@
             return
         if outcome is StartOutcome.OTHER_INSTANCE:
             self._drop_run(endpoint, task.name, run, f"not started: {outcome.value}")
-            self._crash_watch.note_restarted(endpoint)
+            self._crash_watch.note_restarted(endpoint, RestartSign.ORDER_REJECTED)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
         if outcome is StartOutcome.INVALID:
             self._handle_rejected_order(task, endpoint, run, now_s)
             return
-        if outcome is StartOutcome.NO_ROOM:
+        if outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
             endpoint.note_no_room(now_s)
         elif outcome is not StartOutcome.RUN_TOO_OLD:
             endpoint.quarantine(now_s)
@@ -744,36 +792,45 @@
     def _handle_rejected_order(
         self, task: Task, endpoint: EndpointState, run: int, now_s: float
     ) -> None:
-        """Counts an order that an endpoint rejects as invalid as a failed run.
-
-        The likely cause is the content of the job. Every other endpoint would reject it too, so
-        without the count the order would be repeated endlessly.
-        """
+        """Has an order that an endpoint rejects as invalid tried at other endpoints."""
+        instance = endpoint.info.instance
         endpoint.remove_run(task.name, run)
         self._neighbours.note_runs(endpoint, now_s)
-        if self._job_table.find_task(task.name) is None:
+        is_current = task.instance == instance and task.run == run
+        if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        end = EndedRun(UNLISTED_END_NUMBER, task.name, run, EndKind.FAILED, "")
-        self._record_failed_run(endpoint, task, end, now_s)
-        self._job_table.note_end(task, end, endpoint.info.instance)
+        is_quarantined = instance.endpoint_id in task.rejecting_endpoint_ids
+        if is_quarantined:
+            endpoint.quarantine(now_s)
+        elif not task.failed_endpoint_ids:
+            is_quarantined = endpoint.note_failure(now_s)
+        if is_quarantined:
+            self._tenure.telemetry.count("endpoint_closures", reason="rejections")
+        has_untried_endpoint = any(
+            other.is_staying
+            and could_ever_fit(other, task.step)
+            and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
+            for other in self.endpoints.values()
+            if other is not endpoint
+        )
+        self._job_table.note_rejected(task, instance, has_untried_endpoint=has_untried_endpoint)
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
         self.changed.set()
 
-    def _may_have_orphans(self, endpoint: EndpointState, now_s: float) -> bool:
-        """Returns whether jobs that a former holder ran on an endpoint may become known yet.
-
-        Best-effort jobs may be submitted again, and durable ones may not be loaded yet.
-        """
-        if self.is_loading_jobs:
-            return True
-        return endpoint.contacted_s is None or now_s - endpoint.contacted_s < ORPHAN_GRACE_S
+    def clear_orphans(self, claim: LoadedClaim) -> None:
+        """Begins to end what endpoints keep of jobs that nobody wants any more."""
+        self._clearance = OrphanClearance(claim, self._orphan_ends, self._stop_soon)
+        self.changed.set()
 
     def adopt_orphans(self, job: Job, now_s: float) -> None:
         """Applies the runs and ends of a former holder that endpoints have reported for a job."""
-        if job.spec.is_durable:
-            self._retain_orphan_ends(job)
+        for endpoint, end in self._orphan_ends.take(job.spec.job_id):
+            if job.spec.is_durable:
+                self._on_end(endpoint, end)
+            else:
+                endpoint.release_end(end.number)
         for endpoint in self.endpoints.values():
             for end in list(endpoint.ends.values()):
                 if end.name.job_id == job.spec.job_id and not job.is_final:
@@ -783,38 +840,23 @@
             for name, run in list(endpoint.runs):
                 if name.job_id != job.spec.job_id:
                     continue
-                endpoint.add_run(name, run, self._find_needs(name))
+                former = endpoint.add_run(name, run, self._find_needs(name))
                 task = self._job_table.find_task(name)
                 if task is not None and self._may_adopt(task, endpoint.info.instance, run):
                     endpoint.remove_run(name, run)
                     adopted = endpoint.add_run(name, run, task.step.needs, self._kind_of(task))
                     adopted.confirmed_s = now_s
                     adopted.was_reported = True
+                    adopted.has_begun = former.has_begun
                     self._neighbours.note_runs(endpoint, now_s)
                     self._job_table.note_running(task, endpoint.info.instance, run, now_s)
         if job.is_final:
             self._on_final(job)
 
-    def _retain_orphan_ends(self, job: Job) -> None:
-        """Makes endpoints retain the ends of a durable job until the store holds their effect."""
-        remaining = []
-        for endpoint, number in self._orphan_ends:
-            end = endpoint.ends.get(number)
-            if end is not None and end.name.job_id == job.spec.job_id:
-                self._on_end(endpoint, end)
-            else:
-                remaining.append((endpoint, number))
-        self._orphan_ends = remaining
-
     def release_orphan_ends(self, now_s: float) -> None:
-        """Lets endpoints forget the ends of jobs that were not submitted again in time."""
-        remaining = []
-        for endpoint, number in self._orphan_ends:
-            if self._may_have_orphans(endpoint, now_s):
-                remaining.append((endpoint, number))
-            else:
-                endpoint.release_end(number)
-        self._orphan_ends = remaining
+        """Lets endpoints forget the ends of jobs that nobody can want any more."""
+        if self._clearance is not None:
+            self._clearance.release_ends(now_s)
 
     def count_uneven_endpoints(self) -> tuple[int, int, float]:
         """Returns how many endpoints are slowed and suspected to fail, and the lowest speed."""
@@ -863,7 +905,7 @@
             ),
         )
         self._tenure.telemetry.count("runs_moved", reason=move.reason.value)
-        self.stop_soon(endpoint, task.name, task.run)
+        self._stop_soon(endpoint, task.name, task.run)
 
     def has_contacted_endpoints(self, now_s: float) -> bool:
         """Returns whether all endpoints have answered, or have had the time to, in this tenure."""
@@ -894,4 +936,4 @@
         for task in job.tasks.values():
             endpoint = self.endpoints.get(task.instance) if task.instance is not None else None
             if endpoint is not None and task.status in ACTIVE_STATUSES:
-                self.stop_soon(endpoint, task.name, task.run)
+                self._stop_soon(endpoint, task.name, task.run)
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -1,15 +1,22 @@
 """Assembles the daemon for the users' platform and runs it until a planned stop."""
 
-import signal
 from collections.abc import Sequence
 from secrets import token_hex
 from socket import socket
 from time import monotonic
-from typing import Any, NamedTuple
+from typing import Any
 
 import orjson
-from anyio import CancelScope, Event, create_task_group, move_on_after, open_signal_receiver, sleep
-from anyio.abc import TaskGroup
+from anyio import (
+    TASK_STATUS_IGNORED,
+    CancelScope,
+    Event,
+    create_task_group,
+    move_on_after,
+    open_signal_receiver,
+    sleep,
+)
+from anyio.abc import TaskGroup, TaskStatus
 from logbook import Logger
 
 from berylproxy import __version__
@@ -25,9 +32,8 @@
 from berylproxy.http_server import HttpServer
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
-from berylproxy.peers.errors import PeerSettingsError
 from berylproxy.peers.network import TcpPeerNetwork
-from berylproxy.peers.settings import PeerSettings, split_address
+from berylproxy.peers.settings import PeerSettings
 from berylproxy.platform.callers import CallerApplication, StartingApplication
 from berylproxy.platform.configuration import (
     ConfigurationInvalidError,
@@ -35,17 +41,17 @@
     decode_configuration,
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
+from berylproxy.platform.members import MEMBER_PREFIX, MemberList
+from berylproxy.platform.membership import OwnMemberRecord
 from berylproxy.platform.operator_watch import OperatorWatch
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
-from berylproxy.store.errors import StoreLeaseLapsedError
-from berylproxy.store.port import Entry, StoreError
+from berylproxy.signals import HANDLED_SIGNALS, RELOAD_SIGNAL, release_signals
+from berylproxy.store.port import StoreError
 
 PEER_KEY_RECORD = ROOT + "peer-key"
-MEMBER_PREFIX = ROOT + "members/"
 PEER_KEY_BYTES = 32
-MEMBER_LEASE_S = 6.0  # a lost VM is removed from the list within this time
 MEMBER_RENEWAL_INTERVAL_S = 2.0
 MEMBER_LIST_INTERVAL_S = 1.0
 RETRY_DELAY_S = 0.1
@@ -75,15 +81,19 @@
         self._settings_watcher = SettingsWatcher(settings_path, settings, self._apply_settings)
         self._clock = MonotonicClock()
         self._store = PlatformStore(settings.store_address)
+        self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
         self._configuration = PlatformConfiguration()
         self._evacuations = EvacuatedDomains()
         self._operator_watch = OperatorWatch(
             self._store, self._apply_configuration, self._evacuations
         )
+        self._member_list = MemberList()
         self._member_domains: dict[str, str] = {}
         self._is_stopping = False
         self._is_ready = True
         self._stopped = Event()
+        self._coordinator: GroupCoordinator | None = None
+        self._start_ended = Event()
         self._groups_changed = Event()
         self._configured = Event()
 
@@ -97,16 +107,25 @@
             settings.peer_address,
         )
         async with create_task_group() as task_group:
+            self._store_wait = CancelScope()
+            await task_group.start(self._handle_signals)
+            task_group.start_soon(self._settings_watcher.run)
             task_group.start_soon(self._serve, task_group.cancel_scope)
-            await self._start(task_group)
+            key = None
+            with self._store_wait:
+                key = await self._fetch_peer_key()
+            if key is not None:
+                await self._start(task_group, settings, key)
+            self._start_ended.set()
         logger.info("stopped")
 
-    async def _start(self, task_group: TaskGroup) -> None:
-        """Builds the daemon's parts and starts them in the task group."""
-        settings = self._settings
-        self._endpoints = PlatformEndpoints(self._store, settings.longest_lease_s)
+    async def _start(self, task_group: TaskGroup, settings: PlatformSettings, key: bytes) -> None:
+        """Builds the daemon's parts and starts them in the task group.
+
+        :param settings: the settings at the start of the process.
+        :param key: shared key of the daemons.
+        """
         telemetry = Telemetry()
-        key = await self._fetch_peer_key()
         self._network = TcpPeerNetwork(
             self._identity,
             _make_peer_settings(settings, key),
@@ -125,9 +144,7 @@
             telemetry,
             self._evacuations,
         )
-        self._coordinator.link_mbps = settings.link_mbps
-        self._coordinator.remote_factor = settings.remote_factor
-        self._coordinator.neighbour_mode = settings.neighbour_mode
+        self._apply_to_coordinator(self._settings)
         telemetry.add_gauges(self._coordinator.list_group_gauges)
         telemetry.metrics.add_source(self._evacuations.list_gauges)
         telemetry.metrics.add_source(self._coordinator.list_share_samples)
@@ -148,8 +165,6 @@
         task_group.start_soon(self._maintain_membership)
         task_group.start_soon(self._track_groups)
         task_group.start_soon(self._coordinator.run)
-        task_group.start_soon(self._settings_watcher.run)
-        task_group.start_soon(self._handle_signals)
         self._starting_application.start(self._application)
         logger.info("serving on {}", settings.callers_address)
 
@@ -178,11 +193,16 @@
         if settings.store_address != self._settings.store_address:
             self._store.change_address(settings.store_address)
         self._endpoints.longest_lease_s = settings.longest_lease_s
+        self._apply_to_coordinator(settings)
+        self._settings = settings
+
+    def _apply_to_coordinator(self, settings: PlatformSettings) -> None:
+        if self._coordinator is None:
+            return
         self._coordinator.cores = settings.cores
         self._coordinator.link_mbps = settings.link_mbps
         self._coordinator.remote_factor = settings.remote_factor
         self._coordinator.neighbour_mode = settings.neighbour_mode
-        self._settings = settings
 
     def _is_accepting(self) -> bool:
         if self._is_stopping or not self._configuration.version:
@@ -248,55 +268,49 @@
 
     async def _maintain_membership(self) -> None:
         """Keeps this daemon in the store's list of members and connects to the others."""
-        lease_id, renewed_s = 0, 0.0
+        renewed_s = 0.0
         value = orjson.dumps(
             {
                 "peer_address": self._identity.peer_address,
                 "failure_domain": self._identity.failure_domain,
             }
         )
+        record = OwnMemberRecord(self._store, MEMBER_PREFIX + self._settings.daemon_id, value)
         while True:
             try:
-                if not self._is_stopping and monotonic() - renewed_s >= MEMBER_RENEWAL_INTERVAL_S:
-                    if not lease_id or not await self._store.renew_lease(lease_id):
-                        lease_id = await self._store.grant_lease(MEMBER_LEASE_S)
-                        key = MEMBER_PREFIX + self._settings.daemon_id
-                        await self._store.put_with_lease(key, value, lease_id)
+                is_due = monotonic() - renewed_s >= MEMBER_RENEWAL_INTERVAL_S
+                if is_due and not self._is_stopping and await record.renew():
                     renewed_s = monotonic()
-                await self._refresh_members()
+                await self._refresh_members(record)
                 await sleep(
                     MEMBER_LIST_INTERVAL_S if len(self._member_domains) > 1 else RETRY_DELAY_S
                 )
-            except StoreLeaseLapsedError:
-                lease_id = 0
             except StoreError as error:
                 logger.debug("the list of members is not available: {}", error.message)
                 await sleep(RETRY_DELAY_S)
 
-    async def _refresh_members(self) -> None:
+    async def _refresh_members(self, record: OwnMemberRecord) -> None:
         page = await self._store.read_page(
             MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1
         )
-        member_domains = {}
-        for entry in page.entries:
-            member = decode_member(entry)
-            if member is None:
-                logger.warning("skipped member {}: its record is not valid", entry.key)
-                continue
-            member_domains[entry.key.removeprefix(MEMBER_PREFIX)] = member.failure_domain
+        record.note_listed(page.entries, is_complete=not page.has_more)
+        members = self._member_list.decode(page.entries)
+        for member in members.values():
             if member.peer_address != self._identity.peer_address:
                 self._network.add_address(member.peer_address)
-        self._member_domains = member_domains
+        self._member_domains = {name: m.failure_domain for name, m in members.items()}
 
-    async def _handle_signals(self) -> None:
+    async def _handle_signals(self, *, task_status: TaskStatus[None] = TASK_STATUS_IGNORED) -> None:
         """Starts the planned stop on SIGTERM or SIGINT and reloads the settings on SIGHUP.
 
         Later signals neither speed up nor interrupt a stop.
         """
-        with open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        with open_signal_receiver(*HANDLED_SIGNALS) as signals:
+            release_signals()
+            task_status.started()
             async with create_task_group() as task_group:
                 async for number in signals:
-                    if number == signal.SIGHUP:
+                    if number == RELOAD_SIGNAL:
                         self._settings_watcher.request_reload()
                     elif self._is_stopping:
                         logger.info("received another stop signal; already stopping")
@@ -307,6 +321,12 @@
     async def _stop(self) -> None:
         """Answers the requests in flight, within the time before SIGKILL."""
         logger.info("stopping")
+        self._store_wait.cancel()
+        await self._start_ended.wait()
+        if self._coordinator is None:  # nothing is served yet
+            self._starting_application.give_up()
+            self._stopped.set()
+            return
         self._coordinator.leave()
         self._network.announce_leaving()
         with move_on_after(self._settings.stop_grace_s * DRAIN_SHARE):
@@ -316,24 +336,6 @@
         self._stopped.set()
 
 
-class MemberRecord(NamedTuple):
-    """A daemon's entry in the list of members."""
-
-    peer_address: str
-    failure_domain: str
-
-
-def decode_member(entry: Entry) -> MemberRecord | None:
-    """Decodes an entry of the list of members; returns ``None`` if it is not valid."""
-    try:
-        content = orjson.loads(entry.value)
-        member = MemberRecord(content["peer_address"], content["failure_domain"])
-        split_address(member.peer_address)
-    except (ValueError, TypeError, KeyError, AttributeError, PeerSettingsError):
-        return None
-    return member if isinstance(member.failure_domain, str) else None
-
-
 def _make_peer_settings(settings: PlatformSettings, key: bytes) -> PeerSettings:
     return PeerSettings(
         listen_address=settings.peer_address,
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -24,6 +24,31 @@
     And 0 runs of job "a" were started
     And no endpoint is quarantined
 
+  Scenario: orders that endpoints reject don't count as failed runs
+    Given a group of 4 endpoints whose runs take 0.02 s
+    And endpoints 1 and 2 reject every order of job "k"
+    And the first run of job "k" at each other endpoint fails
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 3 runs of job "k" were started
+
+  Scenario: orders that are refused for an unknown reason don't fail a job
+    Given a group of 2 endpoints whose runs take 0.02 s
+    And the next 3 orders at each endpoint are refused for an unknown reason
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 1 runs of job "k" were started
+
+  Scenario: a job whose orders the only endpoint rejects fails after all attempts
+    Given a group of 1 endpoint whose runs take 0.02 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    Then job "a" ends as "failed"
+    And endpoint 1 has rejected 3 orders
+
   Scenario: an order takes effect and its answer is lost
     Given a group of 1 endpoint whose runs take 0.3 s
     And the answers of the next 2 starts are lost
@@ -325,6 +350,17 @@
     And 3 runs of job "k" were started
     And the store holds the outcome of job "k" and not the job
 
+  Scenario: a provisional holder leaves the ends of a durable job to the next holder with a claim
+    Given a group of 3 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 6 tasks is submitted
+    And a holder with fence 17 takes over after 0.1 s
+    And 1.8 s have passed
+    And a holder with fence 32 takes over
+    Then durable job "k" is shown as "completed" within 3 s
+    And 6 runs of job "k" were started
+    And each task of job "k" was done once
+
   Scenario: the reply to the commit of a job is lost, and the commit is repeated
     Given a group of 1 endpoint whose runs take 0.05 s
     And the answer to the next commit is lost
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -18,10 +18,11 @@
       | field "capacity" becomes []        | rejected              |
       | field "capacity" becomes {"cpu":-1} | rejected             |
       | field "labels" becomes [1]         | rejected              |
-      | field "born" becomes "today"       | an endpoint           |
+      | field "born" becomes "today"       | rejected              |
       | field "extra" becomes true         | an endpoint           |
       | field "cold-left-ms" becomes 2500  | an endpoint           |
-      | field "cold-left-ms" becomes "x"   | an endpoint           |
+      | field "cold-left-ms" becomes "x"   | rejected              |
+      | field "cold-left-ms" becomes -3    | an endpoint           |
       | bytes are cut in half              | rejected              |
 
   Scenario Outline: a daemon's record is used only if it is valid
@@ -45,6 +46,22 @@
       """
     Then 1 running task, 1 ended run and 3 unreadable rows are found
 
+  Scenario Outline: only a report that certainly lists everything is complete
+    When a runner's report with <change> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | change                          | verdict           |
+      | 499 ends                        | a complete report |
+      | 500 ends                        | a partial report  |
+      | 0 ends                          | a complete report |
+      | "running" missing               | a partial report  |
+      | "ended" missing                 | a partial report  |
+      | "ended" becoming {}             | a partial report  |
+      | "running" becoming null         | a partial report  |
+      | "running" becoming [["x", 1]]   | a partial report  |
+      | "ended" becoming [[1, "x", 1]]  | a partial report  |
+
   Scenario Outline: a runner's answer to a start order
     Then a runner's <status> with reason "<reason>" means "<outcome>"
 
@@ -56,6 +73,8 @@
       | 409    | old    | run_too_old |
       | 409    | fence  | fenced_off  |
       | 409    | ticket | invalid     |
+      | 409    | paused | refused     |
+      | 409    |        | refused     |
       | 421    |        | other_life  |
       | 429    |        | unhealthy   |
       | 503    |        | unhealthy   |
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -6,6 +6,7 @@
 from anyio import move_on_after, sleep
 
 from berylproxy.durable.jobs.models import (
+    CompleteReport,
     EndpointInfo,
     EndpointInstance,
     EndpointReport,
@@ -33,9 +34,9 @@
 class FakeEndpointClient:
     """Implements a holder's client of a fake endpoint."""
 
-    def __init__(self, endpoint: RunnerModel) -> None:
+    def __init__(self, endpoint: RunnerModel, instance: EndpointInstance) -> None:
         self.endpoint = endpoint
-        self.instance = endpoint.info.instance
+        self.instance = instance
         self.renewals = 0
         self._lease_end_s = 0.0
 
@@ -57,6 +58,10 @@
             return StartOutcome.UNKNOWN
         if self._is_rejected():
             return StartOutcome.OTHER_INSTANCE
+        if endpoint.crashing_starts:
+            endpoint.crashing_starts -= 1
+            endpoint.crash()
+            return StartOutcome.UNKNOWN
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
@@ -95,7 +100,11 @@
         if endpoint.info.instance.born_ms != born_ms:
             raise EndpointCallError("the connection was reset")
         running = [RunningTask(r.name, r.run, "", r.percent()) for r in endpoint.running.values()]
-        return EndpointReport(born_ms, sent_s, tuple(running), tuple(endpoint.ended))
+        ended = endpoint.list_ends()
+        if endpoint.has_unreadable_rows:
+            return EndpointReport(born_ms, sent_s, (), (), len(running) + len(ended))
+        report_type = CompleteReport if len(ended) < endpoint.max_listed_ends else EndpointReport
+        return report_type(born_ms, sent_s, tuple(running), tuple(ended))
 
     async def close(self) -> None:
         """Does nothing: there are no connections."""
@@ -144,9 +153,8 @@
 
     def connect(self, info: EndpointInfo) -> FakeEndpointClient:
         """Creates the client of an endpoint."""
-        endpoint_id = info.instance.endpoint_id
-        endpoint = next(e for e in self.endpoints if e.info.instance.endpoint_id == endpoint_id)
-        self.clients.append(FakeEndpointClient(endpoint))
+        endpoint = next(e for e in self.endpoints if e.info.address == info.address)
+        self.clients.append(FakeEndpointClient(endpoint, info.instance))
         return self.clients[-1]
 
 
