--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -75,6 +75,9 @@
 
 TICK_INTERVAL_S = 0.05
 RETRY_PAUSE_S = 0.05
+# In one transaction, which has 32 entries at most. A queue that had one of further services may
+# have its job run there, too.
+MAX_OTHER_GROUPS = 16
 LEASE_LENGTH_S = 1.0  # the longest lease that endpoints grant
 CLAIM_CHECK_INTERVAL_S = 0.4
 NEIGHBOUR_REFRESH_INTERVAL_S = 0.5
@@ -185,6 +188,7 @@
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
+            self._may_have_to_suspend,
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
@@ -236,7 +240,10 @@
         return self._loaded_claim is not None
 
     async def _load_jobs(self) -> None:
-        """Loads the open jobs from the store; retries until the store answers."""
+        """Loads the open jobs from the store; retries until the store answers.
+
+        A job that was stored after this holder's claim is that of a later holder, which may run it.
+        """
         after_key, has_more = "", True
         unreadable: set[str] = set()
         while has_more:
@@ -250,6 +257,9 @@
                 continue
             for entry in entries:
                 after_key = entry.key
+                if entry.revision > self.tenure.claim_revision:
+                    self.tenure.end("another daemon holds the claim, and has stored an open job")
+                    return
                 self._ledger.note_revision(entry.key, entry.revision)
                 if not self._load_job(entry.key, entry.value):
                     unreadable.add(entry.key.removeprefix(open_prefix(self.tenure.group)))
@@ -342,13 +352,17 @@
         if decision.refusal is not None:
             return decision.refusal
         stored = decision.stored
+        other_groups = self._context.other_groups_of_job(spec.terms.service, spec.job_id)
+        elsewhere = [open_key(group, spec.job_id) for group in other_groups[:MAX_OTHER_GROUPS]]
         change = Change(
-            absent=(final_key(spec.job_id),),
+            absent=(final_key(spec.job_id), *elsewhere),
             written=((open_key(self.tenure.group, spec.job_id), encode_job(stored)),),
         )
         try:
             await self._ledger.apply(change)
         except KeyExistsError:
+            # Late copies of earlier writes for the job fail for the same reason.
+            self._possibly_stored.discard(spec.job_id)
             return JobSubmissionReply()
         except StoreUnavailableError as error:
             if may_be_stored:
@@ -673,16 +687,28 @@
             except StoreError as error:
                 logger.debug("learned run times not stored: {}", error.message)
 
+    def _may_have_to_suspend(self) -> bool:
+        """Returns whether the tenure may soon end because the store doesn't confirm its claim."""
+        if not self.tenure.claim_revision:
+            return False
+        age_s = self._clock.now_s() - self.tenure.confirmed_s
+        return age_s > UNCONFIRMED_TENURE_S / 2 and bool(self._list_durable_jobs())
+
+    def _list_durable_jobs(self) -> list[Job]:
+        """Lists the open durable jobs."""
+        jobs = self.job_table.jobs.values()
+        return [job for job in jobs if job.spec.is_durable and not job.is_final]
+
     def _suspend_durable_jobs(self, age_s: float) -> None:
-        """Ends the tenure; has no effect without durable jobs.
+        """Ends the tenure, so that another daemon takes over; has no effect without durable jobs.
 
         Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
-        durable_jobs = [
-            job for job in self.job_table.jobs.values() if job.spec.is_durable and not job.is_final
-        ]
+        durable_jobs = self._list_durable_jobs()
         if not durable_jobs:
             return
         for job in durable_jobs:
             logger.info("durable job suspended", extra=self.tenure.extra(job=job.spec.job_id))
+        self.is_leaving = True
+        self.send_heartbeat()
         self.tenure.end(f"the store has not confirmed the claim for {age_s:.1f} s")
