--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -6,7 +6,7 @@
 from math import inf
 from time import time
 
-from anyio import Event, create_task_group, sleep
+from anyio import Event, create_task_group, fail_after, sleep
 from logbook import Logger
 
 from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, Admission, Refusal
@@ -57,6 +57,7 @@
     JobSubmissionReply,
 )
 from berylproxy.durable.jobs.models import (
+    EndpointInfo,
     JobSpec,
     JobState,
     StoredJob,
@@ -85,8 +86,16 @@
 # Limits of a tenure with durable jobs while the store does not answer this daemon:
 UNCONFIRMED_TENURE_S = 1.5  # another daemon may reach the store and replace the claim
 OUTAGE_TENURE_S = 10.0  # no other daemon can reach the store either
+CLAIM_READ_TIMEOUT_S = 0.7
+LONGEST_UNCONFIRMED_TENURE_S = (
+    UNCONFIRMED_TENURE_S + CLAIM_READ_TIMEOUT_S + CLAIM_CHECK_INTERVAL_S / 2
+)
 # After this time, the leases that a former holder extended have lapsed.
-FORMER_TENURE_LIMIT_S = UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+FORMER_TENURE_LIMIT_S = LONGEST_UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+# A former holder may have ordered runs at an endpoint for this long after it has left the list,
+# besides those that its last heartbeat named: until it read the list, or after an outage waited for
+# the endpoint to come back, and sent a heartbeat.
+UNNAMED_RUNS_S = 4.0
 
 logger = Logger("berylproxy.durable.holder")
 
@@ -105,7 +114,12 @@
 
 
 def can_resolve(
-    age_s: float, are_contacted: bool, are_surveyed: bool, are_former_listed: bool
+    age_s: float,
+    are_contacted: bool,
+    are_surveyed: bool,
+    are_former_listed: bool,
+    *,
+    is_durable: bool,
 ) -> bool:
     """Returns whether a task that no endpoint reports certainly neither runs nor has been done.
 
@@ -113,13 +127,18 @@
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
     :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
         proves nothing, since this holder may have extended their leases.
-    :param are_former_listed: whether all endpoints that the former holder used are listed.
+    :param are_former_listed: whether all endpoints that the former holder used are listed. Until it
+        learns of its successor, it may extend the leases at those that are not.
+    :param is_durable: whether the job is durable; a best-effort job is withdrawn from the former
+        holder by its entry daemon.
     """
     if not are_surveyed:
         return False
-    if not are_contacted:
-        return age_s >= FORMER_TENURE_LIMIT_S
-    return are_former_listed or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    if are_contacted and are_former_listed:
+        return True
+    if are_contacted and not is_durable:
+        return age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    return age_s >= FORMER_TENURE_LIMIT_S
 
 
 def are_former_endpoints_listed(
@@ -183,8 +202,7 @@
             self.job_table,
             model,
             neighbours,
-            lambda info: context.group_of_endpoint(info.service, info.instance.endpoint_id)
-            == group,
+            self._is_in_group,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
@@ -211,6 +229,10 @@
         self._watchers: list[str] = []
         self._pauses = PauseDetector(context.clock)
 
+    def _is_in_group(self, info: EndpointInfo) -> bool:
+        group = self._context.group_of_endpoint(info.service, info.instance.endpoint_id)
+        return group == self.tenure.group
+
     async def run(self) -> None:
         """Loads the open jobs and serves the group until the tenure ends."""
         try:
@@ -437,8 +459,8 @@
         """Returns a job's state; empty if there is no such job.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
-        :raises StoreError: if the state has to be read from the store and the read fails, or it is
-            not known whether the job is stored.
+        :raises StoreError: if the state has to be read from the store and the read fails, it is
+            not known whether the job is stored, or its record can't be decoded.
         """
         while job_id in self._pending_submissions:
             await self._pending_submissions[job_id].answered.wait()
@@ -453,6 +475,8 @@
         if entry is None:
             if job_id in self._possibly_stored:
                 raise StoreOutcomeUnknownError("it is not known whether the job is stored")
+            if self._loaded_claim is not None and job_id in self._loaded_claim.unreadable:
+                raise StoreOutcomeUnknownError(f"the record of job {job_id} can't be decoded")
             return ""
         state = decode_final(entry.value)
         self.job_table.remember_outcome(job_id, state)
@@ -534,14 +558,20 @@
         are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
         are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
         listed = {instance.endpoint_id for instance in self.group.endpoints}
+        vanished = self._context.endpoint_list.list_vanished(self.tenure.began_s - UNNAMED_RUNS_S)
+        may_have_unnamed = any(self._is_in_group(info) for info in vanished)
         still_unresolved = []
         for unresolved in self._unresolved:
-            age_s = now_s - unresolved.since_s
+            age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
             )
             if not unresolved.job.is_final and not can_resolve(
-                age_s, are_contacted, are_surveyed, are_former_listed
+                age_s,
+                are_contacted,
+                are_surveyed,
+                are_former_listed and not (is_durable and may_have_unnamed),
+                is_durable=is_durable,
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
@@ -665,7 +695,11 @@
                 self._suspend_durable_jobs(age_s)
             sent_s = self._clock.now_s()
             try:
-                entry = await self._store.get(claim_key(self.tenure.group))
+                with fail_after(CLAIM_READ_TIMEOUT_S):
+                    entry = await self._store.get(claim_key(self.tenure.group))
+            except TimeoutError:
+                logger.debug("the claim can't be checked: no answer in {} s", CLAIM_READ_TIMEOUT_S)
+                continue
             except StoreError as error:
                 logger.debug("the claim cannot be checked: {}", error.message)
                 continue
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -42,8 +42,8 @@
 )
 from berylproxy.platform.endpoints import PlatformEndpoints
 from berylproxy.platform.members import MEMBER_PREFIX, MemberList
-from berylproxy.platform.membership import OwnMemberRecord
 from berylproxy.platform.operator_watch import OperatorWatch
+from berylproxy.platform.own_member import OwnMemberRecord
 from berylproxy.platform.reload import SettingsWatcher
 from berylproxy.platform.settings import PlatformSettings
 from berylproxy.platform.store import PlatformStore
@@ -290,9 +290,7 @@
                 await sleep(RETRY_DELAY_S)
 
     async def _refresh_members(self, record: OwnMemberRecord) -> None:
-        page = await self._store.read_page(
-            MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1
-        )
+        page = await self._store.read_all(MEMBER_PREFIX, may_be_stale=len(self._member_domains) > 1)
         record.note_listed(page.entries, is_complete=not page.has_more)
         members = self._member_list.decode(page.entries)
         for member in members.values():
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -23,7 +23,7 @@
     Transaction,
     TransactionConflictError,
 )
-from berylproxy.store.port import Entry, StoreUnavailableError
+from berylproxy.store.port import Entry, StoreOutcomeUnknownError, StoreUnavailableError
 from standins.runner_model import RunnerModel
 
 LEASE_S = 1.0
@@ -61,11 +61,13 @@
         if endpoint.crashing_starts:
             endpoint.crashing_starts -= 1
             endpoint.crash()
+            await sleep(endpoint.late_answer_s)
             return StartOutcome.UNKNOWN
         outcome = endpoint.start(order, self._lease_end_s)
         if endpoint.lost_starts:
             endpoint.lost_starts -= 1
             return StartOutcome.UNKNOWN
+        await sleep(endpoint.late_answer_s)
         return outcome
 
     async def stop(self, name: TaskName, run: int, fence: int) -> None:
@@ -134,7 +136,12 @@
 
 
 class FakeDirectory:
-    """Implements the platform's list of endpoints."""
+    """Implements the platform's list of endpoints.
+
+    :ivar max_listed_ends: what the holder is told of the endpoints' reports.
+    """
+
+    max_listed_ends = 499
 
     def __init__(self, endpoints: list[RunnerModel]) -> None:
         self.endpoints = endpoints
@@ -221,6 +228,43 @@
         return tuple(self.entries[key] for key in found), False
 
 
+class StoreAccess:
+    """One holder's access to the store that all share; the store may turn this holder away.
+
+    :ivar silence_s: time for which each call gets no answer before it fails; 0 for none.
+    """
+
+    def __init__(self, store: FakeJobStore) -> None:
+        self.max_entries = store.max_entries
+        self.is_cut = False
+        self.silence_s = 0.0
+        self._store = store
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Applies the changes and returns their revision."""
+        await self._check()
+        return await self._store.commit(transaction)
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key."""
+        await self._check()
+        return await self._store.get(key)
+
+    async def list_page(
+        self, prefix: str, after_key: str, *, may_be_stale: bool = False
+    ) -> tuple[tuple[Entry, ...], bool]:
+        """Reads all entries below a prefix."""
+        await self._check()
+        return await self._store.list_page(prefix, after_key, may_be_stale=may_be_stale)
+
+    async def _check(self) -> None:
+        if self.is_cut:
+            raise StoreUnavailableError("turned away")
+        if self.silence_s:
+            await sleep(self.silence_s)
+            raise StoreOutcomeUnknownError("no answer")
+
+
 def make_endpoint(name: str, cores: int = 64) -> RunnerModel:
     """Creates an endpoint with a given number of cores."""
     instance = EndpointInstance(name, FIRST_BORN_MS)
