--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -6,10 +6,12 @@
 from anyio import Event
 from msgspec.structs import replace
 
+from berylproxy.durable.jobs.crashes import Evidence
 from berylproxy.durable.jobs.models import (
     EndedRun,
     EndpointInfo,
     EndpointInstance,
+    EndpointReport,
     Resources,
     TaskName,
 )
@@ -24,13 +26,18 @@
 FAILURES_BEFORE_QUARANTINE = 2  # in a row, of tasks that have not failed on another endpoint
 # The longest time that an endpoint takes to stop a run whose resources the holder counts as free.
 NO_ROOM_PAUSE_S = 0.05
+VANISHED_MEMORY_S = 30.0  # well above the time for which a holder may order runs by an old list
+# Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
+# and other jobs must go on while it doesn't answer.
+DURABLE_END_SHARE = 0.5
 
 
 @dataclass(slots=True)
 class EndpointList:
     """The platform's list of endpoints as this daemon knows it.
 
-    :ivar read_s: monotonic time of the last answer that confirmed the list; 0 before the first one.
+    :ivar read_s: monotonic time at which the last answer that confirmed the list was asked for; 0
+        before the first one.
     :ivar confirmed: set at the next answer; a new event then takes its place.
     :ivar heard: set when a capacity is heard from another daemon; a new event then takes its place.
     """
@@ -42,23 +49,49 @@
     _by_instance: dict[EndpointInstance, EndpointInfo] = field(default_factory=dict)
     _heard_capacities: dict[EndpointInstance, tuple[int, Resources]] = field(default_factory=dict)
     _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
+    _vanished: dict[EndpointInstance, tuple[EndpointInfo, float]] = field(default_factory=dict)
 
-    def update(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
-        """Replaces the list by the one of a new answer."""
+    def update(
+        self, endpoints: tuple[EndpointInfo, ...], now_s: float, asked_s: float | None = None
+    ) -> None:
+        """Replaces the list by the one of a new answer.
+
+        :param asked_s: monotonic time at which the answer was asked for; by default now.
+        """
         for info in endpoints:
             former = self._by_instance.get(info.instance)
             if former is not None and former.capacity != info.capacity:
                 self._changed_s[info.instance] = now_s
+        self._note_vanished(endpoints, now_s)
         self._by_instance = {info.instance: self._apply_heard(info) for info in endpoints}
         self._heard_capacities = {
             instance: heard
             for instance, heard in self._heard_capacities.items()
             if instance in self._by_instance and heard[0] >= self._by_instance[instance].revision
         }
-        self.endpoints, self.read_s = tuple(self._by_instance.values()), now_s
+        self.endpoints = tuple(self._by_instance.values())
+        self.read_s = now_s if asked_s is None else asked_s
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
 
+    def _note_vanished(self, endpoints: tuple[EndpointInfo, ...], now_s: float) -> None:
+        """Remembers for a while which endpoints an answer no longer shows."""
+        listed_ids = {info.instance.endpoint_id for info in endpoints}
+        for instance, info in self._by_instance.items():
+            self._vanished.setdefault(instance, (info, now_s))
+        self._vanished = {
+            instance: (info, from_s)
+            for instance, (info, from_s) in self._vanished.items()
+            if instance.endpoint_id not in listed_ids and now_s - from_s < VANISHED_MEMORY_S
+        }
+
+    def list_vanished(self, since_s: float) -> list[EndpointInfo]:
+        """Lists the endpoints that were missing in an answer first since a monotonic time.
+
+        Those of which a new process is listed aren't among them, nor those that are back.
+        """
+        return [info for info, from_s in self._vanished.values() if from_s >= since_s]
+
     def hear_capacity(self, instance: EndpointInstance, revision: int, capacity: Resources) -> None:
         """Applies a capacity that another daemon has read, unless the one known is newer.
 
@@ -104,6 +137,8 @@
     :ivar confirmed_s: monotonic time at which the endpoint confirmed the run; infinite until then.
     :ivar stop_confirmed_s: monotonic time at which the endpoint confirmed that it stopped the run;
         infinite until then.
+    :ivar has_begun: whether the endpoint's present process has confirmed the run; one that was
+        transferred to it may have been confirmed by the former process.
     :ivar was_reported: whether a report of the endpoint's present process has listed the run.
     :ivar is_uncertain: whether the order to start the run was not answered.
     :ivar is_orphan: whether the run belongs to no job that this holder has: a former holder ordered
@@ -120,6 +155,7 @@
     needs: Resources | None
     kind: str = ""
     confirmed_s: float = inf
+    has_begun: bool = False
     stop_confirmed_s: float = inf
     was_reported: bool = False
     is_uncertain: bool = False
@@ -129,12 +165,30 @@
     pace: RunPace | None = None
     move_ordered_s: float = -inf
 
-    def is_gone(self, report_sent_s: float) -> bool:
-        """Returns whether the run is certainly not active if a report doesn't list it.
-
-        :param report_sent_s: monotonic time at which the report was requested.
+    @property
+    def evidence(self) -> Evidence:
+        """What is known of the run in case the endpoint is lost."""
+        if self.has_begun and self.stop_confirmed_s == inf:
+            return Evidence.BEGUN
+        is_possible = self.is_uncertain or min(self.confirmed_s, self.stop_confirmed_s) < inf
+        return Evidence.POSSIBLE if is_possible else Evidence.ORDERED
+
+    def note_confirmed(self, now_s: float) -> None:
+        """Records that the endpoint's present process runs it, by its answer to the order."""
+        self.confirmed_s = min(self.confirmed_s, now_s)
+        self.has_begun = True
+
+    def note_reported(self, now_s: float) -> None:
+        """Records that a report of the endpoint's present process lists it."""
+        self.note_confirmed(now_s)
+        self.was_reported, self.is_uncertain = True, False
+
+    def should_be_listed(self, report: EndpointReport) -> bool:
+        """Returns whether a report would list the run if it is active.
+
+        So it is certainly not active if a complete report doesn't list it.
         """
-        return min(self.confirmed_s, self.stop_confirmed_s) < report_sent_s
+        return min(self.confirmed_s, self.stop_confirmed_s) < report.sent_s
 
 
 @dataclass(slots=True, eq=False)
@@ -149,6 +203,11 @@
     :ivar sent_acknowledgement: the newest ``acknowledged`` that the endpoint has confirmed.
     :ivar contacted_s: monotonic time at which the endpoint first answered under this holder's
         fence; ``None`` until then.
+    :ivar is_surveyed: whether all runs and ends of former holders are known: the endpoint has sent
+        a complete report under this holder's fence, or all leases from before have lapsed.
+    :ivar is_report_complete: whether its last report was complete.
+    :ivar unreadable_from_s: monotonic time from which on its reports may have hidden a run in rows
+        that can't be read; ``None`` if they don't.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
@@ -162,6 +221,7 @@
     :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves; empty for
         none.
     :ivar trust: how likely the endpoint is to fail its runs now.
+    :ivar max_listed_ends: largest number of ends that the endpoint lists in a complete report.
     """
 
     info: EndpointInfo
@@ -171,6 +231,9 @@
     acknowledged: int = 0
     sent_acknowledgement: int = 0
     contacted_s: float | None = None
+    is_surveyed: bool = False
+    is_report_complete: bool = False
+    unreadable_from_s: float | None = None
     is_listed: bool = True
     is_evacuated: bool = False
     cold_until_s: float = 0.0
@@ -185,6 +248,7 @@
     occupancy: Occupancy = field(default_factory=Occupancy)
     reserved_for: str = ""
     trust: EndpointTrust = field(default_factory=FailureTrust)
+    max_listed_ends: float = inf
 
     @property
     def has_orphans(self) -> bool:
@@ -198,6 +262,16 @@
                 return True
         return False
 
+    @property
+    def should_let_lapse(self) -> bool:
+        """Whether the endpoint's lease must not be extended, neither by a renewal nor by a start.
+
+        If unanswered calls could extend it, the holder could never tell when it has lapsed; nor
+        could it rely on the lapse of a run that it can't see. For orphans see
+        :attr:`EndpointRun.is_orphan`.
+        """
+        return bool(self.missed_calls) or self.unreadable_from_s is not None or self.has_orphans
+
     @property
     def is_contacted(self) -> bool:
         """Whether the endpoint has answered, and so rejects orders under lower fences."""
@@ -209,7 +283,7 @@
 
         It answered the last call, has no runs and remembers no ends.
         """
-        if self.sent_acknowledgement != self.acknowledged:
+        if self.sent_acknowledgement != self.acknowledged or not self.is_surveyed:
             return False
         return self.is_contacted and not (self.runs or self.ends or self.missed_calls)
 
@@ -218,7 +292,7 @@
         """Whether the endpoint needs a call for no more than to forget released ends."""
         if self.runs or self.missed_calls or not (self.is_contacted and self.is_listed):
             return False
-        return self.released.issuperset(self.ends)
+        return self.is_report_complete and self.released.issuperset(self.ends)
 
     @property
     def free_resources(self) -> Resources:
@@ -249,9 +323,27 @@
             and needs.accelerators <= capacity.accelerators - used.accelerators
         )
 
+    def can_list_end(self, *, is_durable: bool) -> bool:
+        """Returns whether the endpoint could list the end of another run with all others.
+
+        :param is_durable: whether the run is of a durable job.
+        """
+        limit = self.max_listed_ends * (DURABLE_END_SHARE if is_durable else 1.0)
+        return len(self.runs) + len(self.ends) < limit
+
+    @property
+    def needs_fewer_ends(self) -> bool:
+        """Whether the ends of durable jobs may soon keep further tasks of such jobs away."""
+        return 2 * len(self.ends) >= self.max_listed_ends * DURABLE_END_SHARE
+
     def may_start(self, now_s: float) -> bool:
-        """Returns whether tasks may be started on the endpoint now."""
-        if not self.is_serving(now_s) or self.has_orphans:
+        """Returns whether tasks may be started on the endpoint now.
+
+        Those of durable jobs also need :meth:`can_list_end`.
+        """
+        if not self.is_serving(now_s) or self.should_let_lapse:
+            return False
+        if not self.can_list_end(is_durable=False):
             return False
         return not (self.runs and self.trust.is_on_probation(now_s))
 
@@ -269,6 +361,11 @@
             and now_s >= self.quarantined_until_s
         )
 
+    @property
+    def is_staying(self) -> bool:
+        """Whether the endpoint is to get tasks again, if not now."""
+        return self.is_listed and not self.info.leaving and not self.is_evacuated
+
     def reason_not_serving(self, now_s: float) -> str:
         """Returns why the endpoint is not serving; empty if it is."""
         reasons = {
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -6,7 +6,7 @@
 from math import inf
 from time import time
 
-from anyio import Event, create_task_group, sleep
+from anyio import Event, create_task_group, fail_after, sleep
 from logbook import Logger
 
 from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, Admission, Refusal
@@ -57,6 +57,7 @@
     JobSubmissionReply,
 )
 from berylproxy.durable.jobs.models import (
+    EndpointInfo,
     JobSpec,
     JobState,
     StoredJob,
@@ -64,6 +65,7 @@
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
+from berylproxy.durable.orders.orphans import LoadedClaim
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.pause import PauseDetector
 from berylproxy.store.port import (
@@ -74,6 +76,9 @@
 
 TICK_INTERVAL_S = 0.05
 RETRY_PAUSE_S = 0.05
+# In one transaction, which has 32 entries at most. A queue that had one of further services may
+# have its job run there, too.
+MAX_OTHER_GROUPS = 16
 LEASE_LENGTH_S = 1.0  # the longest lease that endpoints grant
 CLAIM_CHECK_INTERVAL_S = 0.4
 NEIGHBOUR_REFRESH_INTERVAL_S = 0.5
@@ -81,8 +86,16 @@
 # Limits of a tenure with durable jobs while the store does not answer this daemon:
 UNCONFIRMED_TENURE_S = 1.5  # another daemon may reach the store and replace the claim
 OUTAGE_TENURE_S = 10.0  # no other daemon can reach the store either
+CLAIM_READ_TIMEOUT_S = 0.7
+LONGEST_UNCONFIRMED_TENURE_S = (
+    UNCONFIRMED_TENURE_S + CLAIM_READ_TIMEOUT_S + CLAIM_CHECK_INTERVAL_S / 2
+)
 # After this time, the leases that a former holder extended have lapsed.
-FORMER_TENURE_LIMIT_S = UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+FORMER_TENURE_LIMIT_S = LONGEST_UNCONFIRMED_TENURE_S + LEASE_LENGTH_S + 0.3
+# A former holder may have ordered runs at an endpoint for this long after it has left the list,
+# besides those that its last heartbeat named: until it read the list, or after an outage waited for
+# the endpoint to come back, and sent a heartbeat.
+UNNAMED_RUNS_S = 4.0
 
 logger = Logger("berylproxy.durable.holder")
 
@@ -100,16 +113,32 @@
     former_fence: int
 
 
-def can_resolve(age_s: float, are_contacted: bool, are_former_listed: bool) -> bool:
-    """Returns whether a task that no endpoint reports is certainly not running.
+def can_resolve(
+    age_s: float,
+    are_contacted: bool,
+    are_surveyed: bool,
+    are_former_listed: bool,
+    *,
+    is_durable: bool,
+) -> bool:
+    """Returns whether a task that no endpoint reports certainly neither runs nor has been done.
 
     :param age_s: time since the job was loaded or submitted again.
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
-    :param are_former_listed: whether all endpoints that the former holder used are listed.
+    :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
+        proves nothing, since this holder may have extended their leases.
+    :param are_former_listed: whether all endpoints that the former holder used are listed. Until it
+        learns of its successor, it may extend the leases at those that are not.
+    :param is_durable: whether the job is durable; a best-effort job is withdrawn from the former
+        holder by its entry daemon.
     """
-    if not are_contacted:
-        return age_s >= FORMER_TENURE_LIMIT_S
-    return are_former_listed or age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    if not are_surveyed:
+        return False
+    if are_contacted and are_former_listed:
+        return True
+    if are_contacted and not is_durable:
+        return age_s >= LEASE_LENGTH_S + HEARTBEAT_INTERVAL_S
+    return age_s >= FORMER_TENURE_LIMIT_S
 
 
 def are_former_endpoints_listed(
@@ -153,7 +182,7 @@
         tenure = Tenure(group, fence, claim_revision, context.clock, context.telemetry)
         self.tenure = tenure
         self.job_table = JobTable(model)
-        self.is_loaded = False
+        self._loaded_claim: LoadedClaim | None = None
         self.is_leaving = False
         self.admission = Admission(self.job_table, model)
         self._was_scarce = False
@@ -173,14 +202,13 @@
             self.job_table,
             model,
             neighbours,
-            lambda info: context.group_of_endpoint(info.service, info.instance.endpoint_id)
-            == group,
+            self._is_in_group,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
+            self._may_have_to_suspend,
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
-        self.group.is_loading_jobs = claim_revision > 0
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
         self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
         self._log = JobLog(tenure, self.job_table)
@@ -201,6 +229,10 @@
         self._watchers: list[str] = []
         self._pauses = PauseDetector(context.clock)
 
+    def _is_in_group(self, info: EndpointInfo) -> bool:
+        group = self._context.group_of_endpoint(info.service, info.instance.endpoint_id)
+        return group == self.tenure.group
+
     async def run(self) -> None:
         """Loads the open jobs and serves the group until the tenure ends."""
         try:
@@ -224,9 +256,18 @@
             self._best_effort_jobs.release_callers()
             await self.group.close()
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the open durable jobs are loaded."""
+        return self._loaded_claim is not None
+
     async def _load_jobs(self) -> None:
-        """Loads the open jobs from the store; retries until the store answers."""
+        """Loads the open jobs from the store; retries until the store answers.
+
+        A job that was stored after this holder's claim is that of a later holder, which may run it.
+        """
         after_key, has_more = "", True
+        unreadable: set[str] = set()
         while has_more:
             try:
                 entries, has_more = await self._store.list_page(
@@ -238,10 +279,14 @@
                 continue
             for entry in entries:
                 after_key = entry.key
-                self._load_job(entry.key, entry.value)
-        self.is_loaded = True
-        self.group.is_loading_jobs = False
-        self.group.changed.set()
+                if entry.revision > self.tenure.claim_revision:
+                    self.tenure.end("another daemon holds the claim, and has stored an open job")
+                    return
+                self._ledger.note_revision(entry.key, entry.revision)
+                if not self._load_job(entry.key, entry.value):
+                    unreadable.add(entry.key.removeprefix(open_prefix(self.tenure.group)))
+        self._loaded_claim = LoadedClaim(self.tenure.claim_revision, frozenset(unreadable))
+        self.group.clear_orphans(self._loaded_claim)
         logger.info(
             "holder of {}: {} open jobs loaded",
             self.tenure.group,
@@ -249,15 +294,15 @@
             extra=self.tenure.extra(),
         )
 
-    def _load_job(self, key: str, value: bytes) -> None:
-        """Adds a stored open job to the job table; skips one that cannot be decoded."""
+    def _load_job(self, key: str, value: bytes) -> bool:
+        """Adds a stored open job to the job table; returns whether its record can be decoded."""
         try:
             stored = decode_job(value)
         except StoredValueError as error:
             logger.error(
                 "open job {} skipped, its stored record cannot be decoded: {}", key, error.message
             )
-            return
+            return False
         now_s = self._clock.now_s()
         age_s = max(time() - stored.accepted_unix_s, 0.0)
         first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
@@ -266,6 +311,7 @@
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
             self._unresolved.append(UnresolvedJob(job, now_s, 0))
+        return True
 
     async def submit(self, message: JobSubmission, entry: str) -> JobSubmissionReply:
         """Accepts or refuses a job.
@@ -328,13 +374,17 @@
         if decision.refusal is not None:
             return decision.refusal
         stored = decision.stored
+        other_groups = self._context.other_groups_of_job(spec.terms.service, spec.job_id)
+        elsewhere = [open_key(group, spec.job_id) for group in other_groups[:MAX_OTHER_GROUPS]]
         change = Change(
-            absent=(final_key(spec.job_id),),
+            absent=(final_key(spec.job_id), *elsewhere),
             written=((open_key(self.tenure.group, spec.job_id), encode_job(stored)),),
         )
         try:
             await self._ledger.apply(change)
         except KeyExistsError:
+            # Late copies of earlier writes for the job fail for the same reason.
+            self._possibly_stored.discard(spec.job_id)
             return JobSubmissionReply()
         except StoreUnavailableError as error:
             if may_be_stored:
@@ -409,7 +459,8 @@
         """Returns a job's state; empty if there is no such job.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
-        :raises StoreError: if the state has to be read from the store and the read fails.
+        :raises StoreError: if the state has to be read from the store and the read fails, it is
+            not known whether the job is stored, or its record can't be decoded.
         """
         while job_id in self._pending_submissions:
             await self._pending_submissions[job_id].answered.wait()
@@ -422,6 +473,10 @@
             return state.value
         entry = await self._store.get(final_key(job_id))
         if entry is None:
+            if job_id in self._possibly_stored:
+                raise StoreOutcomeUnknownError("it is not known whether the job is stored")
+            if self._loaded_claim is not None and job_id in self._loaded_claim.unreadable:
+                raise StoreOutcomeUnknownError(f"the record of job {job_id} can't be decoded")
             return ""
         state = decode_final(entry.value)
         self.job_table.remember_outcome(job_id, state)
@@ -434,6 +489,10 @@
 
         :raises BerylproxyError: if the cancellation may not be stored.
         """
+        while job_id in self._pending_submissions:
+            await self._pending_submissions[job_id].answered.wait()
+        if job_id in self._possibly_stored and not self.tenure.is_over:
+            await self._cancel_possibly_stored(job_id)
         state = await self.find_state(job_id)
         job = self.job_table.jobs.get(job_id)
         if job is None:
@@ -447,6 +506,26 @@
             raise TenureLostError("the tenure ended before the cancellation was certainly stored")
         return job.state.value
 
+    async def _cancel_possibly_stored(self, job_id: str) -> None:
+        """Stores the outcome of a job whose record may yet be stored, which this prevents."""
+        shared_reply = self._pending_submissions[job_id] = SharedReply()
+        self.tenure.spawn(self._store_cancellation, shared_reply, job_id)
+        await shared_reply.answered.wait()
+        if shared_reply.error is not None:
+            raise shared_reply.error
+
+    async def _store_cancellation(self, shared_reply: SharedReply, job_id: str) -> None:
+        """Stores the outcome, and answers the submissions that have come meanwhile."""
+        try:
+            await self._outcomes.store_cancellation(job_id)
+            self._possibly_stored.discard(job_id)
+            shared_reply.reply = JobSubmissionReply()
+        except (StoreError, TenureLostError) as error:
+            shared_reply.error = StoreOutcomeUnknownError(error.message)
+        finally:
+            self._pending_submissions.pop(job_id, None)
+            shared_reply.answered.set()
+
     def count_pending(self, queue: str) -> int:
         """Returns the number of a queue's open jobs of which no task has begun."""
         return self.job_table.count_pending(queue)
@@ -475,16 +554,24 @@
         if not self._unresolved or not self.group.has_read_list:
             return
         now_s = self._clock.now_s()
-        are_contacted = all(endpoint.is_contacted for endpoint in self.group.endpoints.values())
+        endpoints = self.group.endpoints.values()
+        are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
+        are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
         listed = {instance.endpoint_id for instance in self.group.endpoints}
+        vanished = self._context.endpoint_list.list_vanished(self.tenure.began_s - UNNAMED_RUNS_S)
+        may_have_unnamed = any(self._is_in_group(info) for info in vanished)
         still_unresolved = []
         for unresolved in self._unresolved:
-            age_s = now_s - unresolved.since_s
+            age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
             )
             if not unresolved.job.is_final and not can_resolve(
-                age_s, are_contacted, are_former_listed
+                age_s,
+                are_contacted,
+                are_surveyed,
+                are_former_listed and not (is_durable and may_have_unnamed),
+                is_durable=is_durable,
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
@@ -608,7 +695,11 @@
                 self._suspend_durable_jobs(age_s)
             sent_s = self._clock.now_s()
             try:
-                entry = await self._store.get(claim_key(self.tenure.group))
+                with fail_after(CLAIM_READ_TIMEOUT_S):
+                    entry = await self._store.get(claim_key(self.tenure.group))
+            except TimeoutError:
+                logger.debug("the claim can't be checked: no answer in {} s", CLAIM_READ_TIMEOUT_S)
+                continue
             except StoreError as error:
                 logger.debug("the claim cannot be checked: {}", error.message)
                 continue
@@ -630,17 +721,28 @@
             except StoreError as error:
                 logger.debug("learned run times not stored: {}", error.message)
 
+    def _may_have_to_suspend(self) -> bool:
+        """Returns whether the tenure may soon end because the store doesn't confirm its claim."""
+        if not self.tenure.claim_revision:
+            return False
+        age_s = self._clock.now_s() - self.tenure.confirmed_s
+        return age_s > UNCONFIRMED_TENURE_S / 2 and bool(self._list_durable_jobs())
+
+    def _list_durable_jobs(self) -> list[Job]:
+        """Lists the open durable jobs."""
+        jobs = self.job_table.jobs.values()
+        return [job for job in jobs if job.spec.is_durable and not job.is_final]
+
     def _suspend_durable_jobs(self, age_s: float) -> None:
-        """Stops the open durable jobs and ends the tenure; has no effect without such jobs.
+        """Ends the tenure, so that another daemon takes over; has no effect without durable jobs.
 
-        Another holder may be running the jobs.
+        Another holder may be running the jobs. It adopts their runs, which lapse if nobody does.
         """
-        durable_jobs = [
-            job for job in self.job_table.jobs.values() if job.spec.is_durable and not job.is_final
-        ]
+        durable_jobs = self._list_durable_jobs()
         if not durable_jobs:
             return
         for job in durable_jobs:
             logger.info("durable job suspended", extra=self.tenure.extra(job=job.spec.job_id))
-            self.group.stop_all_runs(job)
+        self.is_leaving = True
+        self.send_heartbeat()
         self.tenure.end(f"the store has not confirmed the claim for {age_s:.1f} s")
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -12,6 +12,7 @@
     EndedRun,
     EndKind,
     EndpointInstance,
+    FailureCause,
     JobSpec,
     JobState,
     Progress,
@@ -29,6 +30,10 @@
 # Seconds of slack that a second of waiting work on a mean endpoint counts as: small jobs go first,
 # since more of them fit.
 WORK_WEIGHT = 0.3
+MIN_REJECTIONS = 2
+MIN_REJECTING_ENDPOINTS = 2  # of a durable job's orders: one endpoint may be at fault itself
+FIRST_REJECTION_PAUSE_S = 0.5
+LONGEST_REJECTION_PAUSE_S = 4.0
 
 
 class TaskStatus(Enum):
@@ -57,8 +62,15 @@
     :ivar started_s: monotonic time at which the newest run was ordered or first reported.
     :ivar progressed_s: monotonic time at which the newest run last made progress.
     :ivar failed_runs: numbers of the runs that have failed.
-    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed.
-    :ivar crash_count: crashes of endpoints that ran the task, unless a run has ended since.
+    :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed, or that have
+        rejected its orders.
+    :ivar rejections: number of orders that endpoints rejected as invalid.
+    :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
+    :ivar paused_until_s: monotonic time before which its start isn't ordered.
+    :ivar rejection_pause_s: how long the next pause after a rejected order takes.
+    :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
+        since.
+    :ivar possible_crash_count: the same under runs that had begun or may have.
     :ivar saved: checkpoint that a run saved last.
     :ivar distance_factor: factor on the newest run's time because of the rack of its endpoint.
     :ivar moves: how often a run was stopped because its endpoint had turned slow.
@@ -78,17 +90,17 @@
     progressed_s: float = 0.0
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
+    rejections: int = 0
+    rejecting_endpoint_ids: set[str] = field(default_factory=set)
+    paused_until_s: float = 0.0
+    rejection_pause_s: float = FIRST_REJECTION_PAUSE_S
     crash_count: CrashCount = CrashCount()
+    possible_crash_count: CrashCount = CrashCount()
     saved: str = ""
     distance_factor: float = 1.0
     moves: int = 0
     work_s: float = 0.0
 
-    @property
-    def has_crashed(self) -> bool:
-        """Whether an endpoint has crashed while it ran the task."""
-        return self.crash_count.crashes > 0
-
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -107,7 +119,10 @@
     :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
         acceptance, or of an earlier refusal after which its caller came back as told.
     :ivar is_excess: whether it exceeds its claimant's share of scarce room.
+    :ivar failure_cause: why it has failed; ``None`` if it hasn't.
     :ivar siblings: run times of its tasks, relative to the expected ones.
+    :ivar blamed_endpoint_ids: identifiers of the endpoints that have rejected orders which others
+        carried out.
     """
 
     spec: JobSpec
@@ -127,6 +142,8 @@
     failure_domain: str = ""
     place_s: float = 0.0
     is_excess: bool = False
+    failure_cause: FailureCause | None = None
+    blamed_endpoint_ids: set[str] = field(default_factory=set)
 
     @property
     def claimant(self) -> Claimant:
@@ -154,12 +171,19 @@
 
         They must be in the store before endpoints may forget them.
         """
+        tasks = self.tasks.items()
+        begun = tuple((*key, *task.crash_count) for key, task in tasks if task.crash_count.crashes)
+        possible = tuple(
+            (*key, *task.possible_crash_count)
+            for key, task in tasks
+            if task.possible_crash_count.crashes
+        )
         return Progress(
             tuple(key for key, task in self.tasks.items() if task.status is TaskStatus.DONE),
             tuple((*key, run) for key, task in self.tasks.items() for run in task.failed_runs),
-            tuple(
-                (*key, *task.crash_count) for key, task in self.tasks.items() if task.has_crashed
-            ),
+            begun,  # for daemons of earlier versions, which take them for proven
+            begun,
+            possible,
         )
 
 
@@ -258,10 +282,16 @@
             task = job.tasks.get((step_number, index))
             if task is not None:
                 task.failed_runs.add(run)
-        for step_number, index, crashes, blamed in stored.progress.crashes:
+        for step_number, index, crashes, blamed in stored.progress.begun_crashes:
+            task = job.tasks.get((step_number, index))
+            if task is not None:
+                task.crash_count = task.possible_crash_count = CrashCount(crashes, blamed)
+        unproven = (*stored.progress.crashes, *stored.progress.possible_crashes)
+        for step_number, index, crashes, blamed in unproven:
             task = job.tasks.get((step_number, index))
             if task is not None:
-                task.crash_count = CrashCount(crashes, blamed)
+                count = CrashCount(crashes, blamed).at_least(task.possible_crash_count)
+                task.possible_crash_count = count
         job.unfinished_tasks = sum(
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
@@ -386,15 +416,67 @@
             task.failed_runs.add(end.run)
             task.failed_endpoint_ids.add(instance.endpoint_id)
             if len(task.failed_runs) >= job.spec.terms.max_attempts:
-                self.fail(job)
+                self.fail(job, FailureCause.FAILED_RUNS)
                 return
         task.run = max(task.run, end.run)
         if is_newest and task.status in ACTIVE_STATUSES:
             self.note_not_running(task)
 
-    def fail(self, job: Job) -> None:
+    def note_rejected(
+        self,
+        task: Task,
+        instance: EndpointInstance,
+        now_s: float,
+        *,
+        has_untried_endpoint: bool,
+    ) -> None:
+        """Applies the answer that an endpoint can't execute an order as given.
+
+        It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
+        when as many endpoints as it has attempts, or all of them, have rejected its orders. One
+        endpoint alone proves nothing about a durable job. An order that would only be repeated
+        pauses, for a time that doubles.
+
+        :param has_untried_endpoint: whether an endpoint that answers and hasn't rejected one could
+            run it.
+        """
+        job = self.jobs[task.name.job_id]
+        needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
+        is_repeated = instance.endpoint_id in task.rejecting_endpoint_ids
+        task.rejections += 1
+        task.rejecting_endpoint_ids.add(instance.endpoint_id)
+        task.failed_endpoint_ids.add(instance.endpoint_id)
+        is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
+        needed_endpoints = MIN_REJECTING_ENDPOINTS if job.spec.is_durable else 1
+        is_rejected_by_all = (
+            not has_untried_endpoint and len(task.rejecting_endpoint_ids) >= needed_endpoints
+        )
+        if task.rejections >= needed and (is_rejected_widely or is_rejected_by_all):
+            self.fail(job, FailureCause.REJECTED_ORDERS)
+            return
+        if is_repeated or not has_untried_endpoint:
+            task.paused_until_s = now_s + task.rejection_pause_s
+            task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+        self.note_not_running(task)
+
+    def note_carried_out(self, task: Task) -> set[str]:
+        """Applies that an endpoint carries out an order: the job's content isn't at fault.
+
+        :return: identifiers of the endpoints that are to blame for rejections by that, and weren't
+            for another one of the job.
+        """
+        job = self.jobs.get(task.name.job_id)
+        if job is None:
+            return set()
+        to_blame = task.rejecting_endpoint_ids - job.blamed_endpoint_ids
+        job.blamed_endpoint_ids |= to_blame
+        task.rejections, task.rejecting_endpoint_ids = 0, set()
+        task.rejection_pause_s = FIRST_REJECTION_PAUSE_S
+        return to_blame
+
+    def fail(self, job: Job, cause: FailureCause) -> None:
         """Marks a job as failed; the caller must stop its active tasks."""
-        job.state = JobState.FAILED
+        job.state, job.failure_cause = JobState.FAILED, cause
         job.waiting.clear()
         self._remove_work(job)
 
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -45,13 +45,21 @@
     :ivar cut_fences: calls with these fences get no answer and have no effect.
     :ivar lost_starts: number of the next starts that take effect but get no answer.
     :ivar late_starts: number of the next starts that take effect late and get no answer.
+    :ivar crashing_starts: number of the next starts that arrive as the process ends, and have no
+        effect and no answer.
+    :ivar late_answer_s: time by which the outcomes of starts are late that do not take effect late.
     :ivar lost_calls: kinds of calls, ``"stop"`` and ``"renew"``, that have no effect and no answer.
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
     :ivar ended: ends of runs that the holder has not acknowledged yet.
+    :ivar max_listed_ends: largest number of ends in one report, the first ones.
+    :ivar has_unreadable_rows: whether no row of its reports can be read.
     :ivar highest_runs: highest run number by task that was started or stopped; a start needs a
         higher one.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
+    :ivar refused_starts: number of the next starts that are refused for an unknown reason.
+    :ivar rejections: number of orders that were rejected as malformed.
+    :ivar failing_runs: number of the next runs of a job that fail, by its identifier.
     :ivar changed: event that is set and replaced by a new one at each end of a run.
     :ivar on_event: called with each entry of the history.
     :ivar end_kinds_by_job: how the runs of a job end, by its identifier; done by default.
@@ -74,17 +82,24 @@
     cut_fences: set = field(default_factory=set)
     lost_starts: int = 0
     late_starts: int = 0
+    late_answer_s: float = 0.0
+    crashing_starts: int = 0
     lost_calls: set = field(default_factory=set)
     late_by_s: float = 0.3
     fence: int = 0
     lease_end_s: float = 0.0
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
+    max_listed_ends: int = 500
+    has_unreadable_rows: bool = False
     highest_runs: dict = field(default_factory=dict)
     end_count: int = 0
     history: list = field(default_factory=list)
     end_kinds_by_job: dict = field(default_factory=dict)
     rejected_jobs: set = field(default_factory=set)
+    refused_starts: int = 0
+    rejections: int = 0
+    failing_runs: dict = field(default_factory=dict)
     changed: Event = field(default_factory=Event)
     on_event: Callable[[tuple], None] | None = None
     stop_time_s: float = 0.0
@@ -157,6 +172,10 @@
         """Discards the reported ends up to a number."""
         self.ended = [end for end in self.ended if end.number > number]
 
+    def list_ends(self) -> list[EndedRun]:
+        """Returns the ends that a report lists."""
+        return self.ended[: self.max_listed_ends]
+
     def end_due_runs(self) -> None:
         """Ends the runs that are complete or whose lease has lapsed."""
         now_s = monotonic()
@@ -172,6 +191,9 @@
                 self.end(key, EndKind.LAPSED, self.lease_end_s)
             elif now_s >= run.ends_s:
                 kind = self.end_kinds_by_job.get(run.name.job_id, EndKind.DONE)
+                if self.failing_runs.get(run.name.job_id, 0):
+                    self.failing_runs[run.name.job_id] -= 1
+                    kind = EndKind.FAILED
                 self.end(key, kind, run.ends_s)
 
     def end(self, key: tuple, kind: EndKind, at_s: float) -> None:
@@ -192,7 +214,11 @@
         if order.fence < self.fence:
             return StartOutcome.FENCED_OFF
         self.fence = order.fence
+        if self.refused_starts:
+            self.refused_starts -= 1
+            return StartOutcome.REFUSED
         if order.name.job_id in self.rejected_jobs:
+            self.rejections += 1
             return StartOutcome.INVALID
         if (order.name, order.run) in self.running:
             return StartOutcome.STARTED
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -24,6 +24,102 @@
     And 0 runs of job "a" were started
     And no endpoint is quarantined
 
+  Scenario: orders that endpoints reject don't count as failed runs
+    Given a group of 4 endpoints whose runs take 0.02 s
+    And endpoints 1 and 2 reject every order of job "k"
+    And the first run of job "k" at each other endpoint fails
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 3 runs of job "k" were started
+
+  Scenario: a job whose orders endpoints reject ends beside a silent endpoint, and other jobs run
+    Given time is simulated
+    And a group of 3 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And endpoint 3 is cut off from holders with fence 16
+    And durable job "a" of 1 task is submitted
+    And 6 s have passed
+    And job "b" of 1 task is submitted
+    Then job "b" ends as "completed" within 1 s
+    And durable job "a" is shown as "failed" within 1 s
+
+  Scenario: rejected orders of one job don't close endpoints to other jobs
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "a" of 8 tasks is submitted
+    Then no endpoint is quarantined
+    When 0.3 s have passed
+    Then no endpoint is quarantined
+
+  Scenario: endpoints that reject what others carry out get no tasks for a while
+    Given time is simulated
+    And a group of 4 endpoints whose runs take 0.1 s
+    And endpoints 1 and 2 reject every order of job "k"
+    And endpoints 1 and 2 reject every order of job "l"
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And job "k" of 12 tasks is submitted
+    Then job "k" ends as "completed"
+    And no endpoint is quarantined
+    When job "l" of 12 tasks is submitted
+    Then job "l" ends as "completed"
+    And endpoints 1 and 2 are quarantined
+
+  Scenario: orders that are refused for an unknown reason don't fail a job
+    Given a group of 2 endpoints whose runs take 0.02 s
+    And the next 3 orders at each endpoint are refused for an unknown reason
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "completed" within 7 s
+    And 1 runs of job "k" were started
+
+  Scenario: a durable job isn't failed by the one endpoint at fault that is listed
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And endpoint 1 rejects every order of job "k"
+    And only endpoint 1 is listed
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 6 s have passed
+    And all endpoints are listed
+    Then durable job "k" is shown as "completed" within 7 s
+
+  Scenario: a durable job isn't failed by the one endpoint at fault that answers
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And endpoint 1 rejects every order of job "k"
+    And endpoint 2 is cut off from holders with fence 16
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 20 s have passed
+    Then endpoint 1 has rejected at most 9 orders
+    When endpoint 2 is reached by all holders after 0 s
+    Then durable job "k" is shown as "completed" within 7 s
+
+  Scenario: orders that are rejected widely aren't tried at all endpoints of a large group
+    Given time is simulated
+    And a group of 8 endpoints whose runs take 0.1 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "a" of 1 task is submitted
+    Then durable job "a" is shown as "failed" within 1 s
+    And the endpoints have rejected 3 orders altogether
+
+  Scenario: a job whose orders the only endpoint rejects fails after all attempts
+    Given a group of 1 endpoint whose runs take 0.02 s
+    And every order of job "a" is rejected
+    When a holder with fence 16 takes over
+    And job "a" of 1 task is submitted
+    Then job "a" ends as "failed"
+    And endpoint 1 has rejected 3 orders
+
   Scenario: an order takes effect and its answer is lost
     Given a group of 1 endpoint whose runs take 0.3 s
     And the answers of the next 2 starts are lost
@@ -85,6 +181,28 @@
     Then job "a" ends as "completed"
     And no task of job "a" ran twice at the same time
 
+  Scenario: a new holder waits for durable tasks of a former one at endpoints that are not listed
+    Given a group of 2 endpoints whose runs take 2.5 s
+    When a holder with fence 16 takes over
+    And durable job "a" of 1 task is submitted
+    And the endpoint that runs job "a" is missing in the list
+    And the store turns the holder with fence 16 away
+    And a holder with fence 32 takes over
+    And 2.2 s have passed
+    Then no task of job "a" ran twice at the same time
+    And durable job "a" is shown as "completed" within 10 s
+
+  Scenario: a new holder waits for endpoints that left the list before a heartbeat named their runs
+    Given a group of 2 endpoints whose runs take 2.5 s
+    When a holder with fence 16 takes over
+    And durable job "a" of 1 task is submitted
+    And the endpoint that runs job "a" is missing in the list
+    And the store turns the holder with fence 16 away
+    And a holder with fence 32 takes over that knows of no endpoints used by the holder with fence 16
+    And 2.2 s have passed
+    Then no task of job "a" ran twice at the same time
+    And durable job "a" is shown as "completed" within 10 s
+
   Scenario: tasks of an endpoint that is cut off start elsewhere once its leases have lapsed
     Given a group of 2 endpoints whose runs take 0.9 s
     When a holder with fence 16 takes over
@@ -160,9 +278,11 @@
     Then the run of job "a" ends within 1 s of its drop
 
   Scenario: a job that was dropped before it began runs when it comes again
-    Given a group of 1 endpoint whose runs take 2 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 2 s
     When a holder with fence 16 takes over
     And job "a" of 3 tasks is submitted
+    And 3 runs of job "a" have been started
     And job "b" of 1 task is submitted
     And the caller of job "b" disconnects after 0.1 s
     And job "b" of 1 task is submitted
@@ -235,7 +355,8 @@
     Then 1 runs of job "a" were started
 
   Scenario: a run on an endpoint that turns slow is stopped, and its task is done elsewhere
-    Given a group of 3 endpoints whose runs take 0.6 s
+    Given time is simulated
+    And a group of 3 endpoints whose runs take 0.6 s
     When a holder with fence 16 takes over
     And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
     And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
@@ -245,7 +366,8 @@
     And no task of job "a" ran twice at the same time
 
   Scenario: a run on an endpoint that turns slow stays there while no other one has room
-    Given a group of 1 endpoint whose runs take 0.6 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.6 s
     When a holder with fence 16 takes over
     And 6 jobs of 3 tasks with an estimate of 0.6 s are completed one after the other
     And job "a" of 1 task with an estimate of 0.6 s is submitted, due 0.1 s after that
@@ -266,7 +388,8 @@
     Then job "a" ends as "completed"
 
   Scenario: an entry daemon that is reachable again resubmits its dropped job
-    Given a group of 2 endpoints whose runs take 0.5 s
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.5 s
     When a holder with fence 16 takes over
     And job "a" of 2 tasks is submitted
     And no more messages arrive from the entry daemon
@@ -325,8 +448,20 @@
     And 3 runs of job "k" were started
     And the store holds the outcome of job "k" and not the job
 
+  Scenario: a provisional holder leaves the ends of a durable job to the next holder with a claim
+    Given a group of 3 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 6 tasks is submitted
+    And a holder with fence 17 takes over after 0.1 s
+    And 1.8 s have passed
+    And a holder with fence 32 takes over
+    Then durable job "k" is shown as "completed" within 3 s
+    And 6 runs of job "k" were started
+    And each task of job "k" was done once
+
   Scenario: the reply to the commit of a job is lost, and the commit is repeated
-    Given a group of 1 endpoint whose runs take 0.05 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.05 s
     And the answer to the next commit is lost
     When a holder with fence 16 takes over
     And durable job "k" of 1 task is submitted
@@ -354,3 +489,18 @@
     Then the endpoint was polled at most 15 times
     And within 2 s the endpoint has forgotten all ends
     And the endpoint was polled at most 16 times
+
+  Scenario Outline: a holder whose calls of the store get no answer ends before its successors start its tasks
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 9 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And calls of the store by the holder with fence 16 get no answer for <silence_s> s each
+    Then the leases of the holder with fence 16 lapse within the time that its successors wait
+
+    Examples:
+      | silence_s |
+      | 0.4       |
+      | 0.7       |
+      | 3.0       |
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -18,10 +18,11 @@
       | field "capacity" becomes []        | rejected              |
       | field "capacity" becomes {"cpu":-1} | rejected             |
       | field "labels" becomes [1]         | rejected              |
-      | field "born" becomes "today"       | an endpoint           |
+      | field "born" becomes "today"       | rejected              |
       | field "extra" becomes true         | an endpoint           |
       | field "cold-left-ms" becomes 2500  | an endpoint           |
-      | field "cold-left-ms" becomes "x"   | an endpoint           |
+      | field "cold-left-ms" becomes "x"   | rejected              |
+      | field "cold-left-ms" becomes -3    | an endpoint           |
       | bytes are cut in half              | rejected              |
 
   Scenario Outline: a daemon's record is used only if it is valid
@@ -45,6 +46,34 @@
       """
     Then 1 running task, 1 ended run and 3 unreadable rows are found
 
+  Scenario Outline: only a report that certainly lists everything is complete
+    When a runner's report with <change> is decoded
+    Then it is <verdict>
+
+    Examples:
+      | change                          | verdict           |
+      | 499 ends                        | a complete report |
+      | 500 ends                        | a partial report  |
+      | 0 ends                          | a complete report |
+      | "running" missing               | a complete report |
+      | "ended" missing                 | a complete report |
+      | "running" becoming null         | a complete report |
+      | "running" becoming 5            | a partial report  |
+      | "ended" becoming {"a": 1}       | a partial report  |
+      | "running" becoming [["x", 1]]   | a partial report  |
+      | "ended" becoming [[1, "x", 1]]  | a partial report  |
+
+  Scenario Outline: an answer that is no report doesn't count as one without runs
+    When a runner answers a renewal with <status> and <body>
+    Then the renewal <verdict>
+
+    Examples:
+      | status | body                              | verdict                   |
+      | 200    | {"clock-ms": 5}                   | returns a complete report |
+      | 200    | {}                                | fails                     |
+      | 200    | []                                | fails                     |
+      | 409    | {"clock-ms": 5, "reason": "busy"} | fails                     |
+
   Scenario Outline: a runner's answer to a start order
     Then a runner's <status> with reason "<reason>" means "<outcome>"
 
@@ -56,6 +85,8 @@
       | 409    | old    | run_too_old |
       | 409    | fence  | fenced_off  |
       | 409    | ticket | invalid     |
+      | 409    | paused | refused     |
+      | 409    |        | refused     |
       | 421    |        | other_life  |
       | 429    |        | unhealthy   |
       | 503    |        | unhealthy   |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -1,5 +1,6 @@
 """Steps for the holder, which runs in an event loop in a thread of its own."""
 
+from contextlib import nullcontext
 from math import inf
 from time import monotonic, sleep, time
 from unittest.mock import patch
@@ -17,7 +18,7 @@
 from berylproxy.durable.holding import outcomes
 from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.errors import JobAbandonedError, JobInterruptedError
-from berylproxy.durable.holding.holder import Holder
+from berylproxy.durable.holding.holder import FORMER_TENURE_LIMIT_S, LEASE_LENGTH_S, Holder
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
     FINAL_PREFIX,
@@ -42,9 +43,11 @@
 from tests.support.endpoint_world import (
     FakeDirectory,
     FakeJobStore,
+    StoreAccess,
     make_endpoint,
 )
 from tests.support.runs import find_overlaps
+from tests.support.simulated_time import SimulatedTime
 
 GROUP = "ledger"
 ENTRY = "entry-1"
@@ -58,9 +61,14 @@
 
 
 class HolderWorld:
-    """Holders of one group that share its endpoints and the store."""
+    """Holders of one group that share its endpoints and the store.
 
-    def __init__(self, count: int, run_time_s: float) -> None:
+    :param simulated_time: what runs the holders; by default a thread, in real time.
+    """
+
+    def __init__(
+        self, count: int, run_time_s: float, simulated_time: SimulatedTime | None = None
+    ) -> None:
         self.endpoints = [make_endpoint(f"e{number + 1}") for number in range(count)]
         for endpoint in self.endpoints:
             endpoint.run_time_s = run_time_s
@@ -69,11 +77,14 @@
         self.endpoint_list = EndpointList()
         self.evacuations = EvacuatedDomains(revision=1, confirmed_s=inf)
         self.holders: dict[int, Holder] = {}
+        self.store_accesses: dict[int, StoreAccess] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
         self.replies: dict[str, list] = {}
         self.endpoint_ids = frozenset(e.info.instance.endpoint_id for e in self.endpoints)
-        self.portal_context = start_blocking_portal()
+        self.portal_context = (
+            nullcontext(simulated_time) if simulated_time else start_blocking_portal()
+        )
         self.portal = self.portal_context.__enter__()
         self.following = self.portal.start_task_soon(self.follow_endpoint_list)
 
@@ -99,18 +110,21 @@
 
         :param inherited: endpoints that it believes the former holder used; by default all of them.
         """
-        revision = fence // FENCES_PER_REVISION + 10
-        self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
+        revision = 0
+        if fence % FENCES_PER_REVISION == 0:
+            revision = self.store.revision = self.store.revision + 1
+            self.store.entries[claim_key(GROUP)] = Entry(claim_key(GROUP), b"", revision)
         self.newest_model = RunTimeModel()
+        self.store_accesses[fence] = StoreAccess(self.store)
         self.holders[fence] = Holder(
             GROUP,
             fence,
-            revision if fence % FENCES_PER_REVISION == 0 else 0,
+            revision,
             inherited or InheritedEndpoints(self.newest_fence, self.endpoint_ids),
             self.newest_model,
             NeighbourModel(lambda: NeighbourMode.APART),
             HolderContext(
-                self.store,
+                self.store_accesses[fence],
                 self.directory,
                 self.endpoint_list,
                 self.evacuations,
@@ -165,6 +179,13 @@
             if event == kind and task.job_id == name
         ]
 
+    def wait_for_starts(self, name: str, count: int) -> None:
+        """Waits until the endpoints have started a number of runs of a job."""
+        until_s = monotonic() + ANSWER_TIMEOUT_S
+        while len(self.list_events(name, "start")) < count:
+            assert monotonic() < until_s, self.list_events(name, "start")
+            sleep(0.005)
+
     def close(self) -> None:
         """Ends all holders."""
         self.following.cancel()
@@ -176,9 +197,20 @@
 use_step_matcher("re")
 
 
+@given(r"time is simulated")
+def step_impl(context):
+    context.simulated_time = simulated_time = SimulatedTime()
+    context.add_cleanup(simulated_time.close)
+    clock = {"monotonic": simulated_time.monotonic, "sleep": simulated_time.sleep}
+    patches = patch.dict(globals(), clock)
+    patches.start()
+    context.add_cleanup(patches.stop)
+
+
 @given(r"a group of (?P<count>\d+) endpoints? whose runs take (?P<run_time_s>[\d.]+) s")
 def step_impl(context, count, run_time_s):
-    context.holder_world = HolderWorld(int(count), float(run_time_s))
+    simulated_time = getattr(context, "simulated_time", None)
+    context.holder_world = HolderWorld(int(count), float(run_time_s), simulated_time)
     context.add_cleanup(context.holder_world.close)
 
 
@@ -194,6 +226,59 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'endpoint 1 rejects every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    context.holder_world.endpoints[0].rejected_jobs.add(name)
+
+
+@given(r"only endpoint 1 is listed")
+def step_impl(context):
+    world = context.holder_world
+    world.directory.endpoints = world.endpoints[:1]
+
+
+@when(r"all endpoints are listed")
+def step_impl(context):
+    world = context.holder_world
+    world.directory.endpoints = world.endpoints
+
+
+@given(r'endpoints 1 and 2 reject every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[:2]:
+        endpoint.rejected_jobs.add(name)
+
+
+@given(r'the first run of job "(?P<name>\w+)" at each other endpoint fails')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[2:]:
+        endpoint.failing_runs[name] = 1
+
+
+@given(r"the next (?P<count>\d+) orders at each endpoint are refused for an unknown reason")
+def step_impl(context, count):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.refused_starts = int(count)
+
+
+@then(r"endpoint 1 has rejected (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert rejections == int(count), rejections
+
+
+@then(r"endpoint 1 has rejected at most (?P<count>\d+) orders")
+def step_impl(context, count):
+    rejections = context.holder_world.endpoints[0].rejections
+    assert 0 < rejections <= int(count), rejections
+
+
+@then(r"the endpoints have rejected (?P<count>\d+) orders altogether")
+def step_impl(context, count):
+    rejections = [endpoint.rejections for endpoint in context.holder_world.endpoints]
+    assert sum(rejections) == int(count), rejections
+
+
 @then(r"no endpoint is quarantined")
 def step_impl(context):
     world = context.holder_world
@@ -202,7 +287,74 @@
     assert not quarantined, quarantined
 
 
+@then(r"endpoints 1 and 2 are quarantined")
+def step_impl(context):
+    world = context.holder_world
+    endpoints = world.holders[world.newest_fence].group.endpoints
+    quarantined = {
+        instance.endpoint_id
+        for instance, endpoint in endpoints.items()
+        if endpoint.quarantined_until_s > monotonic()
+    }
+    assert quarantined == {"e1", "e2"}, quarantined
+
+
+@given(r"reports list at most (?P<count>\d+) ends")
+def step_impl(context, count):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.max_listed_ends = int(count)
+
+
+@given(r"endpoints list at most (?P<count>\d+) ends in a complete report")
+def step_impl(context, count):
+    world = context.holder_world
+    world.directory.max_listed_ends = int(count)
+    for endpoint in world.endpoints:
+        endpoint.max_listed_ends = int(count) + 1
+
+
+@given(r"progress isn't stored for its age alone")
+def step_impl(context):
+    patcher = patch.object(outcomes, "MAX_RETAINED_END_AGE_S", inf)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
+@when(r"(?P<count>\d+) durable jobs of 1 task are submitted")
+def step_impl(context, count):
+    for number in range(int(count)):
+        context.holder_world.submit(f"durable-{number}", 1, is_kept=True)
+
+
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have ended')
+def step_impl(context, count, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while len(world.list_events(name, "done")) < int(count):
+        assert monotonic() < until_s, world.list_events(name, "done")
+        sleep(0.005)
+
+
+@then(r"each endpoint has started (?P<count>\d+) runs")
+def step_impl(context, count):
+    histories = [endpoint.history for endpoint in context.holder_world.endpoints]
+    started = [sum(event[1] == "start" for event in history) for history in histories]
+    assert set(started) == {int(count)}, started
+
+
+@then(r'at most (?P<count>\d+) runs of job "(?P<name>\w+)" were started')
+def step_impl(context, count, name):
+    started = context.holder_world.list_events(name, "start")
+    assert len(started) <= int(count), started
+
+
+@when(r"no row in the reports of endpoint (?P<number>\d+) can be read from now on")
+def step_impl(context, number):
+    context.holder_world.endpoints[int(number) - 1].has_unreadable_rows = True
+
+
 @given(r"the answers of the next (?P<count>\d+) starts are lost")
+@when(r"the answers of the next (?P<count>\d+) starts are lost")
 def step_impl(context, count):
     context.holder_world.endpoints[0].lost_starts = int(count)
 
@@ -259,6 +411,32 @@
     sleep(2 * LIST_INTERVAL_S)
 
 
+@when(
+    r"the holder with fence (?P<fence>\d+) ends once (?P<count>\d+) runs of job "
+    r'"(?P<name>\w+)" were started'
+)
+def step_impl(context, fence, count, name):
+    world = context.holder_world
+    world.wait_for_starts(name, int(count))
+    world.portal.call(world.holders[int(fence)].tenure.end, "the scenario ends it")
+
+
+@when(r"the store turns the holder with fence (?P<fence>\d+) away")
+def step_impl(context, fence):
+    context.holder_world.store_accesses[int(fence)].is_cut = True
+
+
+@when(r'the endpoint that runs job "(?P<name>\w+)" is missing in the list')
+def step_impl(context, name):
+    world = context.holder_world
+    until_s = monotonic() + ANSWER_TIMEOUT_S
+    while not world.list_events(name, "start"):
+        assert monotonic() < until_s, name
+        sleep(0.005)
+    world.directory.endpoints = [e for e in world.endpoints if not e.running]
+    sleep(2 * LIST_INTERVAL_S)
+
+
 @when(r"the holder with fence (?P<fence>\d+) ends")
 def step_impl(context, fence):
     world = context.holder_world
@@ -425,6 +603,11 @@
     assert not [event for event in history if event[1] == "start"], history
 
 
+@when(r'(?P<count>\d+) runs of job "(?P<name>\w+)" have been started')
+def step_impl(context, count, name):
+    context.holder_world.wait_for_starts(name, int(count))
+
+
 @when(r"no more messages arrive from the entry daemon")
 def step_impl(context):
     sleep(0.1)
@@ -519,11 +702,38 @@
     context.holder_world.store.page_delay_s = float(late_s)
 
 
+@when(
+    r"calls of the store by the holder with fence (?P<fence>\d+) get no answer for "
+    r"(?P<silence_s>[\d.]+) s each"
+)
+def step_impl(context, fence, silence_s):
+    context.holder_world.store_accesses[int(fence)].silence_s = float(silence_s)
+
+
+@then(
+    r"the leases of the holder with fence (?P<fence>\d+) lapse within the time that its successors "
+    r"wait"
+)
+def step_impl(context, fence):
+    world = context.holder_world
+    tenure = world.holders[int(fence)].tenure
+    deadline_s = monotonic() + ANSWER_TIMEOUT_S
+    while not tenure.is_over and monotonic() < deadline_s:
+        sleep(0.01)
+    lapsed_s = monotonic() + LEASE_LENGTH_S - tenure.confirmed_s
+    assert tenure.is_over and lapsed_s <= FORMER_TENURE_LIMIT_S, lapsed_s
+
+
 @when(r"the job store is unavailable")
 def step_impl(context):
     context.holder_world.store.is_out = True
 
 
+@when(r"the job store is available again")
+def step_impl(context):
+    context.holder_world.store.is_out = False
+
+
 @when(r'durable job "(?P<name>\w+)" is cancelled after (?P<delay_s>[\d.]+) s')
 def step_impl(context, name, delay_s):
     world = context.holder_world
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -3,20 +3,26 @@
 import contextlib
 import json
 import os
+from functools import partial
 from time import monotonic
 
+from anyio import run
 from behave import given, then, use_step_matcher, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies
 
+from berylproxy.durable.jobs.models import CompleteReport
+from berylproxy.durable.jobs.ports import EndpointCallError
+from berylproxy.durable.learning.response_times import ResponseTimes
 from berylproxy.errors import SettingsError
 from berylproxy.http_exchange import HttpResponse
 from berylproxy.logs import NonBlockingOutput
 from berylproxy.platform.callers import JobUnsupportedError, RequestInvalidError, decode_job
 from berylproxy.platform.configuration import ConfigurationInvalidError, decode_configuration
-from berylproxy.platform.daemon import decode_member
-from berylproxy.platform.endpoints import decode_entry, decode_report, decode_start
+from berylproxy.platform.endpoints import PlatformEndpoint, decode_report, decode_start
+from berylproxy.platform.members import decode_member
+from berylproxy.platform.runner_entries import EntryInvalidError, decode_entry
 from berylproxy.platform.settings import load_platform_settings
 from berylproxy.store.port import Entry
 from tests.support.platform_cluster import HOST, make_configuration
@@ -77,10 +83,12 @@
 
 @then(r"it is (?P<verdict>an endpoint|a leaving endpoint|rejected)")
 def step_impl(context, verdict):
-    info = decode_entry(Entry("servers/e1", context.entry_bytes, 1))
-    if verdict == "rejected":
-        assert info is None, info
+    try:
+        info = decode_entry(Entry("servers/e1", context.entry_bytes, 1))
+    except EntryInvalidError:
+        assert verdict == "rejected"
         return
+    assert verdict != "rejected", info
     assert info.instance.endpoint_id == "e1"
     assert info.leaving == (verdict == "a leaving endpoint")
     assert (info.kind, info.rack) == ("b", "r1-2")
@@ -104,6 +112,51 @@
     assert report.born_ms == 7 and report.running[0].name == ("00000000000000aa", 1, 2)
 
 
+@when(
+    r"a runner's report with (?:(?P<count>\d+) ends|"
+    r'"(?P<name>\w+)" (?:missing|becoming (?P<value>.+))) is decoded'
+)
+def step_impl(context, count=None, name=None, value=None):
+    ended = [[n + 1, f"00000000000000aa.0.0.{n}", 1, "done", ""] for n in range(int(count or 0))]
+    content = {"born": 7, "running": [], "ended": ended}
+    if value:
+        content[name] = json.loads(value)
+    elif name:
+        del content[name]
+    context.report = decode_report(content, 0.0)
+
+
+class OneAnswer:
+    """Takes the place of the HTTP client of a runner."""
+
+    def __init__(self, status, body):
+        self.status, self.body = status, body
+
+    async def call(self, *_, **__):
+        return HttpResponse(self.status, self.body.encode(), 1.0, 1.1)
+
+
+@when(r"a runner answers a renewal with (?P<status>\d+) and (?P<body>.+)")
+def step_impl(context, status, body):
+    info = decode_entry(Entry("servers/e1", json.dumps(VALID_ENTRY).encode(), 1))
+    client = PlatformEndpoint(info, 1.0, ResponseTimes())
+    client._http = OneAnswer(int(status), body)
+    context.report = None
+    with contextlib.suppress(EndpointCallError):
+        context.report = run(partial(client.renew, 1, 0, 0.0, extend=False))
+
+
+@then(r"the renewal (?P<verdict>returns a complete report|fails)")
+def step_impl(context, verdict):
+    assert (context.report is None) == (verdict == "fails"), context.report
+    assert context.report is None or isinstance(context.report, CompleteReport), context.report
+
+
+@then(r"it is a (?P<verdict>complete|partial) report")
+def step_impl(context, verdict):
+    assert isinstance(context.report, CompleteReport) == (verdict == "complete"), context.report
+
+
 @given(r'a configuration with the prefixes "(?P<first>[/\w]+)" and "(?P<second>[/\w]+)"')
 def step_impl(context, first, second):
     encoded = json.dumps(make_configuration(4, [first, second])).encode()
@@ -175,7 +228,8 @@
         make_variants(step),
     )
     def check(entry, report, config, fields, one_step):
-        decode_entry(Entry("servers/e1", json.dumps(entry).encode(), 1))
+        with contextlib.suppress(EntryInvalidError):
+            decode_entry(Entry("servers/e1", json.dumps(entry).encode(), 1))
         decode_report(report, 0.0)
         with contextlib.suppress(ConfigurationInvalidError):
             decode_configuration(json.dumps(config).encode())
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -12,13 +12,14 @@
     should_reserve,
 )
 from berylproxy.durable.endpoints.fleet import EndpointState
-from berylproxy.durable.jobs.crashes import CrashRecord
+from berylproxy.durable.jobs.crashes import CrashRecord, Evidence
 from berylproxy.durable.jobs.job_table import JobTable, Task
 from berylproxy.durable.jobs.models import (
     EndedRun,
     EndKind,
     EndpointInfo,
     EndpointInstance,
+    FailureCause,
     JobSpec,
     QueueTerms,
     Resources,
@@ -41,6 +42,7 @@
     """Simulates one load with crashing tasks, partitions, and crashes that no task causes.
 
     :param deadly_share: share of the jobs whose tasks crash their endpoints.
+    :param deadly_evidence: what is known of the runs of those tasks.
     :param is_decided: whether the record of crashes decides; else lost tasks are requeued at once.
     :ivar crashes: endpoints that crashed because of a task.
     :ivar crashes_by_task: endpoints that crashed under each task, whatever the cause.
@@ -58,10 +60,12 @@
         down_s: float = 3.0,
         own_crashes: int = 0,
         cuts: int = 0,
+        deadly_evidence: Evidence = Evidence.BEGUN,
         is_decided: bool = True,
     ) -> None:
         self.random = Random(seed)
         self.down_s, self.is_decided = down_s, is_decided
+        self.deadly_evidence = deadly_evidence
         self.job_table, self.model = JobTable(RunTimeModel()), RunTimeModel()
         self.record = CrashRecord()
         self.deadly: set[str] = set()
@@ -181,8 +185,11 @@
         self._schedule(self.now_s + self.down_s, self._return, endpoint, has_crashed)
 
     def _requeue(self, endpoint: EndpointState) -> None:
-        names = [name for name, _ in endpoint.runs]
-        self.record.note_lost(endpoint.info.instance, names, self.now_s)
+        runs = {
+            name: self.deadly_evidence if name.job_id in self.deadly else Evidence.BEGUN
+            for name, _ in endpoint.runs
+        }
+        self.record.note_lost(endpoint.info.instance, runs, self.now_s)
         for name, run in list(endpoint.runs):
             endpoint.remove_run(name, run)
             task = self.job_table.find_task(name)
@@ -197,12 +204,12 @@
             return
         self.endpoints.remove(endpoint)
         self.endpoints.append(self._make_endpoint(instance.endpoint_id, instance.born_ms + 1))
-        self._convict(self.record.note_crashed(instance, [], self.now_s))
+        self._convict(self.record.note_crashed(instance, {}, self.now_s))
 
     def _convict(self, names: list[TaskName]) -> None:
         for name in names if self.is_decided else []:
             self.given_up.add(name.job_id)
             job = self.job_table.jobs.get(name.job_id)
             if job is not None:
-                self.job_table.fail(job)
+                self.job_table.fail(job, FailureCause.CRASHES)
                 self.job_table.close(job)
