--- a/tests/support/landed_build.py
+++ b/tests/support/landed_build.py
@@ -11,7 +11,7 @@
 from standins.process import ROOT
 from tests.support import reencode
 
-LANDED_COMMIT = "6c08dbf6796d20f76c4815782214a3847c9b6d4b"
+LANDED_COMMIT = "53058d9404debad44be8503eda86ef18715f4d59"
 """The last landed version, beside which daemons of this one must run during an upgrade."""
 
 
