Start a durable task again only once the claim is confirmed after its run's end

Cause: a holder takes the lapse of an endpoint's leases, or the end of its process, for the end of the runs there, and starts their tasks again. That proves that nothing runs there any more, not that nothing was done, nor that nobody else was told so. A holder that is cut off with its failure domain starts them at endpoints that its successor doesn't reach, 1.3 s after the successor has taken note of their ends.

A task whose run ended without the endpoint saying how now names the time from which the claim must have been in force for another start; the holder reads the claim at once then. A later claim is the only thing under which another holder learns of ends before the leases lapse. The same holds for tasks of a former holder that are started because of the time that has passed, and for runs that are counted as those of a restarted process. Best-effort tasks aren't affected.

Evidence: four of the seven examples of unconfirmed_claim.feature that this adds, all but the two of best-effort jobs and the one with a store that answers, failed before.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -202,12 +202,14 @@
     order_start: Callable[[Task, EndpointState], None],
     remote_factor: float = DEFAULT_REMOTE_FACTOR,
     policies: PlacementPolicies = DEFAULT_POLICIES,
+    claim_confirmed_s: float = inf,
 ) -> None:
     """Assigns the waiting tasks to endpoints with enough free resources.
 
     :param order_start: called for each placement; it must count the task's resources as used.
     :param remote_factor: ratio of a task's run time outside the rack of its data or of its step to
         the run time inside.
+    :param claim_confirmed_s: latest monotonic time at which the claim was certainly in force.
     """
     waiting_jobs = list(job_table.waiting_jobs())
     model.advance(now_s)
@@ -250,6 +252,8 @@
         for task in list(job.waiting):
             if task.name.step in passed_steps or now_s < task.paused_until_s:
                 continue
+            if claim_confirmed_s < task.claim_needed_s:
+                continue
             if not any(could_ever_fit(endpoint, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
                 passed_steps.add(task.name.step)
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -6,7 +6,7 @@
 from math import inf
 from time import time
 
-from anyio import Event, create_task_group, fail_after, sleep
+from anyio import Event, create_task_group, fail_after, move_on_after, sleep
 from logbook import Logger
 
 from berylproxy.durable.decisions.acceptance import MAX_OPEN_JOBS, Admission, Refusal
@@ -546,6 +546,7 @@
                 self.group.order_start,
                 self._context.remote_factor(),
                 self._policies,
+                self.tenure.confirmed_s,
             )
             self.admission.note_placed(self._clock.now_s())
 
@@ -565,17 +566,22 @@
             age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
-            )
+            ) and not (is_durable and may_have_unnamed)
             if not unresolved.job.is_final and not can_resolve(
                 age_s,
                 are_contacted,
                 are_surveyed,
-                are_former_listed and not (is_durable and may_have_unnamed),
+                are_former_listed,
                 is_durable=is_durable,
             ):
                 still_unresolved.append(unresolved)
             elif not unresolved.job.is_final:
-                self.job_table.resolve(unresolved.job)
+                claim_needed_s = -inf
+                if is_durable and not (are_contacted and are_former_listed):
+                    # Another holder may have learned from an endpoint that a task is done.
+                    claim_needed_s = now_s
+                    self.tenure.confirmation_wanted.set()
+                self.job_table.resolve(unresolved.job, claim_needed_s=claim_needed_s)
         self._unresolved = still_unresolved
 
     def _finish(self, job: Job) -> None:
@@ -684,9 +690,12 @@
         durable jobs are suspended and the tenure ends. A tenure without such jobs goes on.
         """
         while True:
-            await sleep(CLAIM_CHECK_INTERVAL_S / 2)
+            with move_on_after(CLAIM_CHECK_INTERVAL_S / 2):
+                await self.tenure.confirmation_wanted.wait()
+            is_wanted = self.tenure.confirmation_wanted.is_set()
+            self.tenure.confirmation_wanted = Event()
             age_s = self._clock.now_s() - self.tenure.confirmed_s
-            if age_s < CLAIM_CHECK_INTERVAL_S:
+            if age_s < CLAIM_CHECK_INTERVAL_S and not is_wanted:
                 continue
             limit_s = (
                 UNCONFIRMED_TENURE_S if self._context.may_others_reach_store() else OUTAGE_TENURE_S
@@ -707,6 +716,7 @@
                 self.tenure.end("another daemon holds the claim")
                 return
             self.tenure.confirm(sent_s)
+            self.group.changed.set()
 
     async def _store_model(self) -> None:
         """Stores the learned run times regularly, so that a successor can start from them."""
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -67,6 +67,8 @@
     :ivar rejections: number of orders that endpoints rejected as invalid.
     :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
     :ivar paused_until_s: monotonic time before which its start isn't ordered.
+    :ivar claim_needed_s: monotonic time at which the holder's claim must have been in force for its
+        start to be ordered.
     :ivar rejection_pause_s: how long the next pause after a rejected order takes.
     :ivar crash_count: crashes of endpoints under begun runs of the task, unless a run has ended
         since.
@@ -93,6 +95,7 @@
     rejections: int = 0
     rejecting_endpoint_ids: set[str] = field(default_factory=set)
     paused_until_s: float = 0.0
+    claim_needed_s: float = -inf
     rejection_pause_s: float = FIRST_REJECTION_PAUSE_S
     crash_count: CrashCount = CrashCount()
     possible_crash_count: CrashCount = CrashCount()
@@ -355,11 +358,15 @@
         if job.spec.is_durable or job.state is not JobState.CANCELLED or job.may_have_begun:
             self.remember_outcome(job.spec.job_id, job.state)
 
-    def resolve(self, job: Job) -> None:
-        """Makes the unresolved tasks of a job, which no endpoint reports, ready to start."""
+    def resolve(self, job: Job, *, claim_needed_s: float = -inf) -> None:
+        """Makes the unresolved tasks of a job, which no endpoint reports, ready to start.
+
+        :param claim_needed_s: see :class:`Task`.
+        """
         for task in job.tasks.values():
             if task.status is TaskStatus.UNRESOLVED:
                 task.status = TaskStatus.WAITING
+                task.claim_needed_s = claim_needed_s
         self._update_waiting_tasks(job)
 
     def note_ordered(self, task: Task, instance: EndpointInstance, now_s: float) -> None:
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -302,11 +302,27 @@
             self._requeue_all_tasks(endpoint, "its lease has lapsed")
 
     def _requeue_all_tasks(self, endpoint: EndpointState, reason: str) -> None:
-        """Requeues all tasks of an endpoint whose runs have certainly ended."""
+        """Requeues all tasks of an endpoint whose runs have certainly ended.
+
+        The endpoint itself doesn't say how they ended.
+        """
         for name, run in list(endpoint.runs):
+            self._require_claim(name, run)
             self._drop_run(endpoint, name, run, reason)
         self.changed.set()
 
+    def _require_claim(self, name: TaskName, run: int) -> None:
+        """Has a task start again only if the claim is in force now.
+
+        Else another holder may have learned from the endpoint that the run is done. Best-effort
+        tasks may be done twice.
+        """
+        task = self._job_table.find_task(name)
+        if task is None or task.run != run or not self._job_table.jobs[name.job_id].spec.is_durable:
+            return
+        task.claim_needed_s = self._clock.now_s()
+        self._tenure.confirmation_wanted.set()
+
     def _drop_run(self, endpoint: EndpointState, name: TaskName, run: int, reason: str) -> None:
         """Removes a run that is not active, and requeues its task if the run is the current one."""
         endpoint.remove_run(name, run)
@@ -384,6 +400,7 @@
         if task is None or task.instance != former or task.run != run:
             return
         task.instance = successor.info.instance
+        self._require_claim(name, run)  # the former process may have reported its end
         if transferred.is_uncertain:
             task.status = TaskStatus.UNCERTAIN
         logger.info(
--- a/berylproxy/durable/orders/tenure.py
+++ b/berylproxy/durable/orders/tenure.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from anyio import Event
 from anyio.abc import TaskGroup
 from logbook import Logger
 
@@ -22,6 +23,8 @@
     :ivar task_group: runs the background work of the tenure; ``None`` before and after it.
     :ivar began_s: monotonic time at which the tenure began.
     :ivar confirmed_s: latest monotonic time at which the claim was certainly in force.
+    :ivar confirmation_wanted: set when work waits for the claim to be confirmed; the coroutine that
+        confirms it replaces it by a new event.
     """
 
     group: str
@@ -32,6 +35,7 @@
     task_group: TaskGroup | None = None
     began_s: float = field(init=False)
     confirmed_s: float = field(init=False)
+    confirmation_wanted: Event = field(default_factory=Event)
 
     def __post_init__(self) -> None:
         self.began_s = self.confirmed_s = self.clock.now_s()
--- /dev/null
+++ b/tests/durable/holding/unconfirmed_claim.feature
@@ -0,0 +1,57 @@
+Feature: What a holder does while another daemon may have replaced its claim
+
+  Scenario: a holder that is cut off with its failure domain doesn't repeat a task that its successor knows as done
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And a partition has the store and the endpoint that runs job "k" on the other side of the holder with fence 16
+    And a holder with fence 32 takes over after 0.6 s
+    And 8 s have passed
+    Then 1 runs of job "k" were started
+    And durable job "k" is shown as "completed" within 1 s
+
+  Scenario Outline: a task starts again only once the claim is confirmed after the end of its run is certain
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 9 s
+    When a holder with fence 16 takes over
+    And <kind> "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And calls of the store by the holder with fence 16 get no answer for 0.7 s each
+    And <loss>
+    And <wait_s> s have passed
+    Then <before> runs of job "k" were started
+    When calls of the store by the holder with fence 16 get no answer for 0 s each
+    And 1 s have passed
+    Then 2 runs of job "k" were started
+
+    Examples:
+      | kind        | loss                                          | wait_s | before |
+      | durable job | the endpoint that runs job "k" is cut off     | 1.47   | 1      |
+      | durable job | the process that runs job "k" is restarted    | 0.5    | 1      |
+      | job         | the endpoint that runs job "k" is cut off     | 1.47   | 2      |
+      | job         | the process that runs job "k" is restarted    | 0.5    | 2      |
+
+  Scenario: while the store answers, a durable task starts again as soon as its endpoint's leases have lapsed
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 9 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And the endpoint that runs job "k" is cut off
+    And 1.47 s have passed
+    Then 2 runs of job "k" were started
+
+  Scenario: a new holder that is cut off while it waits for its predecessor doesn't start its predecessor's tasks
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 9 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And a partition has the endpoint that runs job "k" on the other side of the holder with fence 32
+    And the holder with fence 16 ends
+    And a holder with fence 32 takes over
+    And 3 s have passed
+    And calls of the store by the holder with fence 32 get no answer for 0.7 s each
+    And 6 s have passed
+    Then 1 runs of job "k" were started
