Tell callers the end of a kept job only once it is stored

A kept job was shown as completed or failed as soon as its last run had ended, before the store held the outcome. If that write never took effect, because the holder was cut off or ended, the next holder went on with the job: callers saw a job completed whose tasks started again seconds later (TWICE), or failed that was completed later (LOST).

Cause: the state in the holder's memory was answered to callers and told to the entry daemon when it changed, while all else that depends on the end, such as letting endpoints forget it, waits for the commit.

A holder now says that such a job runs, or is queued if none of its tasks may have begun, until the outcome is stored, and tells the entry daemon after that.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -210,7 +210,7 @@
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
-        self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table)
+        self._outcomes = OutcomeStore(tenure, self._ledger, self.job_table, self._announce_end)
         self._log = JobLog(tenure, self.job_table)
         self._best_effort_jobs = BestEffortJobs(
             tenure,
@@ -458,6 +458,8 @@
     async def find_state(self, job_id: str) -> str:
         """Returns a job's state; empty if there is no such job.
 
+        A job whose end isn't stored yet counts as not ended.
+
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
         :raises StoreError: if the state has to be read from the store and the read fails, it is
             not known whether the job is stored, or its record can't be decoded.
@@ -468,6 +470,10 @@
             raise NotHolderError(
                 "this daemon is not the holder, or has not loaded the open jobs yet"
             )
+        job = self.job_table.jobs.get(job_id)
+        if job is not None and job.is_final:
+            # The next holder would go on with the job if the store never got its end.
+            return (JobState.RUNNING if job.may_have_begun else JobState.QUEUED).value
         state = self.job_table.state(job_id)
         if state is not None:
             return state.value
@@ -594,10 +600,13 @@
         if job_id not in self.job_table.jobs or self._outcomes.is_storing(job_id):
             return
         self._log.note_ended(job)
-        if job.entry and job.state is not JobState.CANCELLED:
-            self._context.notify(job.entry, JobsEnded({job_id: job.state.value}))
         self._outcomes.start_storing(job)
 
+    def _announce_end(self, job: Job) -> None:
+        """Tells the entry daemon of a durable job that it has ended."""
+        if job.entry and job.state is not JobState.CANCELLED:
+            self._context.notify(job.entry, JobsEnded({job.spec.job_id: job.state.value}))
+
     def drop(self, job_id: str, reason: str) -> None:
         """Drops a best-effort job whose caller no longer waits for it."""
         self._best_effort_jobs.drop(job_id, reason)
--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -1,5 +1,6 @@
 """Stores the outcomes of durable jobs, then lets the endpoints discard the ends of their runs."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import time
 
@@ -54,12 +55,21 @@
     """Writes the outcomes and the progress of a tenure's durable jobs to the store.
 
     Until these are stored, endpoints retain the ends of the jobs' runs for a possible new holder.
+
+    :param on_stored: called with each job whose outcome has been stored.
     """
 
-    def __init__(self, tenure: Tenure, ledger: Ledger, job_table: JobTable) -> None:
+    def __init__(
+        self,
+        tenure: Tenure,
+        ledger: Ledger,
+        job_table: JobTable,
+        on_stored: Callable[[Job], None],
+    ) -> None:
         self._tenure = tenure
         self._ledger = ledger
         self._job_table = job_table
+        self._on_stored = on_stored
         self._retained_ends: dict[str, list[RetainedEnd]] = {}
         self._stored_events: dict[str, Event] = {}
         self._storing_progress: set[str] = set()
@@ -147,6 +157,7 @@
                 logger.debug("cannot store the outcome of job {} yet: {}", job_id, error.message)
                 await sleep(RETRY_PAUSE_S)
         self._job_table.close(job)
+        self._on_stored(job)
         for retained in self._retained_ends.pop(job_id, ()):
             retained.endpoint.release_end(retained.number)
         self._stored_events.pop(job_id).set()
--- a/tests/durable/holding/unconfirmed_claim.feature
+++ b/tests/durable/holding/unconfirmed_claim.feature
@@ -55,3 +55,22 @@
     And calls of the store by the holder with fence 32 get no answer for 0.7 s each
     And 6 s have passed
     Then 1 runs of job "k" were started
+
+  Scenario Outline: callers learn the end of a durable job only once the store holds it
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.3 s
+    And <runs>
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And the store turns the holder with fence 16 away
+    And 1 s have passed
+    Then callers that ask for job "k" are told "running", and nobody was told of its end
+    When the store serves the holder with fence 16 again
+    And 0.3 s have passed
+    Then callers that ask for job "k" are told "<state>", and its entry daemon was told so
+
+    Examples:
+      | runs                        | state     |
+      | every run of job "x" fails  | completed |
+      | every run of job "k" fails  | failed    |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -80,6 +80,7 @@
         self.store_accesses: dict[int, StoreAccess] = {}
         self.newest_fence = 0
         self.is_entry_alive = True
+        self.notices: list[object] = []
         self.replies: dict[str, list] = {}
         self.endpoint_ids = frozenset(e.info.instance.endpoint_id for e in self.endpoints)
         self.portal_context = (
@@ -131,7 +132,7 @@
                 lambda service, name: service,
                 MonotonicClock(),
                 Telemetry(),
-                lambda incarnation, message: None,
+                lambda incarnation, message: self.notices.append(message),
                 lambda: [],
                 lambda group: [],
                 lambda: True,
--- a/tests/steps/durable_unconfirmed_claim_steps.py
+++ b/tests/steps/durable_unconfirmed_claim_steps.py
@@ -1,6 +1,8 @@
 """Steps for a holder that can't tell whether its claim is still in force."""
 
-from behave import use_step_matcher, when
+from behave import then, use_step_matcher, when
+
+from berylproxy.durable.jobs.messages import JobsEnded
 
 use_step_matcher("re")
 
@@ -45,3 +47,25 @@
 def step_impl(context, name):
     endpoint, _ = split_endpoints(context.holder_world, name)
     context.holder_world.portal.call(endpoint.restart)
+
+
+@when(r"the store serves the holder with fence (?P<fence>\d+) again")
+def step_impl(context, fence):
+    context.holder_world.store_accesses[int(fence)].is_cut = False
+
+
+def list_told_states(world, name):
+    """Returns what entry daemons were told of a job's end."""
+    ended = [notice for notice in world.notices if isinstance(notice, JobsEnded)]
+    return [notice.states[name] for notice in ended if name in notice.states]
+
+
+@then(
+    r'callers that ask for job "(?P<name>\w+)" are told "(?P<state>\w+)", and '
+    r"(?P<told>nobody was told of its end|its entry daemon was told so)"
+)
+def step_impl(context, name, state, told):
+    world = context.holder_world
+    assert world.portal.call(world.holders[16].find_state, name) == state
+    expected = [] if told.startswith("nobody") else [state]
+    assert list_told_states(world, name) == expected, world.notices
