--- a/tests/steps/durable_moved_queue_steps.py
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -9,11 +9,14 @@
 from msgspec.structs import replace
 
 from berylproxy.clock import MonotonicClock
-from berylproxy.durable.entry.frontend import JobFrontend
+from berylproxy.durable.decisions.acceptance import Refusal
+from berylproxy.durable.entry.frontend import JobFrontend, NotAcceptedError, ResultUnknownError
 from berylproxy.durable.holding.groups import Division
 from berylproxy.durable.holding.records import division_key, encode_division
 from berylproxy.durable.jobs.models import JobSpec, JobState, QueueTerms, Resources, StepSpec
 from berylproxy.durable.orders.telemetry import Telemetry
+from berylproxy.errors import BerylproxyError
+from berylproxy.store.port import StoreOutcomeUnknownError
 from tests.steps.durable_member_steps import make_coordinator, make_network, write
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
@@ -21,6 +24,7 @@
 TASKS = 4
 RUN_TIME_S = 0.4
 CALLER_WAIT_S = 10.0
+RETRY_AFTER_S = 2.0
 WAIT_LIMIT_S = 20.0
 
 use_step_matcher("re")
@@ -46,6 +50,9 @@
         )
         self.accepted = 0
         self.state: JobState | None = None
+        self.error: BerylproxyError | None = None
+        self.full_service = ""
+        self.has_silent_reads = False
 
     async def run(self, play) -> None:
         """Plays a scenario once both groups are held."""
@@ -53,9 +60,18 @@
             assert await self.coordinator.follow_services(set(SERVICES))
             task_group.start_soon(self.coordinator.run)
             await self.wait_until(self.is_holding)
+            if self.full_service:
+                holder = self.coordinator.holders[self.full_service]
+                holder.admission.decide = lambda *_: Refusal("late", RETRY_AFTER_S)
+            if self.has_silent_reads:
+                self.store.get = self.lose_read
             await play(self)
             task_group.cancel_scope.cancel()
 
+    async def lose_read(self, key: str) -> None:
+        """Stands for a read of the store that gets no answer."""
+        raise StoreOutcomeUnknownError(f"no answer about {key}")
+
     def is_holding(self) -> bool:
         """Returns whether both groups have a holder that has loaded its jobs."""
         holders = self.coordinator.holders
@@ -68,11 +84,11 @@
             assert monotonic() < until_s, "the condition was not met"
             await sleep(0.01)
 
-    async def submit(self, job_id: str, service: str) -> None:
+    async def submit(self, job_id: str, service: str, wait_s: float = CALLER_WAIT_S) -> None:
         """Submits a durable job by a route to a service."""
         terms = QueueTerms("q", service, max_attempts=3, objective_s=CALLER_WAIT_S)
         steps = (StepSpec(TASKS, Resources(10_000), RUN_TIME_S),)
-        await self.frontend.submit_durable(JobSpec(job_id, terms, "", steps), CALLER_WAIT_S)
+        await self.frontend.submit_durable(JobSpec(job_id, terms, "", steps), wait_s)
         self.accepted += 1
 
     def count_running(self) -> int:
@@ -101,6 +117,40 @@
     context.two_services = TwoServices()
 
 
+@given(r'the holder of "annex" has no room for any job')
+def step_impl(context):
+    context.two_services.full_service = "annex"
+
+
+@given(r"the store doesn't answer reads of single keys")
+def step_impl(context):
+    context.two_services.has_silent_reads = True
+
+
+async def play_refused(world):
+    try:
+        await world.submit("j1", "annex", 1.0)
+    except BerylproxyError as error:
+        world.error = error
+
+
+@when(r'job "j1" is submitted to "annex"')
+def step_impl(context):
+    world = context.two_services
+    run(world.run, play_refused)
+
+
+@then(r"it is refused as not run, to be sent again after 2 s")
+def step_impl(context):
+    error = context.two_services.error
+    assert isinstance(error, NotAcceptedError) and error.retry_after_s == 2.0, repr(error)
+
+
+@then(r"it isn't known whether the job is stored")
+def step_impl(context):
+    assert isinstance(context.two_services.error, ResultUnknownError)
+
+
 async def play_in_turn(moment, world):
     await world.submit("j1", "ledger")
     if moment == "it has ended":
