Count crashes at one address once when a task is to blame for them

Cause: each end of a process under a task counted as a sign of its own. Processes that end one after the other at one address say as much of the address as of the task.

Crashes for which no other job can be to blame now count once an address; three of any kind still convict, so that a task that is started only at one address takes no more than three processes down. After a change of holder the former crashes count as one address each, as stored jobs don't name it.

--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -16,7 +16,7 @@
 
 from berylproxy.durable.jobs.models import EndpointInstance, TaskName
 
-MAX_BLAMED_CRASHES = 2  # of endpoints on which no other job can be to blame
+MAX_BLAMED_CRASHES = 2  # at different addresses, where no other job can be to blame
 MAX_CRASHES = 3
 # Under runs that had begun or may have.
 MAX_POSSIBLE_CRASHES = 4
@@ -58,7 +58,8 @@
     """The crashes of endpoints under a task.
 
     :param crashes: number of crashes.
-    :param blamed: number of those for which no other job can be to blame.
+    :param blamed: number of those for which no other job can be to blame. Crashes at one address
+        count once, as they may say more of the address.
     """
 
     crashes: int = 0
@@ -78,10 +79,12 @@
     """An endpoint that stopped answering while tasks were ordered there.
 
     :ivar suspects: tasks that may have run there and haven't ended on another endpoint since.
+    :ivar address: empty if it isn't known.
     :ivar is_crash: whether its process has certainly ended; else it may be cut off.
     """
 
     suspects: dict[TaskName, Evidence] = field(default_factory=dict)
+    address: str = ""
     is_crash: bool = False
 
     def is_crash_under(self, name: TaskName, least: Evidence) -> bool:
@@ -124,10 +127,17 @@
         self._convicted: OrderedDict[str, None] = OrderedDict()
 
     def note_lost(
-        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
+        self,
+        instance: EndpointInstance,
+        runs: Mapping[TaskName, Evidence],
+        now_s: float,
+        address: str = "",
     ) -> None:
-        """Records that an endpoint stopped answering while tasks were ordered there."""
-        self._add_suspects(instance, runs, now_s)
+        """Records that an endpoint stopped answering while tasks were ordered there.
+
+        :param address: empty if it isn't known.
+        """
+        self._add_suspects(instance, runs, now_s, address)
 
     def note_answered(self, instance: EndpointInstance) -> bool:
         """Records that the process of an endpoint goes on: it was cut off.
@@ -141,14 +151,19 @@
         return True
 
     def note_crashed(
-        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
+        self,
+        instance: EndpointInstance,
+        runs: Mapping[TaskName, Evidence],
+        now_s: float,
+        address: str = "",
     ) -> list[TaskName]:
         """Records that the process of an endpoint ended unasked.
 
         :param runs: tasks that were ordered there, besides those with which it was lost.
+        :param address: empty if it isn't known.
         :return: the tasks that are to blame, if they are known by this.
         """
-        loss = self._add_suspects(instance, runs, now_s)
+        loss = self._add_suspects(instance, runs, now_s, address)
         if loss is None:
             return []
         loss.is_crash = True
@@ -206,7 +221,8 @@
         record = self._records.get(name)
         losses = record.losses if record is not None else []
         crashes = [loss for loss in losses if loss.is_crash_under(name, least)]
-        return CrashCount(len(crashes), sum(loss.blames(name) for loss in crashes))
+        blamed = {loss.address or id(loss) for loss in crashes if loss.blames(name)}
+        return CrashCount(len(crashes), len(blamed))
 
     def _is_to_blame(self, name: TaskName) -> bool:
         begun = self.count(name)
@@ -256,13 +272,17 @@
         return Treatment.ALONE if is_alone else Treatment.APART
 
     def _add_suspects(
-        self, instance: EndpointInstance, runs: Mapping[TaskName, Evidence], now_s: float
+        self,
+        instance: EndpointInstance,
+        runs: Mapping[TaskName, Evidence],
+        now_s: float,
+        address: str,
     ) -> Loss | None:
         """Adds tasks to the loss of an endpoint; returns ``None`` if it has none."""
         loss = self._losses.get(instance)
         for name, evidence in runs.items():
             if loss is None:
-                loss = self._losses[instance] = Loss()
+                loss = self._losses[instance] = Loss(address=address)
             if name not in loss.suspects:
                 record = self._records.setdefault(name, TaskRecord())
                 record.losses.append(loss)
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -66,7 +66,8 @@
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
         instance, runs = endpoint.info.instance, self._list_runs(endpoint)
         if runs:
-            self.record.note_lost(instance, runs, self._tenure.clock.now_s())
+            now_s = self._tenure.clock.now_s()
+            self.record.note_lost(instance, runs, now_s, endpoint.info.address)
             self._log(
                 "endpoint lost under tasks, crashed or cut off",
                 instance,
@@ -140,7 +141,9 @@
         known = self.record.suspects(instance)
         if runs.keys() <= known.keys() and (not known or self.record.has_crashed(instance)):
             return
-        convicted = self.record.note_crashed(instance, runs, self._tenure.clock.now_s())
+        address = endpoint.info.address if endpoint is not None else ""
+        now_s = self._tenure.clock.now_s()
+        convicted = self.record.note_crashed(instance, runs, now_s, address)
         suspects = self.record.suspects(instance)
         if any(evidence > Evidence.ORDERED for evidence in suspects.values()):
             self._log(
--- a/tests/durable/jobs/crash_decisions.feature
+++ b/tests/durable/jobs/crash_decisions.feature
@@ -6,6 +6,20 @@
     When "e2" crashes under "a"
     Then job "a" is convicted
 
+  Scenario: processes that end one after the other at one address are one sign against a task
+    When "e1" crashes at address "h1" under "a"
+    And "e2" crashes at address "h1" under "a"
+    Then no job is convicted
+    And task "a" is to be tried "alone"
+    When "e3" crashes at address "h2" under "a"
+    Then job "a" is convicted
+
+  Scenario: three processes that end at one address under a task convict it
+    When "e1" crashes at address "h1" under "a"
+    And "e2" crashes at address "h1" under "a"
+    And "e3" crashes at address "h1" under "a"
+    Then job "a" is convicted
+
   Scenario: tasks that crashed together are not convicted while either may be to blame
     When "e1" crashes under "a b"
     And "e2" crashes under "a b"
