--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -12,6 +12,7 @@
 from tests.support.faults import Fault
 from tests.support.platform_cluster import PlatformCluster
 from tests.support.runs import Run
+from tools.soak.judge import KILLED_PREFIX
 
 DELAY_S = 0.15
 LOST_CHUNK_SHARE = 0.05
@@ -165,7 +166,8 @@
     def read_history(self) -> list[Run]:
         """Returns the starts and ends of runs at all instances of all runners, sorted by time.
 
-        The kill of an instance ends the runs in progress there.
+        The kill of an instance ends the runs in progress there; the kind of these ends names the
+        runner, as the judge expects.
         """
         history = []
         for path in self.folder.glob("history-*.jsonl"):
@@ -175,7 +177,7 @@
             killed_s = self.runner_kill_times_s.get(str(path))
             if killed_s is not None:
                 instance_runs += [
-                    (killed_s, "killed", name, run)
+                    (killed_s, KILLED_PREFIX + path.stem.split("-")[1], name, run)
                     for _, kind, name, run in instance_runs
                     if kind == "start" and (name, run) not in ended
                 ]
