End the tenure of a holder that can't store the ends of its durable jobs

A holder that the store doesn't answer ended its tenure while it had open durable jobs. Once the last of them had ended, with no end stored, it went on with best-effort jobs for as long as the cut took, and extended the leases of the endpoints that keep these ends.

Cause: jobs whose outcome isn't stored yet count as ended for the holder, but as open for its successor. The durable jobs of a tenure are now all whose outcome isn't stored.

Evidence: the scenario that this adds failed before.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -748,9 +748,8 @@
         return age_s > UNCONFIRMED_TENURE_S / 2 and bool(self._list_durable_jobs())
 
     def _list_durable_jobs(self) -> list[Job]:
-        """Lists the open durable jobs."""
-        jobs = self.job_table.jobs.values()
-        return [job for job in jobs if job.spec.is_durable and not job.is_final]
+        """Lists the durable jobs whose outcomes aren't stored."""
+        return [job for job in self.job_table.jobs.values() if job.spec.is_durable]
 
     def _suspend_durable_jobs(self, age_s: float) -> None:
         """Ends the tenure, so that another daemon takes over; has no effect without durable jobs.
--- a/tests/durable/holding/unconfirmed_claim.feature
+++ b/tests/durable/holding/unconfirmed_claim.feature
@@ -56,6 +56,16 @@
     And 6 s have passed
     Then 1 runs of job "k" were started
 
+  Scenario: a holder that is cut off ends its tenure also if only the ends of its durable jobs aren't stored
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And calls of the store by the holder with fence 16 get no answer for 0.7 s each
+    And 2.5 s have passed
+    Then the tenure of the holder with fence 16 has ended
+
   Scenario Outline: callers learn the end of a durable job only once the store holds it
     Given time is simulated
     And a group of 1 endpoint whose runs take 0.3 s
--- a/tests/steps/durable_unconfirmed_claim_steps.py
+++ b/tests/steps/durable_unconfirmed_claim_steps.py
@@ -4,6 +4,9 @@
 
 from berylproxy.durable.jobs.messages import JobsEnded
 
+JOB_INTERVAL_S = 0.1
+MAX_OTHER_JOBS = 30
+
 use_step_matcher("re")
 
 
@@ -37,6 +40,50 @@
     endpoint.cut_fences.add(32)
 
 
+@when(
+    r'a partition has only the endpoint that runs job "(?P<name>\w+)" on the side of the holder '
+    r"with fence 16"
+)
+def step_impl(context, name):
+    world = context.holder_world
+    context.first_endpoint, others = split_endpoints(world, name)
+    context.first_endpoint.cut_fences.add(32)
+    for other in others:
+        other.cut_fences.update((16, 17))
+    world.store_accesses[16].silence_s = 0.7
+
+
+@when(r"other jobs of 1 task are run at the holder with fence 16 until its tenure ends")
+def step_impl(context):
+    world = context.holder_world
+    for number in range(MAX_OTHER_JOBS):
+        if world.holders[16].tenure.is_over:
+            break
+        world.submit(f"other-{number}", 1, fence=16)
+        context.simulated_time.sleep(JOB_INTERVAL_S)
+    assert world.holders[16].tenure.is_over
+
+
+@then(r"the tenure of the holder with fence 16 has ended")
+def step_impl(context):
+    assert context.holder_world.holders[16].tenure.is_over
+
+
+@when(r"(?P<count>\d+) jobs of 1 task are run one after the other at the holder with fence 17")
+def step_impl(context, count):
+    world = context.holder_world
+    for number in range(int(count)):
+        world.submit(f"local-{number}", 1, fence=17)
+        assert world.replies[f"local-{number}"][-1].result(10.0).state == "completed"
+
+
+@then(r'the lease of the first endpoint of job "(?P<name>\w+)" had lapsed since its run .+')
+def step_impl(context, name):
+    world, endpoint = context.holder_world, context.first_endpoint
+    done_s = min(at_s for at_s, _, _ in world.list_events(name, "done"))
+    assert endpoint.lease_began_s > done_s, (endpoint.lease_began_s, endpoint.history)
+
+
 @when(r'the endpoint that runs job "(?P<name>\w+)" is cut off')
 def step_impl(context, name):
     endpoint, _ = split_endpoints(context.holder_world, name)
