Let leases lapse under ends that a holder without the open jobs doesn't know

The holder with the claim started the tasks again 3.7 s after it had loaded them, and after the cut noted their ends under the same lease.

Cause: others rely on the lapse of the leases that they can't see. A holder that doesn't have a run's job therefore extends no lease while the run goes on, but it did so as soon as the run had ended.

A holder that hasn't loaded the open jobs, which a provisional one never has, now extends no lease and starts nothing at an endpoint that remembers ends of unknown jobs until the former holder's leases have lapsed, 1.15 s after its first answer. Ends of best-effort jobs that are submitted again are known ones.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -208,6 +208,8 @@
     :ivar is_report_complete: whether its last report was complete.
     :ivar unreadable_from_s: monotonic time from which on its reports may have hidden a run in rows
         that can't be read; ``None`` if they don't.
+    :ivar has_unknown_ends: whether it remembers ends of jobs that this holder doesn't know, and its
+        lease from before may not have lapsed.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
@@ -234,6 +236,7 @@
     is_surveyed: bool = False
     is_report_complete: bool = False
     unreadable_from_s: float | None = None
+    has_unknown_ends: bool = False
     is_listed: bool = True
     is_evacuated: bool = False
     cold_until_s: float = 0.0
@@ -266,11 +269,16 @@
     def should_let_lapse(self) -> bool:
         """Whether the endpoint's lease must not be extended, neither by a renewal nor by a start.
 
+        Others rely on the lapse of runs whose jobs this holder doesn't know, and start their tasks
+        again then, also those that have ended here meanwhile.
+
         If unanswered calls could extend it, the holder could never tell when it has lapsed; nor
         could it rely on the lapse of a run that it can't see. For orphans see
         :attr:`EndpointRun.is_orphan`.
         """
-        return bool(self.missed_calls) or self.unreadable_from_s is not None or self.has_orphans
+        if self.missed_calls or self.unreadable_from_s is not None:
+            return True
+        return self.has_unknown_ends or self.has_orphans
 
     @property
     def is_contacted(self) -> bool:
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -57,6 +57,8 @@
 # off from an endpoint has by then dropped the jobs of entry daemons on the other side of the
 # partition, which may have submitted them to another holder.
 UNREACHABLE_GRACE_S = 1.4
+# Endpoints grant leases of up to 1 s, on clocks that may be slow.
+FORMER_LEASE_S = 1.15
 UNLISTED_GRACE_S = 2.5  # after an outage the platform's list is complete within 2 s
 MAX_REMEMBERED_TRUSTS = 200  # of endpoints that are gone and may come back
 
@@ -448,8 +450,23 @@
         self._log_findings()
         if endpoint.contacted_s is None:
             endpoint.contacted_s = now_s
+        endpoint.has_unknown_ends = self._has_unknown_ends(endpoint, now_s)
         self.changed.set()
 
+    def _has_unknown_ends(self, endpoint: EndpointState, now_s: float) -> bool:
+        """Returns whether a former holder's lease may go on under ends of jobs not known here.
+
+        A holder that has loaded the open jobs knows which of these ends matter.
+        """
+        contacted_s = now_s if endpoint.contacted_s is None else endpoint.contacted_s
+        if self._clearance is not None or now_s - contacted_s >= FORMER_LEASE_S:
+            return False
+        return any(
+            end.name.job_id not in self._job_table.jobs
+            and self._job_table.state(end.name.job_id) is None
+            for end in endpoint.ends.values()
+        )
+
     def _note_incomplete_report(
         self, endpoint: EndpointState, report: EndpointReport, has_unlisted: bool, now_s: float
     ) -> None:
@@ -859,6 +876,8 @@
     def clear_orphans(self, claim: LoadedClaim) -> None:
         """Begins to end what endpoints keep of jobs that nobody wants any more."""
         self._clearance = OrphanClearance(claim, self._orphan_ends, self._stop_soon)
+        for endpoint in self.endpoints.values():
+            endpoint.has_unknown_ends = False
         self.changed.set()
 
     def adopt_orphans(self, job: Job, now_s: float) -> None:
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -51,6 +51,7 @@
     :ivar lost_calls: kinds of calls, ``"stop"`` and ``"renew"``, that have no effect and no answer.
     :ivar late_by_s: delay of the late starts.
     :ivar lease_end_s: time at which runs lapse unless the lease is extended.
+    :ivar lease_began_s: time since which the lease has been extended before each end of it.
     :ivar ended: ends of runs that the holder has not acknowledged yet.
     :ivar max_listed_ends: largest number of ends in one report, the first ones.
     :ivar has_unreadable_rows: whether no row of its reports can be read.
@@ -88,6 +89,7 @@
     late_by_s: float = 0.3
     fence: int = 0
     lease_end_s: float = 0.0
+    lease_began_s: float = 0.0
     running: dict = field(default_factory=dict)
     ended: list = field(default_factory=list)
     max_listed_ends: int = 500
@@ -168,6 +170,13 @@
         self.crash()
         self.back_at_s = monotonic()
 
+    def extend_lease(self, end_s: float) -> None:
+        """Extends the lease of all that runs; it never ends sooner than before."""
+        now_s = monotonic()
+        if now_s >= self.lease_end_s:
+            self.lease_began_s = now_s
+        self.lease_end_s = max(self.lease_end_s, end_s)
+
     def acknowledge(self, number: int) -> None:
         """Discards the reported ends up to a number."""
         self.ended = [end for end in self.ended if end.number > number]
@@ -226,7 +235,7 @@
             return StartOutcome.RUN_TOO_OLD
         if monotonic() > new_lease_end_s:
             return StartOutcome.TOO_LATE
-        self.lease_end_s = max(self.lease_end_s, new_lease_end_s)
+        self.extend_lease(new_lease_end_s)
         self.highest_runs[order.name] = order.run
         run = ModelRun(order.name, order.run, monotonic(), monotonic() + self.run_time_s)
         self.running[order.name, order.run] = run
--- a/tests/durable/holding/unconfirmed_claim.feature
+++ b/tests/durable/holding/unconfirmed_claim.feature
@@ -66,6 +66,19 @@
     And 2.5 s have passed
     Then the tenure of the holder with fence 16 has ended
 
+  Scenario: a provisional holder lets the leases lapse on whose end others rely for a task that is done
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And a partition has only the endpoint that runs job "k" on the side of the holder with fence 16
+    And a holder with fence 32 takes over after 0.6 s
+    And other jobs of 1 task are run at the holder with fence 16 until its tenure ends
+    And a holder with fence 17 takes over
+    And 5 jobs of 1 task are run one after the other at the holder with fence 17
+    And 2 runs of job "k" have been started
+    Then the lease of the first endpoint of job "k" had lapsed since its run there ended
+
   Scenario Outline: callers learn the end of a durable job only once the store holds it
     Given time is simulated
     And a group of 1 endpoint whose runs take 0.3 s
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -90,7 +90,7 @@
         self._check(fence)
         endpoint = self.endpoint
         if extend:
-            endpoint.lease_end_s = max(endpoint.lease_end_s, self._lease_end_s)
+            endpoint.extend_lease(self._lease_end_s)
         endpoint.acknowledge(acknowledged)
         born_ms = endpoint.info.instance.born_ms
         until_s = monotonic() + wait_s
