Number the runs of durable tasks by their holder's fence from the first one on

Letting leases lapse under ends of unknown jobs also stopped starts where the ends were of best-effort jobs, up to 1.15 s after a change to a holder without a claim.

A name doesn't tell whether a job is durable. The run number does now: runs of durable tasks are numbered by the fence of the holder that accepted the job, as they were already after a change of holder, so above 1024; those of best-effort tasks begin at 1, or at 64 for each attempt. Only ends that may be of durable tasks have to lapse. Other way weighed: to say in the holder's heartbeat whether it has durable jobs, which is up to 0.45 s old.

The scenarios of orphans.feature on leases show both kinds of ends.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -208,8 +208,8 @@
     :ivar is_report_complete: whether its last report was complete.
     :ivar unreadable_from_s: monotonic time from which on its reports may have hidden a run in rows
         that can't be read; ``None`` if they don't.
-    :ivar has_unknown_ends: whether it remembers ends of jobs that this holder doesn't know, and its
-        lease from before may not have lapsed.
+    :ivar has_unknown_ends: whether it may remember ends of durable jobs that this holder doesn't
+        know, and its lease from before may not have lapsed.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
     :ivar is_listed: whether the platform's list names the endpoint.
--- a/berylproxy/durable/holding/best_effort.py
+++ b/berylproxy/durable/holding/best_effort.py
@@ -20,12 +20,12 @@
     JobSubmissionReply,
 )
 from berylproxy.durable.jobs.models import JobSpec, JobState, StoredJob
+from berylproxy.durable.jobs.run_numbers import RUN_NUMBERS_PER_TENURE
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
 from berylproxy.durable.orders.tenure import Tenure
 from berylproxy.errors import BerylproxyError
 
-RUN_NUMBERS_PER_TENURE = 64  # run numbers of a tenure lie above those of all earlier ones
 MAX_WITHDRAWN_CALLS = 20_000
 
 
@@ -147,6 +147,7 @@
             now_s,
             entry=entry,
             first_run=message.attempt * RUN_NUMBERS_PER_TENURE,
+            may_have_begun=message.attempt > 0,
             failure_domain=decision.tentative_job.failure_domain,
             waited_s=decision.waited_s,
             is_excess=decision.tentative_job.is_excess,
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -16,7 +16,6 @@
 from berylproxy.durable.decisions.shares import ClaimantShare, SharedOrder
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding.best_effort import (
-    RUN_NUMBERS_PER_TENURE,
     AdmissionDecision,
     BestEffortJobs,
     SharedReply,
@@ -62,6 +61,7 @@
     JobState,
     StoredJob,
 )
+from berylproxy.durable.jobs.run_numbers import first_durable_run
 from berylproxy.durable.learning.estimates import RunTimeModel
 from berylproxy.durable.orders.group import EndpointGroup
 from berylproxy.durable.orders.job_log import JobLog
@@ -305,8 +305,12 @@
             return False
         now_s = self._clock.now_s()
         age_s = max(time() - stored.accepted_unix_s, 0.0)
-        first_run = self.tenure.fence * RUN_NUMBERS_PER_TENURE
-        job = self.job_table.open(stored, now_s - age_s, first_run=first_run)
+        job = self.job_table.open(
+            stored,
+            now_s - age_s,
+            first_run=first_durable_run(self.tenure.fence),
+            may_have_begun=True,
+        )
         self.group.restore_crashes(job, now_s)
         self.group.adopt_orphans(job, now_s)
         if not job.is_final:
@@ -396,6 +400,7 @@
             stored,
             now_s,
             entry=entry,
+            first_run=first_durable_run(self.tenure.fence),
             failure_domain=decision.tentative_job.failure_domain,
             waited_s=decision.waited_s,
             is_excess=decision.tentative_job.is_excess,
@@ -473,7 +478,7 @@
         job = self.job_table.jobs.get(job_id)
         if job is not None and job.is_final:
             # The next holder would go on with the job if the store never got its end.
-            return (JobState.RUNNING if job.may_have_begun else JobState.QUEUED).value
+            return (JobState.RUNNING if job.started else JobState.QUEUED).value
         state = self.job_table.state(job_id)
         if state is not None:
             return state.value
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -257,6 +257,7 @@
         *,
         entry: str = "",
         first_run: int = 0,
+        may_have_begun: bool = False,
         failure_domain: str = "",
         waited_s: float = 0.0,
         is_excess: bool = False,
@@ -267,12 +268,11 @@
         :param failure_domain: failure domain of its entry daemon; empty if unknown.
         :param waited_s: time since it was refused, if its caller has come back as told.
         :param is_excess: whether it exceeds its claimant's share of scarce room.
-        :param first_run: lower bound of the run numbers to use; above 0 for a job that another
-            holder may have begun.
+        :param first_run: lower bound of the run numbers to use.
+        :param may_have_begun: whether another holder may have begun the job.
         """
         job = self.prepare(stored, now_s, entry=entry, failure_domain=failure_domain)
         job.place_s, job.is_excess = now_s - waited_s, is_excess
-        may_have_begun = first_run > 0
         status = TaskStatus.UNRESOLVED if may_have_begun else TaskStatus.WAITING
         for step_number, step in enumerate(stored.spec.steps):
             for index in range(step.count):
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -35,6 +35,7 @@
     StartOrder,
     StartOutcome,
 )
+from berylproxy.durable.jobs.run_numbers import may_be_durable
 from berylproxy.durable.learning.estimates import SHORTEST_RUN_TIME_S, RunTimeModel, TaskEstimate
 from berylproxy.durable.learning.response_times import renewal_wait_s
 from berylproxy.durable.learning.run_times import RunPace
@@ -454,16 +455,15 @@
         self.changed.set()
 
     def _has_unknown_ends(self, endpoint: EndpointState, now_s: float) -> bool:
-        """Returns whether a former holder's lease may go on under ends of jobs not known here.
+        """Returns whether a former holder's lease may go on under ends of unknown durable jobs.
 
-        A holder that has loaded the open jobs knows which of these ends matter.
+        A holder that has loaded the open jobs knows them.
         """
         contacted_s = now_s if endpoint.contacted_s is None else endpoint.contacted_s
         if self._clearance is not None or now_s - contacted_s >= FORMER_LEASE_S:
             return False
         return any(
-            end.name.job_id not in self._job_table.jobs
-            and self._job_table.state(end.name.job_id) is None
+            may_be_durable(end.run) and self._job_table.state(end.name.job_id) is None
             for end in endpoint.ends.values()
         )
 
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -24,6 +24,19 @@
       | 0.25   | lets         | stops         |
       | 0.15   | doesn't let  | doesn't stop  |
 
+  Scenario Outline: leases lapse under ends that may be of unknown durable jobs
+    Given a holder <holder>
+    When an endpoint reports the end of run <run> of an unknown job, again after <time_s> s
+    Then that endpoint's lease <is> extended
+
+    Examples:
+      | holder                                             | run  | time_s | is    |
+      | without a claim                                    | 1025 | 0.5    | isn't |
+      | without a claim                                    | 1025 | 1.2    | is    |
+      | without a claim                                    | 1    | 0.5    | is    |
+      | with a claim that hasn't loaded the open jobs yet  | 1025 | 0.5    | isn't |
+      | with a claim that has loaded the open jobs         | 1025 | 0.1    | is    |
+
   Scenario: a provisional holder lets endpoints forget the ends of its own best-effort jobs
     Given a holder without a claim
     And a best-effort job of 2 tasks runs at its endpoint
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -157,7 +157,8 @@
 def step_impl(context):
     for _ in range(3):
         table = JobTable()
-        job = table.open(decode_job(encode_job(context.stored_job)), NOW_S, first_run=1)
+        stored = decode_job(encode_job(context.stored_job))
+        job = table.open(stored, NOW_S, first_run=1, may_have_begun=True)
         watch = CrashWatch(None, table, lambda: NOW_S, lambda job: None, lambda job: None)
         watch.restore(job, NOW_S)
         context.crash_record = watch.record
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -49,6 +49,22 @@
     report_unknown(world)
 
 
+@when(
+    r"an endpoint reports the end of run (?P<run>\d+) of an unknown job, again after "
+    r"(?P<time_s>[\d.]+) s"
+)
+def step_impl(context, run, time_s):
+    world, ended = context.still_holder, [(UNKNOWN_JOB, ENDED_TASK, EndKind.DONE)]
+    world.report(ended, run=int(run))
+    world.now_s += float(time_s)
+    world.report(ended, run=int(run))
+
+
+@then(r"that endpoint's lease (?P<verb>is|isn't) extended")
+def step_impl(context, verb):
+    assert context.still_holder.endpoint.should_let_lapse == (verb == "isn't")
+
+
 @when(r"the open jobs are loaded, and the endpoint reports again")
 def step_impl(context):
     run(context.still_holder.load_jobs)
--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -112,7 +112,9 @@
     def open_job(self, name: str, tasks: int, *, is_durable: bool, first_run: int = 0) -> Job:
         """Opens a job without placing its tasks."""
         stored = make_stored_job(name, tasks, is_durable=is_durable)
-        return self.holder.job_table.open(stored, self.now_s, entry=ENTRY, first_run=first_run)
+        return self.holder.job_table.open(
+            stored, self.now_s, entry=ENTRY, first_run=first_run, may_have_begun=first_run > 0
+        )
 
     def start_tasks(self, job: Job) -> None:
         """Orders the start of all tasks of a job."""
@@ -120,19 +122,23 @@
             self.holder.group.order_start(task, self.endpoint)
 
     def report(
-        self, ended: list[tuple[str, int, EndKind]] = (), running: list[tuple[str, int]] = ()
+        self,
+        ended: list[tuple[str, int, EndKind]] = (),
+        running: list[tuple[str, int]] = (),
+        run: int = 1,
     ) -> None:
         """Applies a report of the endpoint, and does what the holder does regularly.
 
         :param ended: job, task and kind of each end that the endpoint remembers; they are numbered
-            from 1, and all runs have the number 1.
+            from 1.
         :param running: job and task of each active run.
+        :param run: number of all runs.
         """
         ends = tuple(
-            EndedRun(number, TaskName(job, 0, index), 1, kind, "")
+            EndedRun(number, TaskName(job, 0, index), run, kind, "")
             for number, (job, index, kind) in enumerate(ended, start=1)
         )
-        runs = tuple(RunningTask(TaskName(job, 0, index), 1, "", 10) for job, index in running)
+        runs = tuple(RunningTask(TaskName(job, 0, index), run, "", 10) for job, index in running)
         group, born_ms = self.holder.group, self.endpoint.info.instance.born_ms
         group._apply_report(self.endpoint, EndpointReport(born_ms, self.now_s, runs, ends))
         group.release_orphan_ends(self.now_s)
