Let the tasks of a runner that is killed while frozen end with its freeze in the soak

A frozen process doesn't run on.

The kill of a frozen runner now ends its runs with the freeze; that of any other runner with the kill, as before.

--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -28,7 +28,8 @@
     :ivar down_spans: numbers of daemons that were killed or frozen, with the start and the end.
     :ivar stop_spans: numbers of daemons that were stopped, with the times of the signal and of the
         end of the process.
-    :ivar runner_kill_times_s: when runners were killed, by the history path of the instance.
+    :ivar runner_kill_times_s: when the tasks of killed runners ended, by the history path of the
+        instance: at its kill, or when it was frozen for the last time before.
     :ivar exit_statuses: numbers and exit statuses of daemons that were stopped, without those that
         were killed meanwhile or ended by SIGTERM before they served.
     :ivar start_counts: number of starts of each daemon.
@@ -41,6 +42,7 @@
     exit_statuses: list[tuple[int, int]] = field(default_factory=list)
     start_counts: dict[int, int] = field(default_factory=dict)
     _instance_numbers: dict[int, int] = field(default_factory=dict)
+    _runner_freeze_times_s: dict[int, float] = field(default_factory=dict)
     _restart_lock: Lock = field(default_factory=Lock)
 
     def write_settings(self, number: int, *, store_port: int = 0, extra_lines: str = "") -> None:
@@ -141,9 +143,20 @@
         return serving >= self.start_counts[number]
 
     def kill_runner(self, number: int) -> None:
-        """Kills a runner together with its running tasks."""
+        """Kills a runner together with its running tasks; those of a frozen one don't go on."""
         self.runners[number].kill()
-        self.runner_kill_times_s.setdefault(str(self.history_path(number)), monotonic())
+        ended_s = self._runner_freeze_times_s.pop(number, monotonic())
+        self.runner_kill_times_s.setdefault(str(self.history_path(number)), ended_s)
+
+    def freeze_runner(self, number: int) -> None:
+        """Suspends a runner."""
+        self.runners[number].freeze()
+        self._runner_freeze_times_s.setdefault(number, monotonic())
+
+    def resume_runner(self, number: int) -> None:
+        """Resumes a runner."""
+        self._runner_freeze_times_s.pop(number, None)
+        self.runners[number].resume()
 
     def restart_runner(self, number: int) -> None:
         """Starts a new instance of a runner unless it is running."""
@@ -156,8 +169,8 @@
         self.switch_store(busy=False, lost_answers=0)
         for name in self.relays:
             self.switch_relay(name, cut=False, delay_s=0.0, lose_share=0.0)
-        for number, runner in enumerate(self.runners):
-            runner.resume()
+        for number in range(len(self.runners)):
+            self.resume_runner(number)
             self.restart_runner(number)
         for number, daemon in enumerate(self.daemons):
             daemon.resume()
@@ -211,7 +224,7 @@
     "silence store to daemon": _set_relay_switches("store", silent=True),
     "delay store to daemon": _set_relay_switches("store", delay_s=DELAY_S),
     "kill runner": SoakCluster.kill_runner,
-    "freeze runner": lambda cluster, number: cluster.runners[number].freeze(),
+    "freeze runner": SoakCluster.freeze_runner,
     "cut runner": _set_relay_switches("runner", cut=True),
     "silence runner": _set_relay_switches("runner", silent=True),
     "delay runner": _set_relay_switches("runner", delay_s=DELAY_S),
@@ -227,7 +240,7 @@
     "cut store from daemon": _set_relay_switches("store", cut=False),
     "delay store to daemon": _set_relay_switches("store", delay_s=0.0),
     "kill runner": SoakCluster.restart_runner,
-    "freeze runner": lambda cluster, number: cluster.runners[number].resume(),
+    "freeze runner": SoakCluster.resume_runner,
     "cut runner": _set_relay_switches("runner", cut=False),
     "delay runner": _set_relay_switches("runner", delay_s=0.0),
     "lose bytes of runner": _set_relay_switches("runner", lose_share=0.0),
