Have state requests wait for the end of a kept job that is being stored

The holder now waits for that write for up to 0.2 s, well within the 0.5 s that an entry daemon waits for it, and says 'running' only if the store hasn't answered by then.

Evidence: the scenario that this adds failed before.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -75,6 +75,7 @@
 )
 
 TICK_INTERVAL_S = 0.05
+STORED_END_WAIT_S = 0.2  # within the time that an entry daemon waits for a holder's reply
 RETRY_PAUSE_S = 0.05
 # In one transaction, which has 32 entries at most. A queue that had one of further services may
 # have its job run there, too.
@@ -463,7 +464,7 @@
     async def find_state(self, job_id: str) -> str:
         """Returns a job's state; empty if there is no such job.
 
-        A job whose end isn't stored yet counts as not ended.
+        A job whose end isn't stored soon counts as not ended.
 
         :raises NotHolderError: if this daemon is not the holder, or has not loaded the open jobs.
         :raises StoreError: if the state has to be read from the store and the read fails, it is
@@ -477,8 +478,11 @@
             )
         job = self.job_table.jobs.get(job_id)
         if job is not None and job.is_final:
-            # The next holder would go on with the job if the store never got its end.
-            return (JobState.RUNNING if job.started else JobState.QUEUED).value
+            with move_on_after(STORED_END_WAIT_S):
+                await self._outcomes.wait_until_stored(job_id)
+            if job_id in self.job_table.jobs:
+                # The next holder goes on with the job if the store never gets its end.
+                return (JobState.RUNNING if job.started else JobState.QUEUED).value
         state = self.job_table.state(job_id)
         if state is not None:
             return state.value
--- a/tests/durable/holding/unconfirmed_claim.feature
+++ b/tests/durable/holding/unconfirmed_claim.feature
@@ -79,6 +79,17 @@
     And 2 runs of job "k" have been started
     Then the lease of the first endpoint of job "k" had lapsed since its run there ended
 
+  Scenario: a caller that asks while the end of a job is being stored learns of it
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.3 s
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And 1 runs of job "k" have been started
+    And the store turns the holder with fence 16 away
+    And 0.5 s have passed
+    And the store serves the holder with fence 16 again after 0.1 s
+    Then callers that ask for job "k" are told "completed", and its entry daemon was told so
+
   Scenario Outline: callers learn the end of a durable job only once the store holds it
     Given time is simulated
     And a group of 1 endpoint whose runs take 0.3 s
--- a/tests/steps/durable_unconfirmed_claim_steps.py
+++ b/tests/steps/durable_unconfirmed_claim_steps.py
@@ -1,5 +1,6 @@
 """Steps for a holder that can't tell whether its claim is still in force."""
 
+from anyio import sleep
 from behave import then, use_step_matcher, when
 
 from berylproxy.durable.jobs.messages import JobsEnded
@@ -96,9 +97,17 @@
     context.holder_world.portal.call(endpoint.restart)
 
 
-@when(r"the store serves the holder with fence (?P<fence>\d+) again")
-def step_impl(context, fence):
-    context.holder_world.store_accesses[int(fence)].is_cut = False
+async def end_cut(store_access, after_s):
+    await sleep(after_s)
+    store_access.is_cut = False
+
+
+@when(
+    r"the store serves the holder with fence (?P<fence>\d+) again(?: after (?P<after_s>[\d.]+) s)?"
+)
+def step_impl(context, fence, after_s):
+    world = context.holder_world
+    world.portal.start_task_soon(end_cut, world.store_accesses[int(fence)], float(after_s or 0))
 
 
 def list_told_states(world, name):
