Look for a stored job before any refusal of its holder is passed on

A holder had stored them as it lost its claim, and their callers got no final answer. The daemon that the requests came to next was the provisional holder by then; it doesn't know the open jobs, and refused as 'the store is not available'.

The look for a stored job, so far for refusals for want of room only, now precedes each refusal, and includes the job's own group. While the store doesn't answer, such a request gets no final answer (504) in place of 503: it may be stored. The check at the end of a submission that no holder answered was the same and is shared.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -225,7 +225,7 @@
             if reply.refusal:
                 if may_be_stored:
                     raise ResultUnknownError("an earlier attempt may have stored the job")
-                if reply.refusal != TOO_LATE or not await self._is_stored_elsewhere(spec):
+                if not await self._is_stored(spec):
                     raise _make_refusal_error(reply)
             self._cache_state(spec.job_id, JobState.QUEUED)
             return
@@ -233,22 +233,19 @@
         if may_be_stored:
             raise ResultUnknownError("it is not known whether the job is stored")
         # Another daemon may have stored the job for an earlier submission.
-        groups = self._known_groups(self._list_candidates([spec.terms.service]), spec.job_id)
-        if await self._find_stored_state(groups, spec.job_id) is None:
+        if not await self._is_stored(spec):
             raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
 
-    async def _is_stored_elsewhere(self, spec: JobSpec) -> bool:
-        """Returns whether a job that its group's holder doesn't know is stored nevertheless.
+    async def _is_stored(self, spec: JobSpec) -> bool:
+        """Returns whether a job is stored although the holder of its group doesn't say so.
 
-        It may have ended under a former holder, or belong to the service that its queue had before.
+        It may have ended under a former holder, or belong to the service that its queue had before;
+        a provisional holder doesn't know the open jobs.
 
         :raises ResultUnknownError: if the store doesn't answer.
         """
-        service, job_id = spec.terms.service, spec.job_id
-        own_group = self._coordinator.divisions.group_of_job(service, job_id)
-        groups = self._known_groups(self._list_candidates([service]), job_id)
-        other_groups = [group for group in groups if group != own_group]
-        return await self._find_stored_state(other_groups, job_id) is not None
+        groups = self._known_groups(self._list_candidates([spec.terms.service]), spec.job_id)
+        return await self._find_stored_state(groups, spec.job_id) is not None
 
     async def _send_submission(
         self, message: JobSubmission, timeout_s: float
--- a/tests/durable/holding/moved_queue.feature
+++ b/tests/durable/holding/moved_queue.feature
@@ -50,6 +50,17 @@
     When job "j1" is submitted to "annex"
     Then it is refused as not run, to be sent again after 2 s
 
+  Scenario Outline: a request is refused by a holder without the store only if its job isn't stored
+    Given the holder of "annex" is a provisional one
+    And job "j1" is <record> stored for "annex"
+    When job "j1" is submitted to "annex"
+    Then <answer>
+
+    Examples:
+      | record  | answer                                    |
+      | already | it is accepted                            |
+      | not     | it is refused as not run, for the present |
+
   Scenario: nothing is said of a request for which there is no room while its job may be stored
     Given the holder of "annex" has no room for any job
     And the store doesn't answer reads of single keys
--- a/tests/steps/durable_moved_queue_steps.py
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -12,8 +12,20 @@
 from berylproxy.durable.decisions.acceptance import Refusal
 from berylproxy.durable.entry.frontend import JobFrontend, NotAcceptedError, ResultUnknownError
 from berylproxy.durable.holding.groups import Division
-from berylproxy.durable.holding.records import division_key, encode_division
-from berylproxy.durable.jobs.models import JobSpec, JobState, QueueTerms, Resources, StepSpec
+from berylproxy.durable.holding.records import (
+    division_key,
+    encode_division,
+    encode_job,
+    open_key,
+)
+from berylproxy.durable.jobs.models import (
+    JobSpec,
+    JobState,
+    QueueTerms,
+    Resources,
+    StepSpec,
+    StoredJob,
+)
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.errors import BerylproxyError
 from berylproxy.store.port import StoreOutcomeUnknownError
@@ -30,6 +42,12 @@
 use_step_matcher("re")
 
 
+def make_spec(job_id: str, service: str) -> JobSpec:
+    """Makes a durable job of one step."""
+    terms = QueueTerms("q", service, max_attempts=3, objective_s=CALLER_WAIT_S)
+    return JobSpec(job_id, terms, "", (StepSpec(TASKS, Resources(10_000), RUN_TIME_S),))
+
+
 class TwoServices:
     """A daemon that holds the only group of each of two services, without sockets."""
 
@@ -52,6 +70,7 @@
         self.state: JobState | None = None
         self.error: BerylproxyError | None = None
         self.full_service = ""
+        self.provisional_service = ""
         self.has_silent_reads = False
 
     async def run(self, play) -> None:
@@ -63,6 +82,8 @@
             if self.full_service:
                 holder = self.coordinator.holders[self.full_service]
                 holder.admission.decide = lambda *_: Refusal("late", RETRY_AFTER_S)
+            if self.provisional_service:
+                self.coordinator.holders[self.provisional_service].tenure.claim_revision = 0
             if self.has_silent_reads:
                 self.store.get = self.lose_read
             await play(self)
@@ -86,9 +107,7 @@
 
     async def submit(self, job_id: str, service: str, wait_s: float = CALLER_WAIT_S) -> None:
         """Submits a durable job by a route to a service."""
-        terms = QueueTerms("q", service, max_attempts=3, objective_s=CALLER_WAIT_S)
-        steps = (StepSpec(TASKS, Resources(10_000), RUN_TIME_S),)
-        await self.frontend.submit_durable(JobSpec(job_id, terms, "", steps), wait_s)
+        await self.frontend.submit_durable(make_spec(job_id, service), wait_s)
         self.accepted += 1
 
     def count_running(self) -> int:
@@ -122,6 +141,29 @@
     context.two_services.full_service = "annex"
 
 
+@given(r'the holder of "annex" is a provisional one')
+def step_impl(context):
+    context.two_services.provisional_service = "annex"
+
+
+@given(r'job "j1" is (?P<record>already|not) stored for "annex"')
+def step_impl(context, record):
+    if record == "already":
+        world = context.two_services
+        stored = StoredJob(make_spec("j1", "annex"), 0.0)
+        write(world.store, open_key("annex", "j1"), encode_job(stored))
+
+
+@then(r"it is accepted")
+def step_impl(context):
+    assert context.two_services.accepted == 1, context.two_services.error
+
+
+@then(r"it is refused as not run, for the present")
+def step_impl(context):
+    assert isinstance(context.two_services.error, NotAcceptedError), context.two_services.error
+
+
 @given(r"the store doesn't answer reads of single keys")
 def step_impl(context):
     context.two_services.has_silent_reads = True
