Pass on a refusal because the store is away while the entry daemon can't check it

The scenarios stand: a caller that comes for the first time is told at once that nothing has run, and when to come back.

If neither the holder nor the entry daemon reaches the store, the refusal is passed on as before. Where the store answers the entry daemon the look still precedes each refusal.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -225,7 +225,7 @@
             if reply.refusal:
                 if may_be_stored:
                     raise ResultUnknownError("an earlier attempt may have stored the job")
-                if not await self._is_stored(spec):
+                if not await self._is_refused_job_stored(spec, reply):
                     raise _make_refusal_error(reply)
             self._cache_state(spec.job_id, JobState.QUEUED)
             return
@@ -236,6 +236,21 @@
         if not await self._is_stored(spec):
             raise NotAcceptedError("no daemon can store the job now", retry_after_s=1.0)
 
+    async def _is_refused_job_stored(self, spec: JobSpec, reply: JobSubmissionReply) -> bool:
+        """Returns whether a job that a holder has refused is stored nevertheless.
+
+        A refusal because the store is away is passed on while this daemon doesn't reach it either.
+
+        :raises ResultUnknownError: if the store answers the holder and not this daemon.
+        """
+        try:
+            return await self._is_stored(spec)
+        except ResultUnknownError as error:
+            if reply.refusal == TOO_LATE:
+                raise
+            logger.debug("job {} refused unchecked: {}", spec.job_id, error.message)
+            return False
+
     async def _is_stored(self, spec: JobSpec) -> bool:
         """Returns whether a job is stored although the holder of its group doesn't say so.
 
