Count an end of an endpoint's process as a crash only if its lease still held

What callers saw: jobs that must be kept were shown as failed, though none of their runs had failed and no endpoint had crashed under one.

Cause: the end of a process counted against all tasks whose runs it had confirmed, whenever it had ended. Behind a cut their leases lapse, or the runs end unheard, and the process ends later for another reason. Two such ends failed the job. Class: a fact without its time taken as proof.

Change: an end is proven to have hit a run only if it is known before the lease could lapse: the host refuses connections (EndpointRefusedError), or another process answers. Silence until the lapse makes the crash a possible one; of these it takes four. A task that takes whole, silent hosts down is still given up after four.

The fake endpoints refuse calls when their process is down, and are silent behind a cut also then, as real hosts are.

Failed before: 'endpoints that are cut off and whose processes end after the runs have lapsed don't fail a job' and '... after the runs are done ...' (shown as "failed"). The other scenarios of crashes pass unchanged.

--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -16,6 +16,12 @@
     code = "endpoint_call_failed"
 
 
+class EndpointRefusedError(EndpointCallError):
+    """The endpoint's host refused the connection: no process listens at its address."""
+
+    code = "endpoint_refused"
+
+
 class FencedOffError(EndpointCallError):
     """The endpoint has accepted orders under a higher fence: another daemon is the holder now."""
 
@@ -71,6 +77,12 @@
     def lease_end_s(self) -> float:
         """Returns the monotonic time after which all granted leases have certainly lapsed."""
 
+    def lease_lasts_until_s(self) -> float:
+        """Returns the monotonic time until which the endpoint's lease certainly lasts.
+
+        It may last longer by calls that were not answered.
+        """
+
     async def start(self, order: StartOrder) -> StartOutcome:
         """Sends an order to start a task."""
 
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -42,6 +42,8 @@
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
     :param list_read_s: returns the monotonic time at which the list of endpoints was last read.
+    :param lease_lasts_until_s: returns the monotonic time until which the lease of an endpoint
+        certainly lasts.
     :param on_crash: called with each open job whose crashes have changed.
     :param on_final: called with each job that fails because a task crashes its endpoints.
     :ivar record: the endpoints lost under tasks.
@@ -52,6 +54,7 @@
         tenure: Tenure,
         job_table: JobTable,
         list_read_s: Callable[[], float],
+        lease_lasts_until_s: Callable[[EndpointInstance], float],
         on_crash: Callable[[Job], None],
         on_final: Callable[[Job], None],
     ) -> None:
@@ -59,9 +62,15 @@
         self._tenure = tenure
         self._job_table = job_table
         self._list_read_s = list_read_s
+        self._lease_lasts_until_s = lease_lasts_until_s
         self._on_crash = on_crash
         self._on_final = on_final
 
+    def note_process_ended(self, endpoint: EndpointState) -> None:
+        """Records that the process of an endpoint has ended by now, unasked or by plan."""
+        if self._tenure.clock.now_s() < self._lease_lasts_until_s(endpoint.info.instance):
+            endpoint.ended_under_lease = True
+
     def note_lapsed(self, endpoint: EndpointState) -> None:
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
         instance, runs = endpoint.info.instance, self._list_runs(endpoint)
@@ -73,6 +82,7 @@
                 instance,
                 "unknown",
                 runs,
+                ended_under_lease=endpoint.ended_under_lease,
                 **_count_evidence(runs),
             )
 
@@ -88,6 +98,7 @@
         if endpoint.info.leaving:
             self.record.note_answered(endpoint.info.instance)
             return
+        self.note_process_ended(endpoint)
         self._note_crashed(endpoint.info.instance, endpoint, sign)
 
     def note_listed(self, instance: EndpointInstance, endpoints: Iterable[EndpointState]) -> None:
@@ -163,7 +174,8 @@
         alive_s = max([endpoint.last_answer_s, *confirmed_s])
         # Without a recent list it isn't known whether the endpoint was about to leave.
         is_listed_lately = self._list_read_s() >= alive_s - LEAVING_NOTICE_S
-        best = Evidence.BEGUN if is_listed_lately else Evidence.POSSIBLE
+        is_proven = is_listed_lately and endpoint.ended_under_lease
+        best = Evidence.BEGUN if is_proven else Evidence.POSSIBLE
         runs: dict[TaskName, Evidence] = {}
         for (name, _), run in endpoint.runs.items():
             runs[name] = max(min(run.evidence, best), runs.get(name, Evidence.ORDERED))
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -30,6 +30,7 @@
     EndpointCallError,
     EndpointClient,
     EndpointDirectory,
+    EndpointRefusedError,
     FencedOffError,
     OtherInstanceError,
     StartOrder,
@@ -116,7 +117,12 @@
         self._on_final = on_final
         self._may_have_to_end = may_have_to_end
         self._crash_watch = CrashWatch(
-            tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
+            tenure,
+            job_table,
+            lambda: endpoint_list.read_s,
+            lambda instance: self._clients[instance].lease_lasts_until_s(),
+            on_crash,
+            on_final,
         )
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
@@ -297,6 +303,8 @@
             )
             endpoint.trust.note_silence(now_s)
         endpoint.missed_calls += 1
+        if isinstance(error, EndpointRefusedError):
+            self._crash_watch.note_process_ended(endpoint)
         if now_s <= max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S):
             return
         endpoint.is_surveyed = endpoint.is_contacted
@@ -427,6 +435,7 @@
                 extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
             )
         endpoint.missed_calls = 0
+        endpoint.ended_under_lease = False
         endpoint.last_answer_s = now_s
         self._model.advance(now_s)
         for end in report.ended:
--- a/berylproxy/http_exchange.py
+++ b/berylproxy/http_exchange.py
@@ -37,6 +37,12 @@
     code = "not_sent"
 
 
+class RefusedError(NotSentError):
+    """The server's host refused the connection: no process listens at the address."""
+
+    code = "connection_refused"
+
+
 class AnswerLostError(ExchangeError):
     """The request may have been sent, but no complete response was received."""
 
@@ -198,7 +204,8 @@
         """Sends a request and waits for the complete response.
 
         :param hedge: copies to send while there is no answer; the first answer counts.
-        :raises NotSentError: if no connection could be opened.
+        :raises NotSentError: if no connection could be opened; :class:`RefusedError` if the host
+            refused it.
         :raises AnswerLostError: if the request may have been sent, but the response was lost.
         """
         end_s = monotonic() + timeout_s
@@ -276,6 +283,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(_Connection, self._host, self._port)
+        except ConnectionRefusedError as error:
+            raise RefusedError(f"no connection to {self.address}: {error!r}") from error
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"no connection to {self.address}: {error!r}") from error
         self.opened_connections += 1
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -72,6 +72,7 @@
     :ivar crashing_jobs: identifiers of jobs whose runs end the process of the endpoint.
     :ivar crash_after_s: time from the start of such a run to the end of the process.
     :ivar down_s: time from the end of the process to the start of the next one.
+    :ivar is_silent_when_down: whether its host answers no calls meanwhile, not even by refusing.
     :ivar crashes: number of ends of the process.
     :ivar rejects_former: whether a new process has another identifier, and rejects calls that are
         meant for the former one.
@@ -119,6 +120,7 @@
     crashing_jobs: set = field(default_factory=set)
     crash_after_s: float = 0.05
     down_s: float = 3.0
+    is_silent_when_down: bool = False
     crashes: int = 0
     rejects_former: bool = False
     back_at_s: float = inf
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -90,3 +90,29 @@
     Then durable job "k" is shown as "completed" within 7 s
     And no crash has been counted
     And no task of job "k" ran twice at the same time
+
+  Scenario Outline: endpoints that are cut off and whose processes end <later> don't fail a job
+    Given a group of 6 endpoints whose runs take <run_time> s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" is cut off, and another process replaces its process <later>
+    And the endpoint that runs job "k" is cut off, and another process replaces its process <later>
+    And 2 endpoint processes are lost and seen to have ended
+    Then durable job "k" is shown as "completed" within 9 s
+    And 2 endpoint processes have crashed
+
+    Examples:
+      | run_time | later                      |
+      | 1.2      | after the runs have lapsed |
+      | 0.3      | after the runs are done    |
+
+  Scenario: a task that ends whole hosts, which don't even refuse calls, takes no fifth one down
+    Given a group of 6 endpoints whose runs take 0.3 s
+    And job "k" crashes the endpoints that start it, which are back after 1.6 s
+    And the endpoints come back under another identifier
+    And the hosts of the endpoints are silent while they are down
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    Then durable job "k" is shown as "failed" within 24 s
+    And 4 endpoint processes have crashed
--- a/tests/platform/endpoints.feature
+++ b/tests/platform/endpoints.feature
@@ -35,6 +35,19 @@
     And the next call to hold is left unanswered and carried out 0.1 s late
     Then a renewal that waits 0.5 s for an end reports the end of task 1 within 10 s
 
+  Scenario: a connection that the host refuses is told from a call without an answer
+    When the runner's process ends
+    Then a renewal ends with "endpoint_refused"
+
+  Scenario: a call that stays without an answer doesn't show that the process has ended
+    Given its client has a timeout of 0.2 s for calls
+    When the next 4 calls to hold are left unanswered and carried out 5 s late
+    Then a renewal ends with "endpoint_call_failed"
+
+  Scenario: only answered calls that extend the lease tell how long it certainly lasts
+    When a client has its calls answered: hold, start, hold with an extension, hold
+    Then the time until which its lease certainly lasts grows with: start, hold with an extension
+
   Scenario Outline: a call is overdue by the response times seen so far
     Given response times of <times> s
     Then a call without an answer is overdue after <at least> to <at most> s
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -159,7 +159,9 @@
         table = JobTable()
         stored = decode_job(encode_job(context.stored_job))
         job = table.open(stored, NOW_S, first_run=1, may_have_begun=True)
-        watch = CrashWatch(None, table, lambda: NOW_S, lambda job: None, lambda job: None)
+        watch = CrashWatch(
+            None, table, lambda: NOW_S, lambda _: NOW_S, lambda job: None, lambda job: None
+        )
         watch.restore(job, NOW_S)
         context.crash_record = watch.record
         context.stored_job = StoredJob(job.spec, job.accepted_unix_s, job.progress())
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -11,6 +11,7 @@
 from berylproxy.durable.jobs.models import JobSpec, Progress, QueueTerms, StepSpec, StoredJob
 from berylproxy.store.port import Entry
 from tests.steps.durable_holder_steps import ANSWER_TIMEOUT_S, GROUP, MAX_ATTEMPTS, TASK_NEEDS
+from tests.support.endpoint_world import LEASE_S
 
 use_step_matcher("re")
 
@@ -48,6 +49,12 @@
         endpoint.rejects_former = True
 
 
+@given(r"the hosts of the endpoints are silent while they are down")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.is_silent_when_down = True
+
+
 @given(
     r"each endpoint crashes before it carries out (?P<orders>its first|any) order, "
     r"and is back after (?P<s>\S+) s"
@@ -118,7 +125,21 @@
 
 @when(r'the endpoint that runs job "(?P<name>\w+)" is cut off for (?P<cut_s>[\d.]+) s')
 def step_impl(context, name, cut_s):
-    world = context.holder_world
+    endpoint = _cut_off(context.holder_world, name)
+    context.holder_world.portal.start_task_soon(_heal_later, endpoint, float(cut_s))
+
+
+@when(
+    r'the endpoint that runs job "(?P<name>\w+)" is cut off, and another process replaces its '
+    r"process after the runs (?:have lapsed|are done)"
+)
+def step_impl(context, name):
+    endpoint = _cut_off(context.holder_world, name)
+    context.holder_world.portal.start_task_soon(_replace_after_lapse, endpoint)
+
+
+def _cut_off(world, name):
+    """Cuts off the endpoint that runs a job and returns it."""
 
     def find_reached():
         for endpoint in world.endpoints:
@@ -129,7 +150,7 @@
 
     endpoint = wait_for(find_reached, f"a run of {name} at an endpoint that is reached")
     endpoint.cut_fences.add(world.newest_fence)
-    world.portal.start_task_soon(_heal_later, endpoint, float(cut_s))
+    return endpoint
 
 
 async def _heal_later(endpoint, cut_s):
@@ -137,6 +158,15 @@
     endpoint.cut_fences.clear()
 
 
+async def _replace_after_lapse(endpoint):
+    while endpoint.running:
+        await anyio_sleep(0.05)
+        endpoint.end_due_runs()
+    await anyio_sleep(LEASE_S)  # the holder has seen the lease lapse, too
+    endpoint.restart()
+    endpoint.cut_fences.clear()
+
+
 @given(r'durable job "(?P<name>\w+)" of 1 task was stored with 1 crash by an earlier version')
 def step_impl(context, name):
     terms = QueueTerms("q", GROUP, max_attempts=MAX_ATTEMPTS, objective_s=ANSWER_TIMEOUT_S)
--- a/tests/steps/platform_endpoints_steps.py
+++ b/tests/steps/platform_endpoints_steps.py
@@ -15,7 +15,7 @@
     Resources,
     TaskName,
 )
-from berylproxy.durable.jobs.ports import StartOrder
+from berylproxy.durable.jobs.ports import EndpointCallError, StartOrder
 from berylproxy.durable.learning.response_times import ResponseTimes, renewal_wait_s
 from berylproxy.platform import endpoints
 from berylproxy.platform.endpoints import PlatformEndpoint
@@ -58,7 +58,7 @@
     cluster = PlatformCluster(context.folder, 0, 0, float(run_time))
     context.add_cleanup(cluster.close)
     cluster.start()
-    process = cluster.start_runner(0)
+    process = context.runner_process = cluster.start_runner(0)
     instance = EndpointInstance(process.name, 0)
     address = f"127.0.0.1:{process.announced['port']}"
     context.runner_info = EndpointInfo(instance, "ledger", address, "a", Resources(64_000, 1_000))
@@ -140,6 +140,49 @@
     assert monotonic() - started_s < float(limit)
 
 
+@when(r"the runner's process ends")
+def step_impl(context):
+    context.runner_process.kill()
+
+
+@then(r'a renewal ends with "(?P<code>\w+)"')
+def step_impl(context, code):
+    try:
+        call_runner(context, "renew", FENCE, 0, 0.0, extend=False)
+    except EndpointCallError as error:
+        assert error.code == code, repr(error)
+    else:
+        raise AssertionError("the renewal was answered")
+
+
+@when(r"a client has its calls answered: (?P<calls>.+)")
+def step_impl(context, calls):
+    async def call_all():
+        client = PlatformEndpoint(context.runner_info, LEASE_S, ResponseTimes())
+        order = StartOrder(make_task_name(1), 1, "", FENCE)
+        actions = {
+            "start": lambda: client.start(order),
+            "hold": lambda: client.renew(FENCE, 0, 0.0, extend=False),
+            "hold with an extension": lambda: client.renew(FENCE, 0, 0.0, extend=True),
+        }
+        lasts_until_s = client.lease_lasts_until_s()
+        for name in calls.split(", "):
+            with patch.object(endpoints, "CALL_TIMEOUT_S", context.call_timeout_s):
+                await actions[name]()
+            if client.lease_lasts_until_s() > lasts_until_s:
+                context.extending_calls.append(name)
+            lasts_until_s = client.lease_lasts_until_s()
+        await client.close()
+
+    context.extending_calls = []
+    run(call_all)
+
+
+@then(r"the time until which its lease certainly lasts grows with: (?P<calls>.+)")
+def step_impl(context, calls):
+    assert context.extending_calls == calls.split(", "), context.extending_calls
+
+
 @given(r"response times of (?P<times>.+) s")
 def step_impl(context, times):
     context.response_times = ResponseTimes()
