Don't have a task wait for a faster endpoint that is too small for it

What callers saw: a job stayed queued, although an endpoint was free and its service nearly unused, until its objective was almost used up.

Cause: a task that would be late at each endpoint with room waits for a faster one. The fastest one was taken over all endpoints of the right label, also those whose whole capacity is below what the task needs. Nothing can free room there.

Evidence: in the new scenario a task of 20 cores is placed nowhere while an endpoint of 64 cores is unused, for a faster one of 8 cores.

Why the fix works: only endpoints that could run the task set the time that is worth waiting for. Waiting for one that could is as before.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -399,7 +399,7 @@
             run_time_s *= near.remote_factor
         if task.failed_endpoint_ids and endpoint_id in task.failed_endpoint_ids:
             run_time_s += FAILED_HERE_FACTOR * expected_s
-        if run_time_s < fastest_s:
+        if run_time_s < fastest_s and needs.fits(info.capacity):
             fastest_s = run_time_s
         if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id):
             continue
--- a/tests/durable/decisions/decisions.feature
+++ b/tests/durable/decisions/decisions.feature
@@ -91,6 +91,12 @@
     When a task of 20 cores that failed at "b" is placed
     Then it runs at "a"
 
+  Scenario: a task doesn't wait for a faster endpoint that is too small for it
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    When the capacity of endpoint "b" has shrunk to 8 cores
+    And a task of 20 cores with an objective of 0.2 s is placed
+    Then it runs at "a"
+
   Scenario: a run that is being stopped still uses resources
     Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
     When endpoint "b" has 50 cores in use by a run that is being stopped
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -436,12 +436,20 @@
     context.states[1].add_run(TaskName("x", 0, 0), 1, Resources(50_000))
 
 
-@when(r'a task of 20 cores(?: that failed at "(?P<failed_at>\w+)")? is placed')
-def step_impl(context, failed_at=None):
+@when(r'the capacity of endpoint "b" has shrunk to (?P<cores>\d+) cores')
+def step_impl(context, cores):
+    context.states[1] = make_state("b", cores)
+
+
+@when(
+    r'a task of 20 cores(?: that failed at "(?P<failed_at>\w+)")?'
+    r"(?: with an objective of (?P<objective_s>[\d.]+) s)? is placed"
+)
+def step_impl(context, failed_at=None, objective_s=None):
     job_table = JobTable()
     for number, fields in enumerate(getattr(context, "impossible", [])):
         open_job(job_table, f"first-{number}", age_s=0.1, **fields)
-    job = open_job(job_table, "j")
+    job = open_job(job_table, "j", objective_s=float(objective_s or 0.4))
     if failed_at:
         job.tasks[0, 0].failed_endpoint_ids.add(failed_at)
     place_all(context, job_table)
