Keep other jobs from a suspected task's endpoint for 2 s, not until it ends

What callers saw: after one crash of endpoints, accepted jobs stayed queued for as long as the long tasks of other jobs ran, while a third of the room was used.

Cause: a task under which an endpoint has crashed runs alone, and its endpoint was reserved for its job until nothing ran there any more. Where as many jobs lost a task as there are endpoints, each took one, and no other job could start.

Evidence: in the new scenario three tasks of 20 s that crashed together take all three endpoints, 20 of 64 cores each, and the next job begins after 19.9 s.

Why the fix works: the wait for a reserved endpoint is now bounded by 2 s, whatever the run time of the task. A task that crashes its endpoint soon after its start still has it for itself. One that does so later may take neighbours along, as one without a free endpoint always could; three crashes of any kind give it up as before. An endpoint is reserved anew only once its runs have ended.

Test that failed before: 'a job isn't kept from all endpoints until the long tasks of suspected jobs have ended'.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -401,7 +401,7 @@
             run_time_s += FAILED_HERE_FACTOR * expected_s
         if run_time_s < fastest_s and needs.fits(info.capacity):
             fastest_s = run_time_s
-        if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id):
+        if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id, now_s):
             continue
         remaining_millicores = endpoint.free_millicores - needs.cpu_millicores
         if remaining_millicores < 0 or not endpoint.has_room(needs):
@@ -447,7 +447,7 @@
             continue
         if not endpoint.may_start(now_s) or not endpoint.has_room(task.step.needs):
             continue
-        if endpoint.is_closed_to(job.spec.job_id):
+        if endpoint.is_closed_to(job.spec.job_id, now_s):
             continue
         if job.spec.is_durable and not endpoint.can_list_end(is_durable=True):
             continue
--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -26,6 +26,8 @@
 FAILURES_BEFORE_QUARANTINE = 2  # in a row, of tasks that have not failed on another endpoint
 # The longest time that an endpoint takes to stop a run whose resources the holder counts as free.
 NO_ROOM_PAUSE_S = 0.05
+# Other jobs wait meanwhile, though there is room beside the tasks that may crash the endpoint.
+RESERVATION_S = 2.0
 VANISHED_MEMORY_S = 30.0  # well above the time for which a holder may order runs by an old list
 # Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
 # and other jobs must go on while it doesn't answer.
@@ -220,8 +222,9 @@
     :ivar used: resources taken by all ``runs`` whose needs are known.
     :ivar unknown_runs: number of the other runs.
     :ivar occupancy: kinds of the ``runs`` over time.
-    :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves; empty for
-        none.
+    :ivar reserved_for: job whose tasks may crash the endpoint and get it for themselves at first;
+        empty for none.
+    :ivar reserved_until_s: monotonic time until which other jobs are kept from it.
     :ivar trust: how likely the endpoint is to fail its runs now.
     :ivar max_listed_ends: largest number of ends that the endpoint lists in a complete report.
     """
@@ -250,6 +253,7 @@
     unknown_runs: int = 0
     occupancy: Occupancy = field(default_factory=Occupancy)
     reserved_for: str = ""
+    reserved_until_s: float = -inf
     trust: EndpointTrust = field(default_factory=FailureTrust)
     max_listed_ends: float = inf
 
@@ -440,9 +444,14 @@
         """Returns whether the endpoint has no runs of other jobs."""
         return all(name.job_id == job_id for name, _ in self.runs)
 
-    def is_closed_to(self, job_id: str) -> bool:
-        """Returns whether the endpoint is reserved for another job."""
-        return bool(self.reserved_for) and self.reserved_for != job_id
+    def reserve(self, job_id: str, now_s: float) -> None:
+        """Keeps other jobs away for a while, once for as long as it runs tasks of the job."""
+        if self.reserved_for != job_id:
+            self.reserved_for, self.reserved_until_s = job_id, now_s + RESERVATION_S
+
+    def is_closed_to(self, job_id: str, now_s: float) -> bool:
+        """Returns whether the endpoint is reserved for another job now."""
+        return self.reserved_for not in ("", job_id) and now_s < self.reserved_until_s
 
     def note_failure(self, now_s: float) -> bool:
         """Counts a failure of a task that did not fail on another endpoint.
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -717,10 +717,10 @@
         self._tenure.spawn(self._start, task, endpoint, order)
 
     def _reserve_for_suspect(self, task: Task, endpoint: EndpointState, now_s: float) -> None:
-        """Keeps other jobs from an endpoint while it runs tasks that may crash it."""
+        """Keeps other jobs from an endpoint at first when it runs tasks that may crash it."""
         treatment, job_id = self.suspicion.treatment(task.name, now_s), task.name.job_id
         if should_reserve(treatment, endpoint, job_id, self.endpoints.values()):
-            endpoint.reserved_for = job_id
+            endpoint.reserve(job_id, now_s)
 
     @property
     def suspicion(self) -> Suspicion:
--- a/tests/durable/orders/crashes.feature
+++ b/tests/durable/orders/crashes.feature
@@ -73,3 +73,15 @@
     And durable job "k" of 1 task is submitted
     And 2 endpoint processes have crashed under job "k", which then crashes no others
     Then durable job "k" is shown as "completed" within 12 s
+
+  Scenario: a job isn't kept from all endpoints until the long tasks of suspected jobs have ended
+    Given time is simulated
+    And a group of 3 endpoints whose runs take 20 s
+    When a holder with fence 16 takes over
+    And durable job "a" of 1 task is submitted
+    And durable job "b" of 1 task is submitted
+    And durable job "c" of 1 task is submitted
+    And 1 s have passed
+    And the endpoint that runs jobs "a b c" crashes and is back after 0.3 s
+    And durable job "d" of 1 task is submitted
+    Then job "d" has begun within 3 s
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -134,7 +134,7 @@
         endpoint.add_run(task.name, task.run, task.step.needs)
         treatment, job_id = self.record.treatment(task.name, self.now_s), task.name.job_id
         if self.is_decided and should_reserve(treatment, endpoint, job_id, self.endpoints):
-            endpoint.reserved_for = job_id
+            endpoint.reserve(job_id, self.now_s)
         if task.name.job_id in self.deadly:
             if self.crashes_by_task[task.name] >= 3:
                 self.starts_after_three[task.name] += 1
