Fail a durable job for rejected orders only once no endpoint is untried

In a group of many endpoints two at fault failed every job of a queue with two attempts that met both; and while others were silent, leaving, evacuated or missing in the list, two at fault were 'all'.

Cause: note_rejected took both for proof that the content of the job is at fault. Best-effort jobs fail as before, since their callers wait.

Evidence: 'a durable job isn't failed by as many endpoints at fault as it has attempts' and the four examples of '... by the endpoints at fault while others <are away>' failed before ('failed' in place of 'completed'), and pass. Without the look at vanished endpoints the third example fails; without asking whether the others are listed, '... isn't kept open for endpoints that are gone' does; without the pause, '... are tried once at each endpoint, in turn' does.

Two scenarios asked for the fault and are replaced. 'orders that are rejected widely aren't tried at all endpoints of a large group' had a durable job fail after 3 of 8 endpoints: it is asked of a best-effort job with the same bounds, and a durable one must be rejected exactly three times at first, eight times in all, and fail then. 'a job whose orders endpoints reject ends beside a silent endpoint' had a durable job fail while the third endpoint was cut off: the durable one must be open then and fail once that has answered, and a best-effort one must end beside it.

Not taken: never to fail such a job (its caller would wait for ever for one that nobody can run); to share rejections between the tasks of a job (an order also carries the task's checkpoint).

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -14,7 +14,12 @@
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.jobs.crashes import NoSuspicion, Suspicion, Treatment
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
-from berylproxy.durable.jobs.models import DEFAULT_REMOTE_FACTOR, StepSpec, kind_of_task
+from berylproxy.durable.jobs.models import (
+    DEFAULT_REMOTE_FACTOR,
+    EndpointInfo,
+    StepSpec,
+    kind_of_task,
+)
 from berylproxy.durable.learning.estimates import RunTimeModel
 
 # An answer is late up to this multiple of the job's objective, and worthless after it.
@@ -226,7 +231,7 @@
         for job in waiting_jobs
         if (can_list_durable or not job.spec.is_durable)
         and any(
-            could_ever_fit(endpoint, task.step)
+            could_ever_fit(endpoint.info, task.step)
             for task in _first_waiting_tasks(job)
             for endpoint in usable
         )
@@ -254,7 +259,7 @@
                 continue
             if claim_confirmed_s < task.claim_needed_s:
                 continue
-            if not any(could_ever_fit(endpoint, task.step) for endpoint in usable):
+            if not any(could_ever_fit(endpoint.info, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
                 passed_steps.add(task.name.step)
                 continue
@@ -451,7 +456,7 @@
             continue
         if job.spec.is_durable and not endpoint.can_list_end(is_durable=True):
             continue
-        if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint, task.step):
+        if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint.info, task.step):
             continue
         if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
             continue
@@ -484,18 +489,18 @@
     )
 
 
-def could_ever_fit(endpoint: EndpointState, step: StepSpec) -> bool:
+def could_ever_fit(info: EndpointInfo, step: StepSpec) -> bool:
     """Returns whether an endpoint could run a task of a step if it had no other tasks."""
-    return _has_label(endpoint, step) and step.needs.fits(endpoint.info.capacity)
+    return _has_label(info, step) and step.needs.fits(info.capacity)
 
 
-def _has_label(endpoint: EndpointState, step: StepSpec) -> bool:
-    return not step.required_label or step.required_label in endpoint.info.labels
+def _has_label(info: EndpointInfo, step: StepSpec) -> bool:
+    return not step.required_label or step.required_label in info.labels
 
 
 def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
     """Returns how many tasks of a step fit into the free resources of an endpoint."""
-    if not could_ever_fit(endpoint, step):
+    if not could_ever_fit(endpoint.info, step):
         return 0
     free_resources, needs = endpoint.free_resources, step.needs
     counts = [
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -435,17 +435,19 @@
         instance: EndpointInstance,
         now_s: float,
         *,
-        has_untried_endpoint: bool,
+        has_untried: bool,
+        has_reachable_untried: bool,
     ) -> None:
         """Applies the answer that an endpoint can't execute an order as given.
 
-        It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
-        when as many endpoints as it has attempts, or all of them, have rejected its orders. One
-        endpoint alone proves nothing about a durable job. An order that would only be repeated
-        pauses, for a time that doubles.
+        It is no attempt, as no run has begun. The likely cause is the content of the job. A durable
+        job fails when all endpoints, two at least, have rejected its orders: some of them may be at
+        fault themselves. A best-effort job, whose caller waits, fails when as many as it has
+        attempts, or all that can be reached, have. A task that as many have rejected pauses before
+        each further order; the pause doubles where the order would only be repeated.
 
-        :param has_untried_endpoint: whether an endpoint that answers and hasn't rejected one could
-            run it.
+        :param has_untried: whether an endpoint that hasn't rejected one could run it, now or later.
+        :param has_reachable_untried: whether such an endpoint could run it now.
         """
         job = self.jobs[task.name.job_id]
         needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
@@ -454,16 +456,19 @@
         task.rejecting_endpoint_ids.add(instance.endpoint_id)
         task.failed_endpoint_ids.add(instance.endpoint_id)
         is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
-        needed_endpoints = MIN_REJECTING_ENDPOINTS if job.spec.is_durable else 1
-        is_rejected_by_all = (
-            not has_untried_endpoint and len(task.rejecting_endpoint_ids) >= needed_endpoints
-        )
-        if task.rejections >= needed and (is_rejected_widely or is_rejected_by_all):
+        if job.spec.is_durable:
+            has_enough = len(task.rejecting_endpoint_ids) >= MIN_REJECTING_ENDPOINTS
+            is_hopeless = has_enough and not has_untried
+        else:
+            is_hopeless = is_rejected_widely or not has_reachable_untried
+        if task.rejections >= needed and is_hopeless:
             self.fail(job, FailureCause.REJECTED_ORDERS)
             return
-        if is_repeated or not has_untried_endpoint:
+        if is_repeated or not has_reachable_untried:
             task.paused_until_s = now_s + task.rejection_pause_s
             task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+        elif is_rejected_widely:
+            task.paused_until_s = now_s + FIRST_REJECTION_PAUSE_S
         self.note_not_running(task)
 
     def note_carried_out(self, task: Task) -> set[str]:
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -841,16 +841,13 @@
         is_current = task.instance == instance and task.run == run
         if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        has_untried_endpoint = any(
-            other.is_staying
-            and not other.missed_calls
-            and could_ever_fit(other, task.step)
-            and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
-            for other in self.endpoints.values()
-            if other is not endpoint
-        )
+        untried = self._list_untried(task, instance)
         self._job_table.note_rejected(
-            task, instance, now_s, has_untried_endpoint=has_untried_endpoint
+            task,
+            instance,
+            now_s,
+            has_untried=bool(untried) or self._has_vanished_untried(task),
+            has_reachable_untried=any(e.is_staying and not e.missed_calls for e in untried),
         )
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
@@ -859,6 +856,32 @@
             self._tenure.spawn(self._place_after, task.paused_until_s - now_s)
         self.changed.set()
 
+    def _list_untried(self, task: Task, rejecting: EndpointInstance) -> list[EndpointState]:
+        """Lists the endpoints that could run a task, now or later, and haven't rejected its orders.
+
+        Silent ones may be cut off. For those that have left the list see
+        :meth:`_has_vanished_untried`.
+
+        :param rejecting: the endpoint that has just rejected one.
+        """
+        return [
+            endpoint
+            for instance, endpoint in self.endpoints.items()
+            if instance != rejecting
+            and endpoint.is_listed
+            and could_ever_fit(endpoint.info, task.step)
+            and instance.endpoint_id not in task.rejecting_endpoint_ids
+        ]
+
+    def _has_vanished_untried(self, task: Task) -> bool:
+        """Returns whether an endpoint that has left the list lately could run a task once back."""
+        return any(
+            self._is_in_group(info)
+            and could_ever_fit(info, task.step)
+            and info.instance.endpoint_id not in task.rejecting_endpoint_ids
+            for info in self._endpoint_list.list_vanished(-inf)
+        )
+
     async def _place_after(self, pause_s: float) -> None:
         """Has waiting tasks placed after a pause."""
         await sleep(pause_s)
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -250,6 +250,38 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'all endpoints but the last reject every order of job "(?P<name>\w+)"')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints[:-1]:
+        endpoint.rejected_jobs.add(name)
+
+
+@when(r"endpoints 3 and 4 are (?P<absence>silent|leaving|missing in the list|in an evacuated zone)")
+def step_impl(context, absence):
+    world = context.holder_world
+    for endpoint in world.endpoints[2:4]:
+        if absence == "silent":
+            endpoint.cut_fences.add(world.newest_fence)
+        elif absence == "leaving":
+            endpoint.info = replace(endpoint.info, leaving=True)
+        elif absence == "missing in the list":
+            world.directory.endpoints = world.endpoints[:2]
+        else:
+            endpoint.info = replace(endpoint.info, failure_domain="b")
+            world.evacuations.names = frozenset({"b"})
+    sleep(2 * LIST_INTERVAL_S)
+
+
+@when(r"endpoints 3 and 4 are back")
+def step_impl(context):
+    world = context.holder_world
+    for endpoint in world.endpoints[2:4]:
+        endpoint.cut_fences.clear()
+        endpoint.info = replace(endpoint.info, leaving=False)
+    world.directory.endpoints = world.endpoints
+    world.evacuations.names = frozenset()
+
+
 @given(r'the first run of job "(?P<name>\w+)" at each other endpoint fails')
 def step_impl(context, name):
     for endpoint in context.holder_world.endpoints[2:]:
@@ -274,6 +306,12 @@
     assert 0 < rejections <= int(count), rejections
 
 
+@then(r"the endpoints have rejected at most (?P<count>\d+) orders altogether")
+def step_impl(context, count):
+    rejections = [endpoint.rejections for endpoint in context.holder_world.endpoints]
+    assert 0 < sum(rejections) <= int(count), rejections
+
+
 @then(r"the endpoints have rejected (?P<count>\d+) orders altogether")
 def step_impl(context, count):
     rejections = [endpoint.rejections for endpoint in context.holder_world.endpoints]
