Have orders that lack a ticket wait instead of counting as rejected

Callers would see a kept job as 'failed', though no run has failed, once its queue's policy asks for tickets: jobs of such a queue are refused at submission, but those that were accepted before the configuration changed are ordered without one.

Cause: the answer 409 with the reason 'ticket' was decoded like 400. But it says nothing of the job's content, and all endpoints give it, so that all have rejected the job within seconds. It is an outcome of its own now ('no_ticket'); the task pauses, from 0.5 s doubling to 4 s, and neither job nor endpoint is blamed. It isn't one of the refusals for an unknown reason, as these close the endpoint to other queues for a moment and are repeated some 20 times a second. A best-effort job waits as long as its caller.

Evidence: 'a durable job isn't failed by orders that are rejected for want of a ticket' failed before ('failed') and passes. wire.feature asked for 'invalid' in its row of this reason, which was the fault; it asks for 'no_ticket'.

--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -465,12 +465,23 @@
             self.fail(job, FailureCause.REJECTED_ORDERS)
             return
         if is_repeated or not has_reachable_untried:
-            task.paused_until_s = now_s + task.rejection_pause_s
-            task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+            self._pause(task, now_s)
         elif is_rejected_widely:
             task.paused_until_s = now_s + FIRST_REJECTION_PAUSE_S
         self.note_not_running(task)
 
+    def note_not_permitted(self, task: Task, now_s: float) -> None:
+        """Applies the answer that the policy of the task's queue doesn't permit its start.
+
+        That says nothing of the job's content: the task pauses, for a time that doubles.
+        """
+        self._pause(task, now_s)
+        self.note_not_running(task)
+
+    def _pause(self, task: Task, now_s: float) -> None:
+        task.paused_until_s = now_s + task.rejection_pause_s
+        task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+
     def note_carried_out(self, task: Task) -> set[str]:
         """Applies that an endpoint carries out an order: the job's content isn't at fault.
 
--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -38,6 +38,7 @@
     NO_ROOM = "no_room"
     UNHEALTHY = "unhealthy"
     REFUSED = "refused"  # for a reason that this version doesn't know
+    NO_TICKET = "no_ticket"  # the queue's policy has to permit it first
     INVALID = "invalid"  # the endpoint can't execute the order as given
     OTHER_INSTANCE = "other_life"
     NOT_SENT = "not_sent"
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -821,8 +821,8 @@
             self._crash_watch.note_restarted(endpoint, RestartSign.ORDER_REJECTED)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
-        if outcome is StartOutcome.INVALID:
-            self._handle_rejected_order(task, endpoint, run, now_s)
+        if outcome in (StartOutcome.INVALID, StartOutcome.NO_TICKET):
+            self._handle_rejected_order(task, endpoint, run, outcome, now_s)
             return
         if outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
             endpoint.note_no_room(now_s)
@@ -832,23 +832,31 @@
         self.changed.set()
 
     def _handle_rejected_order(
-        self, task: Task, endpoint: EndpointState, run: int, now_s: float
+        self,
+        task: Task,
+        endpoint: EndpointState,
+        run: int,
+        outcome: StartOutcome,
+        now_s: float,
     ) -> None:
-        """Has an order that an endpoint rejects as invalid tried at other endpoints."""
+        """Has a rejected order tried again: one that is invalid by that endpoint, at others."""
         instance = endpoint.info.instance
         endpoint.remove_run(task.name, run)
         self._neighbours.note_runs(endpoint, now_s)
         is_current = task.instance == instance and task.run == run
         if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        untried = self._list_untried(task, instance)
-        self._job_table.note_rejected(
-            task,
-            instance,
-            now_s,
-            has_untried=bool(untried) or self._has_vanished_untried(task),
-            has_reachable_untried=any(e.is_staying and not e.missed_calls for e in untried),
-        )
+        if outcome is StartOutcome.NO_TICKET:
+            self._job_table.note_not_permitted(task, now_s)
+        else:
+            untried = self._list_untried(task, instance)
+            self._job_table.note_rejected(
+                task,
+                instance,
+                now_s,
+                has_untried=bool(untried) or self._has_vanished_untried(task),
+                has_reachable_untried=any(e.is_staying and not e.missed_calls for e in untried),
+            )
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -53,7 +53,7 @@
     "old": StartOutcome.RUN_TOO_OLD,
     "late": StartOutcome.TOO_LATE,
     "room": StartOutcome.NO_ROOM,
-    "ticket": StartOutcome.INVALID,
+    "ticket": StartOutcome.NO_TICKET,
 }
 
 # Outcomes of a start order that hold whatever becomes of another copy of the order.
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -17,6 +17,7 @@
     TaskName,
 )
 from berylproxy.durable.jobs.ports import StartOrder, StartOutcome
+from berylproxy.platform.endpoints import REFUSALS
 
 
 @dataclass
@@ -58,8 +59,9 @@
     :ivar highest_runs: highest run number by task that was started or stopped; a start needs a
         higher one.
     :ivar rejected_jobs: identifiers of jobs whose orders are rejected as malformed.
+    :ivar ticket_jobs: identifiers of jobs whose orders are rejected for want of a ticket.
     :ivar refused_starts: number of the next starts that are refused for an unknown reason.
-    :ivar rejections: number of orders that were rejected as malformed.
+    :ivar rejections: number of orders that were rejected as malformed or for want of a ticket.
     :ivar failing_runs: number of the next runs of a job that fail, by its identifier.
     :ivar changed: event that is set and replaced by a new one at each end of a run.
     :ivar on_event: called with each entry of the history.
@@ -99,6 +101,7 @@
     history: list = field(default_factory=list)
     end_kinds_by_job: dict = field(default_factory=dict)
     rejected_jobs: set = field(default_factory=set)
+    ticket_jobs: set = field(default_factory=set)
     refused_starts: int = 0
     rejections: int = 0
     failing_runs: dict = field(default_factory=dict)
@@ -226,6 +229,9 @@
         if self.refused_starts:
             self.refused_starts -= 1
             return StartOutcome.REFUSED
+        if order.name.job_id in self.ticket_jobs:
+            self.rejections += 1
+            return REFUSALS["ticket"]
         if order.name.job_id in self.rejected_jobs:
             self.rejections += 1
             return StartOutcome.INVALID
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -154,6 +154,21 @@
     And durable job "a" of 1 task is submitted
     Then durable job "a" is shown as "failed" within 40 s
 
+  Scenario: a durable job isn't failed by orders that are rejected for want of a ticket
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And every order of job "k" is rejected for want of a ticket
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "k" of 1 task is submitted
+    And 20 s have passed
+    Then the endpoints have rejected at most 9 orders altogether
+    When orders of job "k" need no ticket any more
+    And job "b" of 1 task is submitted
+    Then job "b" ends as "completed" within 1 s
+    And no endpoint is quarantined
+    And durable job "k" is shown as "completed" within 5 s
+
   Scenario: best-effort orders that are rejected widely aren't tried at all endpoints of a group
     Given time is simulated
     And a group of 8 endpoints whose runs take 0.1 s
--- a/tests/platform/wire.feature
+++ b/tests/platform/wire.feature
@@ -84,7 +84,7 @@
       | 409    | room   | no_room     |
       | 409    | old    | run_too_old |
       | 409    | fence  | fenced_off  |
-      | 409    | ticket | invalid     |
+      | 409    | ticket | no_ticket   |
       | 409    | paused | refused     |
       | 409    |        | refused     |
       | 421    |        | other_life  |
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -227,6 +227,18 @@
         endpoint.rejected_jobs.add(name)
 
 
+@given(r'every order of job "(?P<name>\w+)" is rejected for want of a ticket')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.ticket_jobs.add(name)
+
+
+@when(r'orders of job "(?P<name>\w+)" need no ticket any more')
+def step_impl(context, name):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.ticket_jobs.discard(name)
+
+
 @given(r'endpoint 1 rejects every order of job "(?P<name>\w+)"')
 def step_impl(context, name):
     context.holder_world.endpoints[0].rejected_jobs.add(name)
