Count a new process of an endpoint as untried by a job whose orders were rejected

Callers saw a kept job as 'failed', and no run has failed, although an endpoint that had rejected its order had been replaced meanwhile by a sound process under the same identifier.

Cause: rejections were kept by the endpoint's identifier. They are kept by instance now; as many endpoints as a job has attempts are still counted by identifier, so that one that restarts doesn't count twice. Where all endpoints have failed or rejected a task, the order went to the first of equals each time, so that the new process wasn't reached: one that has rejected an order of the task costs more than one that only bears the identifier.

Evidence: 'a durable job isn't failed while a new process of an endpoint at fault may run it' failed before ('failed'), and also without the change of placement ('running' after 7 s); it passes with both.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -31,6 +31,8 @@
 COLD_SHARE = 1.0
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
+# The same, in addition, at an endpoint that has rejected an order of the task.
+REJECTED_HERE_FACTOR = 10.0
 # Cost of a failure in expected run times: the next run, or the job at the last attempt.
 RETRY_FACTOR = 1.0
 LAST_ATTEMPT_FACTOR = 10.0
@@ -404,6 +406,8 @@
             run_time_s *= near.remote_factor
         if task.failed_endpoint_ids and endpoint_id in task.failed_endpoint_ids:
             run_time_s += FAILED_HERE_FACTOR * expected_s
+            if info.instance in task.rejecting_instances:
+                run_time_s += REJECTED_HERE_FACTOR * expected_s
         if run_time_s < fastest_s:
             fastest_s = run_time_s
         if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id):
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -65,7 +65,7 @@
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed, or that have
         rejected its orders.
     :ivar rejections: number of orders that endpoints rejected as invalid.
-    :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
+    :ivar rejecting_instances: the endpoints that rejected them.
     :ivar paused_until_s: monotonic time before which its start isn't ordered.
     :ivar claim_needed_s: monotonic time at which the holder's claim must have been in force for its
         start to be ordered.
@@ -93,7 +93,7 @@
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
     rejections: int = 0
-    rejecting_endpoint_ids: set[str] = field(default_factory=set)
+    rejecting_instances: set[EndpointInstance] = field(default_factory=set)
     paused_until_s: float = 0.0
     claim_needed_s: float = -inf
     rejection_pause_s: float = FIRST_REJECTION_PAUSE_S
@@ -104,6 +104,11 @@
     moves: int = 0
     work_s: float = 0.0
 
+    @property
+    def rejecting_endpoint_ids(self) -> set[str]:
+        """Identifiers of the endpoints that rejected its orders."""
+        return {instance.endpoint_id for instance in self.rejecting_instances}
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -451,14 +456,14 @@
         """
         job = self.jobs[task.name.job_id]
         needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
-        is_repeated = instance.endpoint_id in task.rejecting_endpoint_ids
+        is_repeated = instance in task.rejecting_instances
         task.rejections += 1
-        task.rejecting_endpoint_ids.add(instance.endpoint_id)
+        task.rejecting_instances.add(instance)
         task.failed_endpoint_ids.add(instance.endpoint_id)
-        is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
+        rejecting_endpoints = len(task.rejecting_endpoint_ids)
+        is_rejected_widely = rejecting_endpoints >= needed
         if job.spec.is_durable:
-            has_enough = len(task.rejecting_endpoint_ids) >= MIN_REJECTING_ENDPOINTS
-            is_hopeless = has_enough and not has_untried
+            is_hopeless = rejecting_endpoints >= MIN_REJECTING_ENDPOINTS and not has_untried
         else:
             is_hopeless = is_rejected_widely or not has_reachable_untried
         if task.rejections >= needed and is_hopeless:
@@ -493,7 +498,7 @@
             return set()
         to_blame = task.rejecting_endpoint_ids - job.blamed_endpoint_ids
         job.blamed_endpoint_ids |= to_blame
-        task.rejections, task.rejecting_endpoint_ids = 0, set()
+        task.rejections, task.rejecting_instances = 0, set()
         task.rejection_pause_s = FIRST_REJECTION_PAUSE_S
         return to_blame
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -878,7 +878,7 @@
             if instance != rejecting
             and endpoint.is_listed
             and could_ever_fit(endpoint.info, task.step)
-            and instance.endpoint_id not in task.rejecting_endpoint_ids
+            and instance not in task.rejecting_instances
         ]
 
     def _has_vanished_untried(self, task: Task) -> bool:
@@ -886,7 +886,7 @@
         return any(
             self._is_in_group(info)
             and could_ever_fit(info, task.step)
-            and info.instance.endpoint_id not in task.rejecting_endpoint_ids
+            and info.instance not in task.rejecting_instances
             for info in self._endpoint_list.list_vanished(-inf)
         )
 
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -143,6 +143,16 @@
       | are missing in the list  |
       | are in an evacuated zone |
 
+  Scenario: a durable job isn't failed while a new process of an endpoint at fault may run it
+    Given time is simulated
+    And a group of 2 endpoints whose runs take 0.1 s
+    And endpoints 1 and 2 reject every order of job "k"
+    When a holder with fence 16 takes over
+    And 0.5 s have passed
+    And durable job "k" of 1 task is submitted
+    And the process of endpoint 2 is replaced under its identifier by one that rejects nothing
+    Then durable job "k" is shown as "completed" within 7 s
+
   Scenario: a durable job whose orders endpoints reject isn't kept open for endpoints that are gone
     Given time is simulated
     And a group of 4 endpoints whose runs take 0.1 s
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -284,6 +284,13 @@
     sleep(2 * LIST_INTERVAL_S)
 
 
+@when(r"the process of endpoint 2 is replaced under its identifier by one that rejects nothing")
+def step_impl(context):
+    endpoint = context.holder_world.endpoints[1]
+    endpoint.rejected_jobs.clear()
+    context.holder_world.portal.call(endpoint.restart)
+
+
 @when(r"endpoints 3 and 4 are back")
 def step_impl(context):
     world = context.holder_world
