--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -14,7 +14,12 @@
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.jobs.crashes import NoSuspicion, Suspicion, Treatment
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
-from berylproxy.durable.jobs.models import DEFAULT_REMOTE_FACTOR, StepSpec, kind_of_task
+from berylproxy.durable.jobs.models import (
+    DEFAULT_REMOTE_FACTOR,
+    EndpointInfo,
+    StepSpec,
+    kind_of_task,
+)
 from berylproxy.durable.learning.estimates import RunTimeModel
 
 # An answer is late up to this multiple of the job's objective, and worthless after it.
@@ -26,6 +31,8 @@
 COLD_SHARE = 1.0
 # A task's expected run time is added this many times on an endpoint where the task failed before.
 FAILED_HERE_FACTOR = 10.0
+# The same, in addition, at an endpoint that has rejected an order of the task.
+REJECTED_HERE_FACTOR = 10.0
 # Cost of a failure in expected run times: the next run, or the job at the last attempt.
 RETRY_FACTOR = 1.0
 LAST_ATTEMPT_FACTOR = 10.0
@@ -226,7 +233,7 @@
         for job in waiting_jobs
         if (can_list_durable or not job.spec.is_durable)
         and any(
-            could_ever_fit(endpoint, task.step)
+            could_ever_fit(endpoint.info, task.step)
             for task in _first_waiting_tasks(job)
             for endpoint in usable
         )
@@ -254,7 +261,7 @@
                 continue
             if claim_confirmed_s < task.claim_needed_s:
                 continue
-            if not any(could_ever_fit(endpoint, task.step) for endpoint in usable):
+            if not any(could_ever_fit(endpoint.info, task.step) for endpoint in usable):
                 # Not a skipped job: only jobs that wait for free resources count for the limit.
                 passed_steps.add(task.name.step)
                 continue
@@ -399,6 +406,8 @@
             run_time_s *= near.remote_factor
         if task.failed_endpoint_ids and endpoint_id in task.failed_endpoint_ids:
             run_time_s += FAILED_HERE_FACTOR * expected_s
+            if info.instance in task.rejecting_instances:
+                run_time_s += REJECTED_HERE_FACTOR * expected_s
         if run_time_s < fastest_s and needs.fits(info.capacity):
             fastest_s = run_time_s
         if endpoint.reserved_for and endpoint.is_closed_to(job.spec.job_id, now_s):
@@ -451,7 +460,7 @@
             continue
         if job.spec.is_durable and not endpoint.can_list_end(is_durable=True):
             continue
-        if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint, task.step):
+        if endpoint_id in task.failed_endpoint_ids or not could_ever_fit(endpoint.info, task.step):
             continue
         if endpoint.trust.failure_probability(now_s) >= LAST_ATTEMPT_RISK:
             continue
@@ -484,18 +493,18 @@
     )
 
 
-def could_ever_fit(endpoint: EndpointState, step: StepSpec) -> bool:
+def could_ever_fit(info: EndpointInfo, step: StepSpec) -> bool:
     """Returns whether an endpoint could run a task of a step if it had no other tasks."""
-    return _has_label(endpoint, step) and step.needs.fits(endpoint.info.capacity)
+    return _has_label(info, step) and step.needs.fits(info.capacity)
 
 
-def _has_label(endpoint: EndpointState, step: StepSpec) -> bool:
-    return not step.required_label or step.required_label in endpoint.info.labels
+def _has_label(info: EndpointInfo, step: StepSpec) -> bool:
+    return not step.required_label or step.required_label in info.labels
 
 
 def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
     """Returns how many tasks of a step fit into the free resources of an endpoint."""
-    if not could_ever_fit(endpoint, step):
+    if not could_ever_fit(endpoint.info, step):
         return 0
     free_resources, needs = endpoint.free_resources, step.needs
     counts = [
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -65,7 +65,7 @@
     :ivar failed_endpoint_ids: identifiers of the endpoints where runs have failed, or that have
         rejected its orders.
     :ivar rejections: number of orders that endpoints rejected as invalid.
-    :ivar rejecting_endpoint_ids: identifiers of the endpoints that rejected them.
+    :ivar rejecting_instances: the endpoints that rejected them.
     :ivar paused_until_s: monotonic time before which its start isn't ordered.
     :ivar claim_needed_s: monotonic time at which the holder's claim must have been in force for its
         start to be ordered.
@@ -93,7 +93,7 @@
     failed_runs: set[int] = field(default_factory=set)
     failed_endpoint_ids: set[str] = field(default_factory=set)
     rejections: int = 0
-    rejecting_endpoint_ids: set[str] = field(default_factory=set)
+    rejecting_instances: set[EndpointInstance] = field(default_factory=set)
     paused_until_s: float = 0.0
     claim_needed_s: float = -inf
     rejection_pause_s: float = FIRST_REJECTION_PAUSE_S
@@ -104,6 +104,11 @@
     moves: int = 0
     work_s: float = 0.0
 
+    @property
+    def rejecting_endpoint_ids(self) -> set[str]:
+        """Identifiers of the endpoints that rejected its orders."""
+        return {instance.endpoint_id for instance in self.rejecting_instances}
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -435,37 +440,53 @@
         instance: EndpointInstance,
         now_s: float,
         *,
-        has_untried_endpoint: bool,
+        has_untried: bool,
+        has_reachable_untried: bool,
     ) -> None:
         """Applies the answer that an endpoint can't execute an order as given.
 
-        It is no attempt, as no run has begun. The likely cause is the content of the job; it fails
-        when as many endpoints as it has attempts, or all of them, have rejected its orders. One
-        endpoint alone proves nothing about a durable job. An order that would only be repeated
-        pauses, for a time that doubles.
+        It is no attempt, as no run has begun. The likely cause is the content of the job. A durable
+        job fails when all endpoints, two at least, have rejected its orders: some of them may be at
+        fault themselves. A best-effort job, whose caller waits, fails when as many as it has
+        attempts, or all that can be reached, have. A task that as many have rejected pauses before
+        each further order; the pause doubles where the order would only be repeated.
 
-        :param has_untried_endpoint: whether an endpoint that answers and hasn't rejected one could
-            run it.
+        :param has_untried: whether an endpoint that hasn't rejected one could run it, now or later.
+        :param has_reachable_untried: whether such an endpoint could run it now.
         """
         job = self.jobs[task.name.job_id]
         needed = max(job.spec.terms.max_attempts, MIN_REJECTIONS)
-        is_repeated = instance.endpoint_id in task.rejecting_endpoint_ids
+        is_repeated = instance in task.rejecting_instances
         task.rejections += 1
-        task.rejecting_endpoint_ids.add(instance.endpoint_id)
+        task.rejecting_instances.add(instance)
         task.failed_endpoint_ids.add(instance.endpoint_id)
-        is_rejected_widely = len(task.rejecting_endpoint_ids) >= needed
-        needed_endpoints = MIN_REJECTING_ENDPOINTS if job.spec.is_durable else 1
-        is_rejected_by_all = (
-            not has_untried_endpoint and len(task.rejecting_endpoint_ids) >= needed_endpoints
-        )
-        if task.rejections >= needed and (is_rejected_widely or is_rejected_by_all):
+        rejecting_endpoints = len(task.rejecting_endpoint_ids)
+        is_rejected_widely = rejecting_endpoints >= needed
+        if job.spec.is_durable:
+            is_hopeless = rejecting_endpoints >= MIN_REJECTING_ENDPOINTS and not has_untried
+        else:
+            is_hopeless = is_rejected_widely or not has_reachable_untried
+        if task.rejections >= needed and is_hopeless:
             self.fail(job, FailureCause.REJECTED_ORDERS)
             return
-        if is_repeated or not has_untried_endpoint:
-            task.paused_until_s = now_s + task.rejection_pause_s
-            task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+        if is_repeated or not has_reachable_untried:
+            self._pause(task, now_s)
+        elif is_rejected_widely:
+            task.paused_until_s = now_s + FIRST_REJECTION_PAUSE_S
         self.note_not_running(task)
 
+    def note_not_permitted(self, task: Task, now_s: float) -> None:
+        """Applies the answer that the policy of the task's queue doesn't permit its start.
+
+        That says nothing of the job's content: the task pauses, for a time that doubles.
+        """
+        self._pause(task, now_s)
+        self.note_not_running(task)
+
+    def _pause(self, task: Task, now_s: float) -> None:
+        task.paused_until_s = now_s + task.rejection_pause_s
+        task.rejection_pause_s = min(2 * task.rejection_pause_s, LONGEST_REJECTION_PAUSE_S)
+
     def note_carried_out(self, task: Task) -> set[str]:
         """Applies that an endpoint carries out an order: the job's content isn't at fault.
 
@@ -477,7 +498,7 @@
             return set()
         to_blame = task.rejecting_endpoint_ids - job.blamed_endpoint_ids
         job.blamed_endpoint_ids |= to_blame
-        task.rejections, task.rejecting_endpoint_ids = 0, set()
+        task.rejections, task.rejecting_instances = 0, set()
         task.rejection_pause_s = FIRST_REJECTION_PAUSE_S
         return to_blame
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -830,8 +830,8 @@
             self._crash_watch.note_restarted(endpoint, RestartSign.ORDER_REJECTED)
             self._remove_endpoint(endpoint, "another instance answers at its address")
             return
-        if outcome is StartOutcome.INVALID:
-            self._handle_rejected_order(task, endpoint, run, now_s)
+        if outcome in (StartOutcome.INVALID, StartOutcome.NO_TICKET):
+            self._handle_rejected_order(task, endpoint, run, outcome, now_s)
             return
         if outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
             endpoint.note_no_room(now_s)
@@ -841,26 +841,31 @@
         self.changed.set()
 
     def _handle_rejected_order(
-        self, task: Task, endpoint: EndpointState, run: int, now_s: float
+        self,
+        task: Task,
+        endpoint: EndpointState,
+        run: int,
+        outcome: StartOutcome,
+        now_s: float,
     ) -> None:
-        """Has an order that an endpoint rejects as invalid tried at other endpoints."""
+        """Has a rejected order tried again: one that is invalid by that endpoint, at others."""
         instance = endpoint.info.instance
         endpoint.remove_run(task.name, run)
         self._neighbours.note_runs(endpoint, now_s)
         is_current = task.instance == instance and task.run == run
         if self._job_table.find_task(task.name) is not task or not is_current:
             return
-        has_untried_endpoint = any(
-            other.is_staying
-            and not other.missed_calls
-            and could_ever_fit(other, task.step)
-            and other.info.instance.endpoint_id not in task.rejecting_endpoint_ids
-            for other in self.endpoints.values()
-            if other is not endpoint
-        )
-        self._job_table.note_rejected(
-            task, instance, now_s, has_untried_endpoint=has_untried_endpoint
-        )
+        if outcome is StartOutcome.NO_TICKET:
+            self._job_table.note_not_permitted(task, now_s)
+        else:
+            untried = self._list_untried(task, instance)
+            self._job_table.note_rejected(
+                task,
+                instance,
+                now_s,
+                has_untried=bool(untried) or self._has_vanished_untried(task),
+                has_reachable_untried=any(e.is_staying and not e.missed_calls for e in untried),
+            )
         job = self._job_table.jobs[task.name.job_id]
         if job.is_final:
             self._on_final(job)
@@ -868,6 +873,32 @@
             self._tenure.spawn(self._place_after, task.paused_until_s - now_s)
         self.changed.set()
 
+    def _list_untried(self, task: Task, rejecting: EndpointInstance) -> list[EndpointState]:
+        """Lists the endpoints that could run a task, now or later, and haven't rejected its orders.
+
+        Silent ones may be cut off. For those that have left the list see
+        :meth:`_has_vanished_untried`.
+
+        :param rejecting: the endpoint that has just rejected one.
+        """
+        return [
+            endpoint
+            for instance, endpoint in self.endpoints.items()
+            if instance != rejecting
+            and endpoint.is_listed
+            and could_ever_fit(endpoint.info, task.step)
+            and instance not in task.rejecting_instances
+        ]
+
+    def _has_vanished_untried(self, task: Task) -> bool:
+        """Returns whether an endpoint that has left the list lately could run a task once back."""
+        return any(
+            self._is_in_group(info)
+            and could_ever_fit(info, task.step)
+            and info.instance not in task.rejecting_instances
+            for info in self._endpoint_list.list_vanished(-inf)
+        )
+
     async def _place_after(self, pause_s: float) -> None:
         """Has waiting tasks placed after a pause."""
         await sleep(pause_s)
