Don't fail a job for crashes after orders that weren't answered

What callers saw: a kept job was shown as 'failed', and no task had failed so often; of some of these jobs no run had ever begun.

Cause: an order without an answer counted as a run that may have begun, as soon as another process answered at the address; four of these failed the job. An idle endpoint isn't polled, so most of these processes were down when the order was sent.

Change: such a run is doubtful (Evidence.DOUBTFUL). It makes the task suspect, so that it is tried apart from others, and counts for nothing. A possible crash is one under a run that the endpoint had confirmed.

Cost, open: a task that ends each process before that answers the order is no longer given up.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -172,8 +172,10 @@
         """What is known of the run in case the endpoint is lost."""
         if self.has_begun and self.stop_confirmed_s == inf:
             return Evidence.BEGUN
-        is_possible = self.is_uncertain or min(self.confirmed_s, self.stop_confirmed_s) < inf
-        return Evidence.POSSIBLE if is_possible else Evidence.ORDERED
+        if self.confirmed_s < inf:
+            return Evidence.POSSIBLE
+        has_outcome = self.is_uncertain or self.stop_confirmed_s < inf
+        return Evidence.DOUBTFUL if has_outcome else Evidence.ORDERED
 
     def note_confirmed(self, now_s: float) -> None:
         """Records that the endpoint's present process runs it, by its answer to the order."""
--- a/berylproxy/durable/jobs/crashes.py
+++ b/berylproxy/durable/jobs/crashes.py
@@ -34,7 +34,8 @@
     """What is known of a run at an endpoint, in case the endpoint is lost."""
 
     ORDERED = auto()  # its order has no outcome yet
-    POSSIBLE = auto()  # it may not have begun there, or may have ended
+    DOUBTFUL = auto()  # its order wasn't answered: the process may have been down already
+    POSSIBLE = auto()  # the endpoint has confirmed it, but it may have ended before the process
     BEGUN = auto()  # the process that is lost had confirmed it
 
 
@@ -170,17 +171,18 @@
         return self._convict(loss.suspects)
 
     def note_outcome(
-        self, instance: EndpointInstance, name: TaskName, *, may_have_begun: bool
+        self, instance: EndpointInstance, name: TaskName, evidence: Evidence | None
     ) -> list[TaskName]:
         """Records the outcome of an order that had none when its endpoint was lost.
 
+        :param evidence: what is known of the run now; ``None`` if it has certainly not begun.
         :return: the tasks that are to blame, if they are known by this.
         """
         loss = self._losses.get(instance)
         if loss is None or loss.suspects.get(name) is not Evidence.ORDERED:
             return []
-        if may_have_begun:
-            loss.suspects[name] = Evidence.POSSIBLE
+        if evidence is not None:
+            loss.suspects[name] = evidence
         else:
             del loss.suspects[name]
             self._remove_from_record(name, loss)
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -119,11 +119,14 @@
                     self._note_crashed(former, None, RestartSign.LISTED)
 
     def note_outcome(
-        self, endpoint: EndpointState, name: TaskName, *, may_have_begun: bool
+        self, endpoint: EndpointState, name: TaskName, evidence: Evidence | None
     ) -> None:
-        """Records the outcome of an order, which may have come after the endpoint was lost."""
+        """Records the outcome of an order, which may have come after the endpoint was lost.
+
+        :param evidence: what is known of the run now; ``None`` if it has certainly not begun.
+        """
         instance = endpoint.info.instance
-        convicted = self.record.note_outcome(instance, name, may_have_begun=may_have_begun)
+        convicted = self.record.note_outcome(instance, name, evidence)
         self._update_tasks(self.record.suspects(instance))
         self._fail_jobs(convicted)
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -12,7 +12,7 @@
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
-from berylproxy.durable.jobs.crashes import Suspicion
+from berylproxy.durable.jobs.crashes import Evidence, Suspicion
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
 from berylproxy.durable.jobs.models import (
     CompleteReport,
@@ -779,7 +779,7 @@
         endpoint_run = endpoint.runs.get((task.name, run))
         if outcome is StartOutcome.STARTED:
             if endpoint_run is None:
-                self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=True)
+                self._crash_watch.note_outcome(endpoint, task.name, Evidence.POSSIBLE)
             else:
                 endpoint_run.note_confirmed(now_s)
                 self._blame_for_rejections(task, now_s)
@@ -815,8 +815,8 @@
         if outcome is StartOutcome.FENCED_OFF:
             self._tenure.end("an endpoint has accepted a higher fence")
             return
-        may_have_begun = outcome is StartOutcome.UNKNOWN
-        self._crash_watch.note_outcome(endpoint, task.name, may_have_begun=may_have_begun)
+        evidence = Evidence.DOUBTFUL if outcome is StartOutcome.UNKNOWN else None
+        self._crash_watch.note_outcome(endpoint, task.name, evidence)
         if outcome is StartOutcome.UNKNOWN:
             if endpoint_run is not None and endpoint_run.confirmed_s == inf:
                 endpoint_run.is_uncertain = True
--- a/tests/durable/jobs/crash_decisions.feature
+++ b/tests/durable/jobs/crash_decisions.feature
@@ -75,6 +75,15 @@
     When "e4" crashes under "a", which may not have begun
     Then job "a" is convicted
 
+  Scenario: crashes after orders that weren't answered don't convict, but make a task suspect
+    When "e1" crashes under "a", whose order wasn't answered
+    And "e2" crashes under "a", whose order wasn't answered
+    And "e3" crashes under "a", whose order wasn't answered
+    And "e4" crashes under "a", whose order wasn't answered
+    And "e5" crashes under "a", which may not have begun
+    Then no job is convicted
+    And task "a" is to be tried "alone"
+
   Scenario: crashes of endpoints whose orders have no outcome make no task suspect
     When "e1" crashes under "a", whose order has no outcome
     And "e2" crashes under "a", whose order has no outcome
--- a/tests/steps/durable_crashes_steps.py
+++ b/tests/steps/durable_crashes_steps.py
@@ -138,6 +138,18 @@
     context.holder_world.portal.start_task_soon(_replace_after_lapse, endpoint)
 
 
+@when(r"all endpoints crash and are back after (?P<down_s>\S+) s")
+def step_impl(context, down_s):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.down_s = float(down_s)
+        context.holder_world.portal.call(endpoint.crash)
+
+
+@when(r"(?P<count>\d+) endpoints have been replaced")
+def step_impl(context, count):
+    wait_for(lambda: count_crashes(context) >= int(count), f"{count} new processes")
+
+
 def _cut_off(world, name):
     """Cuts off the endpoint that runs a job and returns it."""
 
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -62,6 +62,9 @@
             await sleep(endpoint.late_by_s)
             endpoint.start(order, self._lease_end_s)
             return StartOutcome.UNKNOWN
+        if endpoint.is_down and endpoint.is_silent_when_down:
+            await sleep(CALL_TIMEOUT_S)
+            return StartOutcome.UNKNOWN
         if self._is_rejected():
             return StartOutcome.OTHER_INSTANCE
         if endpoint.crashing_starts:
