Take the end of a process for a crash under its runs only right after an answer

Cause: asked whether the lease could have lapsed. A run may end sooner than that; and the bound was none: an endpoint may shorten the lease, and a new process under the same identifier has another clock.

Change: the end counts as a crash under the runs only if it is known within 0.45 s of the endpoint's last answer. An endpoint with runs answers each 0.3 s, and its host refuses the next call 0.05 s after the connection ended. A silence after a refusal takes that back.

Failed before, on: 'a refused call that silence follows doesn't show that the process has ended' and '... whose processes end as soon as the runs are done don't fail a job'.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -216,8 +216,8 @@
         know, and its lease from before may not have lapsed.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
-    :ivar ended_under_lease: whether its process is known to have ended before its lease could
-        lapse, so that the runs which had begun there were lost with it.
+    :ivar ended_abruptly: whether its process is known to have ended right after it had answered, so
+        that the runs which it had then were lost with it.
     :ivar is_listed: whether the platform's list names the endpoint.
     :ivar is_evacuated: whether its failure domain is evacuated, so that no task is started there.
     :ivar cold_until_s: monotonic time until which the endpoint is slow after its start.
@@ -250,7 +250,7 @@
     cold_s: float = 0.0
     missed_calls: int = 0
     last_answer_s: float = 0.0
-    ended_under_lease: bool = False
+    ended_abruptly: bool = False
     quarantined_until_s: float = 0.0
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
--- a/berylproxy/durable/endpoints/leases.py
+++ b/berylproxy/durable/endpoints/leases.py
@@ -14,15 +14,12 @@
     :ivar sent_s: monotonic time at which the call for that answer was sent.
     :ivar received_s: monotonic time at which that answer arrived.
     :ivar granted_until_ms: latest end of a lease that was sent, on the endpoint's clock.
-    :ivar lasts_until_s: monotonic time until which a lease that the endpoint has confirmed
-        certainly lasts.
     """
 
     read_ms: int = 0
     sent_s: float = 0.0
     received_s: float = 0.0
     granted_until_ms: int = 0
-    lasts_until_s: float = 0.0
 
     @property
     def is_known(self) -> bool:
@@ -46,15 +43,6 @@
         self.granted_until_ms = max(self.granted_until_ms, until_ms)
         return until_ms
 
-    def confirm_lease(self, until_ms: int, clock_ms: int, sent_s: float) -> None:
-        """Records that the endpoint has answered a call that extended the lease.
-
-        :param until_ms: end of the lease in the call.
-        :param clock_ms: the endpoint's clock in the answer.
-        :param sent_s: monotonic time at which the call was sent.
-        """
-        self.lasts_until_s = max(self.lasts_until_s, sent_s + (until_ms - clock_ms) / 1000)
-
     def lapsed_at_s(self) -> float:
         """Returns the monotonic time at which all leases sent so far have certainly lapsed."""
         remaining_s = max(self.granted_until_ms - self.read_ms, 0) / 1000
--- a/berylproxy/durable/jobs/ports.py
+++ b/berylproxy/durable/jobs/ports.py
@@ -78,12 +78,6 @@
     def lease_end_s(self) -> float:
         """Returns the monotonic time after which all granted leases have certainly lapsed."""
 
-    def lease_lasts_until_s(self) -> float:
-        """Returns the monotonic time until which the endpoint's lease certainly lasts.
-
-        It may last longer by calls that were not answered.
-        """
-
     async def start(self, order: StartOrder) -> StartOutcome:
         """Sends an order to start a task."""
 
--- a/berylproxy/durable/orders/crash_watch.py
+++ b/berylproxy/durable/orders/crash_watch.py
@@ -18,6 +18,9 @@
 from berylproxy.durable.orders.tenure import Tenure
 
 MAX_LOGGED_TASKS = 20
+# An endpoint with runs answers at least each 0.3 s, and is called again 0.05 s after a failure. In
+# a longer silence a run may end unheard.
+ABRUPT_END_S = 0.45
 # An endpoint that leaves by plan is listed so for longer before its process ends.
 LEAVING_NOTICE_S = 1.5
 
@@ -42,8 +45,6 @@
     """Feeds what is seen of a group's endpoints into the record of crashes.
 
     :param list_read_s: returns the monotonic time at which the list of endpoints was last read.
-    :param lease_lasts_until_s: returns the monotonic time until which the lease of an endpoint
-        certainly lasts.
     :param on_crash: called with each open job whose crashes have changed.
     :param on_final: called with each job that fails because a task crashes its endpoints.
     :ivar record: the endpoints lost under tasks.
@@ -54,7 +55,6 @@
         tenure: Tenure,
         job_table: JobTable,
         list_read_s: Callable[[], float],
-        lease_lasts_until_s: Callable[[EndpointInstance], float],
         on_crash: Callable[[Job], None],
         on_final: Callable[[Job], None],
     ) -> None:
@@ -62,14 +62,13 @@
         self._tenure = tenure
         self._job_table = job_table
         self._list_read_s = list_read_s
-        self._lease_lasts_until_s = lease_lasts_until_s
         self._on_crash = on_crash
         self._on_final = on_final
 
     def note_process_ended(self, endpoint: EndpointState) -> None:
         """Records that the process of an endpoint has ended by now, unasked or by plan."""
-        if self._tenure.clock.now_s() < self._lease_lasts_until_s(endpoint.info.instance):
-            endpoint.ended_under_lease = True
+        if self._tenure.clock.now_s() - _last_alive_s(endpoint) <= ABRUPT_END_S:
+            endpoint.ended_abruptly = True
 
     def note_lapsed(self, endpoint: EndpointState) -> None:
         """Records that the lease of an endpoint has lapsed under its runs: a crash or a cut."""
@@ -82,7 +81,7 @@
                 instance,
                 "unknown",
                 runs,
-                ended_under_lease=endpoint.ended_under_lease,
+                ended_abruptly=endpoint.ended_abruptly,
                 **_count_evidence(runs),
             )
 
@@ -173,11 +172,9 @@
 
     def _list_runs(self, endpoint: EndpointState) -> dict[TaskName, Evidence]:
         """Returns the tasks ordered at an endpoint, each with the best evidence of its runs."""
-        confirmed_s = [run.confirmed_s for run in endpoint.runs.values() if run.has_begun]
-        alive_s = max([endpoint.last_answer_s, *confirmed_s])
         # Without a recent list it isn't known whether the endpoint was about to leave.
-        is_listed_lately = self._list_read_s() >= alive_s - LEAVING_NOTICE_S
-        is_proven = is_listed_lately and endpoint.ended_under_lease
+        is_listed_lately = self._list_read_s() >= _last_alive_s(endpoint) - LEAVING_NOTICE_S
+        is_proven = is_listed_lately and endpoint.ended_abruptly
         best = Evidence.BEGUN if is_proven else Evidence.POSSIBLE
         runs: dict[TaskName, Evidence] = {}
         for (name, _), run in endpoint.runs.items():
@@ -239,6 +236,12 @@
         )
 
 
+def _last_alive_s(endpoint: EndpointState) -> float:
+    """Returns the monotonic time at which an endpoint's process last showed that it was alive."""
+    confirmed_s = [run.confirmed_s for run in endpoint.runs.values() if run.has_begun]
+    return max([endpoint.last_answer_s, *confirmed_s])
+
+
 def _count_evidence(runs: dict[TaskName, Evidence]) -> dict[str, int]:
     """Returns the fields of a log line that tell how many runs had begun."""
     begun = sum(evidence is Evidence.BEGUN for evidence in runs.values())
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -120,7 +120,6 @@
             tenure,
             job_table,
             lambda: endpoint_list.read_s,
-            lambda instance: self._clients[instance].lease_lasts_until_s(),
             on_crash,
             on_final,
         )
@@ -305,6 +304,8 @@
         endpoint.missed_calls += 1
         if isinstance(error, EndpointRefusedError):
             self._crash_watch.note_process_ended(endpoint)
+        else:
+            endpoint.ended_abruptly = False
         if now_s <= max(client.lease_end_s(), endpoint.last_answer_s + UNREACHABLE_GRACE_S):
             return
         endpoint.is_surveyed = endpoint.is_contacted
@@ -435,7 +436,7 @@
                 extra=self._tenure.extra(endpoint=endpoint.info.instance.endpoint_id),
             )
         endpoint.missed_calls = 0
-        endpoint.ended_under_lease = False
+        endpoint.ended_abruptly = False
         endpoint.last_answer_s = now_s
         self._model.advance(now_s)
         for end in report.ended:
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -139,10 +139,6 @@
         """Returns the monotonic time by which every run under a lease granted so far has ended."""
         return self._clock.lapsed_at_s()
 
-    def lease_lasts_until_s(self) -> float:
-        """Returns the monotonic time before which no run has ended by the lapse of its lease."""
-        return self._clock.lasts_until_s
-
     async def start(self, order: StartOrder) -> StartOutcome:
         """Orders the runner to start a task."""
         body = {
@@ -215,8 +211,6 @@
         clock_ms = content.get("clock-ms")
         if _is_count(clock_ms):
             self._clock.update(clock_ms, response.sent_s, response.received_s)
-            if response.status == 200 and "until-ms" in body:
-                self._clock.confirm_lease(body["until-ms"], clock_ms, response.sent_s)
         return _Answer(response, content)
 
     async def _call(
--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -75,6 +75,7 @@
     :ivar crash_after_s: time from the start of such a run to the end of the process.
     :ivar down_s: time from the end of the process to the start of the next one.
     :ivar is_silent_when_down: whether its host answers no calls meanwhile, not even by refusing.
+    :ivar refused_calls: number of calls that its host is yet to refuse although the process runs.
     :ivar crashes: number of ends of the process.
     :ivar rejects_former: whether a new process has another identifier, and rejects calls that are
         meant for the former one.
@@ -124,6 +125,7 @@
     crash_after_s: float = 0.05
     down_s: float = 3.0
     is_silent_when_down: bool = False
+    refused_calls: int = 0
     crashes: int = 0
     rejects_former: bool = False
     back_at_s: float = inf
--- a/tests/durable/orders/crash_evidence.feature
+++ b/tests/durable/orders/crash_evidence.feature
@@ -132,3 +132,47 @@
     And 20 s have passed
     And the list names the new processes
     Then durable job "k" is shown as "completed" within 9 s
+
+  Scenario: a refused call that an answer follows doesn't show that the process has ended
+    Given a group of 6 endpoints whose runs take 3 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" refuses a call, answers and is cut off, and another process replaces its process after the runs have lapsed
+    And the endpoint that runs job "k" refuses a call, answers and is cut off, and another process replaces its process after the runs have lapsed
+    And 2 endpoint processes are lost and seen to have ended
+    Then durable job "k" is shown as "completed" within 14 s
+    And 2 endpoint processes have crashed
+
+  Scenario: a refused call that silence follows doesn't show that the process has ended
+    Given a group of 6 endpoints whose runs take 3 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" refuses a call and is cut off, and another process replaces its process after the runs have lapsed
+    And the endpoint that runs job "k" refuses a call and is cut off, and another process replaces its process after the runs have lapsed
+    And 2 endpoint processes are lost and seen to have ended
+    Then durable job "k" is shown as "completed" within 14 s
+    And 2 endpoint processes have crashed
+
+  Scenario: endpoints that are cut off and whose processes end as soon as the runs have lapsed don't fail a job
+    Given a group of 6 endpoints whose runs take 3 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" is cut off, and another process replaces its process as soon as the runs have lapsed
+    And the endpoint that runs job "k" is cut off, and another process replaces its process as soon as the runs have lapsed
+    And 2 endpoint processes are lost and seen to have ended
+    Then durable job "k" is shown as "completed" within 14 s
+    And 2 endpoint processes have crashed
+
+  Scenario: endpoints that are cut off and whose processes end as soon as the runs are done don't fail a job
+    Given a group of 6 endpoints whose runs take 0.5 s
+    And the endpoints come back under another identifier
+    When a holder with fence 16 takes over
+    And durable job "k" of 1 task is submitted
+    And the endpoint that runs job "k" is cut off, and another process replaces its process as soon as the runs are done
+    And the endpoint that runs job "k" is cut off, and another process replaces its process as soon as the runs are done
+    And 2 endpoint processes are lost and seen to have ended
+    Then durable job "k" is shown as "completed" within 9 s
+    And 2 endpoint processes have crashed
