--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -172,8 +172,10 @@
         """What is known of the run in case the endpoint is lost."""
         if self.has_begun and self.stop_confirmed_s == inf:
             return Evidence.BEGUN
-        is_possible = self.is_uncertain or min(self.confirmed_s, self.stop_confirmed_s) < inf
-        return Evidence.POSSIBLE if is_possible else Evidence.ORDERED
+        if self.confirmed_s < inf:
+            return Evidence.POSSIBLE
+        has_outcome = self.is_uncertain or self.stop_confirmed_s < inf
+        return Evidence.DOUBTFUL if has_outcome else Evidence.ORDERED
 
     def note_confirmed(self, now_s: float) -> None:
         """Records that the endpoint's present process runs it, by its answer to the order."""
@@ -214,8 +216,8 @@
         know, and its lease from before may not have lapsed.
     :ivar missed_calls: consecutive calls without an answer.
     :ivar last_answer_s: monotonic time of the endpoint's last answer to a renewal.
-    :ivar ended_under_lease: whether its process is known to have ended before its lease could
-        lapse, so that the runs which had begun there were lost with it.
+    :ivar ended_abruptly: whether its process is known to have ended right after it had answered, so
+        that the runs which it had then were lost with it.
     :ivar is_listed: whether the platform's list names the endpoint.
     :ivar is_evacuated: whether its failure domain is evacuated, so that no task is started there.
     :ivar cold_until_s: monotonic time until which the endpoint is slow after its start.
@@ -248,7 +250,7 @@
     cold_s: float = 0.0
     missed_calls: int = 0
     last_answer_s: float = 0.0
-    ended_under_lease: bool = False
+    ended_abruptly: bool = False
     quarantined_until_s: float = 0.0
     failures_in_row: int = 0
     quarantine_s: float = FIRST_QUARANTINE_S
--- a/tests/steps/durable_crash_decisions_steps.py
+++ b/tests/steps/durable_crash_decisions_steps.py
@@ -23,6 +23,7 @@
 SEEDS = (1, 2, 3)
 EVIDENCE = {
     "": Evidence.BEGUN,
+    ", whose order wasn't answered": Evidence.DOUBTFUL,
     ", which may not have begun": Evidence.POSSIBLE,
     ", whose order has no outcome": Evidence.ORDERED,
 }
@@ -89,7 +90,7 @@
     convicted = get_record(context).note_outcome(
         EndpointInstance(endpoint, 1),
         *parse_tasks(name),
-        may_have_begun=outcome == "may have been",
+        Evidence.POSSIBLE if outcome == "may have been" else None,
     )
     context.convicted += [task.job_id for task in convicted]
 
@@ -159,9 +160,7 @@
         table = JobTable()
         stored = decode_job(encode_job(context.stored_job))
         job = table.open(stored, NOW_S, first_run=1, may_have_begun=True)
-        watch = CrashWatch(
-            None, table, lambda: NOW_S, lambda _: NOW_S, lambda job: None, lambda job: None
-        )
+        watch = CrashWatch(None, table, lambda: NOW_S, lambda job: None, lambda job: None)
         watch.restore(job, NOW_S)
         context.crash_record = watch.record
         context.stored_job = StoredJob(job.spec, job.accepted_unix_s, job.progress())
