Count a job as pending until an endpoint has confirmed a run of it

Cause: a job counted as begun from its first order on, also if no endpoint had answered it.

Change: Job.has_begun is set by a confirmed start, a report or an end. Job.started, by which a job with orders in flight isn't refused as too late, stays as it was.

Failed before: 'a job whose order no endpoint has answered counts as pending' (0 instead of 1).

--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -123,6 +123,7 @@
     :ivar waiting: its tasks that may be started now.
     :ivar unfinished_tasks: number of tasks that are not done.
     :ivar started: whether the start of any task has ever been ordered.
+    :ivar has_begun: whether an endpoint has confirmed a run of any task, or listed its end.
     :ivar failure_domain: failure domain of its first entry daemon; empty if unknown.
     :ivar place_s: monotonic time from which it is ordered among waiting jobs: that of its
         acceptance, or of an earlier refusal after which its caller came back as told.
@@ -146,6 +147,7 @@
     waiting: list[Task] = field(default_factory=list)
     unfinished_tasks: int = 0
     started: bool = False
+    has_begun: bool = False
     siblings: SiblingRunTimes = field(default_factory=SiblingRunTimes)
     failure_domain: str = ""
     place_s: float = 0.0
@@ -304,6 +306,7 @@
             task.status is not TaskStatus.DONE for task in job.tasks.values()
         )
         job.started = may_have_begun and bool(stored.progress.done or stored.progress.failures)
+        job.has_begun = job.started
         self.jobs[stored.spec.job_id] = job
         self._add_work(job)
         if not may_have_begun:
@@ -396,11 +399,18 @@
         job = self.jobs[task.name.job_id]
         if task.status is TaskStatus.WAITING:
             job.waiting.remove(task)
-        job.started = True
+        job.started = job.has_begun = True
         job.state = JobState.RUNNING
         task.status, task.instance, task.run = TaskStatus.RUNNING, instance, run
         self.workload.note_started(task, task.started_s)
 
+    def note_confirmed(self, task: Task) -> None:
+        """Records that an endpoint has confirmed the start of the task's newest run."""
+        task.status = TaskStatus.RUNNING
+        job = self.jobs.get(task.name.job_id)
+        if job is not None:
+            job.has_begun = True
+
     def note_not_running(self, task: Task) -> None:
         """Returns an active task to the waiting ones: its newest run is certainly over."""
         task.instance = None
@@ -413,6 +423,7 @@
         if task.status is TaskStatus.DONE:
             return
         job = self.jobs[task.name.job_id]
+        job.has_begun = True
         is_newest = end.run >= task.run and (
             task.status is TaskStatus.UNRESOLVED
             or task.instance == instance
@@ -521,7 +532,7 @@
     def count_pending(self, queue: str) -> int:
         """Returns the number of a queue's open jobs of which no task has begun."""
         return sum(
-            not job.started and not job.is_final and job.spec.terms.queue == queue
+            not job.has_begun and not job.is_final and job.spec.terms.queue == queue
             for job in self.jobs.values()
         )
 
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -786,7 +786,7 @@
                 self._blame_for_rejections(task, now_s)
                 is_current = task.instance == instance and task.run == run
                 if is_current and task.status is TaskStatus.STARTING:
-                    task.status = TaskStatus.RUNNING
+                    self._job_table.note_confirmed(task)
                 if self._job_table.find_task(task.name) is None:
                     self._stop_soon(endpoint, task.name, run)
             self._wakeups[instance].set()
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -471,6 +471,21 @@
     And 4 jobs of 3 tasks without an estimate are submitted, whose callers wait for 3 s
     Then the last of these jobs is refused within 2.6 s
 
+  Scenario: a job whose order no endpoint has answered counts as pending
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 30 s
+    And the hosts of the endpoints are silent while they are down
+    When a holder with fence 16 takes over
+    And 1 s have passed
+    And the list goes on to name the former processes
+    And all endpoints crash and are back after 4 s
+    And durable job "k" of 1 task is submitted
+    And 2 s have passed
+    Then 1 job is pending
+    When the list names the new processes
+    And 9 s have passed
+    Then 0 jobs are pending
+
   Scenario: a late job whose tasks all run is not abandoned
     Given a group of 2 endpoints whose runs take 1.0 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -731,6 +731,13 @@
         context.holder_world.submit(f"w{number}", int(tasks), estimate_s=0.0, wait_s=float(wait_s))
 
 
+@then(r"(?P<count>\d+) jobs? (?:is|are) pending")
+def step_impl(context, count):
+    world = context.holder_world
+    pending = world.holders[world.newest_fence].count_pending("q")
+    assert pending == int(count), pending
+
+
 @then(r"the last of these jobs is refused within (?P<wait_s>[\d.]+) s")
 def step_impl(context, wait_s):
     reply = list(context.holder_world.replies.values())[-1][-1]
