--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -117,11 +117,7 @@
         self._on_final = on_final
         self._may_have_to_end = may_have_to_end
         self._crash_watch = CrashWatch(
-            tenure,
-            job_table,
-            lambda: endpoint_list.read_s,
-            on_crash,
-            on_final,
+            tenure, job_table, lambda: endpoint_list.read_s, on_crash, on_final
         )
         self._failures = FailureStatistics()
         # An endpoint that comes back as another instance is trusted as it was before.
