Watch the holder that a best-effort job is submitted to

Cause: _submit_until_holder_changes took the event of the holder that was known when it began, and the submission looked the holder up one turn of the loop later. If the change was read in between, the submission went to the new holder, was given up 20 ms later for "another daemon has become the holder", and was sent to the same holder again with a higher attempt. Turns are long in a daemon that gets a part of a core, so many of its callers' submissions fall into one.

The submission is now sent in the turn that takes the event.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -340,25 +340,26 @@
         known = self._coordinator.known_holders.get(message.group)
         if known is None:
             raise PeerUnreachableError(f"no holder of {message.group} is known")
-        changed, replies, errors = known.changed, [], []
+        changed, reply, error = known.changed, None, None
 
-        async def submit() -> None:
-            try:
-                replies.append(await self._submit_to_holder(call, message))
-            except BerylproxyError as error:
-                errors.append(error)
+        async def stop_after_change() -> None:
+            await changed.wait()
+            await sleep(FORMER_HOLDER_REPLY_WAIT_S)
             task_group.cancel_scope.cancel()
 
         async with create_task_group() as task_group:
-            task_group.start_soon(submit)
-            await changed.wait()
-            await sleep(FORMER_HOLDER_REPLY_WAIT_S)
+            task_group.start_soon(stop_after_change)
+            try:
+                # Sent before anything else can run, so to the holder whose change is awaited.
+                reply = await self._submit_to_holder(call, message)
+            except BerylproxyError as raised:
+                error = raised
             task_group.cancel_scope.cancel()
-        if replies:
-            return replies[0]
-        if errors and errors[0].code == NotHolderError.code:
-            raise PeerUnreachableError("the receiving daemon is not the holder") from errors[0]
-        raise errors[0] if errors else ResultUnknownError("another daemon has become the holder")
+        if reply is not None:
+            return reply
+        if error is not None and error.code == NotHolderError.code:
+            raise PeerUnreachableError("the receiving daemon is not the holder") from error
+        raise error or ResultUnknownError("another daemon has become the holder")
 
     async def find_state(self, services: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Returns a job's state; ``None`` if there is no such job.
