Answer a best-effort job that has ended in this tenure, whatever its attempt

Cause: a holder answered a job that had ended under it with its state only if it came as attempt 0. Any later attempt opened it again, although the ends had been released and everything was known here. An entry daemon submits again after each error and each change of holder, so a reply that was lost, or given up, was enough.

The outcome is the holder's own: it decided the end in this tenure, from reports under its fence. So it holds for any attempt. A job that was dropped is still opened again by a later attempt, as its entry daemon may only have been silent for a while.

--- a/berylproxy/durable/holding/best_effort.py
+++ b/berylproxy/durable/holding/best_effort.py
@@ -113,7 +113,7 @@
             return JobSubmissionReply(state=JobState.FAILED.value)
         elif outcome is JobState.CANCELLED and not message.attempt:
             raise JobAbandonedError("the job had begun and was dropped")
-        elif outcome is not None and not message.attempt:
+        elif outcome not in (None, JobState.CANCELLED):
             return JobSubmissionReply(state=outcome.value)
         else:
             reply = self._open(message, entry)
