Give a claim up if another daemon has taken over since the decision

What callers saw: two changes of holder within 0.2 s.

Cause: _try_claim took the newest fence that it knew for the one at the decision. The decision is made in _check_holder, and the task that claims begins later, after an import of the holder at the first claim. If the daemon heard of another's claim in between, it read that claim, found it to be the newest known, and replaced it.

The fence at the decision now goes with the claim. Both examples of the new scenario failed before.

--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -541,7 +541,7 @@
         settled_s = self._update_settled_s(len(members), listed_count)
         if has_store and should_claim(observation, own_rank, len(members), listed_count, settled_s):
             self._claiming.add(group)
-            self._task_group.start_soon(self._claim_group, group, observation)
+            self._task_group.start_soon(self._claim_group, group, observation, known.fence)
         elif not has_store:
             may_others_claim = any(m.ready and _has_store(m) for m in members)
             if should_hold_provisionally(observation, own_rank, may_others_claim):
@@ -609,11 +609,16 @@
                 return member.identity.daemon_id
         return ""
 
-    async def _claim_group(self, group: str, observation: HolderObservation) -> None:
-        """Claims a group and runs a tenure over it, unless another daemon keeps the claim."""
+    async def _claim_group(
+        self, group: str, observation: HolderObservation, fence_at_decision: int
+    ) -> None:
+        """Claims a group and runs a tenure over it, unless another daemon keeps the claim.
+
+        :param fence_at_decision: the newest fence known when the decision to claim was made.
+        """
         _import_holder()  # takes a while, in which no other daemon should wait for orders
         try:
-            revision = await self._try_claim(group)
+            revision = await self._try_claim(group, fence_at_decision)
         except StoreError as error:
             logger.info("cannot claim {}: {}", group, error.message)
             self._claim_paused_until_s[group] = self._clock.now_s() + CLAIM_RETRY_DELAY_S
@@ -636,14 +641,16 @@
             )
             await self._hold_group(group, fence, revision)
 
-    async def _try_claim(self, group: str) -> int:
+    async def _try_claim(self, group: str, fence_at_decision: int) -> int:
         """Replaces the claim in the store unless it is newer than the known one.
 
+        :param fence_at_decision: the newest fence known when the decision to claim was made.
         :return: revision of this daemon's claim; 0 if another daemon's claim stays in force.
         """
         known = self.known_holders[group]
-        key, fence_at_decision = claim_key(group), known.fence
-        revision = known.fence // FENCES_PER_CLAIM
+        if known.fence != fence_at_decision:  # another daemon has taken over meanwhile
+            return 0
+        key, revision = claim_key(group), known.fence // FENCES_PER_CLAIM
         if not known.is_leaving:  # a leaving holder's heartbeat has just reported its claim
             entry = await self._store.get(key)
             revision = entry.revision if entry is not None else 0
--- a/tests/durable/holding/contention.feature
+++ b/tests/durable/holding/contention.feature
@@ -136,3 +136,14 @@
       | with    | 17    | claims         |
       | without | 17    | does not claim |
       | with    | 16    | does not claim |
+
+  # Guards against two changes of holder in a row, where a daemon is slow to carry out its decision.
+  Scenario Outline: a daemon that is about to claim a group hears that another one has claimed it
+    Given a daemon that has decided to claim the group of a holder that <state>
+    When it hears of another daemon's claim before it makes its own
+    Then the other daemon's claim stays in force
+
+    Examples:
+      | state      |
+      | is leaving |
+      | is silent  |
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -262,6 +262,48 @@
     run(check)
 
 
+@given(r"a daemon that has decided to claim the group of a holder that (?P<state>.+)")
+def step_impl(context, state):
+    context.is_leaving = state == "is leaving"
+
+
+@when(r"it hears of another daemon's claim before it makes its own")
+def step_impl(context):
+    former, successor, store = make_identity("former"), make_identity("d1"), FakeJobStore()
+    write(store, claim_key(SERVICE), CLAIMS['a process of "d1"'])
+    network = make_network()
+    network.members = lambda: [Member(successor, MemberStatus.ALIVE)]
+    network.links = lambda incarnation: [None]
+    network.notify = lambda incarnation, message: None
+
+    async def check():
+        coordinator = make_coordinator(
+            FakeDirectory([]),
+            store=store,
+            list_members=lambda: {"d0": "a", "d1": "a"},
+            network=network,
+            clock=SimpleNamespace(now_s=lambda: 100.0),
+        )
+        async with create_task_group() as coordinator._task_group:
+            known = KnownHolder(CLAIM_FENCE, former.incarnation, 95.0, context.is_leaving)
+            coordinator.known_holders[SERVICE] = known
+            coordinator._check_holder(SERVICE)
+            assert SERVICE in coordinator._claiming
+            claim = store.entries[claim_key(SERVICE)].revision
+            heartbeat = HolderHeartbeat(SERVICE, claim * CLAIM_FENCE, ())
+            coordinator._handle_holder_heartbeat(successor, heartbeat)
+            await sleep(0.05)
+            context.has_claimed = store.entries[claim_key(SERVICE)].revision > claim
+            coordinator._task_group.cancel_scope.cancel()
+
+    run(check)
+
+
+@then(r"the other daemon's claim stays in force")
+def step_impl(context):
+    assert not context.has_claimed
+
+
 @then(r"it (?P<verdict>holds|does not hold) the group provisionally")
 def step_impl(context, verdict):
     assert context.holds_provisionally == (verdict == "holds")
