Take a former holder's word for a job that it has completed

What callers saw: a done best-effort job ran once more, because the reply of its holder reached the entry daemon more than 20 ms after another daemon had become the holder.

Cause: the entry daemon gave the request up 20 ms after it had heard of the change, and the holder had let the endpoints forget the ends of the job when it completed it. A daemon that is slow, or a link with latency, delays a reply by more. So nobody knew any more that the job was done.

The request to the former holder now goes on beside the submission to the next one. If the former one says that the job is completed, the call ends, and the job is withdrawn from the next holder. Refusals and failures of a former holder still count for nothing: they are the next one's matter. A job on the way is no longer sent at all if the holder changes before its turn.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -6,7 +6,15 @@
 from itertools import count
 from typing import Any
 
-from anyio import create_task_group, fail_after, get_cancelled_exc_class, sleep
+from anyio import (
+    CancelScope,
+    Event,
+    create_task_group,
+    fail_after,
+    get_cancelled_exc_class,
+    sleep,
+)
+from anyio.abc import TaskGroup
 from logbook import Logger
 
 from berylproxy.clock import Clock
@@ -76,12 +84,26 @@
     """A caller's request for a best-effort job.
 
     :param number: distinguishes it from the other calls at this daemon.
+    :param task_group: runs the submissions; its cancellation ends the call.
     :ivar submitted: newest attempt by group and incarnation of the holders that may have the job.
+    :ivar state: state that the caller is told; ``None`` until it is known.
+    :ivar error: error that the caller gets if there is no state.
     """
 
     number: int
     job_id: str
+    task_group: TaskGroup
     submitted: dict[tuple[str, str], int] = field(default_factory=dict)
+    state: JobState | None = None
+    error: BerylproxyError | None = None
+
+    def note_not_there(self, holder: tuple[str, str], attempt: int) -> None:
+        """Records that a holder no longer has the job, unless it got it again by a later attempt.
+
+        :param holder: its group and incarnation.
+        """
+        if self.submitted.get(holder) == attempt:
+            del self.submitted[holder]
 
     def list_drops(self) -> list[tuple[str, DropJob]]:
         """Lists the incarnations of the holders that may have the job, and the drops for them."""
@@ -91,6 +113,24 @@
         ]
 
 
+@dataclass(slots=True, eq=False)
+class Submission:
+    """A best-effort job on its way to a holder.
+
+    :param message: what is sent.
+    :param holder_changed: set once another daemon has become the holder.
+    :ivar ended: set once ``reply`` or ``error`` is.
+    :ivar is_superseded: whether the job is submitted to another holder because of the change.
+    """
+
+    message: JobSubmission
+    holder_changed: Event
+    ended: Event = field(default_factory=Event)
+    is_superseded: bool = False
+    reply: JobSubmissionReply | None = None
+    error: BerylproxyError | None = None
+
+
 class JobFrontend:
     """Serves callers' requests about jobs by sending them to the holders of the groups."""
 
@@ -129,9 +169,23 @@
         :raises NotAcceptedError: if the job has not run and never will.
         :raises ResultUnknownError: if the job may have run.
         """
+        async with create_task_group() as task_group:
+            call = OpenCall(next(self._call_numbers), spec.job_id, task_group)
+            try:
+                call.state = await self._submit_until_answered(call, spec, wait_s)
+            except BerylproxyError as error:
+                call.error = error
+            task_group.cancel_scope.cancel()
+        if call.state is None:
+            raise call.error or ResultUnknownError("the call was cancelled")
+        return call.state
+
+    async def _submit_until_answered(
+        self, call: OpenCall, spec: JobSpec, wait_s: float
+    ) -> JobState:
+        """Submits a best-effort job to its holder, and to each new one until it is answered."""
         started_s = self._clock.now_s()
         attempt, group, former_fence = 0, "", 0
-        call = OpenCall(next(self._call_numbers), spec.job_id)
         refused_by: set[str] = set()
         refusals: dict[str, JobSubmissionReply] = {}
         try:
@@ -327,9 +381,9 @@
         except BerylproxyError as error:
             is_absent = isinstance(error, PeerUnreachableError) or error.code == NotHolderError.code
             if is_absent and former_attempt is None:
-                call.submitted.pop(key, None)
+                call.note_not_there(key, message.attempt)
             raise
-        call.submitted.pop(key, None)  # the job has ended, or was refused before it began
+        call.note_not_there(key, message.attempt)  # it has ended, or was refused before it began
         return reply
 
     async def _submit_until_holder_changes(
@@ -343,26 +397,45 @@
         known = self._coordinator.known_holders.get(message.group)
         if known is None:
             raise PeerUnreachableError(f"no holder of {message.group} is known")
-        changed, reply, error = known.changed, None, None
-
-        async def stop_after_change() -> None:
-            await changed.wait()
-            await sleep(FORMER_HOLDER_REPLY_WAIT_S)
-            task_group.cancel_scope.cancel()
-
+        submission = Submission(message, known.changed)
+        call.task_group.start_soon(self._submit, call, submission)
         async with create_task_group() as task_group:
-            task_group.start_soon(stop_after_change)
-            try:
-                # Sent before anything else can run, so to the holder whose change is awaited.
-                reply = await self._submit_to_holder(call, message)
-            except BerylproxyError as raised:
-                error = raised
+            task_group.start_soon(self._cancel_after_change, submission, task_group.cancel_scope)
+            await submission.ended.wait()
             task_group.cancel_scope.cancel()
-        if reply is not None:
-            return reply
+        if submission.reply is not None:
+            return submission.reply
+        error = submission.error
         if error is not None and error.code == NotHolderError.code:
             raise PeerUnreachableError("the receiving daemon is not the holder") from error
-        raise error or ResultUnknownError("another daemon has become the holder")
+        if error is not None:
+            raise error
+        submission.is_superseded = True
+        raise ResultUnknownError("another daemon has become the holder")
+
+    async def _cancel_after_change(self, submission: Submission, scope: CancelScope) -> None:
+        await submission.holder_changed.wait()
+        await sleep(FORMER_HOLDER_REPLY_WAIT_S)
+        scope.cancel()
+
+    async def _submit(self, call: OpenCall, submission: Submission) -> None:
+        """Submits a best-effort job; ends the call if a former holder says that it is completed.
+
+        The former holder has seen all tasks end, so that its word holds also under the next one.
+        """
+        try:
+            if submission.holder_changed.is_set():
+                raise PeerUnreachableError("the holder has changed before the job was sent")
+            submission.reply = await self._submit_to_holder(call, submission.message)
+        except BerylproxyError as error:
+            submission.error = error
+        submission.ended.set()
+        reply = submission.reply
+        if not submission.is_superseded or reply is None or reply.refusal:
+            return
+        if reply.state == JobState.COMPLETED:
+            call.state = JobState.COMPLETED
+            call.task_group.cancel_scope.cancel()
 
     async def find_state(self, services: list[str], job_id: str, wait_s: float) -> JobState | None:
         """Returns a job's state; ``None`` if there is no such job.
