--- a/tests/support/landed_build.py
+++ b/tests/support/landed_build.py
@@ -11,7 +11,7 @@
 from standins.process import ROOT
 from tests.support import reencode
 
-LANDED_COMMIT = "c081357bea98e2fb2819a34b8cd19f655c060d88"
+LANDED_COMMIT = "4cb27bf7e7f172fc26765f78d9f1e266b4e83236"
 """The last landed version, beside which daemons of this one must run during an upgrade."""
 
 
