Don't wait for a daemon whose process has ended to tell for whom it waits

A new holder waited for 1 s for each daemon that it hadn't heard since the question, also for the former holder that had been killed. Its port refuses connections then, so it is suspect and has no stream, and its callers have lost their connections with it. Until the answer, endpoints keep the ends of its jobs, and each of them is called every 25 ms.

By reading; waiting_callers.feature has the case on a clock of its own, and one of a suspect daemon with a stream, which is still asked.

--- a/berylproxy/durable/holding/waiting_callers.py
+++ b/berylproxy/durable/holding/waiting_callers.py
@@ -81,15 +81,14 @@
 
         async with create_task_group() as task_group:
             for member in self._network.members():
-                if member.status is not MemberStatus.DEAD:
-                    task_group.start_soon(ask, member)
+                task_group.start_soon(ask, member)
         return WaitedJobsSurvey(asked_s, frozenset(jobs)) if all(told) else None
 
     async def _ask(self, member: Member, group: str) -> WaitedJobs:
-        """Returns a daemon's answer; an empty one if it isn't heard for a while."""
+        """Returns a daemon's answer; an empty one if it has ended or isn't heard for a while."""
         incarnation = member.identity.incarnation
         asked_s = heard_s = self._clock.now_s()
-        while self._clock.now_s() - heard_s < ABSENCE_LIMIT_S:
+        while not self._is_gone(member) and self._clock.now_s() - heard_s < ABSENCE_LIMIT_S:
             if self._can_be_asked(member):
                 try:
                     return await self._network.request(
@@ -103,12 +102,17 @@
             if self._is_heard(incarnation):
                 heard_s = self._clock.now_s()
         logger.info(
-            "jobs of {} count as unwanted: it isn't heard",
+            "callers at {} count as gone: nothing is heard from it",
             member.identity.daemon_id,
             extra={"group": group},
         )
         return WaitedJobs(())
 
+    def _is_gone(self, member: Member) -> bool:
+        """Returns whether a daemon's port refuses connections, or it has been silent for long."""
+        is_alive = member.status is MemberStatus.ALIVE
+        return not is_alive and not self._network.links(member.identity.incarnation)
+
     def _answer(self, _: DaemonIdentity, message: AskWaitedJobs) -> WaitedJobs:
         job_ids = self.list_own(message.group)
         if len(job_ids) > MAX_TOLD_JOBS:
--- a/tests/durable/holding/waiting_callers.feature
+++ b/tests/durable/holding/waiting_callers.feature
@@ -11,7 +11,8 @@
       | that tells after 0.8 s                             | its own and "other"  | 0.8 to 1.2 |
       | that is silent for 0.9 s, heard, and then tells    | its own and "other"  | 1 to 2   |
       | that isn't heard any more                          | its own              | 1 to 1.5 |
-      | that isn't heard any more, and counts as dead      | its own              | 0 to 0.1 |
+      | that isn't heard any more, as its port refuses     | its own              | 0 to 0.1 |
+      | that is suspect, and has a stream, and then tells  | its own and "other"  | 1 to 2   |
       | of a version that can't be asked                   | its own              | 0.2 to 0.3 |
       | with too many calls to tell                        | nothing              | 0 to 0.1 |
 
--- a/tests/steps/durable_waiting_callers_steps.py
+++ b/tests/steps/durable_waiting_callers_steps.py
@@ -22,11 +22,13 @@
     def __init__(self, description):
         self.now_s = self.began_s = 100.0
         self.description = description
-        status = MemberStatus.DEAD if "dead" in description else MemberStatus.ALIVE
+        is_suspect = "port refuses" in description or "suspect" in description
+        status = MemberStatus.SUSPECT if is_suspect else MemberStatus.ALIVE
         identity = SimpleNamespace(incarnation="e1", daemon_id="entry")
         self._member = SimpleNamespace(identity=identity, status=status)
         network = SimpleNamespace(
             members=lambda: [self._member],
+            links=lambda incarnation: [None] if "stream" in description else [],
             request=self._answer,
             answer_at_once=lambda kind, handler: None,
         )
