Read what the holder has sent before claiming after a pause of one's own

Cause: a daemon that was stopped took its own pause for the holder's silence, and claimed the group in the turn in which it resumed, before it had read the heartbeats that waited in its sockets, or had let a holder that was stopped, too, send one.

The first check after a gap of more than 0.15 s is left out; the one after it, 0.05 s later, is made in any case, so that a daemon with long turns claims, too.

--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -92,6 +92,7 @@
     from berylproxy.durable.holding.holder import Holder
 
 HOLDER_CHECK_INTERVAL_S = 0.05
+OWN_PAUSE_S = 0.15  # between two checks of a daemon that was stopped or got no processor time
 HEARTBEAT_PART = "durable"
 CLAIM_RETRY_DELAY_S = 0.15  # after a claim that the store did not answer
 # Fits the limit of 2 s within which an endpoint that the list shows as leaving must get no more
@@ -216,6 +217,8 @@
         self._endpoint_list = EndpointList()
         self._claim_paused_until_s: dict[str, float] = {}
         self._settled_from_s = inf
+        self._checked_s = clock.now_s()
+        self._is_check_skipped = False
         self._telemetry = telemetry
         self.waiting_callers = WaitingCallers(
             network, clock, self._is_entry_alive, _tells_waited_jobs
@@ -273,10 +276,23 @@
             task_group.start_soon(self.withdrawals.run)
             while True:
                 await sleep(HOLDER_CHECK_INTERVAL_S)
-                now_s = self._clock.now_s()
-                for group, known in list(self.known_holders.items()):
-                    if group in self.holders or known.may_be_suspect(now_s):
-                        self._check_holder(group)
+                self._check_holders()
+
+    def _check_holders(self) -> None:
+        """Checks the holders of all groups, unless this daemon has just been paused.
+
+        What the holders sent meanwhile is yet to be read. The next check is made in any case, so
+        that a daemon that is always slow claims, too.
+        """
+        now_s = self._clock.now_s()
+        was_paused = now_s - self._checked_s > OWN_PAUSE_S
+        self._checked_s = now_s
+        self._is_check_skipped = was_paused and not self._is_check_skipped
+        if self._is_check_skipped:
+            return
+        for group, known in list(self.known_holders.items()):
+            if group in self.holders or known.may_be_suspect(now_s):
+                self._check_holder(group)
 
     async def _refresh_models(self) -> None:
         """Refreshes the learned run times that a new holder starts with, until cancelled."""
--- a/tests/durable/holding/contention.feature
+++ b/tests/durable/holding/contention.feature
@@ -137,6 +137,18 @@
       | without | 17    | does not claim |
       | with    | 16    | does not claim |
 
+  # Guards against a change of holder because the daemons were paused at the same moment.
+  Scenario Outline: a daemon that was paused itself reads what the holder has sent before it claims
+    Given a daemon that checks a holder, and is paused with it for 0.6 s
+    When it checks the holder, <event>, and it checks the holder again <time> s later
+    Then it has claimed the group after check <number>
+
+    Examples:
+      | event                       | time | number |
+      | reads its heartbeat         | 0.05 | none   |
+      | reads nothing               | 0.05 | 2      |
+      | reads nothing               | 0.6  | 2      |
+
   # Guards against two changes of holder in a row, where a daemon is slow to carry out its decision.
   Scenario Outline: a daemon that is about to claim a group hears that another one has claimed it
     Given a daemon that has decided to claim the group of a holder that <state>
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -262,6 +262,42 @@
     run(check)
 
 
+@given(r"a daemon that checks a holder, and is paused with it for (?P<time_s>[\d.]+) s")
+def step_impl(context, time_s):
+    context.pause_s = float(time_s)
+
+
+@when(
+    r"it checks the holder, reads (?P<event>its heartbeat|nothing), and it checks the holder again "
+    r"(?P<time_s>[\d.]+) s later"
+)
+def step_impl(context, event, time_s):
+    holder, clock = make_identity("d1"), SimpleNamespace(now_s=lambda: clock.time_s, time_s=100.0)
+    network = make_network()
+    network.members = lambda: [Member(holder, MemberStatus.ALIVE)]
+    network.links = lambda incarnation: [None]
+    coordinator = make_coordinator(
+        FakeDirectory([]), list_members=lambda: {"d0": "a", "d1": "a"}, network=network, clock=clock
+    )
+    coordinator._task_group = SimpleNamespace(start_soon=lambda *arguments: None)
+    coordinator.known_holders[SERVICE] = KnownHolder(CLAIM_FENCE, holder.incarnation, clock.time_s)
+    coordinator._check_holders()
+    context.claimed_at_check = []
+    for number, pause_s in ((1, context.pause_s), (2, float(time_s))):
+        clock.time_s += pause_s
+        coordinator._check_holders()
+        context.claimed_at_check += [str(number)] * bool(coordinator._claiming)
+        if event == "its heartbeat":
+            heartbeat = HolderHeartbeat(SERVICE, CLAIM_FENCE, ())
+            coordinator._handle_holder_heartbeat(holder, heartbeat)
+
+
+@then(r"it has claimed the group after check (?P<number>\w+)")
+def step_impl(context, number):
+    expected = [] if number == "none" else [number]
+    assert context.claimed_at_check == expected, context.claimed_at_check
+
+
 @given(r"a daemon that has decided to claim the group of a holder that (?P<state>.+)")
 def step_impl(context, state):
     context.is_leaving = state == "is leaving"
