Keep the ends of unfinished best-effort jobs after a pause of the holder

Cause: a holder lets endpoints forget the ends of an open best-effort job at once, as it knows their effect, unless the store hasn't confirmed its claim for 0.75 s. A holder that resumes after a pause doesn't know yet that it has been replaced, and read the reports that waited in its sockets before it heard of the new holder, which then found one end of two.

A holder that hasn't run for longer than 0.3 s, the heartbeat that others wait for less one interval, now keeps such ends for 0.5 s, in which it hears of a new one. To keep them always would have each endpoint called every 25 ms. Two of the four examples of the new scenario fail without the guard.

--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -24,6 +24,7 @@
     FENCES_PER_CLAIM,
     HEARTBEAT_INTERVAL_S,
     HEARTBEATS_PER_BROADCAST,
+    SUSPICION_TIMEOUT_S,
 )
 from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.ledger import (
@@ -89,6 +90,9 @@
 UNCONFIRMED_TENURE_S = 1.5  # another daemon may reach the store and replace the claim
 OUTAGE_TENURE_S = 10.0  # no other daemon can reach the store either
 CLAIM_READ_TIMEOUT_S = 0.7
+# After a longer pause of this daemon, others may have found the holder silent and have claimed.
+UNNOTICED_PAUSE_S = SUSPICION_TIMEOUT_S - HEARTBEAT_INTERVAL_S
+CLAIM_NEWS_S = 0.5  # by then a new holder's heartbeat has arrived, or the claim was checked
 LONGEST_UNCONFIRMED_TENURE_S = (
     UNCONFIRMED_TENURE_S + CLAIM_READ_TIMEOUT_S + CLAIM_CHECK_INTERVAL_S / 2
 )
@@ -208,7 +212,7 @@
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
-            self._may_have_to_suspend,
+            self._may_have_to_end,
         )
         self._policies = PlacementPolicies(SharedOrder(), neighbours, self.group.suspicion)
         self._ledger = Ledger(self._store, (claim_key(group), claim_revision), tenure.confirm)
@@ -230,6 +234,7 @@
         self._typical_need = TypicalNeed()
         self._watchers: list[str] = []
         self._pauses = PauseDetector(context.clock)
+        self._short_pauses = PauseDetector(context.clock, UNNOTICED_PAUSE_S, CLAIM_NEWS_S)
 
     def _is_in_group(self, info: EndpointInfo) -> bool:
         group = self._context.group_of_endpoint(info.service, info.instance.endpoint_id)
@@ -644,6 +649,7 @@
             await sleep(TICK_INTERVAL_S)
             now_s = self._clock.now_s()
             self._pauses.note_run()
+            self._short_pauses.note_run()
             self._outcomes.store_old_progress(now_s)
             if not self._pauses.is_refreshing:
                 self.group.move_stalled_runs(now_s)
@@ -761,10 +767,16 @@
             except StoreError as error:
                 logger.debug("learned run times not stored: {}", error.message)
 
-    def _may_have_to_suspend(self) -> bool:
-        """Returns whether the tenure may soon end because the store doesn't confirm its claim."""
+    def _may_have_to_end(self) -> bool:
+        """Returns whether the tenure may soon end, as far as this daemon can tell.
+
+        The store doesn't confirm its claim, or it was paused and may have been replaced meanwhile.
+        """
         if not self.tenure.claim_revision:
             return False
+        self._short_pauses.note_run()
+        if self._short_pauses.is_refreshing:
+            return True
         age_s = self._clock.now_s() - self.tenure.confirmed_s
         return age_s > UNCONFIRMED_TENURE_S / 2 and bool(self._list_durable_jobs())
 
--- a/tests/durable/orders/orphans.feature
+++ b/tests/durable/orders/orphans.feature
@@ -108,6 +108,23 @@
       | another durable job is open | 0.5   | 1     |
       | no other job is open        | 1.0   | 1     |
 
+  # Guards against done tasks that run again because a holder went on after it had been replaced.
+  Scenario Outline: a holder that was paused keeps the ends of unfinished best-effort jobs
+    Given a holder with a claim that has loaded the open jobs
+    And a best-effort job of 2 tasks runs at its endpoint
+    When the holder is paused for <pause_s> s, and runs on for <time_s> s
+    And the endpoint reports the end of the first task
+    Then the holder lets the endpoint forget <first> ends
+    When the endpoint reports the end of the second task, too
+    Then the holder lets the endpoint forget 2 ends
+
+    Examples:
+      | pause_s | time_s | first |
+      | 0.35    | 0.0    | 0     |
+      | 0.35    | 0.4    | 0     |
+      | 0.35    | 0.6    | 1     |
+      | 0.25    | 0.0    | 1     |
+
   Scenario: a holder that finds an open job of a later claim has lost its own
     Given a holder with a claim that hasn't loaded the open jobs yet
     And a later holder has stored an open job
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -159,7 +159,14 @@
 
 @when(r"the store has last confirmed its claim (?P<age_s>[\d.]+) s ago")
 def step_impl(context, age_s):
-    context.still_holder.now_s = context.still_holder.holder.tenure.confirmed_s + float(age_s)
+    world = context.still_holder
+    world.run_on(world.holder.tenure.confirmed_s + float(age_s) - world.now_s)
+
+
+@when(r"the holder is paused for (?P<pause_s>[\d.]+) s, and runs on for (?P<time_s>[\d.]+) s")
+def step_impl(context, pause_s, time_s):
+    context.still_holder.pause(float(pause_s))
+    context.still_holder.run_on(float(time_s))
 
 
 @when(r"the endpoint reports the end of the second task, too")
--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -7,7 +7,7 @@
 from berylproxy.durable.endpoints.neighbour_mode import NeighbourMode
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding.context import HolderContext
-from berylproxy.durable.holding.holder import Holder
+from berylproxy.durable.holding.holder import TICK_INTERVAL_S, Holder
 from berylproxy.durable.holding.records import open_key
 from berylproxy.durable.jobs.job_table import Job
 from berylproxy.durable.jobs.models import (
@@ -108,6 +108,22 @@
         survey = WaitedJobsSurvey(asked_s, frozenset(job_ids))
         self.holder.group.note_waited_jobs(survey)
 
+    def pause(self, time_s: float) -> None:
+        """Lets time pass in which the holder's process is stopped."""
+        self.now_s += time_s
+
+    def run_on(self, time_s: float) -> None:
+        """Lets time pass in which the holder's process runs."""
+        until_s = self.now_s + time_s
+        self._note_run()
+        while self.now_s < until_s:
+            self.now_s = min(self.now_s + TICK_INTERVAL_S, until_s)
+            self._note_run()
+
+    def _note_run(self) -> None:
+        self.holder._pauses.note_run()
+        self.holder._short_pauses.note_run()
+
     @property
     def state(self) -> EndpointState:
         """What the holder keeps of the endpoint."""
