Submit again in the holder's tests while the open jobs aren't loaded yet

The steps submit 0.05 s after a take-over, directly to the holder. If it hasn't loaded the open jobs by then, it answers NotHolderError, for which an entry daemon submits again; the steps took it for the end, and the job never ran.

--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -28,7 +28,7 @@
     open_key,
 )
 from berylproxy.durable.holding.waiting_callers import UNASKED_GRACE_S
-from berylproxy.durable.jobs.messages import DropJob, JobSubmission
+from berylproxy.durable.jobs.messages import DropJob, JobSubmission, JobSubmissionReply
 from berylproxy.durable.jobs.models import (
     EndKind,
     JobSpec,
@@ -57,6 +57,8 @@
 TASK_NEEDS = Resources(TASK_CPU_MILLICORES)
 MAX_ATTEMPTS = 3
 ANSWER_TIMEOUT_S = 10.0
+LOAD_LIMIT_S = 2.0
+RETRY_PAUSE_S = 0.03
 URGENT_OBJECTIVE_S = 0.1
 FENCES_PER_REVISION = 16
 LIST_INTERVAL_S = 0.1
@@ -154,6 +156,19 @@
         await anyio_sleep(UNASKED_GRACE_S)
         return WaitedJobsSurvey(asked_s, frozenset())
 
+    async def _submit_when_loaded(
+        self, holder: Holder, message: JobSubmission
+    ) -> JobSubmissionReply:
+        """Submits a job as an entry daemon does, again while the open jobs aren't loaded yet."""
+        until_s = monotonic() + LOAD_LIMIT_S
+        while True:
+            try:
+                return await holder.submit(message, ENTRY)
+            except NotHolderError:
+                if holder.tenure.is_over or holder.is_loaded or monotonic() > until_s:
+                    raise
+                await anyio_sleep(RETRY_PAUSE_S)
+
     def submit(
         self,
         name: str,
@@ -176,7 +191,7 @@
         spec = JobSpec(name, terms, "", (StepSpec(tasks, needs, estimate_s),), is_kept)
         holder = self.holders[fence or self.newest_fence]
         message = JobSubmission(GROUP, spec, attempt, wait_s, former_fence, call=call)
-        future = self.portal.start_task_soon(holder.submit, message, ENTRY)
+        future = self.portal.start_task_soon(self._submit_when_loaded, holder, message)
         self.replies.setdefault(name, []).append(future)
         sleep(0.02)
 
