Name the jobs that callers await, and what a call does with a holder

Renamed: awaited for waited jobs, in the new messages, the heartbeat field and the survey, and OpenCall.forget_holder.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -97,8 +97,8 @@
     state: JobState | None = None
     error: BerylproxyError | None = None
 
-    def note_not_there(self, holder: tuple[str, str], attempt: int) -> None:
-        """Records that a holder no longer has the job, unless it got it again by a later attempt.
+    def forget_holder(self, holder: tuple[str, str], attempt: int) -> None:
+        """Records that a holder doesn't have the job, unless it has got it by a later attempt.
 
         :param holder: its group and incarnation.
         """
@@ -381,9 +381,9 @@
         except BerylproxyError as error:
             is_absent = isinstance(error, PeerUnreachableError) or error.code == NotHolderError.code
             if is_absent and former_attempt is None:
-                call.note_not_there(key, message.attempt)
+                call.forget_holder(key, message.attempt)
             raise
-        call.note_not_there(key, message.attempt)  # it has ended, or was refused before it began
+        call.forget_holder(key, message.attempt)  # it has ended, or was refused before it began
         return reply
 
     async def _submit_until_holder_changes(
--- a/berylproxy/durable/holding/context.py
+++ b/berylproxy/durable/holding/context.py
@@ -7,7 +7,7 @@
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList
 from berylproxy.durable.jobs.ports import EndpointDirectory, JobStore
-from berylproxy.durable.orders.orphans import WaitedJobsSurvey
+from berylproxy.durable.orders.orphans import AwaitedJobsSurvey
 from berylproxy.durable.orders.telemetry import Telemetry
 
 
@@ -41,7 +41,7 @@
         time near the data.
     :param failure_domain: returns the failure domain of a daemon, given its incarnation; empty if
         it is unknown.
-    :param survey_waited_jobs: asks the entry daemons for which best-effort jobs of a group their
+    :param survey_awaited_jobs: asks the entry daemons for which best-effort jobs of a group their
         callers wait; returns ``None`` if one of them can't tell.
     :param other_groups_of_job: returns the groups in which a job may be if its queue had another
         service before, given its service and identifier.
@@ -61,5 +61,5 @@
     is_entry_alive: Callable[[str], bool]
     remote_factor: Callable[[], float]
     failure_domain: Callable[[str], str]
-    survey_waited_jobs: Callable[[str], Awaitable[WaitedJobsSurvey | None]]
+    survey_awaited_jobs: Callable[[str], Awaitable[AwaitedJobsSurvey | None]]
     other_groups_of_job: Callable[[str, str], list[str]] = lambda service, job_id: []
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -221,7 +221,7 @@
         self._is_check_skipped = False
         self._telemetry = telemetry
         self.waiting_callers = WaitingCallers(
-            network, clock, self._is_entry_alive, _tells_waited_jobs
+            network, clock, self._is_entry_alive, _tells_awaited_jobs
         )
         self.divisions = ServiceDivisions(
             store, directory, clock, self._list_carried, self._reaches_all_members
@@ -838,7 +838,7 @@
             "carries": count_carried_endpoints(self.cores, self.link_mbps),
             "holds": self._count_held(),
             "has_store": self._has_store(),
-            "tells_waited_jobs": True,
+            "tells_awaited_jobs": True,
         }
 
     def _count_held(self) -> int:
@@ -925,9 +925,9 @@
     return _read_heartbeat_part(member).get("has_store", True)
 
 
-def _tells_waited_jobs(member: Member) -> bool:
+def _tells_awaited_jobs(member: Member) -> bool:
     """Returns whether a member's version can be asked for which jobs its callers wait."""
-    return _read_heartbeat_part(member).get("tells_waited_jobs", False)
+    return _read_heartbeat_part(member).get("tells_awaited_jobs", False)
 
 
 def _make_candidate(member: Member) -> Candidate:
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -303,13 +303,13 @@
         )
 
     async def _survey_callers(self) -> None:
-        """Asks the entry daemons for which jobs callers wait, while there are orphans."""
+        """Asks the entry daemons which jobs callers await, while endpoints keep unknown ones."""
         while True:
             await self.group.orphans_found.wait()
             self.group.orphans_found = Event()
-            survey = await self._context.survey_waited_jobs(self.tenure.group)
+            survey = await self._context.survey_awaited_jobs(self.tenure.group)
             if survey is not None:
-                self.group.note_waited_jobs(survey)
+                self.group.note_awaited_jobs(survey)
             await sleep(SURVEY_INTERVAL_S)
 
     def _load_job(self, key: str, value: bytes) -> bool:
--- a/berylproxy/durable/holding/waiting_callers.py
+++ b/berylproxy/durable/holding/waiting_callers.py
@@ -11,13 +11,13 @@
 from logbook import Logger
 
 from berylproxy.clock import Clock
-from berylproxy.durable.jobs.messages import AskWaitedJobs, WaitedJobs
-from berylproxy.durable.orders.orphans import WaitedJobsSurvey
+from berylproxy.durable.jobs.messages import AskAwaitedJobs, AwaitedJobs
+from berylproxy.durable.orders.orphans import AwaitedJobsSurvey
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.membership import Member, MemberStatus, PeerError
 from berylproxy.peers.network import TcpPeerNetwork
 
-MAX_TOLD_JOBS = 4_000  # in one message
+MAX_NAMED_JOBS = 4_000  # in one message
 ANSWER_TIMEOUT_S = 0.3
 RETRY_PAUSE_S = 0.05
 ABSENCE_LIMIT_S = 1.0  # a holder drops the jobs of a daemon that is silent for as long
@@ -47,7 +47,7 @@
         self._is_heard = is_heard
         self._can_be_asked = can_be_asked
         self._calls: dict[int, tuple[str, str]] = {}
-        network.answer_at_once(AskWaitedJobs, self._answer)
+        network.answer_at_once(AskAwaitedJobs, self._answer)
 
     def note_waiting(self, call: int, group: str, job_id: str) -> None:
         """Records that a call waits for a job that may be run in a group.
@@ -64,7 +64,7 @@
         """Lists the jobs of a group for which callers wait at this daemon."""
         return {job_id for own_group, job_id in self._calls.values() if own_group == group}
 
-    async def survey(self, group: str) -> WaitedJobsSurvey | None:
+    async def survey(self, group: str) -> AwaitedJobsSurvey | None:
         """Asks all daemons for which jobs of a group their callers wait.
 
         One that isn't heard for a while counts as one whose callers wait for none.
@@ -82,9 +82,9 @@
         async with create_task_group() as task_group:
             for member in self._network.members():
                 task_group.start_soon(ask, member)
-        return WaitedJobsSurvey(asked_s, frozenset(jobs)) if all(told) else None
+        return AwaitedJobsSurvey(asked_s, frozenset(jobs)) if all(told) else None
 
-    async def _ask(self, member: Member, group: str) -> WaitedJobs:
+    async def _ask(self, member: Member, group: str) -> AwaitedJobs:
         """Returns a daemon's answer; an empty one if it has ended or isn't heard for a while."""
         incarnation = member.identity.incarnation
         asked_s = heard_s = self._clock.now_s()
@@ -92,12 +92,12 @@
             if self._can_be_asked(member):
                 try:
                     return await self._network.request(
-                        incarnation, AskWaitedJobs(group), ANSWER_TIMEOUT_S
+                        incarnation, AskAwaitedJobs(group), ANSWER_TIMEOUT_S
                     )
                 except PeerError as error:
                     logger.debug("{} hasn't told: {}", member.identity.daemon_id, error.message)
             elif self._clock.now_s() - asked_s >= UNASKED_GRACE_S:
-                return WaitedJobs(())
+                return AwaitedJobs(())
             await sleep(RETRY_PAUSE_S)
             if self._is_heard(incarnation):
                 heard_s = self._clock.now_s()
@@ -106,15 +106,15 @@
             member.identity.daemon_id,
             extra={"group": group},
         )
-        return WaitedJobs(())
+        return AwaitedJobs(())
 
     def _is_gone(self, member: Member) -> bool:
         """Returns whether a daemon's port refuses connections, or it has been silent for long."""
         is_alive = member.status is MemberStatus.ALIVE
         return not is_alive and not self._network.links(member.identity.incarnation)
 
-    def _answer(self, _: DaemonIdentity, message: AskWaitedJobs) -> WaitedJobs:
+    def _answer(self, _: DaemonIdentity, message: AskAwaitedJobs) -> AwaitedJobs:
         job_ids = self.list_own(message.group)
-        if len(job_ids) > MAX_TOLD_JOBS:
-            return WaitedJobs((), is_complete=False)
-        return WaitedJobs(tuple(job_ids))
+        if len(job_ids) > MAX_NAMED_JOBS:
+            return AwaitedJobs((), is_complete=False)
+        return AwaitedJobs(tuple(job_ids))
--- a/berylproxy/durable/jobs/messages.py
+++ b/berylproxy/durable/jobs/messages.py
@@ -137,14 +137,14 @@
     states: dict[str, str]
 
 
-class AskWaitedJobs(Struct, frozen=True):
+class AskAwaitedJobs(Struct, frozen=True):
     """Asks an entry daemon for which best-effort jobs of a group its callers wait."""
 
     group: str
 
 
-class WaitedJobs(Struct, frozen=True):
-    """The reply to :class:`AskWaitedJobs`.
+class AwaitedJobs(Struct, frozen=True):
+    """The reply to :class:`AskAwaitedJobs`.
 
     :param is_complete: whether all jobs are named; if not, none is.
     """
@@ -168,4 +168,4 @@
 
 # Sent only to daemons that say in their heartbeats that they know them: others would close the
 # stream.
-ANNOUNCED_MESSAGES = (AskWaitedJobs, WaitedJobs)
+ANNOUNCED_MESSAGES = (AskAwaitedJobs, AwaitedJobs)
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -44,10 +44,10 @@
 from berylproxy.durable.learning.trust import SUSPECTED_PROBABILITY, FailureStatistics, FailureTrust
 from berylproxy.durable.orders.crash_watch import CrashWatch, RestartSign
 from berylproxy.durable.orders.orphans import (
+    AwaitedJobsSurvey,
     KeptEnds,
     LoadedClaim,
     OrphanClearance,
-    WaitedJobsSurvey,
 )
 from berylproxy.durable.orders.tenure import Tenure
 
@@ -958,7 +958,7 @@
         if job.is_final:
             self._on_final(job)
 
-    def note_waited_jobs(self, survey: WaitedJobsSurvey) -> None:
+    def note_awaited_jobs(self, survey: AwaitedJobsSurvey) -> None:
         """Applies what the entry daemons have told of jobs that aren't open here."""
         if self._clearance is not None:
             self._clearance.note_survey(survey)
--- a/berylproxy/durable/orders/orphans.py
+++ b/berylproxy/durable/orders/orphans.py
@@ -7,7 +7,7 @@
 and it takes a :class:`LoadedClaim`, which a provisional holder never has.
 
 The others are best-effort jobs, of which the entry daemons know whether a caller still waits. A
-:class:`WaitedJobsSurvey` holds their answers.
+:class:`AwaitedJobsSurvey` holds their answers.
 """
 
 from collections.abc import Callable
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WaitedJobsSurvey:
+class AwaitedJobsSurvey:
     """The best-effort jobs of a group for which callers wait, as told by their entry daemons.
 
     :param asked_s: monotonic time at which the first daemon was asked.
@@ -109,9 +109,9 @@
         self._ends = ends
         self._is_open = is_open
         self._stop_run = stop_run
-        self._survey: WaitedJobsSurvey | None = None
+        self._survey: AwaitedJobsSurvey | None = None
 
-    def note_survey(self, survey: WaitedJobsSurvey) -> None:
+    def note_survey(self, survey: AwaitedJobsSurvey) -> None:
         """Applies the answers of the entry daemons."""
         self._survey = survey
 
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -39,7 +39,7 @@
     StoredJob,
 )
 from berylproxy.durable.learning.estimates import RunTimeModel
-from berylproxy.durable.orders.orphans import WaitedJobsSurvey
+from berylproxy.durable.orders.orphans import AwaitedJobsSurvey
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import (
@@ -150,11 +150,11 @@
         self.portal.start_task_soon(self.holders[fence].run)
         sleep(0.05)
 
-    async def _survey_unasked(self, group: str) -> WaitedJobsSurvey:
+    async def _survey_unasked(self, group: str) -> AwaitedJobsSurvey:
         """Surveys entry daemons of a version that can't be asked."""
         asked_s = monotonic()
         await anyio_sleep(UNASKED_GRACE_S)
-        return WaitedJobsSurvey(asked_s, frozenset())
+        return AwaitedJobsSurvey(asked_s, frozenset())
 
     async def _submit_when_loaded(
         self, holder: Holder, message: JobSubmission
--- a/tests/steps/durable_orphans_steps.py
+++ b/tests/steps/durable_orphans_steps.py
@@ -53,7 +53,7 @@
         return
     waited = {UNKNOWN_JOB} if told == "a caller waits for it" else set()
     asked_s = world.endpoint.contacted_s - 0.001 if told.endswith("before") else world.now_s
-    world.tell_waited_jobs(waited, asked_s)
+    world.tell_awaited_jobs(waited, asked_s)
 
 
 @when(r"(?P<time_s>[\d.]+) s later the endpoint reports them again")
--- a/tests/steps/durable_waiting_callers_steps.py
+++ b/tests/steps/durable_waiting_callers_steps.py
@@ -8,7 +8,7 @@
 
 from berylproxy.durable.holding import waiting_callers
 from berylproxy.durable.holding.waiting_callers import WaitingCallers
-from berylproxy.durable.jobs.messages import AskWaitedJobs, WaitedJobs
+from berylproxy.durable.jobs.messages import AskAwaitedJobs, AwaitedJobs
 from berylproxy.peers.membership import MemberStatus, PeerLostError
 
 GROUP, OWN_JOB, OTHER_JOB = "ledger", "own", "other"
@@ -49,15 +49,15 @@
         return "isn't heard" not in self.description
 
     async def _answer(self, incarnation, message, timeout_s):
-        assert message == AskWaitedJobs(GROUP)
+        assert message == AskAwaitedJobs(GROUP)
         if "too many" in self.description:
-            return WaitedJobs((), is_complete=False)
+            return AwaitedJobs((), is_complete=False)
         tells_from_s = {"after 0.8 s": 0.8, "and then tells": 1.0, "at once": 0.0}
         from_s = next((s for words, s in tells_from_s.items() if words in self.description), 1e9)
         if self.waited_s < from_s:
             self.now_s += timeout_s
             raise PeerLostError("no reply")
-        return WaitedJobs((OTHER_JOB,))
+        return AwaitedJobs((OTHER_JOB,))
 
     async def sleep(self, time_s):
         self.now_s += time_s
@@ -94,7 +94,7 @@
     handlers = {}
     network = SimpleNamespace(answer_at_once=handlers.__setitem__)
     context.callers = WaitingCallers(network, None, None, None)
-    context.tell = handlers[AskWaitedJobs]
+    context.tell = handlers[AskAwaitedJobs]
     context.calls = {first: 1, second: 2}
     context.callers.note_waiting(1, first_group, first)
     context.callers.note_waiting(2, second_group, second)
@@ -112,5 +112,5 @@
 
 @then(r'it tells of "(?P<jobs>[\w, ]+)" when asked about group "(?P<group>\w+)"')
 def step_impl(context, jobs, group):
-    answer = context.tell(None, AskWaitedJobs(group))
+    answer = context.tell(None, AskAwaitedJobs(group))
     assert answer.is_complete and ", ".join(sorted(answer.job_ids)) == jobs, answer
--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -23,7 +23,7 @@
     TaskName,
 )
 from berylproxy.durable.learning.estimates import RunTimeModel
-from berylproxy.durable.orders.orphans import WaitedJobsSurvey
+from berylproxy.durable.orders.orphans import AwaitedJobsSurvey
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
@@ -97,16 +97,16 @@
         self.holder.group._apply_directory((endpoint.info,))
         (self.endpoint,) = self.holder.group.endpoints.values()
 
-    async def _survey_nobody(self, group: str) -> WaitedJobsSurvey:
-        return WaitedJobsSurvey(self.now_s, frozenset())
+    async def _survey_nobody(self, group: str) -> AwaitedJobsSurvey:
+        return AwaitedJobsSurvey(self.now_s, frozenset())
 
-    def tell_waited_jobs(self, job_ids: set[str], asked_s: float) -> None:
+    def tell_awaited_jobs(self, job_ids: set[str], asked_s: float) -> None:
         """Applies the entry daemons' answers to the question for whom they wait.
 
         :param asked_s: when they were asked.
         """
-        survey = WaitedJobsSurvey(asked_s, frozenset(job_ids))
-        self.holder.group.note_waited_jobs(survey)
+        survey = AwaitedJobsSurvey(asked_s, frozenset(job_ids))
+        self.holder.group.note_awaited_jobs(survey)
 
     def pause(self, time_s: float) -> None:
         """Lets time pass in which the holder's process is stopped."""
