Let the late-reply scenario fail for its own reason on the code before

It hadn't shown that: after the 5 s the stub of the coordinator lacked `divisions`, and the scenario ended with an AttributeError in the log line.

--- a/tests/steps/durable_submissions_steps.py
+++ b/tests/steps/durable_submissions_steps.py
@@ -39,6 +39,7 @@
         coordinator = SimpleNamespace(
             own_incarnation=ENTRY,
             known_holders={GROUP: self.known},
+            divisions=SimpleNamespace(group_of_job=lambda service, job_id: GROUP),
             known_fence=lambda group: self.known.fence,
             holder_incarnation=lambda group: self.known.incarnation,
             route_job=lambda spec, refused_by: GroupChoice(GROUP, only_if_room=False),
