Show which configuration a daemon has, and why it can't read a newer one

Now the metrics berylproxy_config_version, berylproxy_config_age_seconds and berylproxy_store_calls_failed_total{call,reason} tell it, and a warning once the operator's keys have not been read for 2 s, with the reason. No decision changes.

--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -1,6 +1,6 @@
 """Assembles the daemon for the users' platform and runs it until a planned stop."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from secrets import token_hex
 from socket import socket
 from time import monotonic
@@ -30,6 +30,7 @@
 from berylproxy.durable.jobs.ports import Transaction, TransactionConflictError
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.http_server import HttpServer
+from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
 from berylproxy.peers.network import TcpPeerNetwork
@@ -148,6 +149,7 @@
         telemetry.add_gauges(self._coordinator.list_group_gauges)
         telemetry.metrics.add_source(self._evacuations.list_gauges)
         telemetry.metrics.add_source(self._coordinator.list_share_samples)
+        telemetry.metrics.add_source(self._list_samples)
         self._frontend = JobFrontend(
             self._network, self._coordinator, self._store, self._clock, telemetry
         )
@@ -188,6 +190,20 @@
             }
         )
 
+    def _list_samples(self) -> Iterable[Sample]:
+        """Returns what the daemon has read from the store, and which of its calls failed."""
+        version = self._configuration.version
+        yield Sample(
+            "berylproxy_config_version", "Version of the configuration in force", version, {}
+        )
+        age_s = monotonic() - self._operator_watch.last_read_s
+        help_text = "Time since the operator's keys were known to be up to date"
+        yield Sample("berylproxy_config_age_seconds", help_text, age_s, {})
+        for (call, reason), count in self._store.failed_calls.items():
+            help_text = "Calls to the store that failed, by kind and reason"
+            labels = {"call": call, "reason": reason}
+            yield Sample("berylproxy_store_calls_failed_total", help_text, count, labels)
+
     def _apply_settings(self, settings: PlatformSettings) -> None:
         """Applies the settings that take effect without a restart."""
         if settings.store_address != self._settings.store_address:
--- a/berylproxy/platform/operator_watch.py
+++ b/berylproxy/platform/operator_watch.py
@@ -23,6 +23,7 @@
 # evacuation has to be in effect.
 REREAD_INTERVAL_S = 4.0
 RETRY_DELAY_S = 0.1
+UNREAD_LOG_S = 2.0  # keys that have not been read for as long are logged
 
 logger = Logger(__name__)
 
@@ -32,6 +33,7 @@
 
     :param apply_configuration: called with each value of the configuration that is read.
     :param evacuations: the view that is kept up to date.
+    :ivar last_read_s: monotonic time at which the keys were last known to be up to date.
     """
 
     def __init__(
@@ -45,6 +47,8 @@
         self._evacuations = evacuations
         self._requested: dict[str, int] = {}
         self._skipped_keys: set[str] = set()
+        self.last_read_s = monotonic()
+        self._is_unread_logged = False
 
     async def run(self) -> None:
         """Follows the operator's keys until cancelled; reads them anew after each failure."""
@@ -57,13 +61,33 @@
                 batch = await self._store.wait_for_changes(OPERATOR_PREFIX, revision, WATCH_S)
                 revision = max(revision, batch.revision)
                 self._apply(batch, revision)
+                self._note_read()
             except StoreCompactedError:
                 revision = 0
             except StoreError as error:
-                logger.debug("the operator's keys can't be read: {}", error.message)
+                self._note_failure(error)
                 revision = 0
                 await sleep(RETRY_DELAY_S)
 
+    def _note_read(self) -> None:
+        now_s = monotonic()
+        if self._is_unread_logged:
+            self._is_unread_logged = False
+            unread_s = round(now_s - self.last_read_s, 1)
+            logger.info("the operator's keys are read again", extra={"unread_s": unread_s})
+        self.last_read_s = now_s
+
+    def _note_failure(self, error: StoreError) -> None:
+        """Logs once that the keys have not been read for a while, and why."""
+        unread_s = monotonic() - self.last_read_s
+        if unread_s >= UNREAD_LOG_S and not self._is_unread_logged:
+            self._is_unread_logged = True
+            logger.warning(
+                "the operator's keys can't be read: {}",
+                error.message,
+                extra={"unread_s": round(unread_s, 1)},
+            )
+
     async def _read(self) -> int:
         """Reads all keys of the operator.
 
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value service."""
 
 from base64 import b64decode, b64encode
+from collections import Counter
 from dataclasses import dataclass
 from time import monotonic
 from typing import Annotated, Any
@@ -82,6 +83,8 @@
     """Implements :class:`berylproxy.durable.jobs.ports.JobStore` and the reads that a daemon needs.
 
     :ivar call_count: number of calls made.
+    :ivar failed_calls: number of calls that failed, by kind and reason: ``not_sent``,
+        ``answer_lost`` or ``refused``.
     :ivar last_contact_s: monotonic time of the last response other than a refusal.
     """
 
@@ -91,6 +94,7 @@
         self._http = HttpClient(address, CONNECT_TIMEOUT_S)
         self._watches = HttpClient(address, CONNECT_TIMEOUT_S)
         self.call_count = 0
+        self.failed_calls: Counter[tuple[str, str]] = Counter()
         self.last_contact_s = monotonic()
         self._consecutive_failures = 0
         self._last_failure_s = 0.0
@@ -229,11 +233,11 @@
                 "GET", target, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
             )
         except (NotSentError, AnswerLostError) as error:
-            self._note_failure()
+            self._note_failure("watch", error.code)
             raise StoreUnavailableError(f"watch: {error.message}") from error
         # A watch that began before the last failure ends without the service being available.
         if response.sent_s > self._last_failure_s:
-            self._note_response(response)
+            self._note_response("watch", response)
         if response.status == 410:
             raise StoreCompactedError(f"changes after {after_revision} are no longer available")
         batch = _decode_answer(self._require_success(response), _Listed)
@@ -261,12 +265,12 @@
         try:
             response = await self._http.call("POST", target, content, timeout_s=CALL_TIMEOUT_S)
         except NotSentError as error:
-            self._note_failure()
+            self._note_failure("write", error.code)
             raise StoreUnavailableError(error.message) from error
         except AnswerLostError as error:
-            self._note_failure()
+            self._note_failure("write", error.code)
             raise StoreOutcomeUnknownError(error.message) from error
-        self._note_response(response)
+        self._note_response("write", response)
         return response
 
     async def _read(self, target: str) -> HttpResponse:
@@ -274,18 +278,19 @@
         try:
             response = await self._http.call("GET", target, timeout_s=READ_TIMEOUT_S)
         except (NotSentError, AnswerLostError) as error:
-            self._note_failure()
+            self._note_failure("read", error.code)
             raise StoreUnavailableError(error.message) from error
-        self._note_response(response)
+        self._note_response("read", response)
         return response
 
-    def _note_failure(self) -> None:
+    def _note_failure(self, call: str, reason: str) -> None:
+        self.failed_calls[call, reason] += 1
         self._consecutive_failures += 1
         self._last_failure_s = monotonic()
 
-    def _note_response(self, response: HttpResponse) -> None:
+    def _note_response(self, call: str, response: HttpResponse) -> None:
         if response.status in REFUSAL_STATUSES:
-            self._note_failure()
+            self._note_failure(call, "refused")
         else:
             self._consecutive_failures = 0
             self.last_contact_s = response.received_s
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -31,6 +31,7 @@
     :param cut: resets all connections and refuses new ones.
     :param silent: permanently drops all bytes of the connections that are open when it is set.
     :param delay_s: delay of each chunk, in both directions.
+    :param bytes_per_s: what the link carries in each direction; 0 for no limit.
     :param lose_share: share of chunks that are lost; the connection of a lost chunk permanently
         drops all further bytes.
     :param target: ``host:port`` to which new connections are relayed.
@@ -39,6 +40,7 @@
     cut: bool | None = None
     silent: bool | None = None
     delay_s: float | None = None
+    bytes_per_s: int | None = None
     lose_share: float | None = None
     target: str | None = None
 
@@ -89,6 +91,10 @@
         self.target_port = target_port
         self.max_connections = max_connections
         self.delay_s = 0.0
+        self.bytes_per_s = 0
+        self.bytes_to_clients = 0
+        # The connections share the link in each direction; keyed by whether it is towards clients.
+        self.link_turns = {True: anyio.Lock(), False: anyio.Lock()}
         self.lose_share = 0.0
         self.random = Random(LOSS_SEED)
         # Keyed by the local port of the connection to the target, the port that the target sees.
@@ -115,6 +121,8 @@
         """Applies the given switches; they are in effect on return."""
         if switches.delay_s is not None:
             self.delay_s = switches.delay_s
+        if switches.bytes_per_s is not None:
+            self.bytes_per_s = switches.bytes_per_s
         if switches.lose_share is not None:
             self.lose_share = switches.lose_share
         if switches.target is not None:
@@ -208,10 +216,15 @@
         """Forwards one chunk, after the delay, unless it is lost or its connection is silent."""
         if self.delay_s:
             await anyio.sleep(self.delay_s)
+        if self.bytes_per_s:
+            async with self.link_turns[sink is connection.client]:
+                await anyio.sleep(len(chunk) / self.bytes_per_s)
         if self.lose_share and self.random.random() < self.lose_share:
             connection.silent = True
         if not connection.silent:
             await sink.send(chunk)
+            if sink is connection.client:
+                self.bytes_to_clients += len(chunk)
 
 
 def parse_target(target: str) -> tuple[str, int]:
@@ -221,13 +234,14 @@
 
 
 def build_control_app(relay: Relay) -> Starlette:
-    """Returns the application through which tests set the switches."""
+    """Returns the application through which tests set the switches and read the traffic."""
 
     async def control(request: Request) -> JSONResponse:
-        await relay.apply(RelaySwitches.model_validate_json(await request.body()))
-        return JSONResponse({})
+        if request.method == "PUT":
+            await relay.apply(RelaySwitches.model_validate_json(await request.body()))
+        return JSONResponse({"bytes_to_clients": relay.bytes_to_clients})
 
-    return Starlette(routes=[Route("/control", control, methods=["PUT"])])
+    return Starlette(routes=[Route("/control", control, methods=["GET", "PUT"])])
 
 
 async def main(host: str, port: int, target_host: str, target_port: int) -> None:
