--- a/tests/platform/slow_answers.feature
+++ b/tests/platform/slow_answers.feature
@@ -1,5 +1,31 @@
 Feature: Answers of the store that take longer to arrive than a call may wait
 
+  Scenario: a configuration that grew too large for a call's time on a slow link is in force, and so is the next
+    Given a platform of 1 daemon and 1 runner whose tasks take 0.1 s
+    And the daemon's link to the store carries 9.5 Mbit/s
+    When the operator's configuration grows to 4245 routes
+    Then the daemon has it in force
+    When the operator's configuration grows by one route
+    Then the daemon has it in force
+    And the daemon reads the configuration less than half of the time
+
+  Scenario Outline: a list that arrives slowly is read to its end
+    Given a store whose answers take 2 s to arrive
+    When the <reader> reads the slow store
+    Then it has read the whole list
+
+    Examples:
+      | reader              |
+      | list of endpoints   |
+      | operator watch      |
+      | list of members     |
+      | reader of open jobs |
+
+  Scenario: a change of the configuration that arrives slowly is in force, however long the watch had waited
+    Given a store whose answers take 2 s to arrive
+    When the operator changes the configuration while it is watched
+    Then the change is in force
+
   Scenario Outline: an answer that stops arriving is given up on
     Given a store whose answers stop half-way
     When the <reader> reads the slow store
