Give up on a response when it stops arriving, not when it is large

Cause: one time limit covered a whole exchange, whatever the size of its response: 0.7 s for a read of the store, and the wait plus 0.4 s for a watch. 4,245 routes are 1.1 MB as base64, 0.9 s on a link of 9.5 Mbit/s. The class: a time limit that was made for a small answer, on one whose size others decide.

Now the limit holds until the response begins, and from then on for each pause between its parts, up to 30 s in all. A connection that has gone silent is detected as early as before. That holds for each call of the client: reads and watches of the store, so lists of endpoints, members and open jobs, too, and reports of endpoints, where copies of a call are now sent while nothing arrives.

--- a/berylproxy/http_exchange.py
+++ b/berylproxy/http_exchange.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 client over persistent connections, for the hundreds of calls that a holder makes.
 
 httptools parses the responses. httpx and httpcore spend several times the processor time of such a
-call on connection pools and a timeout per step; here one timeout covers the whole exchange.
+call on connection pools and a timeout per step. Here one timeout covers the exchange until the
+response begins; from then on it is given up on when it stops arriving, whatever its size.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 MAX_IDLE_S = 10.0  # connections idle for longer may be dead without notice
 TCP_USER_TIMEOUT_MS = 2_000  # a peer that lost power never resets the connection
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_S = 30.0  # for a response that arrives ever so slowly, after the call's timeout
 MAX_IDLE_CONNECTIONS = 8
 MAX_COPIES = 3  # of a request that stays unanswered, besides the request itself
 
@@ -84,16 +86,26 @@
 
 
 class _Connection(asyncio.Protocol):
-    """A connection that carries one exchange at a time."""
+    """A connection that carries one exchange at a time.
+
+    :ivar received_s: monotonic time at which the last part of the response arrived; ``-inf`` until
+        it begins.
+    """
 
     def __init__(self) -> None:
         self.idle_since_s = 0.0
+        self.received_s = -inf
         self.is_open = False
         self._transport: asyncio.Transport | None = None
         self._parser: HttpResponseParser | None = None
         self._pending_response: asyncio.Future[tuple[int, bytes]] | None = None
         self._body = bytearray()
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the part of the response body that has arrived."""
+        return len(self._body)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the open transport and sets its TCP options."""
         self._transport = transport  # type: ignore[assignment]
@@ -112,6 +124,7 @@
         if self._parser is None:
             self.close()
             return
+        self.received_s = monotonic()
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
@@ -145,6 +158,7 @@
             raise AnswerLostError("the connection is not open")
         self._parser = HttpResponseParser(self)
         self._body = bytearray()
+        self.received_s = -inf
         self._pending_response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return self._pending_response
@@ -176,6 +190,29 @@
             self.response.cancel()
 
 
+@dataclass(frozen=True, slots=True)
+class _Deadline:
+    """When a call ends without a response.
+
+    :param end_s: monotonic time by which a response must have begun.
+    :param stall_timeout_s: time without any part of a response that has begun, after which it no
+        longer counts.
+    """
+
+    end_s: float
+    stall_timeout_s: float
+
+    def put_off(self, exchanges: list[_Exchange], wait_end_s: float, gap_s: float) -> float:
+        """Returns when to stop waiting; each part of a response that arrives puts it off.
+
+        :param wait_end_s: when to stop waiting if no response has begun.
+        :param gap_s: longest time without any part of a response that has begun.
+        """
+        received_s = max((e.connection.received_s for e in exchanges), default=-inf)
+        arriving_until_s = received_s + min(gap_s, self.stall_timeout_s)
+        return min(max(wait_end_s, arriving_until_s), self.end_s + MAX_RESPONSE_S)
+
+
 class HttpClient:
     """Client of one HTTP server.
 
@@ -198,26 +235,30 @@
         body: bytes = b"",
         *,
         timeout_s: float,
+        stall_timeout_s: float | None = None,
         headers: Mapping[str, str] | None = None,
         hedge: Hedge | None = None,
     ) -> HttpResponse:
         """Sends a request and waits for the complete response.
 
+        :param timeout_s: time until the response begins.
+        :param stall_timeout_s: time until each further part of it; ``timeout_s`` by default.
         :param hedge: copies to send while there is no answer; the first answer counts.
         :raises NotSentError: if no connection could be opened; :class:`RefusedError` if the host
             refused it.
         :raises AnswerLostError: if the request may have been sent, but the response was lost.
         """
         end_s = monotonic() + timeout_s
+        deadline = _Deadline(end_s, timeout_s if stall_timeout_s is None else stall_timeout_s)
         exchanges: list[_Exchange] = []
         answered = None
         try:
             exchanges.append(await self._send(self._encode(method, target, body, headers), end_s))
-            after_s = timeout_s if hedge is None else hedge.after_s
-            answered = await _wait_for_any(exchanges, after_s, end_s)
-            if answered is None and hedge is not None:
+            if hedge is None:
+                answered = await _wait_for_any(exchanges, inf, inf, deadline)
+            else:
                 copy = self._encode(method, target, hedge.body, headers)
-                answered = await self._send_copies(exchanges, copy, hedge.interval_s, end_s)
+                answered = await self._send_hedged(exchanges, copy, hedge, deadline)
             if answered is None:
                 raise AnswerLostError(_describe_loss(exchanges, timeout_s))
             received_s = monotonic()
@@ -232,23 +273,24 @@
         status, content = answered.response.result()
         return HttpResponse(status, content, answered.sent_s, received_s, len(exchanges) > 1)
 
-    async def _send_copies(
-        self, exchanges: list[_Exchange], request: bytes, interval_s: float, end_s: float
+    async def _send_hedged(
+        self, exchanges: list[_Exchange], request: bytes, hedge: Hedge, deadline: _Deadline
     ) -> _Exchange | None:
         """Sends copies of a request until an exchange has a complete response.
 
-        :param exchanges: the exchanges so far; those of the copies are added.
+        :param exchanges: the exchange of the request itself; those of the copies are added.
+        :param request: a copy of the request.
         """
+        interval_s = hedge.interval_s
+        answered = await _wait_for_any(exchanges, hedge.after_s, interval_s, deadline)
         for _ in range(MAX_COPIES):
-            if monotonic() >= end_s:
+            if answered is not None or monotonic() >= deadline.end_s:
                 break
             with suppress(NotSentError, AnswerLostError):  # an earlier exchange may yet succeed
-                exchanges.append(await self._send(request, end_s))
-            answered = await _wait_for_any(exchanges, interval_s, end_s)
-            if answered is not None:
-                return answered
+                exchanges.append(await self._send(request, deadline.end_s))
+            answered = await _wait_for_any(exchanges, interval_s, interval_s, deadline)
             interval_s *= 2
-        return await _wait_for_any(exchanges, inf, end_s)
+        return answered or await _wait_for_any(exchanges, inf, inf, deadline)
 
     async def _send(self, request: bytes, end_s: float) -> _Exchange:
         """Writes a request to an idle or a new connection."""
@@ -303,23 +345,25 @@
 
 
 async def _wait_for_any(
-    exchanges: list[_Exchange], wait_s: float, end_s: float
+    exchanges: list[_Exchange], wait_s: float, gap_s: float, deadline: _Deadline
 ) -> _Exchange | None:
     """Returns the first exchange that has a complete response.
 
+    :param gap_s: time without any part of a response that has begun, after which the wait may end.
     :return: ``None`` if there is none within the wait, or all exchanges have failed.
     """
-    wait_end_s = min(monotonic() + wait_s, end_s)
+    wait_end_s = min(monotonic() + wait_s, deadline.end_s)
     if len(exchanges) == 1:
-        return await _wait_for(exchanges[0], wait_end_s)
+        return await _wait_for(exchanges[0], wait_end_s, gap_s, deadline)
     pending = {exchange.response: exchange for exchange in exchanges}
     while pending:
+        end_s = deadline.put_off(list(pending.values()), wait_end_s, gap_s)
         done, _ = await asyncio.wait(
             pending,
-            timeout=max(wait_end_s - monotonic(), 0.0),
+            timeout=max(end_s - monotonic(), 0.0),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if not done:
+        if not done and deadline.put_off(list(pending.values()), wait_end_s, gap_s) <= monotonic():
             return None
         for response in done:
             exchange = pending.pop(response)
@@ -328,31 +372,46 @@
     return None
 
 
-async def _wait_for(exchange: _Exchange, wait_end_s: float) -> _Exchange | None:
+async def _wait_for(
+    exchange: _Exchange, wait_end_s: float, gap_s: float, deadline: _Deadline
+) -> _Exchange | None:
     """Returns the exchange once it has a complete response; the common case of one request.
 
     :return: ``None`` if it has none within the wait, or has failed.
     """
     response = exchange.response
-    if not response.done():
-        loop = asyncio.get_running_loop()
-        waiter = loop.create_future()
+    while not response.done():
+        end_s = deadline.put_off([exchange], wait_end_s, gap_s)
+        if end_s <= monotonic():
+            return None
+        await _wait_until(response, end_s)
+    return exchange if response.exception() is None else None
 
-        def wake(_: object = None) -> None:
-            if not waiter.done():
-                waiter.set_result(None)
 
-        response.add_done_callback(wake)
-        timer = loop.call_later(max(wait_end_s - monotonic(), 0.0), wake)
-        try:
-            await waiter
-        finally:
-            timer.cancel()
-            response.remove_done_callback(wake)
-    return exchange if response.done() and response.exception() is None else None
+async def _wait_until(response: "asyncio.Future[tuple[int, bytes]]", end_s: float) -> None:
+    """Waits until a response is complete or has failed, or until a monotonic time."""
+    loop = asyncio.get_running_loop()
+    waiter = loop.create_future()
+
+    def wake(_: object = None) -> None:
+        if not waiter.done():
+            waiter.set_result(None)
+
+    response.add_done_callback(wake)
+    timer = loop.call_later(max(end_s - monotonic(), 0.0), wake)
+    try:
+        await waiter
+    finally:
+        timer.cancel()
+        response.remove_done_callback(wake)
 
 
 def _describe_loss(exchanges: list[_Exchange], timeout_s: float) -> str:
     """Returns why none of the exchanges has a complete response."""
     errors = [e.response.exception() for e in exchanges if e.response.done()]
-    return str(errors[-1]) if errors else f"no response in {timeout_s:.2f} s"
+    if errors:
+        return str(errors[-1])
+    body_bytes = max(exchange.connection.body_bytes for exchange in exchanges)
+    if body_bytes:
+        return f"the response stopped arriving after {body_bytes} bytes"
+    return f"no response in {timeout_s:.2f} s"
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -202,6 +202,7 @@
             target,
             first,
             timeout_s=wait_s + timeout_s,
+            stall_timeout_s=timeout_s,
             headers=self._headers,
             hedge=Hedge(wait_s + patience_s, patience_s, copy),
         )
--- a/berylproxy/platform/store.py
+++ b/berylproxy/platform/store.py
@@ -22,6 +22,8 @@
 )
 from berylproxy.tables import Table, TableInvalidError, TableType, convert_table
 
+# Both limit the time until an answer begins, and until each further part of it arrives: a value of
+# a megabyte takes a second and more on the links of small VMs.
 CALL_TIMEOUT_S = 1.0  # a slow store responds in about 0.3 s
 READ_TIMEOUT_S = 0.7  # a dead connection is detected early, and a new one is tried
 # After a single failed call the store counts as reachable for this long from its last response.
@@ -230,7 +232,10 @@
         try:
             self.call_count += 1
             response = await self._watches.call(
-                "GET", target, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
+                "GET",
+                target,
+                timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+                stall_timeout_s=READ_TIMEOUT_S,
             )
         except (NotSentError, AnswerLostError) as error:
             self._note_failure("watch", error.code)
