Read only the last configuration when versions come faster than they arrive

A watch answers with each version since its revision, in full. While one arrives, more are written: with a version each 0.5 s that takes 1 s, answers held 1, 2 and then 4 versions, and so on; the daemon falls further behind with each. After an answer with more than one version the keys are now read anew, which costs one version. A version that was applied is no longer decoded when it is read again; that was done with each reading.

--- a/berylproxy/platform/operator_watch.py
+++ b/berylproxy/platform/operator_watch.py
@@ -3,7 +3,7 @@
 One watch serves both, since the store counts and prices each call.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from time import monotonic
 
 from anyio import sleep
@@ -13,7 +13,7 @@
 from berylproxy.platform.configuration import CONFIGURATION_KEY
 from berylproxy.platform.store import PlatformStore, StorePage
 from berylproxy.store.errors import StoreCompactedError
-from berylproxy.store.port import ChangeBatch, StoreError
+from berylproxy.store.port import ChangeBatch, Entry, StoreError
 
 OPERATOR_PREFIX = "op/"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -46,6 +46,7 @@
         self._store = store
         self._apply_configuration = apply_configuration
         self._evacuations = evacuations
+        self._configuration_revision = 0
         self._requested: dict[str, int] = {}
         self._skipped_keys: set[str] = set()
         self.last_read_s = monotonic()
@@ -65,6 +66,9 @@
                 revision = max(revision, batch.revision)
                 self._apply(batch, revision)
                 self._note_read()
+                if _count_configurations(batch) > 1:
+                    # They are written faster than they arrive: only the last one is read next.
+                    revision = 0
             except StoreCompactedError:
                 revision = 0
             except StoreError as error:
@@ -99,9 +103,7 @@
         """
         began_s = monotonic()
         page = await self._store.read_all(OPERATOR_PREFIX)
-        for entry in page.entries:
-            if entry.key == CONFIGURATION_KEY:
-                self._apply_configuration(entry.value)
+        self._apply_versions(page.entries)
         self._replace_evacuations(page)
         interval_s = max(REREAD_INTERVAL_S, (monotonic() - began_s) / MAX_REREAD_SHARE)
         self._all_due_s = monotonic() + interval_s
@@ -122,16 +124,22 @@
 
     def _apply(self, batch: ChangeBatch, revision: int) -> None:
         """Applies the changes that a watch has returned."""
+        self._apply_versions(batch.updates)
         for entry in batch.updates:
-            if entry.key == CONFIGURATION_KEY:
-                self._apply_configuration(entry.value)
-            elif entry.key.startswith(EVACUATION_PREFIX):
+            if entry.key.startswith(EVACUATION_PREFIX):
                 self._requested[entry.key] = max(entry.revision, self._requested.get(entry.key, 0))
         for entry in batch.deletions:
             if self._requested.get(entry.key, 0) < entry.revision:
                 self._requested.pop(entry.key, None)
         self._confirm(revision)
 
+    def _apply_versions(self, entries: Iterable[Entry]) -> None:
+        """Applies the versions of the configuration among entries that were not applied yet."""
+        for entry in entries:
+            if entry.key == CONFIGURATION_KEY and entry.revision != self._configuration_revision:
+                self._configuration_revision = entry.revision
+                self._apply_configuration(entry.value)
+
     def _confirm(self, revision: int) -> None:
         """Applies the requested evacuations, which were read at a revision of the store."""
         domains = {name for key in self._requested if (name := self._decode_domain(key))}
@@ -146,6 +154,10 @@
         return domain
 
 
+def _count_configurations(batch: ChangeBatch) -> int:
+    return sum(entry.key == CONFIGURATION_KEY for entry in batch.updates)
+
+
 def decode_evacuated_domain(key: str) -> str:
     """Returns the failure domain that a request to evacuate names; empty if it names none."""
     domain = key.removeprefix(EVACUATION_PREFIX)
--- a/tests/platform/slow_answers.feature
+++ b/tests/platform/slow_answers.feature
@@ -26,6 +26,16 @@
     When the operator changes the configuration while it is watched
     Then the change is in force
 
+  Scenario: versions that are written faster than they arrive don't queue up
+    Given a store whose answers take 1 s to arrive for each configuration in them
+    When the operator writes 12 versions, one each 0.5 s
+    Then the last version is in force, and no answer held more than 3 versions
+
+  Scenario: a configuration that is in force is not decoded again
+    Given a store whose answers take 0 s to arrive
+    When the operator's keys are read 3 times
+    Then the configuration was applied once
+
   Scenario: an evacuation that a watch hides is found without reading a large configuration again
     Given a store whose answers take 1 s to arrive
     When the store hides changes from watches, and a failure domain is evacuated
--- a/tests/steps/platform_slow_answers_steps.py
+++ b/tests/steps/platform_slow_answers_steps.py
@@ -117,6 +117,59 @@
     assert context.applied, "the change was never read"
 
 
+@given("a store whose answers take {duration_s:g} s to arrive for each configuration in them")
+def step_slow_configurations(context, duration_s):
+    context.slow_store = SlowStore(0.0)
+    context.slow_store.configuration_s = duration_s
+
+
+@when("the operator writes {count:d} versions, one each {interval_s:g} s")
+def step_storm(context, count, interval_s):
+    store, values = context.slow_store, []
+    context.last_version = b"version %d" % count
+
+    async def play():
+        async with store.serve(), create_task_group() as task_group:
+            watch = OperatorWatch(PlatformStore(store.address), values.append, EvacuatedDomains())
+            task_group.start_soon(watch.run)
+            await wait_until(store.watched.is_set)
+            for number in range(count):
+                store.put("op/config", b"version %d" % (number + 1))
+                await sleep_async(interval_s)
+            with suppress(TimeoutError):
+                await wait_until(lambda: context.last_version in values)
+            task_group.cancel_scope.cancel()
+
+    run(play)
+    context.applied = values
+
+
+@then("the last version is in force, and no answer held more than {count:d} versions")
+def step_no_queue(context, count):
+    assert context.last_version in context.applied, context.applied
+    assert max(context.slow_store.sent_versions) <= count, context.slow_store.sent_versions
+
+
+@when("the operator's keys are read {count:d} times")
+def step_read_often(context, count):
+    store, values = context.slow_store, []
+    store.put("op/config", b"a configuration")
+
+    async def play():
+        async with store.serve():
+            watch = OperatorWatch(PlatformStore(store.address), values.append, EvacuatedDomains())
+            for _ in range(count):
+                await watch._read()
+
+    run(play)
+    context.applied = values
+
+
+@then("the configuration was applied once")
+def step_applied_once(context):
+    assert len(context.applied) == 1, context.applied
+
+
 @when("the store hides changes from watches, and a failure domain is evacuated")
 def step_hide(context):
     store, evacuations, values = context.slow_store, EvacuatedDomains(), []
--- a/tests/support/slow_store.py
+++ b/tests/support/slow_store.py
@@ -3,8 +3,7 @@
 import asyncio
 import json
 from base64 import b64encode
-from collections.abc import Iterable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from urllib.parse import parse_qs, urlsplit
 
 PIECES = 20
@@ -14,6 +13,9 @@
     """Answers reads and watches; each answer is sent in pieces with pauses between them.
 
     :ivar values: the keys with their values and revisions.
+    :ivar history: all changes, in their order.
+    :ivar configuration_s: time that each configuration in an answer adds to ``duration_s``.
+    :ivar sent_versions: number of configurations in each answer.
     :ivar duration_s: time from the first to the last piece.
     :ivar hides_changes: whether watches report no changes.
     :ivar sent_pieces: number of pieces that are sent; the connection then stays silent.
@@ -21,10 +23,13 @@
 
     def __init__(self, duration_s: float, sent_pieces: int = PIECES) -> None:
         self.values: dict[str, tuple[bytes, int]] = {}
+        self.history: list[tuple[str, bytes, int]] = []
         self.revision = 1
         self.duration_s = duration_s
         self.sent_pieces = sent_pieces
         self.hides_changes = False
+        self.configuration_s = 0.0
+        self.sent_versions = [0]
         self.address = ""
         self.watched = asyncio.Event()
         self._changed = asyncio.Event()
@@ -34,6 +39,7 @@
         """Writes a key and ends the watches."""
         self.revision += 1
         self.values[key] = (value, self.revision)
+        self.history.append((key, value, self.revision))
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -66,30 +72,30 @@
 
     async def _answer(self, target) -> dict:
         query = {name: values[0] for name, values in parse_qs(target.query).items()}
-        names = sorted(name for name in self.values if name.startswith(query["prefix"]))
+        prefix = query["prefix"]
         if target.path == "/-/kv-range":
-            names = [name for name in names if name > query.get("after", "")]
-            return {"items": list(self._encode(names)), "store-revision": self.revision}
+            after = query.get("after", "")
+            rows = [(key, value, rev) for key, (value, rev) in sorted(self.values.items())]
+            items = [row for row in rows if row[0].startswith(prefix) and row[0] > after]
+            return {"items": self._encode(items), "store-revision": self.revision}
         self.watched.set()
-        after = int(query["after"])
-        while not (changed := self._list_changes(query["prefix"], after)):
-            try:
-                async with asyncio.timeout(int(query["wait-ms"]) / 1000):
+        with suppress(TimeoutError):
+            async with asyncio.timeout(int(query["wait-ms"]) / 1000):
+                while not (events := self._list_changes(prefix, int(query["after"]))):
                     await self._changed.wait()
-            except TimeoutError:
-                break
-        return {"events": list(self._encode(changed)), "store-revision": self.revision}
+        return {"events": self._encode(events), "store-revision": self.revision}
 
-    def _list_changes(self, prefix: str, after: int) -> list[str]:
+    def _list_changes(self, prefix: str, after: int) -> list[tuple[str, bytes, int]]:
         if self.hides_changes:
             return []
-        items = sorted(self.values.items())
-        return [name for name, (_, rev) in items if name.startswith(prefix) and rev > after]
+        return [row for row in self.history if row[0].startswith(prefix) and row[2] > after]
 
-    def _encode(self, names: Iterable[str]):
-        for name in names:
-            value, revision = self.values[name]
-            yield {"key": name, "value": b64encode(value).decode(), "rev": revision}
+    def _encode(self, rows: list[tuple[str, bytes, int]]) -> list[dict]:
+        self.sent_versions.append(sum(key == "op/config" for key, _, _ in rows))
+        return [
+            {"key": key, "value": b64encode(value).decode(), "rev": revision}
+            for key, value, revision in rows
+        ]
 
     async def _send(self, writer: asyncio.StreamWriter, body: bytes) -> None:
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -97,9 +103,10 @@
             writer.write(data)
             return
         size = -(-len(data) // PIECES)
+        duration_s = self.duration_s + self.configuration_s * self.sent_versions[-1]
         for number in range(self.sent_pieces):
             writer.write(data[number * size : (number + 1) * size])
             await writer.drain()
-            await asyncio.sleep(self.duration_s / PIECES)
+            await asyncio.sleep(duration_s / PIECES)
         if self.sent_pieces < PIECES:
             await asyncio.Event().wait()
