Show what crowds of clients that don't behave do to the platform's daemon

Three single requests inside the limits, among them one with 15,000 header lines, are served and must stay so.

--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -97,6 +97,7 @@
 class PlatformCluster:
     """Starts the processes of a platform and ends them on close.
 
+    :ivar extra_settings: lines that are appended to each settings file.
     :ivar builds: numbers of daemons that run another build, with the folder of its package.
     """
 
@@ -105,6 +106,7 @@
     runner_count: int
     run_time_s: float
     grace_s: float = 6.0
+    extra_settings: str = ""
     stack: ExitStack = field(default_factory=ExitStack)
     daemons: list[ManagedProcess] = field(default_factory=list)
     runners: list[ManagedProcess] = field(default_factory=list)
@@ -163,7 +165,7 @@
             store_port=store_port or self.store.announced["port"],
             grace_s=self.grace_s,
         )
-        self.settings_path(number).write_text(content + extra_lines)
+        self.settings_path(number).write_text(content + self.extra_settings + extra_lines)
 
     def start_relay(self, name: str, port: int) -> ManagedProcess:
         """Starts a relay to a loopback port."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,8 @@
     "scarce_room",
     "uneven",
 )  # features of that folder
+# They fill a process's memory and run one after the other, apart from other load.
+SOLO_FEATURES = ("hostile_clients",)
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 CHECKED_FOLDERS = ("berylproxy", "standins", "tests", "tools")
 PASSED = "passed"
@@ -39,12 +41,14 @@
     """Divides the features into shards that run in parallel.
 
     There are seven: tests with clusters of daemons, two of the platform, load plays, other tests of
-    jobs, and two of all others.
+    jobs, and two of all others. :data:`SOLO_FEATURES` are in none of them.
     """
     if paths:
         return [paths]
     folders: dict[str, list[str]] = {}
     for path in sorted((ROOT / "tests").rglob("*.feature")):
+        if path.stem in SOLO_FEATURES:
+            continue
         name = path.relative_to(ROOT / "tests").parts[0]
         folders.setdefault(name, []).append(str(path.relative_to(ROOT)))
     proving = _join(folders, PROVING_FOLDERS)
@@ -67,8 +71,18 @@
     return [path for name in names for path in folders.get(name, ())]
 
 
-def run_features(shards: list[list[str]]) -> list[bool]:
-    """Runs behave on all shards in parallel and returns for each whether it succeeded.
+def list_solo_features(paths: list[str]) -> list[str]:
+    """Lists the features that run by themselves after all shards."""
+    if paths:
+        return []
+    found = (path for stem in SOLO_FEATURES for path in (ROOT / "tests").rglob(f"{stem}.feature"))
+    return sorted(str(path.relative_to(ROOT)) for path in found)
+
+
+def run_features(shards: list[list[str]], solo_features: list[str]) -> list[bool]:
+    """Runs behave on all shards in parallel, then on each solo feature.
+
+    Returns for each whether it succeeded.
 
     Each shard writes its results and its output to separate files in :data:`RESULT_FOLDER`.
     """
@@ -77,7 +91,9 @@
         old_file.unlink()
     processes = [start_shard(number, paths) for number, paths in enumerate(shards)]
     succeeded = [process.wait() == 0 for process in processes]
-    for number in range(len(shards)):
+    for number, path in enumerate(solo_features, len(shards)):
+        succeeded.append(start_shard(number, [path]).wait() == 0)
+    for number in range(len(succeeded)):
         print((RESULT_FOLDER / f"behave-{number}.log").read_text(errors="replace"))
     return succeeded
 
@@ -121,7 +137,7 @@
     """Runs all checks and returns the exit status."""
     formatted = run_tool("black", "--check", "--quiet", *CHECKED_FOLDERS)
     linted = run_tool("ruff", "check", "--quiet", *CHECKED_FOLDERS)
-    succeeded = run_features(list_shards(arguments))
+    succeeded = run_features(list_shards(arguments), list_solo_features(arguments))
     statuses_by_shard = [read_statuses(number) for number in range(len(succeeded))]
     statuses = {name: status for shard in statuses_by_shard for name, status in shard.items()}
     counts = Counter(classify(status) for status in statuses.values())
