Add crowds that send thousands of small requests in one stream

Each read of a connection is parsed whole before reading pauses, so that 256 KB become 14,000 requests: 649 MB on the callers' port and 504 MB on the metrics' port, where 96 MB are allowed.

--- a/tests/platform/hostile_clients.feature
+++ b/tests/platform/hostile_clients.feature
@@ -29,6 +29,8 @@
       | 400   | peer    | nothing                                    |
       | 50    | peer    | bytes without sense                        |
       | 50    | peer    | a head over the limit in one line          |
+      | 50    | callers | 20,000 small requests                      |
+      | 50    | metrics | 20,000 small requests for the metrics      |
 
   Scenario Outline: a single request with <stream> is served in calm
     Given a platform daemon with 96 MB of memory and 256 descriptors
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -31,6 +31,8 @@
     "a body of 262,144 bytes without its last": START
     + b"Content-Length: 262144\r\n\r\n"
     + b"x" * 262_143,
+    "20,000 small requests": b"GET / HTTP/1.1\r\n\r\n" * 20_000,
+    "20,000 small requests for the metrics": b"GET /metrics HTTP/1.1\r\n\r\n" * 20_000,
     "bytes without sense": bytes(range(128, 256)) * 2_000,
 }
 
