Bound what the connections of the platform's daemon hold together

What was seen: crowds of 10 to 400 small clients took the platform's daemon from 33 to 649 MB, where a VM has 160, or held all its descriptors; a daemon that runs out of memory ends with all that it holds.

Causes, one class: a limit for each connection, or none, where the number of connections and of lines has no bound. Trailers were appended to the request's headers and not counted; each header line was kept, 140 bytes whatever its length, though the application reads four; one read of a connection was parsed whole, thousands of requests; bodies were bounded one by one; connections weren't bounded at all.

Now the headers that the application doesn't read, and all trailers, are dropped as they are parsed. What has arrived without being a part of a body is bounded at 64 KB wherever it stands. A connection is parsed 8 KB at a time, until enough requests are queued. All connections together hold a quarter of the VM's memory and have half of its descriptors; beyond that the request that has been on its way for longest yields, with 503 and Retry-After if nothing of it has begun, so that callers who send at once are served. A body is let go of when the job is decoded, not when it ends. A single request with 15,000 header lines, trailers or a body of 262,000 bytes is served as before.

The scenario for 15,000 header lines sent 75 KB, above the limit of 64 KB that it names, and passed since a head that came in one read wasn't measured; it sends 60 KB now.

--- /dev/null
+++ b/berylproxy/http_limits.py
@@ -0,0 +1,69 @@
+"""What the connections of an HTTP server may hold together, and who has to yield.
+
+A limit for each connection bounds nothing while the number of connections isn't bounded.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+DEFAULT_MAX_INPUT_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_CONNECTIONS = 512
+INPUT_SHARE = 4  # a quarter of a VM's memory is for requests that are being received or served
+CONNECTION_SHARE = 2  # half of a process's descriptors is for callers' connections
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Limits over all connections of a server.
+
+    :param max_input_bytes: memory of the requests that are being received or served.
+    :param max_connections: number of open connections.
+    """
+
+    max_input_bytes: int = DEFAULT_MAX_INPUT_BYTES
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
+
+    @classmethod
+    def for_process(cls, memory_mb: int, max_descriptors: int) -> "HttpLimits":
+        """Derives the limits from the memory and the descriptors that a process may use."""
+        input_bytes = memory_mb * 1024 * 1024 // INPUT_SHARE
+        return cls(input_bytes, max(max_descriptors // CONNECTION_SHARE, 1))
+
+
+class LimitedConnection(Protocol):
+    """A connection as the limits see it.
+
+    :ivar held_bytes: memory of its requests.
+    :ivar waits_since_s: monotonic time since which it has owed the rest of a request, or its next
+        one; ``None`` if all that it has sent is being served.
+    :ivar is_receiving: whether a part of a request has arrived, and not its end.
+    :ivar has_been_served: whether a request on it was answered.
+    """
+
+    held_bytes: int
+    waits_since_s: float | None
+    has_been_served: bool
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and not its end."""
+
+
+def find_input_to_drop(
+    connections: Iterable[LimitedConnection],
+) -> LimitedConnection | None:
+    """Returns the connection whose unfinished request has been on its way for longest.
+
+    A caller that behaves sends its request in a moment, so it keeps its turn.
+    """
+    receiving = [c for c in connections if c.is_receiving and c.waits_since_s is not None]
+    return min(receiving, key=lambda c: c.waits_since_s or 0.0, default=None)
+
+
+def find_connection_to_close(
+    connections: Iterable[LimitedConnection],
+) -> LimitedConnection | None:
+    """Returns the connection that has waited for longest, one without any answer so far first."""
+    waiting = [c for c in connections if c.waits_since_s is not None]
+    return min(waiting, key=lambda c: (c.has_been_served, c.waits_since_s), default=None)
--- a/berylproxy/http_request.py
+++ b/berylproxy/http_request.py
@@ -9,6 +9,8 @@
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
 }
 
+REQUEST_BYTES = 2_048  # of a request's objects, without its target and its body
+
 Message = dict[str, Any]
 
 
@@ -35,6 +37,7 @@
         self._body = bytearray()
         self._is_complete = self._is_disconnected = False
         self._is_body_read = False
+        self._received_bytes = 0
         self._expects_continue = (b"expect", b"100-continue") in scope["headers"]
         self._changed = asyncio.Event()
         self._head: Message | None = None
@@ -45,8 +48,14 @@
         """Size of the part of the body that the application has not read."""
         return len(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the request, with the part of its body that the application has read."""
+        return REQUEST_BYTES + len(self.scope["raw_path"]) + self._received_bytes
+
     def feed(self, body: bytes) -> None:
         """Buffers a part of the body."""
+        self._received_bytes += len(body)
         if not self._is_answered:
             self._body += body
             self._changed.set()
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -17,10 +17,16 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from logbook import Logger
 
+from berylproxy.http_limits import (
+    HttpLimits,
+    find_connection_to_close,
+    find_input_to_drop,
+)
 from berylproxy.http_request import STATUS_LINES, ServedRequest
 from berylproxy.listeners import BACKLOG_CONNECTIONS
 
-MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # also of the trailers and of a chunk's extension
+PARSED_BYTES = 8 * 1024  # parsed at a time, so that few requests are queued beyond the limit
 MAX_BUFFERED_BYTES = 64 * 1024  # of a request body or of pipelined requests; then reading pauses
 MAX_PIPELINED_REQUESTS = 16
 SWEEP_INTERVAL_S = 1.0
@@ -28,6 +34,8 @@
 # unread data is reset, and the response may be lost.
 LINGER_S = 2.0
 QUEUED_REQUESTS_S = 0.02  # for reading what the system has already queued when the server stops
+EXPECT_HEADER = b"expect"
+RETRY_HEAD = b"retry-after: 1\r\n"
 
 Application = Callable[..., Awaitable[None]]
 
@@ -38,13 +46,26 @@
     """Serves an ASGI application on listening sockets.
 
     :param keep_alive_s: how long a connection may wait for its next request.
+    :param header_names: the headers, in lower case, that the application reads. All others are
+        dropped, as each line costs memory in multiples of its size. Of a header that comes
+        several times the last one is kept.
+    :param limits: limits over all connections; those that have waited for longest yield.
     """
 
-    def __init__(self, application: Application, keep_alive_s: float) -> None:
+    def __init__(
+        self,
+        application: Application,
+        keep_alive_s: float,
+        header_names: Iterable[bytes] = (),
+        limits: HttpLimits | None = None,
+    ) -> None:
         self.application = application
+        self.header_names = frozenset((EXPECT_HEADER, *header_names))
         self.connections: set[_Connection] = set()
         self.is_stopping = False
         self._keep_alive_s = keep_alive_s
+        self._limits = limits or HttpLimits()
+        self._input_bytes = 0
         self._changed = asyncio.Event()
 
     async def serve(
@@ -82,11 +103,32 @@
             for connection in list(self.connections):
                 connection.abort()
 
+    def admit(self, connection: "_Connection") -> None:
+        """Adds a connection; beyond the limit, one that waits is cut off."""
+        self.connections.add(connection)
+        if len(self.connections) > self._limits.max_connections:
+            dropped = find_connection_to_close(self.connections) or connection
+            dropped.abort()
+            self.forget(dropped)
+
     def forget(self, connection: "_Connection") -> None:
         """Removes a connection that has ended."""
+        self.account(connection, 0)
         self.connections.discard(connection)
         self._changed.set()
 
+    def account(self, connection: "_Connection", held_bytes: int) -> None:
+        """Notes the memory of a connection's requests; beyond the limit, unfinished ones yield."""
+        self._input_bytes += held_bytes - connection.held_bytes
+        connection.held_bytes = held_bytes
+        while self._input_bytes > self._limits.max_input_bytes:
+            dropped = find_input_to_drop(self.connections) or connection
+            dropped.refuse()
+            self._input_bytes -= dropped.held_bytes
+            dropped.held_bytes = 0
+            if dropped is connection:
+                return
+
     async def _wait_until_closed(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
@@ -111,6 +153,8 @@
 class _Connection(asyncio.Protocol):
     """A caller's connection; its requests are answered in their order, one at a time.
 
+    Implements :class:`berylproxy.http_limits.LimitedConnection`.
+
     :ivar idle_since_s: monotonic time since which no request is in progress.
     :ivar lingers_until_s: monotonic time until which the rest of a request that is already
         answered may arrive.
@@ -123,9 +167,13 @@
         self._parser = HttpRequestParser(self)
         self._requests: deque[ServedRequest] = deque()
         self._received: ServedRequest | None = None  # the request that is being received
+        self.waits_since_s: float | None = self.idle_since_s
+        self.held_bytes = 0
+        self.has_been_served = False
         self._url = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._headers: dict[bytes, bytes] = {}
+        self._framing_bytes = 0  # received since the last part of a body or the end of a head
+        self._unparsed = b""
         self._local_address: tuple[str, int] = ("", 0)
         self._task: asyncio.Task[None] | None = None
         self._is_reading = True
@@ -137,7 +185,7 @@
         """Registers the connection."""
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
         self._local_address = tuple(transport.get_extra_info("sockname")[:2])
-        self._server.connections.add(self)
+        self._server.admit(self)
         if self._server.is_stopping:
             self._transport.close()
 
@@ -156,32 +204,62 @@
         """Lets responses go on."""
         self._can_write.set()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and not its end."""
+        return self._received is not None or bool(self._framing_bytes or self._unparsed)
+
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser; malformed data is answered with 400."""
         if self._ignores_input:
             return
-        if self._received is None:
-            self._head_bytes += len(data)
+        self._parse(self._unparsed + data)
+        self.adjust_reading()
+
+    def _parse(self, data: bytes) -> None:
+        """Parses data until enough requests are queued; keeps the rest for later."""
+        self._unparsed = b""
+        for start in range(0, len(data), PARSED_BYTES):
+            if self._ignores_input:
+                break
+            if self._has_enough():
+                self._unparsed = data[start:]
+                break
+            self._parse_part(data[start : start + PARSED_BYTES])
+        self._account()
+
+    def _parse_part(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             # A request to upgrade is served, and what follows it isn't HTTP/1.1.
             self._end_input(HTTPStatus.BAD_REQUEST)
-        if self._received is None and self._head_bytes > MAX_HEAD_BYTES:
+        if self._framing_bytes > MAX_HEAD_BYTES:
             self._end_input(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        self.adjust_reading()
+
+    def _account(self) -> None:
+        """Tells the server what this connection's requests hold."""
+        if self._transport.is_closing():
+            self._server.account(self, 0)
+            return
+        requests = sum(request.held_bytes for request in self._requests)
+        self._server.account(self, self._framing_bytes + len(self._unparsed) + requests)
 
     def on_message_begin(self) -> None:
         """Begins a request."""
-        self._url, self._headers = b"", []
+        self._url, self._headers = b"", {}
+        self.waits_since_s = monotonic()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request's target."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Appends a header."""
-        self._headers.append((name.lower(), value))
+        """Keeps a header that the application reads; trailers are dropped."""
+        name = name.lower()
+        if self._received is None and name in self._server.header_names:
+            self._headers[name] = value
 
     def on_headers_complete(self) -> None:
         """Starts to serve the request, or queues it behind an earlier one."""
@@ -197,11 +275,11 @@
             "path": unquote(path.decode("latin-1")),
             "raw_path": path,
             "query_string": query,
-            "headers": self._headers,
+            "headers": list(self._headers.items()),
             "server": self._local_address,
         }
         self._received = ServedRequest(self, scope, self._parser.should_keep_alive())
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self.idle_since_s = None
         self._requests.append(self._received)
         if len(self._requests) == 1:
@@ -209,6 +287,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the request's body."""
+        self._framing_bytes = 0
         if self._received is not None:
             self._received.feed(body)
 
@@ -217,17 +296,27 @@
         if self._received is not None:
             self._received.complete()
         self._received = None
+        self._framing_bytes = 0
+        self.waits_since_s = None
         if self.lingers_until_s < inf:
             self._transport.close()
 
+    def _has_enough(self) -> bool:
+        """Returns whether enough is buffered for now."""
+        buffered = sum(request.buffered_bytes for request in self._requests)
+        return buffered > MAX_BUFFERED_BYTES or len(self._requests) > MAX_PIPELINED_REQUESTS
+
     def adjust_reading(self) -> None:
         """Reads no further while enough is buffered, and resumes when there is room again."""
-        buffered = sum(request.buffered_bytes for request in self._requests)
-        if buffered > MAX_BUFFERED_BYTES or len(self._requests) > MAX_PIPELINED_REQUESTS:
+        if self._transport.is_closing():
+            return
+        if self._unparsed and not self._has_enough():
+            self._parse(self._unparsed)
+        if self._unparsed or self._has_enough():
             if self._is_reading:
                 self._is_reading = False
                 self._transport.pause_reading()
-        elif not self._is_reading and not self._transport.is_closing():
+        elif not self._is_reading:
             self._is_reading = True
             self._transport.resume_reading()
 
@@ -242,8 +331,21 @@
         if not self._requests:
             self._transport.close()
 
+    def refuse(self) -> None:
+        """Drops what has been received, and ends the connection.
+
+        A caller whose request has not begun to be served is told so.
+        """
+        self._unparsed = b""
+        self._ignores_input = True
+        if self._requests:
+            self.abort()
+        else:
+            self._end_input(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_HEAD)
+
     def abort(self) -> None:
         """Cuts the connection off and cancels its request."""
+        self.waits_since_s = None
         if self._task is not None:
             self._task.cancel()
         self._transport.abort()
@@ -265,6 +367,8 @@
 
     def _go_on(self, request: ServedRequest) -> None:
         """Serves the next request, or waits for one, or closes the connection."""
+        self.has_been_served = True
+        self._account()
         if self._transport.is_closing():
             return
         if request is self._received:
@@ -277,15 +381,18 @@
             self._start_first()
             self.adjust_reading()
         else:
-            self.idle_since_s = monotonic()
+            self.idle_since_s = self.waits_since_s = monotonic()
             self.adjust_reading()
 
-    def _end_input(self, status: HTTPStatus) -> None:
+    def _end_input(self, status: HTTPStatus, headers: bytes = b"") -> None:
         """Ignores what comes from now on, and closes the connection after the last response.
 
         :param status: of the response if no request is in progress.
+        :param headers: further header lines of that response.
         """
         self._ignores_input = True
+        self._framing_bytes = 0
+        self.waits_since_s = None
         if self._received is not None:  # the rest of its body can't be read
             self._received.disconnect()
             self._received = None
@@ -293,5 +400,5 @@
             self._requests[-1].keeps_alive = False
         elif not self._transport.is_closing():
             head = b"content-length: 0\r\nconnection: close\r\n\r\n"
-            self._transport.write(STATUS_LINES[status] + head)
+            self._transport.write(STATUS_LINES[status] + headers + head)
             self._transport.close()
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -29,6 +29,7 @@
 STATUS_PATH = "/v1/status"
 # Despite its name, the header holds a duration in milliseconds and not a point in time.
 WAIT_TIME_HEADER = b"berylproxy-deadline-ms"
+READ_HEADERS = (b"host", b"accept", WAIT_TIME_HEADER)
 MAX_WAIT_S = 30.0
 # A starting daemon is ready, and then has the configuration, within some round trips to the store.
 START_WAIT_S = 0.5
@@ -239,8 +240,11 @@
             return CallerResponse(404, {"error": "no such job"})
         services = _list_services(configuration, route)
         if method == "POST":
+            if route.needs_advice:
+                message = f"queue {route.terms.queue}: advice is not supported"
+                raise JobUnsupportedError(message)
             body = await _read_body(receive, configuration.max_body_bytes)
-            return await self._submit(job_id, route, body, wait_s, receive)
+            return await self._submit(decode_job(job_id, route, body), wait_s, receive)
         if method == "GET":
             state = await self._frontend.find_state(services, job_id, wait_s)
             if state is None:
@@ -251,12 +255,7 @@
             return CallerResponse(410 if state is None else 200, {})
         return CallerResponse(405, {"error": "POST, GET and DELETE are served"})
 
-    async def _submit(
-        self, job_id: str, route: JobRoute, body: bytes, wait_s: float, receive: Receive
-    ) -> CallerResponse | None:
-        if route.needs_advice:
-            raise JobUnsupportedError(f"queue {route.terms.queue}: advice is not supported")
-        job = decode_job(job_id, route, body)
+    async def _submit(self, job: JobSpec, wait_s: float, receive: Receive) -> CallerResponse | None:
         if job.is_durable:
             await self._frontend.submit_durable(job, wait_s)
             return CallerResponse(200, {})
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -29,13 +29,18 @@
 from berylproxy.durable.jobs.messages import ANNOUNCED_MESSAGES, DURABLE_MESSAGES
 from berylproxy.durable.jobs.ports import Transaction, TransactionConflictError
 from berylproxy.durable.orders.telemetry import Telemetry
+from berylproxy.http_limits import HttpLimits
 from berylproxy.http_server import HttpServer
 from berylproxy.metrics import Sample
 from berylproxy.models import DaemonIdentity
 from berylproxy.peers.codec import MessageCodec
 from berylproxy.peers.network import TcpPeerNetwork
 from berylproxy.peers.settings import PeerSettings
-from berylproxy.platform.callers import CallerApplication, StartingApplication
+from berylproxy.platform.callers import (
+    READ_HEADERS,
+    CallerApplication,
+    StartingApplication,
+)
 from berylproxy.platform.configuration import (
     ConfigurationInvalidError,
     PlatformConfiguration,
@@ -172,7 +177,9 @@
 
     async def _serve(self, all_parts: CancelScope) -> None:
         """Serves from the start until the planned stop is over, then ends all other parts."""
-        server = HttpServer(self._starting_application, KEEP_ALIVE_S)
+        settings = self._settings
+        limits = HttpLimits.for_process(settings.memory_mb, settings.max_descriptors)
+        server = HttpServer(self._starting_application, KEEP_ALIVE_S, READ_HEADERS, limits)
         if not await server.serve(self._listeners, self._stopped.wait, LAST_RESPONSES_TIMEOUT_S):
             logger.warning("stopped before all requests were answered")
         all_parts.cancel()
--- a/berylproxy/platform/reload.py
+++ b/berylproxy/platform/reload.py
@@ -20,6 +20,8 @@
         "ready_address",
         "peer_address",
         "metrics_address",
+        "memory_mb",
+        "max_descriptors",
     }
 )
 
--- a/berylproxy/platform/settings.py
+++ b/berylproxy/platform/settings.py
@@ -36,6 +36,7 @@
     cpu_share: PositiveFloat = 1.0
     cores: PositiveFloat = 1.0
     memory_mb: PositiveInt = 256
+    max_fds: PositiveInt = 1024
     link_mbps: PositiveFloat = 1000.0
 
 
@@ -72,6 +73,8 @@
     :param metrics_address: listen address for metrics and status.
     :param store_address: address of the platform's key-value service.
     :param cores: processor capacity of the VM, in cores of standard speed.
+    :param memory_mb: memory that the process may use.
+    :param max_descriptors: file descriptors that the process may use; "max-fds" in the file.
     :param link_mbps: bandwidth of the VM's link.
     :param stop_grace_s: time from SIGTERM to SIGKILL.
     :param longest_lease_s: longest lease that endpoints grant; "hold-max-ms" in the file.
@@ -87,6 +90,8 @@
     metrics_address: str
     store_address: str
     cores: float
+    memory_mb: int
+    max_descriptors: int
     link_mbps: float
     stop_grace_s: float
     longest_lease_s: float
@@ -124,6 +129,8 @@
         metrics_address=f"{file.ip}:{METRICS_PORT}",
         store_address=file.platform.address,
         cores=file.limits.cpu_share * file.limits.cores,
+        memory_mb=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds,
         link_mbps=file.limits.link_mbps,
         stop_grace_s=file.bounds.grace_s,
         longest_lease_s=file.bounds.hold_max_ms / 1000,
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -86,3 +86,15 @@
     Given an HTTP server with an application that echoes bodies that closes idle connections
     When a caller connects and sends nothing
     Then the caller receives the end of the connection
+
+  Scenario: beyond the memory for requests, the one that has been on its way for longest is refused
+    Given an HTTP server that echoes bodies, with 20000 bytes for requests
+    When two callers, one after the other, each send 15000 bytes of a head
+    Then the first caller is told to come back, and its connection ends
+    And the second caller is answered once its request is complete
+
+  Scenario: beyond the limit of connections, one that never sent a request is cut off first
+    Given an HTTP server that echoes bodies, with 2 connections
+    When a caller is answered, and then two callers connect
+    Then the connection of the second caller ends
+    And the first and the third caller are answered
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -4,9 +4,11 @@
 import socket
 import threading
 from contextlib import suppress
+from time import sleep
 
 from behave import given, then, when
 
+from berylproxy.http_limits import HttpLimits
 from berylproxy.http_server import HttpServer
 from berylproxy.listeners import open_listener
 
@@ -26,7 +28,7 @@
     :ivar all_answered: what the server has returned.
     """
 
-    def __init__(self, name: str, keep_alive_s: float) -> None:
+    def __init__(self, name: str, keep_alive_s: float, limits: HttpLimits | None = None) -> None:
         self.parts_sent = 0
         self.request_began = threading.Event()
         self.request_ended = threading.Event()
@@ -34,6 +36,7 @@
         self._is_stopping = False
         self._answer = getattr(self, name)
         self._keep_alive_s = keep_alive_s
+        self._limits = limits
         listener = open_listener("127.0.0.1:0")
         self.address = listener.getsockname()
         self._started = threading.Event()
@@ -45,7 +48,7 @@
         self._loop = asyncio.get_running_loop()
         self._stop, self._permit = asyncio.Event(), asyncio.Event()
         self._loop.call_soon(self._started.set)
-        server = HttpServer(self._serve, self._keep_alive_s)
+        server = HttpServer(self._serve, self._keep_alive_s, limits=self._limits)
         self.all_answered = await server.serve([listener], self._stop.wait, GRACEFUL_TIMEOUT_S)
 
     def connect(self) -> socket.socket:
@@ -121,8 +124,13 @@
 }
 
 
-def serve(context, name: str, keep_alive_s: float = LONG_KEEP_ALIVE_S) -> None:
-    context.served = ServedApplication(APPLICATIONS[name], keep_alive_s)
+def serve(
+    context,
+    name: str,
+    keep_alive_s: float = LONG_KEEP_ALIVE_S,
+    limits: HttpLimits | None = None,
+) -> None:
+    context.served = ServedApplication(APPLICATIONS[name], keep_alive_s, limits)
     context.add_cleanup(context.served.close)
     context.connection = context.served.connect()
     context.add_cleanup(context.connection.close)
@@ -329,3 +337,66 @@
 def step_impl(context, amount):
     context.served.close()
     assert context.served.all_answered is (amount == "all"), context.served.all_answered
+
+
+@given("an HTTP server that echoes bodies, with {max_bytes:d} bytes for requests")
+def step_impl(context, max_bytes):
+    serve(context, "echoes bodies", limits=HttpLimits(max_input_bytes=max_bytes))
+
+
+@given("an HTTP server that echoes bodies, with {count:d} connections")
+def step_impl(context, count):
+    serve(context, "echoes bodies", limits=HttpLimits(max_connections=count))
+
+
+def connect(context):
+    connection = context.served.connect()
+    context.add_cleanup(connection.close)
+    return connection
+
+
+def check_echo(connection, body: bytes) -> None:
+    connection.sendall(encode_request(body))
+    read_until(connection, b"\r\n\r\n" + body)
+
+
+@when("two callers, one after the other, each send {count:d} bytes of a head")
+def step_impl(context, count):
+    context.callers = [context.connection, connect(context)]
+    for connection in context.callers:
+        connection.sendall(b"POST /x HTTP/1.1\r\na: " + b"x" * count)
+        sleep(0.2)  # the second one begins later
+
+
+@then("the first caller is told to come back, and its connection ends")
+def step_impl(context):
+    received = read_to_end(context.callers[0])
+    assert received.startswith(b"HTTP/1.1 503 "), received
+    assert b"\r\nretry-after: 1\r\n" in received, received
+
+
+@then("the second caller is answered once its request is complete")
+def step_impl(context):
+    context.callers[1].sendall(b"\r\nContent-Length: 3\r\n\r\nabc")
+    read_until(context.callers[1], b"\r\n\r\nabc")
+
+
+@when("a caller is answered, and then two callers connect")
+def step_impl(context):
+    check_echo(context.connection, b"one")
+    context.callers = [context.connection]
+    for _ in range(2):
+        context.callers.append(connect(context))
+        sleep(0.2)  # the server accepts them in this order
+
+
+@then("the connection of the second caller ends")
+def step_impl(context):
+    with suppress(ConnectionResetError):
+        assert read_to_end(context.callers[1]) == b""
+
+
+@then("the first and the third caller are answered")
+def step_impl(context):
+    for connection in (context.callers[0], context.callers[2]):
+        check_echo(connection, b"again")
--- a/tests/steps/platform_hostile_clients_steps.py
+++ b/tests/steps/platform_hostile_clients_steps.py
@@ -2,12 +2,14 @@
 
 import http.client
 import json
+import socket
 
 from behave import given, then, when
 
 from berylproxy.platform.settings import METRICS_PORT
 from tests.steps.platform_system_steps import new_job_id
 from tests.support.hostile_clients import (
+    LONG_HEAD,
     Crowd,
     count_descriptors,
     read_peak_mb,
@@ -16,7 +18,6 @@
 from tests.support.platform_cluster import HOST, PREFIX, PlatformCluster
 
 ANSWER_TIMEOUT_S = 20.0
-SHORT_LINES = 15_000
 BODY_BYTES = 262_000
 
 
@@ -75,12 +76,14 @@
 
 @when("a caller submits a job with many short header lines")
 def step_many_lines(context):
-    connection = connect(context.platform_cluster)
-    connection.putrequest("POST", PREFIX + new_job_id(), skip_host=True)
-    connection.putheader("Host", HOST)
-    for _ in range(SHORT_LINES):
-        connection.putheader("a", "")
-    submit(context, connection, make_job(""))
+    cluster, body = context.platform_cluster, make_job("")
+    head = LONG_HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    address = (cluster.host(0), cluster.ports[0][2])
+    with socket.create_connection(address, timeout=ANSWER_TIMEOUT_S) as connection:
+        connection.sendall(head + body)
+        response = http.client.HTTPResponse(connection)
+        response.begin()
+        context.job_answer = response.status
 
 
 @when("a caller submits a job with trailers behind a chunked body")
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -11,15 +11,15 @@
 IDLE_CHECKS, IDLE_CHECK_S, IDLE_TICKS = 60, 0.5, 10  # of 10 ms
 START = b"POST /balance/0123456789abcdef HTTP/1.1\r\nHost: jobs.example\r\n"
 SHORT_LINE = b"a:\r\n"
-LEGAL_LINES = SHORT_LINE * 15_000  # with the rest of the head below 64 KB
-LEGAL_HEAD = START + LEGAL_LINES + b"Content-Length: 9\r\n\r\n"
+LONG_HEAD = START + SHORT_LINE * 15_000  # with the rest of the head below 64 KB
+LEGAL_HEAD = LONG_HEAD + b"Content-Length: 9\r\n\r\n"
 CHUNKED_HEAD = START + b"Transfer-Encoding: chunked\r\n\r\n"
 LARGE_BYTES = 1_600_000
 
 STREAMS: dict[str, bytes] = {
     "nothing": b"",
     "a head of many short lines, and no body": LEGAL_HEAD,
-    "a head of many short lines that never ends": START + LEGAL_LINES,
+    "a head of many short lines that never ends": LONG_HEAD,
     "17 requests with many short lines": LEGAL_HEAD + (b"{}       " + LEGAL_HEAD) * 16,
     "a head over the limit in short lines": START + SHORT_LINE * (LARGE_BYTES // 4),
     "a head over the limit in one line": START + b"a: " + b"x" * LARGE_BYTES,
