--- /dev/null
+++ b/tests/steps/daemon_hostile_clients_steps.py
@@ -0,0 +1,66 @@
+"""Steps with clients of berylproxyd that don't behave."""
+
+from behave import given, then, when
+
+from standins.cluster import SERVICE, Cluster, EndpointPlan
+from tests.support.hostile_clients import (
+    Crowd,
+    count_descriptors,
+    read_peak_mb,
+    wait_until_idle,
+)
+
+ANSWER_TIMEOUT_S = 20.0
+LARGE_BODY_BYTES = 7_000_000
+
+
+@given("a berylproxyd with {memory_mb:d} MB of memory and {descriptors:d} descriptors")
+def step_daemon(context, memory_mb, descriptors):
+    context.memory_mb, context.descriptors = memory_mb, descriptors
+    environment = {
+        "BERYLPROXY_MEMORY_MB": str(memory_mb),
+        "BERYLPROXY_MAX_DESCRIPTORS": str(descriptors),
+    }
+    service = {"max_body_bytes": 8_000_000}
+    cluster = Cluster(context.folder, ["a"], [EndpointPlan("a")], service, environment)
+    context.add_cleanup(cluster.stop)
+    context.cluster = cluster
+    cluster.start()
+
+
+@when("{count:d} clients of berylproxyd at its {port} port send {stream}")
+def step_crowd(context, count, port, stream):
+    host, _, number = context.cluster.daemons[0].announced[f"{port}_address"].rpartition(":")
+    path = f"/v1/services/{SERVICE}/requests"
+    crowd = Crowd((host, int(number)), stream, count, path)
+    context.add_cleanup(crowd.close)
+
+
+@then("an ordinary caller of berylproxyd is answered")
+def step_answered(context):
+    wait_until_idle(context.cluster.daemons[0].child.pid)
+    answer = context.cluster.client.post(
+        f"{context.cluster.url(0)}/v1/services/{SERVICE}/requests",
+        json={"run_time_s": 0.05},
+        timeout=ANSWER_TIMEOUT_S,
+    )
+    assert answer.status_code == 200, answer.text
+
+
+@then("berylproxyd lives, within its memory and its descriptors")
+def step_lives(context):
+    daemon = context.cluster.daemons[0].child
+    assert daemon.poll() is None, daemon.returncode
+    peak_mb, descriptors = read_peak_mb(daemon.pid), count_descriptors(daemon.pid)
+    seen = f"{peak_mb:.0f} MB, {descriptors} descriptors"
+    assert peak_mb <= context.memory_mb and descriptors <= context.descriptors, seen
+
+
+@then("a submission of 7,000,000 bytes to berylproxyd is read whole")
+def step_large_body(context):
+    answer = context.cluster.client.post(
+        f"{context.cluster.url(0)}/v1/services/{SERVICE}/requests",
+        content=b'{"run_time_s": 0.05, "text": "' + b"x" * LARGE_BODY_BYTES + b'"}',
+        timeout=ANSWER_TIMEOUT_S,
+    )
+    assert answer.status_code == 200, answer.text
--- a/tests/steps/platform_hostile_clients_steps.py
+++ b/tests/steps/platform_hostile_clients_steps.py
@@ -36,7 +36,7 @@
     cluster = context.platform_cluster
     first, _, callers, ready = cluster.ports[0]
     numbers = {"callers": callers, "ready": ready, "metrics": METRICS_PORT, "peer": first}
-    crowd = Crowd((cluster.host(0), numbers[port]), stream, count)
+    crowd = Crowd((cluster.host(0), numbers[port]), stream, count, PREFIX + "0" * 16)
     context.add_cleanup(crowd.close)
 
 
@@ -77,7 +77,8 @@
 @when("a caller submits a job with many short header lines")
 def step_many_lines(context):
     cluster, body = context.platform_cluster, make_job("")
-    head = LONG_HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    head = LONG_HEAD.replace(b"{path}", (PREFIX + new_job_id()).encode())
+    head += b"Content-Length: %d\r\n\r\n" % len(body)
     address = (cluster.host(0), cluster.ports[0][2])
     with socket.create_connection(address, timeout=ANSWER_TIMEOUT_S) as connection:
         connection.sendall(head + body)
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -9,7 +9,7 @@
 SEND_TIMEOUT_S = 10.0
 SENDERS = 16
 IDLE_CHECKS, IDLE_CHECK_S, IDLE_TICKS = 60, 0.5, 10  # of 10 ms
-START = b"POST /balance/0123456789abcdef HTTP/1.1\r\nHost: jobs.example\r\n"
+START = b"POST {path} HTTP/1.1\r\nHost: jobs.example\r\n"
 SHORT_LINE = b"a:\r\n"
 LONG_HEAD = START + SHORT_LINE * 15_000  # with the rest of the head below 64 KB
 LEGAL_HEAD = LONG_HEAD + b"Content-Length: 9\r\n\r\n"
@@ -31,6 +31,12 @@
     "a body of 262,144 bytes without its last": START
     + b"Content-Length: 262144\r\n\r\n"
     + b"x" * 262_143,
+    "a head of 4,000 short lines, and no body": START
+    + SHORT_LINE * 3_900
+    + b"Content-Length: 9\r\n\r\n",
+    "a body of 8,000,000 bytes without its last": START
+    + b"Content-Length: 8000000\r\n\r\n"
+    + b"x" * 7_999_999,
     "20,000 small requests": b"GET / HTTP/1.1\r\n\r\n" * 20_000,
     "20,000 small requests for the metrics": b"GET /metrics HTTP/1.1\r\n\r\n" * 20_000,
     "bytes without sense": bytes(range(128, 256)) * 2_000,
@@ -41,13 +47,15 @@
     """Connections that have each sent one of the streams, and stay open.
 
     :param count: number of connections.
+    :param path: path of the requests.
     """
 
-    def __init__(self, address: tuple[str, int], stream: str, count: int) -> None:
+    def __init__(self, address: tuple[str, int], stream: str, count: int, path: str) -> None:
         self._sockets: list[socket.socket] = []
+        data = STREAMS[stream].replace(b"{path}", path.encode())
         with ThreadPoolExecutor(SENDERS) as senders:
             for _ in range(count):
-                senders.submit(self._send, address, STREAMS[stream])
+                senders.submit(self._send, address, data)
 
     def close(self) -> None:
         """Closes the connections."""
