Let callers that don't read their responses yield, too

Cause: a connection whose response waits for its caller counted as served, so that it was never closed: callers that send requests and read nothing could hold all connections of a server for good, and the new limit of connections turned ordinary callers away in their place.

Such a connection now yields like one that waits, and is cut off once nothing of its response has been read for as long as a connection may be idle. A caller that reads slowly keeps its response: what counts is that it reads, not how long it takes.

--- a/berylproxy/http_limits.py
+++ b/berylproxy/http_limits.py
@@ -37,12 +37,15 @@
     :ivar held_bytes: memory of its requests.
     :ivar waits_since_s: monotonic time since which it has owed the rest of a request, or its next
         one; ``None`` if all that it has sent is being served.
+    :ivar blocked_since_s: monotonic time since which it has not read its response; ``None`` if it
+        has.
     :ivar is_receiving: whether a part of a request has arrived, and not its end.
     :ivar has_been_served: whether a request on it was answered.
     """
 
     held_bytes: int
     waits_since_s: float | None
+    blocked_since_s: float | None
     has_been_served: bool
 
     @property
@@ -64,6 +67,14 @@
 def find_connection_to_close(
     connections: Iterable[LimitedConnection],
 ) -> LimitedConnection | None:
-    """Returns the connection that has waited for longest, one without any answer so far first."""
-    waiting = [c for c in connections if c.waits_since_s is not None]
-    return min(waiting, key=lambda c: (c.has_been_served, c.waits_since_s), default=None)
+    """Returns the connection that has kept the server waiting for longest.
+
+    One without any answer so far goes first.
+    """
+    keeping: list[tuple[bool, float, LimitedConnection]] = []
+    for connection in connections:
+        times = (connection.waits_since_s, connection.blocked_since_s)
+        since_s = min((time_s for time_s in times if time_s is not None), default=None)
+        if since_s is not None:
+            keeping.append((connection.has_been_served, since_s, connection))
+    return min(keeping, key=lambda row: row[:2])[2] if keeping else None
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -147,9 +147,10 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             oldest_s = monotonic() - self._keep_alive_s
             for connection in list(self.connections):
+                connection.note_reading()
                 if connection.idle_since_s is not None and connection.idle_since_s < oldest_s:
                     connection.close_if_idle()
-                elif connection.lingers_until_s < monotonic():
+                elif connection.lingers_until_s < monotonic() or connection.is_blocked(oldest_s):
                     connection.abort()
 
 
@@ -171,6 +172,8 @@
         self._requests: deque[ServedRequest] = deque()
         self._received: ServedRequest | None = None  # the request that is being received
         self.waits_since_s: float | None = self.idle_since_s
+        self.blocked_since_s: float | None = None
+        self._unsent_bytes = 0
         self.held_bytes = 0
         self.has_been_served = False
         self._url = b""
@@ -325,9 +328,24 @@
 
     async def write(self, data: bytes) -> None:
         """Writes a part of a response; waits while the caller doesn't read."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport.is_closing():
+            return
+        self._transport.write(data)
+        if not self._can_write.is_set():
+            self.blocked_since_s = monotonic()
             await self._can_write.wait()
+            self.blocked_since_s = None
+
+    def note_reading(self) -> None:
+        """Notes whether the caller has read a part of its response since the last call."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if self.blocked_since_s is not None and unsent_bytes < self._unsent_bytes:
+            self.blocked_since_s = monotonic()
+        self._unsent_bytes = unsent_bytes
+
+    def is_blocked(self, since_s: float) -> bool:
+        """Returns whether the caller has read nothing since a monotonic time."""
+        return self.blocked_since_s is not None and self.blocked_since_s < since_s
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -98,3 +98,13 @@
     When a caller is answered, and then two callers connect
     Then the connection of the second caller ends
     And the first and the third caller are answered
+
+  Scenario: beyond the limit of connections, a caller that doesn't read is cut off before a new one is turned away
+    Given an HTTP server that sends 40 parts of a million bytes, with 2 connections
+    When two callers send a request and read nothing
+    Then a third caller is answered
+
+  Scenario: a caller that reads nothing for as long as a connection may be idle is cut off
+    Given an HTTP server with an application that sends 40 parts of a million bytes that closes idle connections
+    When a caller sends a request and reads nothing
+    Then the application's request ends
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -400,3 +400,23 @@
 def step_impl(context):
     for connection in (context.callers[0], context.callers[2]):
         check_echo(connection, b"again")
+
+
+@given("an HTTP server that sends 40 parts of a million bytes, with {count:d} connections")
+def step_impl(context, count):
+    name = "sends 40 parts of a million bytes"
+    serve(context, name, limits=HttpLimits(max_connections=count))
+
+
+@when("two callers send a request and read nothing")
+def step_impl(context):
+    for connection in (context.connection, connect(context)):
+        connection.sendall(encode_request())
+    sleep(0.5)  # until the responses fill the buffers
+
+
+@then("a third caller is answered")
+def step_impl(context):
+    connection = connect(context)
+    connection.sendall(encode_request())
+    assert connection.recv(64).startswith(b"HTTP/1.1 200 ")
