Tell a caller whose half-received request is dropped for room to come back

A request whose body was still arriving was dropped by closing its connection, so that its caller couldn't tell whether the job was accepted. It can't have been: the application takes a job after the whole body has arrived. Such a caller now gets 503 with Retry-After, as one whose head is incomplete does. If the application has read a whole request on the connection, or has begun to answer, the connection is closed: then nothing certain can be said.

tests/http_server, with a body: failed before (an empty answer), passes.

--- a/berylproxy/http_request.py
+++ b/berylproxy/http_request.py
@@ -48,6 +48,11 @@
         """Size of the part of the body that the application has not read."""
         return len(self._body)
 
+    @property
+    def is_taken(self) -> bool:
+        """Whether the application has read all of the request, or has begun to answer it."""
+        return self._is_body_read or self._head is not None or self._is_head_sent
+
     @property
     def held_bytes(self) -> int:
         """Memory of the request, with the part of its body that the application has read."""
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -355,14 +355,19 @@
     def refuse(self) -> None:
         """Drops what has been received, and ends the connection.
 
-        A caller whose request has not begun to be served is told so.
+        A caller is told so unless the application has read a whole request of it.
         """
         self._unparsed = b""
         self._ignores_input = True
-        if self._requests:
+        if any(request.is_taken for request in self._requests):
             self.abort()
-        else:
-            self._end_input(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_HEAD)
+            return
+        for request in self._requests:
+            request.disconnect()
+        if self._task is not None:
+            self._task.cancel()
+        self.waits_since_s = None
+        self._send_final(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_HEAD)
 
     def abort(self) -> None:
         """Cuts the connection off and cancels its request."""
@@ -406,11 +411,10 @@
             self.idle_since_s = self.waits_since_s = monotonic()
             self.adjust_reading()
 
-    def _end_input(self, status: HTTPStatus, headers: bytes = b"") -> None:
+    def _end_input(self, status: HTTPStatus) -> None:
         """Ignores what comes from now on, and closes the connection after the last response.
 
         :param status: of the response if no request is in progress.
-        :param headers: further header lines of that response.
         """
         self._ignores_input = True
         self._framing_bytes = 0
@@ -420,7 +424,15 @@
             self._received = None
         if self._requests:
             self._requests[-1].keeps_alive = False
-        elif not self._transport.is_closing():
+        else:
+            self._send_final(status)
+
+    def _send_final(self, status: HTTPStatus, headers: bytes = b"") -> None:
+        """Sends a response without a body and closes the connection.
+
+        :param headers: further header lines.
+        """
+        if not self._transport.is_closing():
             head = b"content-length: 0\r\nconnection: close\r\n\r\n"
             self._transport.write(STATUS_LINES[status] + headers + head)
             self._transport.close()
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -87,11 +87,16 @@
     When a caller connects and sends nothing
     Then the caller receives the end of the connection
 
-  Scenario: beyond the memory for requests, the one that has been on its way for longest is refused
+  Scenario Outline: beyond the memory for requests, the one that has been on its way for longest is refused
     Given an HTTP server that echoes bodies, with 20000 bytes for requests
-    When two callers, one after the other, each send 15000 bytes of a head
+    When two callers, one after the other, each send 15000 bytes of a <part>
     Then the first caller is told to come back, and its connection ends
-    And the second caller is answered once its request is complete
+    And the second caller is answered once its <part> is complete
+
+    Examples:
+      | part |
+      | head |
+      | body |
 
   Scenario: beyond the limit of connections, one that never sent a request is cut off first
     Given an HTTP server that echoes bodies, with 2 connections
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -360,11 +360,14 @@
     read_until(connection, b"\r\n\r\n" + body)
 
 
-@when("two callers, one after the other, each send {count:d} bytes of a head")
-def step_impl(context, count):
+@when("two callers, one after the other, each send {count:d} bytes of a {part}")
+def step_impl(context, count, part):
+    head = b"POST /x HTTP/1.1\r\na: "
+    if part == "body":
+        head = b"POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (count + 3)
     context.callers = [context.connection, connect(context)]
     for connection in context.callers:
-        connection.sendall(b"POST /x HTTP/1.1\r\na: " + b"x" * count)
+        connection.sendall(head + b"x" * count)
         sleep(0.2)  # the second one begins later
 
 
@@ -375,10 +378,11 @@
     assert b"\r\nretry-after: 1\r\n" in received, received
 
 
-@then("the second caller is answered once its request is complete")
-def step_impl(context):
-    context.callers[1].sendall(b"\r\nContent-Length: 3\r\n\r\nabc")
-    read_until(context.callers[1], b"\r\n\r\nabc")
+@then("the second caller is answered once its {part} is complete")
+def step_impl(context, part):
+    end = b"\r\nContent-Length: 3\r\n\r\nabc" if part == "head" else b"abc"
+    context.callers[1].sendall(end)
+    assert read_until(context.callers[1], b"abc").startswith(b"HTTP/1.1 200 ")
 
 
 @when("a caller is answered, and then two callers connect")
