Let a listing of all records arrive, however long it takes

The class of the stale configurations, in berylproxyd: a call to its store was limited to 3 s in all, and the listing, which holds every record in one answer, to 10 s. 1,600 endpoints are about a megabyte as JSON; a link of 2 Mbit/s takes over 4 s, so that a daemon there would never have had a configuration.

The limit now holds until the response begins and for each part of it, 60 s in all; a listing may take 70 s.

tests/store/etcd.feature: 1.4 MB over 4 Mbit/s with a limit of 0.5 s had "no answer in time" before, and is listed whole now. tests/store and tests/records pass.

--- a/berylproxy/records/watcher.py
+++ b/berylproxy/records/watcher.py
@@ -38,7 +38,8 @@
     :param min_interval_s: pause after each watch, so that one watch returns several quick changes.
     :param first_delay_s: mean delay before the first retry of a failed call.
     :param max_delay_s: upper bound of the mean delay between retries.
-    :param call_timeout_s: timeout of a call; a watch has this time in addition to ``wait_s``.
+    :param call_timeout_s: timeout of a watch, in addition to ``wait_s``.
+    :param list_timeout_s: timeout of a listing, which holds all records.
     """
 
     wait_s: float = 20.0
@@ -46,6 +47,7 @@
     first_delay_s: float = 0.5
     max_delay_s: float = 20.0
     call_timeout_s: float = 10.0
+    list_timeout_s: float = 70.0
 
 
 def find_rollback_evidence(listing: Listing, snapshot: ViewSnapshot) -> str:
@@ -151,7 +153,7 @@
             await anyio.sleep(self._timings.min_interval_s)
 
     async def _list(self) -> Listing:
-        with anyio.move_on_after(self._timings.call_timeout_s):
+        with anyio.move_on_after(self._timings.list_timeout_s):
             return await self._store.list_prefix(KEY_PREFIX)
         raise StoreUnavailableError("the store did not answer a list request")
 
--- a/berylproxy/store/etcd.py
+++ b/berylproxy/store/etcd.py
@@ -5,7 +5,7 @@
 from types import TracebackType
 from typing import Self, TypeVar
 
-from anyio import current_time, fail_after, move_on_after
+from anyio import CancelScope, current_time, fail_after, move_on_after
 from httpx import (
     AsyncClient,
     ConnectError,
@@ -57,6 +57,7 @@
 )
 
 MAX_CONNECTIONS = 32
+MAX_ANSWER_S = 60.0  # for a response that arrives ever so slowly, after the call's timeout
 NOT_DELIVERED_ERRORS = (ConnectError, ConnectTimeout, PoolTimeout)
 HTTP_OK = 200
 HTTP_TOO_MANY_REQUESTS = 429
@@ -73,7 +74,8 @@
     """Implements :class:`berylproxy.store.port.Store`.
 
     :param base_urls: one or several base URLs of the same service.
-    :param timeout_s: timeout of each call, including the attempts at all base URLs.
+    :param timeout_s: time until the response to a call begins, including the attempts at all base
+        URLs, and until each further part of it.
     :ivar preferred_index: index of the base URL that is called first; moves on when a URL fails, so
         that calls start with the one that answered last.
     """
@@ -173,8 +175,7 @@
         timeout = Timeout(self.timeout_s, read=None)
         async with self.client.stream("POST", url, content=body, timeout=timeout) as response:
             if response.status_code != HTTP_OK:
-                await response.aread()
-                raise convert_error_response(response, is_write=False)
+                raise convert_error_response(response, await response.aread(), is_write=False)
             yield response
 
     async def grant_lease(self, ttl_s: int) -> int:
@@ -210,38 +211,49 @@
     async def call(
         self, path: str, request: BaseModel, response_type: type[ResponseT], *, is_write: bool
     ) -> ResponseT:
-        """Posts a request within the timeout and parses the response."""
+        """Posts a request and parses the response.
+
+        The timeout holds until the response begins, and from then on for each part of it.
+        """
         body = request.model_dump_json(exclude_none=True)
         deadline = current_time() + self.timeout_s
         try:
-            with fail_after(self.timeout_s):
-                response = await self.post_with_failover(path, body, deadline, is_write)
+            with fail_after(self.timeout_s) as scope:
+                content = await self.post_with_failover(path, body, deadline, is_write, scope)
         except TimeoutError as error:
             self.prefer_next_url()
             raise lost_answer_error(f"{path}: no answer in time", is_write) from error
         try:
-            return response_type.model_validate_json(response.content)
+            return response_type.model_validate_json(content)
         except ValidationError as error:
             raise lost_answer_error(f"{path}: answer is malformed", is_write) from error
 
     async def post_with_failover(
-        self, path: str, body: str, deadline: float, is_write: bool
-    ) -> Response:
+        self, path: str, body: str, deadline: float, is_write: bool, scope: CancelScope
+    ) -> bytes:
         """Tries each base URL once, starting with the preferred one."""
         for attempts_left in range(len(self.base_urls), 1, -1):
             try:
-                return await self.post(path, body, deadline, attempts_left, is_write)
+                return await self.post(path, body, deadline, attempts_left, is_write, scope)
             except StoreUnavailableError:
                 self.prefer_next_url()
-        return await self.post(path, body, deadline, 1, is_write)
+        return await self.post(path, body, deadline, 1, is_write, scope)
 
     async def post(
-        self, path: str, body: str, deadline: float, attempts_left: int, is_write: bool
-    ) -> Response:
+        self,
+        path: str,
+        body: str,
+        deadline: float,
+        attempts_left: int,
+        is_write: bool,
+        scope: CancelScope,
+    ) -> bytes:
         """Posts to the preferred base URL and converts errors to :class:`StoreError`.
 
-        :param deadline: time by which the whole call must end.
+        :param deadline: time by which a response must have begun.
         :param attempts_left: number of attempts, with this one, that share the remaining time.
+        :param scope: scope of the call, whose deadline each part of a response puts off.
+        :returns: the body of the response.
         """
         url = self.base_urls[self.preferred_index] + path
         remaining_s = max(deadline - current_time(), 0.0)
@@ -249,14 +261,19 @@
         # A write that was sent is not sent to another URL, so it may use all remaining time.
         timeout = Timeout(attempt_timeout_s, read=remaining_s if is_write else attempt_timeout_s)
         try:
-            response = await self.client.post(url, content=body, timeout=timeout)
+            async with self.client.stream("POST", url, content=body, timeout=timeout) as response:
+                content = bytearray()
+                async for part in response.aiter_bytes():
+                    content += part
+                    put_off_s = current_time() + self.timeout_s
+                    scope.deadline = min(max(scope.deadline, put_off_s), deadline + MAX_ANSWER_S)
         except NOT_DELIVERED_ERRORS as error:
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         except HTTPError as error:
             raise lost_answer_error(f"{path}: {error!r}", is_write) from error
         if response.status_code != HTTP_OK:
-            raise convert_error_response(response, is_write=is_write)
-        return response
+            raise convert_error_response(response, bytes(content), is_write=is_write)
+        return bytes(content)
 
     def prefer_next_url(self) -> None:
         """Makes the next base URL the preferred one."""
@@ -341,10 +358,10 @@
     return StoreOutcomeUnknownError(message) if is_write else StoreUnavailableError(message)
 
 
-def convert_error_response(response: Response, *, is_write: bool) -> StoreError:
+def convert_error_response(response: Response, content: bytes, *, is_write: bool) -> StoreError:
     """Builds the error for a response with a status other than 200."""
     try:
-        error = ErrorResponse.model_validate_json(response.content)
+        error = ErrorResponse.model_validate_json(content)
     except ValidationError:
         error = ErrorResponse()
     reason = error.message or error.error
--- a/tests/steps/store_steps.py
+++ b/tests/steps/store_steps.py
@@ -74,6 +74,35 @@
     context.platform.start()
 
 
+@given("{count:d} store keys of {size:d} bytes, behind a link of {mbps:g} Mbit/s")
+def step_large_keys(context, count, size, mbps):
+    async def fill(store):
+        for number in range(count):
+            await store.compare_and_swap(f"/large/{number:03}", b"x" * size, ABSENT_REVISION)
+
+    run_with_store(context, fill)
+    target = context.platform.url.removeprefix("http://")
+    relay = ManagedProcess(
+        "relay", ["-m", "standins.relay", "--target", target], context.platform.stderr_path.parent
+    )
+    context.add_cleanup(relay.kill)
+    relay.start()
+    control = f"http://127.0.0.1:{relay.announced['control_port']}/control"
+    switches = {"bytes_per_s": int(mbps * 1_000_000 / 8)}
+    httpx.put(control, json=switches, timeout=TIMEOUT_S).raise_for_status()
+    context.slow_url = f"http://127.0.0.1:{relay.announced['port']}"
+
+
+@then("all {count:d} are listed with a timeout of {timeout_s:g} s")
+def step_listed(context, count, timeout_s):
+    async def list_keys():
+        with anyio.fail_after(STEP_TIMEOUT_S):
+            async with EtcdStore([context.slow_url], timeout_s) as store:
+                return await store.list_prefix("/large/")
+
+    assert len(anyio.run(list_keys).entries) == count
+
+
 @step("the platform switches {switches}")
 def step_switches(context, switches):
     set_switches(context, switches)
--- a/tests/store/etcd.feature
+++ b/tests/store/etcd.feature
@@ -41,6 +41,11 @@
     And the platform switches {"outage": true, "outage_mode": "silent"}
     Then reading "/a" and watching "/" with a timeout of 0.3 s raise "store_unavailable"
 
+  Scenario: A listing that takes longer to arrive than a call may wait is read whole
+    Given a platform stand-in
+    And 100 store keys of 10000 bytes, behind a link of 4 Mbit/s
+    Then all 100 are listed with a timeout of 0.5 s
+
   Scenario: A call to a stopped service is unavailable
     Given a platform stand-in
     And the platform stand-in is killed
