--- a/berylproxy/http_request.py
+++ b/berylproxy/http_request.py
@@ -85,9 +85,9 @@
                 return {"type": "http.disconnect"}
             if not self._is_body_read and (self._body or self._is_complete):
                 body, self._body = bytes(self._body), bytearray()
-                self._is_body_read = self._is_complete
-                self._connection.adjust_reading()
-                return {"type": "http.request", "body": body, "more_body": not self._is_complete}
+                self._is_body_read = is_last = self._is_complete
+                self._connection.adjust_reading()  # may feed the next part, and complete the body
+                return {"type": "http.request", "body": body, "more_body": not is_last}
             self._changed.clear()
             await self._changed.wait()
 
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -10,6 +10,10 @@
     When a caller sends a chunked body after "100 Continue"
     Then the caller receives the body whole
 
+  Scenario: a body whose end is parsed while the application reads is received whole
+    When a body of 200000 bytes reaches a connection in one read
+    Then the application receives 200000 bytes
+
   Scenario Outline: input that is no HTTP/1.1 request
     Given an HTTP server with an application that echoes bodies
     When a caller sends <input>
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -5,11 +5,12 @@
 import threading
 from contextlib import suppress
 from time import sleep
+from unittest.mock import Mock
 
 from behave import given, then, when
 
 from berylproxy.http_limits import HttpLimits
-from berylproxy.http_server import HttpServer
+from berylproxy.http_server import HttpServer, _Connection
 from berylproxy.listeners import open_listener
 
 TIMEOUT_S = 10.0
@@ -424,3 +425,34 @@
     connection = connect(context)
     connection.sendall(encode_request())
     assert connection.recv(64).startswith(b"HTTP/1.1 200 ")
+
+
+@when("a body of {size:d} bytes reaches a connection in one read")
+def step_impl(context, size):
+    context.received_bytes = 0
+
+    async def read_body(scope, receive, send):
+        has_more = True
+        while has_more:
+            message = await receive()
+            context.received_bytes += len(message["body"])
+            has_more = message["more_body"]
+        await respond(send, 200, b"")
+
+    async def play():
+        transport = Mock()
+        transport.is_closing.return_value = False
+        transport.get_extra_info.return_value = ("127.0.0.1", 1)
+        connection = _Connection(HttpServer(read_body, LONG_KEEP_ALIVE_S))
+        connection.connection_made(transport)
+        connection.data_received(encode_request(bytes(size)))
+        async with asyncio.timeout(TIMEOUT_S):
+            while not transport.write.called:  # noqa: ASYNC110
+                await asyncio.sleep(0)
+
+    asyncio.run(play())
+
+
+@then("the application receives {size:d} bytes")
+def step_impl(context, size):
+    assert context.received_bytes == size, context.received_bytes
