Count the whole head of a request that is being served

The memory that a request holds was counted by its path and body alone. A query or a header may have 64 KB, and the target was kept once more by its connection until the next request: a crowd of requests that wait for their jobs held several times what the limit allows. Now all of the head counts, and the connection lets it go. A TLS handshake has 5 s, and requests over TLS are told as such to the application.

tests/http_server: two requests with 15,000 bytes of query were both kept where 20,000 are allowed; the second one is told to come back now.

--- a/berylproxy/http_request.py
+++ b/berylproxy/http_request.py
@@ -9,7 +9,7 @@
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
 }
 
-REQUEST_BYTES = 2_048  # of a request's objects, without its target and its body
+REQUEST_BYTES = 2_048  # of a request's objects, without its head and its body
 
 Message = dict[str, Any]
 
@@ -37,7 +37,9 @@
         self._body = bytearray()
         self._is_complete = self._is_disconnected = False
         self._is_body_read = False
-        self._received_bytes = 0
+        target_bytes = 2 * len(scope["raw_path"]) + len(scope["query_string"])
+        header_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
+        self._held_bytes = REQUEST_BYTES + target_bytes + header_bytes
         self._expects_continue = (b"expect", b"100-continue") in scope["headers"]
         self._changed = asyncio.Event()
         self._head: Message | None = None
@@ -56,11 +58,11 @@
     @property
     def held_bytes(self) -> int:
         """Memory of the request, with the part of its body that the application has read."""
-        return REQUEST_BYTES + len(self.scope["raw_path"]) + self._received_bytes
+        return self._held_bytes
 
     def feed(self, body: bytes) -> None:
         """Buffers a part of the body."""
-        self._received_bytes += len(body)
+        self._held_bytes += len(body)
         if not self._is_answered:
             self._body += body
             self._changed.set()
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -35,6 +35,7 @@
 # unread data is reset, and the response may be lost.
 LINGER_S = 2.0
 QUEUED_REQUESTS_S = 0.02  # for reading what the system has already queued when the server stops
+TLS_HANDSHAKE_TIMEOUT_S = 5.0
 EXPECT_HEADER = b"expect"
 RETRY_HEAD = b"retry-after: 1\r\n"
 
@@ -85,7 +86,11 @@
         loop = asyncio.get_running_loop()
         servers = [
             await loop.create_server(
-                lambda: _Connection(self), sock=listener, backlog=BACKLOG_CONNECTIONS, ssl=tls
+                lambda: _Connection(self),
+                sock=listener,
+                backlog=BACKLOG_CONNECTIONS,
+                ssl=tls,
+                ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if tls else None,
             )
             for listener in listeners
         ]
@@ -181,6 +186,7 @@
         self._framing_bytes = 0  # received since the last part of a body or the end of a head
         self._unparsed = b""
         self._local_address: tuple[str, int] = ("", 0)
+        self._scheme = "http"
         self._task: asyncio.Task[None] | None = None
         self._is_reading = True
         self._ignores_input = False
@@ -191,6 +197,7 @@
         """Registers the connection."""
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
         self._local_address = tuple(transport.get_extra_info("sockname")[:2])
+        self._scheme = "https" if transport.get_extra_info("sslcontext") else "http"
         self._server.admit(self)
         if self._server.is_stopping:
             self._transport.close()
@@ -277,7 +284,7 @@
             "asgi": {"version": "3.0"},
             "http_version": self._parser.get_http_version(),
             "method": self._parser.get_method().decode("ascii"),
-            "scheme": "http",
+            "scheme": self._scheme,
             "path": unquote(path.decode("latin-1")),
             "raw_path": path,
             "query_string": query,
@@ -285,6 +292,7 @@
             "server": self._local_address,
         }
         self._received = ServedRequest(self, scope, self._parser.should_keep_alive())
+        self._url, self._headers = b"", {}
         self._framing_bytes = 0
         self.idle_since_s = None
         self._requests.append(self._received)
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -102,6 +102,12 @@
       | head |
       | body |
 
+  Scenario: requests that are being served count with their targets
+    Given an HTTP server that waits for a permit, with 20000 bytes for requests
+    When two callers, one after the other, send whole requests with a query of 15000 bytes
+    Then the second caller is told to come back
+    And the first caller is answered once the permit is given
+
   Scenario: beyond the limit of connections, one that never sent a request is cut off first
     Given an HTTP server that echoes bodies, with 2 connections
     When a caller is answered, and then two callers connect
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -456,3 +456,30 @@
 @then("the application receives {size:d} bytes")
 def step_impl(context, size):
     assert context.received_bytes == size, context.received_bytes
+
+
+@given("an HTTP server that waits for a permit, with {max_bytes:d} bytes for requests")
+def step_impl(context, max_bytes):
+    serve(context, "waits for a permit", limits=HttpLimits(max_input_bytes=max_bytes))
+
+
+@when("two callers, one after the other, send whole requests with a query of {count:d} bytes")
+def step_impl(context, count):
+    context.callers = [context.connection, connect(context)]
+    for connection in context.callers:
+        connection.sendall(b"GET /x?" + b"x" * count + b" HTTP/1.1\r\n\r\n")
+        sleep(0.2)  # the second one comes later
+
+
+@then("the second caller is told to come back")
+def step_impl(context):
+    received = read_to_end(context.callers[1])
+    assert received.startswith(b"HTTP/1.1 503 "), received
+    assert b"\r\nretry-after: 1\r\n" in received, received
+
+
+@then("the first caller is answered once the permit is given")
+def step_impl(context):
+    context.served.permit()
+    head = read_until(context.callers[0], b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head
