--- a/tests/steps/daemon_hostile_clients_steps.py
+++ b/tests/steps/daemon_hostile_clients_steps.py
@@ -5,8 +5,7 @@
 from standins.cluster import SERVICE, Cluster, EndpointPlan
 from tests.support.hostile_clients import (
     Crowd,
-    count_descriptors,
-    read_peak_mb,
+    check_lives,
     wait_until_idle,
 )
 
@@ -49,11 +48,7 @@
 
 @then("berylproxyd lives, within its memory and its descriptors")
 def step_lives(context):
-    daemon = context.cluster.daemons[0].child
-    assert daemon.poll() is None, daemon.returncode
-    peak_mb, descriptors = read_peak_mb(daemon.pid), count_descriptors(daemon.pid)
-    seen = f"{peak_mb:.0f} MB, {descriptors} descriptors"
-    assert peak_mb <= context.memory_mb and descriptors <= context.descriptors, seen
+    check_lives(context.cluster.daemons[0].child, context.memory_mb, context.descriptors)
 
 
 @then("a submission of 7,000,000 bytes to berylproxyd is read whole")
--- a/tests/steps/platform_hostile_clients_steps.py
+++ b/tests/steps/platform_hostile_clients_steps.py
@@ -11,8 +11,7 @@
 from tests.support.hostile_clients import (
     LONG_HEAD,
     Crowd,
-    count_descriptors,
-    read_peak_mb,
+    check_lives,
     wait_until_idle,
 )
 from tests.support.platform_cluster import HOST, PREFIX, PlatformCluster
@@ -50,11 +49,7 @@
 
 @then("the daemon lives, within its memory and its descriptors")
 def step_lives(context):
-    daemon = context.platform_cluster.daemons[0].child
-    assert daemon.poll() is None, daemon.returncode
-    peak_mb, descriptors = read_peak_mb(daemon.pid), count_descriptors(daemon.pid)
-    seen = f"{peak_mb:.0f} MB, {descriptors} descriptors"
-    assert peak_mb <= context.memory_mb and descriptors <= context.descriptors, seen
+    check_lives(context.platform_cluster.daemons[0].child, context.memory_mb, context.descriptors)
 
 
 def connect(cluster):
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -4,6 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
+from subprocess import Popen
 from time import sleep
 
 SEND_TIMEOUT_S = 10.0
@@ -80,6 +81,14 @@
     return len(list(Path(f"/proc/{process_id}/fd").iterdir()))
 
 
+def check_lives(process: Popen, memory_mb: int, descriptors: int) -> None:
+    """Checks that a process runs and has stayed within its memory and its descriptors."""
+    assert process.poll() is None, process.returncode
+    peak_mb, open_descriptors = read_peak_mb(process.pid), count_descriptors(process.pid)
+    seen = f"{peak_mb:.0f} MB, {open_descriptors} descriptors"
+    assert peak_mb <= memory_mb and open_descriptors <= descriptors, seen
+
+
 def wait_until_idle(process_id: int) -> None:
     """Waits until a process uses little processor time, so that it has read what it was sent."""
     for _ in range(IDLE_CHECKS):
