Play the slow store in simulated time

Its parts come 0.1 s apart and may come 0.7 s apart; the store and its client shared one loop, which such a load stops for as long, so that the verdict hung on the machine. With simulated time, a busy machine doesn't look like a silent store. Time now passes only if no socket is ready, which the loop of the holder's tests didn't have to ask.

The checks and limits are the same. The first scenario runs a daemon behind a relay and stays in real time.

--- a/tests/steps/platform_slow_answers_steps.py
+++ b/tests/steps/platform_slow_answers_steps.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from time import monotonic, sleep
 
-from anyio import create_task_group, fail_after, run
+from anyio import create_task_group, fail_after
 from anyio import sleep as sleep_async
 from behave import given, then, when
 from logbook import TestHandler
@@ -20,6 +20,7 @@
 from tests.steps.platform_store_steps import Readers
 from tests.steps.platform_wire_steps import VALID_ENTRY
 from tests.support.platform_cluster import PREFIX, make_configuration
+from tests.support.simulated_time import SimulatedTime
 from tests.support.slow_store import PIECES, SlowStore
 
 ENTRIES = 4
@@ -27,9 +28,23 @@
 POLL_S = 0.05
 WATCHED_S = 0.6  # most of a watch, so that the answer ends long after the watch would have
 READ_SHARE_S = 8.0
+CLOCKS = (
+    "berylproxy.http_exchange.monotonic",
+    "berylproxy.platform.operator_watch.monotonic",
+    "berylproxy.platform.store.monotonic",
+)
 READER_PREFIXES = (LIST_PREFIX, EVACUATION_PREFIX, MEMBER_PREFIX, "jobs/")
 
 
+def run(work, *arguments):
+    """Does work in simulated time, so that a busy machine doesn't look like a silent store."""
+    simulated = SimulatedTime(CLOCKS)
+    try:
+        return simulated.call(work, *arguments)
+    finally:
+        simulated.close()
+
+
 def fill(store):
     """Writes the entries of each list."""
     for prefix in READER_PREFIXES:
--- a/tests/support/simulated_time.py
+++ b/tests/support/simulated_time.py
@@ -1,7 +1,7 @@
 """An event loop whose time passes only while it waits; verdicts don't depend on real time."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import ExitStack
 from inspect import isawaitable
 from selectors import DefaultSelector
@@ -25,11 +25,13 @@
         self.now_s = START_S
 
     def select(self, timeout: float | None = None) -> list:
-        """Returns what is ready now."""
-        if timeout is None:
-            raise RuntimeError("nothing is left that the simulated time could pass for")
-        self.now_s += max(0.0, timeout)
-        return super().select(0)
+        """Returns what is ready now; time passes only if nothing is."""
+        ready = super().select(0)
+        if not ready:
+            if timeout is None:
+                raise RuntimeError("nothing is left that the simulated time could pass for")
+            self.now_s += max(0.0, timeout)
+        return ready
 
 
 class _SimulatedLoop(asyncio.SelectorEventLoop):
@@ -68,12 +70,15 @@
 
 
 class SimulatedTime:
-    """Runs work like a blocking portal of anyio, in the thread of the caller."""
+    """Runs work like a blocking portal of anyio, in the thread of the caller.
 
-    def __init__(self) -> None:
+    :param clocks: further names of the function ``monotonic`` that tell the simulated time.
+    """
+
+    def __init__(self, clocks: Iterable[str] = ()) -> None:
         self._loop = _SimulatedLoop()
         self._patches = ExitStack()
-        for name in CLOCKS:
+        for name in (*CLOCKS, *clocks):
             self._patches.enter_context(patch(name, self.monotonic))
 
     def monotonic(self) -> float:
