Show that a TLS port's connections aren't bounded during their handshake

400 clients that connect to berylproxyd's TLS port and send nothing take it to 179 MB and 408 descriptors, where the test's settings allow 128 and 256: the server counts a connection once its handshake is over.

--- a/tests/daemon/hostile_clients.feature
+++ b/tests/daemon/hostile_clients.feature
@@ -21,6 +21,12 @@
       | 400   | peer | nothing                                    |
       | 50    | peer | bytes without sense                        |
 
+  Scenario: berylproxyd with TLS outlives 400 clients that connect and send nothing
+    Given a berylproxyd with TLS, 128 MB of memory and 256 descriptors
+    When 400 clients connect to its TLS port and send nothing
+    Then a caller that trusts the certificate can read /healthz
+    And berylproxyd with TLS lives, within its memory and its descriptors
+
   Scenario: a single submission of 7,000,000 bytes is served in calm
     Given a berylproxyd with 128 MB of memory and 256 descriptors
     Then a submission of 7,000,000 bytes to berylproxyd is read whole
--- a/tests/steps/daemon_hostile_clients_steps.py
+++ b/tests/steps/daemon_hostile_clients_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from standins.cluster import SERVICE, Cluster, EndpointPlan
+from tests.steps.monitoring_steps import start_tls_daemon
 from tests.support.hostile_clients import (
     Crowd,
     check_lives,
@@ -13,13 +14,18 @@
 LARGE_BODY_BYTES = 7_000_000
 
 
-@given("a berylproxyd with {memory_mb:d} MB of memory and {descriptors:d} descriptors")
-def step_daemon(context, memory_mb, descriptors):
-    context.memory_mb, context.descriptors = memory_mb, descriptors
-    environment = {
+def make_limits(memory_mb, descriptors):
+    """Returns the settings that limit what a daemon may use."""
+    return {
         "BERYLPROXY_MEMORY_MB": str(memory_mb),
         "BERYLPROXY_MAX_DESCRIPTORS": str(descriptors),
     }
+
+
+@given("a berylproxyd with {memory_mb:d} MB of memory and {descriptors:d} descriptors")
+def step_daemon(context, memory_mb, descriptors):
+    context.memory_mb, context.descriptors = memory_mb, descriptors
+    environment = make_limits(memory_mb, descriptors)
     service = {"max_body_bytes": 8_000_000}
     cluster = Cluster(context.folder, ["a"], [EndpointPlan("a")], service, environment)
     context.add_cleanup(cluster.stop)
@@ -59,3 +65,22 @@
         timeout=ANSWER_TIMEOUT_S,
     )
     assert answer.status_code == 200, answer.text
+
+
+@given("a berylproxyd with TLS, {memory_mb:d} MB of memory and {descriptors:d} descriptors")
+def step_tls_daemon(context, memory_mb, descriptors):
+    context.memory_mb, context.descriptors = memory_mb, descriptors
+    start_tls_daemon(context, make_limits(memory_mb, descriptors))
+
+
+@when("{count:d} clients connect to its TLS port and send nothing")
+def step_tls_crowd(context, count):
+    host, _, number = context.tls_address.rpartition(":")
+    crowd = Crowd((host, int(number)), "nothing", count, "")
+    context.add_cleanup(crowd.close)
+    wait_until_idle(context.tls_daemon.child.pid)
+
+
+@then("berylproxyd with TLS lives, within its memory and its descriptors")
+def step_tls_lives(context):
+    check_lives(context.tls_daemon.child, context.memory_mb, context.descriptors)
--- a/tests/steps/monitoring_steps.py
+++ b/tests/steps/monitoring_steps.py
@@ -77,6 +77,11 @@
 
 @given("a daemon with a certificate made for this test")
 def step_tls_daemon(context):
+    start_tls_daemon(context, {})
+
+
+def start_tls_daemon(context, settings):
+    """Starts a daemon with a certificate and further settings."""
     context.certificate = context.folder / "certificate.pem"
     key = context.folder / "key.pem"
     command = ["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2"]
@@ -92,8 +97,11 @@
         "BERYLPROXY_STORE_URLS": UNUSED_STORE_URL,
         "BERYLPROXY_TLS_CERTIFICATE": str(context.certificate),
         "BERYLPROXY_TLS_KEY": str(key),
+        **settings,
     }
-    daemon = ManagedProcess("tls", DAEMON, context.folder, environment=variables)
+    context.tls_daemon = daemon = ManagedProcess(
+        "tls", DAEMON, context.folder, environment=variables
+    )
     context.add_cleanup(daemon.kill)
     daemon.start()
     context.tls_address = daemon.announced["http_address"]
