Count a TLS connection from its acceptance on, with what it costs

What was seen: 400 clients that connected to berylproxyd's TLS port and sent nothing took it to 179 MB and 408 descriptors, where 128 and 256 were allowed.

Cause: asyncio tells a protocol of its connection once the TLS handshake is over, so that the limit of connections didn't know those in it. Counting them alone left 179 MB at 136 descriptors: a TLS connection costs about 0.9 MB of buffers and state. Now the server starts the handshake itself on a connection that it has counted, and with TLS there is one connection for each megabyte of the quarter for requests.

--- a/berylproxy/daemon/http_server.py
+++ b/berylproxy/daemon/http_server.py
@@ -57,9 +57,11 @@
 
     Requests that are still open after the drain timeout are cut off.
     """
-    limits = HttpLimits.for_process(settings.memory_mb, settings.max_descriptors)
-    server = HttpServer(RequestBodies(application), KEEP_ALIVE_TIMEOUT_S, READ_HEADERS, limits)
     tls = _make_tls_context(settings) if settings.tls_certificate else None
+    limits = HttpLimits.for_process(
+        settings.memory_mb, settings.max_descriptors, uses_tls=tls is not None
+    )
+    server = HttpServer(RequestBodies(application), KEEP_ALIVE_TIMEOUT_S, READ_HEADERS, limits)
     await server.serve([listener], wait_for_stop, settings.drain_timeout_s, tls)
 
 
--- a/berylproxy/http_limits.py
+++ b/berylproxy/http_limits.py
@@ -11,6 +11,7 @@
 DEFAULT_MAX_INPUT_BYTES = 64 * 1024 * 1024
 DEFAULT_MAX_CONNECTIONS = 512
 INPUT_SHARE = 4  # a quarter of a VM's memory is for requests that are being received or served
+TLS_CONNECTION_BYTES = 1024 * 1024  # of the buffers and the state of a TLS connection
 CONNECTION_SHARE = 2  # half of a process's descriptors is for callers' connections
 
 
@@ -26,10 +27,15 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
 
     @classmethod
-    def for_process(cls, memory_mb: int, max_descriptors: int) -> "HttpLimits":
+    def for_process(
+        cls, memory_mb: int, max_descriptors: int, *, uses_tls: bool = False
+    ) -> "HttpLimits":
         """Derives the limits from the memory and the descriptors that a process may use."""
         input_bytes = memory_mb * 1024 * 1024 // INPUT_SHARE
-        return cls(input_bytes, max(max_descriptors // CONNECTION_SHARE, 1))
+        connections = max_descriptors // CONNECTION_SHARE
+        if uses_tls:
+            connections = min(connections, input_bytes // TLS_CONNECTION_BYTES)
+        return cls(input_bytes, max(connections, 1))
 
 
 class LimitedConnection(Protocol):
--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -86,11 +86,7 @@
         loop = asyncio.get_running_loop()
         servers = [
             await loop.create_server(
-                lambda: _Connection(self),
-                sock=listener,
-                backlog=BACKLOG_CONNECTIONS,
-                ssl=tls,
-                ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if tls else None,
+                lambda: _Connection(self, tls), sock=listener, backlog=BACKLOG_CONNECTIONS
             )
             for listener in listeners
         ]
@@ -169,7 +165,8 @@
         answered may arrive.
     """
 
-    def __init__(self, server: HttpServer) -> None:
+    def __init__(self, server: HttpServer, tls: ssl.SSLContext | None = None) -> None:
+        self._tls = tls
         self.idle_since_s: float | None = monotonic()
         self.lingers_until_s = inf
         self._server = server
@@ -197,10 +194,25 @@
         """Registers the connection."""
         self._transport: asyncio.Transport = transport  # type: ignore[assignment]
         self._local_address = tuple(transport.get_extra_info("sockname")[:2])
-        self._scheme = "https" if transport.get_extra_info("sslcontext") else "http"
         self._server.admit(self)
         if self._server.is_stopping:
             self._transport.close()
+        elif self._tls is not None and not self._transport.is_closing():
+            self._task = asyncio.get_running_loop().create_task(self._start_tls(self._tls))
+
+    async def _start_tls(self, tls: ssl.SSLContext) -> None:
+        """Runs the handshake, during which the connection counts as one that waits."""
+        loop, timeout_s = asyncio.get_running_loop(), TLS_HANDSHAKE_TIMEOUT_S
+        try:
+            self._transport = await loop.start_tls(
+                self._transport, self, tls, server_side=True, ssl_handshake_timeout=timeout_s
+            )
+        except OSError as error:
+            logger.debug("TLS handshake failed: {!r}", error)
+            self._server.forget(self)
+            return
+        self._scheme = "https"
+        self._task = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the requests in progress that their caller has disconnected."""
