--- a/review/support_2/world.py
+++ b/review/support_2/world.py
@@ -14,7 +14,7 @@
 from base64 import b64decode
 from collections.abc import Callable
 from pathlib import Path
-from threading import Lock
+from threading import Lock, Timer
 from time import monotonic, sleep, time
 from typing import Any
 
@@ -22,6 +22,7 @@
 HOST = "nony24.example"
 ZONES = ("kushiro", "obihiro", "abashiri")
 START_LIMIT_S = 25.0
+CASE_LIMIT_S = 110.0  # a case ends within 120 s
 FRONTEND_PORT, READY_PORT, CONTROL_PORT, METRICS_PORT = 8161, 8167, 8166, 9464
 FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT = 7720, 7735
 
@@ -135,15 +136,25 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.end_processes()
+        for event in self.read_runs():
+            self.write_row(event)
+        self._record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def end_processes(self) -> None:
+        """Ends all processes that were started."""
         for process in self._processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
-        for event in self.read_runs():
-            self.write_row(event)
-        self._record.close()
-        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def give_up(self) -> None:
+        """Ends the case when it takes too long."""
+        self.note("not played", reason=f"not over within {CASE_LIMIT_S} s")
+        self.end_processes()
+        os._exit(2)
 
     def note(self, event: str, **fields: Any) -> None:
         """Writes what the test does or finds."""
@@ -401,11 +412,16 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         with World(case / "record.txt") as world:
+            limit = Timer(CASE_LIMIT_S, world.give_up)
+            limit.daemon = True
+            limit.start()
             try:
                 is_kept = judge(world, has_trouble)
             except NotPlayableError as error:
                 world.note("not played", reason=str(error))
                 return 2
+            finally:
+                limit.cancel()
             world.note("rule kept" if is_kept else "RULE BROKEN", trouble=has_trouble)
             return 0 if is_kept else 1
     except (NotPlayableError, OSError) as error:
