--- a/review/8/play.py
+++ b/review/8/play.py
@@ -8,7 +8,7 @@
 from review.support_2.world import World, make_id, make_job, play
 
 WORK_MS = 20_000
-LEAVES_AFTER_S = 0.3
+LEAVES_AFTER_S = 0.2
 FROZEN_S = 2.5
 CANCEL_S, STOP_S, CONTACT_S = 3.0, 0.05, 3.0
 
