--- a/review/support_2/world.py
+++ b/review/support_2/world.py
@@ -417,13 +417,13 @@
             limit.start()
             try:
                 is_kept = judge(world, has_trouble)
-            except NotPlayableError as error:
-                world.note("not played", reason=str(error))
+            except Exception as error:  # only a verdict may end the case with 0 or 1
+                world.note("not played", reason=repr(error))
                 return 2
             finally:
                 limit.cancel()
             world.note("rule kept" if is_kept else "RULE BROKEN", trouble=has_trouble)
             return 0 if is_kept else 1
-    except (NotPlayableError, OSError) as error:
-        print(f"not played: {error}", flush=True)
+    except Exception as error:
+        print(f"not played: {error!r}", flush=True)
         return 2
