Follow the groups of all stored divisions, not of the configured services only

Cause: a daemon learned of groups from the services of its configuration. Jobs are in the groups of the stored divisions, whatever is configured. So after a start nobody claimed a former service's groups, loaded their open jobs or asked their holders, and that was answered 410.

Now a daemon lists the stored divisions at its start, with each version of the configuration, when it hears the holder of a group of a service unknown to it, and once a minute, and follows all their groups. 410 needs a list of the divisions; until then the answer is that it isn't known.

The background of services.feature lists the divisions first, as a daemon does at its start. That keeps its count of reads for a job that nobody has as it was; no check has changed.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -466,7 +466,7 @@
         return await self._query_services(services, CancelStored("", job_id), "cancel", wait_s)
 
     def _list_candidates(self, services: list[str]) -> list[str]:
-        """Lists the services that may have a job; those removed from the configuration go last."""
+        """Lists the services that may have a job, as far as known; those not configured go last."""
         return list(dict.fromkeys([*services, *self._coordinator.divisions.list_services()]))
 
     def _known_groups(self, services: list[str], job_id: str) -> list[str]:
@@ -479,39 +479,45 @@
     ) -> JobState | None:
         """Sends a request about a job to the holders that may have it; see :meth:`_query_groups`.
 
-        Services whose division isn't known matter only if no other one has the job.
+        Services whose division isn't known, and those that aren't configured before the stored
+        divisions are listed, matter only if no other one has the job.
 
         :raises ResultUnknownError: if the job may be where no answer comes from.
         """
         started_s = self._clock.now_s()
-        candidates = self._list_candidates(services)
-        group_of_job = self._coordinator.divisions.group_of_job
-        unknown = [name for name in candidates if not group_of_job(name, message.job_id)]
-        known_groups = self._known_groups(candidates, message.job_id)
-        state = await self._query_groups(known_groups, message, method, wait_s)
-        if state is not None or not unknown:
+        asked = self._known_groups(self._list_candidates(services), message.job_id)
+        state = await self._query_groups(asked, message, method, wait_s)
+        if state is not None:
             return state
         remaining_s = wait_s - (self._clock.now_s() - started_s)
-        found = await self._find_groups(unknown, message.job_id, remaining_s)
+        found = await self._find_other_groups(services, asked, message.job_id, remaining_s)
         remaining_s = wait_s - (self._clock.now_s() - started_s)
         return await self._query_groups(found, message, method, remaining_s)
 
-    async def _find_groups(self, services: list[str], job_id: str, wait_s: float) -> list[str]:
-        """Lists the job's groups in services whose division isn't known; others can't have it.
+    async def _find_other_groups(
+        self, services: list[str], asked: list[str], job_id: str, wait_s: float
+    ) -> list[str]:
+        """Lists the job's groups in services whose division wasn't known; others can't have it.
 
+        :param asked: the groups in services whose division was known.
         :raises ResultUnknownError: if the store doesn't tell.
         """
-        find_group = self._coordinator.divisions.find_group_of_job
+        divisions = self._coordinator.divisions
         try:
             with fail_after(max(wait_s, 0.0)):
-                groups = [await find_group(service, job_id) for service in services]
+                if not divisions.are_listed:
+                    await divisions.list_stored()
+                groups = [
+                    await divisions.find_group_of_job(service, job_id)
+                    for service in self._list_candidates(services)
+                ]
         except (StoreError, StoredValueError) as error:
             raise ResultUnknownError(
                 f"the groups of a service are not known: {error.message}"
             ) from error
         except TimeoutError as error:
             raise ResultUnknownError("the groups of a service are not known in time") from error
-        return [group for group in groups if group]
+        return [group for group in groups if group and group not in asked]
 
     async def count_pending(self, service: str, queue: str, wait_s: float) -> int:
         """Counts a queue's jobs of which no task has started, over all groups of its service.
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -50,7 +50,7 @@
 )
 from berylproxy.durable.holding.context import HolderContext, InheritedEndpoints
 from berylproxy.durable.holding.divisions import ServiceDivisions
-from berylproxy.durable.holding.groups import count_carried_endpoints
+from berylproxy.durable.holding.groups import count_carried_endpoints, service_of_group
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
     StoredValueError,
@@ -104,6 +104,10 @@
 EMPTY_LIST_INTERVAL_S = 0.5
 LIST_RETRY_DELAY_S = 0.05
 MODEL_REFRESH_INTERVAL_S = 2.0  # maximum age of the run times that a new holder starts with
+# Configurations and heartbeats tell of new divisions sooner. One is missed by a daemon that was cut
+# off from the service's holder and had no configuration with the service.
+DIVISION_LIST_INTERVAL_S = 60.0
+SHORTEST_DIVISION_LIST_INTERVAL_S = 1.0
 ENTRY_DAEMON_TIMEOUT_S = 1.0  # two heartbeats between daemons, and their delays
 HOLDER_TIMEOUT_S = 2.0  # no requests are sent to a holder that has been silent for longer
 
@@ -249,6 +253,8 @@
         self._neighbours: dict[str, NeighbourModel] = {}
         self._claiming: set[str] = set()
         self._followed_services: set[str] = set()
+        self._unlisted_services: set[str] = set()
+        self._divisions_outdated = Event()
         self._random = Random()
         self._last_provisional_fences: dict[str, int] = {}
         self._task_group: TaskGroup | None = None
@@ -273,6 +279,7 @@
             self._task_group = task_group
             task_group.start_soon(self._refresh_models)
             task_group.start_soon(self._follow_endpoint_list)
+            task_group.start_soon(self._follow_stored_divisions)
             task_group.start_soon(self.withdrawals.run)
             while True:
                 await sleep(HOLDER_CHECK_INTERVAL_S)
@@ -408,12 +415,53 @@
         """
         for service in services - self._followed_services:
             if await self.divisions.load(service):
-                for group in self.divisions.groups_of(service):
-                    await self._follow_group(group)
-                self._followed_services.add(service)
-                await self._load_run_time_models(service)
+                await self._follow_service(service)
         return services <= self._followed_services
 
+    async def _follow_service(self, service: str) -> None:
+        """Starts to track the groups of a service whose division is known."""
+        for group in self.divisions.groups_of(service):
+            await self._follow_group(group)
+        self._followed_services.add(service)
+        await self._load_run_time_models(service)
+
+    def note_configuration(self) -> None:
+        """Lets the stored divisions be listed anew, as versions of the configuration were missed.
+
+        A service in one of them may have got jobs.
+        """
+        self._unlisted_services.clear()
+        self._divisions_outdated.set()
+
+    async def _follow_stored_divisions(self) -> None:
+        """Tracks the groups of all divided services until cancelled, whatever the configuration."""
+        while True:
+            self._divisions_outdated = Event()
+            try:
+                await self.divisions.list_stored()
+                for service in set(self.divisions.list_services()) - self._followed_services:
+                    if self.divisions.groups_of(service):
+                        await self._follow_service(service)
+                        logger.info("following service {} by its stored division", service)
+            except StoreError as error:
+                logger.info("the stored divisions can't be listed yet: {}", error.message)
+                await sleep(LIST_RETRY_DELAY_S)
+                continue
+            await sleep(SHORTEST_DIVISION_LIST_INTERVAL_S)
+            with move_on_after(DIVISION_LIST_INTERVAL_S):
+                await self._divisions_outdated.wait()
+
+    def _note_group(self, group: str) -> None:
+        """Lets the stored divisions be listed anew if a group that is held belongs to none known.
+
+        They are listed once for each such service, as its division may be unreadable.
+        """
+        service = service_of_group(group)
+        if self.divisions.groups_of(service) or service in self._unlisted_services:
+            return
+        self._unlisted_services.add(service)
+        self._divisions_outdated.set()
+
     def route_job(self, spec: JobSpec, refused_by: Set[str]) -> GroupChoice:
         """Returns the group to submit a best-effort job to; an empty one if none is known yet.
 
@@ -847,6 +895,7 @@
 
     def _handle_holder_heartbeat(self, sender: DaemonIdentity, message: HolderHeartbeat) -> None:
         """Updates the known holder; a higher fence also ends this daemon's own tenure."""
+        self._note_group(message.group)
         known = self.known_holders.setdefault(message.group, KnownHolder())
         if message.fence < known.fence:
             return
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -16,6 +16,7 @@
     list_groups,
 )
 from berylproxy.durable.holding.records import (
+    DIVISION_PREFIX,
     StoredValueError,
     decode_division,
     division_key,
@@ -28,6 +29,7 @@
     Transaction,
     TransactionConflictError,
 )
+from berylproxy.store.port import Entry
 
 ASSIGNMENT_DELAY_S = 1.5  # per group; a lost holder is replaced within this time
 LIST_CHECK_INTERVAL_S = 0.5  # between two reads of the endpoint list, when a service is new
@@ -40,6 +42,10 @@
 
     What it knows may be old: then some endpoints have no group yet, but none has another one.
 
+    The configuration doesn't tell where jobs are: those of a service that was removed from it stay
+    in the groups of the service's division.
+
+    :ivar are_listed: whether this daemon has listed the divisions in the store since its start.
     :param list_carried: returns how many endpoints each known VM can carry.
     :param reaches_all_members: returns whether the other daemons are known well enough for that.
     """
@@ -57,7 +63,9 @@
         self._clock = clock
         self._list_carried = list_carried
         self._reaches_all_members = reaches_all_members
+        self.are_listed = False
         self._divisions: dict[str, Division] = {}
+        self._unreadable: set[str] = set()
         self._unassigned_since_s: dict[str, float] = {}
 
     def groups_of(self, service: str) -> list[str]:
@@ -76,8 +84,36 @@
         return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
 
     def list_services(self) -> list[str]:
-        """Lists the services whose divisions are known, also those no longer configured."""
-        return list(self._divisions)
+        """Lists the services known to be divided, also those no longer configured.
+
+        The divisions of some may be unreadable.
+        """
+        return [*self._divisions, *(self._unreadable - self._divisions.keys())]
+
+    async def list_stored(self) -> None:
+        """Learns all divisions in the store, which those of services no longer configured are in.
+
+        :raises StoreError: if the store does not answer.
+        """
+        after_key, has_more = "", True
+        while has_more:
+            entries, has_more = await self._store.list_page(DIVISION_PREFIX, after_key)
+            for entry in entries:
+                after_key = entry.key
+                self._learn(entry)
+        self.are_listed = True
+
+    def _learn(self, entry: Entry) -> None:
+        """Learns a stored division unless one of the same service is known."""
+        service = entry.key.removeprefix(DIVISION_PREFIX)
+        if service in self._divisions:
+            return
+        try:
+            self._divisions[service] = decode_division(entry.value, entry.revision)
+            self._unreadable.discard(service)
+        except StoredValueError as error:
+            self._unreadable.add(service)
+            logger.error("cannot read the division of {}: {}", service, error.message)
 
     def other_groups_of_job(self, service: str, job_id: str) -> list[str]:
         """Lists the groups that a job would belong to if its queue were sent to another service."""
--- a/berylproxy/durable/holding/groups.py
+++ b/berylproxy/durable/holding/groups.py
@@ -93,6 +93,11 @@
     return [_name_group(service, count, number) for number in range(count)]
 
 
+def service_of_group(group: str) -> str:
+    """Returns the service that a group belongs to."""
+    return group.partition(GROUP_SEPARATOR)[0]
+
+
 def group_of_endpoint(service: str, division: Division, endpoint_id: str) -> str:
     """Returns the group of an endpoint; empty until it has been assigned to one."""
     if division.assigned is None:
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -258,16 +258,19 @@
         while True:
             await self._groups_changed.wait()
             self._groups_changed = Event()
-            try:
-                is_complete = await self._coordinator.follow_services(
-                    set(self._configuration.services)
-                )
-            except StoreError as error:
-                logger.info("the groups can't be loaded yet: {}", error.message)
-                is_complete = False
-            if not is_complete:
-                self._groups_changed.set()
-                await sleep(RETRY_DELAY_S)
+            self._coordinator.note_configuration()
+            while not await self._follow_services():
+                with move_on_after(RETRY_DELAY_S):
+                    await self._groups_changed.wait()
+                    break
+
+    async def _follow_services(self) -> bool:
+        """Tracks the groups of the configured services; returns whether all are known."""
+        try:
+            return await self._coordinator.follow_services(set(self._configuration.services))
+        except StoreError as error:
+            logger.info("the groups can't be loaded yet: {}", error.message)
+            return False
 
     def _apply_configuration(self, value: bytes) -> None:
         try:
--- a/tests/durable/entry/services.feature
+++ b/tests/durable/entry/services.feature
@@ -34,6 +34,8 @@
       | is new, and the store is down                 | a caller cancels  | not known          |
       | is new, and the store is down                 | a caller asks for | not known          |
       | is divided, and its holder is silent          | a caller cancels  | not known          |
+      | is divided, not configured since the daemon started, and the store is down | a caller asks for | not known |
+      | is divided, not configured since the daemon started, and unreadable        | a caller cancels  | not known |
 
   Scenario Outline: a job stays found after its queue has moved to another service
     Given "reserve" <state> and has job "j2"
@@ -45,6 +47,8 @@
       | is divided, and its endpoints have all left        | a caller cancels  |
       | has a division that the daemon hasn't read         | a caller cancels  |
       | is divided, and was removed from the configuration | a caller asks for |
+      | is divided, and not configured since the daemon started | a caller asks for |
+      | is divided, and not configured since the daemon started | a caller cancels  |
 
   Scenario: what doesn't have the job costs a bounded number of calls
     Given 20 further services, of which each second one is divided
--- a/tests/steps/durable_moved_queue_steps.py
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -49,9 +49,13 @@
 
 
 class TwoServices:
-    """A daemon that holds the only group of each of two services, without sockets."""
+    """A daemon that holds the only group of each of two services, without sockets.
+
+    :ivar configured: the services that its configuration names.
+    """
 
     def __init__(self) -> None:
+        self.configured = set(SERVICES)
         self.endpoints = [make_endpoint(f"{service}-e") for service in SERVICES]
         for service, endpoint in zip(SERVICES, self.endpoints, strict=True):
             endpoint.info = replace(endpoint.info, service=service)
@@ -76,7 +80,7 @@
     async def run(self, play) -> None:
         """Plays a scenario once both groups are held."""
         async with create_task_group() as task_group:
-            assert await self.coordinator.follow_services(set(SERVICES))
+            assert await self.coordinator.follow_services(self.configured)
             task_group.start_soon(self.coordinator.run)
             await self.wait_until(self.is_holding)
             if self.full_service:
--- a/tests/steps/durable_services_steps.py
+++ b/tests/steps/durable_services_steps.py
@@ -60,6 +60,7 @@
     context.service_divisions = ServiceDivisions(
         context.job_store, FakeDirectory([]), clock, lambda: [48], lambda: True
     )
+    run(context.service_divisions.list_stored)
     coordinator = SimpleNamespace(
         divisions=context.service_divisions,
         holder_incarnation=lambda group: f"holder of {group}",
@@ -83,11 +84,15 @@
             context.job_store.is_out = True
         case "is new and has no division yet":
             pass
+        case state if "since the daemon started" in state:
+            context.service_divisions.are_listed = False
+            write_division(context, "reserve", b"\xc1" if "unreadable" in state else None)
+            context.job_store.is_out = "store is down" in state
         case _:
             divide(context, "reserve")
     if "silent" in state:
         context.holders.silent.add("reserve")
-    if "removed" in state:
+    if "removed" in state or "not configured" in state:
         context.services.remove("reserve")
     if has_job:
         context.holders.jobs.add(("reserve", "j2"))
