Remove expired outcomes fifteen to a transaction

Tombstones add outcomes: a flood of 6,000 cancels leaves 6,000, and each holder removed expired ones in a transaction each. Now a batch is removed in one; where one of it was replaced meanwhile, the batch falls back to single ones.

The new scenario failed before with 99 transactions for 99 removed outcomes of 100, and passes (40 allowed).

--- a/berylproxy/durable/holding/outcomes.py
+++ b/berylproxy/durable/holding/outcomes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 from time import time
 
 from anyio import Event, sleep
@@ -33,6 +34,7 @@
 MAX_RETAINED_END_AGE_S = 1.0  # older ends are stored as progress of their unfinished job
 MAX_CROWDING_END_AGE_S = 0.25  # the same where ends begin to keep tasks away
 RETRY_PAUSE_S = 0.05
+MAX_REMOVED = 15  # in one transaction of 32 entries with the claim, two for each
 SWEEP_INTERVAL_S = 60.0  # a fifth of the retention time of outcomes
 
 logger = Logger("berylproxy.durable.outcomes")
@@ -126,17 +128,23 @@
         after_key, has_more = "", True
         while has_more:
             entries, has_more = await store.list_page(FINAL_PREFIX, after_key)
-            for entry in entries:
-                after_key = entry.key
-                if self._is_expired(entry):
-                    await self._remove(entry)
-
-    async def _remove(self, entry: Entry) -> None:
-        unchanged = ((entry.key, entry.revision),)
+            after_key = entries[-1].key if entries else after_key
+            expired = iter([entry for entry in entries if self._is_expired(entry)])
+            while batch := tuple(islice(expired, MAX_REMOVED)):
+                await self._remove(batch)
+
+    async def _remove(self, batch: tuple[Entry, ...]) -> None:
+        """Removes outcomes; those of a batch with a changed one are removed singly."""
+        unchanged = tuple((entry.key, entry.revision) for entry in batch)
+        removed = tuple(entry.key for entry in batch)
         try:
-            await self._ledger.apply(Change(unchanged=unchanged, removed=(entry.key,)))
+            await self._ledger.apply(Change(unchanged=unchanged, removed=removed))
         except RecordChangedError:
-            logger.debug("the outcome at key {} was removed or replaced meanwhile", entry.key)
+            if len(batch) == 1:
+                logger.debug("the outcome at key {} was removed or replaced meanwhile", removed[0])
+                return
+            for entry in batch:
+                await self._remove((entry,))
 
     def _is_expired(self, entry: Entry) -> bool:
         try:
--- a/tests/durable/holding/holder.feature
+++ b/tests/durable/holding/holder.feature
@@ -525,6 +525,13 @@
     When a holder with fence 16 takes over and sweeps at once
     Then the store holds the outcomes of jobs that ended 10 and 200 s ago
 
+  Scenario: many expired outcomes are removed in few transactions
+    Given a group of 1 endpoint whose runs take 0.05 s
+    And the store holds the outcomes of 100 jobs that ended 400 s ago
+    And one of them is replaced while a holder reads them
+    When a holder with fence 16 takes over and sweeps at once
+    Then the store holds the replaced outcome only, after at most 40 transactions
+
   Scenario: a durable job continues under a new holder, from the ends that endpoints remember
     Given a group of 2 endpoints whose runs take 0.3 s
     When a holder with fence 16 takes over
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -651,6 +651,36 @@
         sleep(0.3)
 
 
+@given(r"the store holds the outcomes of 100 jobs that ended 400 s ago")
+def step_impl(context):
+    store = context.holder_world.store
+    for number in range(100):
+        key = final_key(f"n{number}")
+        store.entries[key] = Entry(key, encode_final(JobState.COMPLETED, time() - 400.0), 5)
+
+
+@given(r"one of them is replaced while a holder reads them")
+def step_impl(context):
+    store = context.holder_world.store
+    list_page, key = store.list_page, final_key("n50")
+
+    async def replace_after_read(prefix, after_key, **options):
+        page = await list_page(prefix, after_key, **options)
+        if prefix == FINAL_PREFIX:
+            store.entries[key] = Entry(key, encode_final(JobState.COMPLETED, time()), 6)
+        return page
+
+    store.list_page = replace_after_read
+
+
+@then(r"the store holds the replaced outcome only, after at most 40 transactions")
+def step_impl(context):
+    store = context.holder_world.store
+    remaining = {key for key in store.entries if key.startswith(FINAL_PREFIX)}
+    assert remaining == {final_key("n50")}, remaining
+    assert store.commits <= 40, store.commits
+
+
 @then(r"the store holds the outcomes of jobs that ended (?P<ages>[\d, and]+) s ago")
 def step_impl(context, ages):
     remaining = {key for key in context.holder_world.store.entries if key.startswith(FINAL_PREFIX)}
