Release the groups of former services that have no jobs

Since daemons follow all stored divisions, a service that has left the configuration would have been held for good: heartbeats, a write each 2 s, and a question for each job that nobody has.

A holder releases the claim of such a group after 30 s without jobs. Its writes expect the claim's revision, so nothing can be stored under the former claim. The released claim names nobody; daemons that read it, or hear of the release, drop the group until its service is configured or someone holds it.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -496,9 +496,13 @@
         return list(dict.fromkeys([*services, *self._coordinator.divisions.list_services()]))
 
     def _known_groups(self, services: list[str], job_id: str) -> list[str]:
-        """Lists the group that the job would belong to in each service whose division is known."""
-        group_of_job = self._coordinator.divisions.group_of_job
-        return [group for service in services if (group := group_of_job(service, job_id))]
+        """Lists the group that the job would belong to in each service whose division is known.
+
+        Groups that certainly have no jobs are left out.
+        """
+        divisions = self._coordinator.divisions
+        groups = [divisions.group_of_job(service, job_id) for service in services]
+        return [group for group in groups if group and group not in divisions.released_groups]
 
     async def _query_services(
         self, services: list[str], message: JobQuery, wait_s: float
@@ -543,7 +547,8 @@
             ) from error
         except TimeoutError as error:
             raise ResultUnknownError("the groups of a service are not known in time") from error
-        return [group for group in groups if group and group not in asked]
+        left_out = {"", *asked, *divisions.released_groups}
+        return [group for group in groups if group not in left_out]
 
     async def count_pending(self, service: str, queue: str, wait_s: float) -> int:
         """Counts a queue's jobs of which no task has started, over all groups of its service.
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -14,7 +14,7 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 from anyio.abc import TaskGroup
 from logbook import Logger
-from msgpack import packb, unpackb
+from msgpack import unpackb
 
 from berylproxy.clock import Clock
 from berylproxy.durable.decisions.routing import (
@@ -53,10 +53,13 @@
 from berylproxy.durable.holding.groups import count_carried_endpoints, service_of_group
 from berylproxy.durable.holding.ledger import NotHolderError, TenureLostError
 from berylproxy.durable.holding.records import (
+    CLAIM_PREFIX,
     StoredValueError,
     adopt_model,
     claim_key,
     decode_pairs,
+    encode_claim,
+    is_claim_released,
     model_key,
 )
 from berylproxy.durable.holding.tombstones import Tombstones
@@ -109,6 +112,10 @@
 # off from the service's holder and had no configuration with the service.
 DIVISION_LIST_INTERVAL_S = 60.0
 SHORTEST_DIVISION_LIST_INTERVAL_S = 1.0
+# A group of a service that isn't configured, without jobs, is held for as long as this: daemons and
+# callers may still act on an earlier configuration.
+RELEASE_DELAY_S = 30.0
+RELEASE_CHECK_INTERVAL_S = 1.0
 ENTRY_DAEMON_TIMEOUT_S = 1.0  # two heartbeats between daemons, and their delays
 HOLDER_TIMEOUT_S = 2.0  # no requests are sent to a holder that has been silent for longer
 
@@ -255,6 +262,8 @@
         self._neighbours: dict[str, NeighbourModel] = {}
         self._claiming: set[str] = set()
         self._followed_services: set[str] = set()
+        self._configured_services: set[str] = set()
+        self._unused_since_s: dict[str, float] = {}
         self._unlisted_services: set[str] = set()
         self._divisions_outdated = Event()
         self._random = Random()
@@ -283,6 +292,7 @@
             task_group.start_soon(self._refresh_models)
             task_group.start_soon(self._follow_endpoint_list)
             task_group.start_soon(self._follow_stored_divisions)
+            task_group.start_soon(self._release_unused_groups)
             task_group.start_soon(self.withdrawals.run)
             task_group.start_soon(self.tombstones.run)
             while True:
@@ -425,15 +435,18 @@
     async def _follow_service(self, service: str) -> None:
         """Starts to track the groups of a service whose division is known."""
         for group in self.divisions.groups_of(service):
+            self.divisions.released_groups.discard(group)
             await self._follow_group(group)
         self._followed_services.add(service)
         await self._load_run_time_models(service)
 
-    def note_configuration(self) -> None:
-        """Lets the stored divisions be listed anew, as versions of the configuration were missed.
+    def note_configuration(self, services: set[str]) -> None:
+        """Records which services are configured, and lets the stored divisions be listed anew.
 
-        A service in one of them may have got jobs.
+        A version of the configuration that was missed may have named a further service, which got
+        jobs.
         """
+        self._configured_services = services
         self._unlisted_services.clear()
         self._divisions_outdated.set()
 
@@ -443,10 +456,7 @@
             self._divisions_outdated = Event()
             try:
                 await self.divisions.list_stored()
-                for service in set(self.divisions.list_services()) - self._followed_services:
-                    if self.divisions.groups_of(service):
-                        await self._follow_service(service)
-                        logger.info("following service {} by its stored division", service)
+                await self._follow_former_services()
             except StoreError as error:
                 logger.info("the stored divisions can't be listed yet: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S)
@@ -455,6 +465,67 @@
             with move_on_after(DIVISION_LIST_INTERVAL_S):
                 await self._divisions_outdated.wait()
 
+    async def _list_released_groups(self) -> set[str]:
+        """Lists the groups whose claims are released."""
+        released, after_key, has_more = set(), "", True
+        while has_more:
+            entries, has_more = await self._store.list_page(CLAIM_PREFIX, after_key)
+            for entry in entries:
+                after_key = entry.key
+                if is_claim_released(entry.value):
+                    released.add(entry.key.removeprefix(CLAIM_PREFIX))
+        return released
+
+    async def _follow_former_services(self) -> None:
+        """Tracks the groups of the divided services that aren't tracked yet, but for released ones.
+
+        :raises StoreError: if the store does not answer.
+        """
+        found = set(self.divisions.list_services()) - self._followed_services
+        groups_by_service = {
+            name: groups for name in found if (groups := self.divisions.groups_of(name))
+        }
+        if not groups_by_service:
+            return
+        released = await self._list_released_groups()
+        for service, groups in groups_by_service.items():
+            if service in self._configured_services or not released.issuperset(groups):
+                await self._follow_service(service)
+                logger.info("following service {} by its stored division", service)
+            else:
+                self.divisions.released_groups.update(groups)
+
+    async def _release_unused_groups(self) -> None:
+        """Releases groups that nobody needs until cancelled, so that former services cost nothing.
+
+        All daemons list them with two reads a minute; nobody claims them or asks for their jobs.
+        """
+        while True:
+            await sleep(RELEASE_CHECK_INTERVAL_S)
+            now_s = self._clock.now_s()
+            for group, holder in list(self.holders.items()):
+                if not self._is_former(group) or not holder.is_unused:
+                    self._unused_since_s.pop(group, None)
+                elif now_s - self._unused_since_s.setdefault(group, now_s) >= RELEASE_DELAY_S:
+                    del self._unused_since_s[group]
+                    await holder.release()
+                    if holder.is_released:
+                        self._forget_group(group)
+
+    def _is_former(self, group: str) -> bool:
+        """Returns whether a group's service is not in the configuration, if there is one."""
+        configured = self._configured_services
+        return bool(configured) and service_of_group(group) not in configured
+
+    def _forget_group(self, group: str) -> None:
+        """Stops to track a released group."""
+        logger.info("{} is released, as its service is not configured", group)
+        self.known_holders.pop(group, None)
+        self.divisions.released_groups.add(group)
+        service = service_of_group(group)
+        if self.divisions.released_groups.issuperset(self.divisions.groups_of(service)):
+            self._followed_services.discard(service)
+
     def _note_group(self, group: str) -> None:
         """Lets the stored divisions be listed anew if a group that is held belongs to none known.
 
@@ -715,13 +786,16 @@
         :param fence_at_decision: the newest fence known when the decision to claim was made.
         :return: revision of this daemon's claim; 0 if another daemon's claim stays in force.
         """
-        known = self.known_holders[group]
-        if known.fence != fence_at_decision:  # another daemon has taken over meanwhile
-            return 0
+        known = self.known_holders.get(group)
+        if known is None or known.fence != fence_at_decision:
+            return 0  # it was released meanwhile, or another daemon has taken over
         key, revision = claim_key(group), known.fence // FENCES_PER_CLAIM
         if not known.is_leaving:  # a leaving holder's heartbeat has just reported its claim
             entry = await self._store.get(key)
             revision = entry.revision if entry is not None else 0
+            if entry is not None and is_claim_released(entry.value) and self._is_former(group):
+                self._forget_group(group)
+                return 0
             if entry is not None and claim_fence(revision) > known.fence:
                 claimant = _read_claimant(entry.value)
                 known.set_holder(claim_fence(revision), claimant.incarnation, self._clock.now_s())
@@ -731,7 +805,7 @@
             if not may_replace_claim(fence_at_decision, known.fence, claim_fence(revision)):
                 return 0
         identity = self._network.identity
-        value = packb({"daemon_id": identity.daemon_id, "incarnation": identity.incarnation})
+        value = encode_claim(identity.daemon_id, identity.incarnation)
         try:
             return await self._store.commit(Transaction(((key, revision),), ((key, value),)))
         except TransactionConflictError:
@@ -744,7 +818,7 @@
 
         :param claim_revision: 0 for a provisional holder.
         """
-        known = self.known_holders[group]
+        known = self.known_holders.setdefault(group, KnownHolder())
         inherited = known.endpoints
         known.set_holder(fence, self.own_incarnation, self._clock.now_s())
         known.is_leaving = False
@@ -900,9 +974,14 @@
     def _handle_holder_heartbeat(self, sender: DaemonIdentity, message: HolderHeartbeat) -> None:
         """Updates the known holder; a higher fence also ends this daemon's own tenure."""
         self._note_group(message.group)
-        known = self.known_holders.setdefault(message.group, KnownHolder())
+        known = self.known_holders.get(message.group, KnownHolder())
         if message.fence < known.fence:
             return
+        if message.is_released and self._is_former(message.group):
+            self._forget_group(message.group)
+            return
+        self.known_holders[message.group] = known
+        self.divisions.released_groups.discard(message.group)
         holder = self.holders.get(message.group)
         if holder is not None and message.fence == holder.tenure.fence:
             if not yields_to_equal(self.own_incarnation, sender.incarnation):
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -42,6 +42,7 @@
     decode_job,
     encode_job,
     encode_model,
+    encode_released_claim,
     final_key,
     model_key,
     open_key,
@@ -190,6 +191,8 @@
         self.job_table = JobTable(model)
         self._loaded_claim: LoadedClaim | None = None
         self.is_leaving = False
+        self.is_released = False
+        self._is_releasing = False
         self.admission = Admission(self.job_table, model)
         self._was_scarce = False
         self._model = model
@@ -304,6 +307,33 @@
             extra=self.tenure.extra(),
         )
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether there certainly are no jobs in the group, and no runs of any."""
+        return (
+            self._loaded_claim is not None
+            and not self._loaded_claim.unreadable
+            and not self.job_table.jobs
+            and not self._pending_submissions
+            and not self._possibly_stored
+            and not any(endpoint.runs for endpoint in self.group.endpoints.values())
+        )
+
+    async def release(self) -> None:
+        """Releases the claim of an unused group and ends the tenure.
+
+        Nothing can be accepted under the former claim then, late copies of writes included.
+        """
+        self._is_releasing = True
+        claim = ((claim_key(self.tenure.group), encode_released_claim()),)
+        try:
+            await self._ledger.apply(Change(constant=claim))
+            self.is_released = True
+            self.send_heartbeat()
+            self.tenure.end("the claim is released, as the service is not configured")
+        except (StoreError, TenureLostError) as error:
+            self.tenure.end(f"it is not known whether the claim is released: {error.message}")
+
     async def _survey_callers(self) -> None:
         """Asks the entry daemons which jobs callers await, while endpoints keep unknown ones."""
         while True:
@@ -351,7 +381,7 @@
         :raises StoreError: if it is not known whether the job is stored.
         """
         spec = message.job
-        if self.tenure.is_over:
+        if self.tenure.is_over or self._is_releasing:
             raise NotHolderError("this daemon is not the holder")
         if not spec.is_durable:
             return await self._best_effort_jobs.run_best_effort(message, entry)
@@ -577,7 +607,7 @@
         return not is_unreadable and self.job_table.state(job_id) is None
 
     def _require_loaded(self) -> None:
-        if self.tenure.is_over or not self.is_loaded:
+        if self.tenure.is_over or self._is_releasing or not self.is_loaded:
             raise NotHolderError(
                 "this daemon is not the holder, or has not loaded the open jobs yet"
             )
@@ -750,6 +780,7 @@
             self.is_leaving,
             self.measure_room_millicores(),
             interval_s,
+            self.is_released,
         )
         for incarnation in incarnations:
             self._context.notify(incarnation, heartbeat)
--- a/berylproxy/durable/holding/records.py
+++ b/berylproxy/durable/holding/records.py
@@ -49,6 +49,21 @@
     return CLAIM_PREFIX + group
 
 
+def encode_claim(daemon_id: str, incarnation: str) -> bytes:
+    """Encodes the claim of a daemon on a group."""
+    return packb({"daemon_id": daemon_id, "incarnation": incarnation})
+
+
+def encode_released_claim() -> bytes:
+    """Encodes a claim that nobody holds, on a group without jobs."""
+    return encode_claim("", "")
+
+
+def is_claim_released(value: bytes) -> bool:
+    """Returns whether a claim is one that nobody holds; not so if it can't be decoded."""
+    return value == encode_released_claim()
+
+
 def encode_job(job: StoredJob) -> bytes:
     """Encodes an unfinished job."""
     return packb({"schema_version": SCHEMA_VERSION, **to_builtins(job)})
--- a/berylproxy/durable/jobs/messages.py
+++ b/berylproxy/durable/jobs/messages.py
@@ -123,6 +123,8 @@
         versions that don't measure it.
     :param interval_s: time until the next heartbeat to the receiver; 0 from versions with the
         same interval for all receivers.
+    :param is_released: whether the claim is released: the group has no jobs, and nobody should
+        hold it unless its service is configured.
     """
 
     group: str
@@ -131,6 +133,7 @@
     leaving: bool = False
     room_millicores: int | None = None
     interval_s: float = 0.0
+    is_released: bool = False
 
 
 class JobsEnded(Struct, frozen=True):
--- a/berylproxy/platform/daemon.py
+++ b/berylproxy/platform/daemon.py
@@ -258,7 +258,7 @@
         while True:
             await self._groups_changed.wait()
             self._groups_changed = Event()
-            self._coordinator.note_configuration()
+            self._coordinator.note_configuration(set(self._configuration.services))
             while not await self._follow_services():
                 with move_on_after(RETRY_DELAY_S):
                     await self._groups_changed.wait()
--- a/tests/durable/holding/former_services.feature
+++ b/tests/durable/holding/former_services.feature
@@ -40,3 +40,41 @@
     And the division of "reserve" is unreadable
     When it hears the holder of "reserve" 30 times in 3 s
     Then it has listed the divisions twice
+
+  # Guards against former services that cost writes, heartbeats and questions for good.
+  Scenario: a former service is let go once it has no jobs
+    Given a daemon whose configuration names "annex" only, with job "j1" stored for "ledger"
+    When it serves for 1 s after job "j1" has ended, and lets go of unused groups after 0.3 s
+    Then the claim on "ledger" is released, and it holds "annex" only
+    And a cancel of a job that nobody has asks no holder of "ledger"
+    And a late copy of a write under the former claim fails
+
+  Scenario: a former service with a job isn't let go
+    Given a daemon whose configuration names "annex" only, with job "j1" stored for "ledger"
+    When it serves for 1 s while job "j1" runs, and lets go of unused groups after 0.3 s
+    Then it holds "annex" and "ledger"
+
+  Scenario: a service that was let go is configured again
+    Given a daemon whose configuration names "annex" only, with job "j1" stored for "ledger"
+    When it serves for 1 s after job "j1" has ended, and lets go of unused groups after 0.3 s
+    And its configuration names "ledger" again
+    Then job "j2" of "ledger" is accepted and ends
+
+  Scenario: a hundred services that were let go cost a starting daemon two reads
+    Given a daemon whose configuration names "annex" only, and 100 former services that were let go
+    When it serves for 2 s
+    Then it holds "annex" only
+    And it has read one page each of divisions, claims and open jobs, and no key of a former service
+    And a cancel of a job that nobody has asks the holder of "annex" only
+
+  Scenario Outline: the release of a group is heard
+    Given a daemon that holds nothing, whose configuration names <services>
+    When it hears the holder of "reserve", and that it has released its claim
+    Then it <tracks> the group "reserve"
+    When it hears another holder of "reserve"
+    Then it tracks the group "reserve"
+
+    Examples:
+      | services            | tracks        |
+      | "annex"             | doesn't track |
+      | "annex" and "reserve" | tracks      |
