Count a queue's pending jobs in all services

Cause: the count asked the groups of the route's present service only, the configuration taken once more for a list of where jobs are. Now it asks the groups of all services that may have jobs of the queue, and isn't told before the stored divisions are listed.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -550,14 +550,23 @@
         left_out = {"", *asked, *divisions.released_groups}
         return [group for group in groups if group not in left_out]
 
-    async def count_pending(self, service: str, queue: str, wait_s: float) -> int:
-        """Counts a queue's jobs of which no task has started, over all groups of its service.
+    async def count_pending(self, services: list[str], queue: str, wait_s: float) -> int:
+        """Counts a queue's jobs of which no task has started, over all groups that may have some.
 
+        Jobs stay in the service that the queue had when they were accepted.
+
+        :param services: services that may have such jobs, that of the queue first.
         :raises ResultUnknownError: if the number can't be determined at present.
         """
-        groups = self._coordinator.divisions.groups_of(service)
-        if not groups:
+        divisions = self._coordinator.divisions
+        if not divisions.groups_of(services[0]) or not divisions.are_listed:
             raise ResultUnknownError("the groups of a service are not known yet")
+        groups = [
+            group
+            for service in self._list_candidates(services)
+            for group in divisions.groups_of(service)
+            if group not in divisions.released_groups
+        ]
         return sum([await self._count_pending_in(group, queue, wait_s) for group in groups])
 
     async def _count_pending_in(self, group: str, queue: str, wait_s: float) -> int:
--- a/berylproxy/platform/callers.py
+++ b/berylproxy/platform/callers.py
@@ -231,14 +231,12 @@
         job_id = path[len(route.prefix) :]
         wait_s = _parse_wait_s(headers, route) - RESPONSE_MARGIN_S
         method = scope["method"]
+        services = _list_services(configuration, route)
         if method == "GET" and not job_id:
-            count = await self._frontend.count_pending(
-                route.terms.service, route.terms.queue, wait_s
-            )
+            count = await self._frontend.count_pending(services, route.terms.queue, wait_s)
             return CallerResponse(200, {"pending": count})
         if len(job_id) != JOB_ID_CHARACTERS:
             return CallerResponse(404, {"error": "no such job"})
-        services = _list_services(configuration, route)
         if method == "POST":
             if route.needs_advice:
                 message = f"queue {route.terms.queue}: advice is not supported"
--- a/tests/durable/holding/moved_queue.feature
+++ b/tests/durable/holding/moved_queue.feature
@@ -33,3 +33,15 @@
     Then both submissions are accepted
     And each task of job "j1" has started once
     And each task of job "j2" has started once
+
+  # Guards against 0 pending jobs being told while accepted ones wait in the queue's former service.
+  Scenario: jobs that wait in the former service count as pending
+    Given 3 jobs of the queue are accepted by "ledger", which has room for 2 of them
+    When a caller asks how many jobs of the queue are pending, once it is sent to "annex"
+    Then the number of pending jobs is 1
+
+  Scenario: the number of pending jobs isn't told before the stored divisions are listed
+    Given 3 jobs of the queue are accepted by "ledger", which has room for 2 of them
+    And the daemon hasn't listed the stored divisions
+    When a caller asks how many jobs of the queue are pending, once it is sent to "annex"
+    Then the number of pending jobs isn't known
--- a/tests/steps/durable_moved_queue_steps.py
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -262,6 +262,48 @@
     assert context.two_services.state is JobState.CANCELLED, context.two_services.state
 
 
+@given(r'3 jobs of the queue are accepted by "ledger", which has room for 2 of them')
+def step_impl(context):
+    world = context.two_services
+    for endpoint in world.endpoints:
+        endpoint.run_time_s = 2 * WAIT_LIMIT_S
+        endpoint.info = replace(endpoint.info, capacity=Resources(2 * TASKS * 10_000, 128_000))
+    context.is_listed = True
+
+    async def count(world):
+        for job_id in ("j1", "j2", "j3"):
+            await world.submit(job_id, "ledger")
+        await world.wait_until(lambda: world.count_running() == 2 * TASKS)
+        await world.wait_until(lambda: world.coordinator.divisions.are_listed)
+        world.coordinator.divisions.are_listed = context.is_listed
+        try:
+            context.pending = await world.frontend.count_pending(["annex"], "q", CALLER_WAIT_S)
+        except ResultUnknownError as error:
+            context.pending = error
+
+    context.play = count
+
+
+@given(r"the daemon hasn't listed the stored divisions")
+def step_impl(context):
+    context.is_listed = False
+
+
+@when(r'a caller asks how many jobs of the queue are pending, once it is sent to "annex"')
+def step_impl(context):
+    run(context.two_services.run, context.play)
+
+
+@then(r"the number of pending jobs is 1")
+def step_impl(context):
+    assert context.pending == 1, context.pending
+
+
+@then(r"the number of pending jobs isn't known")
+def step_impl(context):
+    assert isinstance(context.pending, ResultUnknownError), context.pending
+
+
 @then(r'each task of job "(?P<job_id>\w+)" has started once')
 def step_impl(context, job_id):
     starts = context.two_services.count_starts(job_id)
