Acknowledge ends only to the process that numbered them

Cause: renewals and their copies repeated the newest acknowledgement for good, and a call can't name the process. Now one is sent until it is confirmed, soon after an answer of that process and never after a missed call, and copies carry none.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -28,6 +28,8 @@
 NO_ROOM_PAUSE_S = 0.05
 # Other jobs wait meanwhile, though there is room beside the tasks that may crash the endpoint.
 RESERVATION_S = 2.0
+# Within this time a process can't have ended, and its successor have run a task to its end.
+PROCESS_CERTAIN_S = 0.1
 VANISHED_MEMORY_S = 30.0  # well above the time for which a holder may order runs by an old list
 # Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
 # and other jobs must go on while it doesn't answer.
@@ -500,6 +502,25 @@
         if number in self.ends:
             self.released.add(number)
 
+    def may_acknowledge(self, now_s: float) -> bool:
+        """Returns whether the next renewal may let the endpoint forget ends.
+
+        The numbers of ends begin anew with each process under the endpoint's identifier, and a call
+        can't name the process. So an acknowledgement isn't repeated once it is confirmed, and while
+        there are runs, it follows closely upon an answer of the process that has numbered the ends.
+        """
+        if self.acknowledged == self.sent_acknowledgement or self.missed_calls:
+            return False
+        return not self.runs or now_s - self.last_answer_s <= PROCESS_CERTAIN_S
+
+    def note_acknowledged(self, number: int, report: EndpointReport) -> None:
+        """Records a sent acknowledgement as confirmed, unless the report still lists such an end.
+
+        :param number: 0 if the renewal carried none.
+        """
+        if number and all(end.number > number for end in report.ended):
+            self.sent_acknowledgement = number
+
     def next_acknowledgement(self) -> int:
         """Returns the number up to which the endpoint may forget all ends, and drops these ends."""
         while self.ends:
--- a/berylproxy/platform/endpoints.py
+++ b/berylproxy/platform/endpoints.py
@@ -173,7 +173,10 @@
         body: dict[str, Any] = {"fence": fence, "last-seen": acknowledged}
         if extend and self._clock.is_known:
             body["until-ms"] = self._next_lease_end_ms()
-        answer = await self._call("/-/hold", body, CALL_TIMEOUT_S, wait_s)
+        # A copy may reach the runner's next process, whose ends have low numbers.
+        answer = await self._call(
+            "/-/hold", body, CALL_TIMEOUT_S, wait_s, copy={**body, "last-seen": 0}
+        )
         content = self._require_success(answer)
         if answer.response.status != 200 or "clock-ms" not in content:
             raise EndpointCallError("the runner's answer is not a report")
@@ -187,24 +190,29 @@
         return self._clock.grant_lease_until_ms(monotonic(), self._lease_s)
 
     async def _post(
-        self, target: str, body: dict[str, Any], timeout_s: float, wait_s: float = 0.0
+        self,
+        target: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        wait_s: float = 0.0,
+        copy: dict[str, Any] | None = None,
     ) -> _Answer:
         """Sends a call, and copies of it while the answer is overdue.
 
         :param wait_s: how long the runner may wait for an end before it answers; it answers
             copies at once.
+        :param copy: body of the copies; by default that of the call.
         """
         patience_s = self._response_times.patience_s
-        copy = orjson.dumps(body)
-        first = orjson.dumps({**body, "wait-ms": int(wait_s * 1000)}) if wait_s > 0 else copy
+        first = {**body, "wait-ms": int(wait_s * 1000)} if wait_s > 0 else body
         response = await self._http.call(
             "POST",
             target,
-            first,
+            orjson.dumps(first),
             timeout_s=wait_s + timeout_s,
             stall_timeout_s=timeout_s,
             headers=self._headers,
-            hedge=Hedge(wait_s + patience_s, patience_s, copy),
+            hedge=Hedge(wait_s + patience_s, patience_s, orjson.dumps(copy or body)),
         )
         if not wait_s and not response.was_hedged:
             self._response_times.add(response.received_s - response.sent_s)
@@ -215,10 +223,15 @@
         return _Answer(response, content)
 
     async def _call(
-        self, target: str, body: dict[str, Any], timeout_s: float, wait_s: float = 0.0
+        self,
+        target: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        wait_s: float = 0.0,
+        copy: dict[str, Any] | None = None,
     ) -> _Answer:
         try:
-            return await self._post(target, body, timeout_s, wait_s)
+            return await self._post(target, body, timeout_s, wait_s, copy)
         except RefusedError as error:
             raise EndpointRefusedError(f"{target}: {error.message}") from error
         except (NotSentError, AnswerLostError) as error:
--- a/tests/durable/orders/restart.feature
+++ b/tests/durable/orders/restart.feature
@@ -43,3 +43,29 @@
     Then job "a" ends as "completed" within 2 s
     And no task of job "a" ran twice at the same time
     And 8 runs of job "a" were started
+
+  # Guards against tasks that run twice, as the number up to which a former process may forget its
+  # ends lets its successor forget its own.
+  Scenario: ends of the new process aren't forgotten by the numbers of the former one
+    Given a group of 2 endpoints whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And job "a" of 40 tasks is submitted
+    Then job "a" ends as "completed" within 3 s
+    When 1.3 s have passed
+    And all endpoints restart, and the list shows it after 1.5 s
+    And no renewal of any endpoint is answered
+    And durable job "b" of 8 tasks is submitted
+    And 0.4 s have passed
+    And renewals of all endpoints are answered again
+    Then durable job "b" is shown as "completed" within 5 s
+    And each task of job "b" was done once
+
+  Scenario: an endpoint forgets the ends that a lost renewal acknowledged
+    Given a group of 1 endpoint whose runs take 0.05 s
+    When a holder with fence 16 takes over
+    And job "a" of 20 tasks is submitted
+    Then job "a" ends as "completed" within 3 s
+    When no renewal of any endpoint is answered
+    And 1.3 s have passed
+    And renewals of all endpoints are answered again
+    Then within 2 s the endpoints have forgotten all ends
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -626,6 +626,27 @@
     context.holder_world.endpoints[0].lost_calls = {"stop", "renew"}
 
 
+@when(r"no renewal of any endpoint is answered")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = {"renew"}
+
+
+@when(r"renewals of all endpoints are answered again")
+def step_impl(context):
+    for endpoint in context.holder_world.endpoints:
+        endpoint.lost_calls = set()
+
+
+@then(r"within 2 s the endpoints have forgotten all ends")
+def step_impl(context):
+    endpoints = context.holder_world.endpoints
+    until_s = monotonic() + 2.0
+    while any(endpoint.ended for endpoint in endpoints):
+        assert monotonic() < until_s, [len(endpoint.ended) for endpoint in endpoints]
+        sleep(0.02)
+
+
 @then(r'the run of job "(?P<name>\w+)" ends within (?P<time_s>\d+) s of its drop')
 def step_impl(context, name, time_s):
     world = context.holder_world
