Let jobs that wait for something of their own not end a round of placement

Cause: the limit on skipped jobs is meant for jobs that wait for processors, and counted those that wait for their limit, a label, memory or accelerators, while processors are free for others. They no longer count, and cost a round little.

The four new scenarios of decisions.feature fail without the check (48, 2 and 1 tasks started, the late one not; 24 of 300 at the new endpoint), and pass with it.

--- a/berylproxy/durable/decisions/placement.py
+++ b/berylproxy/durable/decisions/placement.py
@@ -11,6 +11,7 @@
 from math import inf
 from typing import Protocol
 
+from berylproxy.durable.decisions.step_room import StepRoom, count_active_tasks, has_label
 from berylproxy.durable.endpoints.fleet import EndpointState
 from berylproxy.durable.jobs.crashes import NoSuspicion, Suspicion, Treatment
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, WORK_WEIGHT, Job, JobTable, Task
@@ -40,7 +41,8 @@
 LAST_ATTEMPT_RISK = 0.5
 NEGLIGIBLE_RISK = 0.1  # a lower one would only spread tasks that fit well together
 RUN_TIME_MARGIN = 1.2  # expected run times deviate by about this factor
-# A round ends after this many jobs without a fitting endpoint; more would delay the start orders.
+# A round ends after this many jobs that wait for processors or faster endpoints; more would delay
+# the start orders.
 MAX_SKIPPED_JOBS = 24
 
 
@@ -248,7 +250,7 @@
     millicores = sum(endpoint.info.capacity.cpu_millicores for endpoint in usable)
     cores = max(millicores / len(usable), 1) / 1000
     jobs = policies.order.arrange(waiting_jobs, now_s, cores)
-    view = RoundView(model, usable, now_s)
+    view, step_room = RoundView(model, usable, now_s), StepRoom(usable, now_s)
     skipped = 0
     for job in jobs:
         if max_free_millicores <= 0 or skipped >= MAX_SKIPPED_JOBS:
@@ -269,6 +271,10 @@
                 lacks_room = True
                 passed_steps.add(task.name.step)
                 continue
+            if step_room.is_closed_to(job, task):
+                # Not a skipped job either: others may need less than it does, or have no limit.
+                passed_steps.add(task.name.step)
+                continue
             treatment = policies.suspicion.treatment(task.name, now_s)
             candidates = _list_candidates(job, treatment, usable, policies.suspicion, now_s)
             if not candidates and treatment is not Treatment.APART:
@@ -349,7 +355,7 @@
     step = task.step
     if step.preferred_rack or not step.stays_in_rack:
         return step.preferred_rack
-    active_by_endpoint = _count_active_tasks(job, task.name.step)
+    active_by_endpoint = count_active_tasks(job, task.name.step)
     fitting_tasks, total_speeds, running_tasks = Counter[str](), Counter[str](), Counter[str]()
     for endpoint in usable:
         rack = endpoint.info.rack
@@ -383,7 +389,7 @@
     queue, is_durable = job.spec.terms.queue, job.spec.is_durable
     kind = kind_of_task(queue, step)
     expected_s = view.expected_run_time_s(queue, step.estimate_s)
-    active_by_endpoint = _count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
+    active_by_endpoint = count_active_tasks(job, task.name.step) if step.max_per_endpoint else None
     is_last_attempt = len(task.failed_runs) + 1 >= job.spec.terms.max_attempts
     failure_cost_s = (LAST_ATTEMPT_FACTOR if is_last_attempt else RETRY_FACTOR) * expected_s
     speed, risks, on_probation = view.speed, view.risks, view.on_probation
@@ -446,7 +452,7 @@
     Racks aren't considered beside that of the task's data.
     """
     limit = task.step.max_per_endpoint
-    active = _count_active_tasks(job, task.name.step) if limit else None
+    active = count_active_tasks(job, task.name.step) if limit else None
     best, best_speed = None, 0.0
     for endpoint in endpoints:
         endpoint_id = endpoint.info.instance.endpoint_id
@@ -485,21 +491,9 @@
     return list({task.name.step: task for task in reversed(job.waiting)}.values())
 
 
-def _count_active_tasks(job: Job, step: int) -> Counter:
-    return Counter(
-        task.instance
-        for (number, _), task in job.tasks.items()
-        if number == step and task.status in ACTIVE_STATUSES
-    )
-
-
 def could_ever_fit(info: EndpointInfo, step: StepSpec) -> bool:
     """Returns whether an endpoint could run a task of a step if it had no other tasks."""
-    return _has_label(info, step) and step.needs.fits(info.capacity)
-
-
-def _has_label(info: EndpointInfo, step: StepSpec) -> bool:
-    return not step.required_label or step.required_label in info.labels
+    return has_label(info, step) and step.needs.fits(info.capacity)
 
 
 def _count_fitting(endpoint: EndpointState, step: StepSpec) -> int:
--- a/berylproxy/durable/jobs/job_table.py
+++ b/berylproxy/durable/jobs/job_table.py
@@ -132,6 +132,8 @@
     :ivar siblings: run times of its tasks, relative to the expected ones.
     :ivar blamed_endpoint_ids: identifiers of the endpoints that have rejected orders which others
         carried out.
+    :ivar limited_steps: by step, the monotonic time at which it was at its limit at each endpoint,
+        with the numbers of waiting and unfinished tasks and the endpoints then.
     """
 
     spec: JobSpec
@@ -154,6 +156,9 @@
     is_excess: bool = False
     failure_cause: FailureCause | None = None
     blamed_endpoint_ids: set[str] = field(default_factory=set)
+    limited_steps: dict[int, tuple[float, tuple[int, int, frozenset[EndpointInstance]]]] = field(
+        default_factory=dict
+    )
 
     @property
     def claimant(self) -> Claimant:
--- a/tests/durable/decisions/decisions.feature
+++ b/tests/durable/decisions/decisions.feature
@@ -143,6 +143,27 @@
       | a label of nobody  |
       | 300 GB of memory   |
 
+  # Guards against a small job that stands still beside free processors, behind jobs that wait for
+  # what it doesn't need.
+  Scenario Outline: jobs that wait for other things than processors don't keep a job from these
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    And 300 earlier jobs of 4 tasks that <wait>
+    When they and a late task of 10 cores are placed
+    Then the late task is started, and <started> tasks of the earlier jobs
+
+    Examples:
+      | wait                                         | started |
+      | are limited to one task per endpoint         | 600     |
+      | need 100 of the 128 GB of an endpoint        | 2       |
+      | need 40 cores at "b", by a label             | 1       |
+
+  Scenario: a job at its limits gets an endpoint that has come
+    Given endpoints "a" of speed 1 and "b" of speed 2 with 64 cores each
+    And 300 earlier jobs of 4 tasks that are limited to one task per endpoint
+    When they and a late task of 10 cores are placed
+    And endpoint "c" takes the place of "a", and they are placed again
+    Then 300 tasks of the earlier jobs are started at "c"
+
   Scenario: the tasks of a step that should stay within a rack go where all of them fit
     Given racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each
     When a step of 5 tasks of 20 cores that should stay within a rack is placed
--- a/tests/steps/durable_decisions_steps.py
+++ b/tests/steps/durable_decisions_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as with_examples
 from hypothesis import settings, strategies
 from msgpack import packb
+from msgspec.structs import replace as struct_replace
 
 from berylproxy.durable.decisions.acceptance import Admission
 from berylproxy.durable.decisions.placement import place_waiting_tasks, rank_job
@@ -480,6 +481,60 @@
     context.impossible = [fields] * 40
 
 
+@given(r"300 earlier jobs of 4 tasks that (?P<wait>.+)")
+def step_impl(context, wait):
+    fields = {
+        "are limited to one task per endpoint": {
+            "needs": Resources(100),
+            "max_per_endpoint": 1,
+        },
+        "need 100 of the 128 GB of an endpoint": {"needs": Resources(1000, 100_000)},
+        'need 40 cores at "b", by a label': {"cores": 40, "required_label": "fast"},
+    }[wait]
+    b = context.states[1]
+    b.info = struct_replace(b.info, labels=frozenset({"fast"}))
+    context.limited_table = JobTable()
+    for number in range(300):
+        open_job(context.limited_table, f"l{number}", tasks=4, objective_s=30.0, **fields)
+
+
+@when(r"they and a late task of 10 cores are placed")
+def step_impl(context):
+    context.late = open_job(context.limited_table, "late", cores=10, objective_s=0.4, age_s=5.0)
+    place_limited(context)
+
+
+def place_limited(context):
+    """Places the tasks of the limited jobs and the late one, and leaves them at the endpoints."""
+    context.started = []
+
+    def order_start(task, endpoint):
+        context.limited_table.note_ordered(task, endpoint.info.instance, 100.0)
+        endpoint.add_run(task.name, task.run, task.step.needs)
+        context.started.append((task.name.job_id, endpoint.info.instance.endpoint_id))
+
+    place_waiting_tasks(
+        context.limited_table, context.states, context.model, 100.0, order_start, 2.0
+    )
+
+
+@then(r"the late task is started, and (?P<count>\d+) tasks of the earlier jobs")
+def step_impl(context, count):
+    late = [job_id for job_id, _ in context.started if job_id == "late"]
+    assert late and len(context.started) == int(count) + 1, len(context.started)
+
+
+@when(r'endpoint "c" takes the place of "a", and they are placed again')
+def step_impl(context):
+    context.states[0] = make_state("c")
+    place_limited(context)
+
+
+@then(r'300 tasks of the earlier jobs are started at "c"')
+def step_impl(context):
+    assert Counter(endpoint for _, endpoint in context.started) == {"c": 300}, context.started
+
+
 @given(r'racks "r1" of 1 fast endpoint and "r2" of 2 slow ones, with 64 cores each')
 def step_impl(context):
     context.model = RunTimeModel()
