--- a/tests/steps/durable_frontend_steps.py
+++ b/tests/steps/durable_frontend_steps.py
@@ -60,7 +60,9 @@
 @given("an entry daemon that reaches no holder, and a store that {store}")
 def step_impl(context, store):
     divisions = SimpleNamespace(
-        group_of_job=lambda service, job_id: service, list_services=lambda: ["ledger"]
+        group_of_job=lambda service, job_id: service,
+        list_services=lambda: ["ledger"],
+        released_groups=frozenset(),
     )
     coordinator = SimpleNamespace(divisions=divisions, holder_incarnation=lambda group: "")
     network = SimpleNamespace()
