Let a dropped connection go of its TLS handshake

Cause: a connection that was dropped within its handshake kept the task of it; the task's error kept, by its traceback, the connection and 256 KB of TLS buffers. Only a full run of the garbage collector freed them.

The new scenario of server.feature counts the buffers without garbage collection: 40 before, for a limit of 4; 4 now.

--- a/berylproxy/http_server.py
+++ b/berylproxy/http_server.py
@@ -211,8 +211,9 @@
             logger.debug("TLS handshake failed: {!r}", error)
             self._server.forget(self)
             return
+        finally:
+            self._task = None  # with its error it would keep this connection and its TLS buffers
         self._scheme = "https"
-        self._task = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the requests in progress that their caller has disconnected."""
--- a/tests/http_server/server.feature
+++ b/tests/http_server/server.feature
@@ -123,3 +123,10 @@
     Given an HTTP server with an application that sends 40 parts of a million bytes that closes idle connections
     When a caller sends a request and reads nothing
     Then the application's request ends
+
+  # Guards against TLS buffers of dropped connections that stay until the garbage collector's next
+  # full run, and outgrow the daemon's memory.
+  Scenario: connections that are dropped within their TLS handshake leave nothing behind
+    Given a TLS server of 4 connections at most, without garbage collection
+    When 40 callers connect and send nothing
+    Then the server comes to hold the TLS buffers of 4 connections
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -1,10 +1,13 @@
 """Steps that send raw HTTP/1.1 to the small HTTP server, which runs on a loop in a thread."""
 
 import asyncio
+import gc
 import socket
+import ssl
 import threading
+from asyncio.sslproto import SSLProtocol
 from contextlib import suppress
-from time import sleep
+from time import monotonic, sleep
 from unittest.mock import Mock
 
 from behave import given, then, when
@@ -29,7 +32,14 @@
     :ivar all_answered: what the server has returned.
     """
 
-    def __init__(self, name: str, keep_alive_s: float, limits: HttpLimits | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        keep_alive_s: float,
+        limits: HttpLimits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._tls = tls
         self.parts_sent = 0
         self.request_began = threading.Event()
         self.request_ended = threading.Event()
@@ -50,7 +60,9 @@
         self._stop, self._permit = asyncio.Event(), asyncio.Event()
         self._loop.call_soon(self._started.set)
         server = HttpServer(self._serve, self._keep_alive_s, limits=self._limits)
-        self.all_answered = await server.serve([listener], self._stop.wait, GRACEFUL_TIMEOUT_S)
+        self.all_answered = await server.serve(
+            [listener], self._stop.wait, GRACEFUL_TIMEOUT_S, self._tls
+        )
 
     def connect(self) -> socket.socket:
         """Opens a caller's connection."""
@@ -485,3 +497,30 @@
     context.served.permit()
     head = read_until(context.callers[0], b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 200 "), head
+
+
+@given("a TLS server of {most:d} connections at most, without garbage collection")
+def step_tls_server(context, most):
+    gc.collect()
+    gc.disable()
+    context.add_cleanup(gc.enable)
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    limits = HttpLimits(max_connections=most)
+    context.served = ServedApplication("echo", LONG_KEEP_ALIVE_S, limits, tls)
+    context.add_cleanup(context.served.close)
+
+
+@when("{count:d} callers connect and send nothing")
+def step_silent_callers(context, count):
+    for _ in range(count):
+        context.add_cleanup(context.served.connect().close)
+        sleep(0.01)
+
+
+@then("the server comes to hold the TLS buffers of {count:d} connections")
+def step_tls_buffers(context, count):
+    until_s = monotonic() + TIMEOUT_S
+    while (held := sum(isinstance(item, SSLProtocol) for item in gc.get_objects())) > count:
+        assert monotonic() < until_s, held
+        sleep(0.05)
+    assert held == count, held
