Keep following a group whose service is configured again while it is released

The daemon that released the claim dropped the group even if a version of the configuration had named its service meanwhile; callers of the service would have got 503 there for up to a minute. Found by reading.

The new scenario ended by an unmet wait without the check, and passes with it.

--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -509,7 +509,7 @@
                 elif now_s - self._unused_since_s.setdefault(group, now_s) >= RELEASE_DELAY_S:
                     del self._unused_since_s[group]
                     await holder.release()
-                    if holder.is_released:
+                    if holder.is_released and self._is_former(group):  # it may be configured again
                         self._forget_group(group)
 
     def _is_former(self, group: str) -> bool:
--- a/tests/durable/holding/former_services.feature
+++ b/tests/durable/holding/former_services.feature
@@ -60,6 +60,12 @@
     And its configuration names "ledger" again
     Then job "j2" of "ledger" is accepted and ends
 
+  Scenario: a service is configured again while its group is let go
+    Given a daemon whose configuration names "annex" only, with job "j1" stored for "ledger"
+    And its configuration names "ledger" again while the claim on it is released
+    When it serves for 1 s after job "j1" has ended, and lets go of unused groups after 0.3 s
+    Then job "j2" of "ledger" is accepted and ends
+
   Scenario: a hundred services that were let go cost a starting daemon two reads
     Given a daemon whose configuration names "annex" only, and 100 former services that were let go
     When it serves for 2 s
--- a/tests/steps/durable_former_services_steps.py
+++ b/tests/steps/durable_former_services_steps.py
@@ -235,6 +235,26 @@
     context.reconfigure = reconfigure
 
 
+@given(r'its configuration names "ledger" again while the claim on it is released')
+def step_impl(context):
+    world = context.two_services
+    commit = world.store.commit
+
+    async def configure_before(transaction):
+        if transaction.written == ((claim_key("ledger"), encode_released_claim()),):
+            services = {"annex", "ledger"}
+            world.coordinator.note_configuration(services)
+            assert await world.coordinator.follow_services(services)
+        return await commit(transaction)
+
+    async def submit(world):
+        await world.wait_until(world.is_holding)
+        await world.submit("j2", "ledger")
+        await world.wait_for_end()
+
+    world.store.commit, context.reconfigure = configure_before, submit
+
+
 def play_released(context):
     if context.play is not None:
         with release_after(context.delay_s):
