--- a/tests/steps/platform_upgrade_steps.py
+++ b/tests/steps/platform_upgrade_steps.py
@@ -14,6 +14,7 @@
     encode_division,
     encode_final,
     encode_job,
+    encode_tombstone,
 )
 from berylproxy.durable.jobs.messages import DURABLE_MESSAGES
 from berylproxy.durable.jobs.models import JobState, StoredJob
@@ -157,6 +158,7 @@
             pairs.append(("frame", codec.encode(NoticeFrame(message))))
     pairs += [("open job", encode_job(job)) for job in draw_examples(wire_values(StoredJob), jobs)]
     pairs += [("outcome", encode_final(state, 17.25)) for state in JobState]
+    pairs.append(("outcome", encode_tombstone(17.25)))
     pairs.append(("division", encode_division(Division(3))))
     pairs.append(("division", encode_division(Division(3, {"e1": 0, "e2": 2}))))
     decoders = {
--- a/tests/support/landed_build.py
+++ b/tests/support/landed_build.py
@@ -11,7 +11,7 @@
 from standins.process import ROOT
 from tests.support import reencode
 
-LANDED_COMMIT = "377f559f398bd5497e39b22d5751487e1c6024bd"
+LANDED_COMMIT = "8959bcc4c5cc67f25587c0a4d25f0fc6fac5cfe2"
 """The last landed version, beside which daemons of this one must run during an upgrade."""
 
 
