Let two scenarios wait for what they mean, and not for the machine

'a tenure begins with an old view, and the store says in time ...': a holder waits 0.3 s for the store, and the real time between two steps was longer.

'a request whose job isn't stored is refused for want of room': a holder refuses nothing before it has contacted its endpoints, for which the scenario didn't wait.

--- a/tests/durable/endpoints/evacuation.feature
+++ b/tests/durable/endpoints/evacuation.feature
@@ -103,10 +103,12 @@
     Then job "a" ends as "completed"
 
   Scenario: a tenure begins with an old view, and the store says in time that all is evacuated
-    Given a group of 1 endpoint whose runs take 0.05 s
+    Given time is simulated
+    And a group of 1 endpoint whose runs take 0.05 s
     And the holders have had no answer about them for 60 s
     When a holder with fence 16 takes over
     And job "a" of 2 tasks is submitted
+    And 0.2 s have passed
     And the store tells the holders after 0 s that "a" is evacuated
     Then no run has started 0.8 s later
     When the store tells the holders after 0 s that "" is evacuated
--- a/tests/steps/durable_evacuation_steps.py
+++ b/tests/steps/durable_evacuation_steps.py
@@ -1,7 +1,7 @@
 """Steps for what a daemon knows of evacuated failure domains, and for cold endpoints."""
 
 import json
-from time import monotonic, sleep
+import time
 from types import SimpleNamespace
 
 from behave import given, then, use_step_matcher, when
@@ -166,24 +166,29 @@
     endpoint.info = replace(endpoint.info, cold_left_s=float(left_s))
 
 
+def clock_of(context):
+    """Returns the simulated time of the scenario, or the real one."""
+    return getattr(context, "simulated_time", time)
+
+
 @given(r"the holders have (?P<view>never known the evacuations|had no answer about them for 60 s)")
 def step_impl(context, view):
     world = context.holder_world
     world.evacuations = EvacuatedDomains()
     if view.startswith("had"):
-        world.evacuations.confirm(frozenset(), 7, monotonic() - 60)
+        world.evacuations.confirm(frozenset(), 7, clock_of(context).monotonic() - 60)
 
 
 @when(r'the store tells the holders after (?P<delay_s>[\d.]+) s that "(?P<names>\w*)" is evacuated')
 def step_impl(context, delay_s, names):
-    world = context.holder_world
-    sleep(float(delay_s))
-    world.portal.call(world.evacuations.confirm, frozenset(names.split()), 9, monotonic())
+    world, clock = context.holder_world, clock_of(context)
+    clock.sleep(float(delay_s))
+    world.portal.call(world.evacuations.confirm, frozenset(names.split()), 9, clock.monotonic())
 
 
 @then(r"no run has started (?P<delay_s>[\d.]+) s later")
 def step_impl(context, delay_s):
-    sleep(float(delay_s))
+    clock_of(context).sleep(float(delay_s))
     started = [event for e in context.holder_world.endpoints for event in e.history]
     assert not started, started
 
--- a/tests/steps/durable_moved_queue_steps.py
+++ b/tests/steps/durable_moved_queue_steps.py
@@ -85,6 +85,8 @@
             await self.wait_until(self.is_holding)
             if self.full_service:
                 holder = self.coordinator.holders[self.full_service]
+                # Until then it refuses nothing.
+                await self.wait_until(lambda: holder.group.has_contacted_endpoints(monotonic()))
                 holder.admission.decide = lambda *_: Refusal("late", RETRY_AFTER_S)
             if self.provisional_service:
                 self.coordinator.holders[self.provisional_service].tenure.claim_revision = 0
