--- a/standins/runner_model.py
+++ b/standins/runner_model.py
@@ -19,6 +19,8 @@
 from berylproxy.durable.jobs.ports import StartOrder, StartOutcome
 from berylproxy.platform.endpoints import REFUSALS
 
+NOTED = "noted"
+
 
 @dataclass
 class ModelRun:
@@ -64,7 +66,8 @@
     :ivar rejections: number of orders that were rejected as malformed or for want of a ticket.
     :ivar failing_runs: number of the next runs of a job that fail, by its identifier.
     :ivar changed: event that is set and replaced by a new one at each end of a run.
-    :ivar on_event: called with each entry of the history.
+    :ivar on_event: called with each entry of the history, and with an entry ``noted`` for each end
+        that a holder has acknowledged without a lapse of the lease since.
     :ivar end_kinds_by_job: how the runs of a job end, by its identifier; done by default.
     :ivar stop_time_s: how long a stop takes.
     :ivar needs_by_job: what each task of a job takes; nothing by default.
@@ -115,6 +118,7 @@
     shrink_grace_s: float = 0.0
     overfills: list = field(default_factory=list)
     _former_capacities: list = field(default_factory=list)
+    _ended_at_s: dict = field(default_factory=dict)
 
     def resize(self, capacity: Resources) -> None:
         """Changes the capacity, which the next entry of the list shows."""
@@ -188,6 +192,14 @@
 
     def acknowledge(self, number: int) -> None:
         """Discards the reported ends up to a number."""
+        now_s = monotonic()
+        for end in self.ended:
+            if end.number > number:
+                continue
+            ended_s = self._ended_at_s.pop(end.number)
+            has_lapsed = now_s >= self.lease_end_s or self.lease_began_s > ended_s
+            if not has_lapsed and self.on_event is not None:
+                self.on_event((now_s, NOTED, end.name, end.run))
         self.ended = [end for end in self.ended if end.number > number]
 
     def list_ends(self) -> list[EndedRun]:
@@ -220,6 +232,7 @@
         run = self.running.pop(key)
         self.end_count += 1
         self.ended.append(EndedRun(self.end_count, run.name, run.run, kind, ""))
+        self._ended_at_s[self.end_count] = at_s
         self.highest_runs[run.name] = max(self.highest_runs.get(run.name, 0), run.run)
         self._note(at_s, kind.value, run.name, run.run)
         self.changed.set()
