Wait for the release of a claim in its scenarios, and use steps that were there

The scenarios waited 1 s after the last job for a release that takes 0.3 s. They wait for the release itself now, and the second after it shows that nobody claims the group again. Two new steps stood in durable_crashes_steps.py already.

--- a/tests/durable/orders/restart.feature
+++ b/tests/durable/orders/restart.feature
@@ -53,10 +53,10 @@
     Then job "a" ends as "completed" within 3 s
     When 1.3 s have passed
     And all endpoints restart, and the list shows it after 1.5 s
-    And no renewal of any endpoint is answered
+    And the answers to renewals are lost
     And durable job "b" of 8 tasks is submitted
     And 0.4 s have passed
-    And renewals of all endpoints are answered again
+    And renewals are answered again
     Then durable job "b" is shown as "completed" within 5 s
     And each task of job "b" was done once
 
@@ -65,7 +65,7 @@
     When a holder with fence 16 takes over
     And job "a" of 20 tasks is submitted
     Then job "a" ends as "completed" within 3 s
-    When no renewal of any endpoint is answered
+    When the answers to renewals are lost
     And 1.3 s have passed
-    And renewals of all endpoints are answered again
+    And renewals are answered again
     Then within 2 s the endpoints have forgotten all ends
--- a/tests/steps/durable_former_services_steps.py
+++ b/tests/steps/durable_former_services_steps.py
@@ -215,6 +215,8 @@
         context.claim = world.coordinator.holders["ledger"].tenure.claim_revision
         if moment == "after":
             await world.wait_for_end()
+            entries = world.store.entries
+            await world.wait_until(lambda: entries[claim_key("ledger")].revision > context.claim)
         await sleep(1.0)
         context.held = set(world.coordinator.holders)
         if "reconfigure" in context:
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -626,18 +626,6 @@
     context.holder_world.endpoints[0].lost_calls = {"stop", "renew"}
 
 
-@when(r"no renewal of any endpoint is answered")
-def step_impl(context):
-    for endpoint in context.holder_world.endpoints:
-        endpoint.lost_calls = {"renew"}
-
-
-@when(r"renewals of all endpoints are answered again")
-def step_impl(context):
-    for endpoint in context.holder_world.endpoints:
-        endpoint.lost_calls = set()
-
-
 @then(r"within 2 s the endpoints have forgotten all ends")
 def step_impl(context):
     endpoints = context.holder_world.endpoints
