--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -247,12 +247,12 @@
                     await self._wakeups[instance].wait()
             if self._wakeups[instance].is_set():
                 self._wakeups[instance] = Event()
-            acknowledged = endpoint.next_acknowledgement()
-            told = acknowledged if endpoint.may_acknowledge(self._clock.now_s()) else 0
+            released = endpoint.next_acknowledgement()
+            acknowledged = released if endpoint.may_acknowledge(self._clock.now_s()) else 0
             wait_s = 0.0 if self._should_poll_at_once(endpoint) else self._renewal_wait_s(endpoint)
             extend = bool(endpoint.runs) and not endpoint.should_let_lapse
             try:
-                report = await client.renew(self._tenure.fence, told, wait_s, extend=extend)
+                report = await client.renew(self._tenure.fence, acknowledged, wait_s, extend=extend)
             except FencedOffError:
                 self._tenure.end("an endpoint has accepted a higher fence")
                 return
@@ -267,7 +267,7 @@
             if report.born_ms != instance.born_ms and report.born_ms and instance.born_ms:
                 self._replace_restarted(endpoint, report.born_ms)
                 return
-            endpoint.note_acknowledged(told, report)
+            endpoint.note_acknowledged(acknowledged, report)
             self._apply_report(endpoint, report)
             await self._stop_uncertain_runs(endpoint, client)
             may_repeat = bool(endpoint.ends) or not endpoint.is_report_complete
