--- a/tests/support/landed_build.py
+++ b/tests/support/landed_build.py
@@ -11,7 +11,7 @@
 from standins.process import ROOT
 from tests.support import reencode
 
-LANDED_COMMIT = "8959bcc4c5cc67f25587c0a4d25f0fc6fac5cfe2"
+LANDED_COMMIT = "0c47294111de0d22f5e2ddfbfb606a9c5baf19f8"
 """The last landed version, beside which daemons of this one must run during an upgrade."""
 
 
--- a/tests/support/reencode.py
+++ b/tests/support/reencode.py
@@ -15,6 +15,7 @@
     encode_division,
     encode_final,
     encode_job,
+    encode_tombstone,
 )
 from berylproxy.durable.jobs.messages import DURABLE_MESSAGES
 from berylproxy.peers.codec import MessageCodec
@@ -30,10 +31,16 @@
     return codec.encode(frame)
 
 
+def reencode_outcome(data: bytes) -> bytes:
+    """Decodes the stored outcome of a job, or a tombstone, and encodes it again."""
+    state, ended_unix_s = decode_final(data), unpackb(data)["ended"]
+    return encode_tombstone(ended_unix_s) if state is None else encode_final(state, ended_unix_s)
+
+
 REENCODERS = {
     "frame": reencode_frame,
     "open job": lambda data: encode_job(decode_job(data)),
-    "outcome": lambda data: encode_final(decode_final(data), unpackb(data)["ended"]),
+    "outcome": reencode_outcome,
     "division": lambda data: encode_division(decode_division(data)),
 }
 
