Keep endpoints of unknown groups apart from those of other groups

Cause: "not known" was taken for "not there". A daemon on standby keeps the division that it read first. group_of_endpoint returned "" for an endpoint that was assigned since, and each question about "all endpoints of the group" took that for another group's: whether all endpoints were contacted, whether an endpoint that left the list may run tasks, whether a rejected task has somewhere else to go. So the new holder took tasks that nobody reported for tasks that don't run.

Change: - GroupMembership has a value for "unknown", and an unknown endpoint counts as one that may run tasks. - A new holder reads the list, and then the division, both in its tenure, before a task that nobody reports counts as not running, before a group counts as unused, and before "all endpoints were contacted" is answered with yes. An assignment that can't be stored hides no other that is.

Cost: a takeover of a service with several groups makes one more read of the store. Daemons on standby read nothing more.

--- a/berylproxy/durable/holding/context.py
+++ b/berylproxy/durable/holding/context.py
@@ -6,6 +6,7 @@
 from berylproxy.clock import Clock
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.jobs.ports import EndpointDirectory, JobStore
 from berylproxy.durable.orders.orphans import AwaitedJobsSurvey
 from berylproxy.durable.orders.telemetry import Telemetry
@@ -28,8 +29,8 @@
 
     :param endpoint_list: the list of endpoints that this daemon read last.
     :param evacuations: the evacuated failure domains as this daemon knows them.
-    :param group_of_endpoint: returns the group of an endpoint, given its service and identifier;
-        empty if it is in none yet.
+    :param membership: returns whether an endpoint belongs to a group, given the group and the
+        endpoint's service and identifier.
     :param notify: sends a message without a reply to an incarnation.
     :param members: returns the incarnations of the other live daemons.
     :param watchers: returns the incarnations of a group's likely next holders.
@@ -51,7 +52,7 @@
     directory: EndpointDirectory
     endpoint_list: EndpointList
     evacuations: EvacuatedDomains
-    group_of_endpoint: Callable[[str, str], str]
+    membership: Callable[[str, str, str], GroupMembership]
     clock: Clock
     telemetry: Telemetry
     notify: Callable[[str, object], None]
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -244,7 +244,7 @@
             directory,
             self._endpoint_list,
             evacuations,
-            self.divisions.group_of_endpoint,
+            self.divisions.membership,
             clock,
             telemetry,
             self._notify,
@@ -329,10 +329,12 @@
         """
         while True:
             tenure_began, asked_s = self._tenure_began, self._clock.now_s()
+            holders = list(self.holders.values())
             try:
                 endpoints = await self._directory.fetch()
                 self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
-                if self.holders and await self.divisions.assign_new_endpoints(
+                await self._learn_members(holders)
+                if holders and await self.divisions.assign_new_endpoints(
                     endpoints, self.holders.keys()
                 ):
                     self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
@@ -342,6 +344,21 @@
                 continue
             await self._wait_for_next_read(tenure_began)
 
+    async def _learn_members(self, holders: "list[Holder]") -> None:
+        """Reads the divisions of new tenures, after the first list that was asked for in them.
+
+        Whatever a former holder has used was listed and assigned before its claim was replaced.
+
+        :param holders: those whose tenures had begun before the list was asked for.
+        :raises StoreError: if the store does not answer.
+        """
+        new = [h for h in holders if h.tenure.claim_revision and not h.group.are_members_known]
+        services = {service_of_group(holder.tenure.group) for holder in new}
+        refreshed = {service for service in services if await self.divisions.refresh(service)}
+        for holder in new:
+            if service_of_group(holder.tenure.group) in refreshed and not holder.tenure.is_over:
+                holder.group.note_members_known()
+
     async def _wait_for_next_read(self, tenure_began: Event) -> None:
         """Waits until the endpoint list is to be read again; the interval may change meanwhile."""
         read_s = self._clock.now_s()
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -1,11 +1,12 @@
 """Reads, creates and extends the stored divisions of services into groups."""
 
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterable, Set
 
 from anyio import sleep
 from logbook import Logger
 
 from berylproxy.clock import Clock
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.holding.groups import (
     Division,
     assign_endpoints,
@@ -14,6 +15,7 @@
     group_of_endpoint,
     is_list_stable,
     list_groups,
+    service_of_group,
 )
 from berylproxy.durable.holding.records import (
     DIVISION_PREFIX,
@@ -40,7 +42,8 @@
 class ServiceDivisions:
     """The divisions that this daemon knows.
 
-    What it knows may be old: then some endpoints have no group yet, but none has another one.
+    What it knows may be old: then the groups of some endpoints are unknown, but none has another
+    one.
 
     The configuration doesn't tell where jobs are: those of a service that was removed from it stay
     in the groups of the service's division.
@@ -81,10 +84,20 @@
         division = self._divisions.get(service)
         return choose_group(service, division.count, job_id) if division is not None else ""
 
-    def group_of_endpoint(self, service: str, endpoint_id: str) -> str:
-        """Returns the group of a service's endpoint; empty until it is known."""
+    def group_of_endpoint(self, service: str, endpoint_id: str) -> str | None:
+        """Returns the group of a service's endpoint; ``None`` if it isn't known here.
+
+        Other daemons may know it.
+        """
         division = self._divisions.get(service)
-        return group_of_endpoint(service, division, endpoint_id) if division is not None else ""
+        return group_of_endpoint(service, division, endpoint_id) if division is not None else None
+
+    def membership(self, group: str, service: str, endpoint_id: str) -> GroupMembership:
+        """Returns whether a service's endpoint belongs to a group, as far as it is known here."""
+        known_group = self.group_of_endpoint(service, endpoint_id)
+        if known_group is None and service == service_of_group(group):
+            return GroupMembership.UNKNOWN
+        return GroupMembership.MEMBER if known_group == group else GroupMembership.OTHER_GROUP
 
     def list_services(self) -> list[str]:
         """Lists the services known to be divided, also those no longer configured.
@@ -187,56 +200,82 @@
         """Learns, or decides, the groups of listed endpoints that have none yet.
 
         The holder of a service's first group assigns them. Those of the other groups do so in the
-        order of the groups, if it does not.
+        order of the groups, if it does not. What is stored is learned first, so that an assignment
+        that can't be stored hides no other.
 
         :param held_groups: groups that this daemon holds.
         :return: whether there were any.
         :raises StoreError: if the store does not answer.
         """
         now_s, since_s = self._clock.now_s(), {}
-        services = set()
-        for info in endpoints:
-            division, endpoint_id = self._divisions.get(info.service), info.instance.endpoint_id
-            if division is None or division.assigned is None or endpoint_id in division.assigned:
-                continue
+        unassigned = self._list_unassigned(endpoints)
+        for info in unassigned:
+            endpoint_id = info.instance.endpoint_id
             since_s[endpoint_id] = self._unassigned_since_s.get(endpoint_id, now_s)
-            services.add(info.service)
         self._unassigned_since_s = since_s
-        for service in services:
+        for service in {info.service for info in unassigned}:
+            await self.refresh(service)
+            still_unassigned = [
+                i for i in self._list_unassigned(unassigned) if i.service == service
+            ]
             groups = self.groups_of(service)
             held = [number for number, group in enumerate(groups) if group in held_groups]
             waited_s = now_s - min(since_s.values())
-            if held and waited_s >= held[0] * ASSIGNMENT_DELAY_S:
+            if still_unassigned and held and waited_s >= held[0] * ASSIGNMENT_DELAY_S:
                 await self._store_assignments(service, _list_capacities(endpoints, service))
-            await self._reload(service)
-        return bool(services)
+        return bool(unassigned)
+
+    def _list_unassigned(self, endpoints: Iterable[EndpointInfo]) -> list[EndpointInfo]:
+        """Lists the endpoints to which the known division of their service assigns no group."""
+        return [
+            info
+            for info in endpoints
+            if info.service in self._divisions
+            and self.group_of_endpoint(info.service, info.instance.endpoint_id) is None
+        ]
 
     async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
         division = self._divisions[service]
         assigned = assign_endpoints(division.assigned or {}, listed, division.count)
         key, value = division_key(service), encode_division(Division(division.count, assigned))
+        transaction = Transaction(((key, division.revision),), ((key, value),))
         try:
-            await self._store.commit(Transaction(((key, division.revision),), ((key, value),)))
+            revision = await self._store.commit(transaction)
         except TransactionConflictError:
             logger.debug("another daemon has assigned endpoints of {}", service)
+            await self.refresh(service)
             return
+        self._divisions[service] = Division(division.count, assigned, revision)
         logger.info(
             "assigned {} endpoints of service {} to groups",
             len(assigned) - len(division.assigned or {}),
             service,
         )
 
-    async def _reload(self, service: str) -> None:
+    async def refresh(self, service: str) -> bool:
+        """Learns all endpoints that a known division assigns to groups by now.
+
+        :return: whether they are known; not if the stored division can't be used.
+        :raises StoreError: if the store does not answer.
+        """
+        known = self._divisions.get(service)
+        if known is None:
+            return False
+        if known.assigned is None:
+            return True  # groups follow from identifiers
         entry = await self._store.get(division_key(service))
-        if entry is None:
-            return
         try:
-            division = decode_division(entry.value, entry.revision)
+            division = decode_division(entry.value, entry.revision) if entry is not None else None
         except StoredValueError as error:
             logger.error("cannot read the division of {}: {}", service, error.message)
-            return
-        if division.count == self._divisions[service].count:
+            return False
+        if division is None or division.count != known.count:
+            found = "is gone" if division is None else f"has {division.count} groups"
+            logger.error("the division of {} {}, not {} groups", service, found, known.count)
+            return False
+        if division.revision >= self._divisions[service].revision:
             self._divisions[service] = division
+        return True
 
 
 def _list_capacities(endpoints: tuple[EndpointInfo, ...], service: str) -> dict[str, int]:
--- a/berylproxy/durable/holding/groups.py
+++ b/berylproxy/durable/holding/groups.py
@@ -98,12 +98,12 @@
     return group.partition(GROUP_SEPARATOR)[0]
 
 
-def group_of_endpoint(service: str, division: Division, endpoint_id: str) -> str:
-    """Returns the group of an endpoint; empty until it has been assigned to one."""
+def group_of_endpoint(service: str, division: Division, endpoint_id: str) -> str | None:
+    """Returns the group of an endpoint; ``None`` if the division assigns it to none."""
     if division.assigned is None:
         return choose_group(service, division.count, endpoint_id)
     number = division.assigned.get(endpoint_id)
-    return "" if number is None else _name_group(service, division.count, number)
+    return None if number is None else _name_group(service, division.count, number)
 
 
 def choose_group(service: str, count: int, name: str) -> str:
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -14,6 +14,7 @@
 from berylproxy.durable.decisions.returns import SHORTEST_RETRY_AFTER_S
 from berylproxy.durable.decisions.routing import TypicalNeed, measure_room_millicores
 from berylproxy.durable.decisions.shares import ClaimantShare, SharedOrder
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding.best_effort import (
     AdmissionDecision,
@@ -134,8 +135,9 @@
     :param are_contacted: whether all listed endpoints have accepted this holder's fence.
     :param are_surveyed: whether those that have are known to hide no runs and ends. Else time
         proves nothing, since this holder may have extended their leases.
-    :param are_former_listed: whether all endpoints that the former holder used are listed. Until it
-        learns of its successor, it may extend the leases at those that are not.
+    :param are_former_listed: whether all endpoints that the former holder used are listed, and
+        known to be in the group. Until it learns of its successor, it may extend the leases at
+        those that are not.
     :param is_durable: whether the job is durable; a best-effort job is withdrawn from the former
         holder by its entry daemon.
     """
@@ -211,7 +213,7 @@
             self.job_table,
             model,
             neighbours,
-            self._is_in_group,
+            self._membership,
             lambda endpoint, end: self._outcomes.retain_end(endpoint, end),
             self._finish,
             lambda job: self._outcomes.note_progress(job),
@@ -241,9 +243,8 @@
         self._pauses = PauseDetector(context.clock)
         self._short_pauses = PauseDetector(context.clock, UNNOTICED_PAUSE_S, CLAIM_NEWS_S)
 
-    def _is_in_group(self, info: EndpointInfo) -> bool:
-        group = self._context.group_of_endpoint(info.service, info.instance.endpoint_id)
-        return group == self.tenure.group
+    def _membership(self, info: EndpointInfo) -> GroupMembership:
+        return self._context.membership(self.tenure.group, info.service, info.instance.endpoint_id)
 
     async def run(self) -> None:
         """Loads the open jobs and serves the group until the tenure ends."""
@@ -312,6 +313,7 @@
         """Whether there certainly are no jobs in the group, and no runs of any."""
         return (
             self._loaded_claim is not None
+            and self.group.are_members_known
             and not self._loaded_claim.unreadable
             and not self.job_table.jobs
             and not self._pending_submissions
@@ -664,15 +666,19 @@
         endpoints = self.group.endpoints.values()
         are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
         are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
+        are_members_known = self.group.are_members_known or not self.tenure.claim_revision
         listed = {instance.endpoint_id for instance in self.group.endpoints}
         vanished = self._context.endpoint_list.list_vanished(self.tenure.began_s - UNNAMED_RUNS_S)
-        may_have_unnamed = any(self._is_in_group(info) for info in vanished)
+        may_have_unnamed = any(
+            self._membership(info) is not GroupMembership.OTHER_GROUP for info in vanished
+        )
         still_unresolved = []
         for unresolved in self._unresolved:
             age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
             ) and not (is_durable and may_have_unnamed)
+            are_former_listed = are_former_listed and are_members_known
             if not unresolved.job.is_final and not can_resolve(
                 age_s,
                 are_contacted,
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -11,6 +11,7 @@
 from berylproxy.durable.decisions.placement import could_ever_fit, should_reserve
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Evidence, Suspicion
 from berylproxy.durable.jobs.job_table import ACTIVE_STATUSES, Job, JobTable, Task, TaskStatus
@@ -78,7 +79,7 @@
 
     :param endpoint_list: this daemon's copy of the platform's list.
     :param evacuations: this daemon's view of the evacuated failure domains.
-    :param is_in_group: returns whether an endpoint belongs to the group.
+    :param membership: returns whether an endpoint belongs to the group.
     :param neighbours: learns which kinds of task slow each other down on one endpoint.
     :param on_end: called with each end of a run that was not known before, before the end is
         applied to its task.
@@ -88,6 +89,9 @@
         needs the ends of unfinished best-effort jobs.
     :ivar has_read_list: whether the list and the evacuations were read in this tenure, or the store
         is silent.
+    :ivar are_members_known: whether the list, and then the group of each endpoint, were read in
+        this tenure, so that no endpoint that a former holder used is missing, unless it has left
+        the list.
     :ivar orphans_found: set when endpoints keep runs or ends of jobs that aren't open and may be
         wanted; the coroutine that waits for it replaces it by a new event.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
@@ -103,7 +107,7 @@
         job_table: JobTable,
         model: RunTimeModel,
         neighbours: NeighbourModel,
-        is_in_group: Callable[[EndpointInfo], bool],
+        membership: Callable[[EndpointInfo], GroupMembership],
         on_end: Callable[[EndpointState, EndedRun], None],
         on_final: Callable[[Job], None],
         on_crash: Callable[[Job], None],
@@ -113,6 +117,7 @@
         self.changed = Event()
         self.orphans_found = Event()
         self.has_read_list = False
+        self.are_members_known = False
         self._tenure = tenure
         self._clock = tenure.clock
         self._directory = directory
@@ -121,7 +126,7 @@
         self._job_table = job_table
         self._model = model
         self._neighbours = neighbours
-        self._is_in_group = is_in_group
+        self._membership = membership
         self._on_end = on_end
         self._on_final = on_final
         self._may_have_to_end = may_have_to_end
@@ -162,6 +167,21 @@
             self.changed.set()
             await self._endpoint_list.confirmed.wait()
 
+    def note_members_known(self) -> None:
+        """Records that the groups of all endpoints in the list, as read last, are known.
+
+        An endpoint that no division assigns to a group was never used by any holder.
+        """
+        self._apply_directory(self._endpoint_list.endpoints)
+        self.are_members_known = True
+        logger.info(
+            "all endpoints of the group are known",
+            extra=self._tenure.extra(
+                endpoints=len(self.endpoints),
+                delay_s=round(self._clock.now_s() - self._tenure.began_s, 4),
+            ),
+        )
+
     async def follow_heard_capacities(self) -> None:
         """Applies the capacities that other daemons have told until cancelled."""
         while True:
@@ -186,7 +206,11 @@
         now_s = self._clock.now_s()
         was_unavailable = now_s - self._list_read_s > MAX_LIST_SILENCE_S
         self._list_read_s = now_s
-        info_by_instance = {info.instance: info for info in listed if self._is_in_group(info)}
+        info_by_instance = {
+            info.instance: info
+            for info in listed
+            if self._membership(info) is GroupMembership.MEMBER
+        }
         for instance, info in info_by_instance.items():
             self._unlisted_from_s.pop(instance, None)
             endpoint = self.endpoints.get(instance)
@@ -873,7 +897,7 @@
                 task,
                 instance,
                 now_s,
-                has_untried=bool(untried) or self._has_vanished_untried(task),
+                has_untried=bool(untried) or self._has_absent_untried(task),
                 has_reachable_untried=any(e.is_staying and not e.missed_calls for e in untried),
             )
         job = self._job_table.jobs[task.name.job_id]
@@ -886,8 +910,8 @@
     def _list_untried(self, task: Task, rejecting: EndpointInstance) -> list[EndpointState]:
         """Lists the endpoints that could run a task, now or later, and haven't rejected its orders.
 
-        Silent ones may be cut off. For those that have left the list see
-        :meth:`_has_vanished_untried`.
+        Silent ones may be cut off. For those that the group lacks for the moment see
+        :meth:`_has_absent_untried`.
 
         :param rejecting: the endpoint that has just rejected one.
         """
@@ -900,13 +924,24 @@
             and instance not in task.rejecting_instances
         ]
 
-    def _has_vanished_untried(self, task: Task) -> bool:
-        """Returns whether an endpoint that has left the list lately could run a task once back."""
-        return any(
-            self._is_in_group(info)
-            and could_ever_fit(info, task.step)
-            and info.instance not in task.rejecting_instances
+    def _has_absent_untried(self, task: Task) -> bool:
+        """Returns whether an endpoint that isn't in the group for the moment could run a task.
+
+        It has left the list lately and may come back, or its group isn't known yet.
+        """
+        absent = [
+            info
             for info in self._endpoint_list.list_vanished(-inf)
+            if self._membership(info) is not GroupMembership.OTHER_GROUP
+        ]
+        absent += [
+            info
+            for info in self._endpoint_list.endpoints
+            if self._membership(info) is GroupMembership.UNKNOWN
+        ]
+        return any(
+            could_ever_fit(info, task.step) and info.instance not in task.rejecting_instances
+            for info in absent
         )
 
     async def _place_after(self, pause_s: float) -> None:
@@ -1025,7 +1060,12 @@
         """Returns whether all endpoints have answered, or have had the time to, in this tenure."""
         if now_s - self._tenure.began_s > FIRST_CONTACT_TIMEOUT_S:
             return True
-        return self.has_read_list and all(e.is_contacted for e in self.endpoints.values())
+        is_complete = self.are_members_known or not self._tenure.claim_revision
+        return (
+            self.has_read_list
+            and is_complete
+            and all(endpoint.is_contacted for endpoint in self.endpoints.values())
+        )
 
     async def close(self) -> None:
         """Closes the connections to all endpoints."""
--- a/tests/steps/durable_holder_steps.py
+++ b/tests/steps/durable_holder_steps.py
@@ -13,6 +13,7 @@
 from berylproxy.clock import MonotonicClock
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.endpoints.neighbour_mode import NeighbourMode
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding import outcomes
@@ -96,7 +97,12 @@
     async def follow_endpoint_list(self) -> None:
         """Keeps the list that all holders share up to date."""
         while True:
+            holders = [(fence, h) for fence, h in self.holders.items() if not h.tenure.is_over]
             self.endpoint_list.update(await self.directory.fetch(), monotonic())
+            for fence, holder in holders:
+                has_store = holder.tenure.claim_revision and not self.store_accesses[fence].is_cut
+                if has_store and not holder.tenure.is_over and not holder.group.are_members_known:
+                    holder.group.note_members_known()
             await anyio_sleep(LIST_INTERVAL_S)
 
     async def restart_endpoints(self) -> None:
@@ -133,7 +139,7 @@
                 self.directory,
                 self.endpoint_list,
                 self.evacuations,
-                lambda service, name: service,
+                lambda group, service, name: GroupMembership.MEMBER,
                 MonotonicClock(),
                 Telemetry(),
                 lambda incarnation, message: self.notices.append(message),
--- a/tests/steps/durable_member_steps.py
+++ b/tests/steps/durable_member_steps.py
@@ -431,7 +431,11 @@
     context.coordinator = make_coordinator(directory, store=context.store)
     division = Division(int(groups), {}, revision=1)
     context.coordinator.divisions._divisions[SERVICE] = division
-    context.coordinator.holders[list_groups(SERVICE, int(groups))[0]] = SimpleNamespace()
+    group = list_groups(SERVICE, int(groups))[0]
+    context.coordinator.holders[group] = SimpleNamespace(
+        tenure=SimpleNamespace(group=group, claim_revision=1, is_over=False),
+        group=SimpleNamespace(are_members_known=False),
+    )
 
 
 @when(r"the job store is out for all calls, and the list is followed for (?P<time_s>[\d.]+) s")
--- a/tests/steps/durable_resubmission_steps.py
+++ b/tests/steps/durable_resubmission_steps.py
@@ -1,12 +1,12 @@
 """Steps for best-effort jobs that come again to another daemon; each is played in one loop."""
 
-from anyio import run, sleep
+from anyio import sleep
 from behave import given, then, use_step_matcher, when
 
 from berylproxy.durable.decisions.routing import GroupChoice
 from berylproxy.durable.jobs.messages import DropJob, HolderHeartbeat
 from berylproxy.durable.jobs.models import JobState
-from tests.support.resubmission_world import ResubmissionWorld
+from tests.support.resubmission_world import ResubmissionWorld, play
 
 JOB, SECOND_JOB = "job-1", "job-2"
 RUN_TIME_S = 6.0
@@ -14,16 +14,6 @@
 use_step_matcher("re")
 
 
-def play(context):
-    """Plays the steps collected so far."""
-
-    async def play_all(world):
-        for step in context.plays:
-            await step(world)
-
-    run(context.resubmission_world.run, play_all)
-
-
 @given(
     r"2 groups of (?P<count>\d+) endpoints? with a holder each, and 2 more daemons, of which one "
     r"gets a job(?: of (?P<time_s>[\d.]+) s)?"
--- a/tests/support/endpoint_world.py
+++ b/tests/support/endpoint_world.py
@@ -180,6 +180,7 @@
     :ivar is_out: whether every call fails without an effect.
     :ivar lost_answers: how many of the next commits take effect without an answer.
     :ivar page_delay_s: time that a read of several keys takes longer than usual.
+    :ivar key_delays_s: time that a read of one key takes longer than usual, by key.
     :ivar commits: number of commits that took effect.
     :ivar reads: number of reads by kind: single keys, pages and stale pages.
     """
@@ -190,6 +191,7 @@
         self.is_out = False
         self.lost_answers = 0
         self.page_delay_s = 0.0
+        self.key_delays_s: dict[str, float] = {}
         self.revision = 10
         self.entries: dict[str, Entry] = {}
         self.commits = 0
@@ -219,7 +221,7 @@
 
     async def get(self, key: str) -> Entry | None:
         """Reads one key."""
-        await sleep(0.001)
+        await sleep(0.001 + self.key_delays_s.get(key, 0.0))
         self.reads["key"] += 1
         if self.is_out:
             raise StoreUnavailableError("out")
--- a/tests/support/resubmission_world.py
+++ b/tests/support/resubmission_world.py
@@ -4,7 +4,7 @@
 from math import inf
 from time import monotonic
 
-from anyio import CancelScope, create_task_group, sleep
+from anyio import CancelScope, create_task_group, run, sleep
 from anyio.abc import TaskGroup
 from logbook import Logger
 
@@ -144,16 +144,19 @@
             e for e in self.endpoints if group_of(SERVICE, e.info.instance.endpoint_id) == group
         ]
 
-    def submit(self, entry: WorldDaemon, job_id: str, tasks: int = 2) -> CancelScope:
+    def submit(
+        self, entry: WorldDaemon, job_id: str, tasks: int = 2, *, is_durable: bool = False
+    ) -> CancelScope:
         """Submits a job; its caller disconnects when the returned scope is cancelled."""
         terms = QueueTerms("q", SERVICE, max_attempts=3, objective_s=CALLER_WAIT_S)
         steps = (StepSpec(tasks, Resources(20_000), 0.1),)
-        spec, scope = JobSpec(job_id, terms, "", steps, False), CancelScope()
+        spec, scope = JobSpec(job_id, terms, "", steps, is_durable), CancelScope()
+        hand_in = entry.frontend.submit_durable if is_durable else entry.frontend.run_best_effort
 
         async def call() -> None:
             with scope:
                 try:
-                    self.results.append(await entry.frontend.run_best_effort(spec, CALLER_WAIT_S))
+                    self.results.append(await hand_in(spec, CALLER_WAIT_S))
                 except BerylproxyError as error:
                     self.results.append(error)
 
@@ -188,3 +191,13 @@
             await self.start(task_group)
             await play(self)
             task_group.cancel_scope.cancel()
+
+
+def play(context) -> None:
+    """Plays the steps that a scenario has collected so far, in one event loop."""
+
+    async def play_all(world: ResubmissionWorld) -> None:
+        for step in context.plays:
+            await step(world)
+
+    run(context.resubmission_world.run, play_all)
--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -4,6 +4,7 @@
 
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
 from berylproxy.durable.endpoints.fleet import EndpointList, EndpointState
+from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.endpoints.neighbour_mode import NeighbourMode
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.holding.context import HolderContext
@@ -80,7 +81,7 @@
                 FakeDirectory([endpoint]),
                 EndpointList(),
                 EvacuatedDomains(revision=1, confirmed_s=0.0),
-                lambda service, name: service,
+                lambda group, service, name: GroupMembership.MEMBER,
                 SimpleNamespace(now_s=lambda: self.now_s),
                 Telemetry(),
                 lambda incarnation, message: self.notices.append((incarnation, message)),
