Name new endpoints in heartbeats before anything is ordered there

What callers saw: tasks of durable jobs ran twice at the same time for up to 0.9 s, after endpoints were added 2.5 s before the jobs, their entries lapsed as the holder was killed, and came back 2.5 s later.

Cause: a new holder waits for the endpoints that its predecessor's last heartbeat named. Heartbeats named those with runs, so an endpoint was named only after it had been used. A daemon on standby reads the list each 10 s, so if the entry lapses it may never have heard of the endpoint at all, and can't miss it.

Change: heartbeats also name the endpoints that the list has shown for less than 12 s before it was last read, and one is sent as soon as an endpoint is added, before anything is ordered there. A provisional holder, which can't read the division, relies on that heartbeat only if its own list isn't older.

Evidence: "their entries lapse before the next holder has read of them" fails without the change, with an overlap of 0.77 s, and passes; so does "the heartbeat after an endpoint was added doesn't wait for its turn".

Cost: 13 B in a heartbeat for each new endpoint, for 12 s; a heartbeat to all daemons for each read of the list that shows new ones.

--- a/berylproxy/durable/endpoints/fleet.py
+++ b/berylproxy/durable/endpoints/fleet.py
@@ -31,6 +31,8 @@
 # Within this time a process can't have ended, and its successor have run a task to its end.
 PROCESS_CERTAIN_S = 0.1
 VANISHED_MEMORY_S = 30.0  # well above the time for which a holder may order runs by an old list
+# By then a standby daemon has read the list again, unless the store is silent.
+NEW_ENDPOINT_S = 12.0
 # Of the ends that a report can list: ends of durable jobs stay until the store holds their effect,
 # and other jobs must go on while it doesn't answer.
 DURABLE_END_SHARE = 0.5
@@ -54,6 +56,7 @@
     _heard_capacities: dict[EndpointInstance, tuple[int, Resources]] = field(default_factory=dict)
     _changed_s: dict[EndpointInstance, float] = field(default_factory=dict)
     _vanished: dict[EndpointInstance, tuple[EndpointInfo, float]] = field(default_factory=dict)
+    _listed_from_s: dict[EndpointInstance, float] = field(default_factory=dict)
 
     def update(
         self, endpoints: tuple[EndpointInfo, ...], now_s: float, asked_s: float | None = None
@@ -74,6 +77,9 @@
             if instance in self._by_instance and heard[0] >= self._by_instance[instance].revision
         }
         self.endpoints = tuple(self._by_instance.values())
+        self._listed_from_s = {
+            instance: self._listed_from_s.get(instance, now_s) for instance in self._by_instance
+        }
         self.read_s = now_s if asked_s is None else asked_s
         confirmed, self.confirmed = self.confirmed, Event()
         confirmed.set()
@@ -89,6 +95,10 @@
             if instance.endpoint_id not in listed_ids and now_s - from_s < VANISHED_MEMORY_S
         }
 
+    def is_new(self, instance: EndpointInstance) -> bool:
+        """Returns whether standby daemons may not have read of a listed endpoint yet."""
+        return self._listed_from_s.get(instance, -inf) >= self.read_s - NEW_ENDPOINT_S
+
     def list_vanished(self, since_s: float) -> list[EndpointInfo]:
         """Lists the endpoints that were missing in an answer first since a monotonic time.
 
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -666,7 +666,6 @@
         endpoints = self.group.endpoints.values()
         are_contacted = all(endpoint.is_contacted for endpoint in endpoints)
         are_surveyed = all(e.is_surveyed for e in endpoints if e.is_contacted)
-        are_members_known = self.group.are_members_known or not self.tenure.claim_revision
         listed = {instance.endpoint_id for instance in self.group.endpoints}
         vanished = self._context.endpoint_list.list_vanished(self.tenure.began_s - UNNAMED_RUNS_S)
         may_have_unnamed = any(
@@ -678,7 +677,7 @@
             are_former_listed = are_former_endpoints_listed(
                 self._inherited, unresolved.former_fence, listed
             ) and not (is_durable and may_have_unnamed)
-            are_former_listed = are_former_listed and are_members_known
+            are_former_listed = are_former_listed and self.group.has_all_used_endpoints
             if not unresolved.job.is_final and not can_resolve(
                 age_s,
                 are_contacted,
@@ -762,11 +761,15 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
+            self.group.members_added = Event()
             self.send_heartbeat()
-            for _ in range(1, HEARTBEATS_PER_BROADCAST):
-                await sleep(HEARTBEAT_INTERVAL_S)
-                self._send_heartbeat_to(self._watchers, HEARTBEAT_INTERVAL_S)
-            await sleep(HEARTBEAT_INTERVAL_S)
+            for number in range(HEARTBEATS_PER_BROADCAST):
+                if number:
+                    self._send_heartbeat_to(self._watchers, HEARTBEAT_INTERVAL_S)
+                with move_on_after(HEARTBEAT_INTERVAL_S):
+                    # A new endpoint is named before it can have run anything.
+                    await self.group.members_added.wait()
+                    break
 
     def send_heartbeat(self) -> None:
         """Announces to all daemons that this one is the holder."""
@@ -776,8 +779,11 @@
         self._send_heartbeat_to(others, HEARTBEATS_PER_BROADCAST * HEARTBEAT_INTERVAL_S)
 
     def _send_heartbeat_to(self, incarnations: list[str], interval_s: float) -> None:
+        endpoint_list = self._context.endpoint_list
         endpoints = tuple(
-            instance.endpoint_id for instance, e in self.group.endpoints.items() if e.runs
+            instance.endpoint_id
+            for instance, endpoint in self.group.endpoints.items()
+            if endpoint.runs or endpoint_list.is_new(instance)
         )
         heartbeat = HolderHeartbeat(
             self.tenure.group,
--- a/berylproxy/durable/orders/group.py
+++ b/berylproxy/durable/orders/group.py
@@ -10,7 +10,12 @@
 from berylproxy.durable.decisions.moves import Move, MoveReason, plan_moves
 from berylproxy.durable.decisions.placement import could_ever_fit, should_reserve
 from berylproxy.durable.endpoints.evacuation import EvacuatedDomains
-from berylproxy.durable.endpoints.fleet import EndpointList, EndpointRun, EndpointState
+from berylproxy.durable.endpoints.fleet import (
+    NEW_ENDPOINT_S,
+    EndpointList,
+    EndpointRun,
+    EndpointState,
+)
 from berylproxy.durable.endpoints.group_membership import GroupMembership
 from berylproxy.durable.endpoints.neighbours import NeighbourModel
 from berylproxy.durable.jobs.crashes import Evidence, Suspicion
@@ -92,6 +97,8 @@
     :ivar are_members_known: whether the list, and then the group of each endpoint, were read in
         this tenure, so that no endpoint that a former holder used is missing, unless it has left
         the list.
+    :ivar members_added: set when endpoints are added; the coroutine that waits for it replaces it
+        by a new event.
     :ivar orphans_found: set when endpoints keep runs or ends of jobs that aren't open and may be
         wanted; the coroutine that waits for it replaces it by a new event.
     :ivar changed: set whenever free resources, quarantines or tasks may have changed; the coroutine
@@ -115,6 +122,7 @@
     ) -> None:
         self.endpoints: dict[EndpointInstance, EndpointState] = {}
         self.changed = Event()
+        self.members_added = Event()
         self.orphans_found = Event()
         self.has_read_list = False
         self.are_members_known = False
@@ -182,6 +190,18 @@
             ),
         )
 
+    @property
+    def has_all_used_endpoints(self) -> bool:
+        """Whether no endpoint that a former holder used is missing unnoticed.
+
+        One that is missing is noticed if it has vanished from the list, or if the former holder's
+        last heartbeat named it. A provisional holder can't read the division; that heartbeat named
+        the endpoints that a list of at most a certain age may lack.
+        """
+        if self._tenure.claim_revision:
+            return self.are_members_known
+        return self._endpoint_list.read_s >= self._tenure.began_s - NEW_ENDPOINT_S
+
     async def follow_heard_capacities(self) -> None:
         """Applies the capacities that other daemons have told until cancelled."""
         while True:
@@ -254,6 +274,7 @@
         self._clients[info.instance] = self._directory.connect(info)
         self._wakeups[info.instance] = Event()
         self._tenure.spawn(self._poll_endpoint, endpoint)
+        self.members_added.set()
 
     async def _poll_endpoint(self, endpoint: EndpointState) -> None:
         """Renews the endpoint's lease and applies its reports until it is removed."""
--- a/tests/steps/durable_added_endpoints_steps.py
+++ b/tests/steps/durable_added_endpoints_steps.py
@@ -65,6 +65,7 @@
 )
 def step_impl(context, kind, tasks):
     async def submit(world):
+        context.named_before = world.entry.coordinator.known_holders[world.group_of(JOB)].endpoints
         world.submit(world.entry, JOB, int(tasks), is_durable=kind == "durable")
         await world.wait_until(lambda: count_starts(world) == int(tasks))
         added = list_added(world)
@@ -104,8 +105,11 @@
     context.plays.append(slow_down)
 
 
-@when(r"the holder goes before a heartbeat names the runs, and the standby daemon takes over")
-def step_impl(context):
+@when(
+    r"the holder goes(?P<when>, whose last heartbeat is of before the job,| before a heartbeat "
+    r"names the runs,) and the standby daemon takes over"
+)
+def step_impl(context, when):
     async def take_over(world):
         group, former = world.group_of(JOB), world.holder_of(JOB)
         fence = former.coordinator.holders[group].tenure.fence
@@ -114,7 +118,8 @@
             daemon.coordinator.is_leaving = daemon is not world.entry  # it claims no group
         former.coordinator.holders[group].tenure.end("the test asks for it")
         known = world.entry.coordinator.known_holders[group]
-        known.endpoints = InheritedEndpoints(fence, frozenset())
+        named = context.named_before.endpoint_ids if "of before the job" in when else ()
+        known.endpoints = InheritedEndpoints(fence, frozenset(named))
         await world.wait_until(lambda: world.is_held_above(group, fence))
         assert group in world.entry.coordinator.holders
 
