--- a/tests/support/still_holder.py
+++ b/tests/support/still_holder.py
@@ -61,12 +61,14 @@
     """A holder with one endpoint.
 
     :param has_claim: whether it has a claim; a provisional holder has none.
+    :ivar memberships: what it knows of endpoints that it doesn't know to be in its group.
     """
 
     def __init__(self, *, has_claim: bool) -> None:
         self.now_s = 100.0
         self.store = FakeJobStore()
         self.notices: list[tuple[str, object]] = []
+        self.memberships: dict[str, GroupMembership] = {}
         endpoint = make_endpoint("e1")
         revision = CLAIM_REVISION if has_claim else 0
         self.holder = Holder(
@@ -81,7 +83,7 @@
                 FakeDirectory([endpoint]),
                 EndpointList(),
                 EvacuatedDomains(revision=1, confirmed_s=0.0),
-                lambda group, service, name: GroupMembership.MEMBER,
+                lambda group, service, name: self.memberships.get(name, GroupMembership.MEMBER),
                 SimpleNamespace(now_s=lambda: self.now_s),
                 Telemetry(),
                 lambda incarnation, message: self.notices.append((incarnation, message)),
