Keep the groups of endpoints that have just left the list

Cause: a division keeps the groups of 4,000 endpoints that aren't listed. Beyond that it dropped the oldest assignments first, also that of an endpoint whose entry had lapsed for a moment. It would have been assigned anew once back, perhaps to another group, with runs of its former one.

Evidence: "an endpoint that has left the list for a while keeps its group, however many left before" fails without the change (the endpoint has no group any more) and passes.

--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -335,7 +335,7 @@
                 self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
                 await self._learn_members(holders)
                 if holders and await self.divisions.assign_new_endpoints(
-                    endpoints, self.holders.keys()
+                    endpoints, self.holders.keys(), self._endpoint_list.list_vanished(-inf)
                 ):
                     self._endpoint_list.update(endpoints, self._clock.now_s(), asked_s)
             except StoreError as error:
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -195,7 +195,10 @@
         )
 
     async def assign_new_endpoints(
-        self, endpoints: tuple[EndpointInfo, ...], held_groups: Set[str]
+        self,
+        endpoints: tuple[EndpointInfo, ...],
+        held_groups: Set[str],
+        vanished: Iterable[EndpointInfo] = (),
     ) -> bool:
         """Learns, or decides, the groups of listed endpoints that have none yet.
 
@@ -204,6 +207,7 @@
         that can't be stored hides no other.
 
         :param held_groups: groups that this daemon holds.
+        :param vanished: endpoints that have left the list lately and may come back.
         :return: whether there were any.
         :raises StoreError: if the store does not answer.
         """
@@ -222,7 +226,10 @@
             held = [number for number, group in enumerate(groups) if group in held_groups]
             waited_s = now_s - min(since_s.values())
             if still_unassigned and held and waited_s >= held[0] * ASSIGNMENT_DELAY_S:
-                await self._store_assignments(service, _list_capacities(endpoints, service))
+                vanished_ids = {info.instance.endpoint_id for info in vanished}
+                await self._store_assignments(
+                    service, _list_capacities(endpoints, service), vanished_ids
+                )
         return bool(unassigned)
 
     def _list_unassigned(self, endpoints: Iterable[EndpointInfo]) -> list[EndpointInfo]:
@@ -234,9 +241,11 @@
             and self.group_of_endpoint(info.service, info.instance.endpoint_id) is None
         ]
 
-    async def _store_assignments(self, service: str, listed: dict[str, int]) -> None:
+    async def _store_assignments(
+        self, service: str, listed: dict[str, int], vanished: Set[str]
+    ) -> None:
         division = self._divisions[service]
-        assigned = assign_endpoints(division.assigned or {}, listed, division.count)
+        assigned = assign_endpoints(division.assigned or {}, listed, division.count, vanished)
         key, value = division_key(service), encode_division(Division(division.count, assigned))
         transaction = Transaction(((key, division.revision),), ((key, value),))
         try:
--- a/berylproxy/durable/holding/groups.py
+++ b/berylproxy/durable/holding/groups.py
@@ -4,7 +4,7 @@
 small fleet. All functions are pure.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 from hashlib import blake2b
 from math import ceil
@@ -58,7 +58,10 @@
 
 
 def assign_endpoints(
-    assigned: Mapping[str, int], listed: Mapping[str, int], count: int
+    assigned: Mapping[str, int],
+    listed: Mapping[str, int],
+    count: int,
+    vanished: Set[str] = frozenset(),
 ) -> dict[str, int]:
     """Assigns the listed endpoints that have no group yet, each to the group with least capacity.
 
@@ -69,9 +72,11 @@
     :param assigned: number of the group by endpoint.
     :param listed: capacity of the listed endpoints by identifier, in any unit.
     :param count: number of groups.
+    :param vanished: endpoints that have left the list lately; their assignments are kept. They may
+        come back with runs that their group's holder has ordered.
     """
     result = dict(assigned)
-    unlisted = [endpoint_id for endpoint_id in assigned if endpoint_id not in listed]
+    unlisted = [name for name in assigned if name not in listed and name not in vanished]
     for endpoint_id in unlisted[: max(len(unlisted) - MAX_UNLISTED_ASSIGNMENTS, 0)]:
         del result[endpoint_id]
     capacities, counts = [0] * count, [0] * count
--- a/tests/durable/holding/divisions.feature
+++ b/tests/durable/holding/divisions.feature
@@ -49,3 +49,13 @@
     And "d0", which holds group 0, looks at the list
     Then both daemons assign each endpoint to the same one of 3 groups
     And the stored division has no assignments
+
+  # Guards against two holders that order one endpoint, which came back into another group.
+  Scenario: an endpoint that has left the list for a while keeps its group, however many left before
+    Given a service of 45 listed endpoints and daemons "d0" and "d1", which each carry 4 endpoints
+    When "d0" loads the division until it is known
+    And 4100 endpoints that were assigned after them have left the list long ago
+    And endpoint "e3" leaves the list
+    And 5 endpoints are added
+    And "d0", which holds group 0, looks at the list
+    Then "e3" is still assigned to its group, beside 4000 others that aren't listed
--- a/tests/steps/durable_divisions_steps.py
+++ b/tests/steps/durable_divisions_steps.py
@@ -8,8 +8,8 @@
 
 from berylproxy.durable.holding import divisions
 from berylproxy.durable.holding.divisions import ServiceDivisions
-from berylproxy.durable.holding.groups import list_groups
-from berylproxy.durable.holding.records import division_key
+from berylproxy.durable.holding.groups import Division, list_groups
+from berylproxy.durable.holding.records import decode_division, division_key, encode_division
 from berylproxy.store.port import Entry
 from tests.support.endpoint_world import FakeDirectory, FakeJobStore, make_endpoint
 
@@ -37,7 +37,7 @@
 def step_impl(context, count, carried):
     context.division_store, context.division_clock = FakeJobStore(), ManualClock()
     context.division_directory = FakeDirectory([make_endpoint(f"e{n}") for n in range(int(count))])
-    context.reaching = {"d0", "d1"}
+    context.reaching, context.vanished = {"d0", "d1"}, []
     context.divisions = {
         name: ServiceDivisions(
             context.division_store,
@@ -77,6 +77,30 @@
     context.division_directory.endpoints += [make_endpoint(f"n{n}") for n in range(int(count))]
 
 
+def read_stored(context):
+    """Returns the stored division."""
+    return decode_division(context.division_store.entries[division_key(SERVICE)].value)
+
+
+@when(r"(?P<count>\d+) endpoints that were assigned after them have left the list long ago")
+def step_impl(context, count):
+    stored = read_stored(context)
+    former = {f"former-{n}": n % stored.count for n in range(int(count))}
+    value = encode_division(Division(stored.count, stored.assigned | former))
+    key = division_key(SERVICE)
+    context.division_store.revision += 1
+    context.division_store.entries[key] = Entry(key, value, context.division_store.revision)
+
+
+@when(r'endpoint "(?P<endpoint_id>\w+)" leaves the list')
+def step_impl(context, endpoint_id):
+    context.group_before = read_stored(context).assigned[endpoint_id]
+    endpoints = context.division_directory.endpoints
+    (gone,) = [e for e in endpoints if e.info.instance.endpoint_id == endpoint_id]
+    endpoints.remove(gone)
+    context.vanished.append(gone.info)
+
+
 def look_at_list(context, *holdings):
     """Lets daemons assign new endpoints concurrently, each given with the group that it holds."""
 
@@ -86,7 +110,7 @@
             for name, number in holdings:
                 known = context.divisions[name]
                 held = {known.groups_of(SERVICE)[number]}
-                task_group.start_soon(known.assign_new_endpoints, endpoints, held)
+                task_group.start_soon(known.assign_new_endpoints, endpoints, held, context.vanished)
 
     run(look)
 
@@ -128,6 +152,17 @@
     assert len(unknown) == int(count), unknown
 
 
+@then(
+    r'"(?P<endpoint_id>\w+)" is still assigned to its group, beside (?P<count>\d+) others that '
+    r"aren't listed"
+)
+def step_impl(context, endpoint_id, count):
+    assigned = read_stored(context).assigned
+    assert assigned.get(endpoint_id) == context.group_before, assigned.get(endpoint_id)
+    listed = {e.info.instance.endpoint_id for e in context.division_directory.endpoints}
+    assert len(assigned.keys() - listed) == int(count) + 1, len(assigned.keys() - listed)
+
+
 @then(r"no division is stored")
 def step_impl(context):
     assert not context.division_store.entries, context.division_store.entries
