--- a/berylproxy/durable/holding/context.py
+++ b/berylproxy/durable/holding/context.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InheritedEndpoints:
-    """Endpoints to which a former holder had given work, according to its last heartbeat.
+    """Endpoints that a former holder may have used, according to its last heartbeat.
 
     :param fence: fence of the former holder.
     """
--- a/berylproxy/durable/jobs/messages.py
+++ b/berylproxy/durable/jobs/messages.py
@@ -117,7 +117,8 @@
     """Announces the sender as the holder of a group.
 
     :param fence: the fence of its tenure; receivers ignore heartbeats with a lower one than known.
-    :param endpoints: identifiers of the endpoints that may have runs.
+    :param endpoints: identifiers of the endpoints that may have runs, and of those that are new in
+        the list; versions before 2026-12 name the first only.
     :param leaving: whether another daemon should take over at once.
     :param room_millicores: processor share that is free for further tasks; ``None`` from daemons of
         versions that don't measure it.
