Keep the state of each group in one class

TrackedGroups holds what the coordinator, the divisions and the entry daemon kept in three sets: followed and configured services, and released groups. Each group has one state (unknown, followed, former, released), and its transitions are in one table. A released group that is heard of again counts as followed at once; before, a service all of whose groups were released was followed with the next list.

tests/durable/holding/former_services.feature, moved_queue, divisions, member and tests/durable/entry pass.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -500,9 +500,9 @@
 
         Groups that certainly have no jobs are left out.
         """
-        divisions = self._coordinator.divisions
+        divisions, tracked = self._coordinator.divisions, self._coordinator.tracked_groups
         groups = [divisions.group_of_job(service, job_id) for service in services]
-        return [group for group in groups if group and group not in divisions.released_groups]
+        return [group for group in groups if group and not tracked.is_released(group)]
 
     async def _query_services(
         self, services: list[str], message: JobQuery, wait_s: float
@@ -547,8 +547,12 @@
             ) from error
         except TimeoutError as error:
             raise ResultUnknownError("the groups of a service are not known in time") from error
-        left_out = {"", *asked, *divisions.released_groups}
-        return [group for group in groups if group not in left_out]
+        tracked = self._coordinator.tracked_groups
+        return [
+            group
+            for group in groups
+            if group and group not in asked and not tracked.is_released(group)
+        ]
 
     async def count_pending(self, services: list[str], queue: str, wait_s: float) -> int:
         """Counts a queue's jobs of which no task has started, over all groups that may have some.
@@ -565,7 +569,7 @@
             group
             for service in self._list_candidates(services)
             for group in divisions.groups_of(service)
-            if group not in divisions.released_groups
+            if not self._coordinator.tracked_groups.is_released(group)
         ]
         return sum([await self._count_pending_in(group, queue, wait_s) for group in groups])
 
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -63,6 +63,7 @@
     model_key,
 )
 from berylproxy.durable.holding.tombstones import Tombstones
+from berylproxy.durable.holding.tracked_groups import GroupEvent, TrackedGroups
 from berylproxy.durable.holding.waiting_callers import WaitingCallers
 from berylproxy.durable.holding.withdrawals import Withdrawals
 from berylproxy.durable.jobs.messages import (
@@ -185,6 +186,7 @@
     :ivar known_holders: the newest known holder by group.
     :ivar holders: this daemon's own tenures by group.
     :ivar divisions: the divisions of the services into groups.
+    :ivar tracked_groups: the state of each group.
     :ivar cores: processor share of this VM.
     :ivar link_mbps: bandwidth of this VM's link; infinite if it is not known.
     :ivar remote_factor: ratio of a task's run time away from its data to that near its data.
@@ -255,14 +257,13 @@
             lambda: self.remote_factor,
             self._failure_domain,
             self.waiting_callers.survey,
-            self.divisions.other_groups_of_job,
+            self.list_other_groups,
         )
         self._on_jobs_ended = on_jobs_ended
         self._models: dict[str, RunTimeModel] = {}
         self._neighbours: dict[str, NeighbourModel] = {}
         self._claiming: set[str] = set()
-        self._followed_services: set[str] = set()
-        self._configured_services: set[str] = set()
+        self.tracked_groups = TrackedGroups()
         self._unused_since_s: dict[str, float] = {}
         self._unlisted_services: set[str] = set()
         self._divisions_outdated = Event()
@@ -318,7 +319,7 @@
     async def _refresh_models(self) -> None:
         """Refreshes the learned run times that a new holder starts with, until cancelled."""
         while True:
-            for service in list(self._followed_services):
+            for service in self._list_followed_services():
                 await self._load_run_time_models(service)
             await sleep(MODEL_REFRESH_INTERVAL_S)
 
@@ -444,17 +445,24 @@
         :return: whether the groups of all given services are known; if not, call again later.
         :raises StoreError: if the store does not answer.
         """
-        for service in services - self._followed_services:
+        for service in services.difference(self._list_followed_services()):
             if await self.divisions.load(service):
                 await self._follow_service(service)
-        return services <= self._followed_services
+        return services.issubset(self._list_followed_services())
+
+    def _list_followed_services(self) -> list[str]:
+        """Lists the services whose groups are tracked."""
+        return [
+            service
+            for service in self.divisions.list_services()
+            if self.tracked_groups.is_service_followed(self.divisions.groups_of(service))
+        ]
 
     async def _follow_service(self, service: str) -> None:
         """Starts to track the groups of a service whose division is known."""
         for group in self.divisions.groups_of(service):
-            self.divisions.released_groups.discard(group)
             await self._follow_group(group)
-        self._followed_services.add(service)
+            self.tracked_groups.apply(group, GroupEvent.CLAIM_READ)
         await self._load_run_time_models(service)
 
     def note_configuration(self, services: set[str]) -> None:
@@ -463,7 +471,7 @@
         A version of the configuration that was missed may have named a further service, which got
         jobs.
         """
-        self._configured_services = services
+        self.tracked_groups.note_configuration(services)
         self._unlisted_services.clear()
         self._divisions_outdated.set()
 
@@ -498,7 +506,7 @@
 
         :raises StoreError: if the store does not answer.
         """
-        found = set(self.divisions.list_services()) - self._followed_services
+        found = set(self.divisions.list_services()).difference(self._list_followed_services())
         groups_by_service = {
             name: groups for name in found if (groups := self.divisions.groups_of(name))
         }
@@ -506,11 +514,12 @@
             return
         released = await self._list_released_groups()
         for service, groups in groups_by_service.items():
-            if service in self._configured_services or not released.issuperset(groups):
+            if self.tracked_groups.is_configured(service) or not released.issuperset(groups):
                 await self._follow_service(service)
                 logger.info("following service {} by its stored division", service)
             else:
-                self.divisions.released_groups.update(groups)
+                for group in groups:
+                    self.tracked_groups.apply(group, GroupEvent.RELEASED)
 
     async def _release_unused_groups(self) -> None:
         """Releases groups that nobody needs until cancelled, so that former services cost nothing.
@@ -521,27 +530,26 @@
             await sleep(RELEASE_CHECK_INTERVAL_S)
             now_s = self._clock.now_s()
             for group, holder in list(self.holders.items()):
-                if not self._is_former(group) or not holder.is_unused:
+                if not self.tracked_groups.is_former(group) or not holder.is_unused:
                     self._unused_since_s.pop(group, None)
                 elif now_s - self._unused_since_s.setdefault(group, now_s) >= RELEASE_DELAY_S:
                     del self._unused_since_s[group]
                     await holder.release()
-                    if holder.is_released and self._is_former(group):  # it may be configured again
+                    if holder.is_released and self.tracked_groups.is_former(
+                        group
+                    ):  # it may be configured again
                         self._forget_group(group)
 
-    def _is_former(self, group: str) -> bool:
-        """Returns whether a group's service is not in the configuration, if there is one."""
-        configured = self._configured_services
-        return bool(configured) and service_of_group(group) not in configured
-
     def _forget_group(self, group: str) -> None:
         """Stops to track a released group."""
         logger.info("{} is released, as its service is not configured", group)
         self.known_holders.pop(group, None)
-        self.divisions.released_groups.add(group)
-        service = service_of_group(group)
-        if self.divisions.released_groups.issuperset(self.divisions.groups_of(service)):
-            self._followed_services.discard(service)
+        self.tracked_groups.apply(group, GroupEvent.RELEASED)
+
+    def list_other_groups(self, service: str, job_id: str) -> list[str]:
+        """Lists the groups in which a job may be if its queue had another service before."""
+        groups = self.divisions.other_groups_of_job(service, job_id)
+        return [group for group in groups if not self.tracked_groups.is_released(group)]
 
     def _note_group(self, group: str) -> None:
         """Lets the stored divisions be listed anew if a group that is held belongs to none known.
@@ -810,7 +818,11 @@
         if not known.is_leaving:  # a leaving holder's heartbeat has just reported its claim
             entry = await self._store.get(key)
             revision = entry.revision if entry is not None else 0
-            if entry is not None and is_claim_released(entry.value) and self._is_former(group):
+            if (
+                entry is not None
+                and is_claim_released(entry.value)
+                and self.tracked_groups.is_former(group)
+            ):
                 self._forget_group(group)
                 return 0
             if entry is not None and claim_fence(revision) > known.fence:
@@ -994,11 +1006,11 @@
         known = self.known_holders.get(message.group, KnownHolder())
         if message.fence < known.fence:
             return
-        if message.is_released and self._is_former(message.group):
+        if message.is_released and self.tracked_groups.is_former(message.group):
             self._forget_group(message.group)
             return
         self.known_holders[message.group] = known
-        self.divisions.released_groups.discard(message.group)
+        self.tracked_groups.apply(message.group, GroupEvent.HELD)
         holder = self.holders.get(message.group)
         if holder is not None and message.fence == holder.tenure.fence:
             if not yields_to_equal(self.own_incarnation, sender.incarnation):
--- a/berylproxy/durable/holding/divisions.py
+++ b/berylproxy/durable/holding/divisions.py
@@ -49,8 +49,6 @@
     in the groups of the service's division.
 
     :ivar are_listed: whether this daemon has listed the divisions in the store since its start.
-    :ivar released_groups: groups of services that aren't configured, which nobody holds and which
-        have no jobs.
     :param list_carried: returns how many endpoints each known VM can carry.
     :param reaches_all_members: returns whether the other daemons are known well enough for that.
     """
@@ -69,7 +67,6 @@
         self._list_carried = list_carried
         self._reaches_all_members = reaches_all_members
         self.are_listed = False
-        self.released_groups: set[str] = set()
         self._divisions: dict[str, Division] = {}
         self._unreadable: set[str] = set()
         self._unassigned_since_s: dict[str, float] = {}
@@ -133,8 +130,7 @@
 
     def other_groups_of_job(self, service: str, job_id: str) -> list[str]:
         """Lists the groups that a job would belong to if its queue were sent to another service."""
-        groups = [self.group_of_job(name, job_id) for name in self._divisions if name != service]
-        return [group for group in groups if group not in self.released_groups]
+        return [self.group_of_job(name, job_id) for name in self._divisions if name != service]
 
     async def find_group_of_job(self, service: str, job_id: str) -> str:
         """Returns the group of a service's job, from the store if the division isn't known.
--- a/tests/steps/durable_former_services_steps.py
+++ b/tests/steps/durable_former_services_steps.py
@@ -157,7 +157,7 @@
 def follow_after(context, sign):
     async def follow():
         await sign(context.coordinator)
-        await wait_until(lambda: "reserve" in context.coordinator._followed_services)
+        await wait_until(lambda: context.coordinator.tracked_groups.is_followed("reserve"))
 
     context.follow = follow
 
@@ -372,7 +372,7 @@
 def step_impl(context, tracks):
     is_tracked = "reserve" in context.coordinator.known_holders
     assert is_tracked is (tracks == "tracks")
-    assert is_tracked is not ("reserve" in context.coordinator.divisions.released_groups)
+    assert is_tracked is not context.coordinator.tracked_groups.is_released("reserve")
 
 
 use_step_matcher("parse")
--- a/tests/steps/durable_frontend_steps.py
+++ b/tests/steps/durable_frontend_steps.py
@@ -10,6 +10,7 @@
 from berylproxy.durable.entry import frontend
 from berylproxy.durable.entry.frontend import JobFrontend, NotAcceptedError, ResultUnknownError
 from berylproxy.durable.holding.records import encode_final, final_key, open_key
+from berylproxy.durable.holding.tracked_groups import TrackedGroups
 from berylproxy.durable.jobs.models import JobSpec, JobState, QueueTerms, Resources, StepSpec
 from berylproxy.durable.orders.telemetry import Telemetry
 from berylproxy.peers.membership import PeerUnreachableError
@@ -62,9 +63,12 @@
     divisions = SimpleNamespace(
         group_of_job=lambda service, job_id: service,
         list_services=lambda: ["ledger"],
-        released_groups=frozenset(),
     )
-    coordinator = SimpleNamespace(divisions=divisions, holder_incarnation=lambda group: "")
+    coordinator = SimpleNamespace(
+        divisions=divisions,
+        tracked_groups=TrackedGroups(),
+        holder_incarnation=lambda group: "",
+    )
     network = SimpleNamespace()
     store = (EndingJob if "between" in store else KnownKeys)(KEYS[store])
     context.frontend = JobFrontend(network, coordinator, store, MonotonicClock(), Telemetry())
--- a/tests/steps/durable_services_steps.py
+++ b/tests/steps/durable_services_steps.py
@@ -14,6 +14,7 @@
 from berylproxy.durable.holding.groups import Division
 from berylproxy.durable.holding.records import division_key, encode_division
 from berylproxy.durable.holding.tombstones import Tombstones
+from berylproxy.durable.holding.tracked_groups import TrackedGroups
 from berylproxy.durable.jobs.messages import StateReply
 from berylproxy.durable.jobs.models import JobState
 from berylproxy.durable.orders.telemetry import Telemetry
@@ -65,6 +66,7 @@
     run(context.service_divisions.list_stored)
     coordinator = SimpleNamespace(
         divisions=context.service_divisions,
+        tracked_groups=TrackedGroups(),
         holder_incarnation=lambda group: f"holder of {group}",
         own_incarnation="own",
         tombstones=Tombstones(context.job_store, clock),
