Follow the released groups of a service that is configured again

Cause: a service counted as followed while any of its groups was, and a followed service is passed over when it is configured again. So a group that was released while the other one had a job stayed released, with no holder. And a released group was left out of what is asked for a job, though outcomes of its jobs are kept.

Change: a service is followed when all its groups are. GET and DELETE of a job that may be in a released group, and that nobody else has, read the claims, ask the groups that are held again, and read the job's outcome.

Cost: none while no group is released; else a page of claims and a key for a GET or DELETE of a job that nobody has.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -522,7 +522,39 @@
         remaining_s = wait_s - (self._clock.now_s() - started_s)
         found = await self._find_other_groups(services, asked, message.job_id, remaining_s)
         remaining_s = wait_s - (self._clock.now_s() - started_s)
-        return await self._query_groups(found, message, remaining_s)
+        state = await self._query_groups(found, message, remaining_s)
+        if state is not None:
+            return state
+        remaining_s = wait_s - (self._clock.now_s() - started_s)
+        return await self._query_released_groups(services, message, remaining_s)
+
+    async def _query_released_groups(
+        self, services: list[str], message: JobQuery, wait_s: float
+    ) -> JobState | None:
+        """Returns the state of a job that was in a group that counts as released.
+
+        Nobody holds such a group, but the outcomes of its jobs are kept. It may be held again by
+        now, and have new jobs.
+
+        :raises ResultUnknownError: if the store doesn't tell, or the group's holder doesn't.
+        """
+        started_s, tracked = self._clock.now_s(), self._coordinator.tracked_groups
+        divisions, candidates = self._coordinator.divisions, self._list_candidates(services)
+        groups = [divisions.group_of_job(service, message.job_id) for service in candidates]
+        released = [group for group in groups if group and tracked.is_released(group)]
+        if not released:
+            return None
+        try:
+            with fail_after(max(wait_s, 0.0)):
+                await self._coordinator.follow_held_groups()
+        except StoreError as error:
+            raise ResultUnknownError(f"the claims are not known: {error.message}") from error
+        except TimeoutError as error:
+            raise ResultUnknownError("the claims are not known in time") from error
+        held = [group for group in released if not tracked.is_released(group)]
+        remaining_s = wait_s - (self._clock.now_s() - started_s)
+        state = await self._query_groups(held, message, remaining_s)
+        return state if state is not None else await self._find_stored_state([], message.job_id)
 
     async def _find_other_groups(
         self, services: list[str], asked: list[str], job_id: str, wait_s: float
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -319,7 +319,7 @@
     async def _refresh_models(self) -> None:
         """Refreshes the learned run times that a new holder starts with, until cancelled."""
         while True:
-            for service in self._list_followed_services():
+            for service in self._list_services_with_followed_groups():
                 await self._load_run_time_models(service)
             await sleep(MODEL_REFRESH_INTERVAL_S)
 
@@ -445,24 +445,22 @@
         :return: whether the groups of all given services are known; if not, call again later.
         :raises StoreError: if the store does not answer.
         """
-        for service in services.difference(self._list_followed_services()):
-            if await self.divisions.load(service):
-                await self._follow_service(service)
-        return services.issubset(self._list_followed_services())
-
-    def _list_followed_services(self) -> list[str]:
-        """Lists the services whose groups are tracked."""
-        return [
-            service
-            for service in self.divisions.list_services()
-            if self.tracked_groups.is_service_followed(self.divisions.groups_of(service))
-        ]
-
-    async def _follow_service(self, service: str) -> None:
-        """Starts to track the groups of a service whose division is known."""
-        for group in self.divisions.groups_of(service):
-            await self._follow_group(group)
-            self.tracked_groups.apply(group, GroupEvent.CLAIM_READ)
+        for service in services:
+            if not self._is_followed(service) and await self.divisions.load(service):
+                await self._follow_groups(service, self.divisions.groups_of(service))
+        return all(self._is_followed(service) for service in services)
+
+    def _is_followed(self, service: str) -> bool:
+        """Returns whether all groups of a service are known and followed."""
+        groups = self.divisions.groups_of(service)
+        return bool(groups) and all(self.tracked_groups.is_followed(group) for group in groups)
+
+    async def _follow_groups(self, service: str, groups: list[str]) -> None:
+        """Starts to follow those groups of a service that aren't followed yet."""
+        for group in groups:
+            if not self.tracked_groups.is_followed(group):
+                await self._follow_group(group)
+                self.tracked_groups.apply(group, GroupEvent.CLAIM_READ)
         await self._load_run_time_models(service)
 
     def note_configuration(self, services: set[str]) -> None:
@@ -501,25 +499,41 @@
                     released.add(entry.key.removeprefix(CLAIM_PREFIX))
         return released
 
+    def _list_services_with_followed_groups(self) -> list[str]:
+        followed = self.tracked_groups.list_followed()
+        return list(dict.fromkeys(service_of_group(group) for group in followed))
+
     async def _follow_former_services(self) -> None:
-        """Tracks the groups of the divided services that aren't tracked yet, but for released ones.
+        """Follows the groups of all divided services, but for released ones of former services.
 
         :raises StoreError: if the store does not answer.
         """
-        found = set(self.divisions.list_services()).difference(self._list_followed_services())
-        groups_by_service = {
-            name: groups for name in found if (groups := self.divisions.groups_of(name))
+        incomplete = {
+            service: groups
+            for service in self.divisions.list_services()
+            if (groups := self.divisions.groups_of(service)) and not self._is_followed(service)
         }
-        if not groups_by_service:
+        if not incomplete:
             return
         released = await self._list_released_groups()
-        for service, groups in groups_by_service.items():
-            if self.tracked_groups.is_configured(service) or not released.issuperset(groups):
-                await self._follow_service(service)
-                logger.info("following service {} by its stored division", service)
-            else:
-                for group in groups:
+        for service, groups in incomplete.items():
+            is_configured = self.tracked_groups.is_configured(service)
+            needed = [group for group in groups if is_configured or group not in released]
+            for group in set(groups).difference(needed):
+                if not self.tracked_groups.is_followed(group):
                     self.tracked_groups.apply(group, GroupEvent.RELEASED)
+            if not all(self.tracked_groups.is_followed(group) for group in needed):
+                await self._follow_groups(service, needed)
+                logger.info("following {} by the stored division", ", ".join(needed))
+
+    async def follow_held_groups(self) -> None:
+        """Follows the groups that count as released, and that a daemon holds nevertheless.
+
+        Their holders may not have been heard here.
+
+        :raises StoreError: if the store does not answer.
+        """
+        await self._follow_former_services()
 
     async def _release_unused_groups(self) -> None:
         """Releases groups that nobody needs until cancelled, so that former services cost nothing.
@@ -535,9 +549,8 @@
                 elif now_s - self._unused_since_s.setdefault(group, now_s) >= RELEASE_DELAY_S:
                     del self._unused_since_s[group]
                     await holder.release()
-                    if holder.is_released and self.tracked_groups.is_former(
-                        group
-                    ):  # it may be configured again
+                    is_former = self.tracked_groups.is_former(group)  # or configured meanwhile
+                    if holder.is_released and is_former:
                         self._forget_group(group)
 
     def _forget_group(self, group: str) -> None:
--- a/berylproxy/durable/holding/tracked_groups.py
+++ b/berylproxy/durable/holding/tracked_groups.py
@@ -1,6 +1,6 @@
 """Which groups a daemon tracks: those that may have jobs, whether their services are configured."""
 
-from collections.abc import Iterable, Set
+from collections.abc import Set
 from enum import StrEnum
 
 from berylproxy.durable.holding.groups import service_of_group
@@ -81,8 +81,6 @@
         """Returns whether a group is released."""
         return self.state(group) is GroupState.RELEASED
 
-    def is_service_followed(self, groups: Iterable[str]) -> bool:
-        """Returns whether a service is followed, given all its groups; some may be released."""
-        states = {self.state(group) for group in groups}
-        is_any_followed = bool(states & {GroupState.FOLLOWED, GroupState.FORMER})
-        return is_any_followed and GroupState.UNKNOWN not in states
+    def list_followed(self) -> list[str]:
+        """Lists the groups whose holders are followed."""
+        return [group for group in self._states if self.is_followed(group)]
