--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -546,7 +546,7 @@
             return None
         try:
             with fail_after(max(wait_s, 0.0)):
-                await self._coordinator.follow_held_groups()
+                await self._coordinator.follow_former_services()
         except StoreError as error:
             raise ResultUnknownError(f"the claims are not known: {error.message}") from error
         except TimeoutError as error:
--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -479,7 +479,7 @@
             self._divisions_outdated = Event()
             try:
                 await self.divisions.list_stored()
-                await self._follow_former_services()
+                await self.follow_former_services()
             except StoreError as error:
                 logger.info("the stored divisions can't be listed yet: {}", error.message)
                 await sleep(LIST_RETRY_DELAY_S)
@@ -503,9 +503,11 @@
         followed = self.tracked_groups.list_followed()
         return list(dict.fromkeys(service_of_group(group) for group in followed))
 
-    async def _follow_former_services(self) -> None:
+    async def follow_former_services(self) -> None:
         """Follows the groups of all divided services, but for released ones of former services.
 
+        A group that counts as released here may be held again by a daemon that wasn't heard.
+
         :raises StoreError: if the store does not answer.
         """
         incomplete = {
@@ -526,15 +528,6 @@
                 await self._follow_groups(service, needed)
                 logger.info("following {} by the stored division", ", ".join(needed))
 
-    async def follow_held_groups(self) -> None:
-        """Follows the groups that count as released, and that a daemon holds nevertheless.
-
-        Their holders may not have been heard here.
-
-        :raises StoreError: if the store does not answer.
-        """
-        await self._follow_former_services()
-
     async def _release_unused_groups(self) -> None:
         """Releases groups that nobody needs until cancelled, so that former services cost nothing.
 
