--- a/berylproxy/durable/holding/coordinator.py
+++ b/berylproxy/durable/holding/coordinator.py
@@ -144,7 +144,7 @@
     :ivar is_leaving: whether it has asked to be replaced.
     :ivar has_ended: whether its process has certainly ended: the claim names this daemon, but an
         earlier process of it.
-    :ivar endpoints: the endpoints that had runs, by its last heartbeat.
+    :ivar endpoints: the endpoints that it may have used, by its last heartbeat.
     :ivar heartbeat_interval_s: time between its heartbeats to this daemon.
     :ivar room_millicores: processor share that its last heartbeat said to be free, less what this
         daemon has sent since; ``None`` if it is not known.
