List a job's groups in one place, and write the condition on former endpoints as one

Cause: reading the whole change. _query_released_groups listed the groups that a job would belong to as _known_groups does, and _resolve_jobs built are_former_listed in two statements.

Change: both call _list_groups; are_former_listed is one expression. Behaviour is the same.

--- a/berylproxy/durable/entry/frontend.py
+++ b/berylproxy/durable/entry/frontend.py
@@ -498,11 +498,16 @@
     def _known_groups(self, services: list[str], job_id: str) -> list[str]:
         """Lists the group that the job would belong to in each service whose division is known.
 
-        Groups that certainly have no jobs are left out.
+        Released ones are left out.
         """
-        divisions, tracked = self._coordinator.divisions, self._coordinator.tracked_groups
+        tracked, groups = self._coordinator.tracked_groups, self._list_groups(services, job_id)
+        return [group for group in groups if not tracked.is_released(group)]
+
+    def _list_groups(self, services: list[str], job_id: str) -> list[str]:
+        """Lists the group that the job would belong to in each service whose division is known."""
+        divisions = self._coordinator.divisions
         groups = [divisions.group_of_job(service, job_id) for service in services]
-        return [group for group in groups if group and not tracked.is_released(group)]
+        return [group for group in groups if group]
 
     async def _query_services(
         self, services: list[str], message: JobQuery, wait_s: float
@@ -539,9 +544,8 @@
         :raises ResultUnknownError: if the store doesn't tell, or the group's holder doesn't.
         """
         started_s, tracked = self._clock.now_s(), self._coordinator.tracked_groups
-        divisions, candidates = self._coordinator.divisions, self._list_candidates(services)
-        groups = [divisions.group_of_job(service, message.job_id) for service in candidates]
-        released = [group for group in groups if group and tracked.is_released(group)]
+        groups = self._list_groups(self._list_candidates(services), message.job_id)
+        released = [group for group in groups if tracked.is_released(group)]
         if not released:
             return None
         try:
--- a/berylproxy/durable/holding/holder.py
+++ b/berylproxy/durable/holding/holder.py
@@ -674,10 +674,11 @@
         still_unresolved = []
         for unresolved in self._unresolved:
             age_s, is_durable = now_s - unresolved.since_s, unresolved.job.spec.is_durable
-            are_former_listed = are_former_endpoints_listed(
-                self._inherited, unresolved.former_fence, listed
-            ) and not (is_durable and may_have_unnamed)
-            are_former_listed = are_former_listed and self.group.has_all_used_endpoints
+            are_former_listed = (
+                self.group.has_all_used_endpoints
+                and are_former_endpoints_listed(self._inherited, unresolved.former_fence, listed)
+                and not (is_durable and may_have_unnamed)
+            )
             if not unresolved.job.is_final and not can_resolve(
                 age_s,
                 are_contacted,
